--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+PYTHON ?= python3
+BIN := .venv/bin
+
+.PHONY: demo test fuzz faults bench capacity format clean
+
+.venv/ready: requirements.txt
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --requirement requirements.txt
+	$(BIN)/pip install --quiet --no-deps --editable .
+	touch .venv/ready
+
+demo: .venv/ready
+	$(BIN)/python -m galenahatch.test.demo
+
+test: .venv/ready
+	$(BIN)/python runtests.py
+
+fuzz: .venv/ready
+	$(BIN)/python runtests.py fuzz
+
+faults: .venv/ready
+	$(BIN)/python runtests.py faults
+
+bench: .venv/ready
+	$(BIN)/python -m bench.compare
+
+capacity: .venv/ready
+	$(BIN)/python -m bench.capacity
+
+format: .venv/ready
+	$(BIN)/ruff format galenahatch bench runtests.py
+
+clean:
+	rm -rf .venv build .mypy_cache .ruff_cache
--- /dev/null
+++ b/galenahatch/answers.py
@@ -0,0 +1,227 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Answers to callers: OpenAI-compatible JSON and server-sent events."""
+
+import math
+import typing
+
+from aiohttp import web
+import msgspec
+
+from galenahatch.core import claim
+from galenahatch import errors
+from galenahatch import ids
+from galenahatch import inbound
+
+JSON: typing.Final = 'application/json'
+EVENT_STREAM: typing.Final = 'text/event-stream'
+
+
+class Sink(typing.Protocol):
+    """Where an answer's tokens go while it is generated."""
+
+    async def tokens(self, text: str) -> None:
+        """Pass on some text."""
+
+
+class NoSink:
+    """Keeps nothing: the answer is sent whole at the end."""
+
+    async def tokens(self, text: str) -> None:
+        """Ignore the text."""
+
+
+class StreamSink:
+    """Sends text as server-sent events as it comes.
+
+    Args:
+        request: the caller's.
+        asked: the checked request.
+    """
+
+    def __init__(
+        self, request: web.Request, asked: inbound.ModelRequest
+    ) -> None:
+        self._request = request
+        self._asked = asked
+        self._response: web.StreamResponse | None = None
+
+    @property
+    def response(self) -> web.StreamResponse | None:
+        """The response, once its headers are sent."""
+        return self._response
+
+    async def tokens(self, text: str) -> None:
+        """Send a chunk of text."""
+        await self._write(_chunk(self._asked, text, None))
+
+    async def end(self, finish: str) -> web.StreamResponse:
+        """Send the end of a whole answer."""
+        await self._write(_chunk(self._asked, '', finish))
+        return await self._close(b'data: [DONE]\n\n')
+
+    async def fail(self, failure: errors.Failure) -> web.StreamResponse:
+        """Send a failure in place of the end; no [DONE] follows."""
+        body = error_body(failure, self._asked.headers.request)
+        return await self._close(b'data: ' + body + b'\n\n')
+
+    async def _write(self, chunk: dict[str, typing.Any]) -> None:
+        response = await self._opened()
+        line = b'data: ' + msgspec.json.encode(chunk) + b'\n\n'
+        await response.write(line)
+
+    async def _close(self, last: bytes) -> web.StreamResponse:
+        response = await self._opened()
+        await response.write(last)
+        await response.write_eof()
+        return response
+
+    async def _opened(self) -> web.StreamResponse:
+        if self._response is None:
+            response = web.StreamResponse()
+            response.content_type = EVENT_STREAM
+            response.headers['Cache-Control'] = 'no-store'
+            response.headers[inbound.OUTCOME] = 'streaming'
+            response.headers[inbound.REQUEST_ID] = self._asked.headers.request
+            await response.prepare(self._request)
+            self._response = response
+        return self._response
+
+
+def _chunk(
+    asked: inbound.ModelRequest, text: str, finish: str | None
+) -> dict[str, typing.Any]:
+    choice: dict[str, typing.Any] = {'index': 0, 'finish_reason': finish}
+    if asked.chat:
+        choice['delta'] = {'content': text} if text else {}
+        kind = 'chat.completion.chunk'
+    else:
+        choice['text'] = text
+        kind = 'text_completion'
+    chunk: dict[str, typing.Any] = {
+        'id': asked.headers.request,
+        'object': kind,
+        'model': asked.service.name,
+        'choices': [choice],
+    }
+    if finish is not None:
+        chunk['galenahatch'] = {'outcome': errors.Outcome.ANSWERED.value}
+    return chunk
+
+
+def whole(
+    asked: inbound.ModelRequest, text: str, finish: str, tokens: int
+) -> claim.Answer:
+    """Return a whole answer that is not streamed."""
+    choice: dict[str, typing.Any] = {'index': 0, 'finish_reason': finish}
+    if asked.chat:
+        choice['message'] = {'role': 'assistant', 'content': text}
+        kind = 'chat.completion'
+    else:
+        choice['text'] = text
+        kind = 'text_completion'
+    body = {
+        'id': asked.headers.request,
+        'object': kind,
+        'model': asked.service.name,
+        'choices': [choice],
+        'usage': {
+            'prompt_tokens': asked.prompt_tokens,
+            'completion_tokens': tokens,
+        },
+    }
+    return claim.Answer(
+        200, errors.Outcome.ANSWERED.value, JSON, msgspec.json.encode(body)
+    )
+
+
+def failed(failure: errors.Failure, request: ids.RequestId) -> claim.Answer:
+    """Return a failure as an answer, to be kept with a claim."""
+    return claim.Answer(
+        failure.reason.status,
+        failure.outcome.value,
+        JSON,
+        error_body(failure, request),
+    )
+
+
+def error_body(failure: errors.Failure, request: ids.RequestId) -> bytes:
+    """Return the JSON body of a failure."""
+    error: dict[str, typing.Any] = {
+        'type': failure.reason.name,
+        'reason': failure.reason.message,
+        'detail': failure.detail,
+        'outcome': failure.outcome.value,
+        'request': request,
+    }
+    if failure.retry_after is not None:
+        error['retry_after'] = round(failure.retry_after, 3)
+    return msgspec.json.encode({'error': error})
+
+
+def response_of(
+    answer: claim.Answer,
+    request: ids.RequestId,
+    retry_after: float | None = None,
+) -> web.Response:
+    """Return the HTTP response of an answer."""
+    response = web.Response(status=answer.status, body=answer.body)
+    response.headers['Content-Type'] = answer.content_type
+    response.headers[inbound.OUTCOME] = answer.outcome
+    response.headers[inbound.REQUEST_ID] = request
+    if retry_after is not None:
+        seconds = max(1, math.ceil(retry_after))
+        response.headers['Retry-After'] = str(seconds)
+    return response
+
+
+def refusal_of(
+    failure: errors.Failure, request: ids.RequestId
+) -> web.Response:
+    """Return the HTTP response of a failure."""
+    answer = failed(failure, request)
+    retry_after = failure.retry_after
+    if retry_after is None and failure.reason.status in (409, 429, 503):
+        retry_after = 1.0
+    return response_of(answer, request, retry_after)
+
+
+class Stored(msgspec.Struct, frozen=True):
+    """Text and finish reason of a stored answer."""
+
+    text: str
+    finish: str
+
+
+class _StoredMessage(msgspec.Struct, frozen=True):
+    content: str = ''
+
+
+class _StoredChoice(msgspec.Struct, frozen=True):
+    finish_reason: str
+    text: str = ''
+    message: _StoredMessage = _StoredMessage()
+
+
+class _StoredBody(msgspec.Struct, frozen=True):
+    choices: tuple[_StoredChoice, ...]
+
+
+def stored_text(answer: claim.Answer) -> Stored | None:
+    """Return the text of a stored whole answer; None for a failure."""
+    if answer.outcome != errors.Outcome.ANSWERED.value:
+        return None
+    body = msgspec.json.decode(answer.body, type=_StoredBody)
+    choice = body.choices[0]
+    text = choice.text or choice.message.content
+    return Stored(text, choice.finish_reason)
--- /dev/null
+++ b/galenahatch/application.py
@@ -0,0 +1,172 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Life cycle that all daemons share.
+
+An application object is an aiomisc service: `start` opens sockets and
+starts tasks, `stop` runs on SIGTERM or SIGINT and returns when nothing is
+in flight any more. No timer cuts a stop short.
+"""
+
+import asyncio
+import datetime
+import signal
+import sys
+import typing
+
+import aiohttp
+from aiohttp import web
+import aiomisc
+import uvloop
+
+from galenahatch import clock
+from galenahatch import distribution
+from galenahatch import logs
+from galenahatch import metrics
+from galenahatch import options as options_module
+from galenahatch import peers
+from galenahatch.platform import http
+from galenahatch.platform import objects
+from galenahatch.platform import table
+from galenahatch.platform import vms
+from galenahatch import tasks
+
+_NO_TIMER: typing.Final = datetime.timedelta(days=7).total_seconds()
+
+
+class Daemon(aiomisc.Service):
+    """What every daemon has.
+
+    Attributes:
+        options: settings.
+        tasks: background tasks, cancelled at the end of `stop`.
+    """
+
+    def __init__(self, options: options_module.Options) -> None:
+        super().__init__()
+        self.options = options
+        self.tasks = tasks.Tasks()
+        self._runner: web.AppRunner | None = None
+        self._platform: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Start the daemon."""
+        raise TypeError('a daemon defines start')
+
+    def open_platform(self) -> None:
+        """Open the clients of the platform."""
+        client = http.session(self.options.platform_token)
+        self._platform = client
+        self.table = table.Table(client, self.options.table_url)
+        self.objects = objects.Objects(client, self.options.objects_url)
+        self.vms = vms.Vms(client, self.options.vms_url)
+        self.config = distribution.Distribution(
+            self.options, self.table, self.objects
+        )
+
+    def join(self, joined: peers.Peers) -> None:
+        """Start to talk to peers and to follow the configuration."""
+        self.config.ask_with(joined.send)
+        joined.run(self.tasks)
+        self.config.run(self.tasks)
+
+    async def listen(
+        self,
+        app: web.Application,
+        port: int,
+        keepalive: float,
+        max_header_bytes: int = 8190,
+    ) -> None:
+        """Serve HTTP on this VM's address."""
+        self._runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            keepalive_timeout=keepalive,
+            max_line_size=max_header_bytes,
+            max_field_size=max_header_bytes,
+        )
+        await self._runner.setup()
+        site = web.TCPSite(
+            self._runner,
+            self.options.address,
+            port,
+            shutdown_timeout=_NO_TIMER,
+            reuse_address=True,
+        )
+        await site.start()
+
+    async def close(self) -> None:
+        """End tasks, then close sockets."""
+        await self.tasks.stop()
+        if self._runner is not None:
+            await self._runner.cleanup()
+        if self._platform is not None:
+            await self._platform.close()
+
+
+def health_routes(
+    why_not_ready: typing.Callable[[], str],
+) -> list[web.RouteDef]:
+    """Return the routes of the health checks.
+
+    Args:
+        why_not_ready: reason, or empty when the daemon takes traffic.
+    """
+
+    async def alive(request: web.Request) -> web.Response:
+        return web.json_response({'alive': True})
+
+    async def ready(request: web.Request) -> web.Response:
+        why = why_not_ready()
+        body = {'ready': not why, 'why': why}
+        return web.json_response(body, status=503 if why else 200)
+
+    return [web.get('/healthz', alive), web.get('/readyz', ready)]
+
+
+def run(daemon: Daemon, program: str) -> int:
+    """Run a daemon until it is told to stop; return the exit code."""
+    options = daemon.options
+    logs.set_up(options.log_level, options.log_json)
+    metrics.set_up(options.otlp_endpoint, program)
+    log = logs.Log(program)
+    started = clock.now()
+    try:
+        with aiomisc.entrypoint(
+            daemon,
+            log_config=False,
+            loop_factory=uvloop.new_event_loop,
+            shutdown_timeout=_NO_TIMER,
+        ) as loop:
+            log.info('Started.', address=options.address)
+            loop.run_forever()
+    except OSError as error:
+        log.error('Could not start.', error=str(error))
+        return 1
+    log.info('Stopped.', seconds=clock.now() - started)
+    return 0
+
+
+def ignore_signals(log: logs.Log) -> None:
+    """Let further signals not cut a planned stop short."""
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, log.info, 'Already leaving.')
+
+
+def check_options(options: options_module.Options) -> bool:
+    """Print every wrong setting; return whether there was none."""
+    found = options_module.problems(options)
+    for failure in found:
+        print(f'{failure.reason.name}: {failure.detail}', file=sys.stderr)
+    return not found
--- /dev/null
+++ b/galenahatch/core/cell.py
@@ -0,0 +1,609 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""A cell: the engines of one service in one region, and who waits for them.
+
+One owner decides for all entries, so entries that decide at once don't
+overfill an engine. `submit` takes a request or gives it up at once;
+`decide` places the requests whose turn it is, and gives up those that can
+no longer start in time. Reservations that their entry does not confirm
+lapse; a new owner rebuilds them from the entries' reports. Times are
+monotonic seconds, passed in.
+"""
+
+import collections.abc
+import dataclasses
+import heapq
+import random
+import typing
+
+from galenahatch import config
+from galenahatch.core import cache
+from galenahatch.core import engines
+from galenahatch.core import fairness
+from galenahatch.core import health
+from galenahatch.core import pairing
+from galenahatch import errors
+from galenahatch import ids
+from galenahatch import messages
+
+LOOKAHEAD: typing.Final = 0.03
+"""Longest wait at a prefill engine; the rest waits in the cell."""
+CONFIRM_WITHIN: typing.Final = 10.0
+"""Seconds after which a reservation without a sign lapses."""
+CACHE_AGE: typing.Final = 60.0
+LONGEST_QUEUE: typing.Final = 5000
+LONGEST_RETRY_AFTER: typing.Final = 60.0
+_FIRST_LENGTH_SHARE: typing.Final = 0.5
+_EXPLAINED_LOSERS: typing.Final = 3
+_RECHECK: typing.Final = 0.05
+
+
+@dataclasses.dataclass(frozen=True)
+class Job:
+    """A request that waits, with what does not change while it does."""
+
+    request: messages.PlaceRequest
+    share: float
+    cost: float
+    start_by: float
+    arrived_at: float
+
+    @property
+    def stream(self) -> ids.StreamId:
+        """Unique id."""
+        return self.request.stream
+
+    @property
+    def caller(self) -> ids.CallerName:
+        """Whose it is."""
+        return self.request.caller
+
+    @property
+    def urgency(self) -> messages.Urgency:
+        """Its class."""
+        return self.request.urgency
+
+
+@dataclasses.dataclass
+class Reservation:
+    """Engines held for one attempt."""
+
+    stream: ids.StreamId
+    entry: ids.MemberId
+    prefill: ids.EngineName
+    decode: ids.EngineName
+    prompt_tokens: int
+    output_tokens: int
+    blocks: tuple[int, ...]
+    stage: messages.Stage
+    placed_at: float
+    seen_at: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Decision:
+    """What was decided on one attempt, with its explanation."""
+
+    request: messages.PlaceRequest
+    answer: messages.Placed | messages.GivenUp
+
+
+class Cell:
+    """State of one cell at its owner.
+
+    Args:
+        service: that the engines serve.
+        random_source: for sampling among many engines.
+    """
+
+    def __init__(
+        self, service: config.ModelService, random_source: random.Random
+    ) -> None:
+        self._service = service
+        self._random = random_source
+        self._prefills: dict[ids.EngineName, engines.PrefillEngine] = {}
+        self._decodes: dict[ids.EngineName, engines.DecodeEngine] = {}
+        self._prefill_pool: tuple[engines.PrefillEngine, ...] = ()
+        self._decode_pool: tuple[engines.DecodeEngine, ...] = ()
+        self._allowed: dict[ids.SiteName, frozenset[ids.EngineName]] = {}
+        self._queue: fairness.FairQueue[Job] = fairness.FairQueue()
+        self._start_by: list[tuple[float, ids.StreamId]] = []
+        self._reservations: dict[ids.StreamId, Reservation] = {}
+        self._index = cache.PrefixIndex(CACHE_AGE)
+        self._length_share = _FIRST_LENGTH_SHARE
+        self._hold_seconds = 0.0
+        self._promised_until = 0.0
+
+    @property
+    def service(self) -> config.ModelService:
+        """The service, as configured now."""
+        return self._service
+
+    @property
+    def index(self) -> cache.PrefixIndex:
+        """Which engine has which prefix."""
+        return self._index
+
+    @property
+    def waiting(self) -> int:
+        """Requests in the queue."""
+        return len(self._queue)
+
+    def waiting_of(self, caller: ids.CallerName) -> int:
+        """Return how many requests of a caller wait."""
+        return self._queue.waiting(caller)
+
+    @property
+    def reservations(
+        self,
+    ) -> collections.abc.Mapping[ids.StreamId, Reservation]:
+        """Reservations by stream."""
+        return self._reservations
+
+    @property
+    def prefills(self) -> tuple[engines.PrefillEngine, ...]:
+        """The prefill engines."""
+        return self._prefill_pool
+
+    @property
+    def decodes(self) -> tuple[engines.DecodeEngine, ...]:
+        """The decode engines."""
+        return self._decode_pool
+
+    # Configuration and news of engines.
+
+    def configure(
+        self,
+        service: config.ModelService,
+        declared: collections.abc.Iterable[config.Engine],
+        allowed: dict[ids.SiteName, frozenset[ids.EngineName]],
+    ) -> None:
+        """Take the engines of a configuration; known ones keep state."""
+        self._service = service
+        self._allowed = allowed
+        prefills = {}
+        decodes = {}
+        for settings in declared:
+            if settings.role == 'prefill':
+                prefills[settings.name] = self._prefill_of(settings)
+            else:
+                decodes[settings.name] = self._decode_of(settings)
+        self._prefills = prefills
+        self._decodes = decodes
+        self._prefill_pool = tuple(prefills.values())
+        self._decode_pool = tuple(decodes.values())
+
+    def set_leaving(
+        self, leaving: collections.abc.Container[ids.EngineName]
+    ) -> None:
+        """Take which engines leave, from all sources together."""
+        for prefill in self._prefill_pool:
+            prefill.leaving = prefill.name in leaving
+        for decode in self._decode_pool:
+            decode.leaving = decode.name in leaving
+
+    def paced(
+        self, engine: ids.EngineName, seconds: float, now: float
+    ) -> None:
+        """Take a time between tokens from an engine's load report."""
+        self._heard(engine, now)
+        if engine in self._decodes and seconds > 0:
+            self._note_pace(self._decodes[engine], seconds)
+
+    def failed(self, engine: ids.EngineName, now: float) -> None:
+        """Note that an engine failed an attempt or a load request."""
+        found = self._engine(engine)
+        if found is not None:
+            found.health.failed(now)
+
+    # The life of a request.
+
+    def submit(
+        self, request: messages.PlaceRequest, share: float, now: float
+    ) -> Decision | None:
+        """Take a request; return a decision if it is given up at once.
+
+        Args:
+            request: as the entry sent it.
+            share: weight of its caller.
+            now: monotonic seconds.
+        """
+        job = self._job(request, share, now)
+        reason = self._refusal(job, now)
+        if reason is not None:
+            return self._give_up(job, reason, now)
+        self._queue.push(job)
+        heapq.heappush(self._start_by, (job.start_by, job.stream))
+        return None
+
+    def withdraw(self, stream: ids.StreamId) -> None:
+        """Remove a request that waits: its caller is gone."""
+        self._queue.remove(stream)
+
+    def decide(self, now: float) -> list[Decision]:
+        """Place and give up what can be decided now."""
+        self._update_health(now)
+        decisions = self._expired(now)
+        while True:
+            job = self._queue.head()
+            if job is None:
+                return decisions
+            choice = self._choose(job, now)
+            if choice.pair is None and choice.wait_until is not None:
+                return decisions
+            self._queue.pop()
+            if choice.pair is None:
+                decisions.append(self._give_up(job, errors.NO_ENGINE, now))
+            else:
+                decisions.append(self._place(job, choice, now))
+
+    def next_look(self, now: float) -> float | None:
+        """Return when `decide` should be called again; None if idle."""
+        job = self._queue.head()
+        if job is None:
+            return None
+        soon = now + _RECHECK
+        choice = self._choose(job, now)
+        if choice.pair is not None or choice.wait_until is None:
+            return now
+        return min(soon, max(now + 0.001, choice.wait_until))
+
+    def progress(self, news: messages.Progress, now: float) -> None:
+        """Take an entry's word on how far an attempt is."""
+        reservation = self._reservations.get(news.stream)
+        if reservation is None:
+            return
+        reservation.seen_at = now
+        before = reservation.stage
+        reservation.stage = news.stage
+        if before is messages.Stage.PREFILL:
+            self._prefilled(reservation, news, now)
+        if news.stage is messages.Stage.DECODE:
+            decode = self._decodes.get(reservation.decode)
+            if decode is not None:
+                length = self._length(reservation.output_tokens)
+                ends_at = now + length * decode.seconds_per_token
+                decode.move(news.stream, ends_at)
+
+    def release(self, news: messages.Release, now: float) -> None:
+        """Free what an attempt held."""
+        reservation = self._reservations.pop(news.stream, None)
+        if reservation is None:
+            self.withdraw(news.stream)
+            return
+        self._free(reservation, now)
+        if news.failed is not None:
+            self.failed(news.failed, now)
+            return
+        self._learn(reservation, news, now)
+
+    def rebuild(self, report: messages.HeldReport, now: float) -> None:
+        """Take an entry's complete report: add, confirm and drop."""
+        reported = {one.stream: one for one in report.held}
+        for stream, reservation in list(self._reservations.items()):
+            if reservation.entry != report.entry:
+                continue
+            if stream in reported:
+                reservation.seen_at = now
+            elif now - reservation.placed_at > CONFIRM_WITHIN / 2:
+                self._drop(stream, now)
+        for one in report.held:
+            if one.stream not in self._reservations:
+                self._adopt(report.entry, one, now)
+
+    def lapse(self, now: float) -> list[ids.StreamId]:
+        """Drop reservations without a sign of their entry."""
+        lapsed = [
+            stream
+            for stream, reservation in self._reservations.items()
+            if now - reservation.seen_at > CONFIRM_WITHIN
+        ]
+        for stream in lapsed:
+            self._drop(stream, now)
+        return lapsed
+
+    def forget_entry(self, entry: ids.MemberId, now: float) -> None:
+        """Free everything of an entry that is gone."""
+        for stream, reservation in list(self._reservations.items()):
+            if reservation.entry == entry:
+                self._drop(stream, now)
+        for job in self._queue.items():
+            if job.request.entry == entry:
+                self._queue.remove(job.stream)
+
+    def release_rate(self) -> float:
+        """Return how many requests a second the cell can take in."""
+        places = sum(d.places for d in self._decode_pool if not d.leaving)
+        hold = self._hold_seconds or 1.0
+        return max(0.1, places / hold)
+
+    # Parts of the above.
+
+    def _job(
+        self, request: messages.PlaceRequest, share: float, now: float
+    ) -> Job:
+        cost = self._usual_cost(request.prompt_tokens)
+        start_by = now + request.patience - cost
+        return Job(request, share, cost, start_by, now)
+
+    def _usual_cost(self, tokens: int) -> float:
+        if not self._prefill_pool:
+            return 0.0
+        return min(engine.cost(tokens) for engine in self._prefill_pool)
+
+    def _refusal(self, job: Job, now: float) -> errors.Reason | None:
+        if len(self._queue) >= LONGEST_QUEUE:
+            return errors.QUEUE_FULL
+        if not self._usable(self._prefill_pool):
+            return errors.NO_ENGINE
+        if not self._usable(self._decode_pool):
+            return errors.NO_ENGINE
+        if now + self._expected_wait(job, now) > job.start_by:
+            return errors.NO_TIME
+        return None
+
+    def _usable(
+        self,
+        pool: collections.abc.Sequence[
+            engines.PrefillEngine | engines.DecodeEngine
+        ],
+    ) -> int:
+        return sum(
+            not engine.leaving
+            and engine.health.state is not health.Health.EJECTED
+            for engine in pool
+        )
+
+    def _expected_wait(self, job: Job, now: float) -> float:
+        """Return the predicted seconds until a request's prefill starts."""
+        ahead = self._queue.ahead(job)
+        idle = [
+            engine.starts_at(now) - now
+            for engine in self._prefill_pool
+            if not engine.leaving
+        ]
+        prefill_wait = min(idle, default=0.0) + ahead / max(1, len(idle))
+        place_wait = self._place_wait(job, ahead, now)
+        return max(prefill_wait, place_wait)
+
+    def _place_wait(self, job: Job, ahead: float, now: float) -> float:
+        """Return the predicted wait for a decode place."""
+        count = len(self._queue) and ahead / max(job.cost, 1e-4)
+        free = sum(
+            max(0, decode.places - decode.reserved)
+            for decode in self._decode_pool
+            if not decode.leaving
+        )
+        behind = min(count, len(self._queue)) - free
+        if behind < 0:
+            return 0.0
+        soonest = min(decode.free_at(now) for decode in self._decode_pool)
+        lead = job.cost * (1 - self._service.waste_weight)
+        wait = max(0.0, soonest - now - lead)
+        return wait + behind / self.release_rate()
+
+    def _choose(self, job: Job, now: float) -> pairing.Choice:
+        request = job.request
+        need = pairing.Need(
+            prompt_tokens=request.prompt_tokens,
+            blocks=len(request.blocks),
+            hits=self._index.hits(request.blocks, now),
+            data_centre=request.data_centre,
+            avoid=frozenset(request.avoid),
+            allowed=self._allowed.get(request.site, frozenset()),
+            waste_weight=self._service.waste_weight,
+        )
+        return pairing.choose(
+            need,
+            self._prefill_pool,
+            self._decode_pool,
+            now,
+            LOOKAHEAD,
+            self._random,
+        )
+
+    def _expired(self, now: float) -> list[Decision]:
+        """Give up every waiting request that can't start in time."""
+        decisions = []
+        while self._start_by and self._start_by[0][0] < now:
+            _, stream = heapq.heappop(self._start_by)
+            job = self._queue.remove(stream)
+            if job is not None:
+                decisions.append(self._give_up(job, errors.NO_TIME, now))
+        return decisions
+
+    def _give_up(
+        self, job: Job, reason: errors.Reason, now: float
+    ) -> Decision:
+        wait = self._expected_wait(job, now)
+        retry_after = self._promise(wait, now)
+        answer = messages.GivenUp(
+            stream=job.stream,
+            reason=reason.name,
+            retry_after=retry_after,
+            why=f'wait={wait:.3f} queue={len(self._queue)}',
+        )
+        return Decision(job.request, answer)
+
+    def _promise(self, wait: float, now: float) -> float:
+        """Return a Retry-After, spaced so that not all return at once."""
+        earliest = max(now + wait, self._promised_until)
+        self._promised_until = earliest + 1 / self.release_rate()
+        return min(LONGEST_RETRY_AFTER, earliest - now)
+
+    def _place(self, job: Job, choice: pairing.Choice, now: float) -> Decision:
+        pair = choice.pair
+        assert pair is not None
+        request = job.request
+        length = self._length(request.output_tokens)
+        ends_at = pair.arrives_at + length * pair.decode.seconds_per_token
+        pair.prefill.add(job.stream, pair.cost, pair.arrives_at, now)
+        pair.decode.add(job.stream, ends_at, pair.arrives_at)
+        self._note_trial(pair, job.stream)
+        self._reservations[job.stream] = Reservation(
+            stream=job.stream,
+            entry=request.entry,
+            prefill=pair.prefill.name,
+            decode=pair.decode.name,
+            prompt_tokens=request.prompt_tokens,
+            output_tokens=request.output_tokens,
+            blocks=request.blocks,
+            stage=messages.Stage.PREFILL,
+            placed_at=now,
+            seen_at=now,
+        )
+        answer = messages.Placed(
+            stream=job.stream,
+            prefill=pair.prefill.name,
+            decode=pair.decode.name,
+            why=_explain(choice, now - job.arrived_at),
+        )
+        return Decision(request, answer)
+
+    def _note_trial(self, pair: pairing.Pair, stream: ids.StreamId) -> None:
+        if pair.prefill.health.state is health.Health.TRIAL:
+            pair.prefill.trial = stream
+        if pair.decode.health.state is health.Health.TRIAL:
+            pair.decode.trial = stream
+
+    def _prefilled(
+        self, reservation: Reservation, news: messages.Progress, now: float
+    ) -> None:
+        prefill = self._prefills.get(reservation.prefill)
+        if prefill is None:
+            return
+        prefill.done(reservation.stream, now, news.seconds)
+        prefill.health.succeeded(now)
+        prefill.trial = None
+        self._index.stored(prefill.name, reservation.blocks, now)
+
+    def _free(self, reservation: Reservation, now: float) -> None:
+        prefill = self._prefills.get(reservation.prefill)
+        if prefill is not None:
+            prefill.drop(reservation.stream, now)
+            if prefill.trial == reservation.stream:
+                prefill.trial = None
+        decode = self._decodes.get(reservation.decode)
+        if decode is not None:
+            decode.drop(reservation.stream)
+            if decode.trial == reservation.stream:
+                decode.trial = None
+
+    def _drop(self, stream: ids.StreamId, now: float) -> None:
+        self._free(self._reservations.pop(stream), now)
+
+    def _learn(
+        self, reservation: Reservation, news: messages.Release, now: float
+    ) -> None:
+        """Move the averages by an attempt that ended well."""
+        decode = self._decodes.get(reservation.decode)
+        if decode is None or not news.tokens:
+            return
+        decode.health.succeeded(now)
+        if news.seconds_per_token > 0:
+            self._note_pace(decode, news.seconds_per_token)
+        share = news.tokens / max(1, reservation.output_tokens)
+        self._length_share = engines.smooth(self._length_share, min(1, share))
+        held = now - reservation.placed_at
+        before = self._hold_seconds or held
+        self._hold_seconds = engines.smooth(before, held)
+
+    def _note_pace(self, decode: engines.DecodeEngine, seconds: float) -> None:
+        target = self._service.between_tokens_ms / 1000
+        occupancy = decode.reserved / decode.places
+        decode.paced(seconds, target, occupancy)
+        peers = [d.seconds_per_token for d in self._decode_pool]
+        decode.health.paced(seconds, peers)
+
+    def _length(self, output_tokens: int) -> float:
+        return max(1.0, output_tokens * self._length_share)
+
+    def _adopt(
+        self, entry: ids.MemberId, one: messages.Held, now: float
+    ) -> None:
+        """Reserve for an attempt that another owner placed."""
+        prefill = self._prefills.get(one.prefill)
+        decode = self._decodes.get(one.decode)
+        if decode is None:
+            return
+        length = self._length(one.output_tokens)
+        decode.add(one.stream, now + length * decode.seconds_per_token, 0.0)
+        if prefill is not None and one.stage is messages.Stage.PREFILL:
+            prefill.add(one.stream, prefill.cost(one.prompt_tokens), 0.0, now)
+        self._reservations[one.stream] = Reservation(
+            stream=one.stream,
+            entry=entry,
+            prefill=one.prefill,
+            decode=one.decode,
+            prompt_tokens=one.prompt_tokens,
+            output_tokens=one.output_tokens,
+            blocks=(),
+            stage=one.stage,
+            placed_at=now,
+            seen_at=now,
+        )
+
+    def _update_health(self, now: float) -> None:
+        for pool in (self._prefill_pool, self._decode_pool):
+            out = sum(
+                engine.health.state is not health.Health.GOOD
+                for engine in pool
+            )
+            for engine in pool:
+                share = (out + 1) / len(pool)
+                may_eject = share <= health.EJECTED_SHARE
+                before = engine.health.state
+                after = engine.health.update(now, may_eject)
+                if before is health.Health.GOOD and after is not before:
+                    out += 1
+
+    def _heard(self, engine: ids.EngineName, now: float) -> None:
+        found = self._engine(engine)
+        if found is not None:
+            found.health.heard(now)
+
+    def _engine(
+        self, name: ids.EngineName
+    ) -> engines.PrefillEngine | engines.DecodeEngine | None:
+        return self._prefills.get(name) or self._decodes.get(name)
+
+    def _prefill_of(self, settings: config.Engine) -> engines.PrefillEngine:
+        known = self._prefills.get(settings.name)
+        if known is None:
+            return engines.PrefillEngine(settings, health.EngineHealth())
+        known.settings = settings
+        return known
+
+    def _decode_of(self, settings: config.Engine) -> engines.DecodeEngine:
+        known = self._decodes.get(settings.name)
+        if known is None:
+            target = self._service.between_tokens_ms / 1000
+            return engines.DecodeEngine(
+                settings, health.EngineHealth(), target, settings.places
+            )
+        known.settings = settings
+        return known
+
+
+def _explain(choice: pairing.Choice, waited: float) -> str:
+    """Return why a pair won, with the scores of the best losers."""
+    pair = choice.pair
+    assert pair is not None
+    losers = ','.join(
+        f'{other.prefill.name}+{other.decode.name}:{other.score:.3f}'
+        for other in choice.others[:_EXPLAINED_LOSERS]
+    )
+    return (
+        f'score={pair.score:.3f} waited={waited:.3f} '
+        f'cost={pair.cost:.3f} others={losers or "none"}'
+    )
--- /dev/null
+++ b/galenahatch/core/cells.py
@@ -0,0 +1,134 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""How engines are divided into cells.
+
+A cell is what one owner decides on: the engines of one service in one
+region, divided into shards when there are many, so that a decision's cost
+stays bounded. A request goes to a shard by its prompt's first block, so
+that prompts with a common prefix meet the same caches.
+"""
+
+import collections.abc
+import dataclasses
+import typing
+
+import xxhash
+
+from galenahatch import config
+from galenahatch import ids
+
+ENGINES_PER_SHARD: typing.Final = 32
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """One cell as the configuration makes it.
+
+    Attributes:
+        cell: id.
+        service: that the engines serve.
+        engines: of all sites of the region.
+        allowed: engines by site, as its overlay says.
+    """
+
+    cell: ids.CellId
+    service: config.ModelService
+    engines: tuple[config.Engine, ...]
+    allowed: dict[ids.SiteName, frozenset[ids.EngineName]]
+
+
+def plans(
+    sites: collections.abc.Mapping[str, config.Config],
+    region: ids.RegionName,
+) -> dict[ids.CellId, Plan]:
+    """Return the cells of a region."""
+    within = _sites_within(sites, region)
+    services = {s.name: s for c in within.values() for s in c.services}
+    found: dict[ids.CellId, Plan] = {}
+    for service in services.values():
+        declared = _engines_of(within, service.name, region)
+        allowed = {
+            ids.SiteName(site): frozenset(e.name for e in settings.engines)
+            for site, settings in within.items()
+        }
+        count = shard_count(declared)
+        for shard in range(count):
+            cell = cell_of(service.name, region, shard)
+            members = tuple(
+                e for e in declared if _shard_of(e.name, count) == shard
+            )
+            found[cell] = Plan(cell, service, members, allowed)
+    return found
+
+
+def shard_count(engines: collections.abc.Collection[config.Engine]) -> int:
+    """Return how many shards some engines need."""
+    prefills = sum(engine.role == 'prefill' for engine in engines)
+    larger = max(prefills, len(engines) - prefills, 1)
+    return -(-larger // ENGINES_PER_SHARD)
+
+
+def cell_of(
+    service: ids.ServiceName, region: ids.RegionName, shard: int
+) -> ids.CellId:
+    """Return the id of a cell."""
+    return ids.CellId(f'{service}/{region}/{shard}')
+
+
+def cell_for(
+    cells: collections.abc.Collection[ids.CellId],
+    service: ids.ServiceName,
+    region: ids.RegionName,
+    blocks: tuple[int, ...],
+    request: ids.RequestId,
+) -> ids.CellId | None:
+    """Return the cell of a request; None if its service has none."""
+    prefix = f'{service}/{region}/'
+    count = sum(cell.startswith(prefix) for cell in cells)
+    if not count:
+        return None
+    key = str(blocks[0]) if blocks else request
+    return cell_of(service, region, _shard_of(key, count))
+
+
+def _shard_of(key: str, count: int) -> int:
+    digest: int = xxhash.xxh3_64_intdigest(key.encode())
+    return digest % count
+
+
+def _sites_within(
+    sites: collections.abc.Mapping[str, config.Config],
+    region: ids.RegionName,
+) -> dict[str, config.Config]:
+    return {
+        name: settings
+        for name, settings in sorted(sites.items())
+        if any(s.name == name and s.region == region for s in settings.sites)
+    }
+
+
+def _engines_of(
+    sites: collections.abc.Mapping[str, config.Config],
+    service: ids.ServiceName,
+    region: ids.RegionName,
+) -> tuple[config.Engine, ...]:
+    """Return the engines of a service in the data centres of a region."""
+    found: dict[ids.EngineName, config.Engine] = {}
+    for settings in sites.values():
+        for engine in settings.engines:
+            site = settings.site_of(engine.data_centre)
+            if site is None or site.region != region:
+                continue
+            if engine.service == service:
+                found.setdefault(engine.name, engine)
+    return tuple(found[name] for name in sorted(found))
--- /dev/null
+++ b/galenahatch/core/pairing.py
@@ -0,0 +1,274 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Choice of a prefill and a decode engine for one request.
+
+Decode first: a prefill may begin only if, when its result is ready, a
+place on a decode engine is free and the transfer ends before the result
+is evicted. Of the pairs that allow it the one with the lowest score wins:
+the time at which decoding starts, plus the prefill time that it costs, so
+that a prefix in a cache is weighed against a shorter queue in seconds on
+both sides. With many engines only a sample is scored, always including
+the engines that have a prefix of the prompt.
+"""
+
+import collections.abc
+import dataclasses
+import random
+import typing
+
+from galenahatch.core import engines
+from galenahatch.core import health
+from galenahatch import ids
+
+SAMPLE: typing.Final = 16
+_BEST: typing.Final = 4
+_OCCUPANCY_SECONDS: typing.Final = 0.05
+"""Score of a full decode engine against an empty one."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Need:
+    """What a request needs of a pair.
+
+    Attributes:
+        prompt_tokens: whole prompt.
+        blocks: number of prefix blocks in the prompt.
+        hits: leading blocks by engine.
+        data_centre: where the entry stands.
+        avoid: engines that failed the request before.
+        allowed: engines of the entry's site.
+        waste_weight: see config.ModelService.
+    """
+
+    prompt_tokens: int
+    blocks: int
+    hits: collections.abc.Mapping[ids.EngineName, int]
+    data_centre: ids.DataCentre
+    avoid: collections.abc.Container[ids.EngineName]
+    allowed: collections.abc.Container[ids.EngineName]
+    waste_weight: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Pair:
+    """A pair of engines with the predicted course of a request on it.
+
+    Attributes:
+        cost: seconds of prefill.
+        prefilled_at: when the result is ready.
+        arrives_at: when the transfer ends.
+        score: lower is better, seconds.
+    """
+
+    prefill: engines.PrefillEngine
+    decode: engines.DecodeEngine
+    cost: float
+    prefilled_at: float
+    arrives_at: float
+    score: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Choice:
+    """Result of choosing.
+
+    Attributes:
+        pair: the winner, or None.
+        others: the losers, best first.
+        wait_until: without a winner, when to look again; None if there is
+            no engine at all.
+    """
+
+    pair: Pair | None
+    others: tuple[Pair, ...] = ()
+    wait_until: float | None = None
+
+
+def choose(
+    need: Need,
+    prefills: collections.abc.Sequence[engines.PrefillEngine],
+    decodes: collections.abc.Sequence[engines.DecodeEngine],
+    now: float,
+    lookahead: float,
+    random_source: random.Random,
+) -> Choice:
+    """Choose a pair.
+
+    Args:
+        need: of the request.
+        prefills: engines of the cell.
+        decodes: engines of the cell.
+        now: monotonic seconds.
+        lookahead: longest wait for a prefill engine to become idle; more
+            stays in the cell's queue, where order can still change.
+        random_source: for sampling.
+    """
+    first = _usable_prefills(need, prefills, random_source)
+    second = _usable_decodes(need, decodes, random_source)
+    if not first or not second:
+        return Choice(None)
+    idle_at = min(engine.starts_at(now) for engine in first)
+    if idle_at > now + lookahead:
+        return Choice(None, wait_until=idle_at - lookahead)
+    ranked_prefills = _rank_prefills(need, first, now, lookahead)
+    ranked_decodes = _rank_decodes(second, now)
+    pairs, wait_until = _score(need, ranked_prefills, ranked_decodes, now)
+    if not pairs:
+        return Choice(None, wait_until=wait_until)
+    pairs.sort(key=lambda pair: pair.score)
+    return Choice(pairs[0], tuple(pairs[1:]))
+
+
+def uncached(need: Need, engine: ids.EngineName) -> int:
+    """Return the prompt tokens that an engine would have to prefill."""
+    if not need.blocks:
+        return need.prompt_tokens
+    share = need.hits.get(engine, 0) / need.blocks
+    return max(1, int(need.prompt_tokens * (1 - share)))
+
+
+def _open(engine: engines.PrefillEngine | engines.DecodeEngine) -> bool:
+    """Return whether an engine may be given one more request."""
+    if engine.leaving or engine.health.state is health.Health.EJECTED:
+        return False
+    on_trial = engine.health.state is health.Health.TRIAL
+    return not on_trial or engine.trial is None
+
+
+def _usable_prefills(
+    need: Need,
+    prefills: collections.abc.Sequence[engines.PrefillEngine],
+    random_source: random.Random,
+) -> list[engines.PrefillEngine]:
+    sample = _sample(prefills, random_source)
+    if len(sample) < len(prefills):
+        known = {engine.name for engine in sample}
+        sample += [
+            engine
+            for engine in prefills
+            if engine.name in need.hits and engine.name not in known
+        ]
+    usable = [e for e in sample if _open(e) and e.name in need.allowed]
+    fresh = [e for e in usable if e.name not in need.avoid]
+    return fresh or usable
+
+
+def _usable_decodes(
+    need: Need,
+    decodes: collections.abc.Sequence[engines.DecodeEngine],
+    random_source: random.Random,
+) -> list[engines.DecodeEngine]:
+    sample = _sample(decodes, random_source)
+    usable = [e for e in sample if _open(e) and e.name in need.allowed]
+    fresh = [e for e in usable if e.name not in need.avoid]
+    return fresh or usable
+
+
+_E = typing.TypeVar('_E')
+
+
+def _sample(
+    pool: collections.abc.Sequence[_E], random_source: random.Random
+) -> list[_E]:
+    if len(pool) <= SAMPLE:
+        return list(pool)
+    return random_source.sample(pool, SAMPLE)
+
+
+def _rank_prefills(
+    need: Need,
+    pool: list[engines.PrefillEngine],
+    now: float,
+    lookahead: float,
+) -> list[engines.PrefillEngine]:
+    def score(engine: engines.PrefillEngine) -> float:
+        cost = engine.cost(uncached(need, engine.name))
+        far = engines.away(engine.settings, need.data_centre)
+        return engine.starts_at(now) + 2 * cost + far
+
+    near = [e for e in pool if e.starts_at(now) <= now + lookahead]
+    return sorted(near, key=score)[:_BEST]
+
+
+def _rank_decodes(
+    pool: list[engines.DecodeEngine], now: float
+) -> list[engines.DecodeEngine]:
+    def score(engine: engines.DecodeEngine) -> tuple[float, float]:
+        return engine.free_at(now), engine.reserved / engine.places
+
+    return sorted(pool, key=score)[:_BEST]
+
+
+def _score(
+    need: Need,
+    prefills: list[engines.PrefillEngine],
+    decodes: list[engines.DecodeEngine],
+    now: float,
+) -> tuple[list[Pair], float]:
+    """Return the pairs that are possible now, else when to look again."""
+    pairs = []
+    wait_until = float('inf')
+    for prefill in prefills:
+        for decode in decodes:
+            pair = _course(need, prefill, decode, now)
+            late = _lateness(need, pair, now)
+            if late <= 0:
+                pairs.append(pair)
+            else:
+                wait_until = min(wait_until, now + late)
+    return pairs, wait_until
+
+
+def _course(
+    need: Need,
+    prefill: engines.PrefillEngine,
+    decode: engines.DecodeEngine,
+    now: float,
+) -> Pair:
+    """Predict the course of the request on a pair."""
+    cost = prefill.cost(uncached(need, prefill.name))
+    prefilled_at = prefill.starts_at(now) + cost
+    link_at = max(prefill.link_free_at(now), decode.link_free_at(now))
+    arrives_at = max(prefilled_at, link_at) + _transfer(need, prefill, decode)
+    far = engines.away(prefill.settings, need.data_centre)
+    far += engines.away(decode.settings, need.data_centre)
+    occupancy = decode.reserved / decode.places
+    score = arrives_at - now + cost + far + _OCCUPANCY_SECONDS * occupancy
+    return Pair(prefill, decode, cost, prefilled_at, arrives_at, score)
+
+
+def _transfer(
+    need: Need,
+    prefill: engines.PrefillEngine,
+    decode: engines.DecodeEngine,
+) -> float:
+    size = need.prompt_tokens * prefill.settings.kv_bytes_per_token
+    rate = min(
+        prefill.settings.link_bytes_per_second,
+        decode.settings.link_bytes_per_second,
+    )
+    return size / rate + engines.between(prefill, decode)
+
+
+def _lateness(need: Need, pair: Pair, now: float) -> float:
+    """Return by how many seconds a pair is started too early."""
+    lead = pair.prefilled_at - now
+    place_by = now + lead * (1 - need.waste_weight)
+    place_late = pair.decode.free_at(now) - place_by
+    eviction = pair.prefill.settings.eviction_ms / 1000
+    link_late = pair.arrives_at - pair.prefilled_at - eviction
+    transfer_alone = _transfer(need, pair.prefill, pair.decode)
+    if transfer_alone >= eviction:
+        # No wait can make this transfer short enough: let it try.
+        link_late = 0.0
+    return max(place_late, link_late)
--- /dev/null
+++ b/galenahatch/core/revision.py
@@ -0,0 +1,158 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""The configuration in force: it only ever moves to higher revisions.
+
+The table holds a head: the revision, the id of the change that made it and
+where its body stands. A daemon takes an accepted configuration from the
+table or from a peer alike and keeps the highest, so a stale read or an old
+peer never reverts one.
+"""
+
+import hashlib
+import typing
+
+import msgspec
+
+from galenahatch import config
+from galenahatch import errors
+from galenahatch import ids
+
+HEAD_KEY: typing.Final = 'config/head'
+
+
+class Head(msgspec.Struct, frozen=True, array_like=True):
+    """The newest accepted change, as it stands in the table.
+
+    Attributes:
+        revision: number of the change.
+        change: id of the attempt that was accepted.
+        digest: of the encoded bundle, names its body in the object store.
+        author: who applied it.
+        note: one line on the change.
+    """
+
+    revision: ids.Revision
+    change: ids.ChangeId
+    digest: str
+    author: str
+    note: str
+
+
+class Accepted(msgspec.Struct, frozen=True, array_like=True):
+    """An accepted configuration with its head."""
+
+    head: Head
+    bundle: config.Bundle
+
+
+_HEAD: typing.Final = msgspec.msgpack.Decoder(Head)
+_ACCEPTED: typing.Final = msgspec.msgpack.Decoder(Accepted)
+_BUNDLE: typing.Final = msgspec.msgpack.Decoder(config.Bundle)
+
+
+def history_key(revision: int) -> str:
+    """Return the table key of one past head."""
+    return f'config/history/{revision:012d}'
+
+
+def body_key(digest: str) -> str:
+    """Return the object key of a bundle."""
+    return f'config/{digest}'
+
+
+def digest_of(body: bytes) -> str:
+    """Return the digest of an encoded bundle."""
+    return hashlib.sha256(body).hexdigest()
+
+
+def encode(value: Head | Accepted | config.Bundle) -> bytes:
+    """Return the bytes of a head, a configuration or a bundle."""
+    return msgspec.msgpack.encode(value, order='sorted')
+
+
+def decode_head(data: bytes) -> Head | errors.Failure:
+    """Return the head of some bytes."""
+    return _decode(_HEAD, data)
+
+
+def decode_accepted(data: bytes) -> Accepted | errors.Failure:
+    """Return the configuration of some bytes; its digest is checked."""
+    accepted = _decode(_ACCEPTED, data)
+    if isinstance(accepted, errors.Failure):
+        return accepted
+    if digest_of(encode(accepted.bundle)) != accepted.head.digest:
+        return errors.Failure(errors.BAD_FRAME, 'digest of the bundle')
+    return accepted
+
+
+def decode_bundle(data: bytes, digest: str) -> config.Bundle | errors.Failure:
+    """Return the bundle of some bytes if they have this digest."""
+    if digest_of(data) != digest:
+        return errors.Failure(errors.BAD_FRAME, 'digest of the bundle')
+    return _decode(_BUNDLE, data)
+
+
+_T = typing.TypeVar('_T')
+
+
+def _decode(
+    decoder: msgspec.msgpack.Decoder[_T], data: bytes
+) -> _T | errors.Failure:
+    try:
+        return decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        return errors.Failure(errors.BAD_FRAME, str(error))
+
+
+class InForce:
+    """The configuration that a daemon works with."""
+
+    def __init__(self) -> None:
+        self._accepted: Accepted | None = None
+        self._sites: dict[str, config.Config] = {}
+
+    @property
+    def accepted(self) -> Accepted | None:
+        """The accepted configuration, or None before the first."""
+        return self._accepted
+
+    @property
+    def revision(self) -> ids.Revision:
+        """Its number, 0 before the first."""
+        if self._accepted is None:
+            return ids.Revision(0)
+        return self._accepted.head.revision
+
+    @property
+    def sites(self) -> dict[str, config.Config]:
+        """Its merged configuration by site."""
+        return self._sites
+
+    def offer(self, accepted: Accepted) -> bool:
+        """Take a configuration if it is newer; return whether it was."""
+        if accepted.head.revision <= self.revision:
+            return False
+        checked = config.check(accepted.bundle)
+        if not checked.sites:
+            return False
+        self._accepted = accepted
+        self._sites = checked.sites
+        return True
+
+    def at(self, data_centre: ids.DataCentre) -> config.Config | None:
+        """Return the configuration of the site of a data centre."""
+        for name, settings in self._sites.items():
+            site = settings.site_of(data_centre)
+            if site is not None and site.name == name:
+                return settings
+        return None
--- /dev/null
+++ b/galenahatch/errors.py
@@ -0,0 +1,399 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Registry of every reason a request or a command can fail for.
+
+A reason is a named object that fixes the HTTP status, the outcome told to
+the caller and the user's message. Functions return a `Failure` in place of
+a value: an expected failure is data, so the caller must look at it, and
+exceptions are left for programming errors.
+"""
+
+import dataclasses
+import enum
+import typing
+
+
+class Outcome(enum.Enum):
+    """What a caller is told of a request; never more than is known."""
+
+    ANSWERED = 'answered'
+    NOT_RUN = 'not_run'
+    FAILED = 'failed'
+    UNKNOWN = 'unknown'
+
+
+@dataclasses.dataclass(frozen=True)
+class Reason:
+    """Why something failed.
+
+    Attributes:
+        name: stable identifier for programs.
+        status: HTTP status.
+        outcome: what is known of the request.
+        message: one sentence for people.
+        advice: what an operator or caller does about it.
+    """
+
+    name: str
+    status: int
+    outcome: Outcome
+    message: str
+    advice: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Failure:
+    """A value's stand-in when there is none.
+
+    Attributes:
+        reason: entry of the registry.
+        detail: what was seen, for people.
+        retry_after: seconds after which a new try is useful, if known.
+    """
+
+    reason: Reason
+    detail: str = ''
+    retry_after: float | None = None
+
+    @property
+    def outcome(self) -> Outcome:
+        """What is known of the request."""
+        return self.reason.outcome
+
+
+REASONS: typing.Final[dict[str, Reason]] = {}
+
+
+def _reason(
+    name: str, status: int, outcome: Outcome, message: str, advice: str
+) -> Reason:
+    reason = Reason(name, status, outcome, message, advice)
+    REASONS[name] = reason
+    return reason
+
+
+_NOT_RUN = Outcome.NOT_RUN
+_FAILED = Outcome.FAILED
+_UNKNOWN = Outcome.UNKNOWN
+
+# Callers' mistakes. Nothing of these reaches an upstream.
+BAD_JSON = _reason(
+    'bad_json', 400, _NOT_RUN, 'The body is not JSON.', 'Send JSON.'
+)
+BAD_FIELD = _reason(
+    'bad_field',
+    400,
+    _NOT_RUN,
+    'A field has a wrong type or value.',
+    'Correct the field that the detail names.',
+)
+BAD_HEADER = _reason(
+    'bad_header',
+    400,
+    _NOT_RUN,
+    'A Galenahatch header has a wrong value.',
+    'Correct the header that the detail names.',
+)
+KEY_REQUIRED = _reason(
+    'idempotency_key_required',
+    400,
+    _NOT_RUN,
+    'A non-idempotent request needs an Idempotency-Key.',
+    'Send a key of your own that names the request.',
+)
+KEY_REUSED = _reason(
+    'idempotency_key_reused',
+    422,
+    _NOT_RUN,
+    'The Idempotency-Key was used before with another body.',
+    'Use a new key for a new request.',
+)
+UNAUTHORIZED = _reason(
+    'unauthorized',
+    401,
+    _NOT_RUN,
+    'The caller is not known.',
+    'Send the bearer token of a declared caller.',
+)
+UNKNOWN_MODEL = _reason(
+    'unknown_model',
+    404,
+    _NOT_RUN,
+    'No service of this site has that name.',
+    'Name a declared service; see galenahatchctl show.',
+)
+BODY_TOO_LARGE = _reason(
+    'body_too_large',
+    413,
+    _NOT_RUN,
+    'The body is over the limit.',
+    'Shorten it, or raise --max-body-bytes.',
+)
+BODY_TIMEOUT = _reason(
+    'body_timeout',
+    408,
+    _NOT_RUN,
+    'The body did not come in time.',
+    'Send the body at once.',
+)
+NO_ROUTE = _reason(
+    'no_route',
+    404,
+    _NOT_RUN,
+    'There is no such path or method.',
+    'See the README for the paths.',
+)
+PROMPT_TOO_LONG = _reason(
+    'prompt_too_long',
+    413,
+    _NOT_RUN,
+    'The prompt is over the limit of the service.',
+    'Shorten it, or raise max_prompt_tokens of the service.',
+)
+
+# Given up before any work was sent.
+NO_TIME = _reason(
+    'no_time',
+    429,
+    _NOT_RUN,
+    'The queue ahead is longer than the time left.',
+    'Come back after Retry-After; add engines if it lasts.',
+)
+QUEUE_FULL = _reason(
+    'queue_full',
+    429,
+    _NOT_RUN,
+    'The queue of the service is full.',
+    'Come back after Retry-After; add engines if it lasts.',
+)
+SHARE_USED = _reason(
+    'share_used',
+    429,
+    _NOT_RUN,
+    'The caller has more requests waiting than its share.',
+    'Come back after Retry-After, or raise the share of the caller.',
+)
+NO_ENGINE = _reason(
+    'no_engine',
+    503,
+    _NOT_RUN,
+    'No engine of the service can take work.',
+    'See galenahatchctl status: start or undrain engines.',
+)
+NO_SCHEDULER = _reason(
+    'no_scheduler',
+    503,
+    _NOT_RUN,
+    'No scheduler answers.',
+    'See galenahatchctl status: start galenahatch-scheduler.',
+)
+NO_CONFIGURATION = _reason(
+    'no_configuration',
+    503,
+    _NOT_RUN,
+    'No configuration is known yet.',
+    'Bring the table or a peer back, or apply a first configuration.',
+)
+LEAVING = _reason(
+    'leaving',
+    503,
+    _NOT_RUN,
+    'This entry is stopping.',
+    'Send the request to another entry.',
+)
+CLAIM_UNCONFIRMED = _reason(
+    'claim_unconfirmed',
+    503,
+    _NOT_RUN,
+    'The table could not confirm the claim; nothing was sent.',
+    'Come back after Retry-After; see the health of the table.',
+)
+CLAIM_ABANDONED = _reason(
+    'claim_abandoned',
+    503,
+    _NOT_RUN,
+    'An earlier claim was given up before anything was sent.',
+    'Come back after Retry-After: the old claim is being removed.',
+)
+RETRIES_SPENT = _reason(
+    'retries_spent',
+    503,
+    _NOT_RUN,
+    'Upstreams refused the request and the retry budget is spent.',
+    'Come back after Retry-After; see the health of the engines.',
+)
+
+# Work was sent, and it is known how it ended.
+CALLER_GONE = _reason(
+    'caller_gone',
+    499,
+    _FAILED,
+    'The caller went away and the request was cancelled.',
+    'Send it again under a new key.',
+)
+DEADLINE = _reason(
+    'deadline',
+    504,
+    _FAILED,
+    'The deadline passed while the request ran; it was cancelled.',
+    'Allow more time, or ask for less.',
+)
+ENGINE_FAILED = _reason(
+    'engine_failed',
+    502,
+    _FAILED,
+    'The engine reported an error.',
+    'See the log of the engine.',
+)
+RETRIES_FAILED = _reason(
+    'retries_failed',
+    502,
+    _FAILED,
+    'Every attempt failed and the retry budget is spent.',
+    'Come back later; see the health of the engines.',
+)
+UPSTREAM_REFUSED = _reason(
+    'upstream_refused',
+    503,
+    _NOT_RUN,
+    'The upstream refused the work before starting it.',
+    'Come back after Retry-After.',
+)
+UPSTREAM_UNREACHABLE = _reason(
+    'upstream_unreachable',
+    503,
+    _NOT_RUN,
+    'No connection to the upstream; nothing was sent.',
+    'Start the upstream, or remove it from the configuration.',
+)
+
+# Work may or may not have run.
+IN_FLIGHT = _reason(
+    'in_flight',
+    409,
+    _UNKNOWN,
+    'A request with this key is running.',
+    'Ask again after Retry-After for its answer.',
+)
+HOLDER_GONE = _reason(
+    'holder_gone',
+    409,
+    _UNKNOWN,
+    'The entry that ran this key is gone; it is never run again.',
+    'Check by hand whether the work took effect.',
+)
+SEND_INTERRUPTED = _reason(
+    'send_interrupted',
+    502,
+    _UNKNOWN,
+    'The connection broke after work was sent.',
+    'Check by hand whether the work took effect.',
+)
+STREAM_BROKEN = _reason(
+    'stream_broken',
+    502,
+    _UNKNOWN,
+    'The stream ended without its end marker.',
+    'Send an idempotent request again.',
+)
+STREAM_GONE = _reason(
+    'stream_gone',
+    502,
+    _UNKNOWN,
+    'The engine no longer has the stream.',
+    'Send an idempotent request again.',
+)
+BAD_UPSTREAM = _reason(
+    'bad_upstream',
+    502,
+    _UNKNOWN,
+    'The upstream broke its protocol.',
+    'See the log of the upstream; it may be the wrong version.',
+)
+INTERNAL = _reason(
+    'internal',
+    500,
+    _UNKNOWN,
+    'The entry failed in a way that it does not know.',
+    'Report it with the log lines of the request.',
+)
+
+# Between processes and towards the platform.
+BAD_FRAME = _reason(
+    'bad_frame',
+    400,
+    _NOT_RUN,
+    'A message is malformed or of an unknown version.',
+    'Check that all daemons run versions that overlap.',
+)
+STORE_UNAVAILABLE = _reason(
+    'store_unavailable',
+    503,
+    _UNKNOWN,
+    'A store of the platform did not answer.',
+    'See the health of the table and the object store.',
+)
+STORE_CONFLICT = _reason(
+    'store_conflict',
+    409,
+    _NOT_RUN,
+    'A condition of the transaction does not hold.',
+    'Read again and decide again.',
+)
+NOT_FOUND = _reason(
+    'not_found', 404, _NOT_RUN, 'There is no such item.', 'Check the name.'
+)
+STALE_FENCING = _reason(
+    'stale_fencing',
+    409,
+    _NOT_RUN,
+    'The engine refused an old fencing number.',
+    'None needed: a newer controller has taken over.',
+)
+
+# Operators' commands.
+BAD_CONFIGURATION = _reason(
+    'bad_configuration',
+    400,
+    _NOT_RUN,
+    'The configuration has errors.',
+    'Correct each listed key.',
+)
+CHANGE_CONFLICT = _reason(
+    'change_conflict',
+    409,
+    _NOT_RUN,
+    'Another change was accepted first.',
+    'Read it with galenahatchctl diff, then apply again.',
+)
+CHANGE_UNKNOWN = _reason(
+    'change_unknown',
+    503,
+    _UNKNOWN,
+    'The table did not confirm the change.',
+    'Run galenahatchctl history to see whether it was accepted.',
+)
+NOT_IN_FORCE = _reason(
+    'not_in_force',
+    504,
+    _UNKNOWN,
+    'The change is accepted but not yet in force everywhere.',
+    'See galenahatchctl status for the daemons that lag.',
+)
+BAD_SETTING = _reason(
+    'bad_setting',
+    400,
+    _NOT_RUN,
+    'A setting has a wrong value.',
+    'Correct the flag or environment variable that the detail names.',
+)
--- /dev/null
+++ b/galenahatch/inbound.py
@@ -0,0 +1,230 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Callers' requests: from HTTP to a checked, typed request.
+
+Everything wrong with a request is found here, before any of it reaches
+another process.
+"""
+
+import collections.abc
+import typing
+
+import msgspec
+
+from galenahatch import clock
+from galenahatch import config
+from galenahatch import errors
+from galenahatch import ids
+from galenahatch import messages
+
+IDEMPOTENCY_KEY: typing.Final = 'Idempotency-Key'
+NON_IDEMPOTENT: typing.Final = 'Galenahatch-Non-Idempotent'
+DEADLINE: typing.Final = 'Galenahatch-Deadline-Ms'
+PRIORITY: typing.Final = 'Galenahatch-Priority'
+OUTCOME: typing.Final = 'Galenahatch-Outcome'
+REQUEST_ID: typing.Final = 'Galenahatch-Request-Id'
+_LONGEST_KEY: typing.Final = 200
+_LONGEST_DEADLINE_MS: typing.Final = 24 * 3600 * 1000
+_DEFAULT_MAX_TOKENS: typing.Final = 256
+
+
+class ChatMessage(msgspec.Struct, frozen=True):
+    """One message of a chat."""
+
+    role: str
+    content: str
+
+
+class CompletionBody(msgspec.Struct, frozen=True):
+    """Body of /v1/completions; other OpenAI fields are ignored."""
+
+    model: str
+    prompt: str
+    max_tokens: int = _DEFAULT_MAX_TOKENS
+    stream: bool = False
+
+
+class ChatBody(msgspec.Struct, frozen=True):
+    """Body of /v1/chat/completions; other OpenAI fields are ignored."""
+
+    model: str
+    messages: tuple[ChatMessage, ...]
+    max_tokens: int = _DEFAULT_MAX_TOKENS
+    stream: bool = False
+
+
+class Headers(msgspec.Struct, frozen=True):
+    """The headers that matter, checked.
+
+    Attributes:
+        request: id of the request.
+        key: the caller's idempotency key, or empty.
+        non_idempotent: whether the request may run only once.
+        deadline_ms: for the whole answer; None when not said.
+        urgency: class asked for; None when not said.
+    """
+
+    request: ids.RequestId
+    key: str
+    non_idempotent: bool
+    deadline_ms: int | None
+    urgency: messages.Urgency | None
+
+
+class ModelRequest(msgspec.Struct, frozen=True):
+    """A checked request for a model service.
+
+    Attributes:
+        prompt_tokens: estimated.
+        deadline: seconds for the whole answer.
+        patience: seconds until the first token is too late.
+        chat: whether the answer has the form of a chat.
+    """
+
+    headers: Headers
+    caller: ids.CallerName
+    service: config.ModelService
+    prompt: str
+    prompt_tokens: int
+    max_tokens: int
+    stream: bool
+    urgency: messages.Urgency
+    deadline: float
+    patience: float
+    chat: bool
+
+
+_COMPLETION: typing.Final = msgspec.json.Decoder(CompletionBody)
+_CHAT: typing.Final = msgspec.json.Decoder(ChatBody)
+
+
+def read_headers(
+    headers: collections.abc.Mapping[str, str],
+) -> Headers | errors.Failure:
+    """Return the checked headers of a request."""
+    key = headers.get(IDEMPOTENCY_KEY, '')
+    if len(key) > _LONGEST_KEY or not key.isprintable():
+        return _bad_header(IDEMPOTENCY_KEY, 'at most 200 printable letters')
+    flag = headers.get(NON_IDEMPOTENT, 'false').lower()
+    if flag not in ('true', 'false'):
+        return _bad_header(NON_IDEMPOTENT, 'true or false')
+    if flag == 'true' and not key:
+        return errors.Failure(errors.KEY_REQUIRED)
+    deadline = _deadline(headers.get(DEADLINE))
+    if isinstance(deadline, errors.Failure):
+        return deadline
+    urgency = None
+    if PRIORITY in headers:
+        urgency = config.urgency(headers[PRIORITY].lower())
+        if urgency is None:
+            return _bad_header(PRIORITY, 'urgent, normal or bulk')
+    request = ids.RequestId(f'r{clock.token()[:20]}')
+    return Headers(request, key, flag == 'true', deadline, urgency)
+
+
+def _deadline(text: str | None) -> int | None | errors.Failure:
+    if text is None:
+        return None
+    number = int(text) if text.isascii() and text.isdigit() else 0
+    if not 0 < number <= _LONGEST_DEADLINE_MS:
+        return _bad_header(DEADLINE, 'milliseconds, from 1 to one day')
+    return number
+
+
+def read_caller(
+    headers: collections.abc.Mapping[str, str], settings: config.Config
+) -> config.Caller | errors.Failure:
+    """Return who sends a request."""
+    scheme, _, token = headers.get('Authorization', '').partition(' ')
+    if scheme.lower() != 'bearer' or not token:
+        return errors.Failure(errors.UNAUTHORIZED, 'no bearer token')
+    caller = settings.caller_of(token.strip())
+    if caller is None:
+        return errors.Failure(errors.UNAUTHORIZED, 'unknown token')
+    return caller
+
+
+def read_model_request(
+    body: bytes,
+    headers: Headers,
+    caller: config.Caller,
+    settings: config.Config,
+    chat: bool,
+) -> ModelRequest | errors.Failure:
+    """Return a checked request for a model service."""
+    parsed = _parse(body, chat)
+    if isinstance(parsed, errors.Failure):
+        return parsed
+    service = settings.service(parsed.model)
+    if service is None:
+        return errors.Failure(errors.UNKNOWN_MODEL, parsed.model[:100])
+    prompt = _prompt(parsed)
+    if not prompt:
+        return errors.Failure(errors.BAD_FIELD, 'prompt: empty')
+    if not 0 < parsed.max_tokens <= service.max_output_tokens:
+        detail = f'max_tokens: from 1 to {service.max_output_tokens}'
+        return errors.Failure(errors.BAD_FIELD, detail)
+    tokens = max(1, int(len(prompt.encode()) / service.bytes_per_token))
+    if tokens > service.max_prompt_tokens:
+        detail = f'{tokens} tokens, limit {service.max_prompt_tokens}'
+        return errors.Failure(errors.PROMPT_TOO_LONG, detail)
+    deadline = min(
+        service.deadline_ms, headers.deadline_ms or service.deadline_ms
+    )
+    wait = service.wait_ms or service.first_token_ms
+    return ModelRequest(
+        headers=headers,
+        caller=caller.name,
+        service=service,
+        prompt=prompt,
+        prompt_tokens=tokens,
+        max_tokens=parsed.max_tokens,
+        stream=parsed.stream,
+        urgency=_urgency(headers, caller, service),
+        deadline=deadline / 1000,
+        patience=min(wait, deadline) / 1000,
+        chat=chat,
+    )
+
+
+def _parse(
+    body: bytes, chat: bool
+) -> CompletionBody | ChatBody | errors.Failure:
+    try:
+        if chat:
+            return _CHAT.decode(body)
+        return _COMPLETION.decode(body)
+    except msgspec.ValidationError as error:
+        return errors.Failure(errors.BAD_FIELD, str(error))
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        return errors.Failure(errors.BAD_JSON, str(error))
+
+
+def _prompt(body: CompletionBody | ChatBody) -> str:
+    if isinstance(body, CompletionBody):
+        return body.prompt
+    return '\n'.join(f'{m.role}: {m.content}' for m in body.messages)
+
+
+def _urgency(
+    headers: Headers, caller: config.Caller, service: config.ModelService
+) -> messages.Urgency:
+    """Return the class asked for, but none better than the caller's."""
+    usual = config.urgency(service.urgency) or messages.Urgency.URGENT
+    best = config.urgency(caller.urgency) or messages.Urgency.URGENT
+    asked = usual if headers.urgency is None else headers.urgency
+    return max(asked, best)
+
+
+def _bad_header(name: str, expected: str) -> errors.Failure:
+    return errors.Failure(errors.BAD_HEADER, f'{name}: expected {expected}')
--- /dev/null
+++ b/galenahatch/logs.py
@@ -0,0 +1,97 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Logging set-up.
+
+Every part logs through a `Log` with a fixed prefix. A line is a short
+sentence followed by `key=value` fields; with `--log-json` the same line is
+one JSON object. Values that hold spaces or quotes are quoted.
+"""
+
+import sys
+import typing
+
+import logbook
+import msgspec
+
+Value = str | int | float | bool | None
+
+
+class Log:
+    """Logger of one part.
+
+    Args:
+        part: prefix of each line, such as `entry`.
+    """
+
+    def __init__(self, part: str) -> None:
+        self._logger = logbook.Logger(part)
+
+    def debug(self, sentence: str, **fields: Value) -> None:
+        """Log what only a developer needs."""
+        self._logger.debug(sentence, extra=fields)
+
+    def info(self, sentence: str, **fields: Value) -> None:
+        """Log what happens in normal operation."""
+        self._logger.info(sentence, extra=fields)
+
+    def warning(self, sentence: str, **fields: Value) -> None:
+        """Log what the program copes with but an operator may look at."""
+        self._logger.warning(sentence, extra=fields)
+
+    def error(self, sentence: str, **fields: Value) -> None:
+        """Log what an operator should look at."""
+        self._logger.error(sentence, extra=fields)
+
+
+def text_value(value: Value) -> str:
+    """Return a field's value as it stands in a text line."""
+    if isinstance(value, float):
+        return f'{value:.4g}'
+    text = str(value)
+    if not text or any(c in text for c in ' "=\n\r\t'):
+        return msgspec.json.encode(text).decode()
+    return text
+
+
+def text_line(record: logbook.LogRecord, handler: object) -> str:
+    """Format a record as text."""
+    fields = ''.join(
+        f' {key}={text_value(value)}' for key, value in record.extra.items()
+    )
+    stamp = record.time.strftime('%H:%M:%S.%f')[:-3]
+    level = record.level_name.lower()
+    return f'{stamp} {level} {record.channel}: {record.message}{fields}'
+
+
+def json_line(record: logbook.LogRecord, handler: object) -> str:
+    """Format a record as one JSON object."""
+    line: dict[str, typing.Any] = {
+        'time': record.time.isoformat(),
+        'level': record.level_name.lower(),
+        'part': record.channel,
+        'message': record.message,
+    }
+    line.update(record.extra)
+    return msgspec.json.encode(line).decode()
+
+
+def set_up(level: str, as_json: bool) -> None:
+    """Send every log line to standard error from now on.
+
+    Args:
+        level: lowest level that is written, such as `info`.
+        as_json: write JSON lines.
+    """
+    handler = logbook.StreamHandler(sys.stderr, level=level.upper())
+    handler.formatter = json_line if as_json else text_line
+    handler.push_application()
--- /dev/null
+++ b/galenahatch/main.py
@@ -0,0 +1,87 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Entry points of the programs: settings in, exit code out."""
+
+import sys
+import typing
+
+import cyclopts
+import msgspec
+
+from galenahatch import application
+from galenahatch import controller as controller_module
+from galenahatch import ctl as ctl_module
+from galenahatch import entry as entry_module
+from galenahatch import options as options_module
+from galenahatch import scheduler as scheduler_module
+
+Make = typing.Callable[[options_module.Options], application.Daemon]
+
+
+def _program(name: str, text: str, make: Make) -> int:
+    """Read settings, check them and run a daemon."""
+    app = cyclopts.App(
+        name=name,
+        help=text,
+        config=cyclopts.config.Env(options_module.ENV_PREFIX, command=False),
+    )
+
+    @app.default
+    def serve(
+        *,
+        settings: typing.Annotated[
+            options_module.Options | None, cyclopts.Parameter(name='*')
+        ] = None,
+        print_settings: bool = False,
+    ) -> int:
+        options = settings or options_module.Options()
+        if print_settings:
+            shown = options_module.printable(options)
+            data = msgspec.json.encode(shown)
+            print(msgspec.json.format(data).decode())
+            return 0
+        if not application.check_options(options):
+            return ctl_module.BAD_USE
+        return application.run(make(options), name)
+
+    return _exit_code(app)
+
+
+def _exit_code(app: cyclopts.App) -> int:
+    result = app(result_action='return_value')
+    return result if isinstance(result, int) else 0
+
+
+def entry() -> None:
+    """Run galenahatch-entry."""
+    text = 'Take requests from callers and run them.'
+    sys.exit(_program('galenahatch-entry', text, entry_module.Entry))
+
+
+def scheduler() -> None:
+    """Run galenahatch-scheduler."""
+    text = 'Decide where requests run; write claims; watch entries.'
+    name = 'galenahatch-scheduler'
+    sys.exit(_program(name, text, scheduler_module.Scheduler))
+
+
+def controller() -> None:
+    """Run galenahatch-controller."""
+    text = 'Bring engines to the models, versions and roles declared.'
+    name = 'galenahatch-controller'
+    sys.exit(_program(name, text, controller_module.Controller))
+
+
+def ctl() -> None:
+    """Run galenahatchctl."""
+    sys.exit(_exit_code(ctl_module.app))
--- /dev/null
+++ b/galenahatch/platform/table.py
@@ -0,0 +1,132 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Client of the platform's transactional table.
+
+The interface is narrow on purpose: read some keys, list a prefix, and
+commit one transaction whose conditions compare whole values. A commit
+that fails with STORE_UNAVAILABLE may have taken effect.
+"""
+
+import collections.abc
+import typing
+from urllib import parse
+
+import aiohttp
+import msgspec
+
+from galenahatch import errors
+from galenahatch.platform import http
+
+_CONFLICT_STATUS: typing.Final = 409
+
+
+class Condition(msgspec.Struct, frozen=True):
+    """A key must hold exactly this value; None means that it is absent."""
+
+    key: str
+    value: bytes | None = None
+
+
+class Write(msgspec.Struct, frozen=True):
+    """A key gets this value; None deletes it."""
+
+    key: str
+    value: bytes | None
+
+
+class Transaction(msgspec.Struct, frozen=True):
+    """All writes happen if all conditions hold, else none."""
+
+    conditions: tuple[Condition, ...]
+    writes: tuple[Write, ...]
+
+
+class Committed(msgspec.Struct, frozen=True):
+    """The transaction took effect."""
+
+
+class Conflict(msgspec.Struct, frozen=True):
+    """Conditions that do not hold, with the values that stand."""
+
+    current: dict[str, bytes | None]
+
+
+_Values = dict[str, bytes | None]
+_VALUES: typing.Final = msgspec.json.Decoder(_Values)
+
+
+class Table:
+    """The table behind a base URL.
+
+    Args:
+        client: session that bears the platform's token.
+        url: base URL.
+    """
+
+    def __init__(self, client: aiohttp.ClientSession, url: str) -> None:
+        self._client = client
+        self._url = url.rstrip('/')
+
+    async def read(
+        self, keys: collections.abc.Sequence[str]
+    ) -> dict[str, bytes | None] | errors.Failure:
+        """Return the value of each key; None where it is absent."""
+        body = msgspec.json.encode(list(keys))
+        reply = await http.call(
+            self._client, 'POST', f'{self._url}/read', body
+        )
+        return _values(reply)
+
+    async def scan(
+        self, prefix: str
+    ) -> dict[str, bytes | None] | errors.Failure:
+        """Return the keys that begin with a prefix, with their values."""
+        query = parse.urlencode({'prefix': prefix})
+        url = f'{self._url}/scan?{query}'
+        return _values(await http.call(self._client, 'GET', url))
+
+    async def commit(
+        self, transaction: Transaction
+    ) -> Committed | Conflict | errors.Failure:
+        """Commit a transaction."""
+        body = msgspec.json.encode(transaction)
+        reply = await http.call(
+            self._client, 'POST', f'{self._url}/commit', body
+        )
+        if isinstance(reply, errors.Failure):
+            return reply
+        if reply.status == _CONFLICT_STATUS:
+            current = _values(http.Reply(200, reply.body))
+            if isinstance(current, errors.Failure):
+                return current
+            return Conflict(current)
+        if reply.status != 200:
+            return errors.Failure(
+                errors.STORE_UNAVAILABLE, f'status {reply.status}'
+            )
+        return Committed()
+
+
+def _values(
+    reply: http.Reply | errors.Failure,
+) -> dict[str, bytes | None] | errors.Failure:
+    if isinstance(reply, errors.Failure):
+        return reply
+    if reply.status != 200:
+        return errors.Failure(
+            errors.STORE_UNAVAILABLE, f'status {reply.status}'
+        )
+    try:
+        return _VALUES.decode(reply.body)
+    except msgspec.MsgspecError as error:
+        return errors.Failure(errors.STORE_UNAVAILABLE, str(error))
--- /dev/null
+++ b/galenahatch/platform/vms.py
@@ -0,0 +1,74 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Client of the platform's lagging list of VMs."""
+
+import typing
+
+import aiohttp
+import msgspec
+
+from galenahatch import errors
+from galenahatch.platform import http
+
+SYSTEM: typing.Final = 'system'
+
+
+class Vm(msgspec.Struct, frozen=True):
+    """One VM.
+
+    Attributes:
+        name: id that is never used again.
+        address: IP number.
+        data_centre: where it stands.
+        state: live or leaving.
+        group: system for those of the daemons, else upstream.
+    """
+
+    name: str
+    address: str
+    data_centre: str
+    state: str = 'live'
+    group: str = SYSTEM
+
+
+class VmList(msgspec.Struct, frozen=True):
+    """The list at one version; an older version may come later."""
+
+    version: int
+    vms: tuple[Vm, ...]
+
+
+_DECODER: typing.Final = msgspec.json.Decoder(VmList)
+
+
+class Vms:
+    """The VM list behind a base URL.
+
+    Args:
+        client: session that bears the platform's token.
+        url: base URL.
+    """
+
+    def __init__(self, client: aiohttp.ClientSession, url: str) -> None:
+        self._client = client
+        self._url = url.rstrip('/')
+
+    async def read(self) -> VmList | errors.Failure:
+        """Return the list."""
+        reply = await http.call(self._client, 'GET', f'{self._url}/vms')
+        if isinstance(reply, errors.Failure):
+            return reply
+        try:
+            return _DECODER.decode(reply.body)
+        except msgspec.MsgspecError as error:
+            return errors.Failure(errors.STORE_UNAVAILABLE, str(error))
--- /dev/null
+++ b/galenahatch/probes.py
@@ -0,0 +1,78 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""The task that reads the load of the engines that this scheduler owns."""
+
+import asyncio
+import collections.abc
+import typing
+
+import aiohttp
+
+from galenahatch import cancelling
+from galenahatch import config
+from galenahatch.core import leaving as leaving_module
+from galenahatch import errors
+from galenahatch import ids
+from galenahatch import placement as placement_module
+from galenahatch.upstream import engine as engine_client
+
+_AT_ONCE: typing.Final = 32
+
+
+class Probes:
+    """Load reports and cache events.
+
+    Args:
+        client: session for engines.
+        tell: takes each report.
+        leaving: learns which engines say that they leave.
+    """
+
+    def __init__(
+        self,
+        client: aiohttp.ClientSession,
+        tell: collections.abc.Callable[[placement_module.News], None],
+        leaving: leaving_module.Leaving,
+    ) -> None:
+        self._client = client
+        self._tell = tell
+        self._leaving = leaving
+        self._since: dict[ids.EngineName, int] = {}
+        self._incarnations: dict[ids.EngineName, int] = {}
+        self._slots = asyncio.Semaphore(_AT_ONCE)
+
+    async def read(
+        self, engines: collections.abc.Iterable[config.Engine]
+    ) -> None:
+        """Read the load of some engines at once."""
+        await asyncio.gather(*(self._read_one(e) for e in engines))
+
+    async def _read_one(self, engine: config.Engine) -> None:
+        async with self._slots:
+            load = await engine_client.load(
+                self._client,
+                cancelling.url_of(engine),
+                self._since.get(engine.name, -1),
+            )
+        if isinstance(load, errors.Failure):
+            self._tell(placement_module.EngineReport(engine.name, None))
+            return
+        if self._incarnations.get(engine.name) != load.incarnation:
+            self._incarnations[engine.name] = load.incarnation
+            self._since[engine.name] = -1
+        if load.events:
+            self._since[engine.name] = load.events[-1].number
+        self._leaving.reported(
+            engine.name, load.incarnation, load.sequence, load.leaving
+        )
+        self._tell(placement_module.EngineReport(engine.name, load))
--- /dev/null
+++ b/galenahatch/tasks.py
@@ -0,0 +1,104 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Background tasks of an application object.
+
+A task that fails is logged and started again after a pause, so that one
+unexpected answer never stops a daemon's part for good.
+"""
+
+import asyncio
+import collections.abc
+import typing
+
+from galenahatch import logs
+
+_RESTART_PAUSE: typing.Final = 0.5
+_log = logs.Log('tasks')
+
+Work = collections.abc.Callable[
+    [], collections.abc.Coroutine[None, None, None]
+]
+
+
+class Tasks:
+    """The tasks of one application object."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def keep(self, name: str, work: Work) -> None:
+        """Run something until the application stops.
+
+        Args:
+            name: for the log.
+            work: called again should it fail.
+        """
+        self._add(asyncio.create_task(_kept(name, work)))
+
+    def once(
+        self, work: collections.abc.Coroutine[None, None, None]
+    ) -> asyncio.Task[None]:
+        """Run something to its end."""
+        task = asyncio.create_task(_logged(work))
+        self._add(task)
+        return task
+
+    def __len__(self) -> int:
+        return len(self._tasks)
+
+    async def stop(self) -> None:
+        """Cancel every task and wait for it."""
+        running = list(self._tasks)
+        for task in running:
+            task.cancel()
+        if running:
+            await asyncio.wait(running)
+
+    def _add(self, task: asyncio.Task[None]) -> None:
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+async def _kept(name: str, work: Work) -> None:
+    while True:
+        try:
+            await work()
+        except Exception as error:  # noqa: H201  (logged and restarted)
+            _log.error('Task failed.', task=name, error=repr(error))
+        await asyncio.sleep(_RESTART_PAUSE)
+
+
+async def _logged(
+    work: collections.abc.Coroutine[None, None, None],
+) -> None:
+    try:
+        await work
+    except Exception as error:  # noqa: H201  (logged)
+        _log.error('Task failed.', error=repr(error))
+
+
+async def every(
+    seconds: collections.abc.Callable[[], float],
+    work: collections.abc.Callable[
+        [], collections.abc.Coroutine[None, None, None]
+    ],
+) -> None:
+    """Do something again and again.
+
+    Args:
+        seconds: pause between two runs, asked anew each time.
+        work: what to do.
+    """
+    while True:
+        await work()
+        await asyncio.sleep(seconds())
--- /dev/null
+++ b/galenahatch/upstream/http.py
@@ -0,0 +1,73 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""What the clients of upstreams share: how a failed send is told apart.
+
+A connection that was never made carried no byte of the work: that is
+known not to have run. Any later break is unknown.
+"""
+
+import asyncio
+import typing
+
+import aiohttp
+
+from galenahatch import errors
+
+ERRORS: typing.Final = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
+MAX_ANSWER_BYTES: typing.Final = 8 * 1024 * 1024
+_NOT_CONNECTED: typing.Final = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
+
+
+def session(
+    connect_timeout: float, idle_timeout: float, reuse: bool = True
+) -> aiohttp.ClientSession:
+    """Return a session for upstreams.
+
+    Args:
+        connect_timeout: seconds for a connection.
+        idle_timeout: seconds without a byte of an answer.
+        reuse: keep connections. A kept connection that the upstream closes
+            as a request is sent leaves its fate unknown, so work that may
+            run only once goes over a fresh one.
+    """
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, force_close=not reuse),
+        timeout=aiohttp.ClientTimeout(
+            total=None, sock_connect=connect_timeout, sock_read=idle_timeout
+        ),
+        auto_decompress=False,
+    )
+
+
+def failure_of(error: BaseException) -> errors.Failure:
+    """Return what is known after an exception of a send."""
+    detail = f'{type(error).__name__} {error}'
+    if isinstance(error, _NOT_CONNECTED):
+        return errors.Failure(errors.UPSTREAM_UNREACHABLE, detail)
+    return errors.Failure(errors.SEND_INTERRUPTED, detail)
+
+
+async def read_all(
+    response: aiohttp.ClientResponse, limit: int = MAX_ANSWER_BYTES
+) -> bytes | errors.Failure:
+    """Return a whole body, or BAD_UPSTREAM if it is over the limit."""
+    data = bytearray()
+    async for chunk in response.content.iter_any():
+        data += chunk
+        if len(data) > limit:
+            response.close()
+            return errors.Failure(errors.BAD_UPSTREAM, 'body too large')
+    return bytes(data)
--- /dev/null
+++ b/galenahatch/upstream/service.py
@@ -0,0 +1,111 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Client of a plain service: one call, whole answer."""
+
+import typing
+
+import aiohttp
+import msgspec
+
+from galenahatch import errors
+from galenahatch.upstream import http
+
+_HOP_HEADERS: typing.Final = frozenset(
+    (
+        'authorization',
+        'connection',
+        'content-length',
+        'expect',
+        'host',
+        'keep-alive',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+_REFUSED: typing.Final = 503
+
+
+class Call(msgspec.Struct, frozen=True):
+    """One call of a plain service."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class Result(msgspec.Struct, frozen=True):
+    """The service's answer, passed on as it is."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+def forwarded(headers: typing.Mapping[str, str]) -> dict[str, str]:
+    """Return the headers that go on to a service."""
+    return {
+        name: value
+        for name, value in headers.items()
+        if name.lower() not in _HOP_HEADERS
+    }
+
+
+async def call(
+    client: aiohttp.ClientSession, url: str, request: Call, seconds: float
+) -> Result | errors.Failure:
+    """Call a service.
+
+    Args:
+        client: session.
+        url: base URL of the upstream.
+        request: what to send.
+        seconds: for the whole call.
+    """
+    timeout = aiohttp.ClientTimeout(
+        total=seconds, sock_connect=client.timeout.sock_connect
+    )
+    try:
+        async with client.request(
+            request.method,
+            url.rstrip('/') + request.path,
+            data=request.body,
+            headers=request.headers,
+            timeout=timeout,
+            allow_redirects=False,
+        ) as response:
+            data = await http.read_all(response)
+    except http.ERRORS as error:
+        return http.failure_of(error)
+    if isinstance(data, errors.Failure):
+        return data
+    if response.status == _REFUSED and _not_started(data):
+        return errors.Failure(errors.UPSTREAM_REFUSED, url)
+    kind = response.headers.get('Content-Type', 'application/octet-stream')
+    return Result(response.status, kind, data)
+
+
+def _not_started(data: bytes) -> bool:
+    """Return whether a refusal says that nothing was started."""
+    try:
+        refusal = msgspec.json.decode(data, type=_Refusal)
+    except msgspec.MsgspecError:
+        return False
+    return refusal.started is False
+
+
+class _Refusal(msgspec.Struct, frozen=True):
+    started: bool | None = None
