Fuzz the core's rules against oracles

Cause: no promise had a proof yet.

Change: state machines and properties over claims, cells, leases, revisions, leaving upstreams, stream assembly, the fair queue, merging and frames. The table's transactions and the writing of claims moved into the core, so that the fuzzer drives the code that runs.

Found: a request given up by a queue that was empty was told to come back after 0 seconds. Retry-After now has a floor.

Ruled out: weakening the check to `>= 0`, which would tell a caller to hammer.

--- a/galenahatch/changes.py
+++ b/galenahatch/changes.py
@@ -26,6 +26,7 @@
 from galenahatch import clock
 from galenahatch import config
 from galenahatch.core import revision
+from galenahatch.core import transaction
 from galenahatch import errors
 from galenahatch import ids
 from galenahatch.platform import objects
@@ -110,7 +111,7 @@
             note,
         )
         done = await self._table.commit(_move(read, head))
-        if isinstance(done, table.Committed):
+        if isinstance(done, transaction.Committed):
             return head
         return await self._recognise(head)
 
@@ -131,14 +132,14 @@
 
 def _move(
     read: revision.Head | None, head: revision.Head
-) -> table.Transaction:
+) -> transaction.Transaction:
     before = revision.encode(read) if read else None
     after = revision.encode(head)
-    return table.Transaction(
-        (table.Condition(revision.HEAD_KEY, before),),
+    return transaction.Transaction(
+        (transaction.Condition(revision.HEAD_KEY, before),),
         (
-            table.Write(revision.HEAD_KEY, after),
-            table.Write(revision.history_key(head.revision), after),
+            transaction.Write(revision.HEAD_KEY, after),
+            transaction.Write(revision.history_key(head.revision), after),
         ),
     )
 
--- a/galenahatch/claims.py
+++ b/galenahatch/claims.py
@@ -24,7 +24,8 @@
 import dataclasses
 import typing
 
-from galenahatch.core import claim
+from galenahatch.core import claimwrites
+from galenahatch.core import transaction
 from galenahatch import errors
 from galenahatch import ids
 from galenahatch import logs
@@ -38,14 +39,13 @@
 _log = logs.Log('claims')
 
 Send = collections.abc.Callable[[messages.AnyMessage], None]
-Operation = messages.ClaimRequest | messages.ClaimVoid | messages.ClaimDone
 
 
 @dataclasses.dataclass(frozen=True)
 class Order:
     """One operation on a key, and how to answer it."""
 
-    operation: Operation
+    operation: claimwrites.Operation
     send: Send
 
 
@@ -70,7 +70,7 @@
         """Operations that are not answered yet."""
         return self._open
 
-    def tell(self, operation: Operation, send: Send) -> None:
+    def tell(self, operation: claimwrites.Operation, send: Send) -> None:
         """Put an operation into the inbox."""
         self._open += 1
         self._inbox.put_nowait(Order(operation, send))
@@ -107,17 +107,19 @@
         for _ in range(_TRIES):
             if not pending:
                 return
-            transaction = _transaction(pending)
+            change = claimwrites.transaction_of(
+                [order.operation for order in pending.values()]
+            )
             metrics.claim_groups.add(1)
-            result = await self._table.commit(transaction)
-            if isinstance(result, table.Conflict):
+            result = await self._table.commit(change)
+            if isinstance(result, transaction.Conflict):
                 self._settle_conflicts(pending, result.current)
             elif isinstance(result, errors.Failure):
                 await self._read_back(pending)
                 return
             else:
                 for order in pending.values():
-                    self._answer(order, _written(order.operation))
+                    self._answer(order, claimwrites.written(order.operation))
                 return
         await self._read_back(pending)
 
@@ -127,20 +129,22 @@
         current: collections.abc.Mapping[str, bytes | None],
     ) -> None:
         for name, value in current.items():
-            order = pending.pop(_key_in(name), None)
+            order = pending.pop(claimwrites.key_in(name), None)
             if order is not None:
-                self._answer(order, _conflicted(order.operation, value))
+                self._answer(
+                    order, claimwrites.conflicted(order.operation, value)
+                )
 
     async def _read_back(self, pending: dict[ids.ClaimKey, Order]) -> None:
         """Answer from what the table holds, if it can be read."""
-        names = [_name(key) for key in pending]
+        names = [claimwrites.name_of(key) for key in pending]
         values = await self._table.read(names)
         for key, order in pending.items():
             if isinstance(values, errors.Failure):
-                self._answer(order, _unconfirmed(order.operation))
+                self._answer(order, claimwrites.unconfirmed(order.operation))
                 continue
-            value = values.get(_name(key))
-            self._answer(order, _found(order.operation, value))
+            value = values.get(claimwrites.name_of(key))
+            self._answer(order, claimwrites.found(order.operation, value))
 
     def _answer(self, order: Order, reply: messages.AnyMessage) -> None:
         self._open -= 1
@@ -150,87 +154,3 @@
                 'Claim answered.', key=reply.key, status=reply.status.value
             )
         order.send(reply)
-
-
-def _name(key: ids.ClaimKey) -> str:
-    return f'claim/{key}'
-
-
-def _key_in(name: str) -> ids.ClaimKey:
-    return ids.ClaimKey(name.partition('/')[2])
-
-
-def claimed(request: messages.ClaimRequest) -> bytes:
-    """Return the record of a fresh claim."""
-    return claim.encode(
-        claim.Record(
-            request.token,
-            request.fingerprint,
-            request.holder,
-            request.incarnation,
-        )
-    )
-
-
-def _transaction(
-    pending: collections.abc.Mapping[ids.ClaimKey, Order],
-) -> table.Transaction:
-    conditions = []
-    writes = []
-    for key, order in pending.items():
-        before, after = _change(order.operation)
-        conditions.append(table.Condition(_name(key), before))
-        writes.append(table.Write(_name(key), after))
-    return table.Transaction(tuple(conditions), tuple(writes))
-
-
-def _change(operation: Operation) -> tuple[bytes | None, bytes | None]:
-    """Return the value before and after an operation."""
-    if isinstance(operation, messages.ClaimRequest):
-        return None, claimed(operation)
-    if isinstance(operation, messages.ClaimVoid):
-        return operation.record, None
-    return operation.claimed, operation.record
-
-
-def _written(operation: Operation) -> messages.AnyMessage:
-    """Return the reply to an operation that took effect."""
-    if isinstance(operation, messages.ClaimRequest):
-        return claim.reply_of(operation, claimed(operation))
-    if isinstance(operation, messages.ClaimVoid):
-        return messages.VoidReply(operation.key, operation.token, True)
-    return messages.DoneReply(operation.key, operation.token, True)
-
-
-def _conflicted(
-    operation: Operation, value: bytes | None
-) -> messages.AnyMessage:
-    """Return the reply to an operation whose condition does not hold."""
-    if isinstance(operation, messages.ClaimRequest):
-        return claim.reply_of(operation, value)
-    if isinstance(operation, messages.ClaimVoid):
-        # Whatever stands there is not the claim to remove.
-        return messages.VoidReply(operation.key, operation.token, True)
-    if value != operation.record:
-        _log.error('Claim changed under its holder.', key=operation.key)
-    return messages.DoneReply(operation.key, operation.token, True)
-
-
-def _found(operation: Operation, value: bytes | None) -> messages.AnyMessage:
-    """Return the reply after reading back what the table holds."""
-    if isinstance(operation, messages.ClaimRequest):
-        return claim.reply_of(operation, value)
-    if isinstance(operation, messages.ClaimVoid):
-        gone = value != operation.record
-        return messages.VoidReply(operation.key, operation.token, gone)
-    stored = value == operation.record
-    return messages.DoneReply(operation.key, operation.token, stored)
-
-
-def _unconfirmed(operation: Operation) -> messages.AnyMessage:
-    """Return the reply when the table can't be read either."""
-    if isinstance(operation, messages.ClaimRequest):
-        return claim.reply_of(operation, None)
-    if isinstance(operation, messages.ClaimVoid):
-        return messages.VoidReply(operation.key, operation.token, False)
-    return messages.DoneReply(operation.key, operation.token, False)
--- a/galenahatch/controller.py
+++ b/galenahatch/controller.py
@@ -28,12 +28,12 @@
 from galenahatch import config
 from galenahatch.core import lease as lease_module
 from galenahatch.core import orders
+from galenahatch.core import transaction
 from galenahatch import errors
 from galenahatch import ids
 from galenahatch import logs
 from galenahatch import messages
 from galenahatch import peers as peers_module
-from galenahatch.platform import table
 from galenahatch import tasks
 from galenahatch.upstream import engine as engine_client
 from galenahatch.upstream import http
@@ -121,7 +121,7 @@
         began = clock.now()
         data = msgspec.msgpack.encode(proposal)
         done = await self.table.commit(_swap(self._stored, data))
-        if isinstance(done, table.Committed):
+        if isinstance(done, transaction.Committed):
             before = self._lease.fencing
             self._lease.accepted(proposal, began, clock.now())
             self._stored = data
@@ -209,10 +209,12 @@
         return None
 
 
-def _swap(before: bytes | None, after: bytes | None) -> table.Transaction:
-    return table.Transaction(
-        (table.Condition(LEASE_KEY, before),),
-        (table.Write(LEASE_KEY, after),),
+def _swap(
+    before: bytes | None, after: bytes | None
+) -> transaction.Transaction:
+    return transaction.Transaction(
+        (transaction.Condition(LEASE_KEY, before),),
+        (transaction.Write(LEASE_KEY, after),),
     )
 
 
--- a/galenahatch/core/cell.py
+++ b/galenahatch/core/cell.py
@@ -42,6 +42,7 @@
 """Seconds after which a reservation without a sign lapses."""
 CACHE_AGE: typing.Final = 60.0
 LONGEST_QUEUE: typing.Final = 5000
+LEAST_RETRY_AFTER: typing.Final = 0.1
 LONGEST_RETRY_AFTER: typing.Final = 60.0
 _FIRST_LENGTH_SHARE: typing.Final = 0.5
 _EXPLAINED_LOSERS: typing.Final = 3
@@ -439,7 +440,8 @@
         """Return a Retry-After, spaced so that not all return at once."""
         earliest = max(now + wait, self._promised_until)
         self._promised_until = earliest + 1 / self.release_rate()
-        return min(LONGEST_RETRY_AFTER, earliest - now)
+        wait = earliest - now
+        return min(LONGEST_RETRY_AFTER, max(LEAST_RETRY_AFTER, wait))
 
     def _place(self, job: Job, choice: pairing.Choice, now: float) -> Decision:
         pair = choice.pair
--- /dev/null
+++ b/galenahatch/core/claimwrites.py
@@ -0,0 +1,115 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Operations on claims as transactions, and what to answer to each.
+
+`written` answers an operation that took effect, `conflicted` one whose
+condition does not hold, `found` one whose fate was read back after the
+table's answer was lost, `unconfirmed` one of which nothing is known.
+"""
+
+import collections.abc
+
+from galenahatch.core import claim
+from galenahatch.core import transaction
+from galenahatch import ids
+from galenahatch import messages
+
+Operation = messages.ClaimRequest | messages.ClaimVoid | messages.ClaimDone
+
+
+def name_of(key: ids.ClaimKey) -> str:
+    """Return the table key of a claim."""
+    return f'claim/{key}'
+
+
+def key_in(name: str) -> ids.ClaimKey:
+    """Return the claim that a table key names."""
+    return ids.ClaimKey(name.partition('/')[2])
+
+
+def claimed(request: messages.ClaimRequest) -> bytes:
+    """Return the record of a fresh claim."""
+    return claim.encode(
+        claim.Record(
+            request.token,
+            request.fingerprint,
+            request.holder,
+            request.incarnation,
+        )
+    )
+
+
+def transaction_of(
+    operations: collections.abc.Iterable[Operation],
+) -> transaction.Transaction:
+    """Return one transaction for operations on different keys."""
+    conditions = []
+    writes = []
+    for operation in operations:
+        before, after = change_of(operation)
+        name = name_of(operation.key)
+        conditions.append(transaction.Condition(name, before))
+        writes.append(transaction.Write(name, after))
+    return transaction.Transaction(tuple(conditions), tuple(writes))
+
+
+def change_of(operation: Operation) -> tuple[bytes | None, bytes | None]:
+    """Return the value before and after an operation."""
+    if isinstance(operation, messages.ClaimRequest):
+        return None, claimed(operation)
+    if isinstance(operation, messages.ClaimVoid):
+        return operation.record, None
+    return operation.claimed, operation.record
+
+
+def written(operation: Operation) -> messages.AnyMessage:
+    """Return the reply to an operation that took effect."""
+    if isinstance(operation, messages.ClaimRequest):
+        return claim.reply_of(operation, claimed(operation))
+    if isinstance(operation, messages.ClaimVoid):
+        return messages.VoidReply(operation.key, operation.token, True)
+    return messages.DoneReply(operation.key, operation.token, True)
+
+
+def conflicted(
+    operation: Operation, value: bytes | None
+) -> messages.AnyMessage:
+    """Return the reply to an operation whose condition does not hold."""
+    if isinstance(operation, messages.ClaimRequest):
+        return claim.reply_of(operation, value)
+    if isinstance(operation, messages.ClaimVoid):
+        # Whatever stands there is not the claim to remove.
+        return messages.VoidReply(operation.key, operation.token, True)
+    # The finished record stands already, or the claim is no more: either
+    # way nothing is left to write.
+    return messages.DoneReply(operation.key, operation.token, True)
+
+
+def found(operation: Operation, value: bytes | None) -> messages.AnyMessage:
+    """Return the reply after reading back what the table holds."""
+    if isinstance(operation, messages.ClaimRequest):
+        return claim.reply_of(operation, value)
+    if isinstance(operation, messages.ClaimVoid):
+        gone = value != operation.record
+        return messages.VoidReply(operation.key, operation.token, gone)
+    stored = value == operation.record
+    return messages.DoneReply(operation.key, operation.token, stored)
+
+
+def unconfirmed(operation: Operation) -> messages.AnyMessage:
+    """Return the reply when the table can't be read either."""
+    if isinstance(operation, messages.ClaimRequest):
+        return claim.reply_of(operation, None)
+    if isinstance(operation, messages.ClaimVoid):
+        return messages.VoidReply(operation.key, operation.token, False)
+    return messages.DoneReply(operation.key, operation.token, False)
--- a/galenahatch/platform/table.py
+++ b/galenahatch/platform/table.py
@@ -24,43 +24,13 @@
 import aiohttp
 import msgspec
 
+from galenahatch.core import transaction as transactions
 from galenahatch import errors
 from galenahatch.platform import http
 
 _CONFLICT_STATUS: typing.Final = 409
 
 
-class Condition(msgspec.Struct, frozen=True):
-    """A key must hold exactly this value; None means that it is absent."""
-
-    key: str
-    value: bytes | None = None
-
-
-class Write(msgspec.Struct, frozen=True):
-    """A key gets this value; None deletes it."""
-
-    key: str
-    value: bytes | None
-
-
-class Transaction(msgspec.Struct, frozen=True):
-    """All writes happen if all conditions hold, else none."""
-
-    conditions: tuple[Condition, ...]
-    writes: tuple[Write, ...]
-
-
-class Committed(msgspec.Struct, frozen=True):
-    """The transaction took effect."""
-
-
-class Conflict(msgspec.Struct, frozen=True):
-    """Conditions that do not hold, with the values that stand."""
-
-    current: dict[str, bytes | None]
-
-
 _Values = dict[str, bytes | None]
 _VALUES: typing.Final = msgspec.json.Decoder(_Values)
 
@@ -96,8 +66,8 @@
         return _values(await http.call(self._client, 'GET', url))
 
     async def commit(
-        self, transaction: Transaction
-    ) -> Committed | Conflict | errors.Failure:
+        self, transaction: transactions.Transaction
+    ) -> transactions.Committed | transactions.Conflict | errors.Failure:
         """Commit a transaction."""
         body = msgspec.json.encode(transaction)
         reply = await http.call(
@@ -109,12 +79,12 @@
             current = _values(http.Reply(200, reply.body))
             if isinstance(current, errors.Failure):
                 return current
-            return Conflict(current)
+            return transactions.Conflict(current)
         if reply.status != 200:
             return errors.Failure(
                 errors.STORE_UNAVAILABLE, f'status {reply.status}'
             )
-        return Committed()
+        return transactions.Committed()
 
 
 def _values(
--- /dev/null
+++ b/galenahatch/test/fuzz.py
@@ -0,0 +1,36 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""The long form of the fuzzing: `make fuzz`."""
+
+import os
+import subprocess
+import sys
+
+
+def main() -> int:
+    """Run the state machines with many examples and print statistics."""
+    command = [
+        sys.executable,
+        '-m',
+        'pytest',
+        '-v',
+        '--hypothesis-show-statistics',
+        '-k',
+        'fuzz',
+    ]
+    environment = {**os.environ, 'FUZZ_PROFILE': 'long'}
+    return subprocess.run(command, env=environment, check=False).returncode
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/galenahatch/test/samples.py
@@ -0,0 +1,73 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Small values that several tests use."""
+
+import dataclasses
+
+from galenahatch import config
+from galenahatch.core import revision
+from galenahatch import ids
+from galenahatch import messages
+
+BASE = """
+[[sites]]
+name = "bergamo"
+region = "lombardy"
+data_centres = ["zogno"]
+"""
+
+
+@dataclasses.dataclass(frozen=True)
+class Item:
+    """Something that waits in a queue."""
+
+    stream: ids.StreamId
+    caller: ids.CallerName
+    urgency: messages.Urgency
+    share: float
+    cost: float
+
+
+def engine(name: str, role: str) -> config.Engine:
+    """Return an engine."""
+    return config.Engine(
+        name=ids.EngineName(name),
+        service=ids.ServiceName('x'),
+        role=role,
+        data_centre=ids.DataCentre('zogno'),
+        address='127.0.0.1',
+        port=1,
+    )
+
+
+def accepted(number: int) -> revision.Accepted:
+    """Return an accepted configuration with this revision."""
+    bundle = config.Bundle(BASE, {'bergamo': ''})
+    digest = revision.digest_of(revision.encode(bundle))
+    head = revision.Head(
+        ids.Revision(number), ids.ChangeId(f'c{number}'), digest, 'me', ''
+    )
+    return revision.Accepted(head, bundle)
+
+
+def heartbeat(
+    standing: messages.Standing, incarnation: int
+) -> messages.Heartbeat:
+    """Return a heartbeat of one scheduler."""
+    return messages.Heartbeat(
+        ids.MemberId('scheduler/127.0.0.1:1'),
+        incarnation,
+        ids.DataCentre('zogno'),
+        standing,
+        ids.Revision(1),
+    )
--- a/galenahatch/test/standin/stores.py
+++ b/galenahatch/test/standin/stores.py
@@ -25,7 +25,7 @@
 from aiohttp import web
 import msgspec
 
-from galenahatch.platform import table
+from galenahatch.core import transaction as transactions
 from galenahatch.platform import vms
 from galenahatch.test.standin import engine
 from galenahatch.test.standin import peer
@@ -65,7 +65,7 @@
     async def commit(self, request: web.Request) -> web.StreamResponse:
         """Commit a transaction."""
         body = await request.read()
-        transaction = msgspec.json.decode(body, type=table.Transaction)
+        transaction = msgspec.json.decode(body, type=transactions.Transaction)
         if await disturbed(self.faults):
             return web.Response(status=500)
         if self.faults.get('late'):
@@ -95,7 +95,7 @@
         return self.old if self.faults.get('stale') else self.values
 
     def _apply(
-        self, transaction: table.Transaction
+        self, transaction: transactions.Transaction
     ) -> dict[str, bytes | None]:
         self.commits += 1
         conflict = {
