--- a/galenahatch/test/standin/stores.py
+++ b/galenahatch/test/standin/stores.py
@@ -14,8 +14,8 @@
 
 Faults by `POST /fault`: `down`, `slow` (seconds), `lose_answers` (how many
 writes take effect without an answer), `late` (seconds after which a write
-takes effect, its answer lost), `stale` (reads see the state at the time
-the fault was set). Plain service: `cut`, `refuse`, `slow`.
+takes effect, its answer lost), `stale` (reads see the state that was
+marked by `POST /mark`). Plain service: `cut`, `refuse`, `slow`.
 """
 
 import asyncio
@@ -84,6 +84,10 @@
     async def fault(self, request: web.Request) -> web.StreamResponse:
         """Set faults."""
         self.faults = msgspec.json.decode(await request.read())
+        return web.Response()
+
+    async def mark(self, request: web.Request) -> web.StreamResponse:
+        """Mark the state that stale reads see."""
         self.old = dict(self.values)
         return web.Response()
 
@@ -205,6 +209,7 @@
         web.get('/scan', state.scan),
         web.post('/commit', state.commit),
         web.post('/fault', state.fault),
+        web.post('/mark', state.mark),
         web.get('/count', state.count),
     ]
 
