--- a/galenahatch/application.py
+++ b/galenahatch/application.py
@@ -70,14 +70,14 @@
         self.objects = objects.Objects(client, self.options.objects_url)
         self.vms = vms.Vms(client, self.options.vms_url)
         self.config = distribution.Distribution(
-            self.options, self.table, self.objects
+            self.options, self.table, self.objects, self.tasks
         )
 
     def join(self, joined: peers.Peers) -> None:
         """Start to talk to peers and to follow the configuration."""
         self.config.ask_with(joined.send)
         joined.run(self.tasks)
-        self.config.run(self.tasks)
+        self.config.run()
 
     async def listen(
         self,
--- a/galenahatch/config.py
+++ b/galenahatch/config.py
@@ -25,6 +25,7 @@
 checked. Nothing here reads a file or the clock.
 """
 
+import functools
 import hashlib
 import tomllib
 import types
@@ -177,7 +178,7 @@
     max_waiting: int = 1000
 
 
-class Config(msgspec.Struct, frozen=True):
+class Config(msgspec.Struct, frozen=True, dict=True):
     """The merged configuration of one site."""
 
     sites: tuple[Site, ...] = ()
@@ -187,31 +188,54 @@
     callers: tuple[Caller, ...] = ()
     draining: tuple[str, ...] = ()
 
+    @functools.cached_property
+    def _site_by_centre(self) -> dict[str, Site]:
+        return {c: site for site in self.sites for c in site.data_centres}
+
+    @functools.cached_property
+    def _service_by_name(self) -> dict[str, ModelService]:
+        return {service.name: service for service in self.services}
+
+    @functools.cached_property
+    def _plain_by_name(self) -> dict[str, PlainService]:
+        return {service.name: service for service in self.plain_services}
+
+    @functools.cached_property
+    def _engine_by_name(self) -> dict[str, Engine]:
+        return {engine.name: engine for engine in self.engines}
+
+    @functools.cached_property
+    def _caller_by_digest(self) -> dict[str, Caller]:
+        return {caller.token_sha256: caller for caller in self.callers}
+
+    @functools.cached_property
+    def _caller_by_name(self) -> dict[str, Caller]:
+        return {caller.name: caller for caller in self.callers}
+
     def site_of(self, data_centre: ids.DataCentre) -> Site | None:
         """Return the site that a data centre belongs to."""
-        for site in self.sites:
-            if data_centre in site.data_centres:
-                return site
-        return None
+        return self._site_by_centre.get(data_centre)
 
     def service(self, name: str) -> ModelService | None:
         """Return a model service by name."""
-        return next((s for s in self.services if s.name == name), None)
+        return self._service_by_name.get(name)
 
     def plain_service(self, name: str) -> PlainService | None:
         """Return a plain service by name."""
-        found = (s for s in self.plain_services if s.name == name)
-        return next(found, None)
+        return self._plain_by_name.get(name)
 
     def engine(self, name: str) -> Engine | None:
         """Return an engine by name."""
-        return next((e for e in self.engines if e.name == name), None)
+        return self._engine_by_name.get(name)
+
+    def caller(self, name: str) -> Caller | None:
+        """Return a caller by name."""
+        return self._caller_by_name.get(name)
 
     def caller_of(self, token: str) -> Caller | None:
         """Return the caller that a bearer token belongs to."""
         digest = hashlib.sha256(token.encode()).hexdigest()
-        found = (c for c in self.callers if c.token_sha256 == digest)
-        return next(found, None)
+        return self._caller_by_digest.get(digest)
 
 
 class Bundle(msgspec.Struct, frozen=True):
@@ -256,7 +280,10 @@
         _check_names(site, overlay, problems)
         merged = merge(base, overlay)
         merged['draining'] = list(bundle.draining)
-        config = _convert(Config, merged, '', _origin(site, overlay), problems)
+        config = _convert_whole(merged)
+        if config is None:
+            origin = _origin(site, overlay)
+            config = _convert(Config, merged, '', origin, problems)
         configs[site] = config
         _check_config(site, config, problems)
     if not overlays:
@@ -265,6 +292,50 @@
     return Checked(configs, tuple(sorted(set(problems))))
 
 
+def load(bundle: Bundle) -> dict[str, Config] | None:
+    """Return the configuration of each site without checking it.
+
+    Daemons use this for what was checked before it was accepted. Unknown
+    keys are ignored, so that a daemon understands what a newer command
+    line wrote. None means that a text can't be used at all.
+    """
+    problems: list[Problem] = []
+    base = _parse(_BASE, bundle.base, problems)
+    configs = {}
+    for site, text in bundle.overlays.items():
+        merged = merge(base, _parse(site, text, problems))
+        merged['draining'] = list(bundle.draining)
+        try:
+            configs[site] = msgspec.convert(merged, Config)
+        except msgspec.ValidationError:
+            return None
+    return None if problems else configs
+
+
+def _convert_whole(merged: Tree) -> Config | None:
+    """Convert at once; None if anything is wrong, which is rare."""
+    if any(_unknown_keys(merged)):
+        return None
+    try:
+        return msgspec.convert(merged, Config)
+    except msgspec.ValidationError:
+        return None
+
+
+def _unknown_keys(merged: Tree) -> typing.Iterator[str]:
+    hints = typing.get_type_hints(Config)
+    for key, value in merged.items():
+        if key not in hints:
+            yield key
+            continue
+        kind = _struct_item(hints[key])
+        if kind is not None and isinstance(value, list):
+            known = set(kind.__struct_fields__)
+            for item in value:
+                if not isinstance(item, dict) or item.keys() - known:
+                    yield key
+
+
 def _parse(file: str, text: str, problems: list[Problem]) -> Tree:
     try:
         return tomllib.loads(text)
--- a/galenahatch/core/cells.py
+++ b/galenahatch/core/cells.py
@@ -54,13 +54,14 @@
     """Return the cells of a region."""
     within = _sites_within(sites, region)
     services = {s.name: s for c in within.values() for s in c.services}
+    allowed = {
+        ids.SiteName(site): frozenset(e.name for e in settings.engines)
+        for site, settings in within.items()
+    }
+    engines = _engines_by_service(within, region)
     found: dict[ids.CellId, Plan] = {}
     for service in services.values():
-        declared = _engines_of(within, service.name, region)
-        allowed = {
-            ids.SiteName(site): frozenset(e.name for e in settings.engines)
-            for site, settings in within.items()
-        }
+        declared = engines.get(service.name, ())
         count = shard_count(declared)
         for shard in range(count):
             cell = cell_of(service.name, region, shard)
@@ -117,18 +118,19 @@
     }
 
 
-def _engines_of(
+def _engines_by_service(
     sites: collections.abc.Mapping[str, config.Config],
-    service: ids.ServiceName,
     region: ids.RegionName,
-) -> tuple[config.Engine, ...]:
-    """Return the engines of a service in the data centres of a region."""
+) -> dict[ids.ServiceName, tuple[config.Engine, ...]]:
+    """Return the engines in the data centres of a region, by service."""
     found: dict[ids.EngineName, config.Engine] = {}
     for settings in sites.values():
         for engine in settings.engines:
             site = settings.site_of(engine.data_centre)
-            if site is None or site.region != region:
-                continue
-            if engine.service == service:
+            if site is not None and site.region == region:
                 found.setdefault(engine.name, engine)
-    return tuple(found[name] for name in sorted(found))
+    by_service: dict[ids.ServiceName, list[config.Engine]] = {}
+    for name in sorted(found):
+        engine = found[name]
+        by_service.setdefault(engine.service, []).append(engine)
+    return {name: tuple(engines) for name, engines in by_service.items()}
--- a/galenahatch/core/revision.py
+++ b/galenahatch/core/revision.py
@@ -120,6 +120,8 @@
     def __init__(self) -> None:
         self._accepted: Accepted | None = None
         self._sites: dict[str, config.Config] = {}
+        self._site_of: dict[ids.DataCentre, config.Site] = {}
+        self._engines: dict[ids.EngineName, config.Engine] = {}
 
     @property
     def accepted(self) -> Accepted | None:
@@ -138,21 +140,41 @@
         """Its merged configuration by site."""
         return self._sites
 
-    def offer(self, accepted: Accepted) -> bool:
-        """Take a configuration if it is newer; return whether it was."""
-        if accepted.head.revision <= self.revision:
-            return False
-        checked = config.check(accepted.bundle)
-        if not checked.sites:
+    def offer(
+        self, accepted: Accepted, sites: dict[str, config.Config] | None
+    ) -> bool:
+        """Take a configuration if it is newer; return whether it was.
+
+        Args:
+            accepted: the configuration.
+            sites: what config.load made of it.
+        """
+        if accepted.head.revision <= self.revision or not sites:
             return False
         self._accepted = accepted
-        self._sites = checked.sites
+        self._sites = sites
+        self._site_of = {
+            centre: site
+            for name, settings in sites.items()
+            for site in settings.sites
+            for centre in site.data_centres
+            if site.name == name
+        }
+        self._engines = {}
+        for settings in sites.values():
+            for engine in settings.engines:
+                self._engines.setdefault(engine.name, engine)
         return True
 
+    def site(self, data_centre: ids.DataCentre) -> config.Site | None:
+        """Return the site of a data centre."""
+        return self._site_of.get(data_centre)
+
     def at(self, data_centre: ids.DataCentre) -> config.Config | None:
         """Return the configuration of the site of a data centre."""
-        for name, settings in self._sites.items():
-            site = settings.site_of(data_centre)
-            if site is not None and site.name == name:
-                return settings
-        return None
+        site = self.site(data_centre)
+        return self._sites.get(site.name) if site else None
+
+    def engine(self, name: ids.EngineName) -> config.Engine | None:
+        """Return an engine of any site."""
+        return self._engines.get(name)
--- a/galenahatch/distribution.py
+++ b/galenahatch/distribution.py
@@ -17,8 +17,8 @@
 stores are down. Only higher revisions are taken, from either source.
 """
 
+import asyncio
 import collections.abc
-import typing
 
 from galenahatch import config
 from galenahatch.core import revision as revision_module
@@ -31,7 +31,6 @@
 from galenahatch.platform import table
 from galenahatch import tasks
 
-_HINT_REPEAT: typing.Final = 5
 _log = logs.Log('config')
 
 Listener = collections.abc.Callable[[], None]
@@ -45,6 +44,7 @@
         options: settings.
         tables: client of the table.
         stored: client of the object store.
+        owner: runs the tasks.
     """
 
     def __init__(
@@ -52,14 +52,15 @@
         options: options_module.Options,
         tables: table.Table,
         stored: objects.Objects,
+        owner: tasks.Tasks,
     ) -> None:
         self._options = options
         self._table = tables
         self._objects = stored
+        self._owner = owner
         self._in_force = revision_module.InForce()
         self._listeners: list[Listener] = []
         self._ask: Asker | None = None
-        self._hints = 0
 
     @property
     def revision(self) -> ids.Revision:
@@ -77,10 +78,17 @@
 
     def region_of(self, centre: ids.DataCentre) -> ids.RegionName | None:
         """Return the region of a data centre; None if not known."""
-        settings = self._in_force.at(centre)
-        site = settings.site_of(centre) if settings else None
+        site = self._in_force.site(centre)
         return site.region if site else None
 
+    def site(self) -> config.Site | None:
+        """Return the site of this daemon."""
+        return self._in_force.site(self._options.data_centre)
+
+    def engine(self, name: ids.EngineName) -> config.Engine | None:
+        """Return an engine of any site."""
+        return self._in_force.engine(name)
+
     def body(self, above: ids.Revision) -> messages.ConfigBody | None:
         """Return the configuration for a peer that has less."""
         accepted = self._in_force.accepted
@@ -103,10 +111,12 @@
         """Set how a peer is asked for its configuration."""
         self._ask = ask
 
-    def run(self, owner: tasks.Tasks) -> None:
+    def run(self) -> None:
         """Start the task that reads the table."""
         poll = self._options.config_poll
-        owner.keep('config', lambda: tasks.every(lambda: poll, self._read))
+        self._owner.keep(
+            'config', lambda: tasks.every(lambda: poll, self._read)
+        )
 
     def hint(self, member: ids.MemberId, seen: ids.Revision) -> None:
         """Take a revision seen in a heartbeat."""
@@ -120,7 +130,7 @@
         if isinstance(accepted, errors.Failure):
             _log.warning('Configuration dropped.', detail=accepted.detail)
             return
-        self._take(accepted, 'peer')
+        self._owner.once(self._take(accepted, 'peer'))
 
     async def _read(self) -> None:
         values = await self._table.read([revision_module.HEAD_KEY])
@@ -145,10 +155,16 @@
         if isinstance(bundle, errors.Failure):
             _log.error('Body is malformed.', detail=bundle.detail)
             return
-        self._take(revision_module.Accepted(head, bundle), 'table')
+        await self._take(revision_module.Accepted(head, bundle), 'table')
 
-    def _take(self, accepted: revision_module.Accepted, source: str) -> None:
-        if not self._in_force.offer(accepted):
+    async def _take(
+        self, accepted: revision_module.Accepted, source: str
+    ) -> None:
+        if accepted.head.revision <= self.revision:
+            return
+        # Parsing takes long at the planned size; streams go on meanwhile.
+        sites = await asyncio.to_thread(config.load, accepted.bundle)
+        if not self._in_force.offer(accepted, sites):
             return
         _log.info(
             'Configuration in force.',
--- a/galenahatch/entry.py
+++ b/galenahatch/entry.py
@@ -86,7 +86,7 @@
             self._peers, self.objects, self.tasks, options.claim_timeout
         )
         self._canceller = cancelling.Canceller(
-            self._engines, self._engine, self.tasks
+            self._engines, self.config.engine, self.tasks
         )
         self._means = self._make_means()
         self._plain = plain_module.Plain(
@@ -153,7 +153,7 @@
             data_centre=self.options.data_centre,
             placing=self._placing,
             canceller=self._canceller,
-            find=self._engine,
+            find=self.config.engine,
             repeatable=self._engines,
             once=self._once,
             budget=self._budget,
@@ -193,17 +193,8 @@
             return 'no scheduler'
         return ''
 
-    def _engine(self, name: ids.EngineName) -> config.Engine | None:
-        for settings in self.config.sites.values():
-            engine = settings.engine(name)
-            if engine is not None:
-                return engine
-        return None
-
     def _site(self) -> ids.SiteName:
-        settings = self.config.mine()
-        centre = self.options.data_centre
-        site = settings.site_of(centre) if settings else None
+        site = self.config.site()
         return site.name if site else ids.SiteName('')
 
     def _budget(self, service: config.ModelService) -> retry.RetryBudget:
--- a/galenahatch/placement.py
+++ b/galenahatch/placement.py
@@ -244,14 +244,12 @@
     ) -> tuple[float, errors.Reason | None]:
         """Return a caller's weight, or why it may not wait."""
         settings = self._config.sites.get(request.site)
-        callers = settings.callers if settings else ()
-        for caller in callers:
-            if caller.name != request.caller:
-                continue
-            if cell.waiting_of(caller.name) >= caller.max_waiting:
-                return caller.share, errors.SHARE_USED
-            return caller.share, None
-        return 1.0, None
+        caller = settings.caller(request.caller) if settings else None
+        if caller is None:
+            return 1.0, None
+        if cell.waiting_of(caller.name) >= caller.max_waiting:
+            return caller.share, errors.SHARE_USED
+        return caller.share, None
 
     def _release(self, release: messages.Release, now: float) -> None:
         cell = self._cell_with(release.stream)
--- a/galenahatch/scheduler.py
+++ b/galenahatch/scheduler.py
@@ -80,7 +80,7 @@
         )
         self._claims = claims_module.Claims(self.table, options.claim_group)
         self._canceller = cancelling.Canceller(
-            self._engines, self._engine, self.tasks
+            self._engines, self.config.engine, self.tasks
         )
         self._orphans = orphans_module.Orphans(
             self._peers, self._canceller, self._forget
@@ -293,13 +293,6 @@
     def _declared(self) -> list[config.Engine]:
         return [e for plan in self._plans.values() for e in plan.engines]
 
-    def _engine(self, name: ids.EngineName) -> config.Engine | None:
-        for settings in self.config.sites.values():
-            engine = settings.engine(name)
-            if engine is not None:
-                return engine
-        return None
-
     async def _probe(self) -> None:
         owned = set(self._owned())
         engines = [e for cell in owned for e in self._plans[cell].engines]
--- a/galenahatch/test/test_fuzz_rules.py
+++ b/galenahatch/test/test_fuzz_rules.py
@@ -133,7 +133,8 @@
     in_force = revision.InForce()
     highest = 0
     for number in offers:
-        taken = in_force.offer(samples.accepted(number))
+        accepted = samples.accepted(number)
+        taken = in_force.offer(accepted, config.load(accepted.bundle))
         assert taken == (number > highest)
         highest = max(highest, number)
         assert in_force.revision == highest
