--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -23,8 +23,8 @@
 import typing
 
 from bench import workloads
-from galenahatch import config
 from galenahatch import ids
+from galenahatch import schema
 from galenahatch.test.standin import model
 
 ENTRIES: typing.Final = 6
@@ -132,14 +132,14 @@
         """Return the one-way time between an entry and the owner."""
         return 0.0 if self.centre(entry) == 0 else self.workload.one_way
 
-    def declared(self, places: int) -> tuple[config.Engine, ...]:
+    def declared(self, places: int) -> tuple[schema.Engine, ...]:
         """Return the engines as a configuration declares them.
 
         Args:
             places: instead of the true number, if not 0.
         """
         return tuple(
-            config.Engine(
+            schema.Engine(
                 name=ids.EngineName(name),
                 service=ids.ServiceName('x'),
                 role='prefill' if name[0] == 'p' else 'decode',
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -26,11 +26,11 @@
 
 from bench import fleet as fleet_module
 from bench import workloads
-from galenahatch import config
 from galenahatch.core import cell as cell_module
 from galenahatch import errors
 from galenahatch import ids
 from galenahatch import messages
+from galenahatch import schema
 
 _SITE: typing.Final = ids.SiteName('site')
 _LOOK: typing.Final = 0.002
@@ -204,7 +204,7 @@
     ) -> None:
         self._fleet = fleet
         self._uses = uses
-        self._service = config.ModelService(
+        self._service = schema.ModelService(
             ids.ServiceName('x'),
             'm',
             waste_weight=workload.waste_weight,
--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -30,6 +30,7 @@
 _TEMPLATES: typing.Final = 8
 _TEMPLATE_SHARE: typing.Final = 0.5
 _TEMPLATE_PART: typing.Final = 0.5
+_CROWD_SHARE: typing.Final = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -152,6 +153,13 @@
         found.append(_draw(workload, source, len(found), at, entries))
 
 
+def _caller(source: random.Random, kind: Kind) -> int:
+    """Return a caller; the first sends as much as all others together."""
+    if source.random() < _CROWD_SHARE:
+        return 0
+    return source.randrange(1, kind.callers)
+
+
 def _draw(
     workload: Workload,
     source: random.Random,
@@ -177,6 +185,6 @@
         prompt=prompt,
         tokens=model.token_count(prompt),
         blocks=cache.blocks_of(prompt),
-        caller=f'{kind.name}-{source.randrange(kind.callers)}',
+        caller=f'{kind.name}-{_caller(source, kind)}',
         entry=source.randrange(entries),
     )
--- a/galenahatch/cancelling.py
+++ b/galenahatch/cancelling.py
@@ -26,11 +26,11 @@
 import aiohttp
 
 from galenahatch import clock
-from galenahatch import config
 from galenahatch.core import retry
 from galenahatch import ids
 from galenahatch import logs
 from galenahatch import metrics
+from galenahatch import schema
 from galenahatch import tasks
 from galenahatch.upstream import engine as engine_client
 
@@ -38,7 +38,7 @@
 _SETTLE: typing.Final = 0.5
 _log = logs.Log('cancel')
 
-FindEngine = collections.abc.Callable[[ids.EngineName], config.Engine | None]
+FindEngine = collections.abc.Callable[[ids.EngineName], schema.Engine | None]
 
 
 class Canceller:
@@ -129,6 +129,6 @@
             await asyncio.sleep(retry.backoff(attempt, clock.RANDOM))
 
 
-def url_of(engine: config.Engine) -> str:
+def url_of(engine: schema.Engine) -> str:
     """Return the base URL of an engine."""
     return f'http://{engine.address}:{engine.port}'
--- a/galenahatch/changes.py
+++ b/galenahatch/changes.py
@@ -24,13 +24,13 @@
 import msgspec
 
 from galenahatch import clock
-from galenahatch import config
 from galenahatch.core import revision
 from galenahatch.core import transaction
 from galenahatch import errors
 from galenahatch import ids
 from galenahatch.platform import objects
 from galenahatch.platform import table
+from galenahatch import schema
 
 _READ_BACKS: typing.Final = 5
 _READ_BACK_PAUSE: typing.Final = 0.3
@@ -58,7 +58,7 @@
 
     async def bundle(
         self, head: revision.Head
-    ) -> config.Bundle | errors.Failure:
+    ) -> schema.Bundle | errors.Failure:
         """Return the body of a change."""
         body = await self._objects.get(revision.body_key(head.digest))
         if isinstance(body, errors.Failure):
@@ -80,7 +80,7 @@
 
     async def apply(
         self,
-        bundle: config.Bundle,
+        bundle: schema.Bundle,
         read: revision.Head | None,
         author: str,
         note: str,
@@ -160,8 +160,8 @@
 
 
 def with_draining(
-    bundle: config.Bundle, upstream: str, drained: bool
-) -> config.Bundle:
+    bundle: schema.Bundle, upstream: str, drained: bool
+) -> schema.Bundle:
     """Return a bundle with one upstream drained or not."""
     others = [name for name in bundle.draining if name != upstream]
     names = [*others, upstream] if drained else others
--- a/galenahatch/config.py
+++ b/galenahatch/config.py
@@ -25,257 +25,37 @@
 checked. Nothing here reads a file or the clock.
 """
 
-import functools
-import hashlib
 import tomllib
 import types
 import typing
 
 import msgspec
 
-from galenahatch import ids
-from galenahatch import messages
+from galenahatch import checks
+from galenahatch import schema
 
 Tree = dict[str, typing.Any]
-_BASE: typing.Final = 'base'
-_CLASSES: typing.Final = {
-    'urgent': messages.Urgency.URGENT,
-    'normal': messages.Urgency.NORMAL,
-    'bulk': messages.Urgency.BULK,
-}
-
-
-class Problem(msgspec.Struct, frozen=True, order=True):
-    """One thing wrong with a configuration.
-
-    Attributes:
-        file: `base`, or the overlay's site.
-        key: path of the key, such as `engines.p1.places`.
-        expected: what should stand there.
-    """
-
-    file: str
-    key: str
-    expected: str
-
-
-class Site(msgspec.Struct, frozen=True):
-    """A place with a configuration overlay of its own.
-
-    Attributes:
-        name: unique.
-        region: sites of one region schedule together.
-        data_centres: whose VMs belong to the site.
-    """
-
-    name: ids.SiteName
-    region: ids.RegionName
-    data_centres: tuple[ids.DataCentre, ...]
-
-
-class ModelService(msgspec.Struct, frozen=True):
-    """A model that callers ask for by name.
-
-    Attributes:
-        name: what callers put in `model`.
-        model: what the engines load.
-        adapter: adapter on top of the model, or empty.
-        version: of the model.
-        urgency: urgent, normal or bulk, unless the caller says otherwise.
-        first_token_ms: target for the time to the first token.
-        between_tokens_ms: target for the time between tokens.
-        wait_ms: longest wait in the queue; a request that can't start by
-            then is given up at once. 0 means the first-token target.
-        deadline_ms: for the whole answer, unless the caller says less.
-        max_prompt_tokens: longer prompts are refused.
-        max_output_tokens: largest `max_tokens` of a request.
-        bytes_per_token: to estimate a prompt's length.
-        waste_weight: how strongly wasted prefill counts against starting
-            early: 0 starts as soon as a place is predicted to be free in
-            time, 1 only when one is free now.
-        retry_share: retries allowed per request answered.
-    """
-
-    name: ids.ServiceName
-    model: str
-    adapter: str = ''
-    version: str = '1'
-    urgency: str = 'normal'
-    first_token_ms: int = 580
-    between_tokens_ms: int = 54
-    wait_ms: int = 0
-    deadline_ms: int = 120_000
-    max_prompt_tokens: int = 32_768
-    max_output_tokens: int = 4096
-    bytes_per_token: float = 4.0
-    waste_weight: float = 0.3
-    retry_share: float = 0.1
-
-
-class Engine(msgspec.Struct, frozen=True):
-    """A model engine.
-
-    Attributes:
-        name: unique.
-        service: model service that it serves.
-        role: prefill or decode.
-        data_centre: where its VM stands.
-        address: IP number.
-        port: HTTP port.
-        places: requests that its memory holds.
-        prefill_tokens_per_second: declared speed; corrected by reports.
-        kv_bytes_per_token: size of the KV cache that is transferred.
-        link_bytes_per_second: rate of its link.
-        eviction_ms: time for which a prefill's result is kept.
-        checks_fencing: refuses an order with an old fencing number.
-    """
-
-    name: ids.EngineName
-    service: ids.ServiceName
-    role: str
-    data_centre: ids.DataCentre
-    address: str
-    port: int
-    places: int = 20
-    prefill_tokens_per_second: float = 8000.0
-    kv_bytes_per_token: int = 100_000
-    link_bytes_per_second: float = 5e9
-    eviction_ms: int = 800
-    checks_fencing: bool = False
-
-
-class PlainService(msgspec.Struct, frozen=True):
-    """A service that is not a model.
-
-    Attributes:
-        name: unique; the path below /v1/services/.
-        upstreams: base URLs, nearest first.
-        unrepeatable: `METHOD /path-prefix` of calls that run at most once.
-        timeout_ms: for one call.
-    """
-
-    name: ids.ServiceName
-    upstreams: tuple[str, ...]
-    unrepeatable: tuple[str, ...] = ()
-    timeout_ms: int = 10_000
-
-
-class Caller(msgspec.Struct, frozen=True):
-    """Who may send requests.
-
-    Attributes:
-        name: unique.
-        token_sha256: digest of the bearer token, in hexadecimal.
-        share: weight against other callers of the same urgency.
-        urgency: best class that the caller may ask for.
-        max_waiting: requests that it may have in a queue at once.
-    """
-
-    name: ids.CallerName
-    token_sha256: str
-    share: float = 1.0
-    urgency: str = 'urgent'
-    max_waiting: int = 1000
-
-
-class Config(msgspec.Struct, frozen=True, dict=True):
-    """The merged configuration of one site."""
-
-    sites: tuple[Site, ...] = ()
-    services: tuple[ModelService, ...] = ()
-    engines: tuple[Engine, ...] = ()
-    plain_services: tuple[PlainService, ...] = ()
-    callers: tuple[Caller, ...] = ()
-    draining: tuple[str, ...] = ()
-
-    @functools.cached_property
-    def _site_by_centre(self) -> dict[str, Site]:
-        return {c: site for site in self.sites for c in site.data_centres}
-
-    @functools.cached_property
-    def _service_by_name(self) -> dict[str, ModelService]:
-        return {service.name: service for service in self.services}
-
-    @functools.cached_property
-    def _plain_by_name(self) -> dict[str, PlainService]:
-        return {service.name: service for service in self.plain_services}
-
-    @functools.cached_property
-    def _engine_by_name(self) -> dict[str, Engine]:
-        return {engine.name: engine for engine in self.engines}
-
-    @functools.cached_property
-    def _caller_by_digest(self) -> dict[str, Caller]:
-        return {caller.token_sha256: caller for caller in self.callers}
-
-    @functools.cached_property
-    def _caller_by_name(self) -> dict[str, Caller]:
-        return {caller.name: caller for caller in self.callers}
-
-    def site_of(self, data_centre: ids.DataCentre) -> Site | None:
-        """Return the site that a data centre belongs to."""
-        return self._site_by_centre.get(data_centre)
-
-    def service(self, name: str) -> ModelService | None:
-        """Return a model service by name."""
-        return self._service_by_name.get(name)
-
-    def plain_service(self, name: str) -> PlainService | None:
-        """Return a plain service by name."""
-        return self._plain_by_name.get(name)
-
-    def engine(self, name: str) -> Engine | None:
-        """Return an engine by name."""
-        return self._engine_by_name.get(name)
-
-    def caller(self, name: str) -> Caller | None:
-        """Return a caller by name."""
-        return self._caller_by_name.get(name)
-
-    def caller_of(self, token: str) -> Caller | None:
-        """Return the caller that a bearer token belongs to."""
-        digest = hashlib.sha256(token.encode()).hexdigest()
-        return self._caller_by_digest.get(digest)
-
-
-class Bundle(msgspec.Struct, frozen=True):
-    """A whole configuration as operators wrote it.
-
-    Attributes:
-        base: TOML text.
-        overlays: TOML text by site.
-        draining: upstreams that `galenahatchctl drain` took out.
-    """
-
-    base: str
-    overlays: dict[str, str]
-    draining: tuple[str, ...] = ()
 
 
 class Checked(msgspec.Struct, frozen=True):
     """What a check gives: a configuration by site, or problems."""
 
-    sites: dict[str, Config]
-    problems: tuple[Problem, ...]
+    sites: dict[str, schema.Config]
+    problems: tuple[checks.Problem, ...]
 
 
-def urgency(name: str) -> messages.Urgency | None:
-    """Return the class of a name."""
-    return _CLASSES.get(name)
-
-
-def check(bundle: Bundle) -> Checked:
+def check(bundle: schema.Bundle) -> Checked:
     """Merge and check a bundle for every site."""
-    problems: list[Problem] = []
-    base = _parse(_BASE, bundle.base, problems)
+    problems: list[checks.Problem] = []
+    base = _parse(checks.BASE, bundle.base, problems)
     overlays = {
         site: _parse(site, text, problems)
         for site, text in sorted(bundle.overlays.items())
     }
     if problems:
         return Checked({}, tuple(problems))
-    _check_names(_BASE, base, problems)
-    configs: dict[str, Config] = {}
+    _check_names(checks.BASE, base, problems)
+    configs: dict[str, schema.Config] = {}
     for site, overlay in overlays.items():
         _check_names(site, overlay, problems)
         merged = merge(base, overlay)
@@ -283,47 +63,49 @@
         config = _convert_whole(merged)
         if config is None:
             origin = _origin(site, overlay)
-            config = _convert(Config, merged, '', origin, problems)
+            config = _convert(schema.Config, merged, '', origin, problems)
         configs[site] = config
-        _check_config(site, config, problems)
+        checks.check_site(site, config, problems)
     if not overlays:
-        problems.append(Problem(_BASE, 'sites', 'an overlay for each site'))
-    _check_sites(configs, problems)
+        problems.append(
+            checks.Problem(checks.BASE, 'sites', 'an overlay for each site')
+        )
+    checks.check_all(configs, problems)
     return Checked(configs, tuple(sorted(set(problems))))
 
 
-def load(bundle: Bundle) -> dict[str, Config] | None:
+def load(bundle: schema.Bundle) -> dict[str, schema.Config] | None:
     """Return the configuration of each site without checking it.
 
     Daemons use this for what was checked before it was accepted. Unknown
     keys are ignored, so that a daemon understands what a newer command
     line wrote. None means that a text can't be used at all.
     """
-    problems: list[Problem] = []
-    base = _parse(_BASE, bundle.base, problems)
+    problems: list[checks.Problem] = []
+    base = _parse(checks.BASE, bundle.base, problems)
     configs = {}
     for site, text in bundle.overlays.items():
         merged = merge(base, _parse(site, text, problems))
         merged['draining'] = list(bundle.draining)
         try:
-            configs[site] = msgspec.convert(merged, Config)
+            configs[site] = msgspec.convert(merged, schema.Config)
         except msgspec.ValidationError:
             return None
     return None if problems else configs
 
 
-def _convert_whole(merged: Tree) -> Config | None:
+def _convert_whole(merged: Tree) -> schema.Config | None:
     """Convert at once; None if anything is wrong, which is rare."""
     if any(_unknown_keys(merged)):
         return None
     try:
-        return msgspec.convert(merged, Config)
+        return msgspec.convert(merged, schema.Config)
     except msgspec.ValidationError:
         return None
 
 
 def _unknown_keys(merged: Tree) -> typing.Iterator[str]:
-    hints = typing.get_type_hints(Config)
+    hints = typing.get_type_hints(schema.Config)
     for key, value in merged.items():
         if key not in hints:
             yield key
@@ -336,11 +118,11 @@
                     yield key
 
 
-def _parse(file: str, text: str, problems: list[Problem]) -> Tree:
+def _parse(file: str, text: str, problems: list[checks.Problem]) -> Tree:
     try:
         return tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
-        problems.append(Problem(file, '', f'valid TOML: {error}'))
+        problems.append(checks.Problem(file, '', f'valid TOML: {error}'))
         return {}
 
 
@@ -375,7 +157,9 @@
     return list(items.values())
 
 
-def _check_names(file: str, tree: Tree, problems: list[Problem]) -> None:
+def _check_names(
+    file: str, tree: Tree, problems: list[checks.Problem]
+) -> None:
     """Report names that stand twice in one file."""
     for key, value in tree.items():
         if not isinstance(value, list):
@@ -385,7 +169,9 @@
             name = item.get('name') if isinstance(item, dict) else None
             if isinstance(name, str) and name in seen:
                 expected = f'one item named {name!r}'
-                problems.append(Problem(file, f'{key}.{name}', expected))
+                problems.append(
+                    checks.Problem(file, f'{key}.{name}', expected)
+                )
             seen.add(str(name))
 
 
@@ -397,7 +183,7 @@
     paths = set(_paths(overlay, ''))
 
     def origin(path: str) -> str:
-        return site if path in paths else _BASE
+        return site if path in paths else checks.BASE
 
     return origin
 
@@ -427,7 +213,7 @@
     tree: Tree,
     path: str,
     origin: Origin,
-    problems: list[Problem],
+    problems: list[checks.Problem],
 ) -> _T:
     """Convert a table field by field and collect every problem.
 
@@ -442,7 +228,7 @@
         if key not in fields:
             known = ', '.join(fields)
             expected = f'one of: {known}'
-            problems.append(Problem(origin(below), below, expected))
+            problems.append(checks.Problem(origin(below), below, expected))
             continue
         values[key] = _convert_field(
             hints[key], value, below, origin, problems
@@ -451,7 +237,7 @@
         if name not in values and field.required:
             below = f'{path}.{name}' if path else name
             expected = f'a value: {_type_name(hints[name])}'
-            problems.append(Problem(origin(path), below, expected))
+            problems.append(checks.Problem(origin(path), below, expected))
             values[name] = _empty(hints[name])
     return kind(**values)
 
@@ -461,7 +247,7 @@
     value: typing.Any,
     path: str,
     origin: Origin,
-    problems: list[Problem],
+    problems: list[checks.Problem],
 ) -> typing.Any:
     item_kind = _struct_item(hint)
     if item_kind is not None and isinstance(value, list):
@@ -479,7 +265,7 @@
         return msgspec.convert(value, _plain(hint))
     except msgspec.ValidationError:
         expected = f'{_type_name(hint)}, not {value!r}'
-        problems.append(Problem(origin(path), path, expected))
+        problems.append(checks.Problem(origin(path), path, expected))
         return _empty(hint)
 
 
@@ -518,103 +304,3 @@
     if typing.get_origin(plain) is tuple:
         return ()
     return plain()
-
-
-def _check_config(site: str, config: Config, problems: list[Problem]) -> None:
-    """Check values and references of one site's configuration."""
-
-    def wrong(key: str, expected: str) -> None:
-        problems.append(Problem(site, key, expected))
-
-    if all(s.name != site for s in config.sites):
-        wrong('sites', f'a site named {site!r}')
-    _check_services(config, wrong)
-    _check_engines(config, wrong)
-    _check_upstreams(config, wrong)
-    for caller in config.callers:
-        key = f'callers.{caller.name}'
-        if len(caller.token_sha256) != hashlib.sha256().digest_size * 2:
-            wrong(f'{key}.token_sha256', '64 hexadecimal digits')
-        if caller.share <= 0:
-            wrong(f'{key}.share', 'more than 0')
-        if caller.urgency not in _CLASSES:
-            wrong(f'{key}.urgency', 'one of: ' + ', '.join(_CLASSES))
-
-
-Wrong = typing.Callable[[str, str], None]
-
-
-def _check_services(config: Config, wrong: Wrong) -> None:
-    for service in config.services:
-        key = f'services.{service.name}'
-        if service.urgency not in _CLASSES:
-            wrong(f'{key}.urgency', 'one of: ' + ', '.join(_CLASSES))
-        for name in ('first_token_ms', 'between_tokens_ms', 'deadline_ms'):
-            if getattr(service, name) <= 0:
-                wrong(f'{key}.{name}', 'milliseconds, more than 0')
-        if not 0 <= service.waste_weight <= 1:
-            wrong(f'{key}.waste_weight', 'a number from 0 to 1')
-        if service.bytes_per_token <= 0:
-            wrong(f'{key}.bytes_per_token', 'more than 0')
-        for role in ('prefill', 'decode'):
-            if not any(
-                e.service == service.name and e.role == role
-                for e in config.engines
-            ):
-                wrong(key, f'at least one {role} engine at this site')
-
-
-def _check_engines(config: Config, wrong: Wrong) -> None:
-    services = {service.name for service in config.services}
-    centres = {c for site in config.sites for c in site.data_centres}
-    for engine in config.engines:
-        key = f'engines.{engine.name}'
-        if engine.service not in services:
-            wrong(f'{key}.service', 'a declared service')
-        if engine.role not in ('prefill', 'decode'):
-            wrong(f'{key}.role', 'one of: prefill, decode')
-        if engine.data_centre not in centres:
-            wrong(f'{key}.data_centre', 'a data centre of a site')
-        if not 0 < engine.port < 65536:
-            wrong(f'{key}.port', 'a port from 1 to 65535')
-        for name in (
-            'places',
-            'prefill_tokens_per_second',
-            'link_bytes_per_second',
-            'eviction_ms',
-        ):
-            if getattr(engine, name) <= 0:
-                wrong(f'{key}.{name}', 'more than 0')
-
-
-def _check_upstreams(config: Config, wrong: Wrong) -> None:
-    for service in config.plain_services:
-        key = f'plain_services.{service.name}'
-        if not service.upstreams:
-            wrong(f'{key}.upstreams', 'at least one URL')
-        for call in service.unrepeatable:
-            method, _, path = call.partition(' ')
-            if not method.isupper() or not path.startswith('/'):
-                wrong(f'{key}.unrepeatable', "'METHOD /path', not " + call)
-    known = {str(engine.name) for engine in config.engines}
-    for plain in config.plain_services:
-        known.update(plain.upstreams)
-    for name in config.draining:
-        if name not in known:
-            wrong('draining', f'a declared upstream, not {name!r}')
-
-
-def _check_sites(configs: dict[str, Config], problems: list[Problem]) -> None:
-    """Check that each declared site has an overlay, and agrees."""
-    declared = {s.name for c in configs.values() for s in c.sites}
-    for name in declared - configs.keys():
-        problems.append(Problem(_BASE, f'sites.{name}', 'an overlay file'))
-    centres: dict[str, str] = {}
-    for config in configs.values():
-        for site in config.sites:
-            for centre in site.data_centres:
-                owner = centres.setdefault(centre, site.name)
-                if owner != site.name:
-                    expected = f'{centre!r} in one site, not two'
-                    key = f'sites.{site.name}.data_centres'
-                    problems.append(Problem(_BASE, key, expected))
--- a/galenahatch/controller.py
+++ b/galenahatch/controller.py
@@ -25,7 +25,6 @@
 from galenahatch import application
 from galenahatch import cancelling
 from galenahatch import clock
-from galenahatch import config
 from galenahatch.core import lease as lease_module
 from galenahatch.core import orders
 from galenahatch.core import transaction
@@ -34,6 +33,7 @@
 from galenahatch import logs
 from galenahatch import messages
 from galenahatch import peers as peers_module
+from galenahatch import schema
 from galenahatch import tasks
 from galenahatch.upstream import engine as engine_client
 from galenahatch.upstream import http
@@ -98,7 +98,7 @@
         if was_holder:
             await self._give_up()
         await self.close()
-        await self._peers.close()
+        self._peers.close()
         await self._engines.close()
 
     def _why_not_ready(self) -> str:
@@ -146,7 +146,7 @@
                 return
             await self._order(engines[send.engine], send)
 
-    async def _order(self, engine: config.Engine, send: orders.Send) -> None:
+    async def _order(self, engine: schema.Engine, send: orders.Send) -> None:
         failure = await engine_client.order(
             self._engines,
             cancelling.url_of(engine),
@@ -165,7 +165,7 @@
         )
 
     async def _observe(
-        self, engines: tuple[config.Engine, ...]
+        self, engines: tuple[schema.Engine, ...]
     ) -> dict[ids.EngineName, orders.Order]:
         found = await asyncio.gather(*(self._read(e) for e in engines))
         return {
@@ -175,17 +175,17 @@
         }
 
     async def _read(
-        self, engine: config.Engine
+        self, engine: schema.Engine
     ) -> orders.Order | errors.Failure:
         async with self._slots:
             return await engine_client.running(
                 self._engines, cancelling.url_of(engine)
             )
 
-    def _declared(self) -> config.Config | None:
+    def _declared(self) -> schema.Config | None:
         """Return the services and engines of all sites together."""
-        services: dict[ids.ServiceName, config.ModelService] = {}
-        engines: dict[ids.EngineName, config.Engine] = {}
+        services: dict[ids.ServiceName, schema.ModelService] = {}
+        engines: dict[ids.EngineName, schema.Engine] = {}
         for settings in self.config.sites.values():
             for service in settings.services:
                 services.setdefault(service.name, service)
@@ -193,7 +193,7 @@
                 engines.setdefault(engine.name, engine)
         if not engines:
             return None
-        return config.Config(
+        return schema.Config(
             services=tuple(services.values()),
             engines=tuple(engines.values()),
         )
--- a/galenahatch/core/cell.py
+++ b/galenahatch/core/cell.py
@@ -26,16 +26,18 @@
 import random
 import typing
 
-from galenahatch import config
 from galenahatch.core import cache
 from galenahatch.core import engines
 from galenahatch.core import fairness
 from galenahatch.core import headroom
 from galenahatch.core import health
 from galenahatch.core import pairing
+from galenahatch.core import pools
+from galenahatch.core import waits
 from galenahatch import errors
 from galenahatch import ids
 from galenahatch import messages
+from galenahatch import schema
 
 LOOKAHEAD: typing.Final = 0.03
 """Longest wait at a prefill engine; the rest waits in the cell."""
@@ -43,10 +45,8 @@
 """Seconds after which a reservation without a sign lapses."""
 CACHE_AGE: typing.Final = 60.0
 LONGEST_QUEUE: typing.Final = 5000
-LEAST_RETRY_AFTER: typing.Final = 0.1
-LONGEST_RETRY_AFTER: typing.Final = 60.0
-_FIRST_LENGTH_SHARE: typing.Final = 0.5
 _EXPLAINED_LOSERS: typing.Final = 3
+_LAPSE_EVERY: typing.Final = 1.0
 _RECHECK: typing.Final = 0.05
 _SOONEST_LOOK: typing.Final = 0.001
 
@@ -110,27 +110,23 @@
     """
 
     def __init__(
-        self, service: config.ModelService, random_source: random.Random
+        self, service: schema.ModelService, random_source: random.Random
     ) -> None:
         self._service = service
         self._random = random_source
-        self._prefills: dict[ids.EngineName, engines.PrefillEngine] = {}
-        self._decodes: dict[ids.EngineName, engines.DecodeEngine] = {}
-        self._prefill_pool: tuple[engines.PrefillEngine, ...] = ()
-        self._decode_pool: tuple[engines.DecodeEngine, ...] = ()
+        self._pools = pools.Pools()
+        self._waits = waits.Waits(self._pools)
+        self._headroom = headroom.Headroom()
+        self._index = cache.PrefixIndex(CACHE_AGE)
         self._allowed: dict[ids.SiteName, frozenset[ids.EngineName]] = {}
         self._queue: fairness.FairQueue[Job] = fairness.FairQueue()
         self._start_by: list[tuple[float, ids.StreamId]] = []
         self._reservations: dict[ids.StreamId, Reservation] = {}
-        self._index = cache.PrefixIndex(CACHE_AGE)
-        self._length_share = _FIRST_LENGTH_SHARE
-        self._hold_seconds = 0.0
-        self._promised_until = 0.0
         self._look_at = 0.0
-        self._headroom = headroom.Headroom()
+        self._lapsed_at = 0.0
 
     @property
-    def service(self) -> config.ModelService:
+    def service(self) -> schema.ModelService:
         """The service, as configured now."""
         return self._service
 
@@ -158,56 +154,50 @@
     @property
     def prefills(self) -> tuple[engines.PrefillEngine, ...]:
         """The prefill engines."""
-        return self._prefill_pool
+        return self._pools.prefills
 
     @property
     def decodes(self) -> tuple[engines.DecodeEngine, ...]:
         """The decode engines."""
-        return self._decode_pool
+        return self._pools.decodes
 
     # Configuration and news of engines.
 
     def configure(
         self,
-        service: config.ModelService,
-        declared: collections.abc.Iterable[config.Engine],
+        service: schema.ModelService,
+        declared: collections.abc.Iterable[schema.Engine],
         allowed: dict[ids.SiteName, frozenset[ids.EngineName]],
     ) -> None:
         """Take the engines of a configuration; known ones keep state."""
         self._service = service
         self._allowed = allowed
-        prefills = {}
-        decodes = {}
-        for settings in declared:
-            if settings.role == 'prefill':
-                prefills[settings.name] = self._prefill_of(settings)
-            else:
-                decodes[settings.name] = self._decode_of(settings)
-        self._prefills = prefills
-        self._decodes = decodes
-        self._prefill_pool = tuple(prefills.values())
-        self._decode_pool = tuple(decodes.values())
+        self._pools.configure(declared, service.between_tokens_ms / 1000)
 
     def set_leaving(
         self, leaving: collections.abc.Container[ids.EngineName]
     ) -> None:
         """Take which engines leave, from all sources together."""
-        for prefill in self._prefill_pool:
-            prefill.leaving = prefill.name in leaving
-        for decode in self._decode_pool:
-            decode.leaving = decode.name in leaving
+        self._pools.set_leaving(leaving)
+
+    def unprobed(self) -> None:
+        """Expect no load reports: this owner no longer asks for them."""
+        self._pools.unprobed()
 
     def paced(
         self, engine: ids.EngineName, seconds: float, now: float
     ) -> None:
         """Take a time between tokens from an engine's load report."""
-        self._heard(engine, now)
-        if engine in self._decodes and seconds > 0:
-            self._note_pace(self._decodes[engine], seconds)
+        found = self._pools.engine(engine)
+        if found is not None:
+            found.health.heard(now)
+        decode = self._pools.decode(engine)
+        if decode is not None and seconds > 0:
+            self._note_pace(decode, seconds)
 
     def failed(self, engine: ids.EngineName, now: float) -> None:
-        """Note that an engine failed an attempt or a load request."""
-        found = self._engine(engine)
+        """Note that an engine failed an attempt."""
+        found = self._pools.engine(engine)
         if found is not None:
             found.health.failed(now)
 
@@ -239,7 +229,7 @@
 
     def decide(self, now: float) -> list[Decision]:
         """Place and give up what can be decided now."""
-        self._update_health(now)
+        self._pools.update_health(now)
         decisions = self._expired(now)
         while (decision := self._decide_one(now)) is not None:
             decisions.append(decision)
@@ -248,6 +238,11 @@
     def _decide_one(self, now: float) -> Decision | None:
         """Decide on the first head that need not wait."""
         self._look_at = now + _RECHECK
+        idle_at = self._pools.idle_at(now)
+        if idle_at > now + LOOKAHEAD:
+            # No request could start now, whichever it is.
+            self._look_at = min(self._look_at, idle_at - LOOKAHEAD)
+            return None
         for job in self._queue.heads():
             choice = self._choose(job, now)
             if choice.pair is not None:
@@ -276,9 +271,9 @@
         if before is messages.Stage.PREFILL:
             self._prefilled(reservation, news, now)
         if news.stage is messages.Stage.DECODE:
-            decode = self._decodes.get(reservation.decode)
+            decode = self._pools.decode(reservation.decode)
             if decode is not None:
-                stay = self._stay(decode, reservation.output_tokens, now)
+                stay = self._waits.stay(decode, reservation.output_tokens, now)
                 decode.move(news.stream, stay)
 
     def release(self, news: messages.Release, now: float) -> None:
@@ -309,6 +304,9 @@
 
     def lapse(self, now: float) -> list[ids.StreamId]:
         """Drop reservations without a sign of their entry."""
+        if now - self._lapsed_at < _LAPSE_EVERY:
+            return []
+        self._lapsed_at = now
         lapsed = [
             stream
             for stream, reservation in self._reservations.items()
@@ -327,46 +325,23 @@
             if job.request.entry == entry:
                 self._queue.remove(job.stream)
 
-    def release_rate(self) -> float:
-        """Return how many requests a second the cell can take in."""
-        places = sum(d.places for d in _working(self._decode_pool))
-        hold = self._hold_seconds or 1.0
-        return max(0.1, places / hold)
-
     # Parts of the above.
 
     def _job(
         self, request: messages.PlaceRequest, share: float, now: float
     ) -> Job:
-        cost = self._usual_cost(request.prompt_tokens)
-        after = self._usual_transfer(request.prompt_tokens) + self._pace()
+        tokens = request.prompt_tokens
+        cost = self._waits.cost(tokens)
+        after = self._waits.after_prefill(tokens)
         start_by = now + request.patience - cost - after
         return Job(request, share, cost, start_by, now)
 
-    def _usual_cost(self, tokens: int) -> float:
-        if not self._prefill_pool:
-            return 0.0
-        return min(engine.cost(tokens) for engine in self._prefill_pool)
-
-    def _usual_transfer(self, tokens: int) -> float:
-        """Return the seconds of a transfer on links that are free."""
-        if not self._prefill_pool:
-            return 0.0
-        settings = self._prefill_pool[0].settings
-        size = tokens * settings.kv_bytes_per_token
-        return size / settings.link_bytes_per_second
-
-    def _pace(self) -> float:
-        """Return the seconds that a first decode step takes."""
-        paces = [decode.seconds_per_token for decode in self._decode_pool]
-        return min(paces, default=0.0)
-
     def _refusal(self, job: Job, now: float) -> errors.Reason | None:
         if len(self._queue) >= LONGEST_QUEUE:
             return errors.QUEUE_FULL
-        if not any(pairing.may_take(e) for e in self._prefill_pool):
+        if not any(pairing.may_take(e) for e in self._pools.prefills):
             return errors.NO_ENGINE
-        if not any(pairing.may_take(e) for e in self._decode_pool):
+        if not any(pairing.may_take(e) for e in self._pools.decodes):
             return errors.NO_ENGINE
         if now + self._expected_wait(job, now) > job.start_by:
             return errors.NO_TIME
@@ -374,31 +349,13 @@
 
     def _expected_wait(self, job: Job, now: float) -> float:
         """Return the predicted seconds until a request's prefill starts."""
-        ahead = self._queue.ahead(job)
-        idle = [
-            engine.starts_at(now) - now
-            for engine in _working(self._prefill_pool)
-        ]
-        prefill_wait = min(idle, default=0.0) + ahead / max(1, len(idle))
-        place_wait = self._place_wait(job, ahead, now)
-        return max(prefill_wait, place_wait)
-
-    def _place_wait(self, job: Job, ahead: float, now: float) -> float:
-        """Return the predicted wait for a decode place."""
-        count = len(self._queue) and ahead / max(job.cost, 1e-4)
-        free = sum(
-            max(0, decode.places - decode.reserved)
-            for decode in _working(self._decode_pool)
+        return self._waits.expected(
+            job.cost,
+            self._queue.ahead(job),
+            len(self._queue),
+            self._service.waste_weight,
+            now,
         )
-        behind = min(count, len(self._queue)) - free
-        if behind < 0:
-            return 0.0
-        soonest = now + 1 / self.release_rate()
-        for decode in _working(self._decode_pool):
-            soonest = min(soonest, decode.free_at(now))
-        lead = job.cost * (1 - self._service.waste_weight)
-        wait = max(0.0, soonest - now - lead)
-        return wait + behind / self.release_rate()
 
     def _choose(self, job: Job, now: float) -> pairing.Choice:
         request = job.request
@@ -413,8 +370,8 @@
         )
         choice = pairing.choose(
             need,
-            self._prefill_pool,
-            self._decode_pool,
+            self._pools.prefills,
+            self._pools.decodes,
             now,
             LOOKAHEAD,
             self._random,
@@ -429,13 +386,13 @@
         """Return whether urgent requests still find engines in time."""
         places = sum(
             decode.places - decode.reserved
-            for decode in _working(self._decode_pool)
+            for decode in self._pools.working_decodes()
         )
         if places - 1 < self._headroom.places(now):
             return False
         waits = [
             engine.starts_at(now) - now
-            for engine in _working(self._prefill_pool)
+            for engine in self._pools.working_prefills()
             if engine is not pair.prefill
         ]
         if not waits:
@@ -457,7 +414,7 @@
         self, job: Job, reason: errors.Reason, now: float
     ) -> Decision:
         wait = self._expected_wait(job, now)
-        retry_after = self._promise(wait, now)
+        retry_after = self._waits.promise(wait, now)
         answer = messages.GivenUp(
             stream=job.stream,
             reason=reason.name,
@@ -466,18 +423,13 @@
         )
         return Decision(job.request, answer)
 
-    def _promise(self, wait: float, now: float) -> float:
-        """Return a Retry-After, spaced so that not all return at once."""
-        earliest = max(now + wait, self._promised_until)
-        self._promised_until = earliest + 1 / self.release_rate()
-        wait = earliest - now
-        return min(LONGEST_RETRY_AFTER, max(LEAST_RETRY_AFTER, wait))
-
     def _place(self, job: Job, choice: pairing.Choice, now: float) -> Decision:
         pair = choice.pair
         assert pair is not None
         request = job.request
-        stay = self._stay(pair.decode, request.output_tokens, pair.arrives_at)
+        stay = self._waits.stay(
+            pair.decode, request.output_tokens, pair.arrives_at
+        )
         pair.prefill.add(job.stream, pair.cost, now)
         pair.decode.add(job.stream, stay)
         pair.prefill.link.reserve(pair.sent_at, pair.arrives_at, now)
@@ -512,7 +464,7 @@
     def _prefilled(
         self, reservation: Reservation, news: messages.Progress, now: float
     ) -> None:
-        prefill = self._prefills.get(reservation.prefill)
+        prefill = self._pools.prefill(reservation.prefill)
         if prefill is None:
             return
         prefill.done(reservation.stream, now, news.seconds)
@@ -521,12 +473,12 @@
         self._index.stored(prefill.name, reservation.blocks, now)
 
     def _free(self, reservation: Reservation, now: float) -> None:
-        prefill = self._prefills.get(reservation.prefill)
+        prefill = self._pools.prefill(reservation.prefill)
         if prefill is not None:
             prefill.drop(reservation.stream, now)
             if prefill.trial == reservation.stream:
                 prefill.trial = None
-        decode = self._decodes.get(reservation.decode)
+        decode = self._pools.decode(reservation.decode)
         if decode is not None:
             decode.drop(reservation.stream)
             if decode.trial == reservation.stream:
@@ -539,42 +491,28 @@
         self, reservation: Reservation, news: messages.Release, now: float
     ) -> None:
         """Move the averages by an attempt that ended well."""
-        decode = self._decodes.get(reservation.decode)
+        decode = self._pools.decode(reservation.decode)
         if decode is None or not news.tokens:
             return
         decode.health.succeeded(now)
         if news.seconds_per_token > 0:
             self._note_pace(decode, news.seconds_per_token)
-        share = news.tokens / max(1, reservation.output_tokens)
-        self._length_share = engines.smooth(self._length_share, min(1, share))
         held = now - reservation.placed_at
-        before = self._hold_seconds or held
-        self._hold_seconds = engines.smooth(before, held)
+        self._waits.learn(news.tokens, reservation.output_tokens, held)
 
     def _note_pace(self, decode: engines.DecodeEngine, seconds: float) -> None:
         target = self._service.between_tokens_ms / 1000
-        occupancy = decode.reserved / decode.places
-        decode.paced(seconds, target, occupancy)
-        peers = [d.seconds_per_token for d in self._decode_pool]
-        decode.health.paced(seconds, peers)
-
-    def _stay(
-        self, decode: engines.DecodeEngine, output_tokens: int, since: float
-    ) -> engines.Stay:
-        """Predict how long a request holds a place from some time on."""
-        longest = max(1, output_tokens) * decode.seconds_per_token
-        usual = longest * self._length_share
-        return engines.Stay(since + usual, since + longest)
+        self._pools.note_pace(decode, seconds, target)
 
     def _adopt(
         self, entry: ids.MemberId, one: messages.Held, now: float
     ) -> None:
         """Reserve for an attempt that another owner placed."""
-        prefill = self._prefills.get(one.prefill)
-        decode = self._decodes.get(one.decode)
+        prefill = self._pools.prefill(one.prefill)
+        decode = self._pools.decode(one.decode)
         if decode is None:
             return
-        stay = self._stay(decode, one.output_tokens, now)
+        stay = self._waits.stay(decode, one.output_tokens, now)
         decode.add(one.stream, stay)
         if prefill is not None and one.stage is messages.Stage.PREFILL:
             prefill.add(one.stream, prefill.cost(one.prompt_tokens), now)
@@ -591,61 +529,6 @@
             seen_at=now,
         )
 
-    def _update_health(self, now: float) -> None:
-        for pool in (self._prefill_pool, self._decode_pool):
-            out = sum(
-                engine.health.state is not health.Health.GOOD
-                for engine in pool
-            )
-            for engine in pool:
-                share = (out + 1) / len(pool)
-                may_eject = share <= health.EJECTED_SHARE
-                before = engine.health.state
-                after = engine.health.update(now, may_eject)
-                if before is health.Health.GOOD and after is not before:
-                    out += 1
-
-    def _heard(self, engine: ids.EngineName, now: float) -> None:
-        found = self._engine(engine)
-        if found is not None:
-            found.health.heard(now)
-
-    def _engine(
-        self, name: ids.EngineName
-    ) -> engines.PrefillEngine | engines.DecodeEngine | None:
-        return self._prefills.get(name) or self._decodes.get(name)
-
-    def _prefill_of(self, settings: config.Engine) -> engines.PrefillEngine:
-        known = self._prefills.get(settings.name)
-        if known is None:
-            return engines.PrefillEngine(settings, health.EngineHealth())
-        known.settings = settings
-        return known
-
-    def _decode_of(self, settings: config.Engine) -> engines.DecodeEngine:
-        known = self._decodes.get(settings.name)
-        if known is None:
-            target = self._service.between_tokens_ms / 1000
-            return engines.DecodeEngine(
-                settings, health.EngineHealth(), target, settings.places
-            )
-        known.settings = settings
-        return known
-
-
-_Pooled = typing.TypeVar(
-    '_Pooled', engines.PrefillEngine, engines.DecodeEngine
-)
-
-
-def _working(pool: collections.abc.Iterable[_Pooled]) -> list[_Pooled]:
-    """Return the engines whose places and time can be counted on."""
-    return [
-        engine
-        for engine in pool
-        if not engine.leaving and engine.health.state is health.Health.GOOD
-    ]
-
 
 def _explain(choice: pairing.Choice, waited: float) -> str:
     """Return why a pair won, with the scores of the best losers."""
--- a/galenahatch/core/cells.py
+++ b/galenahatch/core/cells.py
@@ -24,8 +24,8 @@
 
 import xxhash
 
-from galenahatch import config
 from galenahatch import ids
+from galenahatch import schema
 
 ENGINES_PER_SHARD: typing.Final = 32
 
@@ -42,13 +42,13 @@
     """
 
     cell: ids.CellId
-    service: config.ModelService
-    engines: tuple[config.Engine, ...]
+    service: schema.ModelService
+    engines: tuple[schema.Engine, ...]
     allowed: dict[ids.SiteName, frozenset[ids.EngineName]]
 
 
 def plans(
-    sites: collections.abc.Mapping[str, config.Config],
+    sites: collections.abc.Mapping[str, schema.Config],
     region: ids.RegionName,
 ) -> dict[ids.CellId, Plan]:
     """Return the cells of a region."""
@@ -72,7 +72,7 @@
     return found
 
 
-def shard_count(engines: collections.abc.Collection[config.Engine]) -> int:
+def shard_count(engines: collections.abc.Collection[schema.Engine]) -> int:
     """Return how many shards some engines need."""
     prefills = sum(engine.role == 'prefill' for engine in engines)
     larger = max(prefills, len(engines) - prefills, 1)
@@ -108,9 +108,9 @@
 
 
 def _sites_within(
-    sites: collections.abc.Mapping[str, config.Config],
+    sites: collections.abc.Mapping[str, schema.Config],
     region: ids.RegionName,
-) -> dict[str, config.Config]:
+) -> dict[str, schema.Config]:
     return {
         name: settings
         for name, settings in sorted(sites.items())
@@ -119,17 +119,17 @@
 
 
 def _engines_by_service(
-    sites: collections.abc.Mapping[str, config.Config],
+    sites: collections.abc.Mapping[str, schema.Config],
     region: ids.RegionName,
-) -> dict[ids.ServiceName, tuple[config.Engine, ...]]:
+) -> dict[ids.ServiceName, tuple[schema.Engine, ...]]:
     """Return the engines in the data centres of a region, by service."""
-    found: dict[ids.EngineName, config.Engine] = {}
+    found: dict[ids.EngineName, schema.Engine] = {}
     for settings in sites.values():
         for engine in settings.engines:
             site = settings.site_of(engine.data_centre)
             if site is not None and site.region == region:
                 found.setdefault(engine.name, engine)
-    by_service: dict[ids.ServiceName, list[config.Engine]] = {}
+    by_service: dict[ids.ServiceName, list[schema.Engine]] = {}
     for name in sorted(found):
         engine = found[name]
         by_service.setdefault(engine.service, []).append(engine)
--- a/galenahatch/core/engines.py
+++ b/galenahatch/core/engines.py
@@ -23,10 +23,10 @@
 import dataclasses
 import typing
 
-from galenahatch import config
 from galenahatch.core import health
 from galenahatch.core import links
 from galenahatch import ids
+from galenahatch import schema
 
 _SMOOTHING: typing.Final = 0.2
 _LEAST_RATE_FACTOR: typing.Final = 0.1
@@ -53,7 +53,7 @@
         link: reserved transfers.
     """
 
-    settings: config.Engine
+    settings: schema.Engine
     health: health.EngineHealth
     slowness: float = 1.0
     leaving: bool = False
@@ -133,7 +133,7 @@
         leaving: whether any source says that it leaves.
     """
 
-    settings: config.Engine
+    settings: schema.Engine
     health: health.EngineHealth
     seconds_per_token: float
     usable: float
@@ -222,6 +222,6 @@
     return 0.0 if here == there else _CROSS_CENTRE_SECONDS
 
 
-def away(engine: config.Engine, centre: ids.DataCentre) -> float:
+def away(engine: schema.Engine, centre: ids.DataCentre) -> float:
     """Return the extra seconds of calls from another data centre."""
     return 0.0 if engine.data_centre == centre else _CROSS_CENTRE_SECONDS
--- a/galenahatch/core/health.py
+++ b/galenahatch/core/health.py
@@ -63,6 +63,10 @@
         """Note a load report."""
         self._heard_at = now
 
+    def unprobed(self) -> None:
+        """Expect no load reports until the next one."""
+        self._heard_at = None
+
     def failed(self, now: float) -> None:
         """Note an attempt that the engine failed."""
         self._errors += 1
--- a/galenahatch/core/leaving.py
+++ b/galenahatch/core/leaving.py
@@ -20,8 +20,8 @@
 
 import collections.abc
 
-from galenahatch import config
 from galenahatch import ids
+from galenahatch import schema
 
 
 class Leaving:
@@ -69,7 +69,7 @@
         self._reports[engine] = (incarnation, sequence, leaving)
 
     def names(
-        self, declared: collections.abc.Iterable[config.Engine]
+        self, declared: collections.abc.Iterable[schema.Engine]
     ) -> frozenset[ids.EngineName]:
         """Return the engines that leave."""
         return frozenset(
@@ -80,7 +80,7 @@
         """Return whether a plain service's upstream leaves."""
         return url in self._draining or address in self._addresses
 
-    def _leaves(self, engine: config.Engine) -> bool:
+    def _leaves(self, engine: schema.Engine) -> bool:
         report = self._reports.get(engine.name)
         return (
             engine.name in self._draining
--- a/galenahatch/core/membership.py
+++ b/galenahatch/core/membership.py
@@ -123,6 +123,11 @@
         state = self._members.get(member)
         return now - state.heard_at if state else -1.0
 
+    def incarnation_of(self, member: ids.MemberId) -> int | None:
+        """Return a member's incarnation; None if it was never heard."""
+        state = self._members.get(member)
+        return state.heartbeat.incarnation if state else None
+
     def delisted(self, member: ids.MemberId) -> bool:
         """Return whether the VM list no longer has a member's VM."""
         if self._listed_vms is None:
--- a/galenahatch/core/orders.py
+++ b/galenahatch/core/orders.py
@@ -21,8 +21,8 @@
 
 import msgspec
 
-from galenahatch import config
 from galenahatch import ids
+from galenahatch import schema
 
 
 class Order(msgspec.Struct, frozen=True):
@@ -43,7 +43,7 @@
 
 
 def desired(
-    settings: config.Config,
+    settings: schema.Config,
 ) -> dict[ids.EngineName, Order]:
     """Return what each engine should run."""
     services = {service.name: service for service in settings.services}
--- a/galenahatch/core/pairing.py
+++ b/galenahatch/core/pairing.py
@@ -48,7 +48,7 @@
         data_centre: where the entry stands.
         avoid: engines that failed the request before.
         allowed: engines of the entry's site.
-        waste_weight: see config.ModelService.
+        waste_weight: see schema.ModelService.
     """
 
     prompt_tokens: int
@@ -117,14 +117,16 @@
         random_source: for sampling.
     """
     first = _usable_prefills(need, prefills, random_source)
-    second = _usable_decodes(need, decodes, random_source)
-    if not first or not second:
+    if not first:
         return Choice(None)
     idle_at = min(engine.starts_at(now) for engine in first)
+    second = _usable_decodes(need, decodes, random_source)
+    if not second:
+        return Choice(None)
     if idle_at > now + lookahead:
         return Choice(None, wait_until=idle_at - lookahead)
     ranked_prefills = _rank_prefills(need, first, now, lookahead)
-    ranked_decodes = _rank_decodes(second, now)
+    ranked_decodes = _rank_decodes(need, second, now)
     pairs, wait_until = _score(need, ranked_prefills, ranked_decodes, now)
     if not pairs:
         return Choice(None, wait_until=wait_until)
@@ -194,43 +196,71 @@
     return random_source.sample(pool, SAMPLE)
 
 
+@dataclasses.dataclass(frozen=True)
+class _Start:
+    """A prefill engine with what a request would meet there."""
+
+    engine: engines.PrefillEngine
+    cost: float
+    prefilled_at: float
+    far: float
+
+
+@dataclasses.dataclass(frozen=True)
+class _Place:
+    """A decode engine with what a request would meet there."""
+
+    engine: engines.DecodeEngine
+    free_at: float
+    occupancy: float
+    far: float
+
+
 def _rank_prefills(
     need: Need,
     pool: list[engines.PrefillEngine],
     now: float,
     lookahead: float,
-) -> list[engines.PrefillEngine]:
-    def score(engine: engines.PrefillEngine) -> float:
+) -> list[_Start]:
+    starts = []
+    for engine in pool:
+        starts_at = engine.starts_at(now)
+        if starts_at > now + lookahead:
+            continue
         cost = engine.cost(uncached(need, engine.name))
         far = engines.away(engine.settings, need.data_centre)
-        return engine.starts_at(now) + 2 * cost + far
-
-    near = [e for e in pool if e.starts_at(now) <= now + lookahead]
-    return sorted(near, key=score)[:_BEST]
+        starts.append(_Start(engine, cost, starts_at + cost, far))
+    starts.sort(key=lambda start: start.prefilled_at + start.cost + start.far)
+    return starts[:_BEST]
 
 
 def _rank_decodes(
-    pool: list[engines.DecodeEngine], now: float
-) -> list[engines.DecodeEngine]:
-    def score(engine: engines.DecodeEngine) -> tuple[float, float]:
-        return engine.free_at(now), engine.reserved / engine.places
-
-    return sorted(pool, key=score)[:_BEST]
+    need: Need, pool: list[engines.DecodeEngine], now: float
+) -> list[_Place]:
+    places = []
+    for engine in pool:
+        free_at = engine.free_at(now)
+        occupancy = engine.reserved / engine.places
+        far = engines.away(engine.settings, need.data_centre)
+        places.append(_Place(engine, free_at, occupancy, far))
+    places.sort(key=lambda place: (place.free_at, place.occupancy))
+    return places[:_BEST]
 
 
 def _score(
-    need: Need,
-    prefills: list[engines.PrefillEngine],
-    decodes: list[engines.DecodeEngine],
-    now: float,
+    need: Need, starts: list[_Start], places: list[_Place], now: float
 ) -> tuple[list[Pair], float]:
     """Return the pairs that are possible now, else when to look again."""
     pairs = []
     wait_until = float('inf')
-    for prefill in prefills:
-        for decode in decodes:
-            pair = _course(need, prefill, decode, now)
-            late = _lateness(need, pair, now)
+    for start in starts:
+        place_by = now + (start.prefilled_at - now) * (1 - need.waste_weight)
+        for place in places:
+            if place.free_at > place_by:
+                late = place.free_at - place_by
+                wait_until = min(wait_until, now + late)
+                continue
+            pair, late = _course(need, start, place, now)
             if late <= 0:
                 pairs.append(pair)
             else:
@@ -239,51 +269,41 @@
 
 
 def _course(
-    need: Need,
-    prefill: engines.PrefillEngine,
-    decode: engines.DecodeEngine,
-    now: float,
-) -> Pair:
-    """Predict the course of the request on a pair."""
-    cost = prefill.cost(uncached(need, prefill.name))
-    prefilled_at = prefill.starts_at(now) + cost
-    transfer = _transfer(need, prefill, decode)
-    sent_at = links.earliest(prefill.link, decode.link, prefilled_at, transfer)
-    arrives_at = sent_at + transfer
-    far = engines.away(prefill.settings, need.data_centre)
-    far += engines.away(decode.settings, need.data_centre)
-    occupancy = decode.reserved / decode.places
-    # A place that is only predicted to be free may not be.
-    predicted = decode.free_at(now) - now
-    score = arrives_at - now + cost + far + predicted
-    score += _OCCUPANCY_SECONDS * occupancy
-    return Pair(
-        prefill, decode, cost, prefilled_at, sent_at, arrives_at, score
-    )
-
+    need: Need, start: _Start, place: _Place, now: float
+) -> tuple[Pair, float]:
+    """Predict the course of the request on a pair.
 
-def _transfer(
-    need: Need,
-    prefill: engines.PrefillEngine,
-    decode: engines.DecodeEngine,
-) -> float:
+    Returns:
+        The pair, and by how many seconds the transfer would end after the
+        result is evicted.
+    """
+    prefill = start.engine
+    decode = place.engine
     size = need.prompt_tokens * prefill.settings.kv_bytes_per_token
     rate = min(
         prefill.settings.link_bytes_per_second,
         decode.settings.link_bytes_per_second,
     )
-    return size / rate + engines.between(prefill, decode)
-
-
-def _lateness(need: Need, pair: Pair, now: float) -> float:
-    """Return by how many seconds a pair is started too early."""
-    lead = pair.prefilled_at - now
-    place_by = now + lead * (1 - need.waste_weight)
-    place_late = pair.decode.free_at(now) - place_by
-    eviction = pair.prefill.settings.eviction_ms / 1000
-    link_late = pair.arrives_at - pair.prefilled_at - eviction
-    transfer_alone = _transfer(need, pair.prefill, pair.decode)
-    if transfer_alone >= eviction:
+    transfer = size / rate + engines.between(prefill, decode)
+    sent_at = links.earliest(
+        prefill.link, decode.link, start.prefilled_at, transfer
+    )
+    arrives_at = sent_at + transfer
+    # A place that is only predicted to be free may not be.
+    predicted = place.free_at - now
+    score = arrives_at - now + start.cost + start.far + place.far + predicted
+    score += _OCCUPANCY_SECONDS * place.occupancy
+    pair = Pair(
+        prefill,
+        decode,
+        start.cost,
+        start.prefilled_at,
+        sent_at,
+        arrives_at,
+        score,
+    )
+    eviction = prefill.settings.eviction_ms / 1000
+    if transfer >= eviction:
         # No wait can make this transfer short enough: let it try.
-        link_late = 0.0
-    return max(place_late, link_late)
+        return pair, 0.0
+    return pair, arrives_at - start.prefilled_at - eviction
--- a/galenahatch/core/revision.py
+++ b/galenahatch/core/revision.py
@@ -23,9 +23,9 @@
 
 import msgspec
 
-from galenahatch import config
 from galenahatch import errors
 from galenahatch import ids
+from galenahatch import schema
 
 HEAD_KEY: typing.Final = 'config/head'
 
@@ -52,12 +52,12 @@
     """An accepted configuration with its head."""
 
     head: Head
-    bundle: config.Bundle
+    bundle: schema.Bundle
 
 
 _HEAD: typing.Final = msgspec.msgpack.Decoder(Head)
 _ACCEPTED: typing.Final = msgspec.msgpack.Decoder(Accepted)
-_BUNDLE: typing.Final = msgspec.msgpack.Decoder(config.Bundle)
+_BUNDLE: typing.Final = msgspec.msgpack.Decoder(schema.Bundle)
 
 
 def history_key(revision: int) -> str:
@@ -75,7 +75,7 @@
     return hashlib.sha256(body).hexdigest()
 
 
-def encode(value: Head | Accepted | config.Bundle) -> bytes:
+def encode(value: Head | Accepted | schema.Bundle) -> bytes:
     """Return the bytes of a head, a configuration or a bundle."""
     return msgspec.msgpack.encode(value, order='sorted')
 
@@ -95,7 +95,7 @@
     return accepted
 
 
-def decode_bundle(data: bytes, digest: str) -> config.Bundle | errors.Failure:
+def decode_bundle(data: bytes, digest: str) -> schema.Bundle | errors.Failure:
     """Return the bundle of some bytes if they have this digest."""
     if digest_of(data) != digest:
         return errors.Failure(errors.BAD_FRAME, 'digest of the bundle')
@@ -119,9 +119,9 @@
 
     def __init__(self) -> None:
         self._accepted: Accepted | None = None
-        self._sites: dict[str, config.Config] = {}
-        self._site_of: dict[ids.DataCentre, config.Site] = {}
-        self._engines: dict[ids.EngineName, config.Engine] = {}
+        self._sites: dict[str, schema.Config] = {}
+        self._site_of: dict[ids.DataCentre, schema.Site] = {}
+        self._engines: dict[ids.EngineName, schema.Engine] = {}
 
     @property
     def accepted(self) -> Accepted | None:
@@ -136,12 +136,12 @@
         return self._accepted.head.revision
 
     @property
-    def sites(self) -> dict[str, config.Config]:
+    def sites(self) -> dict[str, schema.Config]:
         """Its merged configuration by site."""
         return self._sites
 
     def offer(
-        self, accepted: Accepted, sites: dict[str, config.Config] | None
+        self, accepted: Accepted, sites: dict[str, schema.Config] | None
     ) -> bool:
         """Take a configuration if it is newer; return whether it was.
 
@@ -166,15 +166,15 @@
                 self._engines.setdefault(engine.name, engine)
         return True
 
-    def site(self, data_centre: ids.DataCentre) -> config.Site | None:
+    def site(self, data_centre: ids.DataCentre) -> schema.Site | None:
         """Return the site of a data centre."""
         return self._site_of.get(data_centre)
 
-    def at(self, data_centre: ids.DataCentre) -> config.Config | None:
+    def at(self, data_centre: ids.DataCentre) -> schema.Config | None:
         """Return the configuration of the site of a data centre."""
         site = self.site(data_centre)
         return self._sites.get(site.name) if site else None
 
-    def engine(self, name: ids.EngineName) -> config.Engine | None:
+    def engine(self, name: ids.EngineName) -> schema.Engine | None:
         """Return an engine of any site."""
         return self._engines.get(name)
--- a/galenahatch/core/watch.py
+++ b/galenahatch/core/watch.py
@@ -70,6 +70,11 @@
         if state is not None:
             state.streams.pop(stream, None)
 
+    def forget(self, stream: ids.StreamId) -> None:
+        """Forget a stream that ended, whosever it was."""
+        for state in self._entries.values():
+            state.streams.pop(stream, None)
+
     def heard(
         self, entry: ids.MemberId, incarnation: int
     ) -> list[messages.Held]:
--- a/galenahatch/course.py
+++ b/galenahatch/course.py
@@ -33,7 +33,6 @@
 from galenahatch import answers
 from galenahatch import cancelling
 from galenahatch import clock
-from galenahatch import config
 from galenahatch.core import assembly
 from galenahatch.core import cache
 from galenahatch.core import retry
@@ -44,6 +43,7 @@
 from galenahatch import messages
 from galenahatch import metrics
 from galenahatch import placing as placing_module
+from galenahatch import schema
 from galenahatch.upstream import engine as engine_client
 
 MOST_ATTEMPTS: typing.Final = 4
@@ -91,7 +91,7 @@
     find: cancelling.FindEngine
     repeatable: aiohttp.ClientSession
     once: aiohttp.ClientSession
-    budget: collections.abc.Callable[[config.ModelService], retry.RetryBudget]
+    budget: collections.abc.Callable[[schema.ModelService], retry.RetryBudget]
     site: collections.abc.Callable[[], ids.SiteName]
     revision: collections.abc.Callable[[], ids.Revision]
 
@@ -107,8 +107,8 @@
     """
 
     stream: ids.StreamId
-    prefill: config.Engine
-    decode: config.Engine
+    prefill: schema.Engine
+    decode: schema.Engine
     touched: set[ids.EngineName]
     failed: ids.EngineName | None = None
     began: float = 0.0
@@ -440,7 +440,7 @@
     def _blame(
         self,
         attempt: _Attempt,
-        engine: config.Engine,
+        engine: schema.Engine,
         failure: errors.Failure,
     ) -> errors.Failure:
         """Note which engine failed; the next attempt avoids it."""
--- a/galenahatch/ctl.py
+++ b/galenahatch/ctl.py
@@ -42,6 +42,7 @@
 from galenahatch.platform import table
 from galenahatch.platform import vms
 from galenahatch import queries
+from galenahatch import schema
 
 DONE: typing.Final = 0
 REFUSED: typing.Final = 1
@@ -151,7 +152,7 @@
 
 def read_bundle(
     directory: pathlib.Path, draining: tuple[str, ...] = ()
-) -> config.Bundle | errors.Failure:
+) -> schema.Bundle | errors.Failure:
     """Return the bundle of a directory."""
     try:
         base = (directory / 'base.toml').read_text()
@@ -161,10 +162,10 @@
         }
     except (OSError, UnicodeDecodeError) as error:
         return errors.Failure(errors.BAD_CONFIGURATION, str(error))
-    return config.Bundle(base, overlays, draining)
+    return schema.Bundle(base, overlays, draining)
 
 
-def _check(bundle: config.Bundle, as_json: bool) -> errors.Failure | None:
+def _check(bundle: schema.Bundle, as_json: bool) -> errors.Failure | None:
     """Print every problem of a bundle."""
     problems = config.check(bundle).problems
     if not problems:
@@ -239,7 +240,7 @@
 
 async def _accept(
     context: Context,
-    bundle: config.Bundle,
+    bundle: schema.Bundle,
     head: revision.Head | None,
     note: str,
     wait: float,
@@ -304,7 +305,7 @@
     return _run(settings, work)
 
 
-async def _newest(context: Context) -> config.Bundle | errors.Failure:
+async def _newest(context: Context) -> schema.Bundle | errors.Failure:
     head = await context.changes.head()
     if isinstance(head, errors.Failure):
         return head
@@ -313,7 +314,7 @@
     return await context.changes.bundle(head)
 
 
-def _written(bundle: config.Bundle) -> str:
+def _written(bundle: schema.Bundle) -> str:
     parts = [f'# base\n{bundle.base}']
     for site, text in sorted(bundle.overlays.items()):
         parts.append(f'# sites/{site}\n{text}')
--- a/galenahatch/distribution.py
+++ b/galenahatch/distribution.py
@@ -29,6 +29,7 @@
 from galenahatch import options as options_module
 from galenahatch.platform import objects
 from galenahatch.platform import table
+from galenahatch import schema
 from galenahatch import tasks
 
 _log = logs.Log('config')
@@ -38,7 +39,10 @@
 
 
 class Distribution:
-    """The configuration in force on one daemon.
+    """Follows the configuration on one daemon.
+
+    Attributes:
+        in_force: what the daemon works with.
 
     Args:
         options: settings.
@@ -58,40 +62,40 @@
         self._table = tables
         self._objects = stored
         self._owner = owner
-        self._in_force = revision_module.InForce()
+        self.in_force = revision_module.InForce()
         self._listeners: list[Listener] = []
         self._ask: Asker | None = None
 
     @property
     def revision(self) -> ids.Revision:
         """Number of the configuration in force; 0 before the first."""
-        return self._in_force.revision
+        return self.in_force.revision
 
     @property
-    def sites(self) -> dict[str, config.Config]:
+    def sites(self) -> dict[str, schema.Config]:
         """Merged configuration by site."""
-        return self._in_force.sites
+        return self.in_force.sites
 
-    def mine(self) -> config.Config | None:
+    def mine(self) -> schema.Config | None:
         """Return the configuration of this daemon's site."""
-        return self._in_force.at(self._options.data_centre)
+        return self.in_force.at(self._options.data_centre)
 
     def region_of(self, centre: ids.DataCentre) -> ids.RegionName | None:
         """Return the region of a data centre; None if not known."""
-        site = self._in_force.site(centre)
+        site = self.in_force.site(centre)
         return site.region if site else None
 
-    def site(self) -> config.Site | None:
+    def site(self) -> schema.Site | None:
         """Return the site of this daemon."""
-        return self._in_force.site(self._options.data_centre)
+        return self.in_force.site(self._options.data_centre)
 
-    def engine(self, name: ids.EngineName) -> config.Engine | None:
+    def engine(self, name: ids.EngineName) -> schema.Engine | None:
         """Return an engine of any site."""
-        return self._in_force.engine(name)
+        return self.in_force.engine(name)
 
     def body(self, above: ids.Revision) -> messages.ConfigBody | None:
         """Return the configuration for a peer that has less."""
-        accepted = self._in_force.accepted
+        accepted = self.in_force.accepted
         if accepted is None or accepted.head.revision <= above:
             return None
         return messages.ConfigBody(
@@ -100,7 +104,7 @@
 
     def draining(self) -> tuple[str, ...]:
         """Return the upstreams that operators drained."""
-        accepted = self._in_force.accepted
+        accepted = self.in_force.accepted
         return accepted.bundle.draining if accepted else ()
 
     def listen(self, listener: Listener) -> None:
@@ -164,7 +168,7 @@
             return
         # Parsing takes long at the planned size; streams go on meanwhile.
         sites = await asyncio.to_thread(config.load, accepted.bundle)
-        if not self._in_force.offer(accepted, sites):
+        if not self.in_force.offer(accepted, sites):
             return
         _log.info(
             'Configuration in force.',
--- a/galenahatch/entry.py
+++ b/galenahatch/entry.py
@@ -28,7 +28,6 @@
 from galenahatch import cancelling
 from galenahatch import claiming as claiming_module
 from galenahatch import clock
-from galenahatch import config
 from galenahatch.core import claim
 from galenahatch.core import leaving as leaving_module
 from galenahatch.core import retry
@@ -44,6 +43,7 @@
 from galenahatch import placing as placing_module
 from galenahatch import plain as plain_module
 from galenahatch.platform import vms
+from galenahatch import schema
 from galenahatch.upstream import http
 
 _BODY_SECONDS: typing.Final = 30.0
@@ -109,7 +109,7 @@
         await self._drain()
         self._peers.broadcast(self._peers.heartbeat())
         await self.close()
-        await self._peers.close()
+        self._peers.close()
         await self._engines.close()
         await self._once.close()
 
@@ -197,7 +197,7 @@
         site = self.config.site()
         return site.name if site else ids.SiteName('')
 
-    def _budget(self, service: config.ModelService) -> retry.RetryBudget:
+    def _budget(self, service: schema.ModelService) -> retry.RetryBudget:
         budget = self._budgets.get(service.name)
         if budget is None:
             budget = retry.RetryBudget(service.retry_share)
@@ -247,7 +247,7 @@
         self,
         request: web.Request,
         handler: typing.Callable[
-            [web.Request, config.Config, config.Caller, inbound.Headers, bool],
+            [web.Request, schema.Config, schema.Caller, inbound.Headers, bool],
             typing.Awaitable[web.StreamResponse],
         ],
         chat: bool,
@@ -284,8 +284,8 @@
     async def _call(
         self,
         request: web.Request,
-        settings: config.Config,
-        caller: config.Caller,
+        settings: schema.Config,
+        caller: schema.Caller,
         headers: inbound.Headers,
         chat: bool,
     ) -> web.StreamResponse:
@@ -300,8 +300,8 @@
     async def _model(
         self,
         request: web.Request,
-        settings: config.Config,
-        caller: config.Caller,
+        settings: schema.Config,
+        caller: schema.Caller,
         headers: inbound.Headers,
         chat: bool,
     ) -> web.StreamResponse:
--- a/galenahatch/inbound.py
+++ b/galenahatch/inbound.py
@@ -22,10 +22,10 @@
 import msgspec
 
 from galenahatch import clock
-from galenahatch import config
 from galenahatch import errors
 from galenahatch import ids
 from galenahatch import messages
+from galenahatch import schema
 
 IDEMPOTENCY_KEY: typing.Final = 'Idempotency-Key'
 NON_IDEMPOTENT: typing.Final = 'Galenahatch-Non-Idempotent'
@@ -93,7 +93,7 @@
 
     headers: Headers
     caller: ids.CallerName
-    service: config.ModelService
+    service: schema.ModelService
     prompt: str
     prompt_tokens: int
     max_tokens: int
@@ -125,7 +125,7 @@
         return deadline
     urgency = None
     if PRIORITY in headers:
-        urgency = config.urgency(headers[PRIORITY].lower())
+        urgency = schema.urgency(headers[PRIORITY].lower())
         if urgency is None:
             return _bad_header(PRIORITY, 'urgent, normal or bulk')
     request = ids.RequestId(f'r{clock.token()[:20]}')
@@ -142,8 +142,8 @@
 
 
 def read_caller(
-    headers: collections.abc.Mapping[str, str], settings: config.Config
-) -> config.Caller | errors.Failure:
+    headers: collections.abc.Mapping[str, str], settings: schema.Config
+) -> schema.Caller | errors.Failure:
     """Return who sends a request."""
     scheme, _, token = headers.get('Authorization', '').partition(' ')
     if scheme.lower() != 'bearer' or not token:
@@ -157,8 +157,8 @@
 def read_model_request(
     body: bytes,
     headers: Headers,
-    caller: config.Caller,
-    settings: config.Config,
+    caller: schema.Caller,
+    settings: schema.Config,
     chat: bool,
 ) -> ModelRequest | errors.Failure:
     """Return a checked request for a model service."""
@@ -217,11 +217,11 @@
 
 
 def _urgency(
-    headers: Headers, caller: config.Caller, service: config.ModelService
+    headers: Headers, caller: schema.Caller, service: schema.ModelService
 ) -> messages.Urgency:
     """Return the class asked for, but none better than the caller's."""
-    usual = config.urgency(service.urgency) or messages.Urgency.URGENT
-    best = config.urgency(caller.urgency) or messages.Urgency.URGENT
+    usual = schema.urgency(service.urgency) or messages.Urgency.URGENT
+    best = schema.urgency(caller.urgency) or messages.Urgency.URGENT
     asked = usual if headers.urgency is None else headers.urgency
     return max(asked, best)
 
--- a/galenahatch/orphans.py
+++ b/galenahatch/orphans.py
@@ -73,6 +73,16 @@
         else:
             self._watch.remove(message.entry, message.stream)
 
+    def placed(self, entry: ids.MemberId, held: messages.Held) -> None:
+        """Watch an attempt that this scheduler placed itself."""
+        incarnation = self._peers.membership.incarnation_of(entry)
+        if incarnation is not None:
+            self._watch.add(entry, incarnation, (held,))
+
+    def ended(self, stream: ids.StreamId) -> None:
+        """Forget an attempt whose entry released it."""
+        self._watch.forget(stream)
+
     def heard(self, heartbeat: messages.Heartbeat) -> None:
         """Take a heartbeat."""
         orphans = self._watch.heard(heartbeat.member, heartbeat.incarnation)
--- a/galenahatch/peers.py
+++ b/galenahatch/peers.py
@@ -22,8 +22,6 @@
 import collections.abc
 import typing
 
-import zmq.asyncio
-
 from galenahatch import bus
 from galenahatch import clock
 from galenahatch.core import membership
@@ -68,7 +66,6 @@
         self._config = in_force
         self._vms = platform
         self._handler = handler
-        self._context = zmq.asyncio.Context.instance()
         self._links: dict[ids.MemberId, bus.Link] = {}
         self._listeners: list[VmListener] = []
         self._reports: list[collections.abc.Callable[[], None]] = []
@@ -97,10 +94,10 @@
         poll = self._options.vms_poll
         owner.keep('vms', lambda: tasks.every(lambda: poll, self._read_vms))
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Close every link."""
         for link in self._links.values():
-            await link.close()
+            link.close()
         self._links.clear()
 
     def interval(self) -> float:
@@ -171,11 +168,11 @@
             (vm.address for vm in system if vm.state != 'live'),
         )
         self._system_vms = {vm.address: vm for vm in system}
-        await self._connect_listed()
+        self._connect_listed()
         for listener in self._listeners:
             listener(listed)
 
-    async def _connect_listed(self) -> None:
+    def _connect_listed(self) -> None:
         wanted = {vm.address for vm in self._wanted()}
         wanted.update(self._options.peers)
         for address in sorted(wanted):
@@ -185,7 +182,7 @@
             silent = self.membership.silence_of(member, clock.now())
             gone = address not in wanted and not 0 <= silent < 30
             if gone:
-                await self._links.pop(member).close()
+                self._links.pop(member).close()
 
     def _wanted(self) -> list[vms.Vm]:
         """Return the VMs of this region, or a few while it is not known."""
@@ -205,7 +202,7 @@
         if member in self._links or member == self.member:
             return
         self._links[member] = bus.Link(
-            self._context, f'tcp://{address}:{port}', self._receive
+            f'tcp://{address}:{port}', self._receive
         )
 
     def _receive(self, message: messages.AnyMessage) -> None:
--- a/galenahatch/placement.py
+++ b/galenahatch/placement.py
@@ -73,6 +73,7 @@
 class Refresh:
     """Configuration, owners or leaving engines may have changed."""
 
+    revision: ids.Revision
     plans: collections.abc.Mapping[ids.CellId, cells_module.Plan]
     owned: frozenset[ids.CellId]
     leaving: frozenset[ids.EngineName]
@@ -88,6 +89,7 @@
         settings: the configuration in force.
         data_centre: of this scheduler.
         kept: decision lines for `explain`.
+        placed: told of each attempt that is placed, before its entry is.
     """
 
     def __init__(
@@ -95,10 +97,12 @@
         settings: distribution.Distribution,
         data_centre: ids.DataCentre,
         kept: trail.Trail,
+        placed: collections.abc.Callable[[ids.MemberId, messages.Held], None],
     ) -> None:
         self._config = settings
         self._data_centre = data_centre
         self._trail = kept
+        self._placed = placed
         self._inbox: asyncio.Queue[News] = asyncio.Queue()
         self._cells: dict[ids.CellId, cell_module.Cell] = {}
         self._cell_by_stream: dict[ids.StreamId, ids.CellId] = {}
@@ -106,6 +110,9 @@
             ids.StreamId, collections.abc.Callable[[messages.AnyMessage], None]
         ] = {}
         self._leaving: frozenset[ids.EngineName] = frozenset()
+        self._reported_waiting = 0
+        # Of the plans; the configuration in force may be ahead of them.
+        self._revision = ids.Revision(0)
         # Requests of entries that are ahead of this scheduler's revision.
         self._early: list[FromEntry] = []
         self._plans: collections.abc.Mapping[
@@ -202,7 +209,7 @@
             return
         cell_id, cell = self._cell_for(request)
         if cell_id is None or cell is None:
-            if request.revision > self._config.revision:
+            if request.revision > self._revision:
                 self._early.append(FromEntry(request, send))
                 return
             reason = errors.UNKNOWN_MODEL.name
@@ -298,12 +305,15 @@
     def _refresh(self, news: Refresh) -> None:
         self._leaving = news.leaving
         self._plans = news.plans
+        self._revision = news.revision
         early, self._early = self._early, []
         for waiting in early:
             self._inbox.put_nowait(waiting)
         for cell_id in news.owned:
             self._make_cell(news.plans[cell_id])
         for cell_id, cell in list(self._cells.items()):
+            if cell_id not in news.owned:
+                cell.unprobed()
             found = news.plans.get(cell_id)
             if found is not None:
                 cell.configure(found.service, found.engines, found.allowed)
@@ -353,6 +363,8 @@
                 _log.warning('Reservation lapsed.', stream=stream)
             for decision in cell.decide(now):
                 self._announce(decision)
+        metrics.waiting.add(self.waiting - self._reported_waiting)
+        self._reported_waiting = self.waiting
 
     def _announce(self, decision: cell_module.Decision) -> None:
         """Send a decision to its entry, log it, and keep it."""
@@ -362,6 +374,7 @@
         if isinstance(answer, messages.Placed):
             line = f'placed {answer.prefill}+{answer.decode} {answer.why}'
             metrics.places_reserved.add(1)
+            self._placed(request.entry, self._held(request, answer))
             _log.info(
                 'Request placed.',
                 request=request.request,
@@ -386,6 +399,20 @@
         if send is not None:
             send(answer)
 
+    def _held(
+        self, request: messages.PlaceRequest, placed: messages.Placed
+    ) -> messages.Held:
+        return messages.Held(
+            stream=placed.stream,
+            cell=self._cell_by_stream[placed.stream],
+            service=request.service,
+            prefill=placed.prefill,
+            decode=placed.decode,
+            stage=messages.Stage.PREFILL,
+            prompt_tokens=request.prompt_tokens,
+            output_tokens=request.output_tokens,
+        )
+
 
 def request_of(stream: ids.StreamId) -> ids.RequestId:
     """Return the request that an attempt belongs to."""
--- a/galenahatch/plain.py
+++ b/galenahatch/plain.py
@@ -27,7 +27,6 @@
 
 from galenahatch import answers
 from galenahatch import claiming as claiming_module
-from galenahatch import config
 from galenahatch.core import claim
 from galenahatch.core import leaving as leaving_module
 from galenahatch import errors
@@ -35,6 +34,7 @@
 from galenahatch import inbound
 from galenahatch import logs
 from galenahatch import metrics
+from galenahatch import schema
 from galenahatch.upstream import service as service_client
 
 _NOT_STARTED: typing.Final = frozenset(
@@ -69,8 +69,8 @@
         self,
         request: web.Request,
         body: bytes,
-        settings: config.Config,
-        caller: config.Caller,
+        settings: schema.Config,
+        caller: schema.Caller,
         headers: inbound.Headers,
     ) -> web.StreamResponse:
         """Route one call and answer it."""
@@ -90,9 +90,9 @@
 
     async def _serve_once(
         self,
-        service: config.PlainService,
+        service: schema.PlainService,
         call: service_client.Call,
-        caller: config.Caller,
+        caller: schema.Caller,
         headers: inbound.Headers,
     ) -> web.StreamResponse:
         key = claim.key_of(caller.name, headers.key)
@@ -114,7 +114,7 @@
 
     async def _run_once(
         self,
-        service: config.PlainService,
+        service: schema.PlainService,
         call: service_client.Call,
         claimed: claiming_module.Claimed,
         request: ids.RequestId,
@@ -139,7 +139,7 @@
 
     async def _send_once(
         self,
-        service: config.PlainService,
+        service: schema.PlainService,
         call: service_client.Call,
         request: ids.RequestId,
     ) -> service_client.Result | errors.Failure:
@@ -156,7 +156,7 @@
 
     async def _try_each(
         self,
-        service: config.PlainService,
+        service: schema.PlainService,
         call: service_client.Call,
         request: ids.RequestId,
     ) -> service_client.Result | errors.Failure:
@@ -179,7 +179,7 @@
         client: aiohttp.ClientSession,
         url: str,
         call: service_client.Call,
-        service: config.PlainService,
+        service: schema.PlainService,
         request: ids.RequestId,
     ) -> service_client.Result | errors.Failure:
         seconds = service.timeout_ms / 1000
@@ -202,7 +202,7 @@
         )
         return result
 
-    def _upstreams(self, service: config.PlainService) -> list[str]:
+    def _upstreams(self, service: schema.PlainService) -> list[str]:
         """Return the upstreams that don't leave, in their order."""
         return [
             url
@@ -214,7 +214,7 @@
 
 
 def unrepeatable(
-    service: config.PlainService, call: service_client.Call
+    service: schema.PlainService, call: service_client.Call
 ) -> bool:
     """Return whether the configuration says that a call runs only once.
 
--- a/galenahatch/probes.py
+++ b/galenahatch/probes.py
@@ -19,11 +19,11 @@
 import aiohttp
 
 from galenahatch import cancelling
-from galenahatch import config
 from galenahatch.core import leaving as leaving_module
 from galenahatch import errors
 from galenahatch import ids
 from galenahatch import placement as placement_module
+from galenahatch import schema
 from galenahatch.upstream import engine as engine_client
 
 _AT_ONCE: typing.Final = 32
@@ -52,12 +52,12 @@
         self._slots = asyncio.Semaphore(_AT_ONCE)
 
     async def read(
-        self, engines: collections.abc.Iterable[config.Engine]
+        self, engines: collections.abc.Iterable[schema.Engine]
     ) -> None:
         """Read the load of some engines at once."""
         await asyncio.gather(*(self._read_one(e) for e in engines))
 
-    async def _read_one(self, engine: config.Engine) -> None:
+    async def _read_one(self, engine: schema.Engine) -> None:
         async with self._slots:
             load = await engine_client.load(
                 self._client,
--- a/galenahatch/scheduler.py
+++ b/galenahatch/scheduler.py
@@ -22,14 +22,12 @@
 import typing
 
 from aiohttp import web
-import zmq.asyncio
 
 from galenahatch import application
 from galenahatch import bus
 from galenahatch import cancelling
 from galenahatch import claims as claims_module
 from galenahatch import clock
-from galenahatch import config
 from galenahatch.core import cells
 from galenahatch.core import leaving as leaving_module
 from galenahatch.core import rendezvous
@@ -42,6 +40,7 @@
 from galenahatch import placement as placement_module
 from galenahatch.platform import vms
 from galenahatch import probes as probes_module
+from galenahatch import schema
 from galenahatch import tasks
 from galenahatch import trail
 from galenahatch.upstream import http
@@ -60,6 +59,7 @@
         self._leaving = leaving_module.Leaving()
         self._trail = trail.Trail()
         self._plans: dict[ids.CellId, cells.Plan] = {}
+        self._planned = ids.Revision(0)
 
     async def start(self) -> None:
         """Open sockets and start tasks."""
@@ -76,7 +76,7 @@
             self._from_scheduler,
         )
         self._placement = placement_module.Placement(
-            self.config, options.data_centre, self._trail
+            self.config, options.data_centre, self._trail, self._placed
         )
         self._claims = claims_module.Claims(self.table, options.claim_group)
         self._canceller = cancelling.Canceller(
@@ -104,15 +104,14 @@
             told += 1
             await asyncio.sleep(self._peers.interval())
         await self.close()
-        await self._peers.close()
-        await self._hub.close()
+        self._peers.close()
+        self._hub.close()
         await self._engines.close()
 
     async def _open_sockets(self) -> None:
         options = self.options
         endpoint = f'tcp://{options.address}:{options.scheduler_port}'
-        context = zmq.asyncio.Context.instance()
-        self._hub = bus.Hub(context, endpoint, self._from_peer)
+        self._hub = bus.Hub(endpoint, self._from_peer)
         app = web.Application()
         app.add_routes(application.health_routes(self._why_not_ready))
         await self.listen(app, options.scheduler_http_port, options.keepalive)
@@ -175,6 +174,7 @@
             self._orphans.take(message)
             self._placement.tell(placement_module.FromEntry(message, send))
         elif isinstance(message, messages.Release):
+            self._orphans.ended(message.stream)
             self._placement.tell(placement_module.FromEntry(message, send))
         elif isinstance(message, messages.Watch | messages.Unwatch):
             self._orphans.take(message)
@@ -270,7 +270,9 @@
         self._peers.load = self._placement.waiting
         leaving = self._leaving.names(self._declared())
         owned = frozenset(self._owned())
-        news = placement_module.Refresh(self._plans, owned, leaving)
+        news = placement_module.Refresh(
+            self._planned, self._plans, owned, leaving
+        )
         self._placement.tell(news)
 
     def _replan(self) -> None:
@@ -278,6 +280,7 @@
         region = self.config.region_of(self.options.data_centre)
         if region is not None:
             self._plans = cells.plans(self.config.sites, region)
+            self._planned = self.config.revision
         self._refresh()
 
     def _owned(self) -> list[ids.CellId]:
@@ -290,7 +293,7 @@
             if rendezvous.winner(cell, live) == self._peers.member
         ]
 
-    def _declared(self) -> list[config.Engine]:
+    def _declared(self) -> list[schema.Engine]:
         return [e for plan in self._plans.values() for e in plan.engines]
 
     async def _probe(self) -> None:
@@ -299,5 +302,8 @@
         await self._probes.read(engines)
         self._refresh()
 
+    def _placed(self, entry: ids.MemberId, held: messages.Held) -> None:
+        self._orphans.placed(entry, held)
+
     def _forget(self, entry: ids.MemberId) -> None:
         self._placement.tell(placement_module.EntryGone(entry))
--- /dev/null
+++ b/galenahatch/schema.py
@@ -0,0 +1,230 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Schema of the configuration: what operators declare.
+
+The structs hold one site's merged configuration. Their doc comments are
+the operators' reference.
+"""
+
+import functools
+import hashlib
+import typing
+
+import msgspec
+
+from galenahatch import ids
+from galenahatch import messages
+
+CLASSES: typing.Final = {
+    'urgent': messages.Urgency.URGENT,
+    'normal': messages.Urgency.NORMAL,
+    'bulk': messages.Urgency.BULK,
+}
+
+
+class Site(msgspec.Struct, frozen=True):
+    """A place with a configuration overlay of its own.
+
+    Attributes:
+        name: unique.
+        region: sites of one region schedule together.
+        data_centres: whose VMs belong to the site.
+    """
+
+    name: ids.SiteName
+    region: ids.RegionName
+    data_centres: tuple[ids.DataCentre, ...]
+
+
+class ModelService(msgspec.Struct, frozen=True):
+    """A model that callers ask for by name.
+
+    Attributes:
+        name: what callers put in `model`.
+        model: what the engines load.
+        adapter: adapter on top of the model, or empty.
+        version: of the model.
+        urgency: urgent, normal or bulk, unless the caller says otherwise.
+        first_token_ms: target for the time to the first token.
+        between_tokens_ms: target for the time between tokens.
+        wait_ms: longest wait in the queue; a request that can't start by
+            then is given up at once. 0 means the first-token target.
+        deadline_ms: for the whole answer, unless the caller says less.
+        max_prompt_tokens: longer prompts are refused.
+        max_output_tokens: largest `max_tokens` of a request.
+        bytes_per_token: to estimate a prompt's length.
+        waste_weight: how strongly wasted prefill counts against starting
+            early: 0 starts as soon as a place is predicted to be free in
+            time, 1 only when one is free now.
+        retry_share: retries allowed per request answered.
+    """
+
+    name: ids.ServiceName
+    model: str
+    adapter: str = ''
+    version: str = '1'
+    urgency: str = 'normal'
+    first_token_ms: int = 580
+    between_tokens_ms: int = 54
+    wait_ms: int = 0
+    deadline_ms: int = 120_000
+    max_prompt_tokens: int = 32_768
+    max_output_tokens: int = 4096
+    bytes_per_token: float = 4.0
+    waste_weight: float = 0.3
+    retry_share: float = 0.1
+
+
+class Engine(msgspec.Struct, frozen=True):
+    """A model engine.
+
+    Attributes:
+        name: unique.
+        service: model service that it serves.
+        role: prefill or decode.
+        data_centre: where its VM stands.
+        address: IP number.
+        port: HTTP port.
+        places: requests that its memory holds.
+        prefill_tokens_per_second: declared speed; corrected by reports.
+        kv_bytes_per_token: size of the KV cache that is transferred.
+        link_bytes_per_second: rate of its link.
+        eviction_ms: time for which a prefill's result is kept.
+        checks_fencing: refuses an order with an old fencing number.
+    """
+
+    name: ids.EngineName
+    service: ids.ServiceName
+    role: str
+    data_centre: ids.DataCentre
+    address: str
+    port: int
+    places: int = 20
+    prefill_tokens_per_second: float = 8000.0
+    kv_bytes_per_token: int = 100_000
+    link_bytes_per_second: float = 5e9
+    eviction_ms: int = 800
+    checks_fencing: bool = False
+
+
+class PlainService(msgspec.Struct, frozen=True):
+    """A service that is not a model.
+
+    Attributes:
+        name: unique; the path below /v1/services/.
+        upstreams: base URLs, nearest first.
+        unrepeatable: `METHOD /path-prefix` of calls that run at most once.
+        timeout_ms: for one call.
+    """
+
+    name: ids.ServiceName
+    upstreams: tuple[str, ...]
+    unrepeatable: tuple[str, ...] = ()
+    timeout_ms: int = 10_000
+
+
+class Caller(msgspec.Struct, frozen=True):
+    """Who may send requests.
+
+    Attributes:
+        name: unique.
+        token_sha256: digest of the bearer token, in hexadecimal.
+        share: weight against other callers of the same urgency.
+        urgency: best class that the caller may ask for.
+        max_waiting: requests that it may have in a queue at once.
+    """
+
+    name: ids.CallerName
+    token_sha256: str
+    share: float = 1.0
+    urgency: str = 'urgent'
+    max_waiting: int = 1000
+
+
+class Config(msgspec.Struct, frozen=True, dict=True):
+    """The merged configuration of one site."""
+
+    sites: tuple[Site, ...] = ()
+    services: tuple[ModelService, ...] = ()
+    engines: tuple[Engine, ...] = ()
+    plain_services: tuple[PlainService, ...] = ()
+    callers: tuple[Caller, ...] = ()
+    draining: tuple[str, ...] = ()
+
+    @functools.cached_property
+    def _site_by_centre(self) -> dict[str, Site]:
+        return {c: site for site in self.sites for c in site.data_centres}
+
+    @functools.cached_property
+    def _service_by_name(self) -> dict[str, ModelService]:
+        return {service.name: service for service in self.services}
+
+    @functools.cached_property
+    def _plain_by_name(self) -> dict[str, PlainService]:
+        return {service.name: service for service in self.plain_services}
+
+    @functools.cached_property
+    def _engine_by_name(self) -> dict[str, Engine]:
+        return {engine.name: engine for engine in self.engines}
+
+    @functools.cached_property
+    def _caller_by_digest(self) -> dict[str, Caller]:
+        return {caller.token_sha256: caller for caller in self.callers}
+
+    @functools.cached_property
+    def _caller_by_name(self) -> dict[str, Caller]:
+        return {caller.name: caller for caller in self.callers}
+
+    def site_of(self, data_centre: ids.DataCentre) -> Site | None:
+        """Return the site that a data centre belongs to."""
+        return self._site_by_centre.get(data_centre)
+
+    def service(self, name: str) -> ModelService | None:
+        """Return a model service by name."""
+        return self._service_by_name.get(name)
+
+    def plain_service(self, name: str) -> PlainService | None:
+        """Return a plain service by name."""
+        return self._plain_by_name.get(name)
+
+    def engine(self, name: str) -> Engine | None:
+        """Return an engine by name."""
+        return self._engine_by_name.get(name)
+
+    def caller(self, name: str) -> Caller | None:
+        """Return a caller by name."""
+        return self._caller_by_name.get(name)
+
+    def caller_of(self, token: str) -> Caller | None:
+        """Return the caller that a bearer token belongs to."""
+        digest = hashlib.sha256(token.encode()).hexdigest()
+        return self._caller_by_digest.get(digest)
+
+
+class Bundle(msgspec.Struct, frozen=True):
+    """A whole configuration as operators wrote it.
+
+    Attributes:
+        base: TOML text.
+        overlays: TOML text by site.
+        draining: upstreams that `galenahatchctl drain` took out.
+    """
+
+    base: str
+    overlays: dict[str, str]
+    draining: tuple[str, ...] = ()
+
+
+def urgency(name: str) -> messages.Urgency | None:
+    """Return the class of a name."""
+    return CLASSES.get(name)
--- a/runtests.py
+++ b/runtests.py
@@ -46,6 +46,9 @@
 BELOW_PROGRAMS: typing.Final = ('core', 'platform', 'upstream')
 PROGRAMS: typing.Final = ('entry', 'scheduler', 'controller', 'ctl', 'main')
 
+MODULE_LINES: typing.Final = 430
+FUNCTION_LINES: typing.Final = 45
+
 Check = typing.Callable[[], int]
 
 
@@ -102,6 +105,31 @@
     return bool(wrong)
 
 
+def _sizes() -> int:
+    """Check that modules and functions stay small."""
+    wrong = []
+    for path in sorted((ROOT / 'galenahatch').rglob('*.py')):
+        text = path.read_text()
+        lines = len(text.splitlines())
+        if lines > MODULE_LINES and 'test' not in path.parts:
+            wrong.append(f'{path.relative_to(ROOT)}: {lines} lines')
+        for node in ast.walk(ast.parse(text)):
+            if isinstance(node, ast.FunctionDef | ast.AsyncFunctionDef):
+                length = (node.end_lineno or 0) - node.lineno + 1
+                if length > FUNCTION_LINES:
+                    where = f'{path.relative_to(ROOT)}:{node.lineno}'
+                    wrong.append(f'{where}: {node.name} {length} lines')
+    print('sizes:', 'too large' if wrong else 'good', flush=True)
+    for line in wrong:
+        print(' ', line)
+    return bool(wrong)
+
+
+def _docs() -> int:
+    """Check that the reference pages are what the code gives."""
+    return _command('galenahatch.test.reference', 'check')
+
+
 def _known_red() -> list[str]:
     if not KNOWN_RED.exists():
         return []
@@ -135,6 +163,8 @@
     'lint': _lint,
     'types': _types,
     'layers': _layers,
+    'sizes': _sizes,
+    'docs': _docs,
     'tests': _tests,
 }
 LONG: typing.Final[dict[str, Check]] = {'fuzz': _fuzz, 'faults': _faults}
