--- a/galenahatch/test/standin/engine.py
+++ b/galenahatch/test/standin/engine.py
@@ -14,7 +14,8 @@
 
 Faults are set by `POST /fault` with a JSON object. That many times:
 `refuse`, `refuse_decode`, `error`, `refuse_after_start`, `cut_prefill`,
-`no_end`, `huge` (a line of 200,000 bytes), `lose_cancels`. Until cleared:
+`no_end`, `huge` (a line of 200,000 bytes), `lose_cancels`; after a
+`refuse_after_start`, `refuse_next` refusals follow. Until cleared:
 `stall_prefill`, `stall_transfer` (seconds), `cut_at` (offset of a token,
 once), `stall_at`, `duplicate`, `foreign`, `leaving`, `slow` (factor),
 `lag`. `GET /held` and `GET /runs` are for oracles.
@@ -68,6 +69,7 @@
         if self._fails('error'):
             return refusal(500, True, 'error')
         if self._fails('refuse_after_start'):
+            self.faults['refuse'] = self.faults.get('refuse_next', 0)
             return refusal(503, True, 'failed after the start')
         if self._fails('cut_prefill'):
             return peer.cut(request)
--- a/runtests.py
+++ b/runtests.py
@@ -158,6 +158,10 @@
     return _command('galenahatch.test.faults')
 
 
+def _mutations() -> int:
+    return _command('galenahatch.test.mutations')
+
+
 CI: typing.Final[dict[str, Check]] = {
     'format': _format,
     'lint': _lint,
@@ -167,7 +171,11 @@
     'docs': _docs,
     'tests': _tests,
 }
-LONG: typing.Final[dict[str, Check]] = {'fuzz': _fuzz, 'faults': _faults}
+LONG: typing.Final[dict[str, Check]] = {
+    'fuzz': _fuzz,
+    'faults': _faults,
+    'mutations': _mutations,
+}
 
 
 def main(names: list[str]) -> int:
