Tickets for callers that were given up

Change: a refusal bears a ticket; promised work counts as ahead of new requests by the share that is redeemed lately; who comes back in time is served before the others of its class.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -58,6 +58,7 @@
     whole: bool = False
     refused: str = ''
     retry_after: float = 0.0
+    ticket: str = ''
     lost: bool = False
 
     def good(self, pace_target: float) -> bool:
@@ -237,6 +238,7 @@
             if hasattr(pair, 'reason'):
                 self._record.refused = pair.reason
                 self._record.retry_after = pair.retry_after
+                self._record.ticket = pair.ticket
                 return
             if await self._attempt(f'{self._arrival.number}.{attempt}', pair):
                 return
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -52,6 +52,7 @@
 
     reason: str
     retry_after: float
+    ticket: str
 
 
 class Policy(typing.Protocol):
@@ -295,6 +296,7 @@
             blocks=arrival.blocks if uses.cache else (),
             avoid=(),
             data_centre=self._fleet.centre_of_entry(arrival.entry),
+            ticket=arrival.ticket,
         )
 
     def _answer(self, decision: cell_module.Decision) -> None:
@@ -306,7 +308,8 @@
             pair = Pair(int(answer.prefill[1:]), int(answer.decode[1:]))
             future.set_result(pair)
         else:
-            future.set_result(Refused(answer.reason, answer.retry_after))
+            refused = Refused(answer.reason, answer.retry_after, answer.ticket)
+            future.set_result(refused)
 
     async def _decide(self) -> None:
         while True:
--- a/bench/scenario.py
+++ b/bench/scenario.py
@@ -191,7 +191,10 @@
         loop = asyncio.get_running_loop()
         at = self._now() + record.retry_after
         again = dataclasses.replace(
-            arrival, number=arrival.number + 10**6, at=at
+            arrival,
+            number=arrival.number + 10**6,
+            at=at,
+            ticket=record.ticket,
         )
         loop.call_at(at, self._send, again, self.returned)
 
--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -110,6 +110,7 @@
     Attributes:
         at: seconds.
         entry: which of the six entries it meets.
+        ticket: of an earlier refusal.
     """
 
     number: int
@@ -120,6 +121,7 @@
     blocks: tuple[int, ...]
     caller: str
     entry: int
+    ticket: str = ''
 
 
 def capacity(workload: Workload, params: model.Params) -> float:
--- a/galenahatch/answers.py
+++ b/galenahatch/answers.py
@@ -193,7 +193,10 @@
     retry_after = failure.retry_after
     if retry_after is None and failure.reason.status in (409, 429, 503):
         retry_after = 1.0
-    return response_of(answer, request, retry_after)
+    response = response_of(answer, request, retry_after)
+    if failure.ticket:
+        response.headers[inbound.TICKET] = failure.ticket
+    return response
 
 
 class Stored(msgspec.Struct, frozen=True):
--- a/galenahatch/core/cell.py
+++ b/galenahatch/core/cell.py
@@ -33,6 +33,7 @@
 from galenahatch.core import health
 from galenahatch.core import pairing
 from galenahatch.core import pools
+from galenahatch.core import promises
 from galenahatch.core import waits
 from galenahatch import errors
 from galenahatch import ids
@@ -46,6 +47,9 @@
 CACHE_AGE: typing.Final = 60.0
 LONGEST_QUEUE: typing.Final = 5000
 _EXPLAINED_LOSERS: typing.Final = 3
+_PROMISED: typing.Final = ids.CallerName('')
+_PROMISED_SHARE: typing.Final = 100.0
+LEAST_RETRY_AFTER: typing.Final = 0.1
 _LAPSE_EVERY: typing.Final = 1.0
 _RECHECK: typing.Final = 0.05
 _SOONEST_LOOK: typing.Final = 0.001
@@ -60,6 +64,7 @@
     cost: float
     start_by: float
     arrived_at: float
+    promised: bool
 
     @property
     def stream(self) -> ids.StreamId:
@@ -68,8 +73,8 @@
 
     @property
     def caller(self) -> ids.CallerName:
-        """Whose it is."""
-        return self.request.caller
+        """Flow in the queue: the caller's, or that of kept promises."""
+        return _PROMISED if self.promised else self.request.caller
 
     @property
     def urgency(self) -> messages.Urgency:
@@ -117,6 +122,7 @@
         self._pools = pools.Pools()
         self._waits = waits.Waits(self._pools)
         self._headroom = headroom.Headroom()
+        self._promises = promises.Promises()
         self._index = cache.PrefixIndex(CACHE_AGE)
         self._allowed: dict[ids.SiteName, frozenset[ids.EngineName]] = {}
         self._queue: fairness.FairQueue[Job] = fairness.FairQueue()
@@ -334,7 +340,10 @@
         cost = self._waits.cost(tokens)
         after = self._waits.after_prefill(tokens)
         start_by = now + request.patience - cost - after
-        return Job(request, share, cost, start_by, now)
+        promised = self._promises.redeem(request.ticket, now)
+        if promised:
+            share = _PROMISED_SHARE
+        return Job(request, share, cost, start_by, now, promised)
 
     def _refusal(self, job: Job, now: float) -> errors.Reason | None:
         if len(self._queue) >= LONGEST_QUEUE:
@@ -348,11 +357,23 @@
         return None
 
     def _expected_wait(self, job: Job, now: float) -> float:
-        """Return the predicted seconds until a request's prefill starts."""
+        """Return the predicted seconds until a request's prefill starts.
+
+        Promised work counts if it is due before the request would start
+        without it.
+        """
+        if job.promised:
+            return self._wait_behind(job, 0.0, now)
+        ahead = self._queue.ahead(job)
+        wait = self._wait_behind(job, ahead, now)
+        owed = self._promises.owed(now + wait, job.urgency, now)
+        return self._wait_behind(job, ahead + owed, now) if owed else wait
+
+    def _wait_behind(self, job: Job, ahead: float, now: float) -> float:
         return self._waits.expected(
             job.cost,
-            self._queue.ahead(job),
-            len(self._queue),
+            ahead,
+            len(self._queue) + len(self._promises),
             self._service.waste_weight,
             now,
         )
@@ -416,12 +437,22 @@
         self, job: Job, reason: errors.Reason, now: float
     ) -> Decision:
         wait = self._expected_wait(job, now)
-        retry_after = self._waits.promise(wait, now)
+        ticket = f'{self._random.getrandbits(64):016x}'
+        room_in = self._promises.give(
+            ticket,
+            wait,
+            self._waits.release_rate(),
+            job.cost,
+            job.urgency,
+            now,
+        )
+        retry_after = max(LEAST_RETRY_AFTER, room_in)
         answer = messages.GivenUp(
             stream=job.stream,
             reason=reason.name,
             retry_after=retry_after,
             why=f'wait={wait:.3f} queue={len(self._queue)}',
+            ticket=ticket,
         )
         return Decision(job.request, answer)
 
--- a/galenahatch/core/headroom.py
+++ b/galenahatch/core/headroom.py
@@ -18,8 +18,8 @@
 time that an urgent request can wait, as much free time as urgent requests
 have lately needed, and as many free places as urgent requests have lately
 come in that time. One less urgent request a second is let through all the
-same, so that none starves. The margin below one is from the comparison of policies:
-at 1.0 nothing is gained for urgent requests, and bulk ones lose.
+same, so that none starves. The margin below one is from the comparison of
+policies: at 1.0 nothing is gained for urgent requests, and bulk ones lose.
 """
 
 import collections.abc
--- a/galenahatch/core/waits.py
+++ b/galenahatch/core/waits.py
@@ -10,15 +10,13 @@
 # License for the specific language governing permissions and limitations
 # under the License.
 
-"""Predicted waits of a cell, and when refused callers may come back."""
+"""Predicted waits of a cell."""
 
 import typing
 
 from galenahatch.core import engines
 from galenahatch.core import pools
 
-LEAST_RETRY_AFTER: typing.Final = 0.1
-LONGEST_RETRY_AFTER: typing.Final = 60.0
 _FIRST_LENGTH_SHARE: typing.Final = 0.5
 _LEAST_RATE: typing.Final = 0.1
 _LEAST_COST: typing.Final = 1e-4
@@ -35,7 +33,6 @@
         self._pools = engines_of
         self._length_share = _FIRST_LENGTH_SHARE
         self._hold_seconds = 0.0
-        self._promised_until = 0.0
 
     def learn(self, tokens: int, allowed: int, held: float) -> None:
         """Note an attempt that ended well.
@@ -117,10 +114,3 @@
             soonest = min(soonest, decode.free_at(now))
         lead = cost * (1 - waste_weight)
         return max(0.0, soonest - now - lead) + behind / rate
-
-    def promise(self, wait: float, now: float) -> float:
-        """Return a Retry-After, spaced so that not all return at once."""
-        earliest = max(now + wait, self._promised_until)
-        self._promised_until = earliest + 1 / self.release_rate()
-        wait = earliest - now
-        return min(LONGEST_RETRY_AFTER, max(LEAST_RETRY_AFTER, wait))
--- a/galenahatch/course.py
+++ b/galenahatch/course.py
@@ -252,6 +252,7 @@
             avoid=tuple(self._avoid),
             data_centre=self._means.data_centre,
             revision=self._means.revision(),
+            ticket=asked.headers.ticket,
         )
 
     def _attempt_on(self, placed: messages.Placed) -> _Attempt | None:
--- a/galenahatch/errors.py
+++ b/galenahatch/errors.py
@@ -59,11 +59,13 @@
         reason: entry of the registry.
         detail: what was seen, for people.
         retry_after: seconds after which a new try is useful, if known.
+        ticket: to bring back then, or empty.
     """
 
     reason: Reason
     detail: str = ''
     retry_after: float | None = None
+    ticket: str = ''
 
     @property
     def outcome(self) -> Outcome:
--- a/galenahatch/inbound.py
+++ b/galenahatch/inbound.py
@@ -32,6 +32,7 @@
 DEADLINE: typing.Final = 'Galenahatch-Deadline-Ms'
 PRIORITY: typing.Final = 'Galenahatch-Priority'
 OUTCOME: typing.Final = 'Galenahatch-Outcome'
+TICKET: typing.Final = 'Galenahatch-Ticket'
 REQUEST_ID: typing.Final = 'Galenahatch-Request-Id'
 _LONGEST_KEY: typing.Final = 200
 _LONGEST_DEADLINE_MS: typing.Final = 24 * 3600 * 1000
@@ -72,6 +73,7 @@
         non_idempotent: whether the request may run only once.
         deadline_ms: for the whole answer; None when not said.
         urgency: class asked for; None when not said.
+        ticket: of an earlier refusal, or empty.
     """
 
     request: ids.RequestId
@@ -79,6 +81,7 @@
     non_idempotent: bool
     deadline_ms: int | None
     urgency: messages.Urgency | None
+    ticket: str = ''
 
 
 class ModelRequest(msgspec.Struct, frozen=True):
@@ -129,7 +132,10 @@
         if urgency is None:
             return _bad_header(PRIORITY, 'urgent, normal or bulk')
     request = ids.RequestId(f'r{clock.token()[:20]}')
-    return Headers(request, key, flag == 'true', deadline, urgency)
+    ticket = headers.get(TICKET, '')
+    if len(ticket) > _LONGEST_KEY:
+        return _bad_header(TICKET, 'the ticket of a refusal')
+    return Headers(request, key, flag == 'true', deadline, urgency, ticket)
 
 
 def _deadline(text: str | None) -> int | None | errors.Failure:
--- a/galenahatch/messages.py
+++ b/galenahatch/messages.py
@@ -101,6 +101,7 @@
         avoid: engines that failed this request before.
         data_centre: of the entry.
         revision: configuration that the entry works with.
+        ticket: from an earlier GivenUp, or empty.
     """
 
     request: ids.RequestId
@@ -117,6 +118,7 @@
     avoid: tuple[ids.EngineName, ...]
     data_centre: ids.DataCentre
     revision: ids.Revision = ids.Revision(0)
+    ticket: str = ''
 
 
 class Placed(Message, frozen=True, array_like=True, tag=True):
@@ -129,12 +131,19 @@
 
 
 class GivenUp(Message, frozen=True, array_like=True, tag=True):
-    """The cell does not place an attempt; `reason` is in the registry."""
+    """The cell does not place an attempt.
+
+    Attributes:
+        reason: name in the registry of errors.
+        retry_after: seconds after which there will be room.
+        ticket: to bring back then, or empty.
+    """
 
     stream: ids.StreamId
     reason: str
     retry_after: float
     why: str
+    ticket: str = ''
 
 
 class Stage(enum.Enum):
--- a/galenahatch/placing.py
+++ b/galenahatch/placing.py
@@ -129,7 +129,9 @@
             return answer
         self._owners.pop(answer.stream, None)
         reason = errors.REASONS.get(answer.reason, errors.NO_ENGINE)
-        return errors.Failure(reason, answer.why, answer.retry_after)
+        return errors.Failure(
+            reason, answer.why, answer.retry_after, answer.ticket
+        )
 
     def answered(self, answer: messages.Placed | messages.GivenUp) -> None:
         """Take an owner's answer."""
--- a/galenahatch/test/test_cell.py
+++ b/galenahatch/test/test_cell.py
@@ -14,10 +14,12 @@
 
 import random
 
+import msgspec
+
+from galenahatch.core import cell as cell_module
 from galenahatch import ids
 from galenahatch import messages
 from galenahatch import schema
-from galenahatch.core import cell as cell_module
 
 _SITE = ids.SiteName('s')
 
@@ -108,3 +110,47 @@
     placed_after = _run_flood(patience=0.58)
     assert placed_after is not None
     assert placed_after < 20.0
+
+
+def _refused(cell: cell_module.Cell, now: float) -> messages.GivenUp:
+    """Fill a cell until it gives a request up; return what it said."""
+    number = 1000
+    while True:
+        number += 1
+        request = _request(number, messages.Urgency.NORMAL, 2.0)
+        decision = cell.submit(request, 1.0, now)
+        if decision is not None:
+            assert isinstance(decision.answer, messages.GivenUp)
+            return decision.answer
+
+
+def test_a_caller_that_comes_back_is_served_first() -> None:
+    """A ticket is good once, at its time, and goes before the queue."""
+    cell = _cell(_engine('p1', 'prefill'), _engine('d1', 'decode', 50))
+    now = 100.0
+    refusal = _refused(cell, now)
+    assert refusal.ticket
+    now += refusal.retry_after
+    again = msgspec.structs.replace(
+        _request(1, messages.Urgency.NORMAL, 2.0), ticket=refusal.ticket
+    )
+    assert cell.submit(again, 1.0, now) is None
+    placed = [
+        decision.answer.stream
+        for decision in cell.decide(now)
+        if isinstance(decision.answer, messages.Placed)
+    ]
+    assert placed[0] == again.stream
+
+
+def test_a_ticket_before_its_time_is_worth_nothing() -> None:
+    """Coming back at once does not jump the queue."""
+    cell = _cell(_engine('p1', 'prefill'), _engine('d1', 'decode', 50))
+    refusal = _refused(cell, 100.0)
+    assert refusal.retry_after > 1.0
+    again = msgspec.structs.replace(
+        _request(1, messages.Urgency.NORMAL, 2.0), ticket=refusal.ticket
+    )
+    decision = cell.submit(again, 1.0, 100.0)
+    assert decision is not None
+    assert isinstance(decision.answer, messages.GivenUp)
