--- a/galenahatch/ctl.py
+++ b/galenahatch/ctl.py
@@ -27,39 +27,37 @@
 import sys
 import typing
 
-import aiohttp
 import cyclopts
 import msgspec
 
 from galenahatch import changes as changes_module
 from galenahatch import config
+from galenahatch import console
 from galenahatch.core import revision
 from galenahatch import errors
 from galenahatch import messages
 from galenahatch import options as options_module
-from galenahatch.platform import http
-from galenahatch.platform import objects
-from galenahatch.platform import table
-from galenahatch.platform import vms
 from galenahatch import queries
 from galenahatch import schema
 
-DONE: typing.Final = 0
-REFUSED: typing.Final = 1
-BAD_USE: typing.Final = 2
-CONFLICT: typing.Final = 3
-UNKNOWN: typing.Final = 4
-UNAVAILABLE: typing.Final = 5
-_CODES: typing.Final = {
-    errors.BAD_CONFIGURATION: BAD_USE,
-    errors.BAD_SETTING: BAD_USE,
-    errors.CHANGE_CONFLICT: CONFLICT,
-    errors.CHANGE_UNKNOWN: UNKNOWN,
-    errors.NOT_IN_FORCE: UNKNOWN,
-    errors.STORE_UNAVAILABLE: UNAVAILABLE,
-    errors.NO_SCHEDULER: UNAVAILABLE,
-}
 _POLL: typing.Final = 0.25
+_DAEMONS: typing.Final = (
+    'daemon',
+    'standing',
+    'ready',
+    'revision',
+    'load',
+    'why',
+)
+_ENGINES: typing.Final = (
+    'engine',
+    'service',
+    'standing',
+    'reserved',
+    'places',
+    'ms_per_token',
+)
+Replies = collections.abc.Mapping[str, messages.AnyMessage]
 
 app = cyclopts.App(
     name='galenahatchctl',
@@ -77,77 +75,6 @@
 Settings = typing.Annotated[
     options_module.Options | None, cyclopts.Parameter(name='*')
 ]
-Row = collections.abc.Sequence[object]
-
-
-class Context:
-    """Clients of the platform for one command."""
-
-    def __init__(
-        self, options: options_module.Options, client: aiohttp.ClientSession
-    ) -> None:
-        self.options = options
-        self.changes = changes_module.Changes(
-            table.Table(client, options.table_url),
-            objects.Objects(client, options.objects_url),
-        )
-        self.vms = vms.Vms(client, options.vms_url)
-
-    async def schedulers(self) -> list[str]:
-        """Return the IP numbers of VMs that may run a scheduler."""
-        listed = await self.vms.read()
-        addresses = set(self.options.peers)
-        if not isinstance(listed, errors.Failure):
-            addresses.update(
-                vm.address for vm in listed.vms if vm.group == vms.SYSTEM
-            )
-        return sorted(addresses)
-
-
-Work = collections.abc.Callable[
-    [Context], collections.abc.Coroutine[None, None, int]
-]
-
-
-def _run(settings: options_module.Options | None, work: Work) -> int:
-    """Run a command with clients of the platform."""
-    options = settings or options_module.Options()
-    for failure in options_module.problems(options):
-        return report(failure)
-
-    async def within() -> int:
-        async with http.session(options.platform_token) as client:
-            return await work(Context(options, client))
-
-    return asyncio.run(within())
-
-
-def report(failure: errors.Failure) -> int:
-    """Print a failure and return its exit code."""
-    print(
-        f'galenahatchctl: {failure.reason.name}: {failure.reason.message} '
-        f'{failure.detail}'.rstrip(),
-        file=sys.stderr,
-    )
-    print(f'  {failure.reason.advice}', file=sys.stderr)
-    return _CODES.get(failure.reason, REFUSED)
-
-
-def _print_rows(
-    names: collections.abc.Sequence[str],
-    rows: collections.abc.Sequence[Row],
-    as_json: bool,
-) -> None:
-    if as_json:
-        items = [dict(zip(names, row, strict=True)) for row in rows]
-        print(msgspec.json.encode(items).decode())
-        return
-    texts = [[str(cell) for cell in row] for row in rows]
-    columns = [list(names), *texts]
-    widths = [max(len(row[i]) for row in columns) for i in range(len(names))]
-    for row in columns:
-        cells = (cell.ljust(w) for cell, w in zip(row, widths, strict=True))
-        print('  '.join(cells).rstrip())
 
 
 def read_bundle(
@@ -175,7 +102,7 @@
     if not as_json:
         sys.stdout = sys.stderr
     try:
-        _print_rows(('file', 'key', 'expected'), rows, as_json)
+        console.print_rows(('file', 'key', 'expected'), rows, as_json)
     finally:
         sys.stdout = with_stream
     return errors.Failure(
@@ -188,12 +115,12 @@
     """Check a configuration for every site; works offline."""
     bundle = read_bundle(directory)
     if isinstance(bundle, errors.Failure):
-        return report(bundle)
+        return console.report(bundle)
     failure = _check(bundle, json)
     if failure is not None:
-        return report(failure)
+        return console.report(failure)
     print(f'{len(bundle.overlays)} sites are good.')
-    return DONE
+    return console.DONE
 
 
 @app.command
@@ -213,33 +140,33 @@
 ) -> int:
     """Make a configuration the next revision, by compare-and-set."""
 
-    async def work(context: Context) -> int:
+    async def work(context: console.Context) -> int:
         head = await context.changes.head()
         if isinstance(head, errors.Failure):
-            return report(head)
+            return console.report(head)
         current = head.revision if head else 0
         if read is not None and read != current:
             by = f'revision {current} is by {head.author}' if head else 'none'
-            return report(errors.Failure(errors.CHANGE_CONFLICT, by))
+            return console.report(errors.Failure(errors.CHANGE_CONFLICT, by))
         draining: tuple[str, ...] = ()
         if head is not None:
             before = await context.changes.bundle(head)
             if isinstance(before, errors.Failure):
-                return report(before)
+                return console.report(before)
             draining = before.draining
         bundle = read_bundle(directory, draining)
         if isinstance(bundle, errors.Failure):
-            return report(bundle)
+            return console.report(bundle)
         failure = _check(bundle, False)
         if failure is not None:
-            return report(failure)
+            return console.report(failure)
         return await _accept(context, bundle, head, note, wait)
 
-    return _run(settings, work)
+    return console.run(settings, work)
 
 
 async def _accept(
-    context: Context,
+    context: console.Context,
     bundle: schema.Bundle,
     head: revision.Head | None,
     note: str,
@@ -247,14 +174,14 @@
 ) -> int:
     accepted = await context.changes.apply(bundle, head, _author(), note)
     if isinstance(accepted, errors.Failure):
-        return report(accepted)
+        return console.report(accepted)
     print(f'Revision {accepted.revision} is accepted.')
     if not wait:
-        return DONE
+        return console.DONE
     return await _wait(context, accepted.revision, wait)
 
 
-async def _wait(context: Context, number: int, seconds: float) -> int:
+async def _wait(context: console.Context, number: int, seconds: float) -> int:
     """Wait until every live daemon has a revision in force."""
     loop = asyncio.get_running_loop()
     until = loop.time() + seconds
@@ -268,10 +195,10 @@
         behind = [m.member for m in members if m.revision < number]
         if members and not behind:
             print(f'In force on {len(members)} daemons.')
-            return DONE
+            return console.DONE
         if loop.time() > until:
             detail = ', '.join(behind) or 'no daemon answers'
-            return report(errors.Failure(errors.NOT_IN_FORCE, detail))
+            return console.report(errors.Failure(errors.NOT_IN_FORCE, detail))
         await asyncio.sleep(_POLL)
 
 
@@ -288,24 +215,26 @@
 ) -> int:
     """Show the newest configuration, merged for one site or as written."""
 
-    async def work(context: Context) -> int:
+    async def work(context: console.Context) -> int:
         bundle = await _newest(context)
         if isinstance(bundle, errors.Failure):
-            return report(bundle)
+            return console.report(bundle)
         if not site:
             print(_written(bundle))
-            return DONE
+            return console.DONE
         merged = config.check(bundle).sites.get(site)
         if merged is None:
-            return report(errors.Failure(errors.NOT_FOUND, f'site {site}'))
+            return console.report(
+                errors.Failure(errors.NOT_FOUND, f'site {site}')
+            )
         data = msgspec.json.encode(merged)
         print((data if json else msgspec.json.format(data)).decode())
-        return DONE
+        return console.DONE
 
-    return _run(settings, work)
+    return console.run(settings, work)
 
 
-async def _newest(context: Context) -> schema.Bundle | errors.Failure:
+async def _newest(context: console.Context) -> schema.Bundle | errors.Failure:
     head = await context.changes.head()
     if isinstance(head, errors.Failure):
         return head
@@ -326,112 +255,115 @@
 def history(*, json: Json = False, settings: Settings = None) -> int:
     """List the accepted changes, newest first."""
 
-    async def work(context: Context) -> int:
+    async def work(context: console.Context) -> int:
         heads = await context.changes.history()
         if isinstance(heads, errors.Failure):
-            return report(heads)
+            return console.report(heads)
         rows = [(h.revision, h.author, h.note, h.change) for h in heads]
-        _print_rows(('revision', 'author', 'note', 'change'), rows, json)
-        return DONE
+        console.print_rows(
+            ('revision', 'author', 'note', 'change'), rows, json
+        )
+        return console.DONE
 
-    return _run(settings, work)
+    return console.run(settings, work)
 
 
 @app.command
 def diff(old: int, new: int, *, settings: Settings = None) -> int:
     """Show what changed between two revisions."""
 
-    async def work(context: Context) -> int:
+    async def work(context: console.Context) -> int:
         heads = await context.changes.history()
         if isinstance(heads, errors.Failure):
-            return report(heads)
+            return console.report(heads)
         texts = []
         for number in (old, new):
             head = next((h for h in heads if h.revision == number), None)
             if head is None:
                 detail = f'revision {number}'
-                return report(errors.Failure(errors.NOT_FOUND, detail))
+                return console.report(errors.Failure(errors.NOT_FOUND, detail))
             bundle = await context.changes.bundle(head)
             if isinstance(bundle, errors.Failure):
-                return report(bundle)
+                return console.report(bundle)
             texts.append(_written(bundle).splitlines())
         lines = difflib.unified_diff(
             texts[0], texts[1], f'revision {old}', f'revision {new}'
         )
         print('\n'.join(line.rstrip('\n') for line in lines))
-        return DONE
+        return console.DONE
 
-    return _run(settings, work)
+    return console.run(settings, work)
 
 
 @app.command
 def status(*, json: Json = False, settings: Settings = None) -> int:
     """Show every daemon and every engine."""
 
-    async def work(context: Context) -> int:
+    async def work(context: console.Context) -> int:
         replies = await queries.ask(
             await context.schedulers(),
             context.options.scheduler_port,
             messages.StatusRequest(),
         )
         if not replies:
-            return report(errors.Failure(errors.NO_SCHEDULER))
-        daemons = [
-            (m.member, m.standing.value, m.ready, m.revision, m.load, m.why)
-            for m in queries.members(replies)
-        ]
-        names = ('daemon', 'standing', 'ready', 'revision', 'load', 'why')
-        engines = [
-            (
-                e.engine,
-                e.service,
-                e.standing,
-                e.reserved,
-                e.places,
-                round(e.seconds_per_token * 1000, 1),
-            )
-            for e in queries.engines(replies)
-        ]
-        engine_names = (
-            'engine',
-            'service',
-            'standing',
-            'reserved',
-            'places',
-            'ms_per_token',
-        )
+            return console.report(errors.Failure(errors.NO_SCHEDULER))
+        daemons = _daemon_rows(replies)
+        engines = _engine_rows(replies)
         if json:
             body = {
-                'daemons': [dict(zip(names, d, strict=True)) for d in daemons],
+                'daemons': [
+                    dict(zip(_DAEMONS, d, strict=True)) for d in daemons
+                ],
                 'engines': [
-                    dict(zip(engine_names, e, strict=True)) for e in engines
+                    dict(zip(_ENGINES, e, strict=True)) for e in engines
                 ],
             }
             print(msgspec.json.encode(body).decode())
-            return DONE
-        _print_rows(names, daemons, False)
+            return console.DONE
+        console.print_rows(_DAEMONS, daemons, False)
         print()
-        _print_rows(engine_names, engines, False)
-        return DONE
+        console.print_rows(_ENGINES, engines, False)
+        return console.DONE
 
-    return _run(settings, work)
+    return console.run(settings, work)
+
+
+def _daemon_rows(replies: Replies) -> list[console.Row]:
+    return [
+        (m.member, m.standing.value, m.ready, m.revision, m.load, m.why)
+        for m in queries.members(replies)
+    ]
+
+
+def _engine_rows(replies: Replies) -> list[console.Row]:
+    return [
+        (
+            e.engine,
+            e.service,
+            e.standing,
+            e.reserved,
+            e.places,
+            round(e.seconds_per_token * 1000, 1),
+        )
+        for e in queries.engines(replies)
+    ]
 
 
 async def _set_draining(
-    context: Context, upstream: str, drained: bool, wait: float
+    context: console.Context, upstream: str, drained: bool, wait: float
 ) -> int:
     head = await context.changes.head()
     if isinstance(head, errors.Failure):
-        return report(head)
+        return console.report(head)
     if head is None:
-        return report(errors.Failure(errors.NO_CONFIGURATION))
+        return console.report(errors.Failure(errors.NO_CONFIGURATION))
     before = await context.changes.bundle(head)
     if isinstance(before, errors.Failure):
-        return report(before)
+        return console.report(before)
     bundle = changes_module.with_draining(before, upstream, drained)
     failure = _check(bundle, False)
     if failure is not None:
-        return report(failure)
+        return console.report(failure)
     verb = 'drain' if drained else 'undrain'
     return await _accept(context, bundle, head, f'{verb} {upstream}', wait)
 
@@ -441,7 +373,9 @@
     upstream: str, *, wait: float = 0.0, settings: Settings = None
 ) -> int:
     """Give an upstream no new work: an engine's name, or a URL."""
-    return _run(settings, lambda c: _set_draining(c, upstream, True, wait))
+    return console.run(
+        settings, lambda c: _set_draining(c, upstream, True, wait)
+    )
 
 
 @app.command
@@ -449,7 +383,9 @@
     upstream: str, *, wait: float = 0.0, settings: Settings = None
 ) -> int:
     """Give a drained upstream work again."""
-    return _run(settings, lambda c: _set_draining(c, upstream, False, wait))
+    return console.run(
+        settings, lambda c: _set_draining(c, upstream, False, wait)
+    )
 
 
 @app.command
@@ -458,14 +394,14 @@
 ) -> int:
     """Show the decisions taken for one request."""
 
-    async def work(context: Context) -> int:
+    async def work(context: console.Context) -> int:
         replies = await queries.ask(
             await context.schedulers(),
             context.options.scheduler_port,
             messages.ExplainRequest(queries.request_id(request_id)),
         )
         if not replies:
-            return report(errors.Failure(errors.NO_SCHEDULER))
+            return console.report(errors.Failure(errors.NO_SCHEDULER))
         rows = [
             (scheduler, line)
             for scheduler, reply in replies.items()
@@ -474,8 +410,8 @@
         ]
         if not rows:
             detail = f'request {request_id}'
-            return report(errors.Failure(errors.NOT_FOUND, detail))
-        _print_rows(('scheduler', 'decision'), rows, json)
-        return DONE
+            return console.report(errors.Failure(errors.NOT_FOUND, detail))
+        console.print_rows(('scheduler', 'decision'), rows, json)
+        return console.DONE
 
-    return _run(settings, work)
+    return console.run(settings, work)
--- a/galenahatch/main.py
+++ b/galenahatch/main.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from galenahatch import application
+from galenahatch import console
 from galenahatch import controller as controller_module
 from galenahatch import ctl as ctl_module
 from galenahatch import entry as entry_module
@@ -51,7 +52,7 @@
             print(msgspec.json.format(data).decode())
             return 0
         if not application.check_options(options):
-            return ctl_module.BAD_USE
+            return console.BAD_USE
         return application.run(make(options), name)
 
     return _exit_code(app)
