--- a/galenahatch/core/reservations.py
+++ b/galenahatch/core/reservations.py
@@ -27,7 +27,7 @@
 from galenahatch import messages
 from galenahatch import states
 
-CONFIRM_WITHIN: typing.Final = 10.0
+CONFIRM_WITHIN: typing.Final = 30.0
 """Seconds after which a reservation without a sign lapses."""
 _LAPSE_EVERY: typing.Final = 1.0
 
--- a/galenahatch/placing.py
+++ b/galenahatch/placing.py
@@ -36,6 +36,8 @@
 from galenahatch import states
 
 _AGAIN: typing.Final = 1.0
+REPORT_EVERY: typing.Final = 8.0
+"""Seconds between complete reports of attempts."""
 _NO_SCHEDULER_WAIT: typing.Final = 0.1
 _RETRY_AFTER: typing.Final = 2.0
 _log = logs.Log('placing')
@@ -67,6 +69,8 @@
         self._held: dict[ids.StreamId, messages.Held] = {}
         self._owners: dict[ids.StreamId, ids.MemberId] = {}
         self._watchers: dict[ids.StreamId, ids.MemberId | None] = {}
+        # When each scheduler had its last report, and who it was then.
+        self._reported: dict[ids.MemberId, tuple[int | None, float]] = {}
 
     @property
     def held(self) -> int:
@@ -188,22 +192,41 @@
             self._peers.send(watcher, unwatch)
 
     def report(self) -> None:
-        """Tell owners and watchers of all attempts in flight.
+        """Tell owners and watchers of all attempts in flight, if due.
 
-        Called with each heartbeat. An attempt whose owner is gone moves to
-        the new owner, which rebuilds its reservation from the report.
+        Called with each heartbeat. Single messages tell of each change, so
+        a complete report only repairs what was lost: it is sent now and
+        then, and at once to a scheduler that is new, restarted, or takes
+        attempts over from one that is gone.
         """
+        now = clock.now()
         live = set(self._peers.schedulers())
+        changed = self._reassign(live)
+        for member in live:
+            incarnation = self._peers.membership.incarnation_of(member)
+            known, at = self._reported.get(member, (None, -REPORT_EVERY))
+            due = now - at >= REPORT_EVERY or known != incarnation
+            if due or member in changed:
+                self._reported[member] = (incarnation, now)
+                self._send_report(member)
+        for member in self._reported.keys() - live:
+            del self._reported[member]
+
+    def _reassign(self, live: set[ids.MemberId]) -> set[ids.MemberId]:
+        """Move attempts of schedulers that are gone; return the new ones."""
+        changed = set()
         for stream, held in self._held.items():
             if self._owners.get(stream) not in live:
                 owner = self._owner_of_cell(held.cell)
                 if owner is not None:
                     self._owners[stream] = owner
+                    changed.add(owner)
             if self._watchers.get(stream) not in live:
-                owner = self._owners.get(stream)
-                self._watchers[stream] = self._watcher(owner)
-        for member in live:
-            self._send_report(member)
+                watcher = self._watcher(self._owners.get(stream))
+                self._watchers[stream] = watcher
+                if watcher is not None:
+                    changed.add(watcher)
+        return changed
 
     def _send_report(self, member: ids.MemberId) -> None:
         held = self._held.values()
