--- a/galenahatch/bus.py
+++ b/galenahatch/bus.py
@@ -28,6 +28,7 @@
 
 import zmq
 
+from galenahatch import clock
 from galenahatch import errors
 from galenahatch import logs
 from galenahatch import messages
@@ -91,17 +92,26 @@
             self._loop.call_soon(self._drain)
 
     def _drain(self) -> None:
-        """Take frames until there are none, some at a time."""
+        """Take frames and note the time that it took."""
         self._scheduled = False
-        for _ in range(_AT_ONCE):
+        began = clock.now()
+        taken = self._drain_some()
+        if taken:
+            metrics.control_seconds.add(clock.now() - began)
+        if taken == _AT_ONCE:
+            self._schedule()
+
+    def _drain_some(self) -> int:
+        """Take frames until there are none, some at most; return how many."""
+        for taken in range(_AT_ONCE):
             if self._closed:
-                return
+                return taken
             try:
                 parts = self._socket.recv_multipart(zmq.NOBLOCK)
             except zmq.ZMQError:
-                return
+                return taken
             self._take(parts)
-        self._schedule()
+        return _AT_ONCE
 
 
 class _Inbox:
--- a/galenahatch/core/cell.py
+++ b/galenahatch/core/cell.py
@@ -375,6 +375,7 @@
             prefill=pair.prefill.name,
             decode=pair.decode.name,
             why=choice.explain(now - job.arrived_at),
+            transfer=pair.arrives_at - pair.sent_at,
         )
         return jobs.Decision(request, answer)
 
--- a/galenahatch/messages.py
+++ b/galenahatch/messages.py
@@ -99,12 +99,18 @@
 
 
 class Placed(Message, frozen=True, array_like=True, tag=True):
-    """The pair of engines for an attempt, and why it was chosen."""
+    """The pair of engines for an attempt.
+
+    Attributes:
+        why: scores of the pair and of those that lost.
+        transfer: seconds of the links reserved.
+    """
 
     stream: ids.StreamId
     prefill: ids.EngineName
     decode: ids.EngineName
     why: str
+    transfer: float = 0.0
 
 
 class GivenUp(Message, frozen=True, array_like=True, tag=True):
--- a/galenahatch/metrics.py
+++ b/galenahatch/metrics.py
@@ -53,6 +53,11 @@
 places_reserved = _meter.create_up_down_counter(
     'galenahatch.places.reserved', description='Decode places reserved.'
 )
+link_reserved = _meter.create_counter(
+    'galenahatch.link.reserved',
+    unit='s',
+    description='Time of links reserved for transfers.',
+)
 waiting = _meter.create_up_down_counter(
     'galenahatch.waiting', description='Requests waiting for a place.'
 )
@@ -80,6 +85,11 @@
     unit='By',
     description='Bytes of messages between daemons, sent.',
 )
+control_seconds = _meter.create_counter(
+    'galenahatch.control.seconds',
+    unit='s',
+    description='Time spent on messages between daemons, received.',
+)
 frames_dropped = _meter.create_counter(
     'galenahatch.frames_dropped', description='Frames dropped, by reason.'
 )
--- a/galenahatch/placement.py
+++ b/galenahatch/placement.py
@@ -376,6 +376,7 @@
         if isinstance(answer, messages.Placed):
             line = f'placed {answer.prefill}+{answer.decode} {answer.why}'
             metrics.places_reserved.add(1)
+            metrics.link_reserved.add(answer.transfer)
             self._placed(request.entry, self._held(request, answer))
             _log.info(
                 'Request placed.',
--- a/galenahatch/serving.py
+++ b/galenahatch/serving.py
@@ -19,6 +19,7 @@
 """
 
 import asyncio
+import dataclasses
 import typing
 
 from aiohttp import web
@@ -42,6 +43,17 @@
 _log = logs.Log('serving')
 
 
+@dataclasses.dataclass(frozen=True)
+class Arrived:
+    """A request with its body, whose caller and headers are checked."""
+
+    request: web.Request
+    body: bytes
+    settings: schema.Config
+    caller: schema.Caller
+    headers: inbound.Headers
+
+
 class Serving:
     """Handlers of one entry.
 
@@ -113,8 +125,7 @@
         self,
         request: web.Request,
         handler: typing.Callable[
-            [web.Request, schema.Config, schema.Caller, inbound.Headers, bool],
-            typing.Awaitable[web.StreamResponse],
+            [Arrived, bool], typing.Awaitable[web.StreamResponse]
         ],
         chat: bool,
     ) -> web.StreamResponse:
@@ -131,7 +142,11 @@
             return answers.refusal_of(headers, none)
         self.in_flight += 1
         try:
-            return await handler(request, settings, caller, headers, chat)
+            body = await _read_body(request)
+            if isinstance(body, errors.Failure):
+                return answers.refusal_of(body, headers.request)
+            arrived = Arrived(request, body, settings, caller, headers)
+            return await handler(arrived, chat)
         finally:
             self.in_flight -= 1
 
@@ -147,42 +162,29 @@
             return errors.Failure(errors.CLAIM_UNREAD, detail, 1.0)
         return errors.Failure(reason)
 
-    async def _call(
-        self,
-        request: web.Request,
-        settings: schema.Config,
-        caller: schema.Caller,
-        headers: inbound.Headers,
-        chat: bool,
-    ) -> web.StreamResponse:
+    async def _call(self, arrived: Arrived, chat: bool) -> web.StreamResponse:
         """Route a call to a plain service."""
-        body = await _read_body(request)
-        if isinstance(body, errors.Failure):
-            return answers.refusal_of(body, headers.request)
         return await self._plain.serve(
-            request, body, settings, caller, headers
+            arrived.request,
+            arrived.body,
+            arrived.settings,
+            arrived.caller,
+            arrived.headers,
         )
 
-    async def _model(
-        self,
-        request: web.Request,
-        settings: schema.Config,
-        caller: schema.Caller,
-        headers: inbound.Headers,
-        chat: bool,
-    ) -> web.StreamResponse:
-        body = await _read_body(request)
-        if isinstance(body, errors.Failure):
-            return answers.refusal_of(body, headers.request)
+    async def _model(self, arrived: Arrived, chat: bool) -> web.StreamResponse:
+        """Run a request for a model service."""
+        request = arrived.request
+        headers = arrived.headers
         asked = inbound.read_model_request(
-            body, headers, caller, settings, chat
+            arrived.body, headers, arrived.caller, arrived.settings, chat
         )
         if isinstance(asked, errors.Failure):
             return self._refuse(asked, headers.request)
         if not headers.non_idempotent:
             return await self._run(request, asked, None)
-        key = claim.key_of(caller.name, headers.key)
-        print_of_body = claim.fingerprint_of(request.path, body)
+        key = claim.key_of(arrived.caller.name, headers.key)
+        print_of_body = claim.fingerprint_of(request.path, arrived.body)
         claimed = await self._claiming.acquire(key, print_of_body)
         if isinstance(claimed, errors.Failure):
             return self._refuse(claimed, headers.request)
--- a/galenahatch/test/deployment.py
+++ b/galenahatch/test/deployment.py
@@ -164,7 +164,8 @@
         vms: number of VMs.
         engines: stand-in engines.
         controllers: whether VMs run controllers.
-        options: flags of every daemon, without the dashes.
+        options: flags of every daemon, without the dashes; an empty value
+            stands for a flag without one.
         service: keys of the model service.
     """
 
@@ -227,6 +228,8 @@
         code, text = self.ctl('apply', str(self.path / 'config'))
         assert code == 0, text
         self.wait_ready()
+        for name, process in self.daemons.items():
+            assert process.running(), f'{name} ended: {process.log_text()}'
 
     def wait_ready(self) -> None:
         """Wait until every running entry takes traffic."""
@@ -297,7 +300,7 @@
         }
         args = ['galenahatch.test.launch', program]
         for name, value in flags.items():
-            args += [f'--{name}', str(value)]
+            args += [f'--{name}', str(value)] if value != '' else [f'--{name}']
         name = f'{program}{index}'
         process = Process(name, args, self.path / f'{name}.log')
         process.start()
--- a/galenahatch/test/standin/stores.py
+++ b/galenahatch/test/standin/stores.py
@@ -184,7 +184,7 @@
         if self.faults.get('refuse'):
             return engine.refusal(503, False, 'refused')
         await asyncio.sleep(self.faults.get('slow', 0))
-        self.runs[f'{request.method} {request.path} {body.decode()}'] += 1
+        self.runs[f'{request.method} {request.path} {_text(body)}'] += 1
         if self.faults.get('cut'):
             return peer.cut(request)
         total = sum(self.runs.values())
@@ -201,6 +201,10 @@
         return peer.answer(dict(self.runs))
 
 
+def _text(body: bytes) -> str:
+    return body.decode(errors='replace')[:100]
+
+
 async def disturbed(faults: typing.Callable[[], Faults]) -> bool:
     """Wait if slow; return whether the store is down by then."""
     await asyncio.sleep(faults().get('slow', 0))
