Prove that memory is freed by a cancel, not by the end of the work

Cause: the mutation check. With the cancel of a caller that left, of a dead entry, or its repetition taken out, the rows of promise 1 still passed: the work ended by itself within the time that the freeing is waited for. So these rows proved nothing.

--- a/galenahatch/test/faults.py
+++ b/galenahatch/test/faults.py
@@ -42,6 +42,7 @@
 _FROZEN_SECONDS: typing.Final = 4.0
 _OUTAGE_SECONDS: typing.Final = 2.5
 _STALL: typing.Final = 2.0
+_LASTING: typing.Final = 120.0
 _MAX_TOKENS: typing.Final = 60
 _FILLERS: typing.Final = 7
 _WORKERS: typing.Final = 3
@@ -183,8 +184,10 @@
         assert not caller.is_alive(), 'no answer'
         for filler in self._fillers:
             filler.join(60)
+        # Work that would last is seen to be freed while it lasts.
+        freed = self._freed(at) if self._lasts() else 0.0
         self._clear()
-        freed = self._freed(at)
+        freed = freed or self._freed(at)
         runs = self._runs()
         self._check(caller, runs)
         if self._row.once:
@@ -201,17 +204,20 @@
     def _prepare(self) -> None:
         """Set the stand-ins so that the step lasts."""
         running = self._running
-        slow = {'slow': 3.0}
+        lasts = self._lasts()
+        slow = {'slow': 100.0 if lasts else 3.0}
         if self._row.step == 'claim':
             running.fault('table', slow=0.8)
         elif self._row.step == 'queue':
             self._fill()
         elif self._row.step == 'prefill':
             for name in ('p1', 'p2'):
-                running.fault(name, stall_prefill=_STALL)
+                running.fault(
+                    name, stall_prefill=_LASTING if lasts else _STALL
+                )
         elif self._row.step == 'transfer':
             for name in ('d1', 'd2'):
-                running.fault(name, stall_transfer=0.5)
+                running.fault(name, stall_transfer=_LASTING if lasts else 0.5)
         elif self._row.step == 'decode':
             for name in ('d1', 'd2'):
                 running.fault(name, **slow)
@@ -220,6 +226,16 @@
             if before is not None:
                 before(self)
 
+    def _lasts(self) -> bool:
+        """Return whether engines must be freed by a cancel, not by the end.
+
+        The work is made to last far longer than the memory is waited for,
+        so that only a cancel can free it in time.
+        """
+        gone = {'caller_gone', 'entry_killed', 'cancel_lost', 'vm_killed'}
+        steps = ('prefill', 'transfer', 'decode')
+        return self._row.step in steps and bool(gone.intersection(self._steps))
+
     def _fill(self) -> None:
         """Occupy every decode place for a while."""
         for name in ('d1', 'd2'):
@@ -508,7 +524,7 @@
 
 def _cancel_lost(case: Case, caller: Caller) -> None:
     for name in case._running.engines:
-        case._running.fault(name, lose_cancels=3, stall_prefill=_STALL)
+        case._running.fault(name, lose_cancels=3, slow=100.0)
     caller.leave()
 
 
