--- a/galenahatch/test/faults.py
+++ b/galenahatch/test/faults.py
@@ -524,7 +524,7 @@
 
 def _cancel_lost(case: Case, caller: Caller) -> None:
     for name in case._running.engines:
-        case._running.fault(name, lose_cancels=3, slow=100.0)
+        case._running.fault(name, lose_cancels=10, slow=100.0)
     caller.leave()
 
 
--- a/galenahatch/test/test_changes.py
+++ b/galenahatch/test/test_changes.py
@@ -67,7 +67,11 @@
 
 
 def test_operators_race(running: deployment.Deployment) -> None:
-    """Of two changes based on one revision, one is accepted."""
+    """Of three changes based on one revision, one is accepted.
+
+    The table is slow, so that all have read it before any writes.
+    """
+    running.fault('table', slow=1.2)
     results: list[tuple[int, str]] = []
 
     def change(note: str) -> None:
@@ -85,6 +89,7 @@
     assert sorted(code for code, _ in results) == [0, 3, 3], results
     lost = [text for code, text in results if code == 3]
     assert all('change_conflict' in text for text in lost)
+    running.fault('table')
     deployment.wait_for(
         lambda: _in_force(running, 2), 'in force', FORCE_SECONDS
     )
