Read engines back at a bounded rate

Cause: by the slope of a load report the controller that holds the lease would spend 22% of a core on reading 1,500 engines each second.

Change: at most 150 a second on average, and all at once after a change.

Measured: test_orders, 3 passed. By the same slope 2.2% at 1,500 engines.

--- a/galenahatch/controller.py
+++ b/galenahatch/controller.py
@@ -44,6 +44,8 @@
 LONGEST_ORDER: typing.Final = 2.5
 _RENEWALS: typing.Final = 6
 _LOOK: typing.Final = 1.0
+READS_A_SECOND: typing.Final = 150
+"""Engines that are read back a second, so that reading stays cheap."""
 _AT_ONCE: typing.Final = 32
 _log = logs.Log('controller')
 _RECORD: typing.Final = msgspec.msgpack.Decoder(lease_module.Record)
@@ -73,6 +75,8 @@
             LONGEST_ORDER,
         )
         self._stored: bytes | None = None
+        self._read_at = 0.0
+        self._seen = ids.Revision(0)
         self._slots = asyncio.Semaphore(_AT_ONCE)
         self._peers.report(self._note_ready)
         self.join(self._peers)
@@ -135,10 +139,19 @@
             await self.table.commit(_swap(self._stored, None))
 
     async def _repair(self) -> None:
-        """Read engines back and order what differs from what is wanted."""
+        """Read engines back and order what differs from what is wanted.
+
+        Many engines are read less often, but at once after a change.
+        """
         settings = self._declared()
-        if settings is None or not self._lease.may_order(clock.now()):
+        now = clock.now()
+        if settings is None or not self._lease.may_order(now):
+            return
+        if now < self._read_at and self._seen == self.config.revision:
             return
+        self._seen = self.config.revision
+        pause = len(settings.engines) / READS_A_SECOND
+        self._read_at = now + max(_LOOK, pause)
         observed = await self._observe(settings.engines)
         wanted = orders.desired(settings)
         engines = {engine.name: engine for engine in settings.engines}
