Name the upstreams not chosen; measure what an entry carries

Cause: the line of a routed call gave the number of the other upstreams only, and the load that one entry carries was known from slopes alone. Change: the line names them; make path loads one entry from three client processes.

--- a/bench/path.py
+++ b/bench/path.py
@@ -19,8 +19,8 @@
 """
 
 import asyncio
+import concurrent.futures
 import dataclasses
-import pathlib
 import statistics
 import sys
 import time
@@ -37,6 +37,8 @@
 _TOKENS: typing.Final = 40
 _LOADS: typing.Final = ((4, 40), (8, 40), (16, 40), (8, 120))
 _SECONDS: typing.Final = 6.0
+_CLIENTS: typing.Final = 3
+_WIDTH: typing.Final = 40
 _FAST: typing.Final = {
     'places': 64,
     'step': 0.010,
@@ -93,7 +95,7 @@
 
 async def _through(
     client: aiohttp.ClientSession,
-    running: deployment.Deployment,
+    entry: str,
     prompt: str,
     tokens: int = _TOKENS,
 ) -> Timing:
@@ -104,7 +106,7 @@
         'max_tokens': tokens,
         'stream': True,
     }
-    url = running.entry_url() + '/v1/completions'
+    url = entry + '/v1/completions'
     headers = {'Authorization': f'Bearer {deployment.TOKEN}'}
     async with client.post(url, json=body, headers=headers) as answer:
         assert answer.status == 200, await answer.text()
@@ -119,7 +121,7 @@
             prompt = f'pair {number} ' * 40
             one = await _straight(client, running, prompt, f's{number}.1')
             straight.append(one)
-            through.append(await _through(client, running, prompt))
+            through.append(await _through(client, running.entry_url(), prompt))
     pairs = list(zip(through, straight, strict=True))
     first = [t.first / s.first for t, s in pairs]
     between = [t.between / s.between for t, s in pairs]
@@ -146,9 +148,7 @@
     share: float = 0.0
 
 
-async def _send_for(
-    running: deployment.Deployment, width: int, tokens: int
-) -> _Sample:
+async def _send_for(entry: str, width: int, tokens: int) -> _Sample:
     """Keep some requests in flight and count."""
     sample = _Sample()
     until = time.monotonic() + _SECONDS
@@ -158,7 +158,7 @@
         count = 0
         while time.monotonic() < until:
             prompt = f'load {number} {count} {width} {tokens}'
-            await _through(client, running, prompt, tokens)
+            await _through(client, entry, prompt, tokens)
             length, _ = model.length_of(prompt, tokens)
             sample.requests += 1
             sample.tokens += length
@@ -178,7 +178,7 @@
     for width, tokens in _LOADS:
         before = {n: _cpu(running, n) for n in samples}
         began = time.monotonic()
-        found = asyncio.run(_send_for(running, width, tokens))
+        found = asyncio.run(_send_for(running.entry_url(), width, tokens))
         seconds = time.monotonic() - began
         for name, kept in samples.items():
             share = (_cpu(running, name) - before[name]) / seconds
@@ -195,6 +195,28 @@
         )
 
 
+def _carried(running: deployment.Deployment) -> None:
+    """Measure what one entry carries when it is the bottleneck."""
+    before = _cpu(running, 'entry0')
+    began = time.monotonic()
+    with concurrent.futures.ProcessPoolExecutor(_CLIENTS) as pool:
+        jobs = [
+            pool.submit(_send_from, running.entry_url(), number)
+            for number in range(_CLIENTS)
+        ]
+        samples = [job.result() for job in jobs]
+    share = (_cpu(running, 'entry0') - before) / (time.monotonic() - began)
+    print(
+        f'one entry carried {sum(s.requests for s in samples):.0f} requests/s '
+        f'and {sum(s.tokens for s in samples):.0f} tokens/s '
+        f'with {share:.2f} of a core'
+    )
+
+
+def _send_from(entry: str, number: int) -> _Sample:
+    return asyncio.run(_send_for(entry, _WIDTH, 60 + number))
+
+
 def _cpu(running: deployment.Deployment, name: str) -> float:
     pid = running.daemons[name].pid
     return capacity.cpu_seconds(pid)
@@ -222,8 +244,13 @@
     with deployment.Deployment(1, engines) as running:
         asyncio.run(_compare(running))
         _slopes(running)
-        log = pathlib.Path(running.path / 'entry0.log').stat().st_size
-        print(f'log of the entry: {log} bytes')
+    more = [
+        deployment.EngineSpec(f'{role[0]}{number}', role, params=_FAST)
+        for role in ('prefill', 'decode')
+        for number in range(1, _CLIENTS + 1)
+    ]
+    with deployment.Deployment(1, more) as running:
+        _carried(running)
     return 0
 
 
--- a/galenahatch/plain.py
+++ b/galenahatch/plain.py
@@ -197,7 +197,8 @@
             request=request,
             service=service.name,
             upstream=url,
-            others=len(service.upstreams) - 1,
+            others=','.join(u for u in service.upstreams if u != url)
+            or 'none',
             reason=reason,
         )
         return result
