--- a/bench/policies.py
+++ b/bench/policies.py
@@ -28,7 +28,6 @@
 from bench import workloads
 from galenahatch.core import cell as cell_module
 from galenahatch.core import jobs
-from galenahatch import errors
 from galenahatch import ids
 from galenahatch import messages
 from galenahatch import schema
@@ -339,7 +338,6 @@
         return asyncio.get_running_loop().time()
 
 
-REASONS: typing.Final = tuple(errors.REASONS)
 Make = typing.Callable[[fleet_module.Fleet, workloads.Workload, int], Policy]
 
 
--- a/galenahatch/errors.py
+++ b/galenahatch/errors.py
@@ -352,13 +352,6 @@
     'A store of the platform did not answer.',
     'See the health of the table and the object store.',
 )
-STORE_CONFLICT = _reason(
-    'store_conflict',
-    409,
-    _NOT_RUN,
-    'A condition of the transaction does not hold.',
-    'Read again and decide again.',
-)
 NOT_FOUND = _reason(
     'not_found', 404, _NOT_RUN, 'There is no such item.', 'Check the name.'
 )
--- a/galenahatch/test/standin/engine.py
+++ b/galenahatch/test/standin/engine.py
@@ -31,7 +31,6 @@
 import msgspec
 
 from galenahatch.core import orders
-from galenahatch import ids
 from galenahatch.test.standin import model
 from galenahatch.test.standin import peer
 from galenahatch.upstream import engine as client
@@ -284,11 +283,6 @@
     return web.Response(status=status, body=msgspec.json.encode(body))
 
 
-def build(params: model.Params, order: orders.Order, checks: bool) -> Standin:
-    """Return a stand-in."""
-    return Standin(params, order, checks)
-
-
 def routes(standin: Standin) -> list[web.RouteDef]:
     """Return the HTTP interface of an engine."""
     return [
@@ -304,8 +298,3 @@
         web.get('/runs', standin.seen),
         web.post('/fault', standin.fault),
     ]
-
-
-def stream_id(text: str) -> ids.StreamId:
-    """Return a stream id."""
-    return ids.StreamId(text)
--- a/galenahatch/test/standin/main.py
+++ b/galenahatch/test/standin/main.py
@@ -53,7 +53,7 @@
 ) -> None:
     """Serve as a model engine."""
     order = orders.Order('none', '', '0', role)
-    standin = engine.build(params or model.Params(), order, checks_fencing)
+    standin = engine.Standin(params or model.Params(), order, checks_fencing)
     asyncio.run(_serve(engine.routes(standin), address, port))
 
 
