Who never heard an entry does not confirm that it is gone

Cause: read as a newcomer: a scheduler that has just started answers that it never heard an entry, and that was taken for a second member's word. An entry whose heartbeats to one scheduler were late could so lose live streams whenever another scheduler had been replaced. The test failed first: one stream cancelled, none expected.

--- a/galenahatch/orphans.py
+++ b/galenahatch/orphans.py
@@ -13,8 +13,8 @@
 """The task that cancels the streams of entries that are gone.
 
 Streams that entries report are kept by entry. When an entry falls silent,
-a second scheduler is asked whether it has heard it; if it has not either,
-or the VM list no longer has the VM, or there is no second scheduler, the
+the other schedulers are asked whether they hear it; if one has not either,
+or the VM list no longer has the VM, or nobody can tell for long, the
 entry's streams are cancelled on their engines and its places freed.
 """
 
@@ -53,6 +53,8 @@
         self._canceller = canceller
         self._forget = forget
         self._watch = watch.Watch()
+        # When a second scheduler last said that it hears an entry.
+        self._vouched: dict[ids.MemberId, float] = {}
 
     @property
     def count(self) -> int:
@@ -93,26 +95,42 @@
         now = clock.now()
         limit = self._peers.membership.silence
         mine = self._peers.membership.silence_of(reply.member, now)
-        if mine <= limit:
-            return
-        if reply.silence < 0 or reply.silence > limit:
-            self._gone(reply.member, 'confirmed')
+        if 0 <= reply.silence <= limit:
+            self._vouched[reply.member] = now
+        # Who has never heard the entry may have just started.
+        elif reply.silence > limit and mine > limit:
+            if not self._is_vouched(reply.member, now):
+                self._gone(reply.member, 'confirmed')
 
     async def look(self) -> None:
         """Look for silent entries."""
-        now = clock.now()
+        self.look_now(clock.now())
+
+    def look_now(self, now: float) -> None:
+        """Look for silent entries.
+
+        Args:
+            now: monotonic seconds.
+        """
         membership = self._peers.membership
         silent = membership.silent(now)
         for entry in self._watch.to_confirm(silent, now):
             if membership.delisted(entry):
                 self._gone(entry, 'delisted')
                 continue
+            patience = membership.silence * _ALONE_FACTOR
             if self._ask(entry):
+                patience *= _ALONE_FACTOR
+            if self._is_vouched(entry, now):
                 continue
-            alone_for = membership.silence * _ALONE_FACTOR
-            if membership.silence_of(entry, now) > alone_for:
+            if membership.silence_of(entry, now) > patience:
                 self._gone(entry, 'silent')
 
+    def _is_vouched(self, entry: ids.MemberId, now: float) -> bool:
+        """Return whether another scheduler lately heard an entry."""
+        at = self._vouched.get(entry)
+        return at is not None and now - at <= self._peers.membership.silence
+
     def _ask(self, entry: ids.MemberId) -> bool:
         """Ask every other live scheduler; False when there is none."""
         asked = False
@@ -124,6 +142,7 @@
 
     def _gone(self, entry: ids.MemberId, why: str) -> None:
         orphans = self._watch.confirm(entry)
+        self._vouched.pop(entry, None)
         _log.warning(
             'Entry is gone.', entry=entry, why=why, streams=len(orphans)
         )
