--- a/galenahatch/test/test_hostile.py
+++ b/galenahatch/test/test_hostile.py
@@ -27,7 +27,8 @@
 @pytest.fixture(scope='module')
 def running() -> collections.abc.Iterator[deployment.Deployment]:
     """One VM."""
-    with deployment.Deployment(vms=1) as started:
+    options = {'keepalive': '1.0'}
+    with deployment.Deployment(vms=1, options=options) as started:
         yield started
 
 
@@ -103,6 +104,21 @@
     assert running.complete('after the header')[0] == 200
 
 
+@pytest.mark.parametrize(
+    'sent',
+    [b'', b'POST /v1/comp', b'GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n'],
+)
+def test_idle_connection(running: deployment.Deployment, sent: bytes) -> None:
+    """A connection that stays idle is closed: fresh, half-way or kept."""
+    address = running.addresses[0]
+    with socket.create_connection(
+        (address, running.ports['entry']), timeout=20
+    ) as peer:
+        peer.sendall(sent)
+        while peer.recv(4096):
+            pass
+
+
 def _stream(text: str) -> ids.StreamId:
     return ids.StreamId(text)
 
