Prefer an ejected engine to one that has just failed the request

The new test failed first: d1 chosen, d2 expected.

Change: engines that failed this request are taken only if no other is left, ejected ones included.

Ruled out: easing the rows that make work last; allowing fewer ejections (half of a pool of two is one).

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: demo test fuzz faults bench path capacity mutations reference format clean
+.PHONY: demo test fuzz faults bench path claims capacity mutations reference format clean
 
 .venv/ready: requirements.txt
 	$(PYTHON) -m venv .venv
@@ -27,6 +27,9 @@
 path: .venv/ready
 	$(BIN)/python -m bench.path
 
+claims: .venv/ready
+	$(BIN)/python -m bench.claims
+
 capacity: .venv/ready
 	$(BIN)/python -m bench.capacity
 
--- a/galenahatch/core/pairing.py
+++ b/galenahatch/core/pairing.py
@@ -56,7 +56,7 @@
     blocks: int
     hits: collections.abc.Mapping[ids.EngineName, int]
     data_centre: ids.DataCentre
-    avoid: collections.abc.Container[ids.EngineName]
+    avoid: frozenset[ids.EngineName]
     allowed: collections.abc.Container[ids.EngineName]
     waste_weight: float
 
@@ -183,9 +183,7 @@
             for engine in prefills
             if engine.name in need.hits and engine.name not in known
         ]
-    usable = [e for e in sample if _open(e) and e.name in need.allowed]
-    fresh = [e for e in usable if e.name not in need.avoid]
-    return fresh or usable
+    return _candidates(need, sample)
 
 
 def _usable_decodes(
@@ -194,9 +192,28 @@
     random_source: random.Random,
 ) -> list[engines.DecodeEngine]:
     sample = _sample(decodes, random_source)
-    usable = [e for e in sample if _open(e) and e.name in need.allowed]
-    fresh = [e for e in usable if e.name not in need.avoid]
-    return fresh or usable
+    return _candidates(need, sample)
+
+
+_Pooled = typing.TypeVar(
+    '_Pooled', engines.PrefillEngine, engines.DecodeEngine
+)
+
+
+def _candidates(need: Need, sample: list[_Pooled]) -> list[_Pooled]:
+    """Return the engines that a request may run on.
+
+    An engine that is ejected is a better try than one that has just failed
+    this very request.
+    """
+    allowed = [e for e in sample if e.name in need.allowed and not e.leaving]
+    usable = [engine for engine in allowed if _open(engine)]
+    if not need.avoid:
+        return usable
+    fresh = [engine for engine in usable if engine.name not in need.avoid]
+    if fresh:
+        return fresh
+    return [e for e in allowed if e.name not in need.avoid] or usable
 
 
 _E = typing.TypeVar('_E')
--- a/galenahatch/test/test_cell.py
+++ b/galenahatch/test/test_cell.py
@@ -153,3 +153,27 @@
     decision = cell.submit(again, 1.0, 100.0)
     assert decision is not None
     assert isinstance(decision.answer, messages.GivenUp)
+
+
+def test_an_ejected_engine_is_better_than_one_that_just_failed() -> None:
+    """A request whose engine died was sent there again and again.
+
+    The only other engine had been ejected as slow, so the dead one was all
+    that was left.
+    """
+    cell = _cell(
+        _engine('p1', 'prefill'),
+        _engine('d1', 'decode'),
+        _engine('d2', 'decode'),
+    )
+    for _ in range(3):
+        cell.failed(ids.EngineName('d2'), 99.0)
+    cell.decide(100.0)
+    again = msgspec.structs.replace(
+        _request(1, states.Urgency.NORMAL, 5.0),
+        avoid=(ids.EngineName('d1'),),
+    )
+    assert cell.submit(again, 1.0, 100.0) is None
+    answer = cell.decide(100.1)[0].answer
+    assert isinstance(answer, messages.Placed)
+    assert answer.decode == 'd2'
