Read again: events of restarted engines, one place for what daemons open

Cause: reading the whole change once more found one fault and work in the wrong places. A restarted engine numbers its cache events anew, and all of them were dropped as old, so its cache was never known again; the test failed first (no hit, one expected). Every cell of an owner indexed the events of all engines. Three programs opened the same clients with the same lines. A report of no answer was sent and ignored.

Change: event numbers are kept with the engine's incarnation; events go to the cell that has the engine; the daemons' base opens and closes the platform's clients, the session for engines and the peers; news, matrix stand in modules of their own; two copies of a loop in bench.capacity are one function. Other behaviour stays.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -362,6 +362,13 @@
     return fit(sizes, samples, 'share of a core')
 
 
+def _idle_loads(pid: int) -> list[float]:
+    """Return the shares of a core that a process uses by itself."""
+    return [
+        _load_of(pid, lambda: time.sleep(_SECONDS)) for _ in range(_REPEATS)
+    ]
+
+
 def entry_idle() -> Slope:
     """Share of an entry's core by schedulers that it is linked to."""
     sizes = (1, 3, 6)
@@ -369,12 +376,7 @@
     for count in sizes:
         with deployment.Deployment(vms=count) as running:
             pid = running.daemons['entry0'].pid
-            samples.append(
-                [
-                    _load_of(pid, lambda: time.sleep(_SECONDS))
-                    for _ in range(_REPEATS)
-                ]
-            )
+            samples.append(_idle_loads(pid))
     return fit(sizes, samples, 'share of a core')
 
 
@@ -391,17 +393,12 @@
         options = {'load-poll': '1.0'}
         with deployment.Deployment(1, specs, options=options) as running:
             pid = running.daemons['scheduler0'].pid
-            samples.append(
-                [
-                    _load_of(pid, lambda: time.sleep(_SECONDS))
-                    for _ in range(_REPEATS)
-                ]
-            )
+            samples.append(_idle_loads(pid))
     return fit(sizes, samples, 'share of a core')
 
 
-def resident() -> Slope:
-    """Resident memory of an idle scheduler by engines declared."""
+def configuration_bytes() -> Slope:
+    """Memory of a configuration by engines declared."""
     sizes = (100, 500, 1500)
     samples = []
     for count in sizes:
@@ -431,7 +428,7 @@
     Measure('watched_bytes', watched_bytes),
     Measure('report_bytes', report_bytes),
     Measure('change_seconds', change_seconds),
-    Measure('configuration_bytes', resident),
+    Measure('configuration_bytes', configuration_bytes),
     Measure('heartbeat_seconds', heartbeat_seconds),
     Measure('entry_idle', entry_idle),
     Measure('probe_seconds', probe_seconds),
--- a/galenahatch/application.py
+++ b/galenahatch/application.py
@@ -38,7 +38,9 @@
 from galenahatch.platform import objects
 from galenahatch.platform import table
 from galenahatch.platform import vms
+from galenahatch import states
 from galenahatch import tasks
+from galenahatch.upstream import http as upstream
 
 _NO_TIMER: typing.Final = datetime.timedelta(days=7).total_seconds()
 
@@ -62,21 +64,31 @@
         """Start the daemon."""
         raise TypeError('a daemon defines start')
 
-    def open_platform(self) -> None:
-        """Open the clients of the platform."""
-        client = http.session(self.options.platform_token)
+    def open(self, role: states.Role, handler: peers.Handler) -> None:
+        """Open the clients of the platform and the engines, and find peers.
+
+        Args:
+            role: of this daemon.
+            handler: takes messages that come over links to schedulers.
+        """
+        options = self.options
+        client = http.session(options.platform_token)
         self._platform = client
-        self.table = table.Table(client, self.options.table_url)
-        self.objects = objects.Objects(client, self.options.objects_url)
-        self.vms = vms.Vms(client, self.options.vms_url)
+        self.engines = upstream.session(
+            options.connect_timeout, options.idle_timeout
+        )
+        self.table = table.Table(client, options.table_url)
+        self.objects = objects.Objects(client, options.objects_url)
+        self.vms = vms.Vms(client, options.vms_url)
         self.config = distribution.Distribution(
-            self.options, self.table, self.objects, self.tasks
+            options, self.table, self.objects, self.tasks
         )
+        self.peers = peers.Peers(options, role, self.config, self.vms, handler)
 
-    def join(self, joined: peers.Peers) -> None:
+    def join(self) -> None:
         """Start to talk to peers and to follow the configuration."""
-        self.config.ask_with(joined.send)
-        joined.run(self.tasks)
+        self.config.ask_with(self.peers.send)
+        self.peers.run(self.tasks)
         self.config.run()
 
     async def listen(
@@ -112,6 +124,8 @@
             await self._runner.cleanup()
         if self._platform is not None:
             await self._platform.close()
+            await self.engines.close()
+            self.peers.close()
 
 
 def health_routes(
--- a/galenahatch/controller.py
+++ b/galenahatch/controller.py
@@ -32,12 +32,10 @@
 from galenahatch import ids
 from galenahatch import logs
 from galenahatch import messages
-from galenahatch import peers as peers_module
 from galenahatch import schema
 from galenahatch import states
 from galenahatch import tasks
 from galenahatch.upstream import engine as engine_client
-from galenahatch.upstream import http
 import msgspec
 
 LEASE_KEY: typing.Final = 'lease/controller'
@@ -57,20 +55,10 @@
     async def start(self) -> None:
         """Open sockets and start tasks."""
         options = self.options
-        self.open_platform()
-        self._engines = http.session(
-            options.connect_timeout, options.idle_timeout
-        )
-        self._peers = peers_module.Peers(
-            options,
-            states.Role.CONTROLLER,
-            self.config,
-            self.vms,
-            _ignore,
-        )
+        self.open(states.Role.CONTROLLER, _ignore)
         self._lease = lease_module.Lease(
-            self._peers.member,
-            self._peers.incarnation,
+            self.peers.member,
+            self.peers.incarnation,
             options.lease,
             LONGEST_ORDER,
         )
@@ -78,8 +66,8 @@
         self._read_at = 0.0
         self._seen = ids.Revision(0)
         self._slots = asyncio.Semaphore(_AT_ONCE)
-        self._peers.report(self._note_ready)
-        self.join(self._peers)
+        self.peers.report(self._note_ready)
+        self.join()
         pause = options.lease / _RENEWALS
         self.tasks.keep(
             'lease', lambda: tasks.every(lambda: pause, self._renew)
@@ -90,28 +78,26 @@
         app = web.Application()
         app.add_routes(application.health_routes(self._why_not_ready))
         await self.listen(app, options.controller_http_port, options.keepalive)
-        _log.info('Listening.', member=self._peers.member)
+        _log.info('Listening.', member=self.peers.member)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Send no further order and give the lease up."""
         application.ignore_signals(_log)
         was_holder = self._lease.is_holder(clock.now())
         self._lease.resign()
-        self._peers.standing = states.Standing.LEAVING
-        self._peers.broadcast(self._peers.heartbeat())
+        self.peers.standing = states.Standing.LEAVING
+        self.peers.broadcast(self.peers.heartbeat())
         await self.tasks.stop()
         if was_holder:
             await self._give_up()
         await self.close()
-        self._peers.close()
-        await self._engines.close()
 
     def _why_not_ready(self) -> str:
         return '' if self.config.revision else 'no configuration'
 
     def _note_ready(self) -> None:
-        self._peers.why_not_ready = self._why_not_ready()
-        self._peers.load = int(self._lease.is_holder(clock.now()))
+        self.peers.why_not_ready = self._why_not_ready()
+        self.peers.load = int(self._lease.is_holder(clock.now()))
 
     async def _renew(self) -> None:
         """Read the lease, and renew it or take it over."""
@@ -162,7 +148,7 @@
 
     async def _order(self, engine: schema.Engine, send: orders.Send) -> None:
         failure = await engine_client.order(
-            self._engines,
+            self.engines,
             cancelling.url_of(engine),
             send.order,
             self._lease.fencing,
@@ -193,7 +179,7 @@
     ) -> orders.Order | errors.Failure:
         async with self._slots:
             return await engine_client.running(
-                self._engines, cancelling.url_of(engine)
+                self.engines, cancelling.url_of(engine)
             )
 
     def _declared(self) -> schema.Config | None:
--- a/galenahatch/core/cache.py
+++ b/galenahatch/core/cache.py
@@ -58,7 +58,7 @@
         self._prefixes: collections.OrderedDict[
             int, dict[ids.EngineName, float]
         ] = collections.OrderedDict()
-        self._next_event: dict[ids.EngineName, int] = {}
+        self._next_event: dict[ids.EngineName, tuple[int, int]] = {}
         self._trusted_from: dict[ids.EngineName, float] = {}
 
     def stored(
@@ -88,25 +88,26 @@
                 del self._prefixes[block]
 
     def numbered(
-        self, engine: ids.EngineName, number: int, now: float
+        self,
+        engine: ids.EngineName,
+        incarnation: int,
+        number: int,
+        now: float,
     ) -> bool:
         """Take an event's number; return False for an old event.
 
-        After a gap nothing noted before is trusted for that engine.
+        An engine that restarts numbers its events anew. After a restart or
+        a gap nothing noted before is trusted for that engine.
         """
-        expected = self._next_event.get(engine, number)
-        if number < expected:
+        fresh = (incarnation, number)
+        known, expected = self._next_event.get(engine, fresh)
+        if known == incarnation and number < expected:
             return False
-        if number > expected:
+        if known != incarnation or number > expected:
             self._trusted_from[engine] = now
-        self._next_event[engine] = number + 1
+        self._next_event[engine] = (incarnation, number + 1)
         return True
 
-    def forget(self, engine: ids.EngineName, now: float) -> None:
-        """Trust nothing noted so far for an engine."""
-        self._trusted_from[engine] = now
-        self._next_event.pop(engine, None)
-
     def hits(
         self, blocks: collections.abc.Sequence[int], now: float
     ) -> dict[ids.EngineName, int]:
--- a/galenahatch/core/cell.py
+++ b/galenahatch/core/cell.py
@@ -137,6 +137,10 @@
         """Expect no load reports: this owner no longer asks for them."""
         self._pools.unprobed()
 
+    def serves_with(self, engine: ids.EngineName) -> bool:
+        """Return whether an engine belongs to the cell."""
+        return self._pools.engine(engine) is not None
+
     def paced(
         self, engine: ids.EngineName, seconds: float, now: float
     ) -> None:
--- a/galenahatch/entry.py
+++ b/galenahatch/entry.py
@@ -31,7 +31,6 @@
 from galenahatch import logs
 from galenahatch import messages
 from galenahatch import options as options_module
-from galenahatch import peers as peers_module
 from galenahatch import placing as placing_module
 from galenahatch import plain as plain_module
 from galenahatch.platform import vms
@@ -57,55 +56,43 @@
     async def start(self) -> None:
         """Open sockets and start tasks."""
         options = self.options
-        self.open_platform()
-        self._engines = http.session(
-            options.connect_timeout, options.idle_timeout
-        )
+        self.open(states.Role.ENTRY, self._received)
         self._once = http.session(
             options.connect_timeout, options.idle_timeout, reuse=False
         )
-        self._peers = peers_module.Peers(
-            options,
-            states.Role.ENTRY,
-            self.config,
-            self.vms,
-            self._received,
-        )
         self._placing = placing_module.Placing(
-            self._peers, self.config, options.data_centre
+            self.peers, self.config, options.data_centre
         )
         self._claiming = claiming_module.Claiming(
-            self._peers, self.objects, self.tasks, options.claim_timeout
+            self.peers, self.objects, self.tasks, options.claim_timeout
         )
         self._canceller = cancelling.Canceller(
-            self._engines, self.config.engine, self.tasks
+            self.engines, self.config.engine, self.tasks
         )
         self._means = self._make_means()
         self._plain = plain_module.Plain(
-            self._engines, self._once, self._claiming, self._leaving
+            self.engines, self._once, self._claiming, self._leaving
         )
         self._serving = serving.Serving(
             self.config, self._means, self._claiming, self._plain
         )
         self.config.listen(self._reconfigured)
-        self._peers.listen(self._listed)
-        self._peers.report(self._beat)
-        self.join(self._peers)
+        self.peers.listen(self._listed)
+        self.peers.report(self._beat)
+        self.join()
         await self._serve()
-        _log.info('Listening.', member=self._peers.member)
+        _log.info('Listening.', member=self.peers.member)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Refuse nothing until the balancer looks away, then drain."""
         application.ignore_signals(_log)
-        self._peers.standing = states.Standing.LEAVING
+        self.peers.standing = states.Standing.LEAVING
         _log.info('Leaving.', in_flight=self._serving.in_flight)
         await asyncio.sleep(self.options.look_away)
         self._serving.closed = True
         await self._drain()
-        self._peers.broadcast(self._peers.heartbeat())
+        self.peers.broadcast(self.peers.heartbeat())
         await self.close()
-        self._peers.close()
-        await self._engines.close()
         await self._once.close()
 
     async def _drain(self) -> None:
@@ -142,12 +129,12 @@
 
     def _make_means(self) -> attempt.Means:
         return attempt.Means(
-            member=self._peers.member,
+            member=self.peers.member,
             data_centre=self.options.data_centre,
             placing=self._placing,
             canceller=self._canceller,
             find=self.config.engine,
-            repeatable=self._engines,
+            repeatable=self.engines,
             once=self._once,
             budget=self._budget,
             site=self._site,
@@ -173,16 +160,16 @@
         )
 
     def _beat(self) -> None:
-        self._peers.load = self._serving.in_flight
-        self._peers.why_not_ready = self._why_not_ready()
+        self.peers.load = self._serving.in_flight
+        self.peers.why_not_ready = self._why_not_ready()
         self._placing.report()
 
     def _why_not_ready(self) -> str:
-        if self._peers.standing is states.Standing.LEAVING:
+        if self.peers.standing is states.Standing.LEAVING:
             return 'leaving'
         if self.config.mine() is None:
             return 'no configuration'
-        if not self._peers.schedulers():
+        if not self.peers.schedulers():
             return 'no scheduler'
         return ''
 
--- a/galenahatch/placement.py
+++ b/galenahatch/placement.py
@@ -22,7 +22,6 @@
 import asyncio
 import collections.abc
 import contextlib
-import dataclasses
 import random
 import typing
 
@@ -36,54 +35,14 @@
 from galenahatch import logs
 from galenahatch import messages
 from galenahatch import metrics
+from galenahatch import news as news_module
 from galenahatch import states
 from galenahatch import trail
-from galenahatch.upstream import engine as engine_client
 
 _IDLE_LOOK: typing.Final = 0.25
 _log = logs.Log('placement')
 
 
-@dataclasses.dataclass(frozen=True)
-class FromEntry:
-    """A message of an entry.
-
-    Attributes:
-        send: answers the entry.
-    """
-
-    message: messages.AnyMessage
-    send: collections.abc.Callable[[messages.AnyMessage], None]
-
-
-@dataclasses.dataclass(frozen=True)
-class EngineReport:
-    """A load report, or None when the engine did not answer."""
-
-    engine: ids.EngineName
-    load: engine_client.Load | None
-
-
-@dataclasses.dataclass(frozen=True)
-class EntryGone:
-    """An entry is taken for gone and its streams are cancelled."""
-
-    entry: ids.MemberId
-
-
-@dataclasses.dataclass(frozen=True)
-class Refresh:
-    """Configuration, owners or leaving engines may have changed."""
-
-    revision: ids.Revision
-    plans: collections.abc.Mapping[ids.CellId, cells_module.Plan]
-    owned: frozenset[ids.CellId]
-    leaving: frozenset[ids.EngineName]
-
-
-News = FromEntry | EngineReport | EntryGone | Refresh
-
-
 class Placement:
     """Cells and their inbox.
 
@@ -105,7 +64,7 @@
         self._data_centre = data_centre
         self._trail = kept
         self._placed = placed
-        self._inbox: asyncio.Queue[News] = asyncio.Queue()
+        self._inbox: asyncio.Queue[news_module.News] = asyncio.Queue()
         self._cells: dict[ids.CellId, cell_module.Cell] = {}
         self._cell_by_stream: dict[ids.StreamId, ids.CellId] = {}
         self._waiters: dict[
@@ -116,7 +75,7 @@
         # Of the plans; the configuration in force may be ahead of them.
         self._revision = ids.Revision(0)
         # Requests of entries that are ahead of this scheduler's revision.
-        self._early: list[FromEntry] = []
+        self._early: list[news_module.FromEntry] = []
         self._plans: collections.abc.Mapping[
             ids.CellId, cells_module.Plan
         ] = {}
@@ -126,7 +85,12 @@
         """Requests that wait for a place."""
         return sum(cell.waiting for cell in self._cells.values())
 
-    def tell(self, news: News) -> None:
+    @property
+    def cells(self) -> tuple[cell_module.Cell, ...]:
+        """The cells, in no special order."""
+        return tuple(self._cells.values())
+
+    def tell(self, news: news_module.News) -> None:
         """Put news into the inbox."""
         self._inbox.put_nowait(news)
 
@@ -175,17 +139,17 @@
         times = [look - now for look in looks if look is not None]
         return max(0.001, min(times, default=_IDLE_LOOK))
 
-    def _take(self, news: News) -> None:
-        if isinstance(news, FromEntry):
+    def _take(self, news: news_module.News) -> None:
+        if isinstance(news, news_module.FromEntry):
             self._take_message(news)
-        elif isinstance(news, EngineReport):
+        elif isinstance(news, news_module.EngineReport):
             self._take_report(news)
-        elif isinstance(news, EntryGone):
+        elif isinstance(news, news_module.EntryGone):
             self._forget_entry(news.entry)
         else:
             self._refresh(news)
 
-    def _take_message(self, news: FromEntry) -> None:
+    def _take_message(self, news: news_module.FromEntry) -> None:
         message = news.message
         now = clock.now()
         if isinstance(message, messages.PlaceRequest):
@@ -212,7 +176,7 @@
         cell_id, cell = self._cell_for(request)
         if cell_id is None or cell is None:
             if request.revision > self._revision:
-                self._early.append(FromEntry(request, send))
+                self._early.append(news_module.FromEntry(request, send))
                 return
             reason = errors.UNKNOWN_MODEL.name
             send(messages.GivenUp(request.stream, reason, 1.0, 'no cell'))
@@ -286,14 +250,17 @@
             )
             cell.rebuild(part, now)
 
-    def _take_report(self, news: EngineReport) -> None:
+    def _take_report(self, news: news_module.EngineReport) -> None:
         now = clock.now()
+        load = news.load
         for cell in self._cells.values():
-            if news.load is None:
+            if not cell.serves_with(news.engine):
                 continue
-            cell.paced(news.engine, news.load.seconds_per_token, now)
-            for event in news.load.events:
-                if not cell.index.numbered(news.engine, event.number, now):
+            cell.paced(news.engine, load.seconds_per_token, now)
+            for event in load.events:
+                if not cell.index.numbered(
+                    news.engine, load.incarnation, event.number, now
+                ):
                     continue
                 if event.evicted:
                     cell.index.evicted(news.engine, event.blocks)
@@ -304,7 +271,7 @@
         for cell in self._cells.values():
             cell.forget_entry(entry, clock.now())
 
-    def _refresh(self, news: Refresh) -> None:
+    def _refresh(self, news: news_module.Refresh) -> None:
         self._leaving = news.leaving
         self._plans = news.plans
         self._revision = news.revision
--- a/galenahatch/probes.py
+++ b/galenahatch/probes.py
@@ -22,7 +22,7 @@
 from galenahatch.core import leaving as leaving_module
 from galenahatch import errors
 from galenahatch import ids
-from galenahatch import placement as placement_module
+from galenahatch import news as news_module
 from galenahatch import schema
 from galenahatch.upstream import engine as engine_client
 
@@ -41,7 +41,7 @@
     def __init__(
         self,
         client: aiohttp.ClientSession,
-        tell: collections.abc.Callable[[placement_module.News], None],
+        tell: collections.abc.Callable[[news_module.News], None],
         leaving: leaving_module.Leaving,
     ) -> None:
         self._client = client
@@ -65,7 +65,6 @@
                 self._since.get(engine.name, -1),
             )
         if isinstance(load, errors.Failure):
-            self._tell(placement_module.EngineReport(engine.name, None))
             return
         if self._incarnations.get(engine.name) != load.incarnation:
             self._incarnations[engine.name] = load.incarnation
@@ -75,4 +74,4 @@
         self._leaving.reported(
             engine.name, load.incarnation, load.sequence, load.leaving
         )
-        self._tell(placement_module.EngineReport(engine.name, load))
+        self._tell(news_module.EngineReport(engine.name, load))
--- a/galenahatch/scheduler.py
+++ b/galenahatch/scheduler.py
@@ -34,9 +34,9 @@
 from galenahatch import ids
 from galenahatch import logs
 from galenahatch import messages
+from galenahatch import news as news_module
 from galenahatch import options as options_module
 from galenahatch import orphans as orphans_module
-from galenahatch import peers as peers_module
 from galenahatch import placement as placement_module
 from galenahatch.platform import vms
 from galenahatch import probes as probes_module
@@ -44,7 +44,6 @@
 from galenahatch import states
 from galenahatch import tasks
 from galenahatch import trail
-from galenahatch.upstream import http
 
 _STOP_LOOK: typing.Final = 0.1
 _HANDOVER_INTERVALS: typing.Final = 3
@@ -65,49 +64,37 @@
     async def start(self) -> None:
         """Open sockets and start tasks."""
         options = self.options
-        self.open_platform()
-        self._engines = http.session(
-            options.connect_timeout, options.idle_timeout
-        )
-        self._peers = peers_module.Peers(
-            options,
-            states.Role.SCHEDULER,
-            self.config,
-            self.vms,
-            self._from_scheduler,
-        )
+        self.open(states.Role.SCHEDULER, self._from_scheduler)
         self._placement = placement_module.Placement(
             self.config, options.data_centre, self._trail, self._placed
         )
         self._claims = claims_module.Claims(self.table, options.claim_group)
         self._canceller = cancelling.Canceller(
-            self._engines, self.config.engine, self.tasks
+            self.engines, self.config.engine, self.tasks
         )
         self._orphans = orphans_module.Orphans(
-            self._peers, self._canceller, self._forget
+            self.peers, self._canceller, self._forget
         )
         self._probes = probes_module.Probes(
-            self._engines, self._placement.tell, self._leaving
+            self.engines, self._placement.tell, self._leaving
         )
         await self._open_sockets()
         self._start_tasks()
-        _log.info('Listening.', member=self._peers.member)
+        _log.info('Listening.', member=self.peers.member)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Hand over what is owned, finish what was begun, and stop."""
         application.ignore_signals(_log)
-        self._peers.standing = states.Standing.LEAVING
-        self._peers.why_not_ready = 'leaving'
+        self.peers.standing = states.Standing.LEAVING
+        self.peers.why_not_ready = 'leaving'
         _log.info('Leaving.', waiting=self._placement.waiting)
         told = 0
         while told < _HANDOVER_INTERVALS or self._busy():
-            self._tell_all(self._peers.heartbeat())
+            self._tell_all(self.peers.heartbeat())
             told += 1
-            await asyncio.sleep(self._peers.interval())
+            await asyncio.sleep(self.peers.interval())
         await self.close()
-        self._peers.close()
         self._hub.close()
-        await self._engines.close()
 
     async def _open_sockets(self) -> None:
         options = self.options
@@ -119,9 +106,9 @@
 
     def _start_tasks(self) -> None:
         self.config.listen(self._replan)
-        self._peers.listen(self._listed)
-        self._peers.report(self._refresh)
-        self.join(self._peers)
+        self.peers.listen(self._listed)
+        self.peers.report(self._refresh)
+        self.join()
         keep = self.tasks.keep
         keep('placement', self._placement.run)
         keep('claims', self._claims.run)
@@ -142,7 +129,7 @@
         )
 
     def _why_not_ready(self) -> str:
-        if self._peers.standing is states.Standing.LEAVING:
+        if self.peers.standing is states.Standing.LEAVING:
             return 'leaving'
         if not self.config.revision:
             return 'no configuration'
@@ -152,7 +139,7 @@
         """Send a message to every daemon that has a link to the hub."""
         for sender in self._senders.values():
             self._hub.send(sender, message)
-        self._peers.broadcast(message)
+        self.peers.broadcast(message)
 
     # Messages.
 
@@ -170,13 +157,13 @@
         if isinstance(message, messages.Heartbeat):
             self._from_member(peer, message)
         elif isinstance(message, messages.PlaceRequest | messages.Progress):
-            self._placement.tell(placement_module.FromEntry(message, send))
+            self._placement.tell(news_module.FromEntry(message, send))
         elif isinstance(message, messages.HeldReport):
             self._orphans.take(message)
-            self._placement.tell(placement_module.FromEntry(message, send))
+            self._placement.tell(news_module.FromEntry(message, send))
         elif isinstance(message, messages.Release):
             self._orphans.ended(message.stream)
-            self._placement.tell(placement_module.FromEntry(message, send))
+            self._placement.tell(news_module.FromEntry(message, send))
         elif isinstance(message, messages.Watch | messages.Unwatch):
             self._orphans.take(message)
         elif isinstance(
@@ -200,7 +187,7 @@
                 self._hub.send(sender, message)
         elif isinstance(message, messages.AliveQuery):
             now = clock.now()
-            silence = self._peers.membership.silence_of(message.member, now)
+            silence = self.peers.membership.silence_of(message.member, now)
             send(messages.AliveReply(message.member, silence))
         elif isinstance(message, messages.ConfigRequest):
             body = self.config.body(message.above)
@@ -218,9 +205,9 @@
         self, peer: bus.Peer, heartbeat: messages.Heartbeat
     ) -> None:
         self._senders[heartbeat.member] = peer
-        self._peers.heard(heartbeat)
+        self.peers.heard(heartbeat)
         self._orphans.heard(heartbeat)
-        self._hub.send(peer, self._peers.heartbeat())
+        self._hub.send(peer, self.peers.heartbeat())
         if heartbeat.revision > self.config.revision:
             request = messages.ConfigRequest(self.config.revision)
             self._hub.send(peer, request)
@@ -232,13 +219,13 @@
     ) -> None:
         """Pass a query on to the holder of a claim."""
         state = None
-        known = {h.member: h for h in self._peers.membership.heartbeats()}
+        known = {h.member: h for h in self.peers.membership.heartbeats()}
         holder = known.get(query.holder)
         sender = self._senders.get(query.holder)
         restarted = (
             holder is not None and holder.incarnation != query.incarnation
         )
-        if restarted or self._peers.membership.delisted(query.holder):
+        if restarted or self.peers.membership.delisted(query.holder):
             state = states.HolderState.GONE
         elif holder is None or sender is None:
             state = states.HolderState.SILENT
@@ -248,9 +235,9 @@
             self._hub.send(sender, query)
 
     def _status(self) -> messages.StatusReply:
-        members = self._peers.membership.heartbeats()
-        members = [m for m in members if m.member != self._peers.member]
-        members.append(self._peers.heartbeat())
+        members = self.peers.membership.heartbeats()
+        members = [m for m in members if m.member != self.peers.member]
+        members.append(self.peers.heartbeat())
         return messages.StatusReply(
             tuple(members), self._placement.loads(), self._placement.waiting
         )
@@ -267,13 +254,11 @@
     def _refresh(self) -> None:
         """Tell the placement what is owned and what leaves."""
         self._leaving.configured(self.config.revision, self.config.draining())
-        self._peers.why_not_ready = self._why_not_ready()
-        self._peers.load = self._placement.waiting
+        self.peers.why_not_ready = self._why_not_ready()
+        self.peers.load = self._placement.waiting
         leaving = self._leaving.names(self._declared())
         owned = frozenset(self._owned())
-        news = placement_module.Refresh(
-            self._planned, self._plans, owned, leaving
-        )
+        news = news_module.Refresh(self._planned, self._plans, owned, leaving)
         self._placement.tell(news)
 
     def _replan(self) -> None:
@@ -285,13 +270,13 @@
         self._refresh()
 
     def _owned(self) -> list[ids.CellId]:
-        live = set(self._peers.schedulers())
-        if self._peers.standing is states.Standing.LIVE:
-            live.add(self._peers.member)
+        live = set(self.peers.schedulers())
+        if self.peers.standing is states.Standing.LIVE:
+            live.add(self.peers.member)
         return [
             cell
             for cell in self._plans
-            if rendezvous.winner(cell, live) == self._peers.member
+            if rendezvous.winner(cell, live) == self.peers.member
         ]
 
     def _declared(self) -> list[schema.Engine]:
@@ -307,4 +292,4 @@
         self._orphans.placed(entry, held)
 
     def _forget(self, entry: ids.MemberId) -> None:
-        self._placement.tell(placement_module.EntryGone(entry))
+        self._placement.tell(news_module.EntryGone(entry))
--- a/galenahatch/test/faults.py
+++ b/galenahatch/test/faults.py
@@ -20,30 +20,24 @@
 
 import collections.abc
 import dataclasses
-import http.client
 import json
-import pathlib
 import queue
 import signal
-import socket
 import sys
 import threading
 import time
 import typing
 
 from galenahatch.test import deployment
+from galenahatch.test import matrix
 from galenahatch.test.standin import model
 
-ROWS: typing.Final = (
-    pathlib.Path(__file__).resolve().parents[2] / 'test-data' / 'faults.txt'
-)
 FREED_SECONDS: typing.Final = 20.0
 _STEP_SECONDS: typing.Final = 10.0
 _FROZEN_SECONDS: typing.Final = 4.0
 _OUTAGE_SECONDS: typing.Final = 2.5
 _STALL: typing.Final = 2.0
 _LASTING: typing.Final = 120.0
-_MAX_TOKENS: typing.Final = 60
 _FILLERS: typing.Final = 7
 _WORKERS: typing.Final = 3
 ENGINES: typing.Final = (
@@ -54,27 +48,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True)
-class Row:
-    """One case of the matrix."""
-
-    step: str
-    fault: str
-    kind: str
-    allowed: tuple[str, ...]
-    ci: bool
-
-    @property
-    def name(self) -> str:
-        """Its name."""
-        return f'{self.step}-{self.fault}-{self.kind}'
-
-    @property
-    def once(self) -> bool:
-        """Whether the request is non-idempotent."""
-        return self.kind == 'once'
-
-
 @dataclasses.dataclass
 class Result:
     """What came of a case.
@@ -89,81 +62,18 @@
     runs: int
 
 
-def rows() -> list[Row]:
-    """Return the rows of the matrix."""
-    found = []
-    for line in ROWS.read_text().splitlines():
-        words = line.split()
-        if not words or words[0].startswith('#'):
-            continue
-        allowed = tuple(words[3].split(','))
-        found.append(Row(words[0], words[1], words[2], allowed, 'ci' in words))
-    return found
-
-
-class Caller(threading.Thread):
-    """One request on a connection of its own, which can be dropped."""
-
-    def __init__(
-        self,
-        running: deployment.Deployment,
-        index: int,
-        prompt: str,
-        key: str,
-        once: bool,
-    ) -> None:
-        super().__init__(daemon=True)
-        self._address = running.addresses[index]
-        self._port = running.ports['entry']
-        self._headers = {'Authorization': f'Bearer {deployment.TOKEN}'}
-        if once:
-            self._headers['Idempotency-Key'] = key
-            self._headers['Galenahatch-Non-Idempotent'] = 'true'
-        self._body = json.dumps(
-            {
-                'model': 'log-reader',
-                'prompt': prompt,
-                'max_tokens': _MAX_TOKENS,
-            }
-        )
-        self._connection = http.client.HTTPConnection(
-            self._address, self._port, timeout=60
-        )
-        self.outcome = 'gone'
-        self.body: typing.Any = None
-
-    def run(self) -> None:
-        """Send the request and keep what comes back."""
-        try:
-            self._connection.request(
-                'POST', '/v1/completions', self._body, self._headers
-            )
-            response = self._connection.getresponse()
-            self.body = json.loads(response.read())
-            self.outcome = response.headers['Galenahatch-Outcome']
-        except (OSError, http.client.HTTPException, ValueError):
-            self.outcome = 'gone'
-
-    def leave(self) -> None:
-        """Drop the connection."""
-        if self._connection.sock is not None:
-            self._connection.sock.shutdown(socket.SHUT_RDWR)
-
-    def text(self) -> str:
-        """Return the text of the answer."""
-        return deployment.text_of(self.body)
-
-
 class Case:
     """One row on a deployment that other rows use too."""
 
-    def __init__(self, running: deployment.Deployment, row: Row) -> None:
+    def __init__(
+        self, running: deployment.Deployment, row: matrix.Row
+    ) -> None:
         self._running = running
         self._row = row
         self._steps = row.fault.split('+')
         self._id = f'{row.name}-{time.monotonic_ns()}'
         self._prompt = f'{self._id} ' * 30
-        self._fillers: list[Caller] = []
+        self._fillers: list[matrix.Caller] = []
 
     def run(self) -> Result:
         """Run the case; AssertionError if a promise is broken."""
@@ -194,8 +104,8 @@
             self._second(caller)
         return Result(caller.outcome, freed, runs)
 
-    def _caller(self, index: int) -> Caller:
-        return Caller(
+    def _caller(self, index: int) -> matrix.Caller:
+        return matrix.Caller(
             self._running, index, self._prompt, self._id, self._row.once
         )
 
@@ -242,14 +152,14 @@
             self._running.fault(name, slow=6.0)
         for number in range(_FILLERS):
             prompt = f'filler {number} {self._id}'
-            filler = Caller(self._running, 2, prompt, '', False)
+            filler = matrix.Caller(self._running, 2, prompt, '', False)
             filler.start()
             self._fillers.append(filler)
         deployment.wait_for(
             lambda: len(self._running.held()) >= 2, 'places are taken'
         )
 
-    def _reach_step(self, caller: Caller) -> None:
+    def _reach_step(self, caller: matrix.Caller) -> None:
         checks: dict[str, collections.abc.Callable[[], bool]] = {
             'claim': lambda: True,
             'queue': lambda: self._waiting() > 0,
@@ -364,12 +274,12 @@
 
     # The oracle.
 
-    def _check(self, caller: Caller, runs: int) -> None:
+    def _check(self, caller: matrix.Caller, runs: int) -> None:
         assert caller.outcome in self._row.allowed, (
             f'outcome {caller.outcome} {caller.body}'
         )
         if caller.outcome == 'answered':
-            truth = model.answer_of(self._prompt, _MAX_TOKENS)
+            truth = model.answer_of(self._prompt, matrix.MAX_TOKENS)
             assert caller.text() == truth, 'not the whole answer'
         if caller.outcome == 'not_run':
             assert runs == 0, f'not_run, yet {runs} runs'
@@ -377,7 +287,7 @@
             assert runs <= 1, f'{runs} prefills'
             assert self._decodes() <= 1, 'decoded twice'
 
-    def _second(self, first: Caller) -> None:
+    def _second(self, first: matrix.Caller) -> None:
         """Send the key again at another entry, until it is not in flight."""
         self._running.wait_ready()
         until = time.monotonic() + 15
@@ -397,7 +307,7 @@
         if first.outcome == 'answered':
             assert second.outcome == 'answered', second.body
         if second.outcome == 'answered':
-            truth = model.answer_of(self._prompt, _MAX_TOKENS)
+            truth = model.answer_of(self._prompt, matrix.MAX_TOKENS)
             assert second.text() == truth, 'a second, other answer'
         if first.outcome in ('failed', 'unknown') and self._runs():
             told = (first.outcome, 'answered', 'unknown')
@@ -436,21 +346,21 @@
         )
 
 
-Fault = collections.abc.Callable[[Case, Caller], None]
+Fault = collections.abc.Callable[[Case, matrix.Caller], None]
 
 
-def _caller_gone(case: Case, caller: Caller) -> None:
+def _caller_gone(case: Case, caller: matrix.Caller) -> None:
     caller.leave()
 
 
 def _kill(name: str) -> Fault:
-    def fault(case: Case, caller: Caller) -> None:
+    def fault(case: Case, caller: matrix.Caller) -> None:
         case._running.daemons[name].kill()
 
     return fault
 
 
-def _entry_frozen(case: Case, caller: Caller) -> None:
+def _entry_frozen(case: Case, caller: matrix.Caller) -> None:
     entry = case._running.daemons['entry0']
     entry.signal(signal.SIGSTOP)
     time.sleep(_FROZEN_SECONDS)
@@ -467,21 +377,21 @@
     return 'scheduler1'
 
 
-def _scheduler_killed(case: Case, caller: Caller) -> None:
+def _scheduler_killed(case: Case, caller: matrix.Caller) -> None:
     case._running.daemons[_owner(case)].kill()
 
 
-def _scheduler_stopped(case: Case, caller: Caller) -> None:
+def _scheduler_stopped(case: Case, caller: matrix.Caller) -> None:
     assert case._running.daemons[_owner(case)].stop() == 0
 
 
-def _schedulers_killed(case: Case, caller: Caller) -> None:
+def _schedulers_killed(case: Case, caller: matrix.Caller) -> None:
     for name, process in case._running.daemons.items():
         if name.startswith('scheduler'):
             process.kill()
 
 
-def _engine_killed(case: Case, caller: Caller) -> None:
+def _engine_killed(case: Case, caller: matrix.Caller) -> None:
     letter = 'p' if case._row.step == 'prefill' else 'd'
     for name in case._running.engines:
         if name.startswith(letter):
@@ -491,7 +401,7 @@
 
 
 def _stores(*names: str) -> Fault:
-    def fault(case: Case, caller: Caller) -> None:
+    def fault(case: Case, caller: matrix.Caller) -> None:
         for name in names:
             case._running.fault(name, down=True)
 
@@ -518,21 +428,21 @@
     return before
 
 
-def _nothing(case: Case, caller: Caller) -> None:
+def _nothing(case: Case, caller: matrix.Caller) -> None:
     """The fault was set before the request."""
 
 
-def _cancel_lost(case: Case, caller: Caller) -> None:
+def _cancel_lost(case: Case, caller: matrix.Caller) -> None:
     for name in case._running.engines:
         case._running.fault(name, lose_cancels=10, slow=100.0)
     caller.leave()
 
 
-def _stopped(case: Case, caller: Caller) -> None:
+def _stopped(case: Case, caller: matrix.Caller) -> None:
     assert case._running.daemons['entry0'].stop() == 0
 
 
-def _all_stopped(case: Case, caller: Caller) -> None:
+def _all_stopped(case: Case, caller: matrix.Caller) -> None:
     for index in range(len(case._running.addresses)):
         for program in ('entry', 'scheduler'):
             process = case._running.daemons[f'{program}{index}']
@@ -541,7 +451,7 @@
         case._running.wait_ready()
 
 
-def _two_entries(case: Case, caller: Caller) -> None:
+def _two_entries(case: Case, caller: matrix.Caller) -> None:
     """Send the same key at another entry at the same time."""
     other = case._caller(1)
     other.run()
@@ -551,11 +461,11 @@
     # or has the same answer.
     assert told in (['answered', 'answered'], ['answered', 'unknown']), told
     if other.outcome == 'answered':
-        truth = model.answer_of(case._prompt, _MAX_TOKENS)
+        truth = model.answer_of(case._prompt, matrix.MAX_TOKENS)
         assert other.text() == truth
 
 
-def _vm_killed(case: Case, caller: Caller) -> None:
+def _vm_killed(case: Case, caller: matrix.Caller) -> None:
     case._running.daemons['entry0'].kill()
     case._running.daemons['scheduler0'].kill()
 
@@ -619,7 +529,7 @@
 _BEFORE['cut'] = _cut_before
 
 
-def knows(row: Row) -> bool:
+def knows(row: matrix.Row) -> bool:
     """Return whether each fault of a row can be done."""
     return all(fault in _FAULTS for fault in row.fault.split('+'))
 
@@ -633,7 +543,7 @@
     )
 
 
-def run_row(running: deployment.Deployment, row: Row) -> Result:
+def run_row(running: deployment.Deployment, row: matrix.Row) -> Result:
     """Run one row."""
     case = Case(running, row)
     case.note_runs()
@@ -644,10 +554,10 @@
     """Run all rows, or those whose names hold one of some words."""
     chosen = [
         row
-        for row in rows()
+        for row in matrix.rows()
         if not names or any(name in row.name for name in names)
     ]
-    work: queue.SimpleQueue[Row] = queue.SimpleQueue()
+    work: queue.SimpleQueue[matrix.Row] = queue.SimpleQueue()
     for row in chosen:
         work.put(row)
     results: dict[str, bool] = {}
@@ -661,14 +571,16 @@
         worker.join()
     passed = sum(results.values())
     failed = len(results) - passed
-    not_run = [row.name for row in rows() if row.name not in results]
+    not_run = [row.name for row in matrix.rows() if row.name not in results]
     print(f'{passed} passed, {failed} failed, {len(not_run)} not run')
     for name in not_run if not names else ():
         print(f'not run: {name}')
     return int(passed != len(chosen))
 
 
-def _work(work: queue.SimpleQueue[Row], results: dict[str, bool]) -> None:
+def _work(
+    work: queue.SimpleQueue[matrix.Row], results: dict[str, bool]
+) -> None:
     """Run rows on a deployment of one's own until none is left."""
     with start() as running:
         while True:
--- a/galenahatch/test/test_faults.py
+++ b/galenahatch/test/test_faults.py
@@ -18,6 +18,7 @@
 
 from galenahatch.test import deployment
 from galenahatch.test import faults
+from galenahatch.test import matrix
 
 
 @pytest.fixture(scope='module')
@@ -28,17 +29,17 @@
 
 
 @pytest.mark.parametrize(
-    'row', [r for r in faults.rows() if r.ci], ids=lambda row: str(row.name)
+    'row', [r for r in matrix.rows() if r.ci], ids=lambda row: str(row.name)
 )
-def test_fault(running: deployment.Deployment, row: faults.Row) -> None:
+def test_fault(running: deployment.Deployment, row: matrix.Row) -> None:
     """A row holds all that the matrix says."""
     faults.run_row(running, row)
 
 
 def test_every_row_is_known() -> None:
     """Each row names a fault and a step that there is, once."""
-    found = [row.name for row in faults.rows()]
+    found = [row.name for row in matrix.rows()]
     assert len(found) == len(set(found))
-    for row in faults.rows():
+    for row in matrix.rows():
         assert row.kind in ('repeat', 'once')
         assert faults.knows(row)
--- a/galenahatch/test/test_placement.py
+++ b/galenahatch/test/test_placement.py
@@ -14,12 +14,14 @@
 
 import asyncio
 
+from galenahatch import clock
 from galenahatch import config
 from galenahatch.core import cells
 from galenahatch.core import revision
 from galenahatch import distribution
 from galenahatch import ids
 from galenahatch import messages
+from galenahatch import news
 from galenahatch import options
 from galenahatch import placement
 from galenahatch.platform import objects
@@ -29,6 +31,7 @@
 from galenahatch import tasks
 from galenahatch.test import samples
 from galenahatch import trail
+from galenahatch.upstream import engine
 
 _SERVICE = """
 [[services]]
@@ -38,7 +41,7 @@
 _CENTRE = ids.DataCentre('zogno')
 
 
-def _engine(name: str, role: str) -> str:
+def _engine_toml(name: str, role: str) -> str:
     return (
         f'[[engines]]\nname = "{name}"\nservice = "x"\nrole = "{role}"\n'
         'data_centre = "zogno"\naddress = "127.0.0.1"\nport = 1\n'
@@ -47,7 +50,7 @@
 
 def _accepted() -> revision.Accepted:
     base = samples.BASE + _SERVICE
-    base += _engine('p1', 'prefill') + _engine('d1', 'decode')
+    base += _engine_toml('p1', 'prefill') + _engine_toml('d1', 'decode')
     bundle = schema.Bundle(base, {'bergamo': ''})
     digest = revision.digest_of(revision.encode(bundle))
     head = revision.Head(ids.Revision(1), ids.ChangeId('c'), digest, 'me', '')
@@ -73,30 +76,38 @@
     )
 
 
-async def _place_before_refresh() -> list[messages.AnyMessage]:
-    """Ask when the configuration is in force but not planned yet."""
+def _settings(
+    accepted: revision.Accepted,
+) -> distribution.Distribution:
+    """Return a configuration in force, without stores."""
     settings = distribution.Distribution(
         options.Options(data_centre=_CENTRE),
         table.Table(None, ''),  # type: ignore[arg-type]
         objects.Objects(None, ''),  # type: ignore[arg-type]
         tasks.Tasks(),
     )
+    settings.in_force.offer(accepted, config.load(accepted.bundle))
+    return settings
+
+
+async def _place_before_refresh() -> list[messages.AnyMessage]:
+    """Ask when the configuration is in force but not planned yet."""
     accepted = _accepted()
     sites = config.load(accepted.bundle)
     assert sites is not None
-    settings.in_force.offer(accepted, sites)
+    settings = _settings(accepted)
     owner = placement.Placement(
         settings, _CENTRE, trail.Trail(), lambda entry, held: None
     )
     answers: list[messages.AnyMessage] = []
     running = asyncio.create_task(owner.run())
-    owner.tell(placement.FromEntry(_request(1), answers.append))
+    owner.tell(news.FromEntry(_request(1), answers.append))
     await asyncio.sleep(0.01)
     plans = cells.plans(sites, ids.RegionName('lombardy'))
-    news = placement.Refresh(
+    refresh = news.Refresh(
         ids.Revision(1), plans, frozenset(plans), frozenset()
     )
-    owner.tell(news)
+    owner.tell(refresh)
     await asyncio.sleep(0.01)
     running.cancel()
     return answers
@@ -111,3 +122,35 @@
     answers = asyncio.run(_place_before_refresh())
     assert len(answers) == 1
     assert isinstance(answers[0], messages.Placed), answers
+
+
+async def _events_after_restart() -> dict[ids.EngineName, int]:
+    """Report cache events of an engine, before and after it restarts."""
+    accepted = _accepted()
+    sites = config.load(accepted.bundle)
+    assert sites is not None
+    owner = placement.Placement(
+        _settings(accepted), _CENTRE, trail.Trail(), lambda entry, held: None
+    )
+    plans = cells.plans(sites, ids.RegionName('lombardy'))
+    owner.tell(
+        news.Refresh(ids.Revision(1), plans, frozenset(plans), frozenset())
+    )
+    name = ids.EngineName('p1')
+    for incarnation, numbers, block in ((1, range(5), 7), (2, range(2), 8)):
+        events = tuple(engine.Stored(n, (block,)) for n in numbers)
+        load = engine.Load(incarnation, 1, False, 0, 0.0, events)
+        owner.tell(news.EngineReport(name, load))
+    running = asyncio.create_task(owner.run())
+    await asyncio.sleep(0.01)
+    running.cancel()
+    (cell,) = owner.cells
+    return cell.index.hits((8,), clock.now())
+
+
+def test_cache_events_of_a_restarted_engine() -> None:
+    """A restarted engine numbers its events anew; they count.
+
+    They were taken for old ones, so its cache was never known again.
+    """
+    assert asyncio.run(_events_after_restart()) == {'p1': 1}
