--- a/galenahatch/bus.py
+++ b/galenahatch/bus.py
@@ -24,6 +24,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import typing
 
 import zmq
@@ -42,12 +43,25 @@
 _AT_ONCE: typing.Final = 64
 _log = logs.Log('bus')
 
-LinkHandler = collections.abc.Callable[[messages.AnyMessage], None]
+M = typing.TypeVar('M')
 Peer = typing.NewType('Peer', bytes)
-HubHandler = collections.abc.Callable[[Peer, messages.AnyMessage], None]
 _Frames = list[bytes]
 
 
+@dataclasses.dataclass(frozen=True)
+class Codec(typing.Generic[M]):
+    """How the messages of one protocol become frames, and back."""
+
+    encode: collections.abc.Callable[[M], bytes]
+    decode: collections.abc.Callable[[bytes], M | errors.Failure]
+
+
+DAEMONS: typing.Final = Codec[messages.AnyMessage](
+    messages.encode, messages.decode
+)
+"""Messages between entries, schedulers and controllers."""
+
+
 class _Pump:
     """Reads a socket whenever it has frames, and sends without blocking.
 
@@ -114,15 +128,16 @@
         return _AT_ONCE
 
 
-class _Inbox:
+class _Inbox(typing.Generic[M]):
     """Decodes frames and hands messages on."""
 
-    def __init__(self) -> None:
+    def __init__(self, codec: Codec[M]) -> None:
+        self._codec = codec
         self._drops = 0
 
-    def decode(self, frame: bytes) -> messages.AnyMessage | None:
+    def decode(self, frame: bytes) -> M | None:
         """Return the message of a frame; None if it was dropped."""
-        message = messages.decode(frame)
+        message = self._codec.decode(frame)
         if isinstance(message, errors.Failure):
             self.drop(message)
             return None
@@ -153,26 +168,33 @@
     return zmq.Context.instance()
 
 
-class Link:
-    """One connection to a scheduler.
+class Link(typing.Generic[M]):
+    """One connection to a process that binds a hub.
 
     Args:
         endpoint: `tcp://ip:port`.
-        handler: called with each message from the scheduler.
+        codec: of the messages.
+        handler: called with each message from there.
     """
 
-    def __init__(self, endpoint: str, handler: LinkHandler) -> None:
+    def __init__(
+        self,
+        endpoint: str,
+        codec: Codec[M],
+        handler: collections.abc.Callable[[M], None],
+    ) -> None:
         socket = _limited(context(), zmq.DEALER)
         socket.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
         socket.connect(endpoint)
         self._handler = handler
-        self._inbox = _Inbox()
+        self._codec = codec
+        self._inbox = _Inbox(codec)
         self._pump = _Pump(socket, self._take)
 
-    def send(self, message: messages.AnyMessage) -> None:
+    def send(self, message: M) -> None:
         """Queue a message; dropped when the peer is long away."""
-        frame = messages.encode(message)
+        frame = self._codec.encode(message)
         metrics.control_bytes.add(len(frame))
         self._pump.send([frame])
 
@@ -186,24 +208,31 @@
             _guarded(self._handler, message)
 
 
-class Hub:
-    """The bound socket of a scheduler.
+class Hub(typing.Generic[M]):
+    """The bound socket of a process that others connect to.
 
     Args:
         endpoint: `tcp://ip:port`.
+        codec: of the messages.
         handler: called with each message and its sender.
     """
 
-    def __init__(self, endpoint: str, handler: HubHandler) -> None:
+    def __init__(
+        self,
+        endpoint: str,
+        codec: Codec[M],
+        handler: collections.abc.Callable[[Peer, M], None],
+    ) -> None:
         socket = _limited(context(), zmq.ROUTER)
         socket.bind(endpoint)
         self._handler = handler
-        self._inbox = _Inbox()
+        self._codec = codec
+        self._inbox = _Inbox(codec)
         self._pump = _Pump(socket, self._take)
 
-    def send(self, peer: Peer, message: messages.AnyMessage) -> None:
+    def send(self, peer: Peer, message: M) -> None:
         """Queue an answer; dropped when the peer is away."""
-        frame = messages.encode(message)
+        frame = self._codec.encode(message)
         metrics.control_bytes.add(len(frame))
         self._pump.send([peer, frame])
 
@@ -223,7 +252,9 @@
         _guarded(lambda taken: self._handler(peer, taken), message)
 
 
-def _guarded(handler: LinkHandler, message: messages.AnyMessage) -> None:
+def _guarded(
+    handler: collections.abc.Callable[[M], None], message: M
+) -> None:
     """Call a handler; its failure must not end the reading."""
     try:
         handler(message)
--- /dev/null
+++ b/galenahatch/core/dispatch.py
@@ -0,0 +1,517 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""The owner's decisions: which engines a generation runs on, and when.
+
+One owner decides for all VMs, so that the memory of each decode engine is
+counted once. A request is placed when its decode engine has room for its
+whole predicted life and its prefill engine is about to be idle; until then
+it waits here, where order and refusal stay possible.
+
+Order: what can still start in time, the returned first, then by the time
+until which it can wait; what is late comes after all that. A new request
+that could not start in time is refused at once with the time at which there
+is room. A request that comes back is never refused for that reason: it
+waits, late if need be, since a third try is unlikely.
+
+Times are monotonic seconds, passed in; there is no input or output here.
+"""
+
+import dataclasses
+import typing
+
+from galenahatch.core import memory
+from galenahatch.core import upstreams
+from galenahatch import ids
+
+MEMORY_SHARE: typing.Final = 0.97
+"""Part of an engine's memory that predictions may fill. Preempting a run
+costs its prompt again and a pause; a tenth more room lost a tenth of the
+requests served in bursts."""
+LOOKAHEAD: typing.Final = 0.02
+"""Seconds of work that a prefill engine may have ahead; the rest waits in
+the queue, where it can still be reordered."""
+FIRST_RATE: typing.Final = 40_000.0
+"""Prompt tokens a second of a prefill engine before any was measured."""
+_START_SLACK: typing.Final = 0.15
+"""Seconds from the end of a prefill to the first event at the caller:
+transfer, first step, network."""
+_RATE_WEIGHT: typing.Final = 0.1
+_LEAST_RETRY: typing.Final = 0.3
+"""Shortest time after which a refused caller is asked to come back."""
+_RETURN_SHARE: typing.Final = 1 / 3
+"""Callers heed a time to come back up to this part of what they have left."""
+_PROMISE_LIFE: typing.Final = 10.0
+_SUSPECT_FIRST: typing.Final = 0.5
+_SUSPECT_MOST: typing.Final = 4.0
+"""Seconds for which an engine that failed is left alone, doubled with each
+failure up to the second figure: upstreams that crash are back, or their
+entry is gone, within about four seconds."""
+_RECHECK: typing.Final = 0.02
+_LAPSE: typing.Final = 15.0
+"""Seconds without a sign of its VM after which a run is forgotten; longer
+than the longest stream of the users, shorter than a minute."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Job:
+    """A generation that asks for engines.
+
+    Attributes:
+        prompt: tokens of the prompt.
+        output: predicted tokens of the answer.
+        most: bound on the tokens of the answer.
+        start_by: until when its first event must have been made.
+        deadline: until when the whole answer must be there.
+        subject: id of the part of the prompt that only this caller sends;
+            tells that a request comes back.
+        avoid: engines that failed the request already.
+        going_on: whether a part of the answer was already passed on.
+    """
+
+    stream: ids.StreamId
+    entry: ids.MemberId
+    prompt: int
+    output: int
+    most: int
+    arrived_at: float
+    start_by: float
+    deadline: float
+    subject: str
+    data_centre: ids.DataCentre
+    avoid: frozenset[ids.UpstreamId] = frozenset()
+    going_on: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Placed:
+    """A request's engines.
+
+    Attributes:
+        prefill: None if the decode engine reads the prompt itself.
+        why: inputs of the decision, for the log.
+    """
+
+    job: Job
+    prefill: ids.UpstreamId | None
+    decode: ids.UpstreamId
+    why: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Refused:
+    """A request that is given up at once."""
+
+    job: Job
+    retry_after: float
+    why: str
+
+
+Decision = Placed | Refused
+
+
+@dataclasses.dataclass
+class _Health:
+    failures: int = 0
+    until: float = 0.0
+
+    def failed(self, now: float) -> None:
+        self.failures += 1
+        wait = _SUSPECT_FIRST * 2 ** (self.failures - 1)
+        self.until = now + min(wait, _SUSPECT_MOST)
+
+    def worked(self) -> None:
+        self.failures = 0
+        self.until = 0.0
+
+
+class _Prefill:
+    """A prefill engine: one line of work."""
+
+    def __init__(self, upstream: upstreams.Upstream) -> None:
+        self.upstream = upstream
+        self.idle_at = 0.0
+        self.health = _Health()
+
+
+class _Decode:
+    """A decode engine."""
+
+    def __init__(
+        self, upstream: upstreams.Upstream, capacity: int, slots: int
+    ) -> None:
+        self.upstream = upstream
+        self.memory = memory.EngineMemory(capacity, slots)
+        self.health = _Health()
+
+
+class Dispatcher:
+    """Engines of one service, and requests that wait for them.
+
+    Args:
+        capacity: tokens of KV cache of each engine.
+        slots: runs at once of each engine.
+    """
+
+    def __init__(self, capacity: int, slots: int) -> None:
+        self._capacity = capacity
+        self._slots = slots
+        self._prefills: dict[ids.UpstreamId, _Prefill] = {}
+        self._decodes: dict[ids.UpstreamId, _Decode] = {}
+        self._queue: dict[ids.StreamId, Job] = {}
+        self._where: dict[ids.StreamId, ids.UpstreamId] = {}
+        self._seen_at: dict[ids.StreamId, float] = {}
+        self._promises: dict[str, float] = {}
+        self._rate = FIRST_RATE
+        self._mean_prompt = 0.0
+        self._mean_output = 0.0
+
+    @property
+    def waiting(self) -> int:
+        """Requests in the queue."""
+        return len(self._queue)
+
+    @property
+    def running(self) -> int:
+        """Runs placed and not ended."""
+        return len(self._where)
+
+    # News of engines.
+
+    def set_engines(
+        self, engines: typing.Iterable[upstreams.Upstream]
+    ) -> None:
+        """Take the engines that take work; known ones keep their state."""
+        current = {engine.id: engine for engine in engines}
+        for table in (self._prefills, self._decodes):
+            for gone in [key for key in table if key not in current]:
+                del table[gone]
+        for engine in current.values():
+            self._keep(engine)
+
+    def _keep(self, engine: upstreams.Upstream) -> None:
+        if engine.stage is upstreams.Stage.PREFILL:
+            self._decodes.pop(engine.id, None)
+            self._prefills.setdefault(engine.id, _Prefill(engine))
+        else:
+            self._prefills.pop(engine.id, None)
+            if engine.id not in self._decodes:
+                decode = _Decode(engine, self._capacity, self._slots)
+                self._decodes[engine.id] = decode
+
+    def observe(
+        self, engine: ids.UpstreamId, used: int, now: float
+    ) -> None:
+        """Take the used memory that an engine reports."""
+        decode = self._decodes.get(engine)
+        if decode is not None:
+            decode.memory.observe(used, now)
+
+    def failed(self, engine: ids.UpstreamId, now: float) -> None:
+        """Note that an engine failed a request."""
+        found = self._prefills.get(engine) or self._decodes.get(engine)
+        if found is not None:
+            found.health.failed(now)
+
+    # The life of a request.
+
+    def submit(self, job: Job, now: float) -> Decision | None:
+        """Take a request; return a decision if it is refused at once."""
+        returned = self._promises.pop(job.subject, None) is not None
+        self._note_size(job)
+        if job.stream in self._where:
+            self._forget(job.stream, now)
+        if not self._decodes:
+            return self._refuse(job, 'no_engine', now)
+        if not (returned or job.going_on):
+            wait = self._expected_wait(job, now)
+            if now + wait > job.start_by:
+                why = f'wait={wait:.3f} queue={len(self._queue)}'
+                return self._refuse(job, why, now)
+        self._queue[job.stream] = job
+        return None
+
+    def withdraw(self, stream: ids.StreamId) -> None:
+        """Remove a request that waits: its caller is gone."""
+        self._queue.pop(stream, None)
+
+    def decide(self, now: float) -> list[Decision]:
+        """Place what can be placed now; give up what can't end in time."""
+        decisions: list[Decision] = []
+        for job in sorted(self._queue.values(), key=self._order(now)):
+            if job.deadline < now + self._life(job):
+                del self._queue[job.stream]
+                decisions.append(self._refuse(job, 'no_time_left', now))
+                continue
+            placed = self._place(job, now)
+            if placed is None:
+                break
+            del self._queue[job.stream]
+            decisions.append(placed)
+        return decisions
+
+    def next_look(self, now: float) -> float | None:
+        """Return when `decide` should be called again; None if idle."""
+        return now + _RECHECK if self._queue else None
+
+    def prefilled(
+        self, stream: ids.StreamId, tokens: int, seconds: float, now: float
+    ) -> None:
+        """Note that a prompt was read, and how long it took."""
+        self._seen_at[stream] = now
+        if tokens > 0 and seconds > 0:
+            self._rate += _RATE_WEIGHT * (tokens / seconds - self._rate)
+
+    def started(self, stream: ids.StreamId, now: float) -> None:
+        """Note the first event of a stream."""
+        run = self._run(stream)
+        self._seen_at[stream] = now
+        if run is not None:
+            run.starts_at = now
+
+    def release(
+        self, stream: ids.StreamId, tokens: int, seconds: float, now: float
+    ) -> None:
+        """Note the end of a run.
+
+        Args:
+            stream: that ended.
+            tokens: of the answer; 0 if it broke off.
+            seconds: from the first event to the last.
+            now: monotonic seconds.
+        """
+        engine = self._where.get(stream)
+        decode = self._decodes.get(engine) if engine is not None else None
+        if decode is not None and tokens:
+            decode.health.worked()
+            decode.memory.learn_pace(tokens, seconds)
+        self._forget(stream, now)
+        self._queue.pop(stream, None)
+
+    def rebuild(
+        self,
+        entry: ids.MemberId,
+        held: typing.Iterable[tuple[ids.UpstreamId, memory.Run]],
+        now: float,
+    ) -> None:
+        """Take a VM's complete list of its runs: add, confirm and drop."""
+        current = set()
+        for engine, run in held:
+            current.add(run.stream)
+            self._seen_at[run.stream] = now
+            decode = self._decodes.get(engine)
+            if decode is None or run.stream in decode.memory.runs:
+                continue
+            self._forget(run.stream, now)
+            decode.memory.add(run)
+            self._where[run.stream] = engine
+        for stream in list(self._where):
+            known = self._run(stream)
+            if known is None or known.entry != entry or stream in current:
+                continue
+            # Younger than the list may be: it was on its way to the VM.
+            if now - self._seen_at.get(stream, now) > _RECHECK * 50:
+                self._forget(stream, now)
+
+    def lapse(self, now: float) -> None:
+        """Forget runs whose VM has been silent for long."""
+        for stream, seen_at in list(self._seen_at.items()):
+            if now - seen_at > _LAPSE:
+                self._forget(stream, now)
+
+    # Parts of the above.
+
+    def _order(
+        self, now: float
+    ) -> typing.Callable[[Job], tuple[bool, bool, float]]:
+        def key(job: Job) -> tuple[bool, bool, float]:
+            if job.going_on:
+                return False, False, 0.0
+            late = job.start_by < now + self._prefill_time(job)
+            return late, True, job.deadline if late else job.start_by
+
+        return key
+
+    def _place(self, job: Job, now: float) -> Placed | None:
+        prefill = self._choose_prefill(job, now)
+        if prefill is not None and prefill.idle_at > now + LOOKAHEAD:
+            return None
+        ready = now + self._prefill_time(job)
+        decode = self._choose_decode(job, prefill, ready, now)
+        if decode is None:
+            return None
+        run = _run_of(job, ready)
+        decode.memory.add(run)
+        self._where[job.stream] = decode.upstream.id
+        self._seen_at[job.stream] = now
+        if prefill is not None:
+            begin = max(now, prefill.idle_at)
+            prefill.idle_at = begin + job.prompt / self._rate
+        why = (
+            f'load={decode.memory.load(now):.2f}'
+            f' runs={len(decode.memory.runs)} waited='
+            f'{now - job.arrived_at:.3f} queue={len(self._queue)}'
+        )
+        chosen = prefill.upstream.id if prefill is not None else None
+        return Placed(job, chosen, decode.upstream.id, why)
+
+    def _choose_prefill(self, job: Job, now: float) -> _Prefill | None:
+        """Return the prefill engine that is idle first, the nearest of
+        those that are idle."""
+        found = [
+            engine
+            for engine in self._prefills.values()
+            if engine.health.until <= now
+            and engine.upstream.id not in job.avoid
+        ]
+        if not found:
+            return None
+
+        def key(engine: _Prefill) -> tuple[float, bool]:
+            near = engine.upstream.data_centre == job.data_centre
+            return max(now, engine.idle_at), not near
+
+        return min(found, key=key)
+
+    def _choose_decode(
+        self,
+        job: Job,
+        prefill: _Prefill | None,
+        ready: float,
+        now: float,
+    ) -> _Decode | None:
+        """Return the decode engine with the lowest predicted peak."""
+        run = _run_of(job, ready)
+        best: _Decode | None = None
+        best_score = 0.0
+        for engine in self._usable_decodes(job, now):
+            if not engine.memory.fits(run, MEMORY_SHARE, now):
+                continue
+            score = engine.memory.load(now)
+            if prefill is not None:
+                here = engine.upstream.data_centre
+                score += 0.1 * (here != prefill.upstream.data_centre)
+            if best is None or score < best_score:
+                best, best_score = engine, score
+        return best
+
+    def _usable_decodes(self, job: Job, now: float) -> list[_Decode]:
+        usable = [
+            engine
+            for engine in self._decodes.values()
+            if engine.upstream.id not in job.avoid
+        ]
+        well = [e for e in usable if e.health.until <= now]
+        return well or usable
+
+    def _refuse(self, job: Job, why: str, now: float) -> Refused:
+        """Give a request up, and promise when there is room for it."""
+        rate = self._service_rate()
+        latest = max(self._promises.values(), default=now)
+        spacing = 1 / rate if rate else _LEAST_RETRY
+        wait = max(now + _LEAST_RETRY, latest + spacing) - now
+        wait = max(wait, self._queue_time())
+        longest = max(0.0, job.deadline - now) * _RETURN_SHARE
+        wait = min(wait, longest)
+        for subject, due in list(self._promises.items()):
+            if due + _PROMISE_LIFE < now:
+                del self._promises[subject]
+        if job.subject:
+            self._promises[job.subject] = now + wait
+        return Refused(job, wait, why)
+
+    def _expected_wait(self, job: Job, now: float) -> float:
+        """Return the predicted seconds until the first event."""
+        ahead = [
+            other
+            for other in self._queue.values()
+            if other.start_by >= now or other.going_on
+        ]
+        owed = sum(
+            1 for due in self._promises.values() if now - 0.5 < due < now + 0.5
+        )
+        own = self._prefill_time(job)
+        if not ahead and self._has_room(job, now):
+            return own
+        rate = self._service_rate()
+        if not rate:
+            return own
+        reading = sum(other.prompt for other in ahead) / max(
+            1.0, self._rate * max(1, len(self._prefills))
+        )
+        places = (len(ahead) + 1 + owed) / rate
+        return own + max(reading, places)
+
+    def _has_room(self, job: Job, now: float) -> bool:
+        run = _run_of(job, now + self._prefill_time(job))
+        return any(
+            engine.memory.fits(run, MEMORY_SHARE, now)
+            for engine in self._usable_decodes(job, now)
+        )
+
+    def _queue_time(self) -> float:
+        rate = self._service_rate()
+        return len(self._queue) / rate if rate else 0.0
+
+    def _service_rate(self) -> float:
+        """Return the runs a second that the decode engines can end."""
+        held = self._mean_prompt + self._mean_output / 2
+        if held <= 0:
+            return 0.0
+        rate = 0.0
+        for engine in self._decodes.values():
+            at_once = min(
+                engine.memory.slots,
+                MEMORY_SHARE * engine.memory.capacity / held,
+            )
+            life = max(0.1, self._mean_output * engine.memory.pace)
+            rate += at_once / (life + self._mean_prompt / self._rate)
+        return rate
+
+    def _prefill_time(self, job: Job) -> float:
+        return job.prompt / self._rate + _START_SLACK
+
+    def _life(self, job: Job) -> float:
+        """Return the shortest time that a whole answer may take."""
+        paces = [e.memory.pace for e in self._decodes.values()]
+        pace = min(paces, default=memory.FIRST_PACE)
+        return job.prompt / self._rate + job.output * pace / 2
+
+    def _note_size(self, job: Job) -> None:
+        if not self._mean_prompt:
+            self._mean_prompt = job.prompt
+            self._mean_output = job.output
+        self._mean_prompt += 0.05 * (job.prompt - self._mean_prompt)
+        self._mean_output += 0.05 * (job.output - self._mean_output)
+
+    def _run(self, stream: ids.StreamId) -> memory.Run | None:
+        engine = self._where.get(stream)
+        if engine is None or engine not in self._decodes:
+            return None
+        return self._decodes[engine].memory.runs.get(stream)
+
+    def _forget(self, stream: ids.StreamId, now: float) -> None:
+        self._seen_at.pop(stream, None)
+        engine = self._where.pop(stream, None)
+        if engine is not None and engine in self._decodes:
+            self._decodes[engine].memory.remove(stream, now)
+
+
+def _run_of(job: Job, starts_at: float) -> memory.Run:
+    return memory.Run(
+        stream=job.stream,
+        entry=job.entry,
+        prompt=job.prompt,
+        output=job.output,
+        most=job.most,
+        starts_at=starts_at,
+    )
--- /dev/null
+++ b/galenahatch/core/memory.py
@@ -0,0 +1,156 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Memory for KV cache at decode engines, over the predicted life of runs.
+
+A run holds its prompt from its start and one token more with each step, and
+frees all of it at its end. What limits an engine is therefore the highest
+sum over time, which is reached just before one of its runs ends. A new run
+fits if the sum stays under the limit at each of those moments. Counting
+places, or what is used now, admits too much: a run that starts small grows
+by two thirds here, and an engine that runs out of memory preempts a run
+and reads its prompt again.
+"""
+
+import dataclasses
+import typing
+
+from galenahatch import ids
+
+FIRST_PACE: typing.Final = 0.001
+"""Seconds for a token before any run was measured; middle of what engines
+of the users' sizes take with half of their slots in use."""
+
+_PACE_WEIGHT: typing.Final = 0.15
+"""Weight of the newest run in the average pace."""
+_OVERRUN: typing.Final = 1.15
+"""Predicted length of a run that has outlived its prediction, by what it
+has made so far."""
+_RECENT: typing.Final = 1.5
+"""Seconds for which a run that has ended may still stand in a report; the
+reports of engines are up to a second old."""
+
+
+@dataclasses.dataclass
+class Run:
+    """One request at a decode engine.
+
+    Attributes:
+        prompt: tokens held from the start.
+        output: predicted tokens of the answer.
+        most: bound on the tokens of the answer.
+        starts_at: when the first token is made, predicted or seen.
+    """
+
+    stream: ids.StreamId
+    entry: ids.MemberId
+    prompt: int
+    output: int
+    most: int
+    starts_at: float
+
+
+class EngineMemory:
+    """Runs of one decode engine, now and predicted.
+
+    Args:
+        capacity: tokens of KV cache.
+        slots: runs at once.
+    """
+
+    def __init__(self, capacity: int, slots: int) -> None:
+        self.capacity = capacity
+        self.slots = slots
+        self.pace = FIRST_PACE
+        self.foreign = 0.0
+        self._runs: dict[ids.StreamId, Run] = {}
+        self._ended: list[tuple[float, float]] = []
+
+    @property
+    def runs(self) -> typing.Mapping[ids.StreamId, Run]:
+        """Runs by stream."""
+        return self._runs
+
+    def add(self, run: Run) -> None:
+        """Take a run."""
+        self._runs[run.stream] = run
+
+    def remove(self, stream: ids.StreamId, now: float) -> Run | None:
+        """Forget a run that has ended."""
+        run = self._runs.pop(stream, None)
+        if run is not None:
+            self._ended.append((now, self._held(run, now)))
+        return run
+
+    def learn_pace(self, tokens: int, seconds: float) -> None:
+        """Take how long a run took for its tokens."""
+        if tokens > 0 and seconds > 0:
+            seen = seconds / tokens
+            self.pace += _PACE_WEIGHT * (seen - self.pace)
+
+    def observe(self, used: int, now: float) -> None:
+        """Take the used tokens of a report.
+
+        What is over everything that this owner knows of, now and shortly
+        before, belongs to others: to runs that another owner placed.
+        """
+        self._ended = [e for e in self._ended if now - e[0] < _RECENT]
+        own = sum(self._held(run, now) for run in self._runs.values())
+        own += sum(tokens for _, tokens in self._ended)
+        self.foreign = max(0.0, used - own)
+
+    def peak(self, added: Run, now: float) -> float:
+        """Return the highest predicted use with one more run."""
+        spans = [self._span(run, now) for run in self._runs.values()]
+        spans.append(self._span(added, now))
+        pace = self.pace
+        highest = 0.0
+        for _, moment, _ in spans:
+            used = self.foreign
+            for start, end, prompt in spans:
+                if start <= moment <= end:
+                    used += prompt + (moment - start) / pace
+                elif start > moment:
+                    # It has its memory from the moment it is admitted.
+                    used += prompt
+            highest = max(highest, used)
+        return highest
+
+    def fits(self, added: Run, share: float, now: float) -> bool:
+        """Return whether one more run fits.
+
+        Args:
+            added: the run.
+            share: part of the capacity that predictions may fill.
+            now: monotonic seconds.
+        """
+        if len(self._runs) >= self.slots:
+            return False
+        return self.peak(added, now) <= share * self.capacity
+
+    def load(self, now: float) -> float:
+        """Return the part of the memory that is held now."""
+        held = sum(self._held(run, now) for run in self._runs.values())
+        return (held + self.foreign) / max(1, self.capacity)
+
+    def _span(self, run: Run, now: float) -> tuple[float, float, int]:
+        """Return start, predicted end and prompt of a run."""
+        made = max(0.0, now - run.starts_at) / self.pace
+        output = float(run.output)
+        if made > output:
+            output = min(run.most, made * _OVERRUN)
+        end = max(now, run.starts_at + output * self.pace)
+        return run.starts_at, end, run.prompt
+
+    def _held(self, run: Run, now: float) -> float:
+        made = max(0.0, now - run.starts_at) / self.pace
+        return run.prompt + min(run.most, made)
--- a/galenahatch/errors.py
+++ b/galenahatch/errors.py
@@ -352,6 +352,20 @@
     'A store of the platform did not answer.',
     'See the health of the table and the object store.',
 )
+STORE_BUSY = _reason(
+    'store_busy',
+    503,
+    _NOT_RUN,
+    'The store takes no more calls for the moment.',
+    'Lower the rate of calls, or raise the store\'s limits.',
+)
+HISTORY_GONE = _reason(
+    'history_gone',
+    503,
+    _NOT_RUN,
+    'The store no longer knows the changes asked for.',
+    'Nothing; the whole table is read again.',
+)
 NOT_FOUND = _reason(
     'not_found', 404, _NOT_RUN, 'There is no such item.', 'Check the name.'
 )
--- /dev/null
+++ b/galenahatch/gateway/calls.py
@@ -0,0 +1,106 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""A caller's request and an upstream's answer, decoded from the wire."""
+
+import dataclasses
+
+import multidict
+
+from galenahatch import ids
+
+
+@dataclasses.dataclass(frozen=True)
+class Prompt:
+    """What a request for a model says of its size.
+
+    Attributes:
+        tokens: of the prompt.
+        most_output: bound on the tokens of the answer.
+        likely_output: the caller's estimate, right in the middle and often
+            far off; None if it gave none.
+        subject: id of the last part of the prompt, which only this request
+            or its session has.
+    """
+
+    tokens: int
+    most_output: int
+    likely_output: int | None
+    subject: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """A caller's request.
+
+    Attributes:
+        target: path and query, to the byte as they came.
+        headers: that go on to the upstream.
+        patience: seconds that the caller waits, counted from `arrived_at`;
+            None if it did not say.
+        last_event: id after which a stream goes on, or empty.
+    """
+
+    id: str
+    method: str
+    host: str
+    target: str
+    headers: 'multidict.CIMultiDict[str]'
+    body: bytes
+    arrived_at: float
+    patience: float | None
+    prompt: Prompt | None
+    last_event: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Directions:
+    """What this system tells the upstream beside the caller's request.
+
+    Attributes:
+        instance: the only upstream that may run it.
+        patience: seconds that are left for it.
+        prefill_only: read the prompt and keep the result.
+        kv_source: address and handle of a prefill's result, or empty.
+        last_event: id after which the stream goes on, or empty.
+        priority: rank at the engine, 0 to 9; 0 goes first.
+    """
+
+    instance: ids.UpstreamId
+    patience: float | None
+    prefill_only: bool = False
+    kv_source: str = ''
+    last_event: str = ''
+    priority: int | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class AnswerHead:
+    """Status and headers of an upstream's answer.
+
+    Attributes:
+        headers: that go on to the caller.
+        request: id of the request that it answers, or empty.
+        signed: whether it bears the upstream's signature.
+        not_executed: whether it says that the request did not run.
+        load: requests running and waiting at the upstream; None if it does
+            not tell.
+        encoded: whether the body went through a content coding.
+    """
+
+    status: int
+    headers: 'multidict.CIMultiDict[str]'
+    request: str
+    signed: bool
+    not_executed: bool
+    load: int | None
+    encoded: bool
--- /dev/null
+++ b/galenahatch/gateway/directory.py
@@ -0,0 +1,290 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""What a gateway knows of the deployment: configuration and upstreams.
+
+Both stand in the platform's store. A feed of each table brings changes as
+they are made; when the store has dropped the history that a feed needs, the
+table is read again. When this VM alone can't reach the store, peers tell
+what they know (`take_news`).
+
+A configuration is only ever replaced by one with a higher version, from
+wherever it comes, so no delayed answer brings an older one back.
+"""
+
+import asyncio
+import collections.abc
+import random
+import typing
+
+from galenahatch import clock
+from galenahatch.core import routes
+from galenahatch.core import upstreams
+from galenahatch import errors
+from galenahatch.gateway import messages
+from galenahatch import ids
+from galenahatch import logs
+from galenahatch.platform import documents
+from galenahatch.platform import store as stores
+from galenahatch import tasks
+
+FEED_WAIT: typing.Final = 4.0
+"""Seconds for which a feed call waits at the store. Calls are paid for; a
+call that waits longer than a partition of a few seconds would notice the
+end of the partition late."""
+_FIRST_PAUSE: typing.Final = 0.15
+_LONGEST_PAUSE: typing.Final = 0.8
+"""Seconds between tries while the store fails: each refused call is paid
+for, and a configuration must be in force about two seconds after the store
+is back."""
+_log = logs.Log('directory')
+
+TakeAll = collections.abc.Callable[[list[stores.Row], int], None]
+TakeSome = collections.abc.Callable[[list[stores.Row], int], None]
+
+
+class Follower:
+    """Follows one table of the store.
+
+    Args:
+        store: to read.
+        table: its name.
+        take_all: called with all rows after a reading.
+        take_some: called with the rows that changed.
+    """
+
+    def __init__(
+        self,
+        store: stores.Store,
+        table: str,
+        take_all: TakeAll,
+        take_some: TakeSome,
+    ) -> None:
+        self._store = store
+        self._table = table
+        self._take_all = take_all
+        self._take_some = take_some
+        self._ver = -1
+        self._pause = 0.0
+        self._failed_at = 0.0
+        self.heard_at = -1e9
+
+    async def run(self) -> None:
+        """Follow for ever."""
+        while True:
+            found = await self._read()
+            if isinstance(found, errors.Failure):
+                await self._failed(found)
+                continue
+            self._well()
+
+    async def _read(self) -> stores.Rows | errors.Failure:
+        if self._ver < 0:
+            found = await self._store.rows(self._table)
+            if not isinstance(found, errors.Failure):
+                self._ver = found.ver
+                self._take_all(found.rows, found.ver)
+            return found
+        found = await self._store.changes(self._table, self._ver, FEED_WAIT)
+        if isinstance(found, errors.Failure):
+            if found.reason is errors.HISTORY_GONE:
+                _log.info('History gone, reading again.', table=self._table)
+                self._ver = -1
+            return found
+        self._ver = max(self._ver, found.ver)
+        if found.rows:
+            self._take_some(found.rows, found.ver)
+        return found
+
+    def _well(self) -> None:
+        if self._pause:
+            _log.info(
+                'Store regained.',
+                table=self._table,
+                away=clock.now() - self._failed_at,
+            )
+        self._pause = 0.0
+        self.heard_at = clock.now()
+
+    async def _failed(self, failure: errors.Failure) -> None:
+        if failure.reason is errors.HISTORY_GONE:
+            return
+        if not self._pause:
+            self._failed_at = clock.now()
+            _log.warning(
+                'Store lost.',
+                table=self._table,
+                reason=failure.reason.name,
+                detail=failure.detail,
+            )
+        self._pause = min(
+            max(_FIRST_PAUSE, 2 * self._pause), _LONGEST_PAUSE
+        )
+        await asyncio.sleep(self._pause * random.uniform(0.7, 1.3))
+
+
+class Directory:
+    """Configuration and upstreams in force on this VM.
+
+    Args:
+        store: the platform's store.
+        background: where its tasks run.
+    """
+
+    def __init__(
+        self, store: stores.Store, background: tasks.Tasks
+    ) -> None:
+        self._tasks = background
+        self._listeners: list[collections.abc.Callable[[], None]] = []
+        self._document = b''
+        self._rows: dict[str, bytes] = {}
+        self.config: routes.Configuration | None = None
+        self.table = routes.RouteTable(())
+        self.registry = upstreams.Registry()
+        self.upstreams_ver = -1
+        self._config_feed = Follower(
+            store,
+            documents.CONFIG_TABLE,
+            self._take_config,
+            self._take_config,
+        )
+        self._upstream_feed = Follower(
+            store,
+            documents.UPSTREAM_TABLE,
+            self._take_upstreams,
+            self._take_changes,
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether requests can be routed."""
+        return self.config is not None and self.upstreams_ver >= 0
+
+    @property
+    def config_version(self) -> int:
+        """Version of the configuration in force; 0 if there is none."""
+        return self.config.version if self.config is not None else 0
+
+    def run(self) -> None:
+        """Start to follow the store."""
+        self._tasks.keep('config feed', self._config_feed.run)
+        self._tasks.keep('upstream feed', self._upstream_feed.run)
+
+    def on_change(self, listener: collections.abc.Callable[[], None]) -> None:
+        """Call a function after each change."""
+        self._listeners.append(listener)
+
+    def service(self, name: ids.ServiceName) -> routes.Service | None:
+        """Return a service of the configuration in force."""
+        if self.config is None:
+            return None
+        return self.config.services.get(name)
+
+    # News of peers.
+
+    def news(self, ask: messages.Ask) -> messages.News | None:
+        """Return what is newer here than at a peer, if anything is."""
+        config = b''
+        if self.config_version > ask.config:
+            config = self._document
+        rows: tuple[tuple[str, bytes], ...] = ()
+        if self.upstreams_ver > ask.upstreams:
+            rows = tuple(self._rows.items())
+        if not config and not rows:
+            return None
+        return messages.News(config, self.upstreams_ver, rows)
+
+    def take_news(self, news: messages.News) -> None:
+        """Take what a peer knows, if it is newer."""
+        if news.config:
+            self._take_document(news.config, 'peer')
+        if news.rows and news.upstreams > self.upstreams_ver:
+            rows = [
+                stores.Row(key=key, value=value) for key, value in news.rows
+            ]
+            self._take_upstreams(rows, news.upstreams)
+
+    # News of the store.
+
+    def _take_config(self, rows: list[stores.Row], ver: int) -> None:
+        for row in rows:
+            if row.key == documents.CONFIG_KEY and not row.removed:
+                self._take_document(row.value, 'store')
+
+    def _take_document(self, document: bytes, source: str) -> None:
+        config = documents.configuration(document)
+        if isinstance(config, errors.Failure):
+            _log.error(
+                'Bad configuration kept out.',
+                source=source,
+                detail=config.detail,
+                in_force=self.config_version,
+            )
+            return
+        if config.version <= self.config_version:
+            return
+        self._document = document
+        self.config = config
+        self.table = routes.RouteTable(config.routes)
+        _log.info(
+            'Configuration in force.',
+            version=config.version,
+            routes=len(config.routes),
+            source=source,
+        )
+        self._changed()
+
+    def _take_upstreams(self, rows: list[stores.Row], ver: int) -> None:
+        if ver < self.upstreams_ver:
+            return
+        self.upstreams_ver = ver
+        self._rows = {row.key: row.value for row in rows}
+        found = [entry for row in rows if (entry := _decoded(row))]
+        self.registry.replace(found, clock.now())
+        _log.info('Upstreams read.', count=len(found), ver=ver)
+        self._changed()
+
+    def _take_changes(self, rows: list[stores.Row], ver: int) -> None:
+        if ver < self.upstreams_ver:
+            return
+        self.upstreams_ver = ver
+        for row in rows:
+            if row.removed:
+                self._rows.pop(row.key, None)
+                if self.registry.remove(ids.UpstreamId(row.key), clock.now()):
+                    _log.info('Upstream gone.', upstream=row.key, ver=ver)
+                continue
+            self._rows[row.key] = row.value
+            entry = _decoded(row)
+            if entry and self.registry.put(entry, clock.now()):
+                _log.info(
+                    'Upstream changed.',
+                    upstream=row.key,
+                    service=entry.service,
+                    address=entry.address,
+                    leaving=entry.leaving,
+                    stage=entry.stage.value if entry.stage else '',
+                    ver=ver,
+                )
+        self._changed()
+
+    def _changed(self) -> None:
+        for listener in self._listeners:
+            listener()
+
+
+def _decoded(row: stores.Row) -> upstreams.Upstream | None:
+    entry = documents.upstream(row.key, row.value)
+    if isinstance(entry, errors.Failure):
+        _log.error('Bad upstream entry.', detail=entry.detail)
+        return None
+    return entry
--- /dev/null
+++ b/galenahatch/gateway/front.py
@@ -0,0 +1,284 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""The callers' side: HTTP in, one answer out.
+
+Reads a request whole, finds its route, runs its course and writes what came
+of it. A caller that leaves cancels the course, which closes what it holds
+at upstreams. While the process stops, answers ask callers to close their
+connections; none is closed under a request that was read.
+"""
+
+import asyncio
+import collections.abc
+import typing
+
+from aiohttp import web
+import msgspec
+
+from galenahatch import clock
+from galenahatch.core import routes
+from galenahatch import errors
+from galenahatch.gateway import calls
+from galenahatch.gateway import generation
+from galenahatch.gateway import means as means_module
+from galenahatch.gateway import plain
+from galenahatch import logs
+from galenahatch.platform import wire
+
+_BODY_TIMEOUT: typing.Final = 10.0
+"""Seconds for a body; callers wait longer only if they have given up."""
+_RETRY_AFTER: typing.Final = 0.5
+_log = logs.Log('front')
+
+
+class Server(web.Server):
+    """Connections of callers, with the limits of the configuration.
+
+    Args:
+        handler: called with each request.
+        limits: asked for each new connection.
+    """
+
+    def __init__(
+        self,
+        handler: collections.abc.Callable[
+            [web.BaseRequest], collections.abc.Awaitable[web.StreamResponse]
+        ],
+        limits: collections.abc.Callable[[], routes.Limits],
+    ) -> None:
+        super().__init__(handler, handler_cancellation=True)
+        self._limits = limits
+
+    def __call__(self) -> web.RequestHandler:
+        """Return the protocol of a new connection."""
+        limits = self._limits()
+        return web.RequestHandler(
+            self,
+            loop=self._loop,
+            keepalive_timeout=limits.idle_timeout,
+            access_log=typing.cast(typing.Any, None),
+            max_line_size=limits.header_bytes,
+            max_field_size=limits.header_bytes,
+            auto_decompress=False,
+        )
+
+
+class _StreamSink:
+    """A streamed answer on a caller's connection."""
+
+    def __init__(self, request: web.BaseRequest, front: 'Front') -> None:
+        self._request = request
+        self._front = front
+        self._response: web.StreamResponse | None = None
+
+    @property
+    def begun(self) -> bool:
+        """Whether the caller has had the head of the answer."""
+        return self._response is not None
+
+    @property
+    def response(self) -> web.StreamResponse | None:
+        """The answer, once it has begun."""
+        return self._response
+
+    async def begin(self, head: calls.AnswerHead) -> None:
+        """Send the head."""
+        response = web.StreamResponse(status=head.status, headers=head.headers)
+        self._front.mark(response)
+        self._response = response
+        await response.prepare(self._request)
+
+    async def write(self, data: bytes) -> None:
+        """Send whole events."""
+        assert self._response is not None
+        await self._response.write(data)
+
+
+class Front:
+    """Answers callers.
+
+    Args:
+        means: what courses work with.
+    """
+
+    def __init__(self, means: means_module.Means) -> None:
+        self._means = means
+        self._in_flight = 0
+        self.leaving = False
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that are being answered."""
+        return self._in_flight
+
+    def limits(self) -> routes.Limits:
+        """Return the limits in force."""
+        config = self._means.directory.config
+        return config.limits if config is not None else routes.Limits()
+
+    def mark(self, response: web.StreamResponse) -> None:
+        """Ask the caller to close its connection if this process stops."""
+        if self.leaving:
+            response.force_close()
+
+    async def ready(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Tell the balancer whether to send callers here."""
+        good = self._means.directory.ready and not self.leaving
+        return web.Response(status=200 if good else 503)
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        arrived_at = clock.now()
+        self._in_flight += 1
+        try:
+            body = await self._body(request)
+            if isinstance(body, errors.Failure):
+                return self._own(body, '')
+            call = wire.call(
+                request.method,
+                request.raw_path,
+                request.raw_headers,
+                body,
+                arrived_at,
+            )
+            return await self._answer(request, call)
+        finally:
+            self._in_flight -= 1
+
+    async def _body(self, request: web.BaseRequest) -> bytes | errors.Failure:
+        most = self.limits().body_bytes
+        data = bytearray()
+        try:
+            async with asyncio.timeout(_BODY_TIMEOUT):
+                async for chunk in request.content.iter_any():
+                    data += chunk
+                    if len(data) > most:
+                        detail = f'over {most} bytes'
+                        return errors.Failure(errors.BODY_TOO_LARGE, detail)
+        except asyncio.TimeoutError:
+            return errors.Failure(errors.BODY_TIMEOUT)
+        return bytes(data)
+
+    async def _answer(
+        self, request: web.BaseRequest, call: calls.Call
+    ) -> web.StreamResponse:
+        if not self._means.directory.ready:
+            failure = means_module.refusal(
+                errors.NO_CONFIGURATION, '', _RETRY_AFTER
+            )
+            return self._own(failure, call.id)
+        route = self._means.directory.table.find(call.host, call.target)
+        if route is None:
+            return self._own(errors.Failure(errors.NO_ROUTE), call.id)
+        name = routes.pick_service(route, clock.RANDOM)
+        service = self._means.directory.service(name)
+        if (
+            service is not None
+            and service.engine is not None
+            and call.prompt is not None
+        ):
+            return await self._generate(request, call, route, service)
+        result = await plain.Course(self._means, call, route, name).run()
+        return self._respond(call, route, result)
+
+    async def _generate(
+        self,
+        request: web.BaseRequest,
+        call: calls.Call,
+        route: routes.Route,
+        service: routes.Service,
+    ) -> web.StreamResponse:
+        sink = _StreamSink(request, self)
+        course = generation.Course(self._means, call, route, service, sink)
+        try:
+            result = await course.run()
+        except generation.Broken as broken:
+            return self._break(request, call, sink, str(broken))
+        if result is not None:
+            return self._respond(call, route, result)
+        if sink.response is None:
+            failure = errors.Failure(errors.BAD_UPSTREAM, 'empty stream')
+            return self._own(failure, call.id)
+        await sink.response.write_eof()
+        _log.info(
+            'Streamed.', request=call.id, seconds=clock.now() - call.arrived_at
+        )
+        return sink.response
+
+    def _break(
+        self,
+        request: web.BaseRequest,
+        call: calls.Call,
+        sink: _StreamSink,
+        detail: str,
+    ) -> web.StreamResponse:
+        """End a stream so that it can't be taken for a whole one."""
+        _log.warning('Stream broken off.', request=call.id, detail=detail)
+        transport = request.transport
+        if transport is not None:
+            transport.abort()
+        assert sink.response is not None
+        return sink.response
+
+    def _respond(
+        self,
+        call: calls.Call,
+        route: routes.Route,
+        result: means_module.Whole | errors.Failure,
+    ) -> web.StreamResponse:
+        if isinstance(result, errors.Failure):
+            _log.warning(
+                'Request failed.',
+                request=call.id,
+                route=route.name,
+                reason=result.reason.name,
+                status=result.reason.status,
+                detail=result.detail,
+                retry_after=result.retry_after or 0.0,
+                seconds=clock.now() - call.arrived_at,
+            )
+            return self._own(result, call.id)
+        response = web.Response(
+            status=result.head.status,
+            headers=result.head.headers,
+            body=result.body,
+        )
+        self.mark(response)
+        return response
+
+    def _own(
+        self, failure: errors.Failure, request: str
+    ) -> web.StreamResponse:
+        """Return an answer that the system makes itself."""
+        status = failure.reason.status
+        if status == 429:
+            status = 503
+        headers = wire.own_answer(request)
+        if failure.retry_after is not None:
+            headers['Retry-After'] = f'{failure.retry_after:.3f}'
+        body = {
+            'error': {
+                'type': failure.reason.name,
+                'message': failure.reason.message,
+                'detail': failure.detail,
+                'outcome': failure.outcome.value,
+            }
+        }
+        response = web.Response(
+            status=status,
+            headers=headers,
+            body=msgspec.json.encode(body),
+            content_type='application/json',
+        )
+        self.mark(response)
+        return response
--- /dev/null
+++ b/galenahatch/gateway/generation.py
@@ -0,0 +1,429 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""The course of a request to a model: place, prefill, decode, pass on.
+
+The prompt is read at one engine and the answer made at another, which takes
+the KV cache over. Engines are chosen by the owner (`ownership`). Whatever
+is held at an engine for a request that does not go on is freed: closing the
+connection ends its work, and a finished prefill is dropped by its handle.
+
+A stream that may be resumed goes on at another engine when its own breaks
+off, or is silent for long; the caller sees one answer. Every other stream
+that breaks off ends as a broken answer, never as a whole one.
+"""
+
+import dataclasses
+import typing
+
+from galenahatch import clock
+from galenahatch.core import events
+from galenahatch.core import fate
+from galenahatch.core import routes
+from galenahatch.core import upstreams
+from galenahatch import errors
+from galenahatch.gateway import calls
+from galenahatch.gateway import means as means_module
+from galenahatch.gateway import messages
+from galenahatch.gateway import ownership as ownerships
+from galenahatch.gateway import sender as senders
+from galenahatch import ids
+from galenahatch import logs
+from galenahatch.platform import engines
+from galenahatch.platform import wire
+
+_CONNECT: typing.Final = 0.3
+_PREFILL_LIMIT: typing.Final = 1.2
+"""Seconds for a prefill; the users' largest prompts take 0.2 s."""
+_SILENCE_PAUSES: typing.Final = 4.0
+"""Silence of a resumable stream, in the pauses that its route allows, after
+which it goes on elsewhere. Callers leave after eight."""
+_MOST_PLACES: typing.Final = 6
+"""Times that one request asks for engines."""
+_RETRY_AFTER: typing.Final = 0.3
+_FREE_TIMEOUT: typing.Final = 1.0
+_log = logs.Log('generation')
+
+
+class Broken(Exception):
+    """A stream broke off after the caller had a part of it."""
+
+
+@dataclasses.dataclass(frozen=True)
+class _Again:
+    """An attempt that did not get to an answer."""
+
+    failed: ids.UpstreamId
+    detail: str
+    engine_fault: bool = True
+
+
+class Course:
+    """One request to a model.
+
+    Args:
+        means: shared by all requests.
+        call: of the caller.
+        route: that it takes.
+        service: that it goes to.
+        sink: where the stream goes.
+    """
+
+    def __init__(
+        self,
+        means: means_module.Means,
+        call: calls.Call,
+        route: routes.Route,
+        service: routes.Service,
+        sink: means_module.Sink,
+    ) -> None:
+        assert call.prompt is not None and service.engine is not None
+        self._means = means
+        self._call = call
+        self._route = route
+        self._service = service
+        self._spec = service.engine
+        self._prompt = call.prompt
+        self._sink = sink
+        self._sends = fate.Sends()
+        self._splitter = events.EventSplitter()
+        self._splitter.last_id = call.last_event
+        self._avoid: list[ids.UpstreamId] = []
+        self._end_by = means_module.end_by(call, route)
+        self._prefills = 0
+        self._decodes = 0
+        self._detail = ''
+        self._first_at = 0.0
+
+    async def run(self) -> means_module.Whole | errors.Failure | None:
+        """Return None when the stream was passed on whole.
+
+        Raises:
+            Broken: it broke off after the caller had a part of it.
+        """
+        now = self._call.arrived_at
+        self._means.budget.request(self._service.name, now)
+        for number in range(1, _MOST_PLACES + 1):
+            if means_module.left(self._end_by) <= 0:
+                break
+            stream = ids.StreamId(f'{self._call.id}.{number}')
+            placed = await self._means.ownership.place(self._wish(stream))
+            if isinstance(placed, messages.GivenUp):
+                return self._given_up(placed)
+            result = await self._attempt(stream, placed)
+            if not isinstance(result, _Again):
+                return result
+            self._detail = result.detail
+            self._avoid.append(result.failed)
+            if not self._may_go_on():
+                break
+        return self._failure()
+
+    def _wish(self, stream: ids.StreamId) -> ownerships.Wish:
+        made = self._splitter.count * self._spec.stride
+        prompt = self._prompt
+        likely = prompt.likely_output or prompt.most_output // 2
+        return ownerships.Wish(
+            stream=stream,
+            service=self._service.name,
+            prompt=prompt.tokens + made,
+            output=max(self._spec.stride, likely - made),
+            most=max(self._spec.stride, prompt.most_output - made),
+            start_by=self._call.arrived_at + self._route.objective,
+            deadline=self._end_by,
+            subject=prompt.subject,
+            avoid=tuple(self._avoid),
+            going_on=self._sink.begun,
+        )
+
+    def _may_go_on(self) -> bool:
+        return self._sends.may_send(
+            self._route.repeatable, self._route.max_attempts
+        )
+
+    # One attempt.
+
+    async def _attempt(
+        self, stream: ids.StreamId, placed: messages.PlacedAt
+    ) -> means_module.Whole | errors.Failure | _Again | None:
+        known = self._means.directory.registry.known
+        release = messages.Release(stream, self._service.name)
+        try:
+            prefill = known.get(placed.prefill)
+            decode = known.get(placed.decode)
+            if decode is None or not self._takes_work(decode):
+                return _Again(placed.decode, 'decode engine gone')
+            source = ''
+            if prefill is not None:
+                handle = await self._prefill(stream, prefill)
+                if isinstance(handle, _Again):
+                    release = self._failed(release, handle)
+                    return handle
+                source = f'{prefill.address}/{handle}'
+            result = await self._decode(stream, decode, source)
+            if isinstance(result, _Again):
+                release = self._failed(release, result)
+            elif result is None:
+                release = self._ended(release)
+            return result
+        finally:
+            self._means.ownership.release(release)
+
+    def _takes_work(self, upstream: upstreams.Upstream) -> bool:
+        registry = self._means.directory.registry
+        return registry.takes_work(upstream.id, clock.now())
+
+    def _failed(
+        self, release: messages.Release, again: _Again
+    ) -> messages.Release:
+        if not again.engine_fault:
+            return release
+        return messages.Release(
+            release.stream, release.service, failed=again.failed
+        )
+
+    def _ended(self, release: messages.Release) -> messages.Release:
+        return messages.Release(
+            release.stream,
+            release.service,
+            tokens=max(0, self._splitter.count - 1) * self._spec.stride,
+            seconds=clock.now() - self._first_at,
+        )
+
+    async def _prefill(
+        self, stream: ids.StreamId, engine: upstreams.Upstream
+    ) -> str | _Again:
+        """Read the prompt; return the handle of the result."""
+        if not self._takes_work(engine):
+            return _Again(engine.id, 'prefill engine gone', False)
+        if self._prefills and not self._spend():
+            return _Again(engine.id, 'retry budget spent', False)
+        self._prefills += 1
+        began = clock.now()
+        left = means_module.left(self._end_by)
+        headers = wire.outgoing(
+            self._call,
+            calls.Directions(
+                engine.id,
+                left,
+                prefill_only=True,
+                last_event=self._splitter.last_id,
+            ),
+        )
+        answer = await self._means.sender.send(
+            engine.address,
+            self._call,
+            headers,
+            wire.answer_head,
+            timeout=min(left, _PREFILL_LIMIT),
+            connect=_CONNECT,
+            keep=True,
+        )
+        if isinstance(answer, senders.Lost):
+            self._log_lost('Prefill lost.', engine, answer)
+            return _Again(engine.id, answer.detail)
+        body = await answer.body()
+        if body is None or answer.head.status != 200:
+            detail = f'prefill: status {answer.head.status}'
+            return _Again(engine.id, detail)
+        done = engines.prefilled(body)
+        if isinstance(done, errors.Failure):
+            return _Again(engine.id, done.detail)
+        seconds = clock.now() - began
+        self._means.ownership.prefilled(
+            stream, self._service.name, self._prompt.tokens, seconds
+        )
+        return done.kv_handle
+
+    def _spend(self) -> bool:
+        return self._means.budget.spend(self._service.name, clock.now())
+
+    async def _decode(
+        self, stream: ids.StreamId, engine: upstreams.Upstream, source: str
+    ) -> means_module.Whole | errors.Failure | _Again | None:
+        """Send the request to its decode engine and pass the stream on."""
+        if not self._takes_work(engine):
+            self._free(source)
+            return _Again(engine.id, 'decode engine gone', False)
+        if self._decodes and not self._spend():
+            self._free(source)
+            return _Again(engine.id, 'retry budget spent', False)
+        self._decodes += 1
+        self._means.ownership.hold(self._held(stream, engine))
+        left = means_module.left(self._end_by)
+        headers = wire.outgoing(
+            self._call,
+            calls.Directions(
+                engine.id,
+                left,
+                kv_source=source,
+                last_event=self._splitter.last_id,
+            ),
+        )
+        self._sends.begin()
+        known = fate.Fate.UNCERTAIN
+        try:
+            answer = await self._means.sender.send(
+                engine.address,
+                self._call,
+                headers,
+                wire.answer_head,
+                timeout=self._patience(left),
+                connect=_CONNECT,
+                keep=False,
+            )
+            if isinstance(answer, senders.Lost):
+                known = answer.fate
+                return self._decode_lost(engine, answer, source)
+            known = fate.Fate.ANSWERED
+            return await self._take(stream, engine, answer)
+        finally:
+            self._sends.end(known)
+
+    def _patience(self, left: float) -> float:
+        """Return the silence after which a decode engine is given up."""
+        if not self._route.resumable:
+            return left
+        return min(left, _SILENCE_PAUSES * self._route.longest_pause)
+
+    def _decode_lost(
+        self, engine: upstreams.Upstream, lost: senders.Lost, source: str
+    ) -> _Again:
+        self._log_lost('Decode lost.', engine, lost)
+        if lost.fate in (fate.Fate.NOT_SENT, fate.Fate.REFUSED):
+            self._free(source)
+        # A refusal says that the engine is full or that the handle is gone.
+        fault = lost.fate is not fate.Fate.REFUSED
+        return _Again(engine.id, lost.detail, fault)
+
+    async def _take(
+        self,
+        stream: ids.StreamId,
+        engine: upstreams.Upstream,
+        answer: senders.Answer,
+    ) -> means_module.Whole | errors.Failure | _Again | None:
+        """Pass an answer on to its end."""
+        head = answer.head
+        if head.status >= 300 or head.encoded or not head.signed:
+            body = await answer.body()
+            if head.status < 500 and head.status >= 300 and body is not None:
+                return means_module.Whole(head, body)
+            return _Again(engine.id, f'status {head.status}')
+        try:
+            return await self._relay(stream, engine, answer)
+        finally:
+            answer.close()
+
+    async def _relay(
+        self,
+        stream: ids.StreamId,
+        engine: upstreams.Upstream,
+        answer: senders.Answer,
+    ) -> _Again | None:
+        self._splitter.restart()
+        began = False
+        while True:
+            left = means_module.left(self._end_by)
+            if left <= 0:
+                raise Broken('deadline')
+            data = await answer.read(self._patience(left))
+            if isinstance(data, senders.Lost):
+                self._log_lost('Stream lost.', engine, data)
+                return _Again(engine.id, data.detail)
+            if not data:
+                if self._splitter.rest:
+                    return _Again(engine.id, 'ended within an event')
+                return None
+            whole = self._splitter.feed(data)
+            if not whole:
+                continue
+            if not began:
+                began = True
+                self._first_at = clock.now()
+                self._means.ownership.started(stream)
+            if not self._sink.begun:
+                await self._sink.begin(answer.head)
+            await self._sink.write(whole)
+
+    def _held(
+        self, stream: ids.StreamId, engine: upstreams.Upstream
+    ) -> messages.Held:
+        wish = self._wish(stream)
+        return messages.Held(
+            stream,
+            self._service.name,
+            engine.id,
+            wish.prompt,
+            wish.output,
+            wish.most,
+            -1.0,
+        )
+
+    # Ends.
+
+    def _free(self, source: str) -> None:
+        """Drop the result of a prefill that nobody will take."""
+        if not source:
+            return
+        address, _, handle = source.partition('/')
+
+        async def free() -> None:
+            reply = await self._means.sender.small(
+                'DELETE',
+                address,
+                engines.handle_path(handle),
+                _FREE_TIMEOUT,
+            )
+            if isinstance(reply, errors.Failure):
+                _log.warning(
+                    'Handle not freed.',
+                    request=self._call.id,
+                    engine=address,
+                    detail=reply.detail,
+                )
+
+        self._means.tasks.once(free())
+
+    def _given_up(self, given_up: messages.GivenUp) -> errors.Failure:
+        if self._sink.begun:
+            raise Broken(given_up.why)
+        if not self._sends.surely_not_run:
+            return errors.Failure(errors.SEND_INTERRUPTED, given_up.why)
+        return means_module.refusal(
+            errors.NO_TIME, given_up.why, given_up.retry_after
+        )
+
+    def _failure(self) -> errors.Failure:
+        if self._sink.begun:
+            raise Broken(self._detail)
+        if self._sends.surely_not_run:
+            return means_module.refusal(
+                errors.NO_ENGINE, self._detail, _RETRY_AFTER
+            )
+        if means_module.left(self._end_by) <= 0:
+            return errors.Failure(errors.DEADLINE, self._detail)
+        return errors.Failure(errors.SEND_INTERRUPTED, self._detail)
+
+    def _log_lost(
+        self,
+        sentence: str,
+        engine: upstreams.Upstream,
+        lost: senders.Lost,
+    ) -> None:
+        _log.warning(
+            sentence,
+            request=self._call.id,
+            engine=engine.id,
+            fate=lost.fate.value,
+            events=self._splitter.count,
+            detail=lost.detail,
+        )
--- /dev/null
+++ b/galenahatch/gateway/means.py
@@ -0,0 +1,87 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""What the courses of requests work with, and how they end."""
+
+import dataclasses
+import typing
+
+from galenahatch import clock
+from galenahatch.core import balance
+from galenahatch.core import extras
+from galenahatch.core import routes
+from galenahatch import errors
+from galenahatch.gateway import calls
+from galenahatch.gateway import directory as directories
+from galenahatch.gateway import ownership as ownerships
+from galenahatch.gateway import sender as senders
+from galenahatch import tasks
+
+_LEAST_WAIT: typing.Final = 0.05
+"""Shortest time after which a refused caller is asked to come back."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Means:
+    """Shared by all requests of a process."""
+
+    directory: directories.Directory
+    sender: senders.Sender
+    balancer: balance.Balancer
+    budget: extras.SharedBudget
+    ownership: ownerships.Ownership
+    tasks: tasks.Tasks
+
+
+@dataclasses.dataclass(frozen=True)
+class Whole:
+    """A whole answer of an upstream."""
+
+    head: calls.AnswerHead
+    body: bytes
+
+
+class Sink(typing.Protocol):
+    """Where a stream goes: the caller's connection."""
+
+    @property
+    def begun(self) -> bool:
+        """Whether the caller has had the head of the answer."""
+        ...
+
+    async def begin(self, head: calls.AnswerHead) -> None:
+        """Send the head."""
+        ...
+
+    async def write(self, data: bytes) -> None:
+        """Send whole events."""
+        ...
+
+
+def end_by(call: calls.Call, route: routes.Route) -> float:
+    """Return the moment at which a request must be answered."""
+    patience = route.timeout
+    if call.patience is not None:
+        patience = min(patience, call.patience)
+    return call.arrived_at + patience
+
+
+def left(moment: float) -> float:
+    """Return the seconds until a moment."""
+    return moment - clock.now()
+
+
+def refusal(
+    reason: errors.Reason, detail: str, retry_after: float
+) -> errors.Failure:
+    """Return a failure that tells when to come back."""
+    return errors.Failure(reason, detail, max(_LEAST_WAIT, retry_after))
--- /dev/null
+++ b/galenahatch/gateway/messages.py
@@ -0,0 +1,229 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Messages between gateways.
+
+Every gateway may ask any other to decide for it; the one asked is called
+the owner here. Field order is the wire order: new fields go at the end with
+a default, so that neighbouring versions can talk while one is replaced by
+the other. Durations are seconds; moments are told as ages or as time left,
+since the clocks of two VMs can't be compared.
+"""
+
+import typing
+
+import msgspec
+
+from galenahatch import errors
+from galenahatch import ids
+
+_VERSION: typing.Final = 1
+_MOST_BYTES: typing.Final = 4 * 1024 * 1024
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Base of every message."""
+
+
+class Held(msgspec.Struct, frozen=True, array_like=True):
+    """A generation that runs at a decode engine.
+
+    Attributes:
+        since: seconds since its first event; negative until then.
+    """
+
+    stream: ids.StreamId
+    service: ids.ServiceName
+    decode: ids.UpstreamId
+    prompt: int
+    output: int
+    most: int
+    since: float
+
+
+class Beat(Message, frozen=True, array_like=True, tag=True):
+    """A sign of life, with all that its sender runs.
+
+    Attributes:
+        member: the sender.
+        incarnation: random number of its process.
+        config: version of the configuration in force there.
+        upstreams: version of the store up to which it knows upstreams.
+        leaving: whether it stops.
+        held: what it runs.
+    """
+
+    member: ids.MemberId
+    incarnation: int
+    config: int
+    upstreams: int
+    leaving: bool
+    held: tuple[Held, ...] = ()
+
+
+class BeatBack(Message, frozen=True, array_like=True, tag=True):
+    """The answer to a beat."""
+
+    member: ids.MemberId
+    incarnation: int
+    config: int
+    upstreams: int
+    leaving: bool
+
+
+class Place(Message, frozen=True, array_like=True, tag=True):
+    """Asks for engines for a generation.
+
+    Attributes:
+        start_within: seconds until its first event must have been made.
+        end_within: seconds until its answer must be whole.
+    """
+
+    stream: ids.StreamId
+    member: ids.MemberId
+    service: ids.ServiceName
+    prompt: int
+    output: int
+    most: int
+    start_within: float
+    end_within: float
+    subject: str
+    data_centre: ids.DataCentre
+    avoid: tuple[ids.UpstreamId, ...] = ()
+    going_on: bool = False
+
+
+class Queued(Message, frozen=True, array_like=True, tag=True):
+    """The owner has a request and decides later."""
+
+    stream: ids.StreamId
+
+
+class PlacedAt(Message, frozen=True, array_like=True, tag=True):
+    """The engines of a generation; no prefill engine if it is empty."""
+
+    stream: ids.StreamId
+    prefill: ids.UpstreamId
+    decode: ids.UpstreamId
+    why: str
+
+
+class GivenUp(Message, frozen=True, array_like=True, tag=True):
+    """There is no room in time; come back after some seconds."""
+
+    stream: ids.StreamId
+    retry_after: float
+    why: str
+
+
+class Declined(Message, frozen=True, array_like=True, tag=True):
+    """The owner does not decide any more: ask another one."""
+
+    stream: ids.StreamId
+
+
+class Withdraw(Message, frozen=True, array_like=True, tag=True):
+    """A request no longer wants engines."""
+
+    stream: ids.StreamId
+
+
+class Prefilled(Message, frozen=True, array_like=True, tag=True):
+    """A prompt was read, in some seconds."""
+
+    stream: ids.StreamId
+    service: ids.ServiceName
+    tokens: int
+    seconds: float
+
+
+class Started(Message, frozen=True, array_like=True, tag=True):
+    """The first event of a stream came."""
+
+    stream: ids.StreamId
+    service: ids.ServiceName
+
+
+class Release(Message, frozen=True, array_like=True, tag=True):
+    """A generation has ended at its engines.
+
+    Attributes:
+        tokens: of the answer; 0 if it broke off.
+        seconds: from its first event to its last.
+        failed: engine at fault, or empty.
+    """
+
+    stream: ids.StreamId
+    service: ids.ServiceName
+    tokens: int = 0
+    seconds: float = 0.0
+    failed: ids.UpstreamId = ids.UpstreamId('')
+
+
+class Ask(Message, frozen=True, array_like=True, tag=True):
+    """Asks for what is newer than the sender's versions."""
+
+    config: int
+    upstreams: int
+
+
+class News(Message, frozen=True, array_like=True, tag=True):
+    """What a gateway knows.
+
+    Attributes:
+        config: document, empty if the asker's is as new.
+        upstreams: version of the store up to which the rows stand.
+        rows: key and document of each upstream; empty if the asker's are
+            as new.
+    """
+
+    config: bytes
+    upstreams: int
+    rows: tuple[tuple[str, bytes], ...]
+
+
+AnyMessage = (
+    Beat
+    | BeatBack
+    | Place
+    | Queued
+    | PlacedAt
+    | GivenUp
+    | Declined
+    | Withdraw
+    | Prefilled
+    | Started
+    | Release
+    | Ask
+    | News
+)
+
+_PREFIX: typing.Final = bytes([_VERSION])
+_ENCODER: typing.Final = msgspec.msgpack.Encoder()
+_DECODER: typing.Final = msgspec.msgpack.Decoder(AnyMessage)
+
+
+def encode(message: AnyMessage) -> bytes:
+    """Return the frame of a message."""
+    return _PREFIX + _ENCODER.encode(message)
+
+
+def decode(frame: bytes) -> AnyMessage | errors.Failure:
+    """Return the message of a frame, or why there is none."""
+    if not frame or len(frame) > _MOST_BYTES:
+        return errors.Failure(errors.BAD_FRAME, f'{len(frame)} bytes')
+    if frame[0] != _VERSION:
+        return errors.Failure(errors.BAD_FRAME, f'version {frame[0]}')
+    try:
+        return _DECODER.decode(memoryview(frame)[1:])
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        return errors.Failure(errors.BAD_FRAME, str(error))
--- /dev/null
+++ b/galenahatch/gateway/node.py
@@ -0,0 +1,177 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""The gateway: one process on each VM, one loop.
+
+Entry, decisions and membership are parts of one program here, each with its
+own tasks and state. On small VMs a second process would cost its memory and
+a hop for each request, and would have to be kept alive as well.
+"""
+
+import asyncio
+import signal
+import typing
+
+import aiohttp
+import aiomisc
+
+from galenahatch import clock
+from galenahatch.core import balance
+from galenahatch.core import extras
+from galenahatch import errors
+from galenahatch.gateway import directory as directories
+from galenahatch.gateway import front as fronts
+from galenahatch.gateway import means as means_module
+from galenahatch.gateway import mesh as meshes
+from galenahatch.gateway import ownership as ownerships
+from galenahatch.gateway import sender as senders
+from galenahatch.gateway import settings as settings_module
+from galenahatch import logs
+from galenahatch.platform import deployment
+from galenahatch.platform import store as stores
+from galenahatch import tasks
+
+_LOOK_AWAY: typing.Final = 2.6
+"""Seconds for which a stopping gateway takes new callers: the balancer asks
+once a second and looks away after two answers."""
+_LAST_SECOND: typing.Final = 0.4
+"""Seconds before the end of the grace at which the process ends by itself."""
+_BACKLOG: typing.Final = 1024
+_IDLE_CHECK: typing.Final = 0.05
+_MEMBERS_EVERY: typing.Final = 1.0
+_log = logs.Log('gateway')
+
+
+class Gateway(aiomisc.Service):
+    """The application object.
+
+    Args:
+        settings: of this process.
+        settings_path: file that they came from.
+    """
+
+    def __init__(
+        self, settings: settings_module.Settings, settings_path: str
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._path = settings_path
+        self._background = tasks.Tasks()
+        self._done = asyncio.Event()
+
+    async def start(self) -> None:
+        """Open all parts and listen."""
+        settings = self._settings
+        self._client = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0, socket_factory=senders.watched_socket
+            )
+        )
+        self._store = stores.Store(self._client, str(settings.store))
+        self._directory = directories.Directory(self._store, self._background)
+        self._sender = senders.Sender()
+        self._ownership = ownerships.Ownership(
+            self._directory,
+            settings.data_centre,
+            self._sender,
+            self._background,
+        )
+        self._mesh = meshes.Mesh(
+            self._store,
+            settings.address,
+            settings.peer_port,
+            settings.data_centre,
+            self._directory,
+            self._ownership.take,
+            self._background,
+        )
+        await self._listen()
+        self._directory.run()
+        self._mesh.run()
+        self._ownership.run(self._mesh)
+        self._background.keep('members', self._count_members)
+        self._on_signals()
+        _log.info('Listening.', vm=settings.name, front=str(settings.front))
+
+    async def _listen(self) -> None:
+        settings = self._settings
+        bounds = settings.bounds
+        self._budget = extras.SharedBudget(
+            bounds.retry_ratio, bounds.retry_reserve, bounds.retry_window
+        )
+        self._front = fronts.Front(
+            means_module.Means(
+                directory=self._directory,
+                sender=self._sender,
+                balancer=balance.Balancer(
+                    clock.RANDOM, settings.data_centre
+                ),
+                budget=self._budget,
+                ownership=self._ownership,
+                tasks=self._background,
+            )
+        )
+        self._callers = fronts.Server(self._front.handle, self._front.limits)
+        probes = fronts.Server(self._front.ready, self._front.limits)
+        loop = asyncio.get_running_loop()
+        for server, where in (
+            (self._callers, settings.front),
+            (probes, settings.readiness),
+        ):
+            await loop.create_server(
+                server,
+                where.host,
+                where.port,
+                backlog=_BACKLOG,
+                reuse_address=True,
+            )
+
+    async def _count_members(self) -> None:
+        while True:
+            self._budget.set_members(self._mesh.size)
+            await asyncio.sleep(_MEMBERS_EVERY)
+
+    def _on_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+
+    def _reload(self) -> None:
+        """Look at the settings file again."""
+        found = deployment.load(self._path)
+        if isinstance(found, errors.Failure):
+            _log.error('Settings kept.', detail=found.detail)
+            return
+        changed = found != self._settings
+        _log.info('Settings read again.', changed=changed)
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Finish what is in flight, then close."""
+        began = clock.now()
+        last = began + self._settings.bounds.grace - _LAST_SECOND
+        self._front.leaving = True
+        self._mesh.leaving = True
+        self._ownership.decline_all()
+        _log.info('Stopping.', in_flight=self._front.in_flight)
+        while clock.now() < last:
+            looked_away = clock.now() - began > _LOOK_AWAY
+            if looked_away and not self._front.in_flight:
+                break
+            await asyncio.sleep(_IDLE_CHECK)
+        _log.info(
+            'Stopped.',
+            in_flight=self._front.in_flight,
+            seconds=clock.now() - began,
+        )
+        await self._background.stop()
+        await self._sender.close()
+        await self._client.close()
+        self._mesh.close()
--- /dev/null
+++ b/galenahatch/gateway/plain.py
@@ -0,0 +1,226 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""The course of a request to a plain service: choose, send, maybe again.
+
+A request that may run only once is sent again only while it is certain that
+no upstream has begun it. One that may run more often goes to a second
+upstream after an error, or when the first says nothing for too long, if the
+shared budget allows that.
+"""
+
+import dataclasses
+import typing
+
+from galenahatch import clock
+from galenahatch.core import balance
+from galenahatch.core import fate
+from galenahatch.core import routes
+from galenahatch.core import upstreams
+from galenahatch import errors
+from galenahatch.gateway import calls
+from galenahatch.gateway import means as means_module
+from galenahatch.gateway import sender as senders
+from galenahatch import ids
+from galenahatch import logs
+from galenahatch.platform import wire
+
+_FIRST_SHARE: typing.Final = 0.4
+"""Part of the time left that the first upstream of a repeatable request may
+stay silent; the second needs the rest."""
+_CONNECT: typing.Final = 0.25
+"""Seconds for a connection; takes some ms in one region."""
+_RETRY_AFTER: typing.Final = 0.1
+_PROMISES: typing.Final = frozenset((408, 421, 429, 503))
+"""Statuses that promise a caller that its request has not run."""
+_log = logs.Log('plain')
+
+
+@dataclasses.dataclass
+class _Attempt:
+    """What one send came to."""
+
+    upstream: ids.UpstreamId
+    whole: means_module.Whole | None
+    lost: senders.Lost | None
+
+
+class Course:
+    """One request to a plain service.
+
+    Args:
+        means: shared by all requests.
+        call: of the caller.
+        route: that it takes.
+        service: that it goes to.
+    """
+
+    def __init__(
+        self,
+        means: means_module.Means,
+        call: calls.Call,
+        route: routes.Route,
+        service: ids.ServiceName,
+    ) -> None:
+        self._means = means
+        self._call = call
+        self._route = route
+        self._service = service
+        self._sends = fate.Sends()
+        self._avoid: set[ids.UpstreamId] = set()
+        self._end_by = means_module.end_by(call, route)
+        self._answer: means_module.Whole | None = None
+        self._detail = ''
+
+    async def run(self) -> means_module.Whole | errors.Failure:
+        """Return the answer for the caller."""
+        self._means.budget.request(self._service, self._call.arrived_at)
+        tries = 0
+        while self._may_try(tries):
+            upstream = self._choose()
+            if upstream is None:
+                break
+            tries += 1
+            attempt = await self._send(upstream)
+            done = self._judge(attempt)
+            if done is not None:
+                return done
+        return self._answer or self._failure()
+
+    def _may_try(self, tries: int) -> bool:
+        if means_module.left(self._end_by) <= 0:
+            return False
+        if not self._sends.may_send(
+            self._route.repeatable, self._route.max_attempts
+        ):
+            return False
+        if not tries:
+            return True
+        return self._means.budget.spend(self._service, clock.now())
+
+    def _choose(self) -> upstreams.Upstream | None:
+        now = clock.now()
+        usable = self._means.directory.registry.usable(self._service, now)
+        chosen = self._means.balancer.choose(usable, self._avoid, now)
+        if chosen is None:
+            self._detail = f'{len(usable)} usable, {len(self._avoid)} tried'
+        return chosen
+
+    async def _send(self, upstream: upstreams.Upstream) -> _Attempt:
+        left = means_module.left(self._end_by)
+        once = not self._route.repeatable
+        again = self._route.max_attempts > self._sends.ran + 1
+        share = _FIRST_SHARE if again and not once else 1.0
+        headers = wire.outgoing(
+            self._call, calls.Directions(upstream.id, left)
+        )
+        self._means.balancer.begin(upstream.id)
+        self._sends.begin()
+        began = clock.now()
+        attempt = _Attempt(upstream.id, None, None)
+        try:
+            answer = await self._means.sender.send(
+                upstream.address,
+                self._call,
+                headers,
+                wire.answer_head,
+                timeout=left * share,
+                connect=min(_CONNECT, left),
+                keep=not once,
+            )
+            if isinstance(answer, senders.Lost):
+                attempt.lost = answer
+            else:
+                await self._read(answer, attempt)
+        finally:
+            if attempt.lost is None and attempt.whole is None:
+                attempt.lost = senders.Lost(fate.Fate.UNCERTAIN, 'left')
+            self._note(attempt, clock.now() - began)
+        return attempt
+
+    async def _read(self, answer: senders.Answer, attempt: _Attempt) -> None:
+        body = await answer.body()
+        whole = body is not None and not answer.head.encoded
+        if answer.head.status < 300 and not answer.head.signed:
+            whole = False
+        if whole and body is not None:
+            attempt.whole = means_module.Whole(answer.head, body)
+        else:
+            attempt.lost = senders.Lost(
+                fate.Fate.UNCERTAIN, 'answer not whole', head=answer.head
+            )
+
+    def _note(self, attempt: _Attempt, seconds: float) -> None:
+        """Keep what a send came to, and log it."""
+        lost = attempt.lost
+        known = lost.fate if lost is not None else fate.Fate.ANSWERED
+        self._sends.end(known)
+        head = attempt.whole.head if attempt.whole else None
+        if lost is not None:
+            head = lost.head
+            self._detail = lost.detail
+        self._avoid.add(attempt.upstream)
+        status = head.status if head is not None else 0
+        self._learn(attempt, head, lost)
+        _log.info(
+            'Sent.',
+            request=self._call.id,
+            upstream=attempt.upstream,
+            fate=known.value,
+            status=status,
+            seconds=seconds,
+            detail=lost.detail if lost is not None else '',
+        )
+
+    def _learn(
+        self,
+        attempt: _Attempt,
+        head: calls.AnswerHead | None,
+        lost: senders.Lost | None,
+    ) -> None:
+        now = clock.now()
+        if head is not None and head.load is not None:
+            self._means.balancer.told_load(attempt.upstream, head.load, now)
+        good = lost is None and head is not None and head.status < 500
+        silent = lost is not None and lost.silent
+        registry = self._means.directory.registry
+        ejected = self._means.balancer.end(
+            attempt.upstream,
+            balance.Outcome(good, silent),
+            registry.usable(self._service, now),
+            now,
+        )
+        if ejected:
+            _log.warning('Upstream ejected.', upstream=attempt.upstream)
+
+    def _judge(self, attempt: _Attempt) -> means_module.Whole | None:
+        """Return an answer to pass on; keep one that may be bettered."""
+        whole = attempt.whole
+        if whole is None:
+            return None
+        if whole.head.status in _PROMISES:
+            # It ran, so the caller must not be told that it did not.
+            self._detail = f'status {whole.head.status} after a run'
+            return None
+        if whole.head.status < 500:
+            return whole
+        self._answer = whole
+        return None
+
+    def _failure(self) -> errors.Failure:
+        if self._sends.surely_not_run:
+            return means_module.refusal(
+                errors.NO_ENGINE, self._detail, _RETRY_AFTER
+            )
+        if means_module.left(self._end_by) <= 0:
+            return errors.Failure(errors.DEADLINE, self._detail)
+        return errors.Failure(errors.SEND_INTERRUPTED, self._detail)
--- /dev/null
+++ b/galenahatch/gateway/sender.py
@@ -0,0 +1,325 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Sends requests to upstreams, and tells what became of each send.
+
+A send has one of four fates (`core/fate`). Nothing is ever sent twice by
+the client library. Requests that may run only once go over a connection of
+their own: on a kept one, a close by the upstream that crosses the request
+leaves open whether it ran.
+
+An answer counts only if it bears the id of the request. An upstream may
+send a second answer, late, where the next one is due: a kept connection on
+which bytes came unasked is closed, and an answer with another id is none.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import socket
+import typing
+
+import aiohttp
+from aiohttp import client_proto
+from aiohttp import connector as connectors
+import multidict
+import yarl
+
+from galenahatch import clock
+from galenahatch.core import fate
+from galenahatch import errors
+from galenahatch.gateway import calls
+
+KEEP_ALIVE: typing.Final = 4.0
+"""Seconds for which an idle connection is kept. Upstreams close theirs
+later; an early close costs a handshake, a late one a failed send."""
+MOST_ANSWER: typing.Final = 16 * 1024 * 1024
+"""Bytes of a plain answer that are held in memory."""
+_UNACKNOWLEDGED_MS: typing.Final = 2000
+"""Milliseconds after which a connection whose peer acknowledges nothing is
+given up; a VM without power never closes its connections."""
+_MOST_HEADERS: typing.Final = 32768
+_SKIPPED: typing.Final = (
+    'Accept',
+    'Accept-Encoding',
+    'User-Agent',
+    'Content-Type',
+)
+"""Headers that the client library would add."""
+
+_LIBRARY_NOT_CONNECTED: typing.Final = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
+_ERRORS: typing.Final = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
+
+Headers = multidict.CIMultiDict[str]
+
+
+@dataclasses.dataclass(frozen=True)
+class Lost:
+    """A send without an answer that can be used.
+
+    Attributes:
+        fate: what is known of it.
+        silent: whether the upstream said nothing at all.
+        head: of the answer, where there was one.
+    """
+
+    fate: fate.Fate
+    detail: str
+    silent: bool = False
+    head: calls.AnswerHead | None = None
+
+
+class _NotConnectedError(aiohttp.ClientError):
+    """No connection was made."""
+
+
+class _BrokenError(aiohttp.ClientError):
+    """The connection broke when something may have been sent."""
+
+
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep the library from sending again by itself."""
+    try:
+        return await handler(request)
+    except _LIBRARY_NOT_CONNECTED as error:
+        raise _NotConnectedError(str(error)) from error
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise _BrokenError(str(error)) from error
+
+
+class _Protocol(client_proto.ResponseHandler):
+    """A connection whose reset never looks like the end of an answer."""
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail a body without a length that ends by a reset."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(repr(exc)))
+            self._payload = None
+            self._parser = None
+        super().connection_lost(exc)
+
+
+class _Connector(aiohttp.TCPConnector):
+    """Connections to upstreams; those that carry unasked bytes are closed."""
+
+    def __init__(self, keep: bool) -> None:
+        if keep:
+            super().__init__(
+                limit=0,
+                keepalive_timeout=KEEP_ALIVE,
+                socket_factory=watched_socket,
+            )
+        else:
+            super().__init__(
+                limit=0, force_close=True, socket_factory=watched_socket
+            )
+        loop = self._loop
+        self._factory = lambda: _Protocol(loop=loop)  # type: ignore
+
+    async def _get(
+        self,
+        key: typing.Any,
+        traces: list[typing.Any],
+    ) -> connectors.Connection | None:
+        kept = self._conns.get(key)
+        if kept is not None:
+            clean = [pair for pair in kept if not pair[0].should_close]
+            for protocol, _ in kept:
+                if protocol.should_close:
+                    protocol.close()
+            self._conns[key] = collections.deque(clean)
+            if not clean:
+                del self._conns[key]
+        return await super()._get(key, traces)
+
+
+def watched_socket(address: typing.Any) -> socket.socket:
+    """Return a socket that notices a peer without power."""
+    family, kind, protocol, _, _ = address
+    made = socket.socket(family, kind, protocol)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    made.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS
+    )
+    return made
+
+
+class Answer:
+    """An answer whose head has come.
+
+    Args:
+        response: of the client library.
+        head: decoded.
+    """
+
+    def __init__(
+        self, response: aiohttp.ClientResponse, head: calls.AnswerHead
+    ) -> None:
+        self.head = head
+        self._response = response
+
+    async def body(self) -> bytes | None:
+        """Return the whole body; None if it broke off."""
+        data = bytearray()
+        try:
+            async for chunk in self._response.content.iter_any():
+                data += chunk
+                if len(data) > MOST_ANSWER:
+                    self.close()
+                    return None
+        except _ERRORS:
+            self.close()
+            return None
+        except BaseException:
+            self.close()
+            raise
+        return bytes(data)
+
+    async def read(self, timeout: float) -> bytes | Lost:
+        """Return the next bytes, or none at the end.
+
+        Args:
+            timeout: seconds of silence after which the stream is lost.
+        """
+        try:
+            async with asyncio.timeout(timeout):
+                return await self._response.content.readany()
+        except asyncio.TimeoutError:
+            return Lost(fate.Fate.UNCERTAIN, 'silent', silent=True)
+        except _ERRORS as error:
+            detail = f'{type(error).__name__} {error}'
+            return Lost(fate.Fate.UNCERTAIN, detail)
+
+    def close(self) -> None:
+        """Close the connection: the upstream stops its work."""
+        self._response.close()
+
+
+class Sender:
+    """Connections of one process to all upstreams."""
+
+    def __init__(self) -> None:
+        self._kept = _session(keep=True)
+        self._fresh = _session(keep=False)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._kept.close()
+        await self._fresh.close()
+
+    async def send(
+        self,
+        address: str,
+        request: calls.Call,
+        headers: Headers,
+        decode: typing.Callable[[int, typing.Any], calls.AnswerHead],
+        timeout: float,
+        connect: float,
+        keep: bool,
+    ) -> Answer | Lost:
+        """Send a request; return the head of its answer.
+
+        Args:
+            address: of the upstream.
+            request: of the caller.
+            headers: to send.
+            decode: reads the head of an answer.
+            timeout: seconds until the head must have come.
+            connect: seconds for a connection.
+            keep: use a kept connection, and keep it.
+        """
+        session = self._kept if keep else self._fresh
+        limits = aiohttp.ClientTimeout(total=None, sock_connect=connect)
+        try:
+            async with asyncio.timeout(timeout):
+                response = await session.request(
+                    request.method,
+                    _url(address, request.target),
+                    data=request.body or None,
+                    headers=headers,
+                    skip_auto_headers=_SKIPPED,
+                    allow_redirects=False,
+                    timeout=limits,
+                )
+        except (_NotConnectedError, *_LIBRARY_NOT_CONNECTED) as error:
+            return Lost(fate.Fate.NOT_SENT, repr(error), silent=True)
+        except asyncio.TimeoutError:
+            return Lost(fate.Fate.UNCERTAIN, 'no answer', silent=True)
+        except _ERRORS as error:
+            return Lost(fate.Fate.UNCERTAIN, repr(error))
+        head = decode(response.status, response.raw_headers)
+        return await self._checked(request, response, head)
+
+    async def _checked(
+        self,
+        request: calls.Call,
+        response: aiohttp.ClientResponse,
+        head: calls.AnswerHead,
+    ) -> Answer | Lost:
+        if head.request and head.request != request.id:
+            response.close()
+            detail = f'answer to {head.request}'
+            return Lost(fate.Fate.UNCERTAIN, detail)
+        if head.not_executed and head.status >= 400:
+            await Answer(response, head).body()
+            detail = f'refused with {head.status}'
+            return Lost(fate.Fate.REFUSED, detail, head=head)
+        return Answer(response, head)
+
+    async def small(
+        self, method: str, address: str, path: str, timeout: float
+    ) -> tuple[int, bytes] | errors.Failure:
+        """Make a call of our own with a small answer."""
+        limits = aiohttp.ClientTimeout(total=timeout)
+        url = _url(address, path)
+        try:
+            async with self._kept.request(
+                method, url, timeout=limits, skip_auto_headers=_SKIPPED
+            ) as response:
+                return response.status, await response.read()
+        except _ERRORS as error:
+            return errors.Failure(errors.UPSTREAM_UNREACHABLE, repr(error))
+
+
+def _session(keep: bool) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=_Connector(keep),
+        timeout=aiohttp.ClientTimeout(total=None),
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        middlewares=(_send_once,),
+        max_line_size=_MOST_HEADERS,
+        max_field_size=_MOST_HEADERS,
+    )
+
+
+def _url(address: str, target: str) -> yarl.URL:
+    """Return a URL whose path and query are sent to the byte."""
+    host, _, port = address.rpartition(':')
+    return yarl.URL.build(
+        scheme='http',
+        host=host,
+        port=int(port),
+        path=target,
+        encoded=True,
+    )
+
+
+def waited(since: float) -> float:
+    """Return the seconds since a moment."""
+    return clock.now() - since
--- a/galenahatch/ids.py
+++ b/galenahatch/ids.py
@@ -40,6 +40,9 @@
 RegionName = typing.NewType('RegionName', str)
 DataCentre = typing.NewType('DataCentre', str)
 
+UpstreamId = typing.NewType('UpstreamId', str)
+"""One start of an upstream; the next start has another id."""
+
 MemberId = typing.NewType('MemberId', str)
 """A daemon's `role/ip:port`; survives a restart at the same address."""
 
--- a/galenahatch/peers.py
+++ b/galenahatch/peers.py
@@ -67,7 +67,9 @@
         self._config = in_force
         self._vms = platform
         self._handler = handler
-        self._links: dict[ids.MemberId, bus.Link] = {}
+        self._links: dict[
+            ids.MemberId, bus.Link[messages.AnyMessage]
+        ] = {}
         self._listeners: list[VmListener] = []
         self._reports: list[collections.abc.Callable[[], None]] = []
         self._system_vms: dict[str, vms.Vm] = {}
@@ -203,7 +205,7 @@
         if member in self._links or member == self.member:
             return
         self._links[member] = bus.Link(
-            f'tcp://{address}:{port}', self._receive
+            f'tcp://{address}:{port}', bus.DAEMONS, self._receive
         )
 
     def _receive(self, message: messages.AnyMessage) -> None:
--- /dev/null
+++ b/galenahatch/platform/deployment.py
@@ -0,0 +1,140 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Reads the settings file that the platform writes for each process.
+
+The names of its fields are the platform's; this is the only place that
+knows them. Fields that we don't use are ignored, so the platform may add
+some. Every field that is missing or wrong is reported with its name, its
+value and what would be right.
+"""
+
+import os
+import typing
+
+import msgspec
+
+from galenahatch import errors
+from galenahatch import ids
+from galenahatch.gateway import settings
+
+PATH_VARIABLE: typing.Final = 'GALENAHATCH_SETTINGS'
+_MEGABYTE: typing.Final = 1024 * 1024
+
+
+class _Listen(msgspec.Struct, frozen=True):
+    front: str
+    readiness: str
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    memory_mb: float = 256.0
+
+
+class _Bounds(msgspec.Struct, frozen=True):
+    drain_ms: float = 2000.0
+    grace_s: float = 8.0
+    config_apply_ms: float = 2000.0
+    retry_budget_ratio: float = 0.2
+    retry_slack: float = 50.0
+    budget_window_s: float = 10.0
+    lease_ms: float = 3000.0
+
+
+class _Platform(msgspec.Struct, frozen=True):
+    address: str
+
+
+class _File(msgspec.Struct, frozen=True):
+    node_name: str
+    ip: str
+    zone: str
+    listen: _Listen
+    port_range: tuple[int, int]
+    platform: _Platform
+    heartbeat_ms: float = 1200.0
+    limits: _Limits = _Limits()
+    bounds: _Bounds = _Bounds()
+
+
+def path() -> str:
+    """Return where the settings file is; empty if it is not said."""
+    return os.environ.get(PATH_VARIABLE, '')
+
+
+def load(file: str) -> settings.Settings | errors.Failure:
+    """Return the settings in a file."""
+    try:
+        with open(file, 'rb') as source:
+            data = source.read()
+    except OSError as error:
+        return errors.Failure(errors.BAD_SETTING, f'{file}: {error}')
+    return decode(data)
+
+
+def decode(data: bytes) -> settings.Settings | errors.Failure:
+    """Return the settings in the text of a file."""
+    try:
+        raw = msgspec.json.decode(data, type=_File)
+    except msgspec.MsgspecError as error:
+        return errors.Failure(errors.BAD_SETTING, str(error))
+    front = _address('listen.front', raw.listen.front)
+    readiness = _address('listen.readiness', raw.listen.readiness)
+    store = _address('platform.address', raw.platform.address)
+    for found in (front, readiness, store):
+        if isinstance(found, errors.Failure):
+            return found
+    assert isinstance(front, settings.Address)
+    assert isinstance(readiness, settings.Address)
+    assert isinstance(store, settings.Address)
+    first, last = raw.port_range
+    if not 0 < first < last < 65536:
+        return _wrong('port_range', raw.port_range, 'two ports, ascending')
+    return settings.Settings(
+        name=raw.node_name,
+        address=raw.ip,
+        data_centre=ids.DataCentre(raw.zone),
+        front=front,
+        readiness=readiness,
+        peer_port=first,
+        metrics_port=last,
+        store=store,
+        upstream_heartbeat=raw.heartbeat_ms / 1000,
+        memory=int(raw.limits.memory_mb * _MEGABYTE),
+        bounds=_bounds(raw.bounds),
+    )
+
+
+def _bounds(raw: _Bounds) -> settings.Bounds:
+    return settings.Bounds(
+        drain=raw.drain_ms / 1000,
+        grace=raw.grace_s,
+        config_apply=raw.config_apply_ms / 1000,
+        retry_ratio=raw.retry_budget_ratio,
+        retry_reserve=raw.retry_slack,
+        retry_window=raw.budget_window_s,
+        lease=raw.lease_ms / 1000,
+    )
+
+
+def _address(
+    field: str, text: str
+) -> settings.Address | errors.Failure:
+    host, _, port = text.rpartition(':')
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        return _wrong(field, text, 'IP:PORT')
+    return settings.Address(host, int(port))
+
+
+def _wrong(field: str, value: object, expected: str) -> errors.Failure:
+    detail = f'{field} is {value!r}, expected {expected}'
+    return errors.Failure(errors.BAD_SETTING, detail)
--- /dev/null
+++ b/galenahatch/platform/documents.py
@@ -0,0 +1,191 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Decodes what operators and upstreams write into the store.
+
+Names in these documents are the platform's. A document that does not decode
+is a failure with the field that is wrong; the last good one stays in force.
+"""
+
+import typing
+
+import msgspec
+
+from galenahatch.core import routes
+from galenahatch.core import upstreams
+from galenahatch import errors
+from galenahatch import ids
+
+CONFIG_TABLE: typing.Final = 'op'
+CONFIG_KEY: typing.Final = 'config'
+UPSTREAM_TABLE: typing.Final = 'servers'
+
+
+class _Target(msgspec.Struct, frozen=True):
+    service: str
+    weight: int = 1
+
+
+class _Route(msgspec.Struct, frozen=True):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 1000.0
+    priority: int = 5
+    service: str | None = None
+    # Several services, each with its share; stands in place of `service`.
+    backends: list[_Target] | None = None
+    max_attempts: int = 1
+    # Requests carry a prompt for a model.
+    sticky: bool = False
+    resumable: bool = False
+    gap_aim_ms: float = 1000.0
+
+
+class _Engine(msgspec.Struct, frozen=True):
+    slots: int
+    kv_tokens: int
+    kv_hold_s: float = 0.5
+    switch_s: float = 6.0
+    stride: int = 1
+
+
+class _Service(msgspec.Struct, frozen=True):
+    name: str
+    health_path: str = '/health'
+    max_conns: int = 100
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+class _Config(msgspec.Struct, frozen=True):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = _Limits()
+
+
+class _Upstream(msgspec.Struct, frozen=True):
+    service: str
+    address: str
+    zone: str = ''
+    slots: int = 1
+    state: str = 'ready'
+    stage: str | None = None
+
+
+_CONFIG: typing.Final = msgspec.json.Decoder(_Config)
+_UPSTREAM: typing.Final = msgspec.json.Decoder(_Upstream)
+
+
+def configuration(data: bytes) -> routes.Configuration | errors.Failure:
+    """Return the configuration in a document."""
+    try:
+        raw = _CONFIG.decode(data)
+        return routes.Configuration(
+            version=raw.version,
+            routes=tuple(_route(item) for item in raw.routes),
+            services={
+                ids.ServiceName(item.name): _service(item)
+                for item in raw.services
+            },
+            limits=_limits(raw.limits),
+        )
+    except (msgspec.MsgspecError, ValueError) as error:
+        return errors.Failure(errors.BAD_CONFIGURATION, str(error))
+
+
+def upstream(key: str, data: bytes) -> upstreams.Upstream | errors.Failure:
+    """Return an upstream from its row.
+
+    Args:
+        key: of the row, which is the id of the upstream.
+        data: value of the row.
+    """
+    try:
+        raw = _UPSTREAM.decode(data)
+        stage = upstreams.Stage(raw.stage) if raw.stage else None
+    except (msgspec.MsgspecError, ValueError) as error:
+        return errors.Failure(errors.BAD_UPSTREAM, f'{key}: {error}')
+    return upstreams.Upstream(
+        id=ids.UpstreamId(key),
+        service=ids.ServiceName(raw.service),
+        address=raw.address,
+        data_centre=ids.DataCentre(raw.zone),
+        slots=raw.slots,
+        leaving=raw.state != 'ready',
+        stage=stage,
+    )
+
+
+def _route(raw: _Route) -> routes.Route:
+    if raw.backends:
+        targets = tuple(
+            routes.Target(ids.ServiceName(item.service), item.weight)
+            for item in raw.backends
+            if item.weight > 0
+        )
+    elif raw.service is not None:
+        targets = (routes.Target(ids.ServiceName(raw.service), 1),)
+    else:
+        targets = ()
+    if not targets:
+        raise ValueError(f'route {raw.name}: no service')
+    return routes.Route(
+        name=raw.name,
+        host=raw.host,
+        prefix=raw.prefix,
+        kind=routes.Kind(raw.kind),
+        timeout=raw.timeout_ms / 1000,
+        objective=raw.target_latency_ms / 1000,
+        priority=raw.priority,
+        targets=targets,
+        max_attempts=raw.max_attempts,
+        resumable=raw.resumable,
+        generative=raw.sticky,
+        longest_pause=raw.gap_aim_ms / 1000,
+    )
+
+
+def _service(raw: _Service) -> routes.Service:
+    engine = None
+    if raw.engine is not None:
+        engine = routes.EngineSpec(
+            slots=raw.engine.slots,
+            kv_tokens=raw.engine.kv_tokens,
+            handle_ttl=raw.engine.kv_hold_s,
+            switch=raw.engine.switch_s,
+            stride=raw.engine.stride,
+        )
+    return routes.Service(
+        name=ids.ServiceName(raw.name),
+        health_path=raw.health_path,
+        max_connections=raw.max_conns,
+        engine=engine,
+    )
+
+
+def _limits(raw: _Limits) -> routes.Limits:
+    return routes.Limits(
+        header_bytes=raw.max_header_bytes,
+        body_bytes=raw.max_body_bytes,
+        header_timeout=raw.header_timeout_ms / 1000,
+        idle_timeout=raw.idle_timeout_ms / 1000,
+    )
--- /dev/null
+++ b/galenahatch/platform/wire.py
@@ -0,0 +1,197 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Headers of requests and answers: decoded once, and written once.
+
+Names that begin with the platform's prefix are spelled only here. What the
+system tells an upstream is never taken from a caller: those headers are
+dropped from a caller's request before it goes on.
+"""
+
+import typing
+
+import multidict
+
+from galenahatch.gateway import calls
+
+_PREFIX: typing.Final = 'X-Galenahatch-'
+_REQUEST: typing.Final = _PREFIX + 'Request-Id'
+_PATIENCE: typing.Final = _PREFIX + 'Deadline-Ms'
+_MODEL: typing.Final = _PREFIX + 'Model'
+_TOKENS: typing.Final = _PREFIX + 'Token-Count'
+_PARTS: typing.Final = _PREFIX + 'Prompt-Prefix'
+_HINT: typing.Final = _PREFIX + 'Length-Hint'
+_LAST_EVENT: typing.Final = 'Last-Event-Id'
+
+_INSTANCE: typing.Final = _PREFIX + 'Expect-Instance'
+_STAGE: typing.Final = _PREFIX + 'Stage'
+_KV_SOURCE: typing.Final = _PREFIX + 'Kv-Source'
+_PRIORITY: typing.Final = _PREFIX + 'Request-Priority'
+
+_SIGNATURE: typing.Final = _PREFIX + 'Response-Stamp'
+_NOT_EXECUTED: typing.Final = _PREFIX + 'Not-Executed'
+_LOAD: typing.Final = _PREFIX + 'Instance-Load'
+
+_SYSTEM_ONLY: typing.Final = frozenset(
+    name.lower()
+    for name in (
+        _INSTANCE,
+        _STAGE,
+        _KV_SOURCE,
+        _PRIORITY,
+        _PATIENCE,
+        _PREFIX + 'Kv-Hold',
+        _PREFIX + 'Pin-Ms',
+        _PREFIX + 'Kv-Backup',
+        _PREFIX + 'Expect-Version',
+        'Kv-Fetch',
+        _PREFIX + 'Kv-Fetch',
+    )
+)
+"""Set by the system alone; a caller's are dropped."""
+
+_ONE_CONNECTION: typing.Final = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+"""Concern one connection; never passed on."""
+
+Raw = typing.Iterable[tuple[bytes, bytes]]
+
+
+def call(
+    method: str, target: str, raw: Raw, body: bytes, arrived_at: float
+) -> calls.Call:
+    """Return a caller's request.
+
+    Args:
+        method: as sent.
+        target: path and query as sent.
+        raw: headers as sent.
+        body: whole.
+        arrived_at: monotonic seconds at which its head had been read.
+    """
+    headers = _end_to_end(raw)
+    patience = _number(headers.get(_PATIENCE, ''))
+    for name in _SYSTEM_ONLY:
+        headers.popall(name, None)
+    return calls.Call(
+        id=headers.get(_REQUEST, ''),
+        method=method,
+        host=headers.get('Host', ''),
+        target=target,
+        headers=headers,
+        body=body,
+        arrived_at=arrived_at,
+        patience=patience / 1000 if patience is not None else None,
+        prompt=_prompt(headers),
+        last_event=headers.get(_LAST_EVENT, ''),
+    )
+
+
+def outgoing(
+    request: calls.Call, directions: calls.Directions
+) -> 'multidict.CIMultiDict[str]':
+    """Return the headers of a request to an upstream."""
+    headers = request.headers.copy()
+    headers[_INSTANCE] = directions.instance
+    if directions.patience is not None:
+        left = max(1, int(directions.patience * 1000))
+        headers[_PATIENCE] = str(left)
+    if directions.prefill_only:
+        headers[_STAGE] = 'prefill'
+    if directions.kv_source:
+        headers[_KV_SOURCE] = directions.kv_source
+    if directions.last_event:
+        headers[_LAST_EVENT] = directions.last_event
+    if directions.priority is not None:
+        headers[_PRIORITY] = str(directions.priority)
+    return headers
+
+
+def answer_head(status: int, raw: Raw) -> calls.AnswerHead:
+    """Return the head of an upstream's answer."""
+    headers = _end_to_end(raw)
+    return calls.AnswerHead(
+        status=status,
+        headers=headers,
+        request=headers.get(_REQUEST, ''),
+        signed=_SIGNATURE in headers,
+        not_executed=_NOT_EXECUTED in headers or status == 421,
+        load=_load(headers.get(_LOAD, '')),
+        encoded=headers.get('Content-Encoding', 'identity') != 'identity',
+    )
+
+
+def own_answer(request: str) -> 'multidict.CIMultiDict[str]':
+    """Return the headers of an answer that the system makes itself."""
+    headers: multidict.CIMultiDict[str] = multidict.CIMultiDict()
+    if request:
+        headers[_REQUEST] = request
+    return headers
+
+
+def _end_to_end(raw: Raw) -> 'multidict.CIMultiDict[str]':
+    headers: multidict.CIMultiDict[str] = multidict.CIMultiDict()
+    named: set[str] = set()
+    for raw_name, raw_value in raw:
+        name = raw_name.decode('latin-1')
+        value = raw_value.decode('utf-8', 'surrogateescape')
+        if name.lower() == 'connection':
+            named.update(v.strip().lower() for v in value.split(','))
+        headers.add(name, value)
+    for name in _ONE_CONNECTION | named:
+        headers.popall(name, None)
+    return headers
+
+
+def _prompt(
+    headers: 'multidict.CIMultiDict[str]',
+) -> calls.Prompt | None:
+    sizes = headers.get(_TOKENS, '').split(',')
+    numbers = [_number(size.strip()) for size in sizes]
+    if len(numbers) != 2 or None in numbers or _MODEL not in headers:
+        return None
+    tokens, most = (int(number or 0) for number in numbers)
+    last = headers.get(_PARTS, '').rsplit(',', 1)[-1]
+    hint = _number(headers.get(_HINT, ''))
+    return calls.Prompt(
+        tokens=tokens,
+        most_output=most,
+        likely_output=int(hint) if hint is not None else None,
+        subject=last.partition(':')[0].strip(),
+    )
+
+
+def _load(text: str) -> int | None:
+    """Return running and waiting requests; the third number is slots."""
+    numbers = [_number(part.strip()) for part in text.split(',')]
+    if len(numbers) < 2 or numbers[0] is None or numbers[1] is None:
+        return None
+    return int(numbers[0] + numbers[1])
+
+
+def _number(text: str) -> float | None:
+    if not text.isascii() or not text.isdigit():
+        return None
+    return float(text)
