Take a reset that arrives with the last bytes for what it is

When the last bytes and the reset arrive between two looks of the loop, libuv reports the end of the stream. Reproduced with plain sockets: b'half a bomore bo' before, no body after. Change: the pending error of the socket is asked for at each end. Ruled out: the override of connection_lost, which is called without an error in that case.

--- a/galenahatch/gateway/sender.py
+++ b/galenahatch/gateway/sender.py
@@ -102,16 +102,37 @@
 
 
 class _Protocol(client_proto.ResponseHandler):
-    """A connection whose reset never looks like the end of an answer."""
+    """A connection whose reset never looks like the end of an answer.
+
+    The event loop's library reports the end of the stream, and not the
+    reset, when the last bytes and a reset arrive together. The socket still
+    knows: its pending error is asked for at each end.
+    """
+
+    def eof_received(self) -> None:
+        """Look whether the end is a reset."""
+        pending = 0
+        connection = self.transport and self.transport.get_extra_info('socket')
+        if connection:
+            pending = connection.getsockopt(
+                socket.SOL_SOCKET, socket.SO_ERROR
+            )
+        if pending:
+            self._fail_body(ConnectionResetError(pending, 'reset at the end'))
+        super().eof_received()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a body without a length that ends by a reset."""
+        if exc is not None:
+            self._fail_body(exc)
+        super().connection_lost(exc)
+
+    def _fail_body(self, exc: BaseException) -> None:
         payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
+        if payload is not None and not payload.is_eof():
             payload.set_exception(aiohttp.ClientPayloadError(repr(exc)))
             self._payload = None
             self._parser = None
-        super().connection_lost(exc)
 
 
 class _Connector(aiohttp.TCPConnector):
