Divide engines by orders, learn lengths, keep a prefill's result

Change: the owner plans the division from what requests cost at both stages and orders one change of stage under a lease; answers' lengths are predicted from hint and usual length; a prefill's result is sent to another decode engine when the first can't be reached.

--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -29,11 +29,13 @@
 import dataclasses
 import typing
 
+from galenahatch.core import lengths
 from galenahatch.core import memory
+from galenahatch.core import stages
 from galenahatch.core import upstreams
 from galenahatch import ids
 
-MEMORY_SHARE: typing.Final = 0.97
+MEMORY_SHARE: typing.Final = 0.92
 """Part of an engine's memory that predictions may fill. Preempting a run
 costs its prompt again and a pause; a tenth more room lost a tenth of the
 requests served in bursts."""
@@ -57,6 +59,8 @@
 failure up to the second figure: upstreams that crash are back, or their
 entry is gone, within about four seconds."""
 _RECHECK: typing.Final = 0.02
+_LEAST_SIZES: typing.Final = 8
+"""Requests seen before the division of engines is planned from them."""
 _LAPSE: typing.Final = 15.0
 """Seconds without a sign of its VM after which a run is forgotten; longer
 than the longest stream of the users, shorter than a minute."""
@@ -68,8 +72,10 @@
 
     Attributes:
         prompt: tokens of the prompt.
-        output: predicted tokens of the answer.
+        hint: the caller's estimate of the answer's tokens, 0 for none.
         most: bound on the tokens of the answer.
+        output: predicted tokens of the answer; set by the dispatcher.
+        is_read: whether a prefill engine holds its result already.
         start_by: until when its first event must have been made.
         deadline: until when the whole answer must be there.
         subject: id of the part of the prompt that only this caller sends;
@@ -81,7 +87,7 @@
     stream: ids.StreamId
     entry: ids.MemberId
     prompt: int
-    output: int
+    hint: int
     most: int
     arrived_at: float
     start_by: float
@@ -90,6 +96,8 @@
     data_centre: ids.DataCentre
     avoid: frozenset[ids.UpstreamId] = frozenset()
     going_on: bool = False
+    is_read: bool = False
+    output: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -171,6 +179,12 @@
         self._where: dict[ids.StreamId, ids.UpstreamId] = {}
         self._seen_at: dict[ids.StreamId, float] = {}
         self._promises: dict[str, float] = {}
+        self._hints: dict[ids.StreamId, int] = {}
+        self._lengths = lengths.Lengths()
+        self._planner = stages.Planner()
+        self._changing: dict[ids.UpstreamId, float] = {}
+        self._targets: dict[ids.UpstreamId, upstreams.Stage] = {}
+        self._sizes_seen = 0
         self._rate = FIRST_RATE
         self._mean_prompt = 0.0
         self._mean_output = 0.0
@@ -188,10 +202,18 @@
     # News of engines.
 
     def set_engines(
-        self, engines: typing.Iterable[upstreams.Upstream]
+        self, engines: typing.Iterable[upstreams.Upstream], now: float
     ) -> None:
         """Take the engines that take work; known ones keep their state."""
         current = {engine.id: engine for engine in engines}
+        for ordered, until in list(self._changing.items()):
+            engine = current.get(ordered)
+            done = engine is None or engine.stage is self._targets[ordered]
+            if done or until < now:
+                del self._changing[ordered]
+                del self._targets[ordered]
+            else:
+                del current[ordered]
         for table in (self._prefills, self._decodes):
             for gone in [key for key in table if key not in current]:
                 del table[gone]
@@ -222,11 +244,49 @@
         if found is not None:
             found.health.failed(now)
 
+    def changes(
+        self, now: float
+    ) -> list[tuple[upstreams.Upstream, upstreams.Stage]]:
+        """Return the engines whose stage should change."""
+        if self._sizes_seen < _LEAST_SIZES or self._changing:
+            return []
+        held = self._mean_prompt + self._mean_output / 2
+        life = self._mean_output * self._mean_pace()
+        part = max(held / (MEMORY_SHARE * self._capacity), 1 / self._slots)
+        work = stages.Work(self._mean_prompt / self._rate, part * life)
+        prefills = sorted(
+            self._prefills.values(), key=lambda engine: engine.idle_at
+        )
+        decodes = sorted(
+            self._decodes.values(), key=lambda engine: engine.memory.load(now)
+        )
+        return self._planner.plan(
+            work,
+            [engine.upstream for engine in prefills],
+            [engine.upstream for engine in decodes],
+            now,
+        )
+
+    def changing(
+        self, engine: ids.UpstreamId, stage: upstreams.Stage, until: float
+    ) -> None:
+        """Note that an engine was ordered to change its stage.
+
+        It takes no work until it tells the new stage, or until a moment at
+        which the order counts as lost.
+        """
+        self._changing[engine] = until
+        self._targets[engine] = stage
+        self._prefills.pop(engine, None)
+        self._decodes.pop(engine, None)
+
     # The life of a request.
 
     def submit(self, job: Job, now: float) -> Decision | None:
         """Take a request; return a decision if it is refused at once."""
         returned = self._promises.pop(job.subject, None) is not None
+        output = self._lengths.predict(job.hint, job.most)
+        job = dataclasses.replace(job, output=output)
         self._note_size(job)
         if job.stream in self._where:
             self._forget(job.stream, now)
@@ -294,6 +354,7 @@
         if decode is not None and tokens:
             decode.health.worked()
             decode.memory.learn_pace(tokens, seconds)
+            self._lengths.learn(self._hints.get(stream, 0), tokens)
         self._forget(stream, now)
         self._queue.pop(stream, None)
 
@@ -343,6 +404,8 @@
 
     def _place(self, job: Job, now: float) -> Placed | None:
         prefill = self._choose_prefill(job, now)
+        if job.is_read:
+            prefill = None
         if prefill is not None and prefill.idle_at > now + LOOKAHEAD:
             return None
         ready = now + self._prefill_time(job)
@@ -351,6 +414,8 @@
             return None
         run = _run_of(job, ready)
         decode.memory.add(run)
+        if not job.going_on:
+            self._hints[job.stream] = job.hint
         self._where[job.stream] = decode.upstream.id
         self._seen_at[job.stream] = now
         if prefill is not None:
@@ -478,8 +543,16 @@
         return rate
 
     def _prefill_time(self, job: Job) -> float:
+        if job.is_read:
+            return _START_SLACK
         return job.prompt / self._rate + _START_SLACK
 
+    def _mean_pace(self) -> float:
+        paces = [e.memory.pace for e in self._decodes.values()]
+        if not paces:
+            return memory.FIRST_PACE
+        return sum(paces) / len(paces)
+
     def _life(self, job: Job) -> float:
         """Return the shortest time that a whole answer may take."""
         paces = [e.memory.pace for e in self._decodes.values()]
@@ -487,6 +560,7 @@
         return job.prompt / self._rate + job.output * pace / 2
 
     def _note_size(self, job: Job) -> None:
+        self._sizes_seen += 1
         if not self._mean_prompt:
             self._mean_prompt = job.prompt
             self._mean_output = job.output
@@ -501,6 +575,7 @@
 
     def _forget(self, stream: ids.StreamId, now: float) -> None:
         self._seen_at.pop(stream, None)
+        self._hints.pop(stream, None)
         engine = self._where.pop(stream, None)
         if engine is not None and engine in self._decodes:
             self._decodes[engine].memory.remove(stream, now)
--- a/galenahatch/core/memory.py
+++ b/galenahatch/core/memory.py
@@ -32,9 +32,9 @@
 
 _PACE_WEIGHT: typing.Final = 0.15
 """Weight of the newest run in the average pace."""
-_OVERRUN: typing.Final = 1.15
+_OVERRUN: typing.Final = 1.25
 """Predicted length of a run that has outlived its prediction, by what it
-has made so far."""
+has made so far; the mean for lengths that spread by a factor of 1.4."""
 _RECENT: typing.Final = 1.5
 """Seconds for which a run that has ended may still stand in a report; the
 reports of engines are up to a second old."""
--- /dev/null
+++ b/galenahatch/core/stages.py
@@ -0,0 +1,113 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""How many engines should read prompts, and how many make answers.
+
+A service ends as many requests a second as the slower of its two stages. A
+prefill engine is busy for the time that a prompt takes; a decode engine is
+limited by its memory, of which each request holds a part for its life. From
+both times the best division follows. A change costs an order and takes the
+engine away for some seconds, so it must raise the rate by a good part, and
+the engines must have been the same for a while: those that crashed mostly
+come back by themselves.
+"""
+
+import dataclasses
+import typing
+
+from galenahatch.core import upstreams
+
+LEAST_GAIN: typing.Final = 1.15
+"""Times the present rate that a division must reach to be worth a change."""
+_SETTLED: typing.Final = 5.0
+"""Seconds for which the engines must have been the same; engines that crash
+are back within about four."""
+_PREFILL_USE: typing.Final = 0.85
+"""Part of a prefill engine's time that is planned for, so that prompts wait
+for each other little."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Work:
+    """What one request costs.
+
+    Attributes:
+        read: seconds of a prefill engine.
+        hold: seconds of a decode engine, the whole of it.
+    """
+
+    read: float
+    hold: float
+
+
+def rate(work: Work, prefills: int, decodes: int) -> float:
+    """Return requests a second that a division of engines can end."""
+    return min(
+        _PREFILL_USE * prefills / work.read,
+        decodes / work.hold,
+    )
+
+
+def best(work: Work, engines: int) -> int:
+    """Return how many of some engines should read prompts."""
+    if engines < 2:
+        return engines
+    return max(
+        range(1, engines),
+        key=lambda prefills: rate(work, prefills, engines - prefills),
+    )
+
+
+class Planner:
+    """Decides on changes of stage for one service."""
+
+    def __init__(self) -> None:
+        self._engines: frozenset[str] = frozenset()
+        self._since = -1e9
+        self._first = True
+
+    def plan(
+        self,
+        work: Work,
+        prefills: typing.Sequence[upstreams.Upstream],
+        decodes: typing.Sequence[upstreams.Upstream],
+        now: float,
+    ) -> list[tuple[upstreams.Upstream, upstreams.Stage]]:
+        """Return the engines to change, and to which stage.
+
+        Args:
+            work: of one request.
+            prefills: engines that read, the most idle first.
+            decodes: engines that make answers, the most idle first.
+            now: monotonic seconds.
+        """
+        present = frozenset(e.id for e in (*prefills, *decodes))
+        if present != self._engines:
+            self._engines = present
+            self._since = now
+        settled = now - self._since >= _SETTLED
+        total = len(prefills) + len(decodes)
+        if total < 2 or not (settled or self._first):
+            return []
+        wanted = best(work, total)
+        before = rate(work, len(prefills), len(decodes))
+        after = rate(work, wanted, total - wanted)
+        if after < LEAST_GAIN * before:
+            return []
+        self._first = False
+        self._since = now
+        surplus = len(prefills) - wanted
+        if surplus > 0:
+            stage = upstreams.Stage.DECODE
+            return [(e, stage) for e in prefills[:surplus]]
+        stage = upstreams.Stage.PREFILL
+        return [(e, stage) for e in decodes[: -surplus]]
--- a/galenahatch/gateway/front.py
+++ b/galenahatch/gateway/front.py
@@ -210,9 +210,6 @@
             failure = errors.Failure(errors.BAD_UPSTREAM, 'empty stream')
             return self._own(failure, call.id)
         await sink.response.write_eof()
-        _log.info(
-            'Streamed.', request=call.id, seconds=clock.now() - call.arrived_at
-        )
         return sink.response
 
     def _break(
--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -50,6 +50,9 @@
 _MOST_PLACES: typing.Final = 6
 """Times that one request asks for engines."""
 _RETRY_AFTER: typing.Final = 0.3
+_HANDLE_USE: typing.Final = 0.8
+"""Part of the life of a prefill's result in which it is still sent to a
+decode engine; the rest is for the way there."""
 _FREE_TIMEOUT: typing.Final = 1.0
 _log = logs.Log('generation')
 
@@ -103,6 +106,8 @@
         self._decodes = 0
         self._detail = ''
         self._first_at = 0.0
+        self._source = ''
+        self._source_until = 0.0
 
     async def run(self) -> means_module.Whole | errors.Failure | None:
         """Return None when the stream was passed on whole.
@@ -112,6 +117,12 @@
         """
         now = self._call.arrived_at
         self._means.budget.request(self._service.name, now)
+        try:
+            return await self._run()
+        finally:
+            self._free()
+
+    async def _run(self) -> means_module.Whole | errors.Failure | None:
         for number in range(1, _MOST_PLACES + 1):
             if means_module.left(self._end_by) <= 0:
                 break
@@ -131,18 +142,19 @@
     def _wish(self, stream: ids.StreamId) -> ownerships.Wish:
         made = self._splitter.count * self._spec.stride
         prompt = self._prompt
-        likely = prompt.likely_output or prompt.most_output // 2
+        likely = prompt.likely_output or 0
         return ownerships.Wish(
             stream=stream,
             service=self._service.name,
             prompt=prompt.tokens + made,
-            output=max(self._spec.stride, likely - made),
+            hint=max(0, likely - made),
             most=max(self._spec.stride, prompt.most_output - made),
             start_by=self._call.arrived_at + self._route.objective,
             deadline=self._end_by,
             subject=prompt.subject,
             avoid=tuple(self._avoid),
             going_on=self._sink.begun,
+            is_read=bool(self._source_in_time()),
         )
 
     def _may_go_on(self) -> bool:
@@ -162,14 +174,12 @@
             decode = known.get(placed.decode)
             if decode is None or not self._takes_work(decode):
                 return _Again(placed.decode, 'decode engine gone')
-            source = ''
             if prefill is not None:
-                handle = await self._prefill(stream, prefill)
-                if isinstance(handle, _Again):
-                    release = self._failed(release, handle)
-                    return handle
-                source = f'{prefill.address}/{handle}'
-            result = await self._decode(stream, decode, source)
+                again = await self._prefill(stream, prefill)
+                if again is not None:
+                    release = self._failed(release, again)
+                    return again
+            result = await self._decode(stream, decode, placed.output)
             if isinstance(result, _Again):
                 release = self._failed(release, result)
             elif result is None:
@@ -192,17 +202,26 @@
         )
 
     def _ended(self, release: messages.Release) -> messages.Release:
+        tokens = max(0, self._splitter.count - 1) * self._spec.stride
+        seconds = clock.now() - self._first_at
+        _log.info(
+            'Streamed.',
+            request=self._call.id,
+            prompt=self._prompt.tokens,
+            likely=self._prompt.likely_output or 0,
+            most=self._prompt.most_output,
+            tokens=tokens + self._spec.stride,
+            first=self._first_at - self._call.arrived_at,
+            seconds=seconds,
+        )
         return messages.Release(
-            release.stream,
-            release.service,
-            tokens=max(0, self._splitter.count - 1) * self._spec.stride,
-            seconds=clock.now() - self._first_at,
+            release.stream, release.service, tokens=tokens, seconds=seconds
         )
 
     async def _prefill(
         self, stream: ids.StreamId, engine: upstreams.Upstream
-    ) -> str | _Again:
-        """Read the prompt; return the handle of the result."""
+    ) -> _Again | None:
+        """Read the prompt; keep the handle of the result."""
         if not self._takes_work(engine):
             return _Again(engine.id, 'prefill engine gone', False)
         if self._prefills and not self._spend():
@@ -242,23 +261,28 @@
         self._means.ownership.prefilled(
             stream, self._service.name, self._prompt.tokens, seconds
         )
-        return done.kv_handle
+        self._source = f'{engine.address}/{done.kv_handle}'
+        self._source_until = clock.now() + _HANDLE_USE * self._spec.handle_ttl
+        return None
+
+    def _source_in_time(self) -> str:
+        """Return the result of a prefill that can still be taken."""
+        return self._source if clock.now() < self._source_until else ''
 
     def _spend(self) -> bool:
         return self._means.budget.spend(self._service.name, clock.now())
 
     async def _decode(
-        self, stream: ids.StreamId, engine: upstreams.Upstream, source: str
+        self, stream: ids.StreamId, engine: upstreams.Upstream, output: int
     ) -> means_module.Whole | errors.Failure | _Again | None:
         """Send the request to its decode engine and pass the stream on."""
         if not self._takes_work(engine):
-            self._free(source)
             return _Again(engine.id, 'decode engine gone', False)
         if self._decodes and not self._spend():
-            self._free(source)
             return _Again(engine.id, 'retry budget spent', False)
         self._decodes += 1
-        self._means.ownership.hold(self._held(stream, engine))
+        self._means.ownership.hold(self._held(stream, engine, output))
+        source = self._source_in_time()
         left = means_module.left(self._end_by)
         headers = wire.outgoing(
             self._call,
@@ -283,8 +307,9 @@
             )
             if isinstance(answer, senders.Lost):
                 known = answer.fate
-                return self._decode_lost(engine, answer, source)
+                return self._decode_lost(engine, answer)
             known = fate.Fate.ANSWERED
+            self._source = ''
             return await self._take(stream, engine, answer)
         finally:
             self._sends.end(known)
@@ -296,13 +321,14 @@
         return min(left, _SILENCE_PAUSES * self._route.longest_pause)
 
     def _decode_lost(
-        self, engine: upstreams.Upstream, lost: senders.Lost, source: str
+        self, engine: upstreams.Upstream, lost: senders.Lost
     ) -> _Again:
         self._log_lost('Decode lost.', engine, lost)
-        if lost.fate in (fate.Fate.NOT_SENT, fate.Fate.REFUSED):
-            self._free(source)
-        # A refusal says that the engine is full or that the handle is gone.
+        # A refusal says that the engine is full or that the handle is gone:
+        # the prompt is read again. Without a connection, it is still there.
         fault = lost.fate is not fate.Fate.REFUSED
+        if lost.fate is not fate.Fate.NOT_SENT:
+            self._free()
         return _Again(engine.id, lost.detail, fault)
 
     async def _take(
@@ -355,7 +381,7 @@
             await self._sink.write(whole)
 
     def _held(
-        self, stream: ids.StreamId, engine: upstreams.Upstream
+        self, stream: ids.StreamId, engine: upstreams.Upstream, output: int
     ) -> messages.Held:
         wish = self._wish(stream)
         return messages.Held(
@@ -363,15 +389,17 @@
             self._service.name,
             engine.id,
             wish.prompt,
-            wish.output,
+            output,
             wish.most,
             -1.0,
         )
 
     # Ends.
 
-    def _free(self, source: str) -> None:
+    def _free(self) -> None:
         """Drop the result of a prefill that nobody will take."""
+        source = self._source_in_time()
+        self._source = ''
         if not source:
             return
         address, _, handle = source.partition('/')
--- a/galenahatch/gateway/messages.py
+++ b/galenahatch/gateway/messages.py
@@ -84,6 +84,8 @@
     """Asks for engines for a generation.
 
     Attributes:
+        hint: the caller's estimate of the answer's tokens, 0 for none.
+        is_read: whether a prefill engine holds the prompt's result.
         start_within: seconds until its first event must have been made.
         end_within: seconds until its answer must be whole.
     """
@@ -92,7 +94,7 @@
     member: ids.MemberId
     service: ids.ServiceName
     prompt: int
-    output: int
+    hint: int
     most: int
     start_within: float
     end_within: float
@@ -100,6 +102,7 @@
     data_centre: ids.DataCentre
     avoid: tuple[ids.UpstreamId, ...] = ()
     going_on: bool = False
+    is_read: bool = False
 
 
 class Queued(Message, frozen=True, array_like=True, tag=True):
@@ -109,12 +112,18 @@
 
 
 class PlacedAt(Message, frozen=True, array_like=True, tag=True):
-    """The engines of a generation; no prefill engine if it is empty."""
+    """The engines of a generation.
+
+    Attributes:
+        prefill: empty if the prompt is not read apart.
+        output: predicted tokens of the answer.
+    """
 
     stream: ids.StreamId
     prefill: ids.UpstreamId
     decode: ids.UpstreamId
     why: str
+    output: int = 0
 
 
 class GivenUp(Message, frozen=True, array_like=True, tag=True):
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -32,6 +32,7 @@
 from galenahatch.gateway import front as fronts
 from galenahatch.gateway import means as means_module
 from galenahatch.gateway import mesh as meshes
+from galenahatch.gateway import orders
 from galenahatch.gateway import ownership as ownerships
 from galenahatch.gateway import sender as senders
 from galenahatch.gateway import settings as settings_module
@@ -98,6 +99,14 @@
         self._directory.run()
         self._mesh.run()
         self._ownership.run(self._mesh)
+        orders.Orders(
+            self._store,
+            self._mesh,
+            self._ownership,
+            self._directory,
+            self._sender,
+            settings.bounds.lease,
+        ).run(self._background)
         self._background.keep('members', self._count_members)
         self._on_signals()
         _log.info('Listening.', vm=settings.name, front=str(settings.front))
--- /dev/null
+++ b/galenahatch/gateway/orders.py
@@ -0,0 +1,201 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Orders to engines to change their stage.
+
+Only the owner gives orders, and only while it holds a lease in the store.
+The lease is a row with its holder and the moment, on the store's clock, at
+which another gateway may take it; its version is the fencing number of the
+orders, so a later holder always has a higher one. A holder orders in the
+first quarter of its lease only. So two holders never order within the time
+that the platform asks for between them, also if one of them was frozen.
+
+Nothing is believed of an order before the engine's entry tells the new
+stage. Each order names the number of orders that the engine has taken, as
+just read from it, so a delayed one that arrives after another is refused.
+"""
+
+import asyncio
+import typing
+
+import msgspec
+
+from galenahatch import clock
+from galenahatch.core import dispatch
+from galenahatch.core import upstreams
+from galenahatch import errors
+from galenahatch.gateway import directory as directories
+from galenahatch.gateway import mesh as meshes
+from galenahatch.gateway import ownership as ownerships
+from galenahatch.gateway import sender as senders
+from galenahatch import ids
+from galenahatch import logs
+from galenahatch.platform import engines
+from galenahatch.platform import store as stores
+from galenahatch import tasks
+
+_LOOK_EVERY: typing.Final = 0.5
+_TABLE: typing.Final = 'leases'
+_KEY: typing.Final = 'orders'
+_LEASES: typing.Final = 2.0
+"""Length of our lease, in those that the platform asks for."""
+_ORDERING: typing.Final = 0.5
+"""Part of the platform's lease in which its holder gives orders."""
+_CALL_TIMEOUT: typing.Final = 0.6
+_LOST_AFTER: typing.Final = 8.0
+"""Seconds beyond the change itself after which an order counts as lost;
+runs of the engine are finished before it changes."""
+_AFTER_REFUSAL: typing.Final = 3.0
+_log = logs.Log('orders')
+
+
+class _Lease(msgspec.Struct, frozen=True):
+    """The row.
+
+    Attributes:
+        until_ms: on the store's clock.
+    """
+
+    holder: str
+    until_ms: float
+
+
+class Orders:
+    """The part of a gateway that gives orders.
+
+    Args:
+        store: holds the lease.
+        mesh: tells who is the owner.
+        ownership: tells which engines should change.
+        directory: tells how long a change takes.
+        sender: for calls to engines.
+        lease: seconds between the orders of two holders.
+    """
+
+    def __init__(
+        self,
+        store: stores.Store,
+        mesh: meshes.Mesh,
+        ownership: ownerships.Ownership,
+        directory: directories.Directory,
+        sender: senders.Sender,
+        lease: float,
+    ) -> None:
+        self._store = store
+        self._mesh = mesh
+        self._ownership = ownership
+        self._directory = directory
+        self._sender = sender
+        self._lease = lease
+        self._pause_until = 0.0
+
+    def run(self, background: tasks.Tasks) -> None:
+        """Start to give orders whenever this gateway is the owner."""
+        background.keep('orders', self._forever)
+
+    async def _forever(self) -> None:
+        while True:
+            await asyncio.sleep(_LOOK_EVERY)
+            now = clock.now()
+            if self._mesh.owner() != self._mesh.me or now < self._pause_until:
+                continue
+            for service, found in list(self._ownership.dispatchers.items()):
+                for engine, stage in found.changes(now):
+                    await self._change(service, found, engine, stage)
+
+    async def _change(
+        self,
+        service: ids.ServiceName,
+        dispatcher: dispatch.Dispatcher,
+        engine: upstreams.Upstream,
+        stage: upstreams.Stage,
+    ) -> None:
+        spec = self._directory.service(service)
+        if spec is None or spec.engine is None:
+            return
+        report = await self._report(engine)
+        if report is None or report.busy:
+            self._pause_until = clock.now() + _AFTER_REFUSAL
+            return
+        until = clock.now() + _ORDERING * self._lease
+        fence = await self._take_lease()
+        if fence is None or clock.now() > until:
+            self._pause_until = clock.now() + _AFTER_REFUSAL
+            return
+        lost_at = clock.now() + spec.engine.switch + _LOST_AFTER
+        dispatcher.changing(engine.id, stage, lost_at)
+        order = engines.stage_order(
+            stage.value, self._mesh.me, fence, report.seq_no
+        )
+        reply = await self._sender.small(
+            'POST',
+            engine.address,
+            engines.ORDER,
+            _CALL_TIMEOUT,
+            body=order,
+            headers=engines.pinned(engine.id),
+        )
+        status = 0 if isinstance(reply, errors.Failure) else reply[0]
+        _log.info(
+            'Order sent.',
+            engine=engine.id,
+            stage=stage.value,
+            fence=fence,
+            expected=report.seq_no,
+            status=status,
+        )
+        if status not in (0, 200, 202):
+            dispatcher.changing(engine.id, stage, clock.now())
+            self._pause_until = clock.now() + _AFTER_REFUSAL
+
+    async def _report(
+        self, engine: upstreams.Upstream
+    ) -> engines.Report | None:
+        reply = await self._sender.small(
+            'GET', engine.address, engines.REPORT, _CALL_TIMEOUT
+        )
+        if isinstance(reply, errors.Failure):
+            return None
+        report = engines.report(reply[1])
+        return None if isinstance(report, errors.Failure) else report
+
+    async def _take_lease(self) -> int | None:
+        """Return a fencing number, if this gateway may give orders."""
+        found = await self._store.rows(_TABLE)
+        if isinstance(found, errors.Failure):
+            _log.warning('Lease not read.', detail=found.detail)
+            return None
+        row = next((r for r in found.rows if r.key == _KEY), None)
+        if row is not None and not self._is_free(row, found.now_ms):
+            return None
+        until = found.now_ms + _LEASES * self._lease * 1000
+        value = msgspec.json.encode(_Lease(self._mesh.me, until))
+        seen = row.ver if row is not None else 0
+        written = await self._store.transact(
+            [stores.Entry(_TABLE, _KEY, ver=seen)],
+            put=[stores.Entry(_TABLE, _KEY, value=value)],
+        )
+        if not isinstance(written, stores.Written):
+            _log.warning('Lease not taken.', holder=self._mesh.me)
+            return None
+        _log.info('Lease taken.', holder=self._mesh.me, fence=written.ver)
+        return written.ver
+
+    def _is_free(self, row: stores.Row, now_ms: float) -> bool:
+        try:
+            lease = msgspec.json.decode(row.value, type=_Lease)
+        except msgspec.MsgspecError as error:
+            _log.error('Bad lease row.', error=str(error))
+            return True
+        if lease.holder == self._mesh.me:
+            return True
+        return now_ms > lease.until_ms
--- a/galenahatch/gateway/ownership.py
+++ b/galenahatch/gateway/ownership.py
@@ -63,13 +63,14 @@
     stream: ids.StreamId
     service: ids.ServiceName
     prompt: int
-    output: int
+    hint: int
     most: int
     start_by: float
     deadline: float
     subject: str
     avoid: tuple[ids.UpstreamId, ...] = ()
     going_on: bool = False
+    is_read: bool = False
 
 
 class Ownership:
@@ -109,6 +110,13 @@
         self._tasks.keep('decide', self._decide_forever)
         self._tasks.keep('reports', self._read_reports)
 
+    @property
+    def dispatchers(
+        self,
+    ) -> typing.Mapping[ids.ServiceName, dispatch.Dispatcher]:
+        """What this gateway knows of each service, as an owner."""
+        return self._dispatchers
+
     @property
     def waiting(self) -> int:
         """Requests that wait here for engines."""
@@ -147,7 +155,7 @@
             member=self._mesh.me,
             service=wish.service,
             prompt=wish.prompt,
-            output=wish.output,
+            hint=wish.hint,
             most=wish.most,
             start_within=wish.start_by - now,
             end_within=wish.deadline - now,
@@ -155,6 +163,7 @@
             data_centre=self._data_centre,
             avoid=wish.avoid,
             going_on=wish.going_on,
+            is_read=wish.is_read,
         )
         self._tell(owner, message)
 
@@ -286,7 +295,7 @@
             stream=place.stream,
             entry=member,
             prompt=place.prompt,
-            output=place.output,
+            hint=place.hint,
             most=place.most,
             arrived_at=now,
             start_by=now + place.start_within,
@@ -295,6 +304,7 @@
             data_centre=place.data_centre,
             avoid=frozenset(place.avoid),
             going_on=place.going_on,
+            is_read=place.is_read,
         )
         self._replies[place.stream] = reply
         decision = dispatcher.submit(job, now)
@@ -386,7 +396,8 @@
         self, service: ids.ServiceName, dispatcher: dispatch.Dispatcher
     ) -> None:
         registry = self._directory.registry
-        dispatcher.set_engines(registry.usable(service, clock.now()))
+        now = clock.now()
+        dispatcher.set_engines(registry.usable(service, now), now)
 
     async def _decide_forever(self) -> None:
         while True:
@@ -421,6 +432,7 @@
                 decision.prefill or ids.UpstreamId(''),
                 decision.decode,
                 decision.why,
+                job.output,
             )
             _log.info(
                 'Placed.',
--- a/galenahatch/gateway/sender.py
+++ b/galenahatch/gateway/sender.py
@@ -303,14 +303,25 @@
         return Answer(response, head)
 
     async def small(
-        self, method: str, address: str, path: str, timeout: float
+        self,
+        method: str,
+        address: str,
+        path: str,
+        timeout: float,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
     ) -> tuple[int, bytes] | errors.Failure:
         """Make a call of our own with a small answer."""
         limits = aiohttp.ClientTimeout(total=timeout)
         url = _url(address, path)
         try:
             async with self._kept.request(
-                method, url, timeout=limits, skip_auto_headers=_SKIPPED
+                method,
+                url,
+                data=body,
+                headers=headers,
+                timeout=limits,
+                skip_auto_headers=_SKIPPED,
             ) as response:
                 return response.status, await response.read()
         except _ERRORS as error:
--- a/galenahatch/platform/engines.py
+++ b/galenahatch/platform/engines.py
@@ -17,8 +17,10 @@
 import msgspec
 
 from galenahatch import errors
+from galenahatch.platform import wire
 
 REPORT: typing.Final = '/report'
+ORDER: typing.Final = '/order'
 
 
 class Report(msgspec.Struct, frozen=True):
@@ -29,12 +31,25 @@
         queued: requests that wait.
         kv_used: tokens of memory that can't yield.
         kv_total: tokens of memory.
+        busy: whether an order is being carried out.
+        seq_no: orders that it has taken since its start.
     """
 
     active: int = 0
     queued: int = 0
     kv_used: int = 0
     kv_total: int = 0
+    busy: bool = False
+    seq_no: int = 0
+
+
+class _Order(msgspec.Struct, frozen=True):
+    op: str
+    stage: str
+    holder: str
+    fence: int
+    # Orders that the engine must have taken until then.
+    expected: int
 
 
 class Prefilled(msgspec.Struct, frozen=True):
@@ -72,3 +87,23 @@
         return _PREFILLED.decode(data)
     except msgspec.MsgspecError as error:
         return errors.Failure(errors.BAD_UPSTREAM, str(error))
+
+
+def stage_order(stage: str, holder: str, fence: int, taken: int) -> bytes:
+    """Return the body of an order to change the stage.
+
+    Args:
+        stage: the new one.
+        holder: of the lease.
+        fence: fencing number of the lease.
+        taken: orders that the engine has taken so far.
+    """
+    return msgspec.json.encode(_Order('stage', stage, holder, fence, taken))
+
+
+def pinned(instance: str) -> dict[str, str]:
+    """Return the headers of a call that only one start may take."""
+    return {
+        wire.INSTANCE: instance,
+        'Content-Type': 'application/json',
+    }
--- a/galenahatch/platform/wire.py
+++ b/galenahatch/platform/wire.py
@@ -32,7 +32,8 @@
 _HINT: typing.Final = _PREFIX + 'Length-Hint'
 _LAST_EVENT: typing.Final = 'Last-Event-Id'
 
-_INSTANCE: typing.Final = _PREFIX + 'Expect-Instance'
+INSTANCE: typing.Final = _PREFIX + 'Expect-Instance'
+"""The only upstream that may take a request or an order."""
 _STAGE: typing.Final = _PREFIX + 'Stage'
 _KV_SOURCE: typing.Final = _PREFIX + 'Kv-Source'
 _PRIORITY: typing.Final = _PREFIX + 'Request-Priority'
@@ -44,7 +45,7 @@
 _SYSTEM_ONLY: typing.Final = frozenset(
     name.lower()
     for name in (
-        _INSTANCE,
+        INSTANCE,
         _STAGE,
         _KV_SOURCE,
         _PRIORITY,
@@ -114,7 +115,7 @@
 ) -> 'multidict.CIMultiDict[str]':
     """Return the headers of a request to an upstream."""
     headers = request.headers.copy()
-    headers[_INSTANCE] = directions.instance
+    headers[INSTANCE] = directions.instance
     if directions.patience is not None:
         left = max(1, int(directions.patience * 1000))
         headers[_PATIENCE] = str(left)
