Refuse streams that a stopping gateway would cut; close idle connections

Change: while stopping, streams are refused that would last beyond the end, by the durations of the newest fifty; connections without a request are closed after the balancer looked away, and their next request goes elsewhere.

--- a/galenahatch/gateway/front.py
+++ b/galenahatch/gateway/front.py
@@ -19,6 +19,7 @@
 """
 
 import asyncio
+import collections
 import collections.abc
 import typing
 
@@ -38,9 +39,32 @@
 _BODY_TIMEOUT: typing.Final = 10.0
 """Seconds for a body; callers wait longer only if they have given up."""
 _RETRY_AFTER: typing.Final = 0.5
+_ELSEWHERE: typing.Final = 0.05
+"""Seconds after which a caller may try another gateway."""
+_LIVES: typing.Final = 50
+_LONG_LIFE: typing.Final = 0.9
+"""Streams whose durations are kept, and the share of them that must end
+before this process does for another one to begin."""
 _log = logs.Log('front')
 
 
+class _Connection(web.RequestHandler):
+    """One caller's connection."""
+
+    __slots__ = ()
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request of the caller has been read.
+
+        The library's own `close` leaves an idle connection open without
+        anyone to read it, and it does not tell idle ones from those whose
+        request was read just now.
+        """
+        waiter = self._waiter
+        return not self._messages and waiter is not None and not waiter.done()
+
+
 class Server(web.Server):
     """Connections of callers, with the limits of the configuration.
 
@@ -59,10 +83,10 @@
         super().__init__(handler, handler_cancellation=True)
         self._limits = limits
 
-    def __call__(self) -> web.RequestHandler:
+    def __call__(self) -> _Connection:
         """Return the protocol of a new connection."""
         limits = self._limits()
-        return web.RequestHandler(
+        return _Connection(
             self,
             loop=self._loop,
             keepalive_timeout=limits.idle_timeout,
@@ -114,6 +138,10 @@
     def __init__(self, means: means_module.Means) -> None:
         self._means = means
         self._in_flight = 0
+        self._lives: collections.deque[float] = collections.deque(
+            maxlen=_LIVES
+        )
+        self._ends_at = 0.0
         self.leaving = False
 
     @property
@@ -121,6 +149,25 @@
         """Requests that are being answered."""
         return self._in_flight
 
+    def leave(self, ends_at: float) -> None:
+        """Stop to be ready; the process ends at a moment."""
+        self.leaving = True
+        self._ends_at = ends_at
+
+    def close_idle(self, server: Server) -> None:
+        """Close the connections on which no request is being answered."""
+        for connection in server.connections:
+            if isinstance(connection, _Connection) and connection.idle:
+                connection.force_close()
+
+    def _ends_first(self) -> bool:
+        """Return whether a stream that begins now would be cut."""
+        if not self.leaving:
+            return False
+        lives = sorted(self._lives)
+        usual = lives[int(_LONG_LIFE * len(lives))] if lives else 0.0
+        return clock.now() + usual > self._ends_at
+
     def limits(self) -> routes.Limits:
         """Return the limits in force."""
         config = self._means.directory.config
@@ -198,6 +245,9 @@
         route: routes.Route,
         service: routes.Service,
     ) -> web.StreamResponse:
+        if self._ends_first():
+            failure = means_module.refusal(errors.LEAVING, '', _ELSEWHERE)
+            return self._respond(call, route, failure)
         sink = _StreamSink(request, self)
         course = generation.Course(self._means, call, route, service, sink)
         try:
@@ -210,6 +260,7 @@
             failure = errors.Failure(errors.BAD_UPSTREAM, 'empty stream')
             return self._own(failure, call.id)
         await sink.response.write_eof()
+        self._lives.append(clock.now() - call.arrived_at)
         return sink.response
 
     def _break(
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -166,14 +166,16 @@
         """Finish what is in flight, then close."""
         began = clock.now()
         last = began + self._settings.bounds.grace - _LAST_SECOND
-        self._front.leaving = True
+        self._front.leave(last)
         self._mesh.leaving = True
         self._ownership.decline_all()
         _log.info('Stopping.', in_flight=self._front.in_flight)
         while clock.now() < last:
             looked_away = clock.now() - began > _LOOK_AWAY
-            if looked_away and not self._front.in_flight:
-                break
+            if looked_away:
+                self._front.close_idle(self._callers)
+                if not self._front.in_flight:
+                    break
             await asyncio.sleep(_IDLE_CHECK)
         _log.info(
             'Stopped.',
