Serve the returned first, hold late streams back while it is crowded

Change: times to come back are spaced by the rate that usual traffic leaves; who returns goes before new requests; a late stream waits while fewer than a third of the decode engines have room, until shortly before its caller leaves; prefill rate and mean sizes are learnt without the bias of queueing.

--- a/galenahatch/bus.py
+++ b/galenahatch/bus.py
@@ -252,9 +252,7 @@
         _guarded(lambda taken: self._handler(peer, taken), message)
 
 
-def _guarded(
-    handler: collections.abc.Callable[[M], None], message: M
-) -> None:
+def _guarded(handler: collections.abc.Callable[[M], None], message: M) -> None:
     """Call a handler; its failure must not end the reading."""
     try:
         handler(message)
--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -26,6 +26,7 @@
 Times are monotonic seconds, passed in; there is no input or output here.
 """
 
+import collections
 import dataclasses
 import typing
 
@@ -47,11 +48,28 @@
 _START_SLACK: typing.Final = 0.15
 """Seconds from the end of a prefill to the first event at the caller:
 transfer, first step, network."""
-_RATE_WEIGHT: typing.Final = 0.1
+_RATE_UP: typing.Final = 0.3
+_RATE_DOWN: typing.Final = 0.02
+"""Weights of a prefill that was faster, or slower, than the rate believed.
+Waiting at the engine and on the way only ever makes a prefill look slow."""
+_SIZE_WEIGHT: typing.Final = 0.03
+"""Least weight of the newest request in the mean sizes."""
 _LEAST_RETRY: typing.Final = 0.3
 """Shortest time after which a refused caller is asked to come back."""
 _RETURN_SHARE: typing.Final = 1 / 3
 """Callers heed a time to come back up to this part of what they have left."""
+_LEAST_SPARE: typing.Final = 0.3
+"""Least part of the engines' rate that is promised to refused callers."""
+_RETURN_SPREAD: typing.Final = 0.5
+"""Seconds around the promised time in which a caller is expected."""
+_ARRIVAL_SPAN: typing.Final = 15.0
+"""Seconds over which the usual rate of requests is counted."""
+_FREE_FOR_LATE: typing.Final = 0.34
+"""Part of the decode engines that must have room for a late request to be
+placed: it pays a fifth, and would take the place of one in time."""
+_LAST_CALL: typing.Final = 0.4
+"""Seconds before its caller leaves at which a late request is placed
+wherever there is room."""
 _PROMISE_LIFE: typing.Final = 10.0
 _SUSPECT_FIRST: typing.Final = 0.5
 _SUSPECT_MOST: typing.Final = 4.0
@@ -75,8 +93,11 @@
         hint: the caller's estimate of the answer's tokens, 0 for none.
         most: bound on the tokens of the answer.
         output: predicted tokens of the answer; set by the dispatcher.
+        returned: whether it was refused before, with a time to come back;
+            set by the dispatcher.
         is_read: whether a prefill engine holds its result already.
         start_by: until when its first event must have been made.
+        leaves_at: when the caller leaves without a first event.
         deadline: until when the whole answer must be there.
         subject: id of the part of the prompt that only this caller sends;
             tells that a request comes back.
@@ -91,6 +112,7 @@
     most: int
     arrived_at: float
     start_by: float
+    leaves_at: float
     deadline: float
     subject: str
     data_centre: ids.DataCentre
@@ -98,6 +120,7 @@
     going_on: bool = False
     is_read: bool = False
     output: int = 0
+    returned: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -185,6 +208,7 @@
         self._changing: dict[ids.UpstreamId, float] = {}
         self._targets: dict[ids.UpstreamId, upstreams.Stage] = {}
         self._sizes_seen = 0
+        self._arrivals: collections.deque[float] = collections.deque()
         self._rate = FIRST_RATE
         self._mean_prompt = 0.0
         self._mean_output = 0.0
@@ -230,9 +254,7 @@
                 decode = _Decode(engine, self._capacity, self._slots)
                 self._decodes[engine.id] = decode
 
-    def observe(
-        self, engine: ids.UpstreamId, used: int, now: float
-    ) -> None:
+    def observe(self, engine: ids.UpstreamId, used: int, now: float) -> None:
         """Take the used memory that an engine reports."""
         decode = self._decodes.get(engine)
         if decode is not None:
@@ -286,16 +308,22 @@
         """Take a request; return a decision if it is refused at once."""
         returned = self._promises.pop(job.subject, None) is not None
         output = self._lengths.predict(job.hint, job.most)
-        job = dataclasses.replace(job, output=output)
+        job = dataclasses.replace(job, output=output, returned=returned)
         self._note_size(job)
+        if not returned:
+            self._note_arrival(now)
         if job.stream in self._where:
             self._forget(job.stream, now)
         if not self._decodes:
             return self._refuse(job, 'no_engine', now)
-        if not (returned or job.going_on):
+        if not job.going_on:
             wait = self._expected_wait(job, now)
-            if now + wait > job.start_by:
-                why = f'wait={wait:.3f} queue={len(self._queue)}'
+            limit = job.leaves_at if returned else job.start_by
+            if now + wait > limit:
+                why = (
+                    f'wait={wait:.3f} queue={len(self._queue)}'
+                    f' returned={returned}'
+                )
                 return self._refuse(job, why, now)
         self._queue[job.stream] = job
         return None
@@ -308,10 +336,12 @@
         """Place what can be placed now; give up what can't end in time."""
         decisions: list[Decision] = []
         for job in sorted(self._queue.values(), key=self._order(now)):
-            if job.deadline < now + self._life(job):
+            if self._is_hopeless(job, now):
                 del self._queue[job.stream]
                 decisions.append(self._refuse(job, 'no_time_left', now))
                 continue
+            if self._is_late(job, now) and self._is_crowded(job, now):
+                break
             placed = self._place(job, now)
             if placed is None:
                 break
@@ -329,7 +359,9 @@
         """Note that a prompt was read, and how long it took."""
         self._seen_at[stream] = now
         if tokens > 0 and seconds > 0:
-            self._rate += _RATE_WEIGHT * (tokens / seconds - self._rate)
+            seen = tokens / seconds
+            weight = _RATE_UP if seen > self._rate else _RATE_DOWN
+            self._rate += weight * (seen - self._rate)
 
     def started(self, stream: ids.StreamId, now: float) -> None:
         """Note the first event of a stream."""
@@ -393,15 +425,40 @@
 
     def _order(
         self, now: float
-    ) -> typing.Callable[[Job], tuple[bool, bool, float]]:
-        def key(job: Job) -> tuple[bool, bool, float]:
+    ) -> typing.Callable[[Job], tuple[bool, int, float]]:
+        def key(job: Job) -> tuple[bool, int, float]:
             if job.going_on:
-                return False, False, 0.0
-            late = job.start_by < now + self._prefill_time(job)
-            return late, True, job.deadline if late else job.start_by
+                return False, 0, 0.0
+            if self._is_late(job, now):
+                return True, 1, job.leaves_at
+            return False, 1 if job.returned else 2, job.start_by
 
         return key
 
+    def _is_late(self, job: Job, now: float) -> bool:
+        if job.going_on:
+            return False
+        return job.start_by < now + self._prefill_time(job)
+
+    def _is_hopeless(self, job: Job, now: float) -> bool:
+        if job.deadline < now + self._life(job):
+            return True
+        return not job.going_on and job.leaves_at < now
+
+    def _is_crowded(self, job: Job, now: float) -> bool:
+        """Return whether a late request would take the place of others.
+
+        It is served before its caller leaves, all the same.
+        """
+        if job.leaves_at < now + self._prefill_time(job) + _LAST_CALL:
+            return False
+        run = _run_of(job, now + self._prefill_time(job))
+        free = sum(
+            engine.memory.fits(run, MEMORY_SHARE, now)
+            for engine in self._decodes.values()
+        )
+        return free < 1 + len(self._decodes) * _FREE_FOR_LATE
+
     def _place(self, job: Job, now: float) -> Placed | None:
         prefill = self._choose_prefill(job, now)
         if job.is_read:
@@ -481,8 +538,9 @@
     def _refuse(self, job: Job, why: str, now: float) -> Refused:
         """Give a request up, and promise when there is room for it."""
         rate = self._service_rate()
+        spare = max(_LEAST_SPARE * rate, rate - self._arrival_rate(now))
         latest = max(self._promises.values(), default=now)
-        spacing = 1 / rate if rate else _LEAST_RETRY
+        spacing = 1 / spare if spare else _LEAST_RETRY
         wait = max(now + _LEAST_RETRY, latest + spacing) - now
         wait = max(wait, self._queue_time())
         longest = max(0.0, job.deadline - now) * _RETURN_SHARE
@@ -502,7 +560,9 @@
             if other.start_by >= now or other.going_on
         ]
         owed = sum(
-            1 for due in self._promises.values() if now - 0.5 < due < now + 0.5
+            1
+            for due in self._promises.values()
+            if now - _RETURN_SPREAD < due < now + _RETURN_SPREAD
         )
         own = self._prefill_time(job)
         if not ahead and self._has_room(job, now):
@@ -559,13 +619,22 @@
         pace = min(paces, default=memory.FIRST_PACE)
         return job.prompt / self._rate + job.output * pace / 2
 
+    def _note_arrival(self, now: float) -> None:
+        self._arrivals.append(now)
+        while self._arrivals[0] < now - _ARRIVAL_SPAN:
+            self._arrivals.popleft()
+
+    def _arrival_rate(self, now: float) -> float:
+        if not self._arrivals:
+            return 0.0
+        span = max(1.0, now - self._arrivals[0])
+        return len(self._arrivals) / span
+
     def _note_size(self, job: Job) -> None:
         self._sizes_seen += 1
-        if not self._mean_prompt:
-            self._mean_prompt = job.prompt
-            self._mean_output = job.output
-        self._mean_prompt += 0.05 * (job.prompt - self._mean_prompt)
-        self._mean_output += 0.05 * (job.output - self._mean_output)
+        weight = max(_SIZE_WEIGHT, 1 / self._sizes_seen)
+        self._mean_prompt += weight * (job.prompt - self._mean_prompt)
+        self._mean_output += weight * (job.output - self._mean_output)
 
     def _run(self, stream: ids.StreamId) -> memory.Run | None:
         engine = self._where.get(stream)
--- a/galenahatch/core/lengths.py
+++ b/galenahatch/core/lengths.py
@@ -42,6 +42,7 @@
         self._mean_length = 0.0
         self._hint_hint = 0.0
         self._hint_length = 0.0
+        self._length_length = 0.0
 
     def learn(self, hint: int, length: int) -> None:
         """Take a caller's estimate and what came of it, in tokens."""
@@ -61,9 +62,12 @@
         self._hint_length = self._hint_length * _DECAY + off_x * (
             y - self._mean_length
         )
+        self._length_length = self._length_length * _DECAY + off_y * (
+            y - self._mean_length
+        )
 
     def predict(self, hint: int, most: int) -> int:
-        """Return the predicted length.
+        """Return the predicted length, the mean of what may come.
 
         Args:
             hint: the caller's estimate, 0 if it gave none.
@@ -72,6 +76,7 @@
         if self._count < _LEAST:
             return max(1, min(hint or most // 2, most))
         y = self._mean_length
+        explained = 0.0
         if hint > 0:
             slope = (self._hint_length + _FIRST_SLOPE * _SLOPE_WEIGHT) / (
                 self._hint_hint + _SLOPE_WEIGHT
@@ -79,4 +84,6 @@
             slope = min(1.0, max(0.0, slope))
             x = math.log(min(hint, most))
             y += slope * (x - self._mean_hint)
-        return max(1, min(most, round(math.exp(y))))
+            explained = slope * self._hint_length
+        rest = max(0.0, self._length_length - explained) / self._weight
+        return max(1, min(most, round(math.exp(y + rest / 2))))
--- a/galenahatch/core/stages.py
+++ b/galenahatch/core/stages.py
@@ -110,4 +110,4 @@
             stage = upstreams.Stage.DECODE
             return [(e, stage) for e in prefills[:surplus]]
         stage = upstreams.Stage.PREFILL
-        return [(e, stage) for e in decodes[: -surplus]]
+        return [(e, stage) for e in decodes[:-surplus]]
--- a/galenahatch/core/upstreams.py
+++ b/galenahatch/core/upstreams.py
@@ -104,9 +104,7 @@
         self._forget_old(now)
         return True
 
-    def replace(
-        self, entries: typing.Iterable[Upstream], now: float
-    ) -> None:
+    def replace(self, entries: typing.Iterable[Upstream], now: float) -> None:
         """Take the whole list: what is not in it is gone."""
         current = {entry.id: entry for entry in entries}
         for missing in [key for key in self._known if key not in current]:
@@ -114,9 +112,7 @@
         for entry in current.values():
             self.put(entry, now)
 
-    def usable(
-        self, service: ids.ServiceName, now: float
-    ) -> list[Upstream]:
+    def usable(self, service: ids.ServiceName, now: float) -> list[Upstream]:
         """Return the upstreams of a service that take new work."""
         found = [
             upstream
--- a/galenahatch/gateway/directory.py
+++ b/galenahatch/gateway/directory.py
@@ -126,9 +126,7 @@
                 reason=failure.reason.name,
                 detail=failure.detail,
             )
-        self._pause = min(
-            max(_FIRST_PAUSE, 2 * self._pause), _LONGEST_PAUSE
-        )
+        self._pause = min(max(_FIRST_PAUSE, 2 * self._pause), _LONGEST_PAUSE)
         await asyncio.sleep(self._pause * random.uniform(0.7, 1.3))
 
 
@@ -140,9 +138,7 @@
         background: where its tasks run.
     """
 
-    def __init__(
-        self, store: stores.Store, background: tasks.Tasks
-    ) -> None:
+    def __init__(self, store: stores.Store, background: tasks.Tasks) -> None:
         self._tasks = background
         self._listeners: list[collections.abc.Callable[[], None]] = []
         self._document = b''
--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -47,6 +47,11 @@
 _SILENCE_PAUSES: typing.Final = 4.0
 """Silence of a resumable stream, in the pauses that its route allows, after
 which it goes on elsewhere. Callers leave after eight."""
+_LEAST_PATIENCE: typing.Final = 2.0
+_PATIENCE_OBJECTIVES: typing.Final = 4.0
+_PATIENCE_PAUSES: typing.Final = 8.0
+"""Callers leave a stream that is silent for the longest of: these seconds,
+these objectives, these pauses."""
 _MOST_PLACES: typing.Final = 6
 """Times that one request asks for engines."""
 _RETRY_AFTER: typing.Final = 0.3
@@ -150,6 +155,7 @@
             hint=max(0, likely - made),
             most=max(self._spec.stride, prompt.most_output - made),
             start_by=self._call.arrived_at + self._route.objective,
+            leaves_at=self._call.arrived_at + self._route_patience(),
             deadline=self._end_by,
             subject=prompt.subject,
             avoid=tuple(self._avoid),
@@ -157,6 +163,14 @@
             is_read=bool(self._source_in_time()),
         )
 
+    def _route_patience(self) -> float:
+        """Return how long callers wait for a first event."""
+        return max(
+            _LEAST_PATIENCE,
+            _PATIENCE_OBJECTIVES * self._route.objective,
+            _PATIENCE_PAUSES * self._route.longest_pause,
+        )
+
     def _may_go_on(self) -> bool:
         return self._sends.may_send(
             self._route.repeatable, self._route.max_attempts
@@ -202,15 +216,17 @@
         )
 
     def _ended(self, release: messages.Release) -> messages.Release:
-        tokens = max(0, self._splitter.count - 1) * self._spec.stride
-        seconds = clock.now() - self._first_at
+        count = self._splitter.count
+        tokens = count * self._spec.stride
+        # The first event's tokens were made before the clock ran.
+        seconds = (clock.now() - self._first_at) * count / max(1, count - 1)
         _log.info(
             'Streamed.',
             request=self._call.id,
             prompt=self._prompt.tokens,
             likely=self._prompt.likely_output or 0,
             most=self._prompt.most_output,
-            tokens=tokens + self._spec.stride,
+            tokens=tokens,
             first=self._first_at - self._call.arrived_at,
             seconds=seconds,
         )
--- a/galenahatch/gateway/mesh.py
+++ b/galenahatch/gateway/mesh.py
@@ -56,9 +56,7 @@
 CODEC: typing.Final = bus.Codec[messages.AnyMessage](
     messages.encode, messages.decode
 )
-Handler = collections.abc.Callable[
-    [ids.MemberId, messages.AnyMessage], None
-]
+Handler = collections.abc.Callable[[ids.MemberId, messages.AnyMessage], None]
 
 
 class _Introduction(msgspec.Struct, frozen=True):
@@ -114,12 +112,10 @@
         self._owner = ids.MemberId('')
         self.me = ids.MemberId(address)
         self.leaving = False
-        self.held: collections.abc.Callable[
-            [], tuple[messages.Held, ...]
-        ] = tuple
-        self._hub = bus.Hub(
-            f'tcp://{address}:{port}', CODEC, self._from_hub
+        self.held: collections.abc.Callable[[], tuple[messages.Held, ...]] = (
+            tuple
         )
+        self._hub = bus.Hub(f'tcp://{address}:{port}', CODEC, self._from_hub)
         self._feed = directories.Follower(
             store, MEMBER_TABLE, self._take_all, self._take_some
         )
@@ -169,17 +165,13 @@
             member.heard_at = -1e9
             _log.warning('Member suspected.', member=name)
 
-    def send(
-        self, name: ids.MemberId, message: messages.AnyMessage
-    ) -> None:
+    def send(self, name: ids.MemberId, message: messages.AnyMessage) -> None:
         """Send a message; lost if the member is away."""
         member = self._members.get(name)
         if member is not None:
             self._link(name, member).send(message)
 
-    def reply(
-        self, name: ids.MemberId, message: messages.AnyMessage
-    ) -> None:
+    def reply(self, name: ids.MemberId, message: messages.AnyMessage) -> None:
         """Send a message to a member that has sent one."""
         peer = self._peers.get(name)
         if peer is not None:
@@ -313,9 +305,7 @@
 
     # Messages that come in.
 
-    def _from_hub(
-        self, peer: bus.Peer, message: messages.AnyMessage
-    ) -> None:
+    def _from_hub(self, peer: bus.Peer, message: messages.AnyMessage) -> None:
         if isinstance(message, messages.Beat):
             self._peers[message.member] = peer
             self._heard(message.member, message.leaving)
--- a/galenahatch/gateway/messages.py
+++ b/galenahatch/gateway/messages.py
@@ -88,6 +88,7 @@
         is_read: whether a prefill engine holds the prompt's result.
         start_within: seconds until its first event must have been made.
         end_within: seconds until its answer must be whole.
+        leave_within: seconds until the caller leaves without a first event.
     """
 
     stream: ids.StreamId
@@ -103,6 +104,7 @@
     avoid: tuple[ids.UpstreamId, ...] = ()
     going_on: bool = False
     is_read: bool = False
+    leave_within: float = 3.0
 
 
 class Queued(Message, frozen=True, array_like=True, tag=True):
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -121,9 +121,7 @@
             means_module.Means(
                 directory=self._directory,
                 sender=self._sender,
-                balancer=balance.Balancer(
-                    clock.RANDOM, settings.data_centre
-                ),
+                balancer=balance.Balancer(clock.RANDOM, settings.data_centre),
                 budget=self._budget,
                 ownership=self._ownership,
                 tasks=self._background,
--- a/galenahatch/gateway/orders.py
+++ b/galenahatch/gateway/orders.py
@@ -110,6 +110,9 @@
                 continue
             for service, found in list(self._ownership.dispatchers.items()):
                 for engine, stage in found.changes(now):
+                    _log.info(
+                        'Change wanted.', engine=engine.id, stage=stage.value
+                    )
                     await self._change(service, found, engine, stage)
 
     async def _change(
@@ -124,6 +127,11 @@
             return
         report = await self._report(engine)
         if report is None or report.busy:
+            _log.info(
+                'Order put off.',
+                engine=engine.id,
+                why='no report' if report is None else 'busy',
+            )
             self._pause_until = clock.now() + _AFTER_REFUSAL
             return
         until = clock.now() + _ORDERING * self._lease
--- a/galenahatch/gateway/ownership.py
+++ b/galenahatch/gateway/ownership.py
@@ -48,10 +48,7 @@
 
 Found = messages.PlacedAt | messages.GivenUp
 Word = (
-    messages.Queued
-    | messages.PlacedAt
-    | messages.GivenUp
-    | messages.Declined
+    messages.Queued | messages.PlacedAt | messages.GivenUp | messages.Declined
 )
 Reply = collections.abc.Callable[[Word], None]
 
@@ -66,6 +63,7 @@
     hint: int
     most: int
     start_by: float
+    leaves_at: float
     deadline: float
     subject: str
     avoid: tuple[ids.UpstreamId, ...] = ()
@@ -164,6 +162,7 @@
             avoid=wish.avoid,
             going_on=wish.going_on,
             is_read=wish.is_read,
+            leave_within=wish.leaves_at - now,
         )
         self._tell(owner, message)
 
@@ -241,9 +240,7 @@
             for held, since in self._held.values()
         )
 
-    def _tell(
-        self, owner: ids.MemberId, message: messages.AnyMessage
-    ) -> None:
+    def _tell(self, owner: ids.MemberId, message: messages.AnyMessage) -> None:
         assert self._mesh is not None
         if owner == self._mesh.me:
             self.take(owner, message)
@@ -252,9 +249,7 @@
 
     # The side of the owner.
 
-    def take(
-        self, member: ids.MemberId, message: messages.AnyMessage
-    ) -> None:
+    def take(self, member: ids.MemberId, message: messages.AnyMessage) -> None:
         """Take a message of a gateway, this one included."""
         now = clock.now()
         if isinstance(message, messages.Place):
@@ -299,6 +294,7 @@
             most=place.most,
             arrived_at=now,
             start_by=now + place.start_within,
+            leaves_at=now + place.leave_within,
             deadline=now + place.end_within,
             subject=place.subject,
             data_centre=place.data_centre,
--- a/galenahatch/gateway/sender.py
+++ b/galenahatch/gateway/sender.py
@@ -114,9 +114,7 @@
         pending = 0
         connection = self.transport and self.transport.get_extra_info('socket')
         if connection:
-            pending = connection.getsockopt(
-                socket.SOL_SOCKET, socket.SO_ERROR
-            )
+            pending = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if pending:
             self._fail_body(ConnectionResetError(pending, 'reset at the end'))
         super().eof_received()
--- a/galenahatch/peers.py
+++ b/galenahatch/peers.py
@@ -67,9 +67,7 @@
         self._config = in_force
         self._vms = platform
         self._handler = handler
-        self._links: dict[
-            ids.MemberId, bus.Link[messages.AnyMessage]
-        ] = {}
+        self._links: dict[ids.MemberId, bus.Link[messages.AnyMessage]] = {}
         self._listeners: list[VmListener] = []
         self._reports: list[collections.abc.Callable[[], None]] = []
         self._system_vms: dict[str, vms.Vm] = {}
--- a/galenahatch/platform/deployment.py
+++ b/galenahatch/platform/deployment.py
@@ -126,9 +126,7 @@
     )
 
 
-def _address(
-    field: str, text: str
-) -> settings.Address | errors.Failure:
+def _address(field: str, text: str) -> settings.Address | errors.Failure:
     host, _, port = text.rpartition(':')
     if not host or not port.isdigit() or not 0 < int(port) < 65536:
         return _wrong(field, text, 'IP:PORT')
--- a/galenahatch/platform/store.py
+++ b/galenahatch/platform/store.py
@@ -210,9 +210,7 @@
                     data += await response.content.read(_MOST_BYTES)
                     if len(data) > _MOST_BYTES:
                         detail = f'answer of over {_MOST_BYTES} bytes'
-                        return errors.Failure(
-                            errors.STORE_UNAVAILABLE, detail
-                        )
+                        return errors.Failure(errors.STORE_UNAVAILABLE, detail)
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             detail = f'{type(error).__name__} {error}'
             return errors.Failure(errors.STORE_UNAVAILABLE, detail)
