Believe what engines report of their stage; plan divisions on measured figures

Change: reports give stage and busy; a refusal leaves both engines alone for a while; plans need five measured prefills and runs, and a larger gain while requests wait.

--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -52,6 +52,9 @@
 _RATE_DOWN: typing.Final = 0.02
 """Weights of a prefill that was faster, or slower, than the rate believed.
 Waiting at the engine and on the way only ever makes a prefill look slow."""
+_TOLD_LIFE: typing.Final = 3.0
+"""Seconds for which the stage in an engine's report goes before that in its
+entry; reports are read once a second."""
 _SIZE_WEIGHT: typing.Final = 0.03
 """Least weight of the newest request in the mean sizes."""
 _LEAST_RETRY: typing.Final = 0.3
@@ -77,8 +80,11 @@
 failure up to the second figure: upstreams that crash are back, or their
 entry is gone, within about four seconds."""
 _RECHECK: typing.Final = 0.02
-_LEAST_SIZES: typing.Final = 8
-"""Requests seen before the division of engines is planned from them."""
+_LEAST_SIZES: typing.Final = 5
+"""Requests measured before the division of engines is planned from them."""
+_CALM: typing.Final = 3.0
+"""Seconds without a refusal before engines change their stage: they are
+away for some seconds, which costs most when there are too few."""
 _LAPSE: typing.Final = 15.0
 """Seconds without a sign of its VM after which a run is forgotten; longer
 than the longest stream of the users, shorter than a minute."""
@@ -150,6 +156,13 @@
 Decision = Placed | Refused
 
 
+@dataclasses.dataclass(frozen=True)
+class _Told:
+    stage: upstreams.Stage | None
+    busy: bool
+    at: float
+
+
 @dataclasses.dataclass
 class _Health:
     failures: int = 0
@@ -203,11 +216,15 @@
         self._seen_at: dict[ids.StreamId, float] = {}
         self._promises: dict[str, float] = {}
         self._hints: dict[ids.StreamId, int] = {}
+        self._told: dict[ids.UpstreamId, _Told] = {}
         self._lengths = lengths.Lengths()
         self._planner = stages.Planner()
         self._changing: dict[ids.UpstreamId, float] = {}
         self._targets: dict[ids.UpstreamId, upstreams.Stage] = {}
         self._sizes_seen = 0
+        self._rates_seen = 0
+        self._paces_seen = 0
+        self._refused_at = -1e9
         self._arrivals: collections.deque[float] = collections.deque()
         self._rate = FIRST_RATE
         self._mean_prompt = 0.0
@@ -229,21 +246,45 @@
         self, engines: typing.Iterable[upstreams.Upstream], now: float
     ) -> None:
         """Take the engines that take work; known ones keep their state."""
-        current = {engine.id: engine for engine in engines}
+        current = {
+            engine.id: self._as_reported(engine, now) for engine in engines
+        }
+        self._planner.present(current, now)
+        for busy in [key for key in current if self._is_busy(key, now)]:
+            del current[busy]
         for ordered, until in list(self._changing.items()):
             engine = current.get(ordered)
-            done = engine is None or engine.stage is self._targets[ordered]
+            done = engine is not None and (
+                engine.stage is self._targets[ordered]
+            )
             if done or until < now:
                 del self._changing[ordered]
                 del self._targets[ordered]
             else:
-                del current[ordered]
+                current.pop(ordered, None)
         for table in (self._prefills, self._decodes):
             for gone in [key for key in table if key not in current]:
                 del table[gone]
         for engine in current.values():
             self._keep(engine)
 
+    def _as_reported(
+        self, engine: upstreams.Upstream, now: float
+    ) -> upstreams.Upstream:
+        """Return an engine with the stage that it told itself of late.
+
+        Its entry in the store may be older, for as long as the store is
+        away.
+        """
+        told = self._told.get(engine.id)
+        if told is None or now - told.at > _TOLD_LIFE:
+            return engine
+        return dataclasses.replace(engine, stage=told.stage)
+
+    def _is_busy(self, engine: ids.UpstreamId, now: float) -> bool:
+        told = self._told.get(engine)
+        return told is not None and told.busy and now - told.at < _TOLD_LIFE
+
     def _keep(self, engine: upstreams.Upstream) -> None:
         if engine.stage is upstreams.Stage.PREFILL:
             self._decodes.pop(engine.id, None)
@@ -254,8 +295,24 @@
                 decode = _Decode(engine, self._capacity, self._slots)
                 self._decodes[engine.id] = decode
 
-    def observe(self, engine: ids.UpstreamId, used: int, now: float) -> None:
-        """Take the used memory that an engine reports."""
+    def observe(
+        self,
+        engine: ids.UpstreamId,
+        used: int,
+        stage: upstreams.Stage | None,
+        busy: bool,
+        now: float,
+    ) -> None:
+        """Take what an engine reports.
+
+        Args:
+            engine: that reports.
+            used: tokens of memory that can't yield.
+            stage: that it is in.
+            busy: whether it carries out an order; it takes no work then.
+            now: monotonic seconds.
+        """
+        self._told[engine] = _Told(stage, busy, now)
         decode = self._decodes.get(engine)
         if decode is not None:
             decode.memory.observe(used, now)
@@ -266,11 +323,18 @@
         if found is not None:
             found.health.failed(now)
 
+    def fetched(self, engine: ids.UpstreamId) -> None:
+        """Note that a result of a prefill engine was taken over."""
+        found = self._prefills.get(engine)
+        if found is not None:
+            found.health.worked()
+
     def changes(
         self, now: float
     ) -> list[tuple[upstreams.Upstream, upstreams.Stage]]:
         """Return the engines whose stage should change."""
-        if self._sizes_seen < _LEAST_SIZES or self._changing:
+        known = min(self._rates_seen, self._paces_seen)
+        if known < _LEAST_SIZES or self._changing:
             return []
         held = self._mean_prompt + self._mean_output / 2
         life = self._mean_output * self._mean_pace()
@@ -282,10 +346,12 @@
         decodes = sorted(
             self._decodes.values(), key=lambda engine: engine.memory.load(now)
         )
+        calm = not self._queue and now - self._refused_at > _CALM
         return self._planner.plan(
             work,
             [engine.upstream for engine in prefills],
             [engine.upstream for engine in decodes],
+            calm,
             now,
         )
 
@@ -359,6 +425,7 @@
         """Note that a prompt was read, and how long it took."""
         self._seen_at[stream] = now
         if tokens > 0 and seconds > 0:
+            self._rates_seen += 1
             seen = tokens / seconds
             weight = _RATE_UP if seen > self._rate else _RATE_DOWN
             self._rate += weight * (seen - self._rate)
@@ -385,6 +452,7 @@
         decode = self._decodes.get(engine) if engine is not None else None
         if decode is not None and tokens:
             decode.health.worked()
+            self._paces_seen += 1
             decode.memory.learn_pace(tokens, seconds)
             self._lengths.learn(self._hints.get(stream, 0), tokens)
         self._forget(stream, now)
@@ -537,6 +605,7 @@
 
     def _refuse(self, job: Job, why: str, now: float) -> Refused:
         """Give a request up, and promise when there is room for it."""
+        self._refused_at = now
         rate = self._service_rate()
         spare = max(_LEAST_SPARE * rate, rate - self._arrival_rate(now))
         latest = max(self._promises.values(), default=now)
--- a/galenahatch/core/stages.py
+++ b/galenahatch/core/stages.py
@@ -26,8 +26,11 @@
 
 from galenahatch.core import upstreams
 
-LEAST_GAIN: typing.Final = 1.15
+LEAST_GAIN: typing.Final = 1.2
 """Times the present rate that a division must reach to be worth a change."""
+BUSY_GAIN: typing.Final = 1.4
+"""The same while requests wait: engines that change are away when they are
+needed most."""
 _SETTLED: typing.Final = 5.0
 """Seconds for which the engines must have been the same; engines that crash
 are back within about four."""
@@ -73,13 +76,20 @@
     def __init__(self) -> None:
         self._engines: frozenset[str] = frozenset()
         self._since = -1e9
-        self._first = True
+
+    def present(self, engines: typing.Iterable[str], now: float) -> None:
+        """Take which engines there are."""
+        current = frozenset(engines)
+        if current != self._engines:
+            self._engines = current
+            self._since = now
 
     def plan(
         self,
         work: Work,
         prefills: typing.Sequence[upstreams.Upstream],
         decodes: typing.Sequence[upstreams.Upstream],
+        calm: bool,
         now: float,
     ) -> list[tuple[upstreams.Upstream, upstreams.Stage]]:
         """Return the engines to change, and to which stage.
@@ -88,22 +98,17 @@
             work: of one request.
             prefills: engines that read, the most idle first.
             decodes: engines that make answers, the most idle first.
+            calm: whether no request has waited lately.
             now: monotonic seconds.
         """
-        present = frozenset(e.id for e in (*prefills, *decodes))
-        if present != self._engines:
-            self._engines = present
-            self._since = now
-        settled = now - self._since >= _SETTLED
         total = len(prefills) + len(decodes)
-        if total < 2 or not (settled or self._first):
+        if total < 2 or now - self._since < _SETTLED:
             return []
         wanted = best(work, total)
         before = rate(work, len(prefills), len(decodes))
         after = rate(work, wanted, total - wanted)
-        if after < LEAST_GAIN * before:
+        if after < (LEAST_GAIN if calm else BUSY_GAIN) * before:
             return []
-        self._first = False
         self._since = now
         surplus = len(prefills) - wanted
         if surplus > 0:
--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -68,11 +68,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Again:
-    """An attempt that did not get to an answer."""
+    """An attempt that did not get to an answer.
+
+    Attributes:
+        failed: engine that the request avoids from now on.
+        at_fault: engines that may be to blame.
+    """
 
     failed: ids.UpstreamId
     detail: str
-    engine_fault: bool = True
+    at_fault: tuple[ids.UpstreamId, ...] = ()
 
 
 class Course:
@@ -113,6 +118,7 @@
         self._first_at = 0.0
         self._source = ''
         self._source_until = 0.0
+        self._read_at = ids.UpstreamId('')
 
     async def run(self) -> means_module.Whole | errors.Failure | None:
         """Return None when the stream was passed on whole.
@@ -209,10 +215,8 @@
     def _failed(
         self, release: messages.Release, again: _Again
     ) -> messages.Release:
-        if not again.engine_fault:
-            return release
         return messages.Release(
-            release.stream, release.service, failed=again.failed
+            release.stream, release.service, failed=again.at_fault
         )
 
     def _ended(self, release: messages.Release) -> messages.Release:
@@ -231,7 +235,11 @@
             seconds=seconds,
         )
         return messages.Release(
-            release.stream, release.service, tokens=tokens, seconds=seconds
+            release.stream,
+            release.service,
+            tokens=tokens,
+            seconds=seconds,
+            fetched=self._read_at,
         )
 
     async def _prefill(
@@ -239,9 +247,9 @@
     ) -> _Again | None:
         """Read the prompt; keep the handle of the result."""
         if not self._takes_work(engine):
-            return _Again(engine.id, 'prefill engine gone', False)
+            return _Again(engine.id, 'prefill engine gone')
         if self._prefills and not self._spend():
-            return _Again(engine.id, 'retry budget spent', False)
+            return _Again(engine.id, 'retry budget spent')
         self._prefills += 1
         began = clock.now()
         left = means_module.left(self._end_by)
@@ -265,19 +273,20 @@
         )
         if isinstance(answer, senders.Lost):
             self._log_lost('Prefill lost.', engine, answer)
-            return _Again(engine.id, answer.detail)
+            return _Again(engine.id, answer.detail, (engine.id,))
         body = await answer.body()
         if body is None or answer.head.status != 200:
             detail = f'prefill: status {answer.head.status}'
-            return _Again(engine.id, detail)
+            return _Again(engine.id, detail, (engine.id,))
         done = engines.prefilled(body)
         if isinstance(done, errors.Failure):
-            return _Again(engine.id, done.detail)
+            return _Again(engine.id, done.detail, (engine.id,))
         seconds = clock.now() - began
         self._means.ownership.prefilled(
             stream, self._service.name, self._prompt.tokens, seconds
         )
         self._source = f'{engine.address}/{done.kv_handle}'
+        self._read_at = engine.id
         self._source_until = clock.now() + _HANDLE_USE * self._spec.handle_ttl
         return None
 
@@ -293,9 +302,9 @@
     ) -> means_module.Whole | errors.Failure | _Again | None:
         """Send the request to its decode engine and pass the stream on."""
         if not self._takes_work(engine):
-            return _Again(engine.id, 'decode engine gone', False)
+            return _Again(engine.id, 'decode engine gone')
         if self._decodes and not self._spend():
-            return _Again(engine.id, 'retry budget spent', False)
+            return _Again(engine.id, 'retry budget spent')
         self._decodes += 1
         self._means.ownership.hold(self._held(stream, engine, output))
         source = self._source_in_time()
@@ -340,12 +349,15 @@
         self, engine: upstreams.Upstream, lost: senders.Lost
     ) -> _Again:
         self._log_lost('Decode lost.', engine, lost)
-        # A refusal says that the engine is full or that the handle is gone:
-        # the prompt is read again. Without a connection, it is still there.
-        fault = lost.fate is not fate.Fate.REFUSED
+        # A refusal says that the engine takes no more, or that the handle is
+        # gone: either engine may be to blame, and the prompt is read again.
+        # Without a connection, the result of the prefill is still there.
+        at_fault = [engine.id]
+        if lost.fate is fate.Fate.REFUSED and self._read_at:
+            at_fault.append(self._read_at)
         if lost.fate is not fate.Fate.NOT_SENT:
             self._free()
-        return _Again(engine.id, lost.detail, fault)
+        return _Again(engine.id, lost.detail, tuple(at_fault))
 
     async def _take(
         self,
@@ -359,7 +371,7 @@
             body = await answer.body()
             if head.status < 500 and head.status >= 300 and body is not None:
                 return means_module.Whole(head, body)
-            return _Again(engine.id, f'status {head.status}')
+            return _Again(engine.id, f'status {head.status}', (engine.id,))
         try:
             return await self._relay(stream, engine, answer)
         finally:
@@ -380,7 +392,7 @@
             data = await answer.read(self._patience(left))
             if isinstance(data, senders.Lost):
                 self._log_lost('Stream lost.', engine, data)
-                return _Again(engine.id, data.detail)
+                return _Again(engine.id, data.detail, (engine.id,))
             if not data:
                 if self._splitter.rest:
                     return _Again(engine.id, 'ended within an event')
--- a/galenahatch/gateway/messages.py
+++ b/galenahatch/gateway/messages.py
@@ -170,14 +170,16 @@
     Attributes:
         tokens: of the answer; 0 if it broke off.
         seconds: from its first event to its last.
-        failed: engine at fault, or empty.
+        failed: engines that may be at fault.
+        fetched: prefill engine whose result was taken over, or empty.
     """
 
     stream: ids.StreamId
     service: ids.ServiceName
     tokens: int = 0
     seconds: float = 0.0
-    failed: ids.UpstreamId = ids.UpstreamId('')
+    failed: tuple[ids.UpstreamId, ...] = ()
+    fetched: ids.UpstreamId = ids.UpstreamId('')
 
 
 class Ask(Message, frozen=True, array_like=True, tag=True):
--- a/galenahatch/gateway/orders.py
+++ b/galenahatch/gateway/orders.py
@@ -142,7 +142,7 @@
         lost_at = clock.now() + spec.engine.switch + _LOST_AFTER
         dispatcher.changing(engine.id, stage, lost_at)
         order = engines.stage_order(
-            stage.value, self._mesh.me, fence, report.seq_no
+            stage.value, self._mesh.me, fence, report.taken
         )
         reply = await self._sender.small(
             'POST',
@@ -158,7 +158,7 @@
             engine=engine.id,
             stage=stage.value,
             fence=fence,
-            expected=report.seq_no,
+            expected=report.taken,
             status=status,
         )
         if status not in (0, 200, 202):
--- a/galenahatch/gateway/ownership.py
+++ b/galenahatch/gateway/ownership.py
@@ -365,8 +365,10 @@
             dispatcher.release(
                 message.stream, message.tokens, message.seconds, now
             )
-            if message.failed:
-                dispatcher.failed(message.failed, now)
+            for engine in message.failed:
+                dispatcher.failed(engine, now)
+            if message.fetched:
+                dispatcher.fetched(message.fetched)
 
     def _dispatcher(
         self, service: ids.ServiceName
@@ -384,6 +386,9 @@
         return found
 
     def _replan(self) -> None:
+        config = self._directory.config
+        for name in config.services if config is not None else ():
+            self._dispatcher(name)
         for service, dispatcher in self._dispatchers.items():
             self._set_engines(service, dispatcher)
         self._due.set()
@@ -460,6 +465,7 @@
                 continue
             for service, dispatcher in list(self._dispatchers.items()):
                 await self._read_service(service, dispatcher)
+            self._replan()
 
     async def _read_service(
         self, service: ids.ServiceName, dispatcher: dispatch.Dispatcher
@@ -482,4 +488,10 @@
                 continue
             report = engines.report(reply[1])
             if not isinstance(report, errors.Failure):
-                dispatcher.observe(engine.id, report.kv_used, clock.now())
+                dispatcher.observe(
+                    engine.id,
+                    report.kv_used,
+                    report.stage,
+                    report.busy,
+                    clock.now(),
+                )
--- a/galenahatch/platform/engines.py
+++ b/galenahatch/platform/engines.py
@@ -12,10 +12,12 @@
 
 """Calls to model engines beside the requests of callers."""
 
+import dataclasses
 import typing
 
 import msgspec
 
+from galenahatch.core import upstreams
 from galenahatch import errors
 from galenahatch.platform import wire
 
@@ -23,24 +25,34 @@
 ORDER: typing.Final = '/order'
 
 
-class Report(msgspec.Struct, frozen=True):
+class _Report(msgspec.Struct, frozen=True):
+    stage: str | None = None
+    active: int = 0
+    queued: int = 0
+    kv_used: int = 0
+    busy: bool = False
+    seq_no: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Report:
     """What an engine tells of itself, up to a second old.
 
     Attributes:
         active: requests that run.
         queued: requests that wait.
         kv_used: tokens of memory that can't yield.
-        kv_total: tokens of memory.
+        stage: that it is in.
         busy: whether an order is being carried out.
-        seq_no: orders that it has taken since its start.
+        taken: orders that it has taken since its start.
     """
 
-    active: int = 0
-    queued: int = 0
-    kv_used: int = 0
-    kv_total: int = 0
-    busy: bool = False
-    seq_no: int = 0
+    active: int
+    queued: int
+    kv_used: int
+    stage: upstreams.Stage | None
+    busy: bool
+    taken: int
 
 
 class _Order(msgspec.Struct, frozen=True):
@@ -64,7 +76,7 @@
     tokens: int = 0
 
 
-_REPORT: typing.Final = msgspec.json.Decoder(Report)
+_REPORT: typing.Final = msgspec.json.Decoder(_Report)
 _PREFILLED: typing.Final = msgspec.json.Decoder(Prefilled)
 
 
@@ -76,9 +88,18 @@
 def report(data: bytes) -> Report | errors.Failure:
     """Return the report in a body."""
     try:
-        return _REPORT.decode(data)
-    except msgspec.MsgspecError as error:
+        raw = _REPORT.decode(data)
+        stage = upstreams.Stage(raw.stage) if raw.stage else None
+    except (msgspec.MsgspecError, ValueError) as error:
         return errors.Failure(errors.BAD_UPSTREAM, str(error))
+    return Report(
+        active=raw.active,
+        queued=raw.queued,
+        kv_used=raw.kv_used,
+        stage=stage,
+        busy=raw.busy,
+        taken=raw.seq_no,
+    )
 
 
 def prefilled(data: bytes) -> Prefilled | errors.Failure:
