--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -223,7 +223,6 @@
         self._targets: dict[ids.UpstreamId, upstreams.Stage] = {}
         self._sizes_seen = 0
         self._rates_seen = 0
-        self._paces_seen = 0
         self._refused_at = -1e9
         self._arrivals: collections.deque[float] = collections.deque()
         self._rate = FIRST_RATE
@@ -243,13 +242,22 @@
     # News of engines.
 
     def set_engines(
-        self, engines: typing.Iterable[upstreams.Upstream], now: float
+        self,
+        engines: typing.Iterable[upstreams.Upstream],
+        leaving: typing.Container[ids.UpstreamId],
+        now: float,
     ) -> None:
-        """Take the engines that take work; known ones keep their state."""
+        """Take the engines that take work; known ones keep their state.
+
+        Args:
+            engines: of the service.
+            leaving: engines that have said that they leave.
+            now: monotonic seconds.
+        """
         current = {
             engine.id: self._as_reported(engine, now) for engine in engines
         }
-        self._planner.present(current, now)
+        self._planner.present(current, leaving, now)
         for busy in [key for key in current if self._is_busy(key, now)]:
             del current[busy]
         for ordered, until in list(self._changing.items()):
@@ -333,8 +341,7 @@
         self, now: float
     ) -> list[tuple[upstreams.Upstream, upstreams.Stage]]:
         """Return the engines whose stage should change."""
-        known = min(self._rates_seen, self._paces_seen)
-        if known < _LEAST_SIZES or self._changing:
+        if self._rates_seen < _LEAST_SIZES or self._changing:
             return []
         held = self._mean_prompt + self._mean_output / 2
         life = self._mean_output * self._mean_pace()
@@ -452,7 +459,6 @@
         decode = self._decodes.get(engine) if engine is not None else None
         if decode is not None and tokens:
             decode.health.worked()
-            self._paces_seen += 1
             decode.memory.learn_pace(tokens, seconds)
             self._lengths.learn(self._hints.get(stream, 0), tokens)
         self._forget(stream, now)
--- a/galenahatch/core/stages.py
+++ b/galenahatch/core/stages.py
@@ -17,8 +17,8 @@
 limited by its memory, of which each request holds a part for its life. From
 both times the best division follows. A change costs an order and takes the
 engine away for some seconds, so it must raise the rate by a good part, and
-the engines must have been the same for a while: those that crashed mostly
-come back by themselves.
+no engine may have vanished lately: those that crash mostly come back by
+themselves.
 """
 
 import dataclasses
@@ -32,8 +32,8 @@
 """The same while requests wait: engines that change are away when they are
 needed most."""
 _SETTLED: typing.Final = 5.0
-"""Seconds for which the engines must have been the same; engines that crash
-are back within about four."""
+"""Seconds since an engine vanished without a word, and since the last plan;
+engines that crash are back within about four."""
 _PREFILL_USE: typing.Final = 0.85
 """Part of a prefill engine's time that is planned for, so that prompts wait
 for each other little."""
@@ -77,12 +77,18 @@
         self._engines: frozenset[str] = frozenset()
         self._since = -1e9
 
-    def present(self, engines: typing.Iterable[str], now: float) -> None:
-        """Take which engines there are."""
+    def present(
+        self,
+        engines: typing.Iterable[str],
+        leaving: typing.Container[str],
+        now: float,
+    ) -> None:
+        """Take which engines there are, and which have said they leave."""
         current = frozenset(engines)
-        if current != self._engines:
-            self._engines = current
+        lost = self._engines - current
+        if any(engine not in leaving for engine in lost):
             self._since = now
+        self._engines = current
 
     def plan(
         self,
--- a/galenahatch/gateway/ownership.py
+++ b/galenahatch/gateway/ownership.py
@@ -398,7 +398,10 @@
     ) -> None:
         registry = self._directory.registry
         now = clock.now()
-        dispatcher.set_engines(registry.usable(service, now), now)
+        leaving = {
+            key for key, upstream in registry.known.items() if upstream.leaving
+        }
+        dispatcher.set_engines(registry.usable(service, now), leaving, now)
 
     async def _decide_forever(self) -> None:
         while True:
