Tests of the gateway over real processes and a stand-in platform

They found: a deadline that had just come was told as a broken send (502 in place of 504), and a request whose engines had all failed once got none although a third attempt was allowed. A feed call that began when the store fell silent is given up after 3.7 s, before 5 s.

--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -605,7 +605,7 @@
             engine
             for engine in self._decodes.values()
             if engine.upstream.id not in job.avoid
-        ]
+        ] or list(self._decodes.values())
         well = [e for e in usable if e.health.until <= now]
         return well or usable
 
--- a/galenahatch/gateway/directory.py
+++ b/galenahatch/gateway/directory.py
@@ -37,10 +37,10 @@
 from galenahatch.platform import store as stores
 from galenahatch import tasks
 
-FEED_WAIT: typing.Final = 4.0
-"""Seconds for which a feed call waits at the store. Calls are paid for; a
-call that waits longer than a partition of a few seconds would notice the
-end of the partition late."""
+FEED_WAIT: typing.Final = 3.0
+"""Seconds for which a feed call waits at the store. Calls are paid for; but
+a call that began when the store fell silent ends only then, and a change
+must be in force about five seconds after the store is back."""
 _FIRST_PAUSE: typing.Final = 0.15
 _LONGEST_PAUSE: typing.Final = 0.8
 """Seconds between tries while the store fails: each refused call is paid
@@ -94,7 +94,9 @@
                 self._ver = found.ver
                 self._take_all(found.rows, found.ver)
             return found
-        found = await self._store.changes(self._table, self._ver, FEED_WAIT)
+        # After a failure, ask whether the store is back, and do not wait.
+        wait = 0.0 if self._pause else FEED_WAIT
+        found = await self._store.changes(self._table, self._ver, wait)
         if isinstance(found, errors.Failure):
             if found.reason is errors.HISTORY_GONE:
                 _log.info('History gone, reading again.', table=self._table)
--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -135,7 +135,7 @@
 
     async def _run(self) -> means_module.Whole | errors.Failure | None:
         for number in range(1, _MOST_PLACES + 1):
-            if means_module.left(self._end_by) <= 0:
+            if means_module.over(self._end_by):
                 break
             stream = ids.StreamId(f'{self._call.id}.{number}')
             placed = await self._means.ownership.place(self._wish(stream))
@@ -387,7 +387,7 @@
         began = False
         while True:
             left = means_module.left(self._end_by)
-            if left <= 0:
+            if means_module.over(self._end_by):
                 raise Broken('deadline')
             data = await answer.read(self._patience(left))
             if isinstance(data, senders.Lost):
@@ -465,7 +465,7 @@
             return means_module.refusal(
                 errors.NO_ENGINE, self._detail, _RETRY_AFTER
             )
-        if means_module.left(self._end_by) <= 0:
+        if means_module.over(self._end_by):
             return errors.Failure(errors.DEADLINE, self._detail)
         return errors.Failure(errors.SEND_INTERRUPTED, self._detail)
 
--- a/galenahatch/gateway/means.py
+++ b/galenahatch/gateway/means.py
@@ -29,6 +29,10 @@
 _LEAST_WAIT: typing.Final = 0.05
 """Shortest time after which a refused caller is asked to come back."""
 
+_TIMER_EARLY: typing.Final = 0.01
+"""Seconds by which a timer of the event loop may be early; it counts from
+the last time that the loop looked at the clock."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Means:
@@ -80,6 +84,11 @@
     return moment - clock.now()
 
 
+def over(moment: float) -> bool:
+    """Return whether a moment has come; timers may fire a little early."""
+    return left(moment) <= _TIMER_EARLY
+
+
 def refusal(
     reason: errors.Reason, detail: str, retry_after: float
 ) -> errors.Failure:
--- a/galenahatch/gateway/plain.py
+++ b/galenahatch/gateway/plain.py
@@ -97,7 +97,7 @@
         return self._answer or self._failure()
 
     def _may_try(self, tries: int) -> bool:
-        if means_module.left(self._end_by) <= 0:
+        if means_module.over(self._end_by):
             return False
         if not self._sends.may_send(
             self._route.repeatable, self._route.max_attempts
@@ -221,6 +221,6 @@
             return means_module.refusal(
                 errors.NO_ENGINE, self._detail, _RETRY_AFTER
             )
-        if means_module.left(self._end_by) <= 0:
+        if means_module.over(self._end_by):
             return errors.Failure(errors.DEADLINE, self._detail)
         return errors.Failure(errors.SEND_INTERRUPTED, self._detail)
--- a/galenahatch/platform/store.py
+++ b/galenahatch/platform/store.py
@@ -30,7 +30,7 @@
 CALL_TIMEOUT: typing.Final = 1.5
 """Seconds for a call that does not wait. The platform promises answers in
 some ms; an answer that takes longer is lost or the store is away."""
-_FEED_SLACK: typing.Final = 1.0
+_FEED_SLACK: typing.Final = 0.7
 """Seconds over the wait asked for after which a feed call is given up."""
 _MOST_BYTES: typing.Final = 16 * 1024 * 1024
 
--- /dev/null
+++ b/galenahatch/test/standin/rows.py
@@ -0,0 +1,194 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""The platform's store as its protocol is published: rows, feed, faults.
+
+Runs on the event loop of the test harness. `mode` disturbs it: `busy`
+answers 503, `silent` answers nothing, `reset` breaks connections, `garbage`
+answers what is no JSON. `turned_away` limits a disturbance to callers that
+connect from some addresses.
+"""
+
+import asyncio
+import base64
+import dataclasses
+import typing
+
+from aiohttp import web
+import msgspec
+
+_STEP: typing.Final = 0.01
+
+
+@dataclasses.dataclass
+class Row:
+    """One row; a dropped one keeps the version of its end."""
+
+    value: bytes
+    ver: int
+    removed: bool = False
+
+
+class Store:
+    """Rows of all tables, without parts."""
+
+    def __init__(self) -> None:
+        self.tables: dict[str, dict[str, Row]] = {}
+        self.ver = 0
+        self.mode = ''
+        self.turned_away: set[str] = set()
+        self.lose_answers = False
+        self.history_from = 0
+        self.calls = 0
+        self._changed = asyncio.Event()
+
+    def app(self) -> web.Application:
+        """Return the application that serves it."""
+        app = web.Application()
+        app.add_routes(
+            [
+                web.get('/rows-get', self._get),
+                web.get('/rows-feed', self._feed),
+                web.post('/rows-tx', self._transact),
+            ]
+        )
+        return app
+
+    def put(self, table: str, key: str, value: typing.Any) -> None:
+        """Write a row as the operator or an upstream does."""
+        self.ver += 1
+        data = msgspec.json.encode(value)
+        self.tables.setdefault(table, {})[key] = Row(data, self.ver)
+        self._wake()
+
+    def drop(self, table: str, key: str) -> None:
+        """Remove a row."""
+        self.ver += 1
+        self.tables[table][key] = Row(b'', self.ver, removed=True)
+        self._wake()
+
+    def compact(self) -> None:
+        """Forget the history: feeds from before get 410."""
+        self.ver += 1
+        self.history_from = self.ver
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _disturbed(self, request: web.Request) -> web.Response | None:
+        self.calls += 1
+        if not self.mode:
+            return None
+        if self.turned_away and request.remote not in self.turned_away:
+            return None
+        if self.mode == 'busy':
+            return web.Response(status=503)
+        if self.mode == 'garbage':
+            return web.Response(text='{"rows": [')
+        if self.mode == 'reset':
+            assert request.transport is not None
+            request.transport.abort()
+            return web.Response(status=500)
+        await asyncio.sleep(60)
+        return web.Response(status=503)
+
+    async def _get(self, request: web.Request) -> web.Response:
+        disturbed = await self._disturbed(request)
+        if disturbed is not None:
+            return disturbed
+        table = self.tables.get(request.query['table'], {})
+        start = request.query.get('from', '')
+        rows = [
+            _shown(request.query['table'], key, row)
+            for key, row in sorted(table.items())
+            if key >= start and not row.removed
+        ]
+        page = rows[:2]
+        return self._answer({'rows': page, 'has_more': len(rows) > 2})
+
+    async def _feed(self, request: web.Request) -> web.Response:
+        disturbed = await self._disturbed(request)
+        if disturbed is not None:
+            return disturbed
+        after = int(request.query['after'])
+        loop = asyncio.get_running_loop()
+        until = loop.time() + int(request.query['wait_ms']) / 1000
+        name = request.query['table']
+        while True:
+            if after < self.history_from:
+                return web.Response(status=410)
+            rows = sorted(
+                (row.ver, key, row)
+                for key, row in self.tables.get(name, {}).items()
+                if row.ver > after
+            )
+            if rows or loop.time() > until or self.mode:
+                shown = [_shown(name, key, row) for _, key, row in rows]
+                return self._answer({'rows': shown})
+            changed = self._changed
+            try:
+                async with asyncio.timeout(0.1):
+                    await changed.wait()
+            except asyncio.TimeoutError:
+                continue
+
+    async def _transact(self, request: web.Request) -> web.Response:
+        disturbed = await self._disturbed(request)
+        if disturbed is not None:
+            return disturbed
+        call = msgspec.json.decode(await request.read())
+        stale = []
+        for entry in call['expected']:
+            row = self.tables.get(entry['table'], {}).get(entry['key'])
+            ver = row.ver if row is not None and not row.removed else 0
+            if ver != entry['ver']:
+                stale.append({'key': entry['key'], 'ver': ver, 'value': ''})
+        if stale:
+            return self._answer({'rows': stale}, status=412)
+        self.ver += 1
+        for entry in call['set_keys']:
+            row = Row(base64.b64decode(entry['value']), self.ver)
+            self.tables.setdefault(entry['table'], {})[entry['key']] = row
+        for entry in call['remove']:
+            row = Row(b'', self.ver, removed=True)
+            self.tables[entry['table']][entry['key']] = row
+        self._wake()
+        if self.lose_answers:
+            assert request.transport is not None
+            request.transport.abort()
+        return self._answer({})
+
+    def _answer(
+        self, body: dict[str, typing.Any], status: int = 200
+    ) -> web.Response:
+        loop = asyncio.get_running_loop()
+        whole = {'ver': self.ver, 'now_ms': loop.time() * 1000, **body}
+        return web.Response(
+            body=msgspec.json.encode(whole),
+            status=status,
+            content_type='application/json',
+        )
+
+
+def _shown(table: str, key: str, row: Row) -> dict[str, typing.Any]:
+    shown: dict[str, typing.Any] = {
+        'table': table,
+        'key': key,
+        'ver': row.ver,
+    }
+    if row.removed:
+        shown['removed'] = True
+    else:
+        shown['value'] = base64.b64encode(row.value).decode()
+    return shown
--- /dev/null
+++ b/galenahatch/test/standin/upstreams.py
@@ -0,0 +1,341 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Upstreams as the platform's protocol is published, and how they fail.
+
+They are written on bare sockets, so that a test can break an answer at any
+byte. `Upstream.faults` names what happens to the next requests, one name a
+request: `refuse` (503, not run), `error` (500), `cut` (half an answer, then
+a reset), `cut-unframed` (the same without a length), `no-answer` (runs, then
+a reset), `extra` (a second answer behind the first), `foreign` (the answer
+to another request), `silent` (runs and says nothing), `early` (answers
+before the body is in). For model engines also `no-handle` (the result of a
+prefill is gone) and `mute` (silent in the middle of a stream).
+"""
+
+import asyncio
+import collections
+import itertools
+import socket
+import struct
+import typing
+
+import msgspec
+
+_PREFIX: typing.Final = 'x-galenahatch-'
+_RESET: typing.Final = struct.pack('ii', 1, 0)
+_NUMBERS: typing.Final = itertools.count(1)
+
+
+class Seen(msgspec.Struct):
+    """A request that arrived."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    ran: bool = False
+    ended: str = ''
+
+    @property
+    def id(self) -> str:
+        """The request's id."""
+        return self.headers.get(_PREFIX + 'request-id', '')
+
+    def told(self, name: str) -> str:
+        """Return a header of the platform."""
+        return self.headers.get(_PREFIX + name, '')
+
+
+class Upstream:
+    """One upstream on an address of its own.
+
+    Args:
+        service: that it belongs to.
+        stage: of a model engine, else empty.
+        data_centre: where it stands.
+    """
+
+    def __init__(
+        self, service: str, stage: str = '', data_centre: str = 'dc1'
+    ) -> None:
+        self.id = f'i-{next(_NUMBERS):04x}'
+        self.service = service
+        self.stage = stage
+        self.data_centre = data_centre
+        self.seen: list[Seen] = []
+        self.faults: collections.deque[str] = collections.deque()
+        self.delay = 0.0
+        self.events = 8
+        self.pause = 0.005
+        self.orders: list[dict[str, typing.Any]] = []
+        self.freed: list[str] = []
+        self.handles: set[str] = set()
+        self.address = ''
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port of the loopback."""
+        self._server = await asyncio.start_server(
+            self._connection, '127.0.0.1', 0
+        )
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+
+    def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    def row(self, state: str = 'ready') -> dict[str, typing.Any]:
+        """Return the entry that it writes into the store."""
+        row: dict[str, typing.Any] = {
+            'service': self.service,
+            'address': self.address,
+            'zone': self.data_centre,
+            'version': 'v1',
+            'slots': 8,
+            'state': state,
+            'cold_left_ms': 0,
+            'seq_no': 1,
+        }
+        if self.stage:
+            row['stage'] = self.stage
+        return row
+
+    @property
+    def ran(self) -> list[str]:
+        """Ids of the requests that it ran."""
+        return [seen.id for seen in self.seen if seen.ran]
+
+    async def _connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while await self._one(reader, writer):
+                pass
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    async def _one(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
+        first, *lines = head.split('\r\n')
+        method, target, _ = first.split(' ')
+        headers = {}
+        for line in lines:
+            name, colon, value = line.partition(':')
+            if colon:
+                headers[name.lower()] = value.strip()
+        length = int(headers.get('content-length', '0'))
+        if self.faults and self.faults[0] == 'early':
+            self.faults.popleft()
+            seen = Seen(method, target, headers, b'', ran=True)
+            self.seen.append(seen)
+            writer.write(self._framed(seen, 200, b'early'))
+            await reader.readexactly(length)
+            return True
+        body = await reader.readexactly(length)
+        seen = Seen(method, target, headers, body)
+        return await self._answer(seen, reader, writer)
+
+    async def _answer(
+        self,
+        seen: Seen,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        own = self._own_call(seen)
+        if own is not None:
+            writer.write(own)
+            return True
+        self.seen.append(seen)
+        if seen.told('expect-instance') != self.id:
+            writer.write(self._refusal(seen, 421))
+            return True
+        if seen.told('stage') == 'prefill':
+            return self._prefill(seen, writer)
+        fault = self.faults.popleft() if self.faults else ''
+        if fault == 'refuse':
+            writer.write(self._refusal(seen, 503))
+            return True
+        source = seen.told('kv-source')
+        if self.stage == 'decode' and source and fault == 'no-handle':
+            writer.write(self._refusal(seen, 503))
+            return True
+        seen.ran = True
+        if self.stage:
+            return await self._stream(seen, fault, reader, writer)
+        return await self._plain(seen, fault, reader, writer)
+
+    def _own_call(self, seen: Seen) -> bytes | None:
+        """Answer a call that is no request of a caller."""
+        if seen.target == '/report':
+            report = {
+                'stage': self.stage,
+                'busy': False,
+                'seq_no': len(self.orders),
+                'queued': 0,
+                'active': 0,
+                'kv_used': 0,
+                'kv_total': 50000,
+            }
+            return _json(report)
+        if seen.target == '/order':
+            order = msgspec.json.decode(seen.body)
+            if order['expected'] != len(self.orders):
+                return b'HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n'
+            self.orders.append(order)
+            return b'HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n'
+        if seen.target.startswith('/kv-handle/'):
+            handle = seen.target.rpartition('/')[2]
+            self.freed.append(handle)
+            self.handles.discard(handle)
+            return b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+        return None
+
+    def _prefill(self, seen: Seen, writer: asyncio.StreamWriter) -> bool:
+        if self.faults and self.faults[0] == 'no-prefill':
+            self.faults.popleft()
+            writer.write(self._refusal(seen, 503))
+            return True
+        handle = f'h{next(_NUMBERS)}'
+        self.handles.add(handle)
+        tokens = int(seen.told('token-count').partition(',')[0])
+        body = {'kv_handle': handle, 'tokens': tokens, 'version': 1}
+        writer.write(_json(body, seen.id))
+        return True
+
+    async def _plain(
+        self,
+        seen: Seen,
+        fault: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        await self._work(seen, reader, self.delay)
+        whole = self._framed(seen, 200, b'answer to ' + seen.id.encode())
+        if fault == 'error':
+            whole = self._framed(seen, 500, b'failed')
+        elif fault == 'cut':
+            writer.write(whole[:-4])
+            return await _reset(writer)
+        elif fault == 'cut-unframed':
+            writer.write(self._unframed(seen) + b'half an ans')
+            return await _reset(writer)
+        elif fault == 'no-answer':
+            return await _reset(writer)
+        elif fault == 'silent':
+            await self._work(seen, reader, 60)
+        elif fault == 'foreign':
+            whole = whole.replace(seen.id.encode(), b'f' * len(seen.id))
+        writer.write(whole)
+        await writer.drain()
+        if fault == 'extra':
+            await asyncio.sleep(0.02)
+            writer.write(whole)
+        seen.ended = 'answered'
+        return True
+
+    async def _work(
+        self, seen: Seen, reader: asyncio.StreamReader, seconds: float
+    ) -> None:
+        """Work until done, or until the caller closes the connection."""
+        if not seconds:
+            return
+        try:
+            async with asyncio.timeout(seconds):
+                await reader.read(1)
+                seen.ended = 'dropped'
+                raise ConnectionResetError
+        except asyncio.TimeoutError:
+            return
+
+    async def _stream(
+        self,
+        seen: Seen,
+        fault: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        last = seen.headers.get('last-event-id', '')
+        first = int(last) + 1 if last else 1
+        writer.write(
+            self._head(seen, 200)
+            + b'Content-Type: text/event-stream\r\n'
+            + b'Transfer-Encoding: chunked\r\n\r\n'
+        )
+        for number in range(first, self.events + 1):
+            await self._work(seen, reader, self.pause)
+            event = f'id: {number}\ndata: piece {number}\n\n'.encode()
+            halfway = number == self.events // 2
+            if halfway and fault in ('cut', 'mute'):
+                writer.write(_chunk(event[:7]))
+                await writer.drain()
+                if fault == 'cut':
+                    return await _reset(writer)
+                await self._work(seen, reader, 60)
+            writer.write(_chunk(event))
+            await writer.drain()
+        writer.write(b'0\r\n\r\n')
+        seen.ended = 'answered'
+        return True
+
+    # Answers.
+
+    def _head(self, seen: Seen, status: int) -> bytes:
+        return (
+            f'HTTP/1.1 {status} Whatever\r\n'
+            f'X-Galenahatch-Request-Id: {seen.id}\r\n'
+            f'X-Galenahatch-Response-Stamp: stamp-{self.id}\r\n'
+            'X-Galenahatch-Instance-Load: 1,0,8\r\n'
+        ).encode()
+
+    def _framed(self, seen: Seen, status: int, body: bytes) -> bytes:
+        length = f'Content-Length: {len(body)}\r\n\r\n'.encode()
+        return self._head(seen, status) + length + body
+
+    def _unframed(self, seen: Seen) -> bytes:
+        return self._head(seen, 200) + b'Connection: close\r\n\r\n'
+
+    def _refusal(self, seen: Seen, status: int) -> bytes:
+        return (
+            f'HTTP/1.1 {status} No\r\n'
+            f'X-Galenahatch-Request-Id: {seen.id}\r\n'
+            'X-Galenahatch-Not-Executed: 1\r\n'
+            'Content-Length: 0\r\n\r\n'
+        ).encode()
+
+
+async def _reset(writer: asyncio.StreamWriter) -> bool:
+    """Reset a connection right behind what was written."""
+    await writer.drain()
+    connection = writer.get_extra_info('socket')
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+    writer.transport.abort()
+    return False
+
+
+def _chunk(data: bytes) -> bytes:
+    return f'{len(data):x}\r\n'.encode() + data + b'\r\n'
+
+
+def _json(body: typing.Any, request: str = '') -> bytes:
+    data = msgspec.json.encode(body)
+    named = f'X-Galenahatch-Request-Id: {request}\r\n' if request else ''
+    return (
+        'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
+        f'{named}Content-Length: {len(data)}\r\n\r\n'
+    ).encode() + data
