--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -85,6 +85,9 @@
 _CALM: typing.Final = 3.0
 """Seconds without a refusal before engines change their stage: they are
 away for some seconds, which costs most when there are too few."""
+_ON_ITS_WAY: typing.Final = 1.0
+"""Seconds for which a placed run need not stand in its VM's list: four
+beats."""
 _LAPSE: typing.Final = 15.0
 """Seconds without a sign of its VM after which a run is forgotten; longer
 than the longest stream of the users, shorter than a minute."""
@@ -474,19 +477,18 @@
         current = set()
         for engine, run in held:
             current.add(run.stream)
-            self._seen_at[run.stream] = now
             decode = self._decodes.get(engine)
-            if decode is None or run.stream in decode.memory.runs:
-                continue
-            self._forget(run.stream, now)
-            decode.memory.add(run)
-            self._where[run.stream] = engine
+            if decode is not None and run.stream not in decode.memory.runs:
+                self._forget(run.stream, now)
+                decode.memory.add(run)
+                self._where[run.stream] = engine
+            self._seen_at[run.stream] = now
         for stream in list(self._where):
             known = self._run(stream)
             if known is None or known.entry != entry or stream in current:
                 continue
             # Younger than the list may be: it was on its way to the VM.
-            if now - self._seen_at.get(stream, now) > _RECHECK * 50:
+            if now - self._seen_at.get(stream, now) > _ON_ITS_WAY:
                 self._forget(stream, now)
 
     def lapse(self, now: float) -> None:
--- /dev/null
+++ b/galenahatch/test/test_decisions.py
@@ -0,0 +1,540 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Decisions of the gateway's core, without processes."""
+
+import math
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from galenahatch.core import balance
+from galenahatch.core import dispatch
+from galenahatch.core import events
+from galenahatch.core import extras
+from galenahatch.core import fate
+from galenahatch.core import lengths
+from galenahatch.core import memory
+from galenahatch.core import routes
+from galenahatch.core import stages
+from galenahatch.core import upstreams
+from galenahatch import ids
+
+_SERVICE = ids.ServiceName('model')
+_MEMBER = ids.MemberId('10.0.0.1')
+
+
+def _engine(
+    name: str,
+    stage: upstreams.Stage | None,
+    leaving: bool = False,
+    data_centre: str = 'a',
+) -> upstreams.Upstream:
+    return upstreams.Upstream(
+        id=ids.UpstreamId(name),
+        service=_SERVICE,
+        address=f'10.1.0.{len(name)}:80',
+        data_centre=ids.DataCentre(data_centre),
+        slots=8,
+        leaving=leaving,
+        stage=stage,
+    )
+
+
+def _dispatcher(prefills: int = 1, decodes: int = 2) -> dispatch.Dispatcher:
+    made = dispatch.Dispatcher(capacity=20_000, slots=8)
+    engines = [
+        _engine(f'p{n}', upstreams.Stage.PREFILL) for n in range(prefills)
+    ] + [_engine(f'd{n}', upstreams.Stage.DECODE) for n in range(decodes)]
+    made.set_engines(engines, (), 0.0)
+    return made
+
+
+def _job(
+    number: int,
+    now: float,
+    prompt: int = 5000,
+    output: int = 3000,
+    patience: float = 0.9,
+    subject: str = '',
+    **more: object,
+) -> dispatch.Job:
+    job = dispatch.Job(
+        stream=ids.StreamId(f's{number}'),
+        entry=_MEMBER,
+        prompt=prompt,
+        hint=output,
+        most=output * 2,
+        arrived_at=now,
+        start_by=now + patience,
+        leaves_at=now + 3.6,
+        deadline=now + 14,
+        subject=subject or f'subject{number}',
+        data_centre=ids.DataCentre('a'),
+    )
+    for name, value in more.items():
+        object.__setattr__(job, name, value)
+    return job
+
+
+def _run(
+    stream: str, prompt: int, output: int, starts_at: float = 0.0
+) -> memory.Run:
+    return memory.Run(
+        ids.StreamId(stream), _MEMBER, prompt, output, 2 * output, starts_at
+    )
+
+
+# Routes.
+
+
+def test_longest_prefix() -> None:
+    """The longest prefix wins; hosts differ; a port does not."""
+    target = (routes.Target(ids.ServiceName('s'), 1),)
+    made = [
+        routes.Route(
+            name,
+            host,
+            prefix,
+            routes.Kind.IDEMPOTENT,
+            1.0,
+            1.0,
+            0,
+            target,
+            1,
+        )
+        for name, host, prefix in (
+            ('root', 'a', '/'),
+            ('long', 'a', '/x/y/'),
+            ('short', 'a', '/x/'),
+            ('other', 'b', '/x/'),
+        )
+    ]
+    table = routes.RouteTable(made)
+    for host, path, expected in (
+        ('a', '/x/y/z?q=/x/', 'long'),
+        ('A:80', '/x/yy', 'short'),
+        ('a', '/x', 'root'),
+        ('b', '/x/', 'other'),
+        ('b', '/y/', None),
+        ('c', '/x/', None),
+        ('a', '', None),
+    ):
+        found = table.find(host, path)
+        assert (found.name if found else None) == expected, (host, path)
+
+
+def test_weights() -> None:
+    """Requests are divided by weight."""
+    targets = (
+        routes.Target(ids.ServiceName('s'), 9),
+        routes.Target(ids.ServiceName('t'), 1),
+    )
+    route = routes.Route(
+        'r', 'a', '/', routes.Kind.IDEMPOTENT, 1.0, 1.0, 0, targets, 1
+    )
+    source = random.Random(1)
+    picked = [routes.pick_service(route, source) for _ in range(1000)]
+    assert 50 < picked.count(ids.ServiceName('t')) < 150
+
+
+# Upstreams.
+
+
+def test_leaving_is_final() -> None:
+    """Older news never brings a leaving upstream back."""
+    registry = upstreams.Registry()
+    registry.put(_engine('d', None), 0.0)
+    assert registry.takes_work(ids.UpstreamId('d'), 0.0)
+    registry.put(_engine('d', None, leaving=True), 1.0)
+    registry.put(_engine('d', None), 2.0)
+    assert not registry.takes_work(ids.UpstreamId('d'), 2.0)
+    registry.replace([_engine('d', None)], 3.0)
+    assert not registry.usable(_SERVICE, 3.0)
+
+
+def test_lapsed_service_is_used_for_a_while() -> None:
+    """A service that vanished whole is used until its entries are due."""
+    registry = upstreams.Registry()
+    for name in ('d', 'dd'):
+        registry.put(_engine(name, None), 0.0)
+    registry.replace([], 10.0)
+    assert len(registry.usable(_SERVICE, 11.0)) == 2
+    assert registry.takes_work(ids.UpstreamId('d'), 11.0)
+    assert not registry.usable(_SERVICE, 12.0)
+    registry.put(_engine('d', None), 12.1)
+    assert not registry.takes_work(ids.UpstreamId('dd'), 12.1)
+
+
+def test_one_of_two_that_vanished_gets_nothing() -> None:
+    """What vanished while others stand takes no new work at once."""
+    registry = upstreams.Registry()
+    for name in ('d', 'dd'):
+        registry.put(_engine(name, None), 0.0)
+    registry.remove(ids.UpstreamId('d'), 1.0)
+    assert not registry.takes_work(ids.UpstreamId('d'), 1.0)
+
+
+# Sends.
+
+
+@hypothesis.given(
+    strategies.lists(strategies.sampled_from(list(fate.Fate)), max_size=6),
+    strategies.booleans(),
+    strategies.integers(1, 3),
+)
+def test_sends_against_an_oracle(
+    fates: list[fate.Fate], repeatable: bool, most: int
+) -> None:
+    """A request runs at most once, or at most as often as allowed."""
+    sends = fate.Sends()
+    may_have_run = 0
+    for happened in fates:
+        if not sends.may_send(repeatable, most):
+            break
+        sends.begin()
+        assert not sends.surely_not_run
+        assert not sends.may_send(repeatable, most)
+        sends.end(happened)
+        may_have_run += happened in (fate.Fate.UNCERTAIN, fate.Fate.ANSWERED)
+        assert sends.surely_not_run == (may_have_run == 0)
+    assert may_have_run <= (most if repeatable else 1)
+
+
+# The shared retry budget.
+
+
+@hypothesis.settings(deadline=None)
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 5),
+            strategies.booleans(),
+            strategies.floats(0.0, 0.5),
+        ),
+        max_size=300,
+    )
+)
+def test_budget_over_all_vms(
+    steps: list[tuple[int, bool, float]],
+) -> None:
+    """In each window, extras stay under the bound, also after restarts."""
+    ratio, reserve, window = 0.2, 52.0, 10.0
+
+    def fresh() -> extras.SharedBudget:
+        made = extras.SharedBudget(ratio, reserve, window)
+        made.set_members(6)
+        return made
+
+    budgets = [fresh() for _ in range(6)]
+    requests: list[float] = []
+    spent: list[float] = []
+    now = 0.0
+    for vm, is_request, pause in steps:
+        now += pause
+        if is_request:
+            budgets[vm].request(_SERVICE, now)
+            requests.append(now)
+        else:
+            while budgets[vm].spend(_SERVICE, now):
+                spent.append(now)
+    for end in spent:
+        extra = sum(end - window < t <= end for t in spent)
+        owed = sum(end - window < t <= end for t in requests)
+        assert extra <= ratio * owed + reserve
+
+
+# Events.
+
+
+@hypothesis.given(
+    strategies.lists(strategies.integers(1, 30), max_size=10),
+    strategies.sampled_from(['\n', '\r\n']),
+)
+def test_events_in_any_pieces(cuts: list[int], line: str) -> None:
+    """However bytes arrive, only whole events come out, in order."""
+    whole = ''.join(
+        f'id: {n}{line}data: {n}{line}{line}' for n in range(1, 6)
+    ).encode()
+    data = whole + b'id: 6\nda'
+    splitter = events.EventSplitter()
+    out = b''
+    for cut in cuts:
+        out += splitter.feed(data[:cut])
+        data = data[cut:]
+    out += splitter.feed(data)
+    assert out == whole
+    assert (splitter.last_id, splitter.count) == ('5', 5)
+    assert splitter.rest == b'id: 6\nda'
+
+
+# Memory.
+
+
+def test_memory_at_the_end_of_runs_counts() -> None:
+    """Two runs fit now and not when both have grown."""
+    engine = memory.EngineMemory(10_000, 8)
+    engine.add(_run('a', 3000, 3000))
+    added = _run('b', 3000, 3000)
+    assert engine.load(0.0) < 0.4
+    assert not engine.fits(added, 1.0, 0.0)
+    late = _run('b', 3000, 3000, starts_at=3.1)
+    assert engine.fits(late, 1.0, 0.0)
+
+
+def test_memory_of_others_counts() -> None:
+    """What a report shows beyond our own runs is taken into account."""
+    engine = memory.EngineMemory(10_000, 8)
+    engine.observe(8000, 0.0)
+    assert not engine.fits(_run('a', 3000, 100), 1.0, 0.0)
+    engine.observe(0, 1.0)
+    assert engine.fits(_run('a', 3000, 100), 1.0, 1.0)
+
+
+def test_ended_runs_are_not_others() -> None:
+    """A report that is older than the end of a run shows no others."""
+    engine = memory.EngineMemory(10_000, 8)
+    engine.add(_run('a', 3000, 1000))
+    engine.remove(ids.StreamId('a'), 1.0)
+    engine.observe(4000, 1.2)
+    assert engine.foreign < 1
+
+
+def test_overrun_is_expected_to_go_on() -> None:
+    """A run that outlives its prediction keeps its memory in the plan."""
+    engine = memory.EngineMemory(10_000, 8)
+    engine.add(memory.Run(ids.StreamId('a'), _MEMBER, 3000, 1000, 9000, 0.0))
+    assert not engine.fits(_run('b', 2600, 2000, 3.0), 1.0, 3.0)
+
+
+# Dispatch.
+
+
+def test_places_where_memory_is() -> None:
+    """Runs are spread, and none is placed beyond the memory."""
+    owner = _dispatcher(decodes=2)
+    placed = []
+    for number in range(6):
+        now = number * 0.2
+        assert owner.submit(_job(number, now, patience=3.5), now) is None
+        placed += owner.decide(now)
+    engines = [p.decode for p in placed if isinstance(p, dispatch.Placed)]
+    assert sorted(set(engines)) == ['d0', 'd1']
+    assert len(engines) == 4, 'two of 8000 tokens fit into 20,000'
+
+
+def test_refuses_at_once_and_the_returned_wait() -> None:
+    """Who can't start in time is told when to come back, and then served."""
+    owner = _dispatcher(decodes=1)
+    now = 0.0
+    for number in range(2):
+        owner.submit(_job(number, now, patience=3.5), now)
+        owner.decide(now)
+        now += 0.2
+    refused = owner.submit(_job(2, now, subject='x'), now)
+    assert isinstance(refused, dispatch.Refused)
+    assert 0.3 <= refused.retry_after <= 14 / 3
+    back = now + 0.5
+    assert owner.submit(_job(3, back, subject='x'), back) is None
+    for number in range(2):
+        owner.release(ids.StreamId(f's{number}'), 3000, 3.0, back)
+    (placed,) = owner.decide(back + 0.1)
+    assert placed.job.stream == 's3'
+
+
+def test_times_to_come_back_are_spaced() -> None:
+    """Refused callers do not come back all at once."""
+    owner = _dispatcher(decodes=1)
+    for number in range(2):
+        owner.submit(_job(number, 0.0, patience=3.5), 0.0)
+        owner.decide(0.2 * number)
+    waits = []
+    for number in range(2, 6):
+        refused = owner.submit(_job(number, 1.0), 1.0)
+        assert isinstance(refused, dispatch.Refused)
+        waits.append(refused.retry_after)
+    assert waits == sorted(waits)
+    assert waits[-1] > waits[0]
+
+
+def test_late_waits_while_it_is_crowded() -> None:
+    """A late request does not take the only place; at the end it does."""
+    owner = _dispatcher(decodes=3)
+    for number in range(4):
+        owner.submit(_job(number, 0.0, patience=3.5), 0.0)
+        owner.decide(0.2 * number)
+    late = _job(9, 0.8, patience=0.0, returned=True, subject='z')
+    refused = owner.submit(late, 0.8)
+    assert isinstance(refused, dispatch.Refused)
+    assert owner.submit(late, 0.9) is None
+    assert not owner.decide(0.9), 'two engines of three are full'
+    assert owner.decide(0.8 + 3.0), 'its caller is about to leave'
+
+
+def test_nothing_fits_nothing_is_lost() -> None:
+    """A withdrawn request leaves nothing behind."""
+    owner = _dispatcher()
+    owner.submit(_job(1, 0.0), 0.0)
+    owner.withdraw(ids.StreamId('s1'))
+    assert not owner.decide(0.0)
+    assert (owner.waiting, owner.running) == (0, 0)
+
+
+def test_failed_engines_are_left_alone() -> None:
+    """After a failure the other engine is used, then the first again."""
+    owner = _dispatcher(decodes=2)
+    owner.failed(ids.UpstreamId('d0'), 0.0)
+    owner.submit(_job(1, 0.0), 0.0)
+    (placed,) = owner.decide(0.0)
+    assert isinstance(placed, dispatch.Placed)
+    assert placed.decode == 'd1'
+    owner.submit(_job(2, 5.0), 5.0)
+    (placed,) = owner.decide(5.0)
+    assert isinstance(placed, dispatch.Placed)
+    assert placed.decode == 'd0'
+
+
+def test_decode_reads_when_no_prefill_engine_is_left() -> None:
+    """Without prefill engines the decode engine reads the prompt."""
+    owner = _dispatcher(prefills=0)
+    owner.submit(_job(1, 0.0), 0.0)
+    (placed,) = owner.decide(0.0)
+    assert isinstance(placed, dispatch.Placed)
+    assert placed.prefill is None
+
+
+def test_prefill_is_given_work_only_when_idle() -> None:
+    """What waits, waits in the queue, where order is still possible."""
+    owner = _dispatcher(prefills=1, decodes=4)
+    for number in range(3):
+        owner.submit(_job(number, 0.0), 0.0)
+    assert len(owner.decide(0.0)) == 1
+    assert len(owner.decide(0.15)) == 1
+
+
+def test_rebuild_from_beats() -> None:
+    """A new owner learns what runs, and forgets what is no longer told."""
+    owner = _dispatcher(decodes=1)
+    held = [
+        (ids.UpstreamId('d0'), _run('old1', 5000, 3000)),
+        (ids.UpstreamId('d0'), _run('old2', 5000, 3000)),
+    ]
+    owner.rebuild(_MEMBER, held, 0.0)
+    assert owner.running == 2
+    assert isinstance(owner.submit(_job(1, 0.1), 0.1), dispatch.Refused)
+    owner.rebuild(_MEMBER, [], 2.0)
+    assert owner.running == 0
+
+
+def test_changing_engine_takes_no_work() -> None:
+    """An engine that changes its stage is used again in the new one."""
+    owner = _dispatcher(prefills=2, decodes=1)
+    moved = ids.UpstreamId('p1')
+    owner.changing(moved, upstreams.Stage.DECODE, 10.0)
+    engines = [
+        _engine('p0', upstreams.Stage.PREFILL),
+        _engine('p1', upstreams.Stage.PREFILL),
+        _engine('d0', upstreams.Stage.DECODE),
+    ]
+    owner.set_engines(engines, (), 1.0)
+    for number in range(2):
+        owner.submit(_job(number, 1.0, patience=3.5), 1.0)
+    places = [owner.decide(1.0 + 0.2 * n) for n in range(3)]
+    used = {p.decode for step in places for p in step if hasattr(p, 'decode')}
+    assert used == {'d0'}
+    owner.observe(moved, 0, upstreams.Stage.DECODE, False, 2.0)
+    owner.set_engines(engines, (), 2.0)
+    owner.submit(_job(7, 2.0, patience=3.5), 2.0)
+    (placed,) = owner.decide(2.0)
+    assert isinstance(placed, dispatch.Placed)
+    assert placed.decode == 'p1'
+
+
+# Stages.
+
+
+def test_best_division() -> None:
+    """Engines are divided by what a request costs at both stages."""
+    work = stages.Work(read=0.094, hold=0.36)
+    assert stages.best(work, 4) == 1
+    assert stages.best(work, 9) == 2
+    assert stages.best(stages.Work(1.0, 0.1), 4) == 3
+
+
+def test_engines_that_crash_delay_a_plan() -> None:
+    """An engine lost without a word is waited for, one that left is not."""
+    work = stages.Work(read=0.094, hold=0.36)
+    prefills = [_engine(f'p{n}', None) for n in range(2)]
+    decodes = [_engine(f'd{n}', None) for n in range(3)]
+    planner = stages.Planner()
+    every = [e.id for e in (*prefills, *decodes)]
+    planner.present(every, (), 0.0)
+    planner.present(every[:-1], (), 1.0)
+    assert not planner.plan(work, prefills, decodes[:2], True, 2.0)
+    planner.present(every[:-2], {every[-2]}, 6.5)
+    ((engine, stage),) = planner.plan(work, prefills, decodes[:1], True, 6.5)
+    assert (engine.id, stage) == ('p0', upstreams.Stage.DECODE)
+
+
+# Lengths.
+
+
+def test_lengths_lie_between_hint_and_usual() -> None:
+    """Bad hints count for little, and none for nothing."""
+    source = random.Random(5)
+    known = lengths.Lengths()
+    assert known.predict(700, 600) == 600
+    for _ in range(300):
+        length = math.exp(source.gauss(math.log(3000), 0.4))
+        hint = length * math.exp(source.gauss(0, 0.8))
+        known.learn(int(hint), int(length))
+    usual = known.predict(0, 100_000)
+    assert 2700 < usual < 3700
+    assert usual < known.predict(9000, 100_000) < 6000
+    assert 1500 < known.predict(900, 100_000) < usual
+    assert known.predict(9000, 2000) == 2000
+
+
+# Balance.
+
+
+def test_worse_upstream_is_left_alone() -> None:
+    """An upstream that fails far more than its siblings gets no work."""
+    source = random.Random(2)
+    balancer = balance.Balancer(source, ids.DataCentre('a'))
+    members = [_engine('a' * n, None) for n in (1, 2, 3)]
+    bad = members[0].id
+    now = 0.0
+    for _ in range(20):
+        for member in members:
+            balancer.begin(member.id)
+            good = member.id != bad or source.random() < 0.4
+            balancer.end(member.id, balance.Outcome(good), members, now)
+            now += 0.01
+    chosen = {balancer.choose(members, (), now) for _ in range(50)}
+    assert bad not in {c.id for c in chosen if c is not None}
+    later = {balancer.choose(members, (), now + 10) for _ in range(50)}
+    assert bad in {c.id for c in later if c is not None}
+
+
+def test_never_more_than_half_are_left_alone() -> None:
+    """If all fail alike, all are used."""
+    balancer = balance.Balancer(random.Random(2), ids.DataCentre('a'))
+    members = [_engine('a' * n, None) for n in (1, 2, 3, 4)]
+    outcome = balance.Outcome(False, silent=True)
+    for _ in range(10):
+        for member in members:
+            balancer.begin(member.id)
+            balancer.end(member.id, outcome, members, 0.0)
+    used = {balancer.choose(members, (), 0.1) for _ in range(100)}
+    assert len(used) >= 2
