--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -87,7 +87,7 @@
 its runs make an event: two prompts within one event's time made pauses of
 0.5 to 0.9 s for all of its runs, one made 0.2 s."""
 _RECHECK: typing.Final = 0.02
-_LEAST_SIZES: typing.Final = 5
+_LEAST_SIZES: typing.Final = 12
 """Requests measured before the division of engines is planned from them."""
 _CALM: typing.Final = 3.0
 """Seconds without a refusal before engines change their stage: they are
@@ -166,6 +166,24 @@
 Decision = Placed | Refused
 
 
+class Figures(typing.NamedTuple):
+    """What an owner has measured of a service.
+
+    Attributes:
+        rate: prompt tokens a second of a prefill engine.
+        prompt: mean tokens of a prompt.
+        output: mean tokens of an answer.
+        pace: seconds for a token.
+        seen: requests that were measured.
+    """
+
+    rate: float
+    prompt: float
+    output: float
+    pace: float
+    seen: int
+
+
 @dataclasses.dataclass(frozen=True)
 class _Told:
     stage: upstreams.Stage | None
@@ -233,7 +251,7 @@
         self._changing: dict[ids.UpstreamId, float] = {}
         self._targets: dict[ids.UpstreamId, upstreams.Stage] = {}
         self._sizes_seen = 0
-        self._rates_seen = 0
+        self._first_pace = memory.FIRST_PACE
         self._refused_at = -1e9
         self._arrivals: collections.deque[float] = collections.deque()
         self._rate = FIRST_RATE
@@ -312,6 +330,7 @@
             self._prefills.pop(engine.id, None)
             if engine.id not in self._decodes:
                 decode = _Decode(engine, self._capacity, self._slots)
+                decode.memory.pace = self._first_pace
                 self._decodes[engine.id] = decode
 
     def observe(
@@ -348,11 +367,35 @@
         if found is not None:
             found.health.worked()
 
+    @property
+    def figures(self) -> Figures:
+        """What was measured so far."""
+        return Figures(
+            self._rate,
+            self._mean_prompt,
+            self._mean_output,
+            self._mean_pace(),
+            self._sizes_seen,
+        )
+
+    def adopt(self, figures: Figures) -> None:
+        """Take what another owner has measured, if it has seen more."""
+        if figures.seen <= self._sizes_seen:
+            return
+        self._rate = figures.rate
+        self._mean_prompt = figures.prompt
+        self._mean_output = figures.output
+        self._sizes_seen = figures.seen
+        self._first_pace = figures.pace
+        for engine in self._decodes.values():
+            if not engine.memory.runs:
+                engine.memory.pace = figures.pace
+
     def changes(
         self, now: float
     ) -> list[tuple[upstreams.Upstream, upstreams.Stage]]:
         """Return the engines whose stage should change."""
-        if self._rates_seen < _LEAST_SIZES or self._changing:
+        if self._sizes_seen < _LEAST_SIZES or self._changing:
             return []
         held = self._mean_prompt + self._mean_output / 2
         life = self._mean_output * self._mean_pace()
@@ -443,7 +486,6 @@
         """Note that a prompt was read, and how long it took."""
         self._seen_at[stream] = now
         if tokens > 0 and seconds > 0:
-            self._rates_seen += 1
             seen = tokens / seconds
             weight = _RATE_UP if seen > self._rate else _RATE_DOWN
             self._rate += weight * (seen - self._rate)
--- a/galenahatch/gateway/mesh.py
+++ b/galenahatch/gateway/mesh.py
@@ -125,6 +125,9 @@
         self.held: collections.abc.Callable[[], tuple[messages.Held, ...]] = (
             tuple
         )
+        self.figures: collections.abc.Callable[
+            [], tuple[messages.Figures, ...]
+        ] = tuple
         self._hub = bus.Hub(f'tcp://{address}:{port}', CODEC, self._from_hub)
         self._feed = directories.Follower(
             store,
@@ -354,6 +357,7 @@
                     self.leaving,
                     self._directory.hears_store,
                     self.size,
+                    self.figures(),
                 ),
             )
             self._compare(message)
@@ -373,6 +377,7 @@
             if name in self._members:
                 self._members[name].hears_store = message.hears_store
             self._compare(message)
+            self._handler(name, message)
             return
         self._take(name, message, self.send)
 
--- a/galenahatch/gateway/messages.py
+++ b/galenahatch/gateway/messages.py
@@ -70,12 +70,32 @@
     held: tuple[Held, ...] = ()
 
 
+class Figures(msgspec.Struct, frozen=True, array_like=True):
+    """What an owner has measured of a service; a new one begins with it.
+
+    Attributes:
+        rate: prompt tokens a second of a prefill engine.
+        prompt: mean tokens of a prompt.
+        output: mean tokens of an answer.
+        pace: seconds for a token.
+        seen: requests that were measured.
+    """
+
+    service: ids.ServiceName
+    rate: float
+    prompt: float
+    output: float
+    pace: float
+    seen: int
+
+
 class BeatBack(Message, frozen=True, array_like=True, tag=True):
     """The answer to a beat.
 
     Attributes:
         hears_store: whether its sender follows the store without trouble.
         members: gateways that it knows of.
+        figures: of each service that it decides for.
     """
 
     member: ids.MemberId
@@ -85,6 +105,7 @@
     leaving: bool
     hears_store: bool = False
     members: int = 1
+    figures: tuple[Figures, ...] = ()
 
 
 class Place(Message, frozen=True, array_like=True, tag=True):
--- a/galenahatch/gateway/ownership.py
+++ b/galenahatch/gateway/ownership.py
@@ -105,6 +105,7 @@
         """Start to decide and to ask."""
         self._mesh = mesh
         mesh.held = self._held_now
+        mesh.figures = self._figures
         self._tasks.keep('decide', self._decide_forever)
         self._tasks.keep('reports', self._read_reports)
 
@@ -256,6 +257,8 @@
             self._take_place(member, message, now)
         elif isinstance(message, messages.Beat):
             self._take_held(message, now)
+        elif isinstance(message, messages.BeatBack):
+            self._adopt(message)
         elif isinstance(message, Word):
             self._take_word(member, message)
         elif isinstance(message, messages.Withdraw):
@@ -270,6 +273,26 @@
             self._take_progress(message, now)
         self._due.set()
 
+    def _figures(self) -> tuple[messages.Figures, ...]:
+        return tuple(
+            messages.Figures(service, *dispatcher.figures)
+            for service, dispatcher in self._dispatchers.items()
+        )
+
+    def _adopt(self, back: messages.BeatBack) -> None:
+        for told in back.figures:
+            dispatcher = self._dispatcher(told.service)
+            if dispatcher is not None:
+                dispatcher.adopt(
+                    dispatch.Figures(
+                        told.rate,
+                        told.prompt,
+                        told.output,
+                        told.pace,
+                        told.seen,
+                    )
+                )
+
     def decline_all(self) -> None:
         """Send everything that waits here to the next owner."""
         for stream, reply in list(self._replies.items()):
