--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -23,7 +23,6 @@
 """
 
 import asyncio
-import dataclasses
 import typing
 
 from galenahatch import clock
@@ -36,15 +35,13 @@
 from galenahatch.gateway import means as means_module
 from galenahatch.gateway import messages
 from galenahatch.gateway import ownership as ownerships
+from galenahatch.gateway import prefill
 from galenahatch.gateway import sender as senders
 from galenahatch import ids
 from galenahatch import logs
-from galenahatch.platform import engines
 from galenahatch.platform import wire
 
 _CONNECT: typing.Final = 0.3
-_PREFILL_LIMIT: typing.Final = 1.2
-"""Seconds for a prefill; the users' largest prompts take 0.2 s."""
 _SILENCE_PAUSES: typing.Final = 4.0
 """Silence of a resumable stream, in the pauses that its route allows, after
 which it goes on elsewhere. Callers leave after eight."""
@@ -56,10 +53,6 @@
 _MOST_PLACES: typing.Final = 6
 """Times that one request asks for engines."""
 _RETRY_AFTER: typing.Final = 0.3
-_HANDLE_USE: typing.Final = 0.8
-"""Part of the life of a prefill's result in which it is still sent to a
-decode engine; the rest is for the way there."""
-_FREE_TIMEOUT: typing.Final = 1.0
 _log = logs.Log('generation')
 
 
@@ -67,20 +60,6 @@
     """A stream broke off after the caller had a part of it."""
 
 
-@dataclasses.dataclass(frozen=True)
-class _Again:
-    """An attempt that did not get to an answer.
-
-    Attributes:
-        failed: engine that the request avoids from now on.
-        at_fault: engines that may be to blame.
-    """
-
-    failed: ids.UpstreamId
-    detail: str
-    at_fault: tuple[ids.UpstreamId, ...] = ()
-
-
 class Course:
     """One request to a model.
 
@@ -113,7 +92,6 @@
         self._splitter.last_id = call.last_event
         self._avoid: list[ids.UpstreamId] = []
         self._end_by = means_module.end_by(call, route)
-        self._prefills = 0
         self._decodes = 0
         self._detail = ''
         self._first_at = 0.0
@@ -121,9 +99,7 @@
         self._pause = 0.0
         self._stage = 'waiting'
         self._engine = ids.UpstreamId('')
-        self._source = ''
-        self._source_until = 0.0
-        self._read_at = ids.UpstreamId('')
+        self._reader = prefill.Reader(means, call, service)
 
     async def run(self) -> means_module.Whole | errors.Failure | None:
         """Return None when the stream was passed on whole.
@@ -144,7 +120,7 @@
             )
             raise
         finally:
-            self._free()
+            self._reader.free()
 
     async def _run(self) -> means_module.Whole | errors.Failure | None:
         for number in range(1, _MOST_PLACES + 1):
@@ -156,7 +132,7 @@
             if isinstance(placed, messages.GivenUp):
                 return self._given_up(placed)
             result = await self._attempt(stream, placed)
-            if not isinstance(result, _Again):
+            if not isinstance(result, prefill.Again):
                 return result
             self._detail = result.detail
             self._avoid.append(result.failed)
@@ -180,7 +156,7 @@
             subject=prompt.subject,
             avoid=tuple(self._avoid),
             going_on=self._sink.begun,
-            is_read=bool(self._source_in_time()),
+            is_read=bool(self._reader.source()),
         )
 
     def _route_patience(self) -> float:
@@ -200,21 +176,24 @@
 
     async def _attempt(
         self, stream: ids.StreamId, placed: messages.PlacedAt
-    ) -> means_module.Whole | errors.Failure | _Again | None:
+    ) -> means_module.Whole | errors.Failure | prefill.Again | None:
         known = self._means.directory.registry.known
         release = messages.Release(stream, self._service.name)
         try:
-            prefill = known.get(placed.prefill)
+            engine = known.get(placed.prefill)
             decode = known.get(placed.decode)
             if decode is None or not self._takes_work(decode):
-                return _Again(placed.decode, 'decode engine gone')
-            if prefill is not None:
-                again = await self._prefill(stream, prefill)
+                return prefill.Again(placed.decode, 'decode engine gone')
+            if engine is not None:
+                self._stage = 'prefill'
+                again = await self._reader.read(
+                    stream, engine, self._splitter.last_id, self._end_by
+                )
                 if again is not None:
                     release = self._failed(release, again)
                     return again
             result = await self._decode(stream, decode, placed.output)
-            if isinstance(result, _Again):
+            if isinstance(result, prefill.Again):
                 release = self._failed(release, result)
             elif result is None:
                 release = self._ended(release)
@@ -227,7 +206,7 @@
         return registry.takes_work(upstream.id, clock.now())
 
     def _failed(
-        self, release: messages.Release, again: _Again
+        self, release: messages.Release, again: prefill.Again
     ) -> messages.Release:
         return messages.Release(
             release.stream, release.service, failed=again.at_fault
@@ -255,78 +234,24 @@
             release.service,
             tokens=tokens,
             seconds=seconds,
-            fetched=self._read_at,
+            fetched=self._reader.engine,
         )
 
-    async def _prefill(
-        self, stream: ids.StreamId, engine: upstreams.Upstream
-    ) -> _Again | None:
-        """Read the prompt; keep the handle of the result."""
-        if not self._takes_work(engine):
-            return _Again(engine.id, 'prefill engine gone')
-        if self._prefills and not self._spend():
-            return _Again(engine.id, 'retry budget spent')
-        self._prefills += 1
-        self._stage = 'prefill'
-        began = clock.now()
-        left = means_module.left(self._end_by)
-        headers = wire.outgoing(
-            self._call,
-            calls.Directions(
-                engine.id,
-                left,
-                prefill_only=True,
-                last_event=self._splitter.last_id,
-            ),
-        )
-        answer = await self._means.sender.send(
-            engine.address,
-            self._call,
-            headers,
-            wire.answer_head,
-            timeout=min(left, _PREFILL_LIMIT),
-            connect=_CONNECT,
-            keep=True,
-        )
-        if isinstance(answer, senders.Lost):
-            self._log_lost('Prefill lost.', engine, answer)
-            return _Again(engine.id, answer.detail, (engine.id,))
-        body = await answer.body()
-        if body is None or answer.head.status != 200:
-            detail = f'prefill: status {answer.head.status}'
-            return _Again(engine.id, detail, (engine.id,))
-        done = engines.prefilled(body)
-        if isinstance(done, errors.Failure):
-            return _Again(engine.id, done.detail, (engine.id,))
-        seconds = clock.now() - began
-        self._means.ownership.prefilled(
-            stream, self._service.name, self._prompt.tokens, seconds
-        )
-        self._source = f'{engine.address}/{done.kv_handle}'
-        self._read_at = engine.id
-        self._source_until = clock.now() + _HANDLE_USE * self._spec.handle_ttl
-        return None
-
-    def _source_in_time(self) -> str:
-        """Return the result of a prefill that can still be taken."""
-        return self._source if clock.now() < self._source_until else ''
-
-    def _spend(self) -> bool:
-        return self._means.budget.spend(self._service.name, clock.now())
-
     async def _decode(
         self, stream: ids.StreamId, engine: upstreams.Upstream, output: int
-    ) -> means_module.Whole | errors.Failure | _Again | None:
+    ) -> means_module.Whole | errors.Failure | prefill.Again | None:
         """Send the request to its decode engine and pass the stream on."""
         if not self._takes_work(engine):
-            return _Again(engine.id, 'decode engine gone')
-        if self._decodes and not self._spend():
-            return _Again(engine.id, 'retry budget spent')
+            return prefill.Again(engine.id, 'decode engine gone')
+        if self._decodes and not self._means.budget.spend(
+            self._service.name, clock.now()
+        ):
+            return prefill.Again(engine.id, 'retry budget spent')
         self._decodes += 1
         self._engine = engine.id
         self._stage = 'decode'
         self._means.ownership.hold(self._held(stream, engine, output))
-        source = self._source_in_time()
+        source = self._reader.source()
         left = means_module.left(self._end_by)
         headers = wire.outgoing(
             self._call,
@@ -353,7 +278,7 @@
                 known = answer.fate
                 return self._decode_lost(engine, answer)
             known = fate.Fate.ANSWERED
-            self._source = ''
+            self._reader.taken()
             return await self._take(stream, engine, answer)
         finally:
             self._sends.end(known)
@@ -366,31 +291,33 @@
 
     def _decode_lost(
         self, engine: upstreams.Upstream, lost: senders.Lost
-    ) -> _Again:
+    ) -> prefill.Again:
         self._log_lost('Decode lost.', engine, lost)
         # A refusal says that the engine takes no more, or that the handle is
         # gone: either engine may be to blame, and the prompt is read again.
         # Without a connection, the result of the prefill is still there.
         at_fault = [engine.id]
-        if lost.fate is fate.Fate.REFUSED and self._read_at:
-            at_fault.append(self._read_at)
+        if lost.fate is fate.Fate.REFUSED and self._reader.engine:
+            at_fault.append(self._reader.engine)
         if lost.fate is not fate.Fate.NOT_SENT:
-            self._free()
-        return _Again(engine.id, lost.detail, tuple(at_fault))
+            self._reader.free()
+        return prefill.Again(engine.id, lost.detail, tuple(at_fault))
 
     async def _take(
         self,
         stream: ids.StreamId,
         engine: upstreams.Upstream,
         answer: senders.Answer,
-    ) -> means_module.Whole | errors.Failure | _Again | None:
+    ) -> means_module.Whole | errors.Failure | prefill.Again | None:
         """Pass an answer on to its end."""
         head = answer.head
         if head.status >= 300 or head.encoded or not head.signed:
             body = await answer.body()
             if head.status < 500 and head.status >= 300 and body is not None:
                 return means_module.Whole(head, body)
-            return _Again(engine.id, f'status {head.status}', (engine.id,))
+            return prefill.Again(
+                engine.id, f'status {head.status}', (engine.id,)
+            )
         try:
             return await self._relay(stream, engine, answer)
         finally:
@@ -401,7 +328,7 @@
         stream: ids.StreamId,
         engine: upstreams.Upstream,
         answer: senders.Answer,
-    ) -> _Again | None:
+    ) -> prefill.Again | None:
         self._splitter.restart()
         began = False
         while True:
@@ -411,10 +338,10 @@
             data = await answer.read(self._patience(left))
             if isinstance(data, senders.Lost):
                 self._log_lost('Stream lost.', engine, data)
-                return _Again(engine.id, data.detail, (engine.id,))
+                return prefill.Again(engine.id, data.detail, (engine.id,))
             if not data:
                 if self._splitter.rest:
-                    return _Again(engine.id, 'ended within an event')
+                    return prefill.Again(engine.id, 'ended within an event')
                 return None
             whole = self._splitter.feed(data)
             if not whole:
@@ -447,31 +374,6 @@
 
     # Ends.
 
-    def _free(self) -> None:
-        """Drop the result of a prefill that nobody will take."""
-        source = self._source_in_time()
-        self._source = ''
-        if not source:
-            return
-        address, _, handle = source.partition('/')
-
-        async def free() -> None:
-            reply = await self._means.sender.small(
-                'DELETE',
-                address,
-                engines.handle_path(handle),
-                _FREE_TIMEOUT,
-            )
-            if isinstance(reply, errors.Failure):
-                _log.warning(
-                    'Handle not freed.',
-                    request=self._call.id,
-                    engine=address,
-                    detail=reply.detail,
-                )
-
-        self._means.tasks.once(free())
-
     def _given_up(self, given_up: messages.GivenUp) -> errors.Failure:
         if self._sink.begun:
             raise Broken(given_up.why)
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -34,6 +34,7 @@
 from galenahatch.gateway import mesh as meshes
 from galenahatch.gateway import orders
 from galenahatch.gateway import ownership as ownerships
+from galenahatch.gateway import reports
 from galenahatch.gateway import sender as senders
 from galenahatch.gateway import settings as settings_module
 from galenahatch import logs
@@ -81,10 +82,7 @@
         self._directory = directories.Directory(self._store, self._background)
         self._sender = senders.Sender()
         self._ownership = ownerships.Ownership(
-            self._directory,
-            settings.data_centre,
-            self._sender,
-            self._background,
+            self._directory, settings.data_centre
         )
         self._mesh = meshes.Mesh(
             self._store,
@@ -98,11 +96,14 @@
         await self._listen()
         self._directory.run()
         self._mesh.run()
-        self._ownership.run(self._mesh)
+        self._ownership.run(self._mesh, self._background)
+        reports.Reports(
+            self._directory, self._mesh, self._ownership.owner, self._sender
+        ).run(self._background)
         orders.Orders(
             self._store,
             self._mesh,
-            self._ownership,
+            self._ownership.owner,
             self._directory,
             self._sender,
             settings.bounds.lease,
@@ -166,7 +167,7 @@
         last = began + self._settings.bounds.grace - _LAST_SECOND
         self._front.leave(last)
         self._mesh.leaving = True
-        self._ownership.decline_all()
+        self._ownership.owner.decline_all()
         _log.info('Stopping.', in_flight=self._front.in_flight)
         while clock.now() < last:
             looked_away = clock.now() - began > _LOOK_AWAY
--- a/galenahatch/gateway/orders.py
+++ b/galenahatch/gateway/orders.py
@@ -35,7 +35,7 @@
 from galenahatch import errors
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import mesh as meshes
-from galenahatch.gateway import ownership as ownerships
+from galenahatch.gateway import owner as owners
 from galenahatch.gateway import sender as senders
 from galenahatch import ids
 from galenahatch import logs
@@ -75,7 +75,7 @@
     Args:
         store: holds the lease.
         mesh: tells who is the owner.
-        ownership: tells which engines should change.
+        owner: tells which engines should change.
         directory: tells how long a change takes.
         sender: for calls to engines.
         lease: seconds between the orders of two holders.
@@ -85,14 +85,14 @@
         self,
         store: stores.Store,
         mesh: meshes.Mesh,
-        ownership: ownerships.Ownership,
+        owner: owners.Owner,
         directory: directories.Directory,
         sender: senders.Sender,
         lease: float,
     ) -> None:
         self._store = store
         self._mesh = mesh
-        self._ownership = ownership
+        self._owner = owner
         self._directory = directory
         self._sender = sender
         self._lease = lease
@@ -108,7 +108,7 @@
             now = clock.now()
             if self._mesh.owner() != self._mesh.me or now < self._pause_until:
                 continue
-            for service, found in list(self._ownership.dispatchers.items()):
+            for service, found in list(self._owner.dispatchers.items()):
                 for engine, stage in found.changes(now):
                     _log.info(
                         'Change wanted.', engine=engine.id, stage=stage.value
@@ -134,16 +134,32 @@
             )
             self._pause_until = clock.now() + _AFTER_REFUSAL
             return
-        until = clock.now() + _ORDERING * self._lease
-        fence = await self._take_lease()
-        if fence is None or clock.now() > until:
+        fence = await self._fence()
+        if fence is None:
             self._pause_until = clock.now() + _AFTER_REFUSAL
             return
         lost_at = clock.now() + spec.engine.switch + _LOST_AFTER
         dispatcher.engines.changing(engine.id, stage, lost_at)
-        order = engines.stage_order(
-            stage.value, self._mesh.me, fence, report.taken
-        )
+        status = await self._send(engine, stage, fence, report.taken)
+        if status not in (0, 200, 202):
+            dispatcher.engines.changing(engine.id, stage, clock.now())
+            self._pause_until = clock.now() + _AFTER_REFUSAL
+
+    async def _fence(self) -> int | None:
+        """Return a fencing number, if there is time to order with it."""
+        until = clock.now() + _ORDERING * self._lease
+        fence = await self._take_lease()
+        return fence if clock.now() <= until else None
+
+    async def _send(
+        self,
+        engine: upstreams.Upstream,
+        stage: upstreams.Stage,
+        fence: int,
+        taken: int,
+    ) -> int:
+        """Send an order; return its status, 0 if there was no answer."""
+        order = engines.stage_order(stage.value, self._mesh.me, fence, taken)
         reply = await self._sender.small(
             'POST',
             engine.address,
@@ -158,12 +174,10 @@
             engine=engine.id,
             stage=stage.value,
             fence=fence,
-            expected=report.taken,
+            expected=taken,
             status=status,
         )
-        if status not in (0, 200, 202):
-            dispatcher.engines.changing(engine.id, stage, clock.now())
-            self._pause_until = clock.now() + _AFTER_REFUSAL
+        return status
 
     async def _report(
         self, engine: upstreams.Upstream
--- /dev/null
+++ b/galenahatch/gateway/owner.py
@@ -0,0 +1,296 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Being the owner: decides for all gateways that ask.
+
+Holds one dispatcher for each model service, takes what gateways tell of
+their runs, and answers each request for engines with a place, a refusal, or
+the word that it waits.
+"""
+
+import asyncio
+import collections.abc
+import typing
+
+from galenahatch import clock
+from galenahatch.core import dispatch
+from galenahatch.core import figures
+from galenahatch.core import generations
+from galenahatch.core import memory
+from galenahatch.gateway import directory as directories
+from galenahatch.gateway import messages
+from galenahatch import ids
+from galenahatch import logs
+from galenahatch import tasks
+
+_log = logs.Log('owner')
+
+Word = (
+    messages.Queued | messages.PlacedAt | messages.GivenUp | messages.Declined
+)
+Reply = collections.abc.Callable[[Word], None]
+Deliver = collections.abc.Callable[[ids.MemberId, Word], None]
+
+
+class Owner:
+    """What a gateway decides, if others ask it.
+
+    Args:
+        directory: upstreams and services.
+        deliver: sends an answer to a member.
+    """
+
+    def __init__(
+        self, directory: directories.Directory, deliver: Deliver
+    ) -> None:
+        self._directory = directory
+        self._deliver = deliver
+        self._dispatchers: dict[ids.ServiceName, dispatch.Dispatcher] = {}
+        self._replies: dict[ids.StreamId, Reply] = {}
+        self._due = asyncio.Event()
+        directory.on_change(self.replan)
+
+    def run(self, background: tasks.Tasks) -> None:
+        """Start to decide."""
+        background.keep('decide', self._decide_forever)
+
+    @property
+    def dispatchers(
+        self,
+    ) -> typing.Mapping[ids.ServiceName, dispatch.Dispatcher]:
+        """What is known of each service."""
+        return self._dispatchers
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait for engines."""
+        return sum(d.waiting for d in self._dispatchers.values())
+
+    def take(self, member: ids.MemberId, message: messages.AnyMessage) -> None:
+        """Take a message of a gateway, this one included."""
+        now = clock.now()
+        if isinstance(message, messages.Place):
+            self._take_place(member, message, now)
+        elif isinstance(message, messages.Beat):
+            self._take_held(message, now)
+        elif isinstance(message, messages.Withdraw):
+            self._replies.pop(message.stream, None)
+            for dispatcher in self._dispatchers.values():
+                dispatcher.withdraw(message.stream)
+                dispatcher.release(message.stream, 0, 0.0, now)
+        elif isinstance(
+            message,
+            messages.Prefilled | messages.Started | messages.Release,
+        ):
+            self._take_progress(message, now)
+        self._due.set()
+
+    def figures(self) -> tuple[messages.Figures, ...]:
+        """Return what was measured of each service."""
+        return tuple(
+            messages.Figures(service, *dispatcher.measured)
+            for service, dispatcher in self._dispatchers.items()
+        )
+
+    def adopt(self, back: messages.BeatBack) -> None:
+        """Take what another owner has measured."""
+        for told in back.figures:
+            dispatcher = self._dispatcher(told.service)
+            if dispatcher is not None:
+                dispatcher.adopt(
+                    figures.Figures(
+                        told.rate,
+                        told.prompt,
+                        told.output,
+                        told.pace,
+                        told.seen,
+                    )
+                )
+
+    def decline_all(self) -> None:
+        """Send everything that waits here to the next owner."""
+        for stream, reply in list(self._replies.items()):
+            reply(messages.Declined(stream))
+            for dispatcher in self._dispatchers.values():
+                dispatcher.withdraw(stream)
+        self._replies.clear()
+
+    def _take_place(
+        self, member: ids.MemberId, place: messages.Place, now: float
+    ) -> None:
+
+        def reply(word: Word) -> None:
+            self._deliver(member, word)
+
+        dispatcher = self._dispatcher(place.service)
+        if dispatcher is None:
+            reply(messages.GivenUp(place.stream, 1.0, 'no_service'))
+            return
+        job = generations.Job(
+            stream=place.stream,
+            entry=member,
+            prompt=place.prompt,
+            hint=place.hint,
+            most=place.most,
+            arrived_at=now,
+            start_by=now + place.start_within,
+            leaves_at=now + place.leave_within,
+            deadline=now + place.end_within,
+            subject=place.subject,
+            data_centre=place.data_centre,
+            avoid=frozenset(place.avoid),
+            going_on=place.going_on,
+            is_read=place.is_read,
+        )
+        self._replies[place.stream] = reply
+        decision = dispatcher.submit(job, now)
+        if decision is not None:
+            self._announce(decision)
+            return
+        for decision in dispatcher.decide(now):
+            self._announce(decision)
+        if place.stream in self._replies:
+            reply(messages.Queued(place.stream))
+
+    def _take_held(self, beat: messages.Beat, now: float) -> None:
+        by_service: dict[
+            ids.ServiceName, list[tuple[ids.UpstreamId, memory.Run]]
+        ] = {name: [] for name in self._dispatchers}
+        for held in beat.held:
+            starts_at = now - held.since if held.since >= 0 else now
+            run = memory.Run(
+                held.stream,
+                beat.member,
+                held.prompt,
+                held.output,
+                held.most,
+                starts_at,
+            )
+            if self._dispatcher(held.service) is not None:
+                runs = by_service.setdefault(held.service, [])
+                runs.append((held.decode, run))
+        for service, runs in by_service.items():
+            self._dispatchers[service].rebuild(beat.member, runs, now)
+
+    def _take_progress(
+        self,
+        message: messages.Prefilled | messages.Started | messages.Release,
+        now: float,
+    ) -> None:
+        dispatcher = self._dispatcher(message.service)
+        if dispatcher is None:
+            return
+        if isinstance(message, messages.Prefilled):
+            dispatcher.prefilled(
+                message.stream, message.tokens, message.seconds, now
+            )
+        elif isinstance(message, messages.Started):
+            dispatcher.started(message.stream, now)
+        else:
+            dispatcher.release(
+                message.stream, message.tokens, message.seconds, now
+            )
+            for engine in message.failed:
+                dispatcher.engines.failed(engine, now)
+            if message.fetched:
+                dispatcher.engines.fetched(message.fetched)
+
+    def _dispatcher(
+        self, service: ids.ServiceName
+    ) -> dispatch.Dispatcher | None:
+        found = self._dispatchers.get(service)
+        if found is None:
+            known = self._directory.service(service)
+            if known is None or known.engine is None:
+                return None
+            found = dispatch.Dispatcher(
+                known.engine.kv_tokens, known.engine.slots
+            )
+            self._dispatchers[service] = found
+            self._set_engines(service, found)
+        return found
+
+    def replan(self) -> None:
+        """Take the upstreams and services that the directory knows."""
+        config = self._directory.config
+        for name in config.services if config is not None else ():
+            self._dispatcher(name)
+        for service, dispatcher in self._dispatchers.items():
+            self._set_engines(service, dispatcher)
+        self._due.set()
+
+    def _set_engines(
+        self, service: ids.ServiceName, dispatcher: dispatch.Dispatcher
+    ) -> None:
+        registry = self._directory.registry
+        now = clock.now()
+        leaving = {
+            key for key, upstream in registry.known.items() if upstream.leaving
+        }
+        dispatcher.set_engines(registry.usable(service, now), leaving, now)
+
+    async def _decide_forever(self) -> None:
+        while True:
+            now = clock.now()
+            looks = []
+            for dispatcher in self._dispatchers.values():
+                for decision in dispatcher.decide(now):
+                    self._announce(decision)
+                look = dispatcher.next_look(now)
+                if look is not None:
+                    looks.append(look - now)
+            self._due.clear()
+            try:
+                async with asyncio.timeout(min(looks, default=1.0)):
+                    await self._due.wait()
+            except asyncio.TimeoutError:
+                self._replan_lapsed()
+
+    def _replan_lapsed(self) -> None:
+        now = clock.now()
+        for service, dispatcher in self._dispatchers.items():
+            dispatcher.lapse(now)
+            self._set_engines(service, dispatcher)
+
+    def _announce(self, decision: generations.Decision) -> None:
+        job = decision.job
+        reply = self._replies.pop(job.stream, None)
+        word: Word
+        if isinstance(decision, generations.Placed):
+            word = messages.PlacedAt(
+                job.stream,
+                decision.prefill or ids.UpstreamId(''),
+                decision.decode,
+                decision.why,
+                job.output,
+            )
+            _log.info(
+                'Placed.',
+                stream=job.stream,
+                member=job.entry,
+                prefill=decision.prefill or '',
+                decode=decision.decode,
+                why=decision.why,
+            )
+        else:
+            word = messages.GivenUp(
+                job.stream, decision.retry_after, decision.why
+            )
+            _log.info(
+                'Refused.',
+                stream=job.stream,
+                member=job.entry,
+                retry_after=decision.retry_after,
+                why=decision.why,
+            )
+        if reply is not None:
+            reply(word)
--- a/galenahatch/gateway/ownership.py
+++ b/galenahatch/gateway/ownership.py
@@ -10,49 +10,32 @@
 # License for the specific language governing permissions and limitations
 # under the License.
 
-"""Where generations run: asking the owner, and being it.
+"""Where generations run: asking the owner.
 
-Every gateway can decide. It asks the owner that it sees; an owner that does
-not acknowledge at once is taken for gone, and the next one is asked, in the
-end this gateway itself. An owner that was frozen may answer late: what it
-placed is released again.
+Every gateway can decide (`owner`). It asks the owner that it sees; one that
+does not acknowledge at once is taken for gone, and the next one is asked,
+in the end this gateway itself. An owner that was frozen may answer late:
+what it placed is released again.
 """
 
 import asyncio
-import collections.abc
 import dataclasses
 import typing
 
 from galenahatch import clock
-from galenahatch.core import dispatch
-from galenahatch.core import figures
-from galenahatch.core import generations
-from galenahatch.core import memory
-from galenahatch import errors
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import mesh as meshes
 from galenahatch.gateway import messages
-from galenahatch.gateway import sender as senders
+from galenahatch.gateway import owner as owners
 from galenahatch import ids
-from galenahatch import logs
-from galenahatch.platform import engines
 from galenahatch import tasks
 
 ACK_WITHIN: typing.Final = 0.12
 """Seconds for the owner's first word. Round trips take some ms; a frozen or
 cut owner costs a request this much and not its objective."""
 _LOOK_AGAIN: typing.Final = 0.25
-_REPORT_EVERY: typing.Final = 1.0
-"""Seconds between two readings of an engine's report, which is itself up to
-a second old and is paid for."""
-_REPORT_TIMEOUT: typing.Final = 0.5
-_log = logs.Log('owner')
-
+"""Seconds between two looks at whether the owner still answers."""
 Found = messages.PlacedAt | messages.GivenUp
-Word = (
-    messages.Queued | messages.PlacedAt | messages.GivenUp | messages.Declined
-)
-Reply = collections.abc.Callable[[Word], None]
 
 
 @dataclasses.dataclass
@@ -74,61 +57,51 @@
 
 
 class Ownership:
-    """Both sides of the talk between gateways and the owner.
+    """This gateway's talk with the owner.
 
     Args:
         directory: upstreams and services.
         data_centre: of this VM.
-        sender: for the reports of engines.
-        background: where its tasks run.
     """
 
     def __init__(
-        self,
-        directory: directories.Directory,
-        data_centre: ids.DataCentre,
-        sender: senders.Sender,
-        background: tasks.Tasks,
+        self, directory: directories.Directory, data_centre: ids.DataCentre
     ) -> None:
-        self._directory = directory
         self._data_centre = data_centre
-        self._sender = sender
-        self._tasks = background
         self._mesh: meshes.Mesh | None = None
-        self._dispatchers: dict[ids.ServiceName, dispatch.Dispatcher] = {}
-        self._replies: dict[ids.StreamId, Reply] = {}
-        self._asked: dict[ids.StreamId, asyncio.Queue[Word]] = {}
+        self._asked: dict[ids.StreamId, asyncio.Queue[owners.Word]] = {}
         self._held: dict[ids.StreamId, tuple[messages.Held, float]] = {}
         self._placed_by: dict[ids.StreamId, ids.MemberId] = {}
-        self._due = asyncio.Event()
-        directory.on_change(self._replan)
+        self.owner = owners.Owner(directory, self._deliver)
 
-    def run(self, mesh: meshes.Mesh) -> None:
+    def run(self, mesh: meshes.Mesh, background: tasks.Tasks) -> None:
         """Start to decide and to ask."""
         self._mesh = mesh
         mesh.held = self._held_now
-        mesh.figures = self._figures
-        self._tasks.keep('decide', self._decide_forever)
-        self._tasks.keep('reports', self._read_reports)
+        mesh.figures = self.owner.figures
+        self.owner.run(background)
 
-    @property
-    def dispatchers(
-        self,
-    ) -> typing.Mapping[ids.ServiceName, dispatch.Dispatcher]:
-        """What this gateway knows of each service, as an owner."""
-        return self._dispatchers
-
-    @property
-    def waiting(self) -> int:
-        """Requests that wait here for engines."""
-        return sum(d.waiting for d in self._dispatchers.values())
+    def take(self, member: ids.MemberId, message: messages.AnyMessage) -> None:
+        """Take a message of another gateway."""
+        if isinstance(message, messages.BeatBack):
+            self.owner.adopt(message)
+        elif isinstance(message, owners.Word):
+            self._take_word(member, message)
+        else:
+            self.owner.take(member, message)
 
-    # The side of the gateway that serves a caller.
+    def _deliver(self, member: ids.MemberId, word: owners.Word) -> None:
+        """Send a word of this gateway as the owner."""
+        assert self._mesh is not None
+        if member == self._mesh.me:
+            self._take_word(member, word)
+        else:
+            self._mesh.reply(member, word)
 
     async def place(self, wish: Wish) -> Found:
         """Return the engines of a generation, or when to come back."""
         assert self._mesh is not None
-        words: asyncio.Queue[Word] = asyncio.Queue()
+        words: asyncio.Queue[owners.Word] = asyncio.Queue()
         self._asked[wish.stream] = words
         try:
             while True:
@@ -170,8 +143,8 @@
         self._tell(owner, message)
 
     async def _first_word(
-        self, owner: ids.MemberId, words: 'asyncio.Queue[Word]'
-    ) -> Word | None:
+        self, owner: ids.MemberId, words: 'asyncio.Queue[owners.Word]'
+    ) -> owners.Word | None:
         assert self._mesh is not None
         try:
             async with asyncio.timeout(ACK_WITHIN):
@@ -181,8 +154,8 @@
             return None
 
     async def _last_word(
-        self, owner: ids.MemberId, words: 'asyncio.Queue[Word]'
-    ) -> Word | None:
+        self, owner: ids.MemberId, words: 'asyncio.Queue[owners.Word]'
+    ) -> owners.Word | None:
         assert self._mesh is not None
         while True:
             try:
@@ -250,276 +223,10 @@
         else:
             self._mesh.send(owner, message)
 
-    # The side of the owner.
-
-    def take(self, member: ids.MemberId, message: messages.AnyMessage) -> None:
-        """Take a message of a gateway, this one included."""
-        now = clock.now()
-        if isinstance(message, messages.Place):
-            self._take_place(member, message, now)
-        elif isinstance(message, messages.Beat):
-            self._take_held(message, now)
-        elif isinstance(message, messages.BeatBack):
-            self._adopt(message)
-        elif isinstance(message, Word):
-            self._take_word(member, message)
-        elif isinstance(message, messages.Withdraw):
-            self._replies.pop(message.stream, None)
-            for dispatcher in self._dispatchers.values():
-                dispatcher.withdraw(message.stream)
-                dispatcher.release(message.stream, 0, 0.0, now)
-        elif isinstance(
-            message,
-            messages.Prefilled | messages.Started | messages.Release,
-        ):
-            self._take_progress(message, now)
-        self._due.set()
-
-    def _figures(self) -> tuple[messages.Figures, ...]:
-        return tuple(
-            messages.Figures(service, *dispatcher.measured)
-            for service, dispatcher in self._dispatchers.items()
-        )
-
-    def _adopt(self, back: messages.BeatBack) -> None:
-        for told in back.figures:
-            dispatcher = self._dispatcher(told.service)
-            if dispatcher is not None:
-                dispatcher.adopt(
-                    figures.Figures(
-                        told.rate,
-                        told.prompt,
-                        told.output,
-                        told.pace,
-                        told.seen,
-                    )
-                )
-
-    def decline_all(self) -> None:
-        """Send everything that waits here to the next owner."""
-        for stream, reply in list(self._replies.items()):
-            reply(messages.Declined(stream))
-            for dispatcher in self._dispatchers.values():
-                dispatcher.withdraw(stream)
-        self._replies.clear()
-
-    def _take_place(
-        self, member: ids.MemberId, place: messages.Place, now: float
-    ) -> None:
-        reply = self._reply_to(member)
-        dispatcher = self._dispatcher(place.service)
-        if dispatcher is None:
-            reply(messages.GivenUp(place.stream, 1.0, 'no_service'))
-            return
-        job = generations.Job(
-            stream=place.stream,
-            entry=member,
-            prompt=place.prompt,
-            hint=place.hint,
-            most=place.most,
-            arrived_at=now,
-            start_by=now + place.start_within,
-            leaves_at=now + place.leave_within,
-            deadline=now + place.end_within,
-            subject=place.subject,
-            data_centre=place.data_centre,
-            avoid=frozenset(place.avoid),
-            going_on=place.going_on,
-            is_read=place.is_read,
-        )
-        self._replies[place.stream] = reply
-        decision = dispatcher.submit(job, now)
-        if decision is not None:
-            self._announce(decision)
-            return
-        for decision in dispatcher.decide(now):
-            self._announce(decision)
-        if place.stream in self._replies:
-            reply(messages.Queued(place.stream))
-
-    def _reply_to(self, member: ids.MemberId) -> Reply:
-        assert self._mesh is not None
-        mesh = self._mesh
-        if member == mesh.me:
-            return lambda word: self._take_word(member, word)
-        return lambda word: mesh.reply(member, word)
-
-    def _take_word(self, member: ids.MemberId, word: Word) -> None:
+    def _take_word(self, member: ids.MemberId, word: owners.Word) -> None:
         words = self._asked.get(word.stream)
         if words is not None:
             words.put_nowait(word)
         elif isinstance(word, messages.PlacedAt):
             if self._placed_by.get(word.stream) != member:
                 self._tell(member, messages.Withdraw(word.stream))
-
-    def _take_held(self, beat: messages.Beat, now: float) -> None:
-        by_service: dict[
-            ids.ServiceName, list[tuple[ids.UpstreamId, memory.Run]]
-        ] = {name: [] for name in self._dispatchers}
-        for held in beat.held:
-            starts_at = now - held.since if held.since >= 0 else now
-            run = memory.Run(
-                held.stream,
-                beat.member,
-                held.prompt,
-                held.output,
-                held.most,
-                starts_at,
-            )
-            if self._dispatcher(held.service) is not None:
-                runs = by_service.setdefault(held.service, [])
-                runs.append((held.decode, run))
-        for service, runs in by_service.items():
-            self._dispatchers[service].rebuild(beat.member, runs, now)
-
-    def _take_progress(
-        self,
-        message: messages.Prefilled | messages.Started | messages.Release,
-        now: float,
-    ) -> None:
-        dispatcher = self._dispatcher(message.service)
-        if dispatcher is None:
-            return
-        if isinstance(message, messages.Prefilled):
-            dispatcher.prefilled(
-                message.stream, message.tokens, message.seconds, now
-            )
-        elif isinstance(message, messages.Started):
-            dispatcher.started(message.stream, now)
-        else:
-            dispatcher.release(
-                message.stream, message.tokens, message.seconds, now
-            )
-            for engine in message.failed:
-                dispatcher.engines.failed(engine, now)
-            if message.fetched:
-                dispatcher.engines.fetched(message.fetched)
-
-    def _dispatcher(
-        self, service: ids.ServiceName
-    ) -> dispatch.Dispatcher | None:
-        found = self._dispatchers.get(service)
-        if found is None:
-            known = self._directory.service(service)
-            if known is None or known.engine is None:
-                return None
-            found = dispatch.Dispatcher(
-                known.engine.kv_tokens, known.engine.slots
-            )
-            self._dispatchers[service] = found
-            self._set_engines(service, found)
-        return found
-
-    def _replan(self) -> None:
-        config = self._directory.config
-        for name in config.services if config is not None else ():
-            self._dispatcher(name)
-        for service, dispatcher in self._dispatchers.items():
-            self._set_engines(service, dispatcher)
-        self._due.set()
-
-    def _set_engines(
-        self, service: ids.ServiceName, dispatcher: dispatch.Dispatcher
-    ) -> None:
-        registry = self._directory.registry
-        now = clock.now()
-        leaving = {
-            key for key, upstream in registry.known.items() if upstream.leaving
-        }
-        dispatcher.set_engines(registry.usable(service, now), leaving, now)
-
-    async def _decide_forever(self) -> None:
-        while True:
-            now = clock.now()
-            looks = []
-            for dispatcher in self._dispatchers.values():
-                for decision in dispatcher.decide(now):
-                    self._announce(decision)
-                look = dispatcher.next_look(now)
-                if look is not None:
-                    looks.append(look - now)
-            self._due.clear()
-            try:
-                async with asyncio.timeout(min(looks, default=1.0)):
-                    await self._due.wait()
-            except asyncio.TimeoutError:
-                self._replan_lapsed()
-
-    def _replan_lapsed(self) -> None:
-        now = clock.now()
-        for service, dispatcher in self._dispatchers.items():
-            dispatcher.lapse(now)
-            self._set_engines(service, dispatcher)
-
-    def _announce(self, decision: generations.Decision) -> None:
-        job = decision.job
-        reply = self._replies.pop(job.stream, None)
-        word: Word
-        if isinstance(decision, generations.Placed):
-            word = messages.PlacedAt(
-                job.stream,
-                decision.prefill or ids.UpstreamId(''),
-                decision.decode,
-                decision.why,
-                job.output,
-            )
-            _log.info(
-                'Placed.',
-                stream=job.stream,
-                member=job.entry,
-                prefill=decision.prefill or '',
-                decode=decision.decode,
-                why=decision.why,
-            )
-        else:
-            word = messages.GivenUp(
-                job.stream, decision.retry_after, decision.why
-            )
-            _log.info(
-                'Refused.',
-                stream=job.stream,
-                member=job.entry,
-                retry_after=decision.retry_after,
-                why=decision.why,
-            )
-        if reply is not None:
-            reply(word)
-
-    async def _read_reports(self) -> None:
-        while True:
-            await asyncio.sleep(_REPORT_EVERY)
-            assert self._mesh is not None
-            if self._mesh.owner() != self._mesh.me:
-                continue
-            for service, dispatcher in list(self._dispatchers.items()):
-                await self._read_service(service, dispatcher)
-            self._replan()
-
-    async def _read_service(
-        self, service: ids.ServiceName, dispatcher: dispatch.Dispatcher
-    ) -> None:
-        registry = self._directory.registry
-        found = registry.usable(service, clock.now())
-        replies = await asyncio.gather(
-            *(
-                self._sender.small(
-                    'GET', engine.address, engines.REPORT, _REPORT_TIMEOUT
-                )
-                for engine in found
-            )
-        )
-        for engine, reply in zip(found, replies, strict=True):
-            if isinstance(reply, errors.Failure):
-                _log.warning(
-                    'No report.', engine=engine.id, detail=reply.detail
-                )
-                continue
-            report = engines.report(reply[1])
-            if not isinstance(report, errors.Failure):
-                dispatcher.engines.observe(
-                    engine.id,
-                    report.kv_used,
-                    report.stage,
-                    report.busy,
-                    clock.now(),
-                )
--- a/galenahatch/platform/deployment.py
+++ b/galenahatch/platform/deployment.py
@@ -24,8 +24,8 @@
 import msgspec
 
 from galenahatch import errors
-from galenahatch import ids
 from galenahatch.gateway import settings
+from galenahatch import ids
 
 PATH_VARIABLE: typing.Final = 'GALENAHATCH_SETTINGS'
 _MEGABYTE: typing.Final = 1024 * 1024
