Bounded logs on standard output, and metrics in the scrapers' format

Cause: lines went to standard error through a handler that waits for its reader, and the gateway had no metrics. Change: JSON lines on standard output that never wait, at most 200 of a kind in a second, with a count of what was left out; instruments of the metrics library, served as text on the port that the deploy file names.

--- a/galenahatch/gateway/__main__.py
+++ b/galenahatch/gateway/__main__.py
@@ -39,7 +39,7 @@
     if isinstance(settings, errors.Failure):
         print(f'{settings.reason.name}: {settings.detail}', file=sys.stderr)
         return _BAD_USE
-    logs.set_up('info', as_json=True)
+    logs.set_up_bounded('info')
     log = logs.Log('gateway')
     gateway = node.Gateway(settings, path)
     try:
--- a/galenahatch/gateway/directory.py
+++ b/galenahatch/gateway/directory.py
@@ -30,6 +30,7 @@
 from galenahatch.core import routes
 from galenahatch.core import upstreams
 from galenahatch import errors
+from galenahatch.gateway import instruments
 from galenahatch.gateway import messages
 from galenahatch import ids
 from galenahatch import logs
@@ -138,6 +139,7 @@
             return
         if not self._pause:
             self._failed_at = clock.now()
+            instruments.store_losses.add(1)
             _log.warning(
                 'Store lost.',
                 table=self._table,
--- a/galenahatch/gateway/front.py
+++ b/galenahatch/gateway/front.py
@@ -31,6 +31,7 @@
 from galenahatch import errors
 from galenahatch.gateway import calls
 from galenahatch.gateway import generation
+from galenahatch.gateway import instruments
 from galenahatch.gateway import means as means_module
 from galenahatch.gateway import plain
 from galenahatch import logs
@@ -183,6 +184,13 @@
         good = self._means.directory.ready and not self.leaving
         return web.Response(status=200 if good else 503)
 
+    async def metrics(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Show all counters and histograms."""
+        return web.Response(
+            body=instruments.text().encode(),
+            headers={'Content-Type': instruments.CONTENT_TYPE},
+        )
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         arrived_at = clock.now()
@@ -260,6 +268,7 @@
             failure = errors.Failure(errors.BAD_UPSTREAM, 'empty stream')
             return self._own(failure, call.id)
         await sink.response.write_eof()
+        instruments.answers.add(1, {'reason': 'streamed'})
         self._lives.append(clock.now() - call.arrived_at)
         return sink.response
 
@@ -271,6 +280,7 @@
         detail: str,
     ) -> web.StreamResponse:
         """End a stream so that it can't be taken for a whole one."""
+        instruments.answers.add(1, {'reason': 'stream_broken'})
         _log.warning('Stream broken off.', request=call.id, detail=detail)
         transport = request.transport
         if transport is not None:
@@ -285,6 +295,7 @@
         result: means_module.Whole | errors.Failure,
     ) -> web.StreamResponse:
         if isinstance(result, errors.Failure):
+            instruments.answers.add(1, {'reason': result.reason.name})
             _log.warning(
                 'Request failed.',
                 request=call.id,
@@ -296,6 +307,8 @@
                 seconds=clock.now() - call.arrived_at,
             )
             return self._own(result, call.id)
+        instruments.answers.add(1, {'reason': 'answered'})
+        instruments.answer_seconds.record(clock.now() - call.arrived_at)
         response = web.Response(
             status=result.head.status,
             headers=result.head.headers,
--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -32,6 +32,7 @@
 from galenahatch.core import upstreams
 from galenahatch import errors
 from galenahatch.gateway import calls
+from galenahatch.gateway import instruments
 from galenahatch.gateway import means as means_module
 from galenahatch.gateway import messages
 from galenahatch.gateway import ownership as ownerships
@@ -217,6 +218,9 @@
         tokens = count * self._spec.stride
         # The first event's tokens were made before the clock ran.
         seconds = (clock.now() - self._first_at) * count / max(1, count - 1)
+        first = self._first_at - self._call.arrived_at
+        instruments.first_event_seconds.record(first)
+        instruments.pause_seconds.record(self._pause)
         _log.info(
             'Streamed.',
             request=self._call.id,
@@ -224,7 +228,7 @@
             likely=self._prompt.likely_output or 0,
             most=self._prompt.most_output,
             tokens=tokens,
-            first=self._first_at - self._call.arrived_at,
+            first=first,
             seconds=seconds,
             pause=self._pause,
             engine=self._engine,
--- /dev/null
+++ b/galenahatch/gateway/instruments.py
@@ -0,0 +1,139 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Counters and histograms of the gateway, in the text format of scrapers.
+
+Instruments are OpenTelemetry's. A scrape reads them once; nothing is sent
+on its own. Labels are bounded: reasons and kinds, never ids or routes.
+"""
+
+import typing
+
+from opentelemetry import metrics as api
+from opentelemetry.sdk import metrics as sdk
+from opentelemetry.sdk.metrics import export
+from opentelemetry.sdk.metrics import view
+
+CONTENT_TYPE: typing.Final = 'text/plain; version=0.0.4'
+_SECONDS: typing.Final = (
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.4,
+    0.6,
+    0.9,
+    1.5,
+    3.0,
+    6.0,
+    15.0,
+)
+"""Bounds of the latency histograms, around the users' objectives."""
+
+_reader = export.InMemoryMetricReader()
+_provider = sdk.MeterProvider(
+    metric_readers=[_reader],
+    views=[
+        view.View(
+            instrument_type=sdk.Histogram,
+            aggregation=view.ExplicitBucketHistogramAggregation(_SECONDS),
+        )
+    ],
+    shutdown_on_exit=False,
+)
+_meter: api.Meter = _provider.get_meter('galenahatch')
+
+answers = _meter.create_counter(
+    'galenahatch_answers', description='Answers to callers, by reason.'
+)
+answer_seconds = _meter.create_histogram(
+    'galenahatch_answer_seconds',
+    unit='s',
+    description='From arrival to a whole answer of a plain service.',
+)
+first_event_seconds = _meter.create_histogram(
+    'galenahatch_first_event_seconds',
+    unit='s',
+    description='From arrival to the first event of a stream.',
+)
+pause_seconds = _meter.create_histogram(
+    'galenahatch_pause_seconds',
+    unit='s',
+    description='Longest pause between two events of a stream.',
+)
+sends = _meter.create_counter(
+    'galenahatch_sends', description='Sends to plain services, by fate.'
+)
+decisions = _meter.create_counter(
+    'galenahatch_decisions', description='Decisions as owner, by outcome.'
+)
+store_losses = _meter.create_counter(
+    'galenahatch_store_losses', description='Times that the store was lost.'
+)
+owner_changes = _meter.create_counter(
+    'galenahatch_owner_changes', description='Times that the owner changed.'
+)
+orders = _meter.create_counter(
+    'galenahatch_orders', description='Orders sent to engines, by status.'
+)
+
+
+def text() -> str:
+    """Return all instruments in the text format."""
+    data = _reader.get_metrics_data()
+    lines: list[str] = []
+    if data is None:
+        return ''
+    for resource in data.resource_metrics:
+        for scope in resource.scope_metrics:
+            for metric in scope.metrics:
+                lines.extend(_lines(metric))
+    return '\n'.join(lines) + '\n'
+
+
+def _lines(metric: typing.Any) -> list[str]:
+    points = list(metric.data.data_points)
+    histogram = bool(points) and hasattr(points[0], 'bucket_counts')
+    kind = 'histogram' if histogram else 'counter'
+    name = metric.name if histogram else f'{metric.name}_total'
+    lines = [
+        f'# HELP {name} {metric.description}',
+        f'# TYPE {name} {kind}',
+    ]
+    for point in points:
+        if histogram:
+            lines.extend(_buckets(name, point))
+        else:
+            lines.append(f'{name}{_labels(point.attributes)} {point.value}')
+    return lines
+
+
+def _buckets(name: str, point: typing.Any) -> list[str]:
+    lines = []
+    total = 0
+    bounds = [str(bound) for bound in point.explicit_bounds] + ['+Inf']
+    for bound, count in zip(bounds, point.bucket_counts, strict=True):
+        total += count
+        labels = _labels({**point.attributes, 'le': bound})
+        lines.append(f'{name}_bucket{labels} {total}')
+    labels = _labels(point.attributes)
+    lines.append(f'{name}_sum{labels} {point.sum}')
+    lines.append(f'{name}_count{labels} {point.count}')
+    return lines
+
+
+def _labels(attributes: typing.Mapping[str, typing.Any]) -> str:
+    if not attributes:
+        return ''
+    pairs = (f'{key}="{value}"' for key, value in sorted(attributes.items()))
+    return '{' + ','.join(pairs) + '}'
--- a/galenahatch/gateway/mesh.py
+++ b/galenahatch/gateway/mesh.py
@@ -33,6 +33,7 @@
 from galenahatch import clock
 from galenahatch import errors
 from galenahatch.gateway import directory as directories
+from galenahatch.gateway import instruments
 from galenahatch.gateway import messages
 from galenahatch import ids
 from galenahatch import logs
@@ -215,6 +216,7 @@
 
     def _chosen(self, name: ids.MemberId) -> ids.MemberId:
         if name != self._owner:
+            instruments.owner_changes.add(1)
             _log.info('Owner changed.', owner=name, before=self._owner)
             self._owner = name
         return name
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -42,6 +42,8 @@
 from galenahatch.platform import store as stores
 from galenahatch import tasks
 
+METRICS_PORT: typing.Final = 9464
+"""Where metrics are served; the deploy file names the same port."""
 _LOOK_AWAY: typing.Final = 2.6
 """Seconds for which a stopping gateway takes new callers: the balancer asks
 once a second and looks away after two answers."""
@@ -130,10 +132,13 @@
         )
         self._callers = fronts.Server(self._front.handle, self._front.limits)
         probes = fronts.Server(self._front.ready, self._front.limits)
+        metrics = fronts.Server(self._front.metrics, self._front.limits)
+        scrapes = settings_module.Address(settings.address, METRICS_PORT)
         loop = asyncio.get_running_loop()
         for server, where in (
             (self._callers, settings.front),
             (probes, settings.readiness),
+            (metrics, scrapes),
         ):
             await loop.create_server(
                 server,
--- a/galenahatch/gateway/orders.py
+++ b/galenahatch/gateway/orders.py
@@ -34,6 +34,7 @@
 from galenahatch.core import upstreams
 from galenahatch import errors
 from galenahatch.gateway import directory as directories
+from galenahatch.gateway import instruments
 from galenahatch.gateway import mesh as meshes
 from galenahatch.gateway import owner as owners
 from galenahatch.gateway import sender as senders
@@ -169,6 +170,7 @@
             headers=engines.pinned(engine.id),
         )
         status = 0 if isinstance(reply, errors.Failure) else reply[0]
+        instruments.orders.add(1, {'status': str(status)})
         _log.info(
             'Order sent.',
             engine=engine.id,
--- a/galenahatch/gateway/owner.py
+++ b/galenahatch/gateway/owner.py
@@ -27,6 +27,7 @@
 from galenahatch.core import generations
 from galenahatch.core import memory
 from galenahatch.gateway import directory as directories
+from galenahatch.gateway import instruments
 from galenahatch.gateway import messages
 from galenahatch import ids
 from galenahatch import logs
@@ -273,6 +274,7 @@
                 decision.why,
                 job.output,
             )
+            instruments.decisions.add(1, {'outcome': 'placed'})
             _log.info(
                 'Placed.',
                 stream=job.stream,
@@ -285,6 +287,7 @@
             word = messages.GivenUp(
                 job.stream, decision.retry_after, decision.why
             )
+            instruments.decisions.add(1, {'outcome': 'refused'})
             _log.info(
                 'Refused.',
                 stream=job.stream,
--- a/galenahatch/gateway/plain.py
+++ b/galenahatch/gateway/plain.py
@@ -28,6 +28,7 @@
 from galenahatch.core import upstreams
 from galenahatch import errors
 from galenahatch.gateway import calls
+from galenahatch.gateway import instruments
 from galenahatch.gateway import means as means_module
 from galenahatch.gateway import sender as senders
 from galenahatch import ids
@@ -171,6 +172,7 @@
         self._avoid.add(attempt.upstream)
         status = head.status if head is not None else 0
         self._learn(attempt, head, lost)
+        instruments.sends.add(1, {'fate': known.value})
         _log.info(
             'Sent.',
             request=self._call.id,
--- a/galenahatch/gateway/settings.py
+++ b/galenahatch/gateway/settings.py
@@ -67,7 +67,6 @@
         front: where callers connect.
         readiness: where the balancer asks whether to send callers here.
         peer_port: where other gateways connect.
-        metrics_port: where counters are served.
         store: the platform's store.
         upstream_heartbeat: time between two writes of an upstream.
         memory: limit on this process.
@@ -79,7 +78,6 @@
     front: Address
     readiness: Address
     peer_port: int
-    metrics_port: int
     store: Address
     upstream_heartbeat: float
     memory: int
--- a/galenahatch/logs.py
+++ b/galenahatch/logs.py
@@ -15,9 +15,15 @@
 Every part logs through a `Log` with a fixed prefix. A line is a short
 sentence followed by `key=value` fields; with `--log-json` the same line is
 one JSON object. Values that hold spaces or quotes are quoted.
+
+The gateway writes to standard output through `BoundedHandler`, which never
+waits for a reader and bounds the lines of each kind.
 """
 
+import collections
+import os
 import sys
+import time
 import typing
 
 import logbook
@@ -85,6 +91,74 @@
     return msgspec.json.encode(line).decode()
 
 
+MOST_LINES: typing.Final = 200
+"""Lines of one kind in a second. A gateway at the size designed for answers
+some ten requests a second with three lines each; what is over that is a
+storm, whose first lines tell as much."""
+_LONGEST_LINE: typing.Final = 4000
+"""Bytes of a line; pipes take up to 4096 at once or none."""
+
+
+class BoundedHandler(logbook.Handler):  # type: ignore[misc]
+    """Writes JSON lines to a descriptor without ever waiting.
+
+    A line is dropped if its reader is behind, or if there were too many of
+    its kind in this second; a line of its own tells how many were.
+
+    Args:
+        descriptor: where lines go.
+        level: lowest level that is written.
+    """
+
+    def __init__(self, descriptor: int, level: str) -> None:
+        super().__init__(level=level)
+        os.set_blocking(descriptor, False)
+        self.formatter = json_line
+        self._descriptor = descriptor
+        self._second = 0
+        self._lines: collections.Counter[str] = collections.Counter()
+        self.left_out: collections.Counter[str] = collections.Counter()
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Write a record, or count that it was left out."""
+        self._turn_second()
+        kind = f'{record.channel}: {record.message}'
+        self._lines[kind] += 1
+        if self._lines[kind] > MOST_LINES:
+            self.left_out[kind] += 1
+        elif not self._write(self.format(record)):
+            self.left_out[kind] += 1
+
+    def _turn_second(self) -> None:
+        second = int(time.monotonic())
+        if second == self._second:
+            return
+        self._second = second
+        self._lines.clear()
+        if not self.left_out:
+            return
+        told = {
+            'level': 'warning',
+            'part': 'logs',
+            'message': 'Lines left out.',
+            'counts': dict(self.left_out),
+        }
+        if self._write(msgspec.json.encode(told).decode()):
+            self.left_out.clear()
+
+    def _write(self, line: str) -> bool:
+        data = line.encode()[:_LONGEST_LINE] + b'\n'
+        try:
+            return os.write(self._descriptor, data) == len(data)
+        except OSError:
+            return False
+
+
+def set_up_bounded(level: str) -> None:
+    """Send every log line to standard output, bounded, as JSON."""
+    BoundedHandler(sys.stdout.fileno(), level.upper()).push_application()
+
+
 def set_up(level: str, as_json: bool) -> None:
     """Send every log line to standard error from now on.
 
--- a/galenahatch/platform/deployment.py
+++ b/galenahatch/platform/deployment.py
@@ -106,7 +106,6 @@
         front=front,
         readiness=readiness,
         peer_port=first,
-        metrics_port=last,
         store=store,
         upstream_heartbeat=raw.heartbeat_ms / 1000,
         memory=int(raw.limits.memory_mb * _MEGABYTE),
