--- a/galenahatch/gateway/prefill.py
+++ b/galenahatch/gateway/prefill.py
@@ -128,7 +128,7 @@
         done = engines.prefilled(body)
         if isinstance(done, errors.Failure):
             return Again(engine.id, done.detail, (engine.id,))
-        self._keep(engine, done.kv_handle)
+        self._keep(engine, done.handle)
         self._means.ownership.prefilled(
             stream, self._service, self._tokens, clock.now() - now
         )
--- a/galenahatch/platform/engines.py
+++ b/galenahatch/platform/engines.py
@@ -64,20 +64,23 @@
     expected: int
 
 
-class Prefilled(msgspec.Struct, frozen=True):
+class _Prefilled(msgspec.Struct, frozen=True):
+    kv_handle: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Prefilled:
     """A finished prefill.
 
     Attributes:
-        kv_handle: names its result; can be taken once.
-        tokens: that were read, or found in the engine's cache.
+        handle: names its result; can be taken once.
     """
 
-    kv_handle: str
-    tokens: int = 0
+    handle: str
 
 
 _REPORT: typing.Final = msgspec.json.Decoder(_Report)
-_PREFILLED: typing.Final = msgspec.json.Decoder(Prefilled)
+_PREFILLED: typing.Final = msgspec.json.Decoder(_Prefilled)
 
 
 def handle_path(handle: str) -> str:
@@ -105,7 +108,7 @@
 def prefilled(data: bytes) -> Prefilled | errors.Failure:
     """Return the result of a prefill in a body."""
     try:
-        return _PREFILLED.decode(data)
+        return Prefilled(_PREFILLED.decode(data).kv_handle)
     except msgspec.MsgspecError as error:
         return errors.Failure(errors.BAD_UPSTREAM, str(error))
 
--- a/runtests.py
+++ b/runtests.py
@@ -18,6 +18,7 @@
 
 import ast
 import pathlib
+import re
 import subprocess
 import sys
 import typing
@@ -46,6 +47,17 @@
 BELOW_PROGRAMS: typing.Final = ('core', 'platform', 'upstream')
 PROGRAMS: typing.Final = ('entry', 'scheduler', 'controller', 'ctl', 'main')
 
+# The platform's headers, calls and fields, which only the adapter spells.
+PLATFORM_NAMES: typing.Final = re.compile(
+    r'X-Galenahatch-|\brows-(tx|get|feed)|\bblob-|\b(kv_handle|kv_hold_s|'
+    r'next_token|create_rev|set_keys|seq_no|max_conns|gap_aim_ms|'
+    r'target_latency_ms|cold_left_ms|retry_slack|budget_window_s)\b'
+)
+# Its words for what our code calls VM, data centre, customer and upstream.
+PLATFORM_WORDS: typing.Final = re.compile(
+    r'(?<!state )\b(zone|tenant|machine|back ?end)s?\b', re.IGNORECASE
+)
+
 MODULE_LINES: typing.Final = 430
 FUNCTION_LINES: typing.Final = 45
 
@@ -105,6 +117,24 @@
     return bool(wrong)
 
 
+def _boundary() -> int:
+    """Check that only the adapter spells the platform's names."""
+    wrong = []
+    package = ROOT / 'galenahatch'
+    for path in sorted(package.rglob('*.py')):
+        inside = path.relative_to(package).parts[0]
+        if inside in ('platform', 'test'):
+            continue
+        for number, line in enumerate(path.read_text().splitlines(), 1):
+            if PLATFORM_NAMES.search(line) or PLATFORM_WORDS.search(line):
+                where = f'{path.relative_to(ROOT)}:{number}'
+                wrong.append(f'{where}: {line.strip()}')
+    print('boundary:', 'crossed' if wrong else 'good', flush=True)
+    for line in wrong:
+        print(' ', line)
+    return bool(wrong)
+
+
 def _sizes() -> int:
     """Check that modules and functions stay small."""
     wrong = []
@@ -167,6 +197,7 @@
     'lint': _lint,
     'types': _types,
     'layers': _layers,
+    'boundary': _boundary,
     'sizes': _sizes,
     'docs': _docs,
     'tests': _tests,
