--- a/galenahatch/ctl.py
+++ b/galenahatch/ctl.py
@@ -35,6 +35,7 @@
 from galenahatch import console
 from galenahatch.core import revision
 from galenahatch import errors
+from galenahatch import explaining
 from galenahatch import messages
 from galenahatch import options as options_module
 from galenahatch import queries
@@ -390,9 +391,20 @@
 
 @app.command
 def explain(
-    request_id: str, *, json: Json = False, settings: Settings = None
+    request_id: str,
+    *,
+    logs: list[pathlib.Path] | None = None,
+    json: Json = False,
+    settings: Settings = None,
 ) -> int:
-    """Show the decisions taken for one request."""
+    """Show the decisions taken for one request.
+
+    Args:
+        request_id: as the answer told it, or the client sent it.
+        logs: files with logs of gateways; schedulers are asked without.
+    """
+    if logs:
+        return explaining.explain(request_id, logs, json)
 
     async def work(context: console.Context) -> int:
         replies = await queries.ask(
--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -137,7 +137,7 @@
                 return result
             self._detail = result.detail
             self._avoid.append(result.failed)
-            if not self._may_go_on():
+            if result.final or not self._may_go_on():
                 break
         return self._failure()
 
@@ -250,7 +250,7 @@
         if self._decodes and not self._means.budget.spend(
             self._service.name, clock.now()
         ):
-            return prefill.Again(engine.id, 'retry budget spent')
+            return prefill.Again(engine.id, 'retry budget spent', final=True)
         self._decodes += 1
         self._engine = engine.id
         self._stage = 'decode'
--- a/galenahatch/gateway/prefill.py
+++ b/galenahatch/gateway/prefill.py
@@ -50,11 +50,13 @@
     Attributes:
         failed: engine that the request avoids from now on.
         at_fault: engines that may be to blame.
+        final: whether no further attempt is of use.
     """
 
     failed: ids.UpstreamId
     detail: str
     at_fault: tuple[ids.UpstreamId, ...] = ()
+    final: bool = False
 
 
 class Reader:
@@ -109,7 +111,7 @@
         if not self._means.directory.registry.takes_work(engine.id, now):
             return Again(engine.id, 'prefill engine gone')
         if self._count and not self._means.budget.spend(self._service, now):
-            return Again(engine.id, 'retry budget spent')
+            return Again(engine.id, 'retry budget spent', final=True)
         self._count += 1
         answer = await self._send(engine, last_event, end_by)
         if isinstance(answer, senders.Lost):
--- /dev/null
+++ b/galenahatch/trace.py
@@ -0,0 +1,133 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""From a request's id to its cause, in the logs of gateways.
+
+A line belongs to a request if it names it, or one of its streams. Lines
+that tell what had become of an upstream of the request shortly before are
+shown with them, since they often are the cause.
+"""
+
+import collections.abc
+import datetime
+import pathlib
+import typing
+
+import msgspec
+
+_BEFORE: typing.Final = 10.0
+"""Seconds before a request's first line in which news of its upstreams are
+shown; longer than any bound on such news."""
+_OWN: typing.Final = ('time', 'level', 'part', 'message')
+
+
+class Line(msgspec.Struct, frozen=True):
+    """One line of a log.
+
+    Attributes:
+        at: time as written.
+        part: that wrote it.
+        message: its sentence.
+        fields: everything else.
+    """
+
+    at: str
+    part: str
+    message: str
+    fields: dict[str, typing.Any]
+
+    @property
+    def text(self) -> str:
+        """The fields as `key=value`."""
+        return ' '.join(
+            f'{key}={value:.4g}'
+            if isinstance(value, float)
+            else f'{key}={value}'
+            for key, value in self.fields.items()
+            if value != ''
+        )
+
+
+def read(files: collections.abc.Iterable[pathlib.Path]) -> list[Line]:
+    """Return the lines of some logs in the order of their times.
+
+    What stands before the first brace of a line, as collectors write it, is
+    left out; so is a line that is no JSON object.
+    """
+    found = []
+    for file in files:
+        for raw in file.read_bytes().splitlines():
+            line = _parse(raw)
+            if line is not None:
+                found.append(line)
+    return sorted(found, key=lambda line: line.at)
+
+
+def _parse(raw: bytes) -> Line | None:
+    start = raw.find(b'{')
+    if start < 0:
+        return None
+    try:
+        data = msgspec.json.decode(raw[start:])
+    except msgspec.DecodeError:
+        return None
+    if not isinstance(data, dict) or 'message' not in data:
+        return None
+    fields = {key: v for key, v in data.items() if key not in _OWN}
+    return Line(
+        str(data.get('time', '')),
+        str(data.get('part', '')),
+        str(data['message']),
+        fields,
+    )
+
+
+def of_request(
+    lines: collections.abc.Sequence[Line], request: str
+) -> list[Line]:
+    """Return the lines of a request, and the news of its upstreams."""
+    own = [line for line in lines if _names(line, request)]
+    if not own:
+        return []
+    involved = {
+        line.fields[key]
+        for line in own
+        for key in ('upstream', 'engine', 'prefill', 'decode')
+        if line.fields.get(key)
+    }
+    first, last = own[0].at, own[-1].at
+    news = [
+        line
+        for line in lines
+        if line not in own
+        and 'request' not in line.fields
+        and 'stream' not in line.fields
+        and _earlier(first) <= line.at <= last
+        and {line.fields.get('upstream'), line.fields.get('engine')} & involved
+    ]
+    return sorted([*own, *news], key=lambda line: line.at)
+
+
+def _names(line: Line, request: str) -> bool:
+    if line.fields.get('request') == request:
+        return True
+    return str(line.fields.get('stream', '')).startswith(f'{request}.')
+
+
+def _earlier(at: str) -> str:
+    """Return a time that is some seconds before another."""
+
+    try:
+        moment = datetime.datetime.fromisoformat(at)
+    except ValueError:
+        return at
+    return (moment - datetime.timedelta(seconds=_BEFORE)).isoformat()
