SIGHUP at any moment, also while the gateway loads

Change: the entry point ignores it before it loads the rest. At the end of a stop, requests still in flight are cancelled before their connections to upstreams are closed (RuntimeError in the log before). Ruled out: ports in use, a store that was away.

--- a/galenahatch/gateway/__main__.py
+++ b/galenahatch/gateway/__main__.py
@@ -12,50 +12,16 @@
 
 """Entry point of the gateway: `python3 -m galenahatch.gateway`.
 
-The command-line library of the other programs is not loaded here: the one
-setting is where the settings file is, and each VM pays for its memory.
+SIGHUP tells that the settings have changed and may come at any moment. Until
+the gateway handles it, it is ignored: loading the program takes half a
+second, in which the signal would end the process.
 """
 
-import datetime
+import importlib
+import signal
 import sys
-import typing
-
-import aiomisc
-import uvloop
-
-from galenahatch import errors
-from galenahatch.gateway import node
-from galenahatch import logs
-from galenahatch.platform import deployment
-
-_BAD_USE: typing.Final = 2
-_NO_TIMER: typing.Final = datetime.timedelta(days=7).total_seconds()
-
-
-def main() -> int:
-    """Run the gateway until it is told to stop; return the exit code."""
-    path = deployment.path()
-    settings = deployment.load(path)
-    if isinstance(settings, errors.Failure):
-        print(f'{settings.reason.name}: {settings.detail}', file=sys.stderr)
-        return _BAD_USE
-    logs.set_up_bounded('info')
-    log = logs.Log('gateway')
-    gateway = node.Gateway(settings, path)
-    try:
-        with aiomisc.entrypoint(
-            gateway,
-            log_config=False,
-            loop_factory=uvloop.new_event_loop,
-            shutdown_timeout=_NO_TIMER,
-            pool_size=1,
-        ) as loop:
-            loop.run_forever()
-    except OSError as error:
-        log.error('Could not start.', error=str(error))
-        return 1
-    return 0
-
 
 if __name__ == '__main__':
-    sys.exit(main())
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    program = importlib.import_module('galenahatch.gateway.program')
+    sys.exit(program.main())
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -49,6 +49,8 @@
 once a second and looks away after two answers."""
 _LAST_SECOND: typing.Final = 0.4
 """Seconds before the end of the grace at which the process ends by itself."""
+_CUT_OFF: typing.Final = 0.05
+"""Seconds that requests still in flight at the end get to notice it."""
 _BACKLOG: typing.Final = 1024
 _IDLE_CHECK: typing.Final = 0.05
 _MEMBERS_EVERY: typing.Final = 1.0
@@ -186,6 +188,7 @@
             in_flight=self._front.in_flight,
             seconds=clock.now() - began,
         )
+        await self._callers.shutdown(_CUT_OFF)
         await self._background.stop()
         await self._sender.close()
         await self._client.close()
--- /dev/null
+++ b/galenahatch/gateway/program.py
@@ -0,0 +1,57 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""The program: settings in, gateway up, exit code out.
+
+The command-line library of the other programs is not loaded here: the one
+setting is where the settings file is, and each VM pays for its memory.
+"""
+
+import datetime
+import sys
+import typing
+
+import aiomisc
+import uvloop
+
+from galenahatch import errors
+from galenahatch.gateway import node
+from galenahatch import logs
+from galenahatch.platform import deployment
+
+_BAD_USE: typing.Final = 2
+_NO_TIMER: typing.Final = datetime.timedelta(days=7).total_seconds()
+
+
+def main() -> int:
+    """Run the gateway until it is told to stop; return the exit code."""
+    path = deployment.path()
+    settings = deployment.load(path)
+    if isinstance(settings, errors.Failure):
+        print(f'{settings.reason.name}: {settings.detail}', file=sys.stderr)
+        return _BAD_USE
+    logs.set_up_bounded('info')
+    log = logs.Log('gateway')
+    gateway = node.Gateway(settings, path)
+    try:
+        with aiomisc.entrypoint(
+            gateway,
+            log_config=False,
+            loop_factory=uvloop.new_event_loop,
+            shutdown_timeout=_NO_TIMER,
+            pool_size=1,
+        ) as loop:
+            loop.run_forever()
+    except OSError as error:
+        log.error('Could not start.', error=str(error))
+        return 1
+    return 0
--- a/galenahatch/test/test_gateway.py
+++ b/galenahatch/test/test_gateway.py
@@ -387,6 +387,28 @@
         assert vm.wait() == 0
 
 
+def test_reload_at_any_moment() -> None:
+    """SIGHUP never ends a gateway, not even one that has just started."""
+    with fleets.Fleet(1, _MEMBERS) as fleet:
+        (vm,) = fleet.vms
+        for pause in (0.05, 0.1, 0.2, 0.3, 0.4):
+            vm.kill()
+            vm.start()
+            time.sleep(pause)
+            vm.signal(signal.SIGHUP)
+            fleets.eventually(vm.ready, 'ready')
+            assert vm.exit_code() is None
+        vm.write_settings(node_name=7)
+        vm.signal(signal.SIGHUP)
+        fleets.eventually(
+            lambda: any(
+                line['message'] == 'Settings kept.' for line in vm.lines()
+            ),
+            'bad settings kept out',
+        )
+        assert fleet.ask('/once/x').status == 200
+
+
 def test_no_configuration() -> None:
     """A gateway that knows no configuration is not ready and answers 503."""
     with fleets.Fleet(1, _MEMBERS) as fleet:
