Gateways answer who asks before a beat; news are asked for once, compressed

Two faults: a gateway whose owner was slow asked the next member, which dropped the question since it knew no beat of the asker, so it went down the whole list; and after a change of 350 routes each beat asked for the 70 KB document again until the owner's link was full. Change: a question introduces its sender; news are asked for every 0.6 s at most and the document is compressed; an owner decides in rounds and checks memory by cheap bounds first.

--- a/galenahatch/core/memory.py
+++ b/galenahatch/core/memory.py
@@ -136,6 +136,19 @@
         """
         if len(self._runs) >= self.slots:
             return False
+        # Bounds that are cheap: an owner decides some hundred times a
+        # second over all engines, and the sum over time costs the square
+        # of the runs.
+        runs = (*self._runs.values(), added)
+        most = self.foreign + sum(
+            run.prompt + max(run.output, _OVERRUN * self._made(run, now))
+            for run in runs
+        )
+        if most <= share * self.capacity:
+            return True
+        least = self.foreign + sum(run.prompt for run in runs)
+        if least > share * self.capacity:
+            return False
         return self.peak(added, now) <= share * self.capacity
 
     def load(self, now: float) -> float:
@@ -145,7 +158,7 @@
 
     def _span(self, run: Run, now: float) -> tuple[float, float, int]:
         """Return start, predicted end and prompt of a run."""
-        made = max(0.0, now - run.starts_at) / self.pace
+        made = self._made(run, now)
         output = float(run.output)
         if made > output:
             output = min(run.most, made * _OVERRUN)
@@ -153,5 +166,7 @@
         return run.starts_at, end, run.prompt
 
     def _held(self, run: Run, now: float) -> float:
-        made = max(0.0, now - run.starts_at) / self.pace
-        return run.prompt + min(run.most, made)
+        return run.prompt + min(run.most, self._made(run, now))
+
+    def _made(self, run: Run, now: float) -> float:
+        return max(0.0, now - run.starts_at) / self.pace
--- a/galenahatch/gateway/directory.py
+++ b/galenahatch/gateway/directory.py
@@ -25,6 +25,7 @@
 import collections.abc
 import random
 import typing
+import zlib
 
 from galenahatch import clock
 from galenahatch.core import routes
@@ -223,7 +224,7 @@
         """Return what is newer here than at a peer, if anything is."""
         config = b''
         if self.config_version > ask.config:
-            config = self._document
+            config = zlib.compress(self._document)
         rows: tuple[messages.NewsRow, ...] = ()
         if self.upstreams_ver > ask.upstreams:
             rows = tuple(
@@ -238,7 +239,7 @@
     def take_news(self, news: messages.News) -> None:
         """Take what a peer knows, if it is newer."""
         if news.config:
-            self._take_document(news.config, 'peer')
+            self._take_compressed(news.config)
         if news.after <= self.upstreams_ver < news.upstreams:
             rows = [
                 stores.Row(row.key, row.ver, row.document, not row.document)
@@ -246,6 +247,14 @@
             ]
             self._take_changes(rows, news.upstreams)
 
+    def _take_compressed(self, config: bytes) -> None:
+        try:
+            document = zlib.decompress(config)
+        except zlib.error as error:
+            _log.error('Bad news kept out.', detail=str(error))
+            return
+        self._take_document(document, 'peer')
+
     # News of the store.
 
     def _take_config(self, rows: list[stores.Row], ver: int) -> None:
--- a/galenahatch/gateway/mesh.py
+++ b/galenahatch/gateway/mesh.py
@@ -55,6 +55,10 @@
 _MEMBERS_GATHER: typing.Final = 1.0
 """Seconds between two looks at changed members; all write at once when a
 deployment starts."""
+_ASK_EVERY: typing.Final = 0.6
+"""Seconds between two questions for news. A configuration of 350 routes
+takes a slow link that long for all members; asked for with each beat, it
+filled the owner's queue until nobody heard it any more."""
 _WRITE_PAUSE: typing.Final = 0.5
 _log = logs.Log('mesh')
 
@@ -104,6 +108,8 @@
         self._members = members.Members(ids.MemberId(address))
         self._links: dict[ids.MemberId, bus.Link[messages.AnyMessage]] = {}
         self._peers: dict[ids.MemberId, bus.Peer] = {}
+        self._names: dict[bus.Peer, ids.MemberId] = {}
+        self._asked_at = -1e9
         self._owner = ids.MemberId('')
         self.me = ids.MemberId(address)
         self.leaving = False
@@ -303,7 +309,7 @@
 
     def _from_hub(self, peer: bus.Peer, message: messages.AnyMessage) -> None:
         if isinstance(message, messages.Beat):
-            self._peers[message.member] = peer
+            self._meet(message.member, peer)
             self._members.heard(
                 message.member,
                 clock.now(),
@@ -326,10 +332,12 @@
             self._compare(message)
             self._handler(message.member, message)
             return
-        for name, known in self._peers.items():
-            if known == peer:
-                self._take(name, message, self.reply)
-                return
+        if isinstance(message, messages.Place):
+            # A gateway whose owner is gone may ask before its first beat.
+            self._meet(message.member, peer)
+        name = self._names.get(peer)
+        if name is not None:
+            self._take(name, message, self.reply)
 
     def _from_link(
         self, name: ids.MemberId, message: messages.AnyMessage
@@ -344,6 +352,15 @@
             return
         self._take(name, message, self.send)
 
+    def _meet(self, name: ids.MemberId, peer: bus.Peer) -> None:
+        """Remember by which connection a member can be answered."""
+        before = self._peers.get(name)
+        if before != peer:
+            if before is not None:
+                self._names.pop(before, None)
+            self._peers[name] = peer
+            self._names[peer] = name
+
     def _take(
         self,
         name: ids.MemberId,
@@ -370,6 +387,9 @@
             and beat.upstreams <= known.upstreams_ver
         ):
             return
+        if clock.now() - self._asked_at < _ASK_EVERY:
+            return
+        self._asked_at = clock.now()
         ask = messages.Ask(known.config_version, known.upstreams_ver)
         if isinstance(beat, messages.Beat):
             self.reply(beat.member, ask)
--- a/galenahatch/gateway/messages.py
+++ b/galenahatch/gateway/messages.py
@@ -234,7 +234,7 @@
     """What a gateway knows.
 
     Attributes:
-        config: document, empty if the asker's is as new.
+        config: compressed document, empty if the asker's is as new.
         after: version of the store from which on rows are told.
         upstreams: version of the store up to which rows are told.
         rows: of upstreams that changed in between.
--- a/galenahatch/gateway/owner.py
+++ b/galenahatch/gateway/owner.py
@@ -33,6 +33,9 @@
 from galenahatch import logs
 from galenahatch import tasks
 
+_BREATH: typing.Final = 0.003
+"""Seconds between two rounds of decisions; what comes meanwhile is decided
+in one round."""
 _log = logs.Log('owner')
 
 Word = (
@@ -157,8 +160,9 @@
         if decision is not None:
             self._announce(decision)
             return
-        for decision in dispatcher.decide(now):
-            self._announce(decision)
+        if dispatcher.waiting == 1:
+            for decision in dispatcher.decide(now):
+                self._announce(decision)
         if place.stream in self._replies:
             reply(messages.Queued(place.stream))
 
@@ -241,6 +245,7 @@
 
     async def _decide_forever(self) -> None:
         while True:
+            self._due.clear()
             now = clock.now()
             looks = []
             for dispatcher in self._dispatchers.values():
@@ -249,7 +254,7 @@
                 look = dispatcher.next_look(now)
                 if look is not None:
                     looks.append(look - now)
-            self._due.clear()
+            await asyncio.sleep(_BREATH)
             try:
                 async with asyncio.timeout(min(looks, default=1.0)):
                     await self._due.wait()
