--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -382,10 +382,7 @@
         prompts = sum(other.prompt for other in ahead)
         reading = self._measures.reading(prompts) / lines
         owed = len(ahead) + 1 + self._returns.due(now)
-        room = 0.0
-        if not job.returned:
-            room = self._pool.room(self._measures.held, now)
-        return own + max(reading, (owed - room) / rate)
+        return own + max(reading, owed / rate)
 
     def _has_room(self, job: Job, now: float) -> bool:
         run = job.run(now + self._measures.until_first(job))
--- a/galenahatch/core/memory.py
+++ b/galenahatch/core/memory.py
@@ -108,11 +108,10 @@
         own += sum(tokens for _, tokens in self._ended)
         self.foreign = max(0.0, used - own)
 
-    def peak(self, added: Run | None, now: float) -> float:
-        """Return the highest predicted use, with one more run if given."""
+    def peak(self, added: Run, now: float) -> float:
+        """Return the highest predicted use with one more run."""
         spans = [self._span(run, now) for run in self._runs.values()]
-        if added is not None:
-            spans.append(self._span(added, now))
+        spans.append(self._span(added, now))
         pace = self.pace
         highest = self.foreign
         for _, moment, _ in spans:
--- a/galenahatch/core/pool.py
+++ b/galenahatch/core/pool.py
@@ -293,22 +293,6 @@
         well = [engine for engine in usable if engine.health.until <= now]
         return well or usable
 
-    def room(self, held: float, now: float) -> float:
-        """Return how many more mean runs have room now.
-
-        Args:
-            held: mean tokens that a run holds over its life.
-            now: monotonic seconds.
-        """
-        total = 0.0
-        for engine in self.decodes.values():
-            if engine.health.until > now or held <= 0:
-                continue
-            free = MEMORY_SHARE * self.capacity - engine.memory.peak(None, now)
-            slots = self.slots - len(engine.memory.runs)
-            total += max(0.0, min(slots, free / held))
-        return total
-
     def service_rate(self, held: float, output: float, read: float) -> float:
         """Return the runs a second that the decode engines can end.
 
