--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: demo test fuzz faults bench path claims capacity mutations reference format clean
+.PHONY: demo test fuzz faults soak bench path claims capacity mutations reference format clean
 
 .venv/ready: requirements.txt
 	$(PYTHON) -m venv .venv
@@ -21,6 +21,9 @@
 faults: .venv/ready
 	$(BIN)/python runtests.py faults
 
+soak: .venv/ready
+	$(BIN)/python -m galenahatch.test.soak --first $$(date +%s) --seeds 10
+
 bench: .venv/ready
 	$(BIN)/python -m bench.compare
 
