One copy of the single send; bounds that are read are used

Reading the change once more: the gateway's sender repeated what upstream/http has (now shared), settings held fields that nothing used, and the time for which a service that vanished whole is used was a constant, not the deployment's bound.

--- a/galenahatch/core/upstreams.py
+++ b/galenahatch/core/upstreams.py
@@ -30,10 +30,11 @@
 from galenahatch import ids
 
 LAPSE_GRACE: typing.Final = 1.8
-"""Seconds for which a service that vanished whole is still used.
-
-The platform promises lapsed entries back within about two seconds; the
-shortest bound on sending to an upstream that is gone is two seconds."""
+"""Seconds for which a service that vanished whole is still used, if the
+bound on leaving upstreams allows it: lapsed entries are promised back within
+about two seconds."""
+_DRAIN_SHARE: typing.Final = 0.9
+"""Part of that bound that may be used; the rest is for the way."""
 
 _REMEMBERED: typing.Final = 60.0
 """Seconds for which a removed upstream is remembered as gone."""
@@ -67,16 +68,18 @@
 
 
 class Registry:
-    """All upstreams that are known."""
+    """All upstreams that are known.
+
+    Args:
+        drain: seconds after which an upstream that is gone may get nothing.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, drain: float = 2.0) -> None:
+        self._grace = min(LAPSE_GRACE, _DRAIN_SHARE * drain)
         self._known: dict[ids.UpstreamId, Upstream] = {}
         self._removed: dict[ids.UpstreamId, tuple[float, Upstream]] = {}
         self._left: dict[ids.UpstreamId, float] = {}
 
-    def __len__(self) -> int:
-        return len(self._known)
-
     @property
     def known(self) -> typing.Mapping[ids.UpstreamId, Upstream]:
         """Upstreams by id."""
@@ -138,7 +141,7 @@
             for removed_at, upstream in self._removed.values()
             if upstream.service == service
             and not upstream.leaving
-            and now - removed_at < LAPSE_GRACE
+            and now - removed_at < self._grace
         ]
 
     def _forget_old(self, now: float) -> None:
--- a/galenahatch/gateway/directory.py
+++ b/galenahatch/gateway/directory.py
@@ -157,9 +157,15 @@
     Args:
         store: the platform's store.
         background: where its tasks run.
+        drain: seconds after which an upstream that is gone may get nothing.
     """
 
-    def __init__(self, store: stores.Store, background: tasks.Tasks) -> None:
+    def __init__(
+        self,
+        store: stores.Store,
+        background: tasks.Tasks,
+        drain: float,
+    ) -> None:
         self._tasks = background
         self._listeners: list[collections.abc.Callable[[], None]] = []
         self._document = b''
@@ -167,7 +173,7 @@
         self._rows: dict[str, tuple[int, bytes | None]] = {}
         self.config: routes.Configuration | None = None
         self.table = routes.RouteTable(())
-        self.registry = upstreams.Registry()
+        self.registry = upstreams.Registry(drain)
         self.upstreams_ver = -1
         self.fed_by_peers: collections.abc.Callable[[], bool] = lambda: False
         self._config_feed = Follower(
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -83,7 +83,9 @@
             )
         )
         self._store = stores.Store(self._client, str(settings.store))
-        self._directory = directories.Directory(self._store, self._background)
+        self._directory = directories.Directory(
+            self._store, self._background, settings.bounds.drain
+        )
         self._sender = senders.Sender()
         self._ownership = ownerships.Ownership(
             self._directory, settings.data_centre
--- a/galenahatch/gateway/sender.py
+++ b/galenahatch/gateway/sender.py
@@ -34,10 +34,10 @@
 import multidict
 import yarl
 
-from galenahatch import clock
 from galenahatch.core import fate
 from galenahatch import errors
 from galenahatch.gateway import calls
+from galenahatch.upstream import http
 
 KEEP_ALIVE: typing.Final = 4.0
 """Seconds for which an idle connection is kept. Upstreams close theirs
@@ -56,12 +56,6 @@
 )
 """Headers that the client library would add."""
 
-_LIBRARY_NOT_CONNECTED: typing.Final = (
-    aiohttp.ClientConnectorError,
-    aiohttp.ConnectionTimeoutError,
-)
-_ERRORS: typing.Final = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
-
 Headers = multidict.CIMultiDict[str]
 
 
@@ -81,26 +75,6 @@
     head: calls.AnswerHead | None = None
 
 
-class _NotConnectedError(aiohttp.ClientError):
-    """No connection was made."""
-
-
-class _BrokenError(aiohttp.ClientError):
-    """The connection broke when something may have been sent."""
-
-
-async def _send_once(
-    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-    """Keep the library from sending again by itself."""
-    try:
-        return await handler(request)
-    except _LIBRARY_NOT_CONNECTED as error:
-        raise _NotConnectedError(str(error)) from error
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise _BrokenError(str(error)) from error
-
-
 class _Protocol(client_proto.ResponseHandler):
     """A connection whose reset never looks like the end of an answer.
 
@@ -201,7 +175,7 @@
                 if len(data) > MOST_ANSWER:
                     self.close()
                     return None
-        except _ERRORS:
+        except http.ERRORS:
             self.close()
             return None
         except BaseException:
@@ -220,7 +194,7 @@
                 return await self._response.content.readany()
         except asyncio.TimeoutError:
             return Lost(fate.Fate.UNCERTAIN, 'silent', silent=True)
-        except _ERRORS as error:
+        except http.ERRORS as error:
             detail = f'{type(error).__name__} {error}'
             return Lost(fate.Fate.UNCERTAIN, detail)
 
@@ -275,11 +249,11 @@
                     allow_redirects=False,
                     timeout=limits,
                 )
-        except (_NotConnectedError, *_LIBRARY_NOT_CONNECTED) as error:
+        except http.NOT_CONNECTED as error:
             return Lost(fate.Fate.NOT_SENT, repr(error), silent=True)
         except asyncio.TimeoutError:
             return Lost(fate.Fate.UNCERTAIN, 'no answer', silent=True)
-        except _ERRORS as error:
+        except http.ERRORS as error:
             return Lost(fate.Fate.UNCERTAIN, repr(error))
         head = decode(response.status, response.raw_headers)
         return await self._checked(request, response, head)
@@ -322,7 +296,7 @@
                 skip_auto_headers=_SKIPPED,
             ) as response:
                 return response.status, await response.read()
-        except _ERRORS as error:
+        except http.ERRORS as error:
             return errors.Failure(errors.UPSTREAM_UNREACHABLE, repr(error))
 
 
@@ -332,7 +306,7 @@
         timeout=aiohttp.ClientTimeout(total=None),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
-        middlewares=(_send_once,),
+        middlewares=(http.send_once,),
         max_line_size=_MOST_HEADERS,
         max_field_size=_MOST_HEADERS,
     )
@@ -348,8 +322,3 @@
         path=target,
         encoded=True,
     )
-
-
-def waited(since: float) -> float:
-    """Return the seconds since a moment."""
-    return clock.now() - since
--- a/galenahatch/gateway/settings.py
+++ b/galenahatch/gateway/settings.py
@@ -41,8 +41,6 @@
         drain: after the news that an upstream leaves, the time until no new
             work reaches it.
         grace: from SIGTERM to SIGKILL.
-        config_apply: from the acknowledgement of a configuration until it
-            is in force.
         retry_ratio: extra sends for each request of a service.
         retry_reserve: extra sends in any window, over all VMs.
         retry_window: length of that window.
@@ -51,7 +49,6 @@
 
     drain: float = 2.0
     grace: float = 8.0
-    config_apply: float = 2.0
     retry_ratio: float = 0.2
     retry_reserve: float = 50.0
     retry_window: float = 10.0
@@ -68,8 +65,6 @@
         readiness: where the balancer asks whether to send callers here.
         peer_port: where other gateways connect.
         store: the platform's store.
-        upstream_heartbeat: time between two writes of an upstream.
-        memory: limit on this process.
     """
 
     name: str
@@ -79,6 +74,4 @@
     readiness: Address
     peer_port: int
     store: Address
-    upstream_heartbeat: float
-    memory: int
     bounds: Bounds
--- a/galenahatch/platform/deployment.py
+++ b/galenahatch/platform/deployment.py
@@ -28,7 +28,6 @@
 from galenahatch import ids
 
 PATH_VARIABLE: typing.Final = 'GALENAHATCH_SETTINGS'
-_MEGABYTE: typing.Final = 1024 * 1024
 
 
 class _Listen(msgspec.Struct, frozen=True):
@@ -36,14 +35,9 @@
     readiness: str
 
 
-class _Limits(msgspec.Struct, frozen=True):
-    memory_mb: float = 256.0
-
-
 class _Bounds(msgspec.Struct, frozen=True):
     drain_ms: float = 2000.0
     grace_s: float = 8.0
-    config_apply_ms: float = 2000.0
     retry_budget_ratio: float = 0.2
     retry_slack: float = 50.0
     budget_window_s: float = 10.0
@@ -61,8 +55,6 @@
     listen: _Listen
     port_range: tuple[int, int]
     platform: _Platform
-    heartbeat_ms: float = 1200.0
-    limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
 
 
@@ -107,8 +99,6 @@
         readiness=readiness,
         peer_port=first,
         store=store,
-        upstream_heartbeat=raw.heartbeat_ms / 1000,
-        memory=int(raw.limits.memory_mb * _MEGABYTE),
         bounds=_bounds(raw.bounds),
     )
 
@@ -117,7 +107,6 @@
     return settings.Bounds(
         drain=raw.drain_ms / 1000,
         grace=raw.grace_s,
-        config_apply=raw.config_apply_ms / 1000,
         retry_ratio=raw.retry_budget_ratio,
         retry_reserve=raw.retry_slack,
         retry_window=raw.budget_window_s,
--- a/galenahatch/upstream/http.py
+++ b/galenahatch/upstream/http.py
@@ -44,10 +44,15 @@
     """The connection broke when something may have been sent."""
 
 
-async def _send_once(
+async def send_once(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
-    """Send a request without the library's own second try."""
+    """Send a request without the library's own second try.
+
+    Raises:
+        NotConnectedError: no connection was made.
+        BrokenSendError: it broke when something may have been sent.
+    """
     try:
         return await handler(request)
     except _LIBRARY_NOT_CONNECTED as error:
@@ -56,6 +61,11 @@
         raise BrokenSendError(str(error)) from error
 
 
+NOT_CONNECTED: typing.Final = (NotConnectedError, *_LIBRARY_NOT_CONNECTED)
+"""No connection was made, whether the library's own second try is off or
+not."""
+
+
 def session(
     connect_timeout: float, idle_timeout: float, reuse: bool = True
 ) -> aiohttp.ClientSession:
@@ -74,14 +84,14 @@
             total=None, sock_connect=connect_timeout, sock_read=idle_timeout
         ),
         auto_decompress=False,
-        middlewares=() if reuse else (_send_once,),
+        middlewares=() if reuse else (send_once,),
     )
 
 
 def failure_of(error: BaseException) -> errors.Failure:
     """Return what is known after an exception of a send."""
     detail = f'{type(error).__name__} {error}'
-    if isinstance(error, (NotConnectedError, *_LIBRARY_NOT_CONNECTED)):
+    if isinstance(error, NOT_CONNECTED):
         return errors.Failure(errors.UPSTREAM_UNREACHABLE, detail)
     return errors.Failure(errors.SEND_INTERRUPTED, detail)
 
