Engines whose entries lapsed are found again until they return

Cause: read in the code: a service that vanished whole is used for up to 1.8 s, but the course of a generation looked its engines up among those with an entry, and refused. Change: the registry finds those that vanished lately too; whether they take work is decided as before. The test failed first.

--- a/galenahatch/core/upstreams.py
+++ b/galenahatch/core/upstreams.py
@@ -124,6 +124,13 @@
         ]
         return found or self._lapsed(service, now)
 
+    def find(self, upstream: ids.UpstreamId) -> Upstream | None:
+        """Return an upstream, also one whose entry vanished lately."""
+        found = self._known.get(upstream)
+        if found is None and upstream in self._removed:
+            return self._removed[upstream][1]
+        return found
+
     def takes_work(self, upstream: ids.UpstreamId, now: float) -> bool:
         """Return whether an upstream may be sent new work."""
         found = self._known.get(upstream)
--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -178,11 +178,11 @@
     async def _attempt(
         self, stream: ids.StreamId, placed: messages.PlacedAt
     ) -> means_module.Whole | errors.Failure | prefill.Again | None:
-        known = self._means.directory.registry.known
+        find = self._means.directory.registry.find
         release = messages.Release(stream, self._service.name)
         try:
-            engine = known.get(placed.prefill)
-            decode = known.get(placed.decode)
+            engine = find(placed.prefill)
+            decode = find(placed.decode)
             if decode is None or not self._takes_work(decode):
                 return prefill.Again(placed.decode, 'decode engine gone')
             if engine is not None:
--- a/galenahatch/test/test_gateway.py
+++ b/galenahatch/test/test_gateway.py
@@ -331,6 +331,19 @@
     fleets.eventually(lambda: fleet.ask('/once/x').status == 200, 'back')
 
 
+def test_entries_lapse(fleet: fleets.Fleet) -> None:
+    """A service whose entries all vanish at once is used until they return."""
+    engines = [*fleet.of('model', 'prefill'), *fleet.of('model', 'decode')]
+    for engine in engines:
+        fleet.drop('servers', engine.id)
+    time.sleep(0.6)
+    assert fleet.ask('/say/x').whole
+    for engine in engines:
+        fleet.put('servers', engine.id, engine.row())
+    time.sleep(0.5)
+    assert fleet.ask('/say/x').whole
+
+
 def test_peers_tell_what_the_store_does_not(fleet: fleets.Fleet) -> None:
     """A gateway that the store turns away hears of a change from a peer."""
     fleet.store.turned_away = {fleet.vms[1].address}
