--- a/runtests.py
+++ b/runtests.py
@@ -59,8 +59,9 @@
     r'(?<!state )\b(zone|tenant|machine|back ?end)s?\b', re.IGNORECASE
 )
 
-# Rows sleep most of their time, each on ports and addresses of its own.
-WORKERS: typing.Final = min(6, os.cpu_count() or 1)
+# Rows sleep most of their time, each on ports and addresses of its own; each
+# starts up to ten processes, so half of the processors are left to those.
+WORKERS: typing.Final = max(1, min(6, (os.cpu_count() or 1) // 2))
 
 MODULE_LINES: typing.Final = 430
 FUNCTION_LINES: typing.Final = 45
