--- a/galenahatch/gateway/sender.py
+++ b/galenahatch/gateway/sender.py
@@ -284,6 +284,9 @@
         headers: dict[str, str] | None = None,
     ) -> tuple[int, bytes] | errors.Failure:
         """Make a call of our own with a small answer."""
+        if self._kept.closed:
+            # At the end of a stop; what engines hold lapses by itself.
+            return errors.Failure(errors.UPSTREAM_UNREACHABLE, 'closed')
         limits = aiohttp.ClientTimeout(total=timeout)
         url = _url(address, path)
         try:
--- a/galenahatch/test/test_platform.py
+++ b/galenahatch/test/test_platform.py
@@ -24,6 +24,7 @@
 
 from galenahatch import errors
 from galenahatch.gateway import calls
+from galenahatch.gateway import sender as senders
 from galenahatch.gateway import settings
 from galenahatch import ids
 from galenahatch.platform import deployment
@@ -290,3 +291,15 @@
         assert found.reason is reason
 
     asyncio.run(run())
+
+
+def test_call_after_the_end() -> None:
+    """A call of our own after the connections were closed is a failure."""
+
+    async def run() -> None:
+        sender = senders.Sender()
+        await sender.close()
+        found = await sender.small('DELETE', '127.0.0.1:1', '/', 1.0)
+        assert isinstance(found, errors.Failure)
+
+    asyncio.run(run())
