--- a/galenahatch/test/test_soak.py
+++ b/galenahatch/test/test_soak.py
@@ -17,6 +17,7 @@
 
 import pytest
 
+from galenahatch.test import fleet as fleets
 from galenahatch.test import soak
 
 _FILE: typing.Final = pathlib.Path(__file__).parents[2] / 'test-data'
@@ -33,3 +34,25 @@
 def test_seed(seed: int) -> None:
     """No promise is broken while faults overlap."""
     assert not soak.play(seed, _SECONDS)
+
+
+def test_reload_before_our_code() -> None:
+    """SIGHUP that comes before our first line ends nothing for good."""
+    played = soak.Soak(1, 0.0)
+    with played.fleet:
+        vm = played.fleet.vms[0]
+        vm.kill()
+        vm.start()
+        played.reload(vm)
+        fleets.eventually(vm.ready, 'the gateway is back', 30)
+        played.settle()
+        assert not played.ended_by_themselves()
+
+
+def test_end_by_itself_is_told() -> None:
+    """A gateway that ends unasked is a broken promise, also if restarted."""
+    played = soak.Soak(1, 0.0)
+    with played.fleet:
+        vm = played.fleet.vms[0]
+        vm.kill()
+        assert played.ended_by_themselves()
