--- a/galenahatch/core/pool.py
+++ b/galenahatch/core/pool.py
@@ -41,8 +41,8 @@
 _TRIAL: typing.Final = 0.5
 """Seconds for which an engine that was unreachable is tried with one run
 before it gets the next, unless that one makes its first event earlier (0.2
-to 0.3 s after it was placed). Two engines that were gone were sent 50 runs in three
-seconds without it, and 27 prompts were read for them in vain."""
+to 0.3 s after it was placed). Two engines that were gone were sent 50 runs
+in three seconds without it, and 27 prompts were read for them in vain."""
 _AWAY: typing.Final = 0.1
 """Weight, in parts of an engine's memory, of a transfer between data
 centres, which takes twice as long and is paid for."""
--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -258,16 +258,12 @@
         self._engine = engine.id
         self._stage = 'decode'
         self._means.ownership.hold(self._held(stream, engine, output))
-        source = self._reader.source()
         left = means_module.left(self._end_by)
-        headers = wire.outgoing(
-            self._call,
-            calls.Directions(
-                engine.id,
-                left,
-                kv_source=source,
-                last_event=self._splitter.last_id,
-            ),
+        directions = calls.Directions(
+            engine.id,
+            left,
+            kv_source=self._reader.source(),
+            last_event=self._splitter.last_id,
         )
         self._sends.begin()
         known = fate.Fate.UNCERTAIN
@@ -275,7 +271,7 @@
             answer = await self._means.sender.send(
                 engine.address,
                 self._call,
-                headers,
+                wire.outgoing(self._call, directions),
                 wire.answer_head,
                 timeout=self._patience(left),
                 connect=_CONNECT,
--- a/galenahatch/gateway/prefill.py
+++ b/galenahatch/gateway/prefill.py
@@ -118,21 +118,7 @@
             return Again(engine.id, 'retry budget spent', final=True)
         answer = await self._send(engine, last_event, end_by)
         if isinstance(answer, senders.Lost):
-            unreachable = answer.fate is fate.Fate.NOT_SENT
-            self._count += not unreachable
-            _log.warning(
-                'Prefill lost.',
-                request=self._call.id,
-                engine=engine.id,
-                fate=answer.fate.value,
-                detail=answer.detail,
-            )
-            return Again(
-                engine.id,
-                answer.detail,
-                (engine.id,),
-                unreachable=unreachable,
-            )
+            return self._lost(engine, answer)
         self._count += 1
         body = await answer.body()
         if body is None or answer.head.status != 200:
@@ -147,6 +133,20 @@
         )
         return None
 
+    def _lost(self, engine: upstreams.Upstream, lost: senders.Lost) -> Again:
+        unreachable = lost.fate is fate.Fate.NOT_SENT
+        self._count += not unreachable
+        _log.warning(
+            'Prefill lost.',
+            request=self._call.id,
+            engine=engine.id,
+            fate=lost.fate.value,
+            detail=lost.detail,
+        )
+        return Again(
+            engine.id, lost.detail, (engine.id,), unreachable=unreachable
+        )
+
     async def _send(
         self, engine: upstreams.Upstream, last_event: str, end_by: float
     ) -> senders.Answer | senders.Lost:
