Decide on requests that wait while a refusal is free; late ones go last

A request that had been expected to start in time was never looked at again; once late, it waited until a third of the engines had room, which in a burst is never. Beside it, any queue at all, even one prompt of 100 ms before the prefill engine, made the estimate count all callers expected back and refuse while memory was free ("wait=3.0 queue=1").

Change: a request that can't be placed is kept or refused after 0.12 of its objective. Kept ones go before all newer ones; late ones go last, without a rule for crowds. Who comes back is held to the objective of that attempt. Room is looked for behind the requests ahead before the rate of places is asked. A request larger than the planned memory goes to an empty engine instead of blocking the queue until it is hopeless. The order has a module of its own, core/waiting.

--- /dev/null
+++ b/bench/dispatching.py
@@ -0,0 +1,431 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""The gateway's decisions replayed in virtual time: `make decisions`.
+
+The owner's core (`core/dispatch`) decides over engines that follow the
+behaviour published for them: prompts are read one after another, tokens are
+made in steps that grow with the runs, memory holds prompts and what was
+made, and the newest run is preempted when it is full and read again.
+Callers come by a rate with bursts, heed the time to come back once, and
+leave without a first event. What is counted: a whole answer in time is worth
+its full credit, a late one a fifth; who came back counts the mean of both;
+being held and not served costs up to the credit, a second refusal 0.8 of it.
+
+Everything is decided by the seed. It answers in seconds what a policy does
+over many bursts, where single days differ by more than policies do. It does
+not model connections, failures of calls, or the store.
+"""
+
+import argparse
+import collections
+import collections.abc
+import concurrent.futures
+import dataclasses
+import itertools
+import math
+import random
+import statistics
+import sys
+import typing
+
+from galenahatch.core import dispatch
+from galenahatch.core import generations
+from galenahatch.core import upstreams
+from galenahatch import ids
+
+_TICK: typing.Final = 0.01
+_SECONDS: typing.Final = 50.0
+_SEEDS: typing.Final = 24
+_WORKERS: typing.Final = 4
+_SERVICE: typing.Final = ids.ServiceName('model')
+_HERE: typing.Final = ids.DataCentre('a')
+_LATE_SHARE: typing.Final = 0.2
+_REFUSED_AGAIN: typing.Final = 0.8
+"""A second refusal, and its doing so while half of the places are free:
+memory fills before they do."""
+_FREE_HOLD: typing.Final = 0.25
+"""Part of the objective for which holding a request is free."""
+_CAPACITY: typing.Final = 76_702
+_SLOTS: typing.Final = 16
+_STEP: typing.Final = 0.00072
+_STEP_PER_RUN: typing.Final = 0.0000252
+_READ_RATE: typing.Final = 55_555.0
+_STRIDE: typing.Final = 50
+_FETCH: typing.Final = 0.012
+_OBJECTIVE: typing.Final = 0.9
+_PATIENCE: typing.Final = 3.6
+_DEADLINE: typing.Final = 14.0
+_LONGEST_PAUSE: typing.Final = 0.3
+_HEEDED: typing.Final = 1 / 3
+
+
+@dataclasses.dataclass(frozen=True)
+class Day:
+    """A course of the demand, and the engines before it.
+
+    Attributes:
+        rate: requests a second.
+        bursts: start, length and factor of each.
+        lost: decode engines that vanish at a third of the day.
+    """
+
+    name: str
+    prefills: int
+    decodes: int
+    rate: float
+    bursts: tuple[tuple[float, float, float], ...]
+    lost: int = 0
+
+
+_BURSTS: typing.Final = ((6.0, 5.0, 1.7), (17.0, 4.0, 2.1), (27.0, 4.0, 1.8))
+DAYS: typing.Final = (
+    Day('small', 1, 3, 3.9, _BURSTS),
+    Day('small, undivided', 2, 2, 3.9, _BURSTS),
+    Day('small, one lost', 1, 3, 3.9, _BURSTS, lost=1),
+    Day('small, two lost', 1, 3, 3.9, _BURSTS, lost=2),
+    Day('middle', 3, 6, 9.0, _BURSTS),
+    Day('middle, two lost', 3, 6, 9.0, _BURSTS, lost=2),
+    Day('middle, crowded', 3, 6, 14.0, _BURSTS),
+    Day('large, crowded', 8, 22, 48.0, _BURSTS),
+)
+
+
+@dataclasses.dataclass
+class _Caller:
+    """One caller's request, over its attempts."""
+
+    number: int
+    prompt: int
+    output: int
+    hint: int
+    most: int
+    began: float
+    attempt: int = 1
+    arrived: float = 0.0
+    placed: bool = False
+    held: float = 0.0
+    refusals: int = 0
+    first: float = 0.0
+    pause: float = 0.0
+    event_at: float = 0.0
+    made: float = 0.0
+    events: int = 0
+    credit: float = 0.0
+    is_over: bool = False
+
+    @property
+    def size(self) -> float:
+        return self.prompt + 10.0 * self.output
+
+    @property
+    def stream(self) -> ids.StreamId:
+        return ids.StreamId(f'{self.number}.{self.attempt}')
+
+
+class _Decode:
+    """A decode engine: runs in the order in which they came."""
+
+    def __init__(self) -> None:
+        self.runs: list[_Caller] = []
+        self.paused: collections.deque[_Caller] = collections.deque()
+        self.wasted = 0.0
+
+    def step(self, now: float) -> list[_Caller]:
+        """Make one tick's tokens; return the runs that have ended."""
+        self._fit()
+        pace = _STEP + _STEP_PER_RUN * len(self.runs)
+        ended = []
+        for caller in self.runs:
+            caller.made += _TICK / pace
+            events = math.floor(caller.made / _STRIDE)
+            if caller.made >= caller.output:
+                events += 1
+                ended.append(caller)
+            if events > caller.events:
+                self._event(caller, events, now)
+        self.runs = [c for c in self.runs if c not in ended]
+        return ended
+
+    def _event(self, caller: _Caller, events: int, now: float) -> None:
+        if not caller.events:
+            caller.first = now
+        else:
+            caller.pause = max(caller.pause, now - caller.event_at)
+        caller.events = events
+        caller.event_at = now
+
+    def _used(self) -> float:
+        return sum(caller.prompt + caller.made for caller in self.runs)
+
+    def _fit(self) -> None:
+        """Preempt the newest while memory is short; take them back."""
+        while self._used() > _CAPACITY and len(self.runs) > 1:
+            caller = self.runs.pop()
+            self.wasted += caller.prompt + caller.made
+            self.paused.append(caller)
+        while self.paused and len(self.runs) < _SLOTS:
+            caller = self.paused[0]
+            need = caller.prompt + caller.made
+            if self._used() + need > 0.95 * _CAPACITY:
+                return
+            self.runs.append(self.paused.popleft())
+
+
+@dataclasses.dataclass(frozen=True)
+class Result:
+    """What a day came to; shares of the credit that is owed."""
+
+    credit: float
+    prices: float
+    in_time: float
+    wasted: float
+
+    @property
+    def worth(self) -> float:
+        """Credit less prices."""
+        return self.credit - self.prices
+
+
+class Replay:
+    """One day with one seed.
+
+    Args:
+        day: demand and engines.
+        seed: decides everything else.
+    """
+
+    def __init__(self, day: Day, seed: int) -> None:
+        self._day = day
+        self._random = random.Random(f'{day.name} {seed}')
+        self._owner = dispatch.Dispatcher(_CAPACITY, _SLOTS)
+        self._decodes = {f'd{n}': _Decode() for n in range(day.decodes)}
+        self._idle_at = {f'p{n}': 0.0 for n in range(day.prefills)}
+        self._callers: list[_Caller] = []
+        self._waiting: dict[ids.StreamId, _Caller] = {}
+        self._later: list[
+            tuple[float, collections.abc.Callable[[float], None]]
+        ] = []
+        self._numbers = itertools.count()
+        self._tell_engines(0.0)
+
+    def run(self) -> Result:
+        """Play the day."""
+        ticks = int((_SECONDS + _DEADLINE) / _TICK)
+        for tick in range(ticks):
+            now = tick * _TICK
+            if abs(now - _SECONDS / 3) < _TICK / 2:
+                self._lose(now)
+            if now < _SECONDS:
+                self._arrivals(now)
+            self._happen(now)
+            self._step(now)
+            self._leave(now)
+            for decision in self._owner.decide(now):
+                self._take(decision, now)
+        return self._result()
+
+    def _tell_engines(self, now: float) -> None:
+        stages = [
+            *((name, upstreams.Stage.PREFILL) for name in self._idle_at),
+            *((name, upstreams.Stage.DECODE) for name in self._decodes),
+        ]
+        engines = [
+            upstreams.Upstream(
+                ids.UpstreamId(name), _SERVICE, name, _HERE, _SLOTS, False, at
+            )
+            for name, at in stages
+        ]
+        self._owner.set_engines(engines, (), now)
+
+    def _lose(self, now: float) -> None:
+        for name in list(self._decodes)[: self._day.lost]:
+            engine = self._decodes.pop(name)
+            for caller in (*engine.runs, *engine.paused):
+                self._owner.release(caller.stream, 0, 0.0, now)
+                caller.is_over = True
+        self._tell_engines(now)
+
+    def _rate(self, now: float) -> float:
+        rate = self._day.rate
+        for start, length, factor in self._day.bursts:
+            if start <= now < start + length:
+                rate *= factor
+        return rate * (1 + 0.15 * math.sin(now * 2 * math.pi / 11))
+
+    def _arrivals(self, now: float) -> None:
+        if self._random.random() >= self._rate(now) * _TICK:
+            return
+        draw = self._random.lognormvariate
+        output = max(_STRIDE, min(6500, int(draw(math.log(3100), 0.47))))
+        caller = _Caller(
+            number=next(self._numbers),
+            prompt=max(500, min(11_000, int(draw(math.log(4600), 0.47)))),
+            output=output,
+            hint=max(1, int(output * draw(0.0, 0.5))),
+            most=max(output, min(6500, int(output * 1.6))),
+            began=now,
+        )
+        self._callers.append(caller)
+        self._ask(caller, now)
+
+    def _ask(self, caller: _Caller, now: float) -> None:
+        caller.arrived = now
+        job = generations.Job(
+            stream=caller.stream,
+            entry=ids.MemberId('m'),
+            prompt=caller.prompt,
+            hint=caller.hint,
+            most=caller.most,
+            arrived_at=now,
+            start_by=now + _OBJECTIVE,
+            leaves_at=now + _PATIENCE,
+            deadline=caller.began + _DEADLINE,
+            subject=str(caller.number),
+            data_centre=_HERE,
+        )
+        self._waiting[caller.stream] = caller
+        decision = self._owner.submit(job, now)
+        if decision is not None:
+            self._take(decision, now)
+
+    def _take(self, decision: generations.Decision, now: float) -> None:
+        caller = self._waiting.pop(decision.job.stream)
+        if isinstance(decision, generations.Refused):
+            self._refused(caller, decision, now)
+            return
+        caller.placed = True
+        ready = now
+        if decision.prefill is not None:
+            begins = max(now, self._idle_at[decision.prefill])
+            ready = begins + caller.prompt / _READ_RATE + 0.004
+            self._idle_at[decision.prefill] = ready
+            self._owner.prefilled(
+                caller.stream, caller.prompt, ready - now, now
+            )
+        name = decision.decode
+
+        def start(at: float) -> None:
+            engine = self._decodes.get(name)
+            if engine is None:
+                caller.is_over = True
+                self._owner.release(caller.stream, 0, 0.0, at)
+                return
+            engine.paused.append(caller)
+
+        self._later.append((ready + _FETCH, start))
+
+    def _refused(
+        self, caller: _Caller, refused: generations.Refused, now: float
+    ) -> None:
+        caller.refusals += 1
+        caller.held = max(caller.held, now - caller.arrived)
+        if caller.refusals > 1:
+            caller.is_over = True
+            return
+        left = caller.began + _DEADLINE - now
+        wait = min(refused.retry_after, left * _HEEDED)
+
+        def again(at: float) -> None:
+            caller.attempt += 1
+            self._ask(caller, at)
+
+        self._later.append((now + wait, again))
+
+    def _happen(self, now: float) -> None:
+        due = [item for item in self._later if item[0] <= now]
+        self._later = [item for item in self._later if item[0] > now]
+        for _, happen in due:
+            happen(now)
+
+    def _step(self, now: float) -> None:
+        for engine in self._decodes.values():
+            before = [c for c in engine.runs if not c.events]
+            for caller in engine.step(now):
+                self._owner.release(
+                    caller.stream, caller.output, now - caller.first, now
+                )
+                self._pay(caller)
+            for caller in before:
+                if caller.events:
+                    self._owner.started(caller.stream, now)
+
+    def _pay(self, caller: _Caller) -> None:
+        caller.is_over = True
+        in_time = (
+            caller.first - caller.arrived <= _OBJECTIVE
+            and caller.pause <= _LONGEST_PAUSE
+        )
+        caller.credit = 1.0 if in_time else _LATE_SHARE
+        if in_time and caller.refusals:
+            caller.credit = (1.0 + _LATE_SHARE) / 2
+
+    def _leave(self, now: float) -> None:
+        for stream, caller in list(self._waiting.items()):
+            if now - caller.arrived > _PATIENCE:
+                del self._waiting[stream]
+                self._owner.withdraw(stream)
+                caller.held = now - caller.arrived
+                caller.is_over = True
+
+    def _result(self) -> Result:
+        owed = sum(0.3 * self._mean + 0.7 * c.size for c in self._callers)
+        credit = prices = in_time = 0.0
+        for caller in self._callers:
+            size = 0.3 * self._mean + 0.7 * caller.size
+            credit += caller.credit * size
+            in_time += (caller.credit == 1.0) / len(self._callers)
+            if caller.credit:
+                continue
+            if not caller.placed:
+                free = _FREE_HOLD * _OBJECTIVE
+                held = max(0.0, caller.held - free) / (_PATIENCE - free)
+                prices += min(1.0, held) * size
+            if caller.refusals > 1:
+                prices += _REFUSED_AGAIN * size
+        wasted = sum(engine.wasted for engine in self._decodes.values())
+        prompts = sum(caller.prompt for caller in self._callers)
+        return Result(credit / owed, prices / owed, in_time, wasted / prompts)
+
+    @property
+    def _mean(self) -> float:
+        return statistics.fmean(c.size for c in self._callers)
+
+
+def play(case: tuple[Day, int]) -> Result:
+    """Play one day with one seed."""
+    return Replay(*case).run()
+
+
+def main() -> int:
+    """Play all days and print their means."""
+    parser = argparse.ArgumentParser(description='Replay of the decisions')
+    parser.add_argument('--seeds', type=int, default=_SEEDS)
+    options = parser.parse_args()
+    seeds = range(1, options.seeds + 1)
+    print('day                 worth credit prices in time preempted')
+    worths = []
+    with concurrent.futures.ProcessPoolExecutor(_WORKERS) as pool:
+        for day in DAYS:
+            found = list(pool.map(play, [(day, seed) for seed in seeds]))
+            means = [
+                statistics.fmean(getattr(one, field) for one in found)
+                for field in ('worth', 'credit', 'prices', 'in_time', 'wasted')
+            ]
+            worths.append(means[0])
+            print(f'{day.name:18}', *(f'{mean:6.3f}' for mean in means))
+    print(f'mean worth {statistics.fmean(worths):.4f}')
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -17,15 +17,15 @@
 whole predicted life and its prefill engine is about to be idle; until then
 it waits here, where order and refusal stay possible.
 
-Order: what can still start in time, the returned first, then by the time
-until which it can wait; what is late comes after all that. A new request
-that could not start in time is refused at once with the time at which there
-is room. A request that comes back is never refused for that reason: it
-waits, late if need be, since a third try is unlikely.
+A request that could not start in time is refused at once with the time at
+which there is room. One that may still find it is decided on a moment later,
+while a refusal costs its caller nothing yet: it is refused, or kept. What is
+kept is served before all that came after it (`core/waiting`).
 
 Times are monotonic seconds, passed in; there is no input or output here.
 """
 
+import collections.abc
 import dataclasses
 import typing
 
@@ -36,17 +36,19 @@
 from galenahatch.core import returns
 from galenahatch.core import stages
 from galenahatch.core import upstreams
+from galenahatch.core import waiting
 from galenahatch import ids
 
 LOOKAHEAD: typing.Final = 0.02
 """Seconds of work that a prefill engine may have ahead; the rest waits in
 the queue, where it can still be reordered."""
-_FREE_FOR_LATE: typing.Final = 0.34
-"""Part of the decode engines that must have room for a late request to be
-placed: it pays a fifth, and would take the place of one in time."""
-_LAST_CALL: typing.Final = 0.4
-"""Seconds before its caller leaves at which a late request is placed
-wherever there is room."""
+_LOOKED_AT: typing.Final = 8
+"""Requests ahead for which room is looked for one by one; behind more of
+them the rate at which places become free tells enough."""
+_CAUTION: typing.Final = 1.3
+"""Times the predicted wait that a request must have left to be kept. What is
+kept and not served costs more than what is refused at once and comes back;
+predictions are off by about a third."""
 _SLOW_READ: typing.Final = 2.0
 """Times that a decode engine takes longer for a prompt."""
 _READ_REST: typing.Final = 0.08
@@ -67,7 +69,6 @@
 than the longest stream of the users, shorter than a minute."""
 
 Job = generations.Job
-Order = tuple[bool, int, float]
 
 
 @dataclasses.dataclass
@@ -93,7 +94,7 @@
         self._measures = figures.Measures()
         self._returns = returns.Returns()
         self._planner = stages.Planner()
-        self._queue: dict[ids.StreamId, Job] = {}
+        self._queue = waiting.Waiting(self._measures)
         self._placements: dict[ids.StreamId, _Placement] = {}
         self._refused_at = -1e9
 
@@ -186,41 +187,38 @@
         if not self._pool.decodes:
             return self._refuse(job, 'no_engine', now)
         if not job.going_on:
-            wait = self._expected_wait(job, now)
-            limit = job.leaves_at if returned else job.start_by
-            if now + wait > limit:
-                why = (
-                    f'wait={wait:.3f} queue={len(self._queue)}'
-                    f' returned={returned}'
-                )
-                return self._refuse(job, why, now)
-        self._queue[job.stream] = job
+            owed = 1 + self._returns.due(now)
+            wait = self._expected_wait(job, owed, now)
+            if now + wait > waiting.limit(job):
+                return self._refuse(job, self._why(job, wait), now)
+        self._queue.add(job)
         return None
 
     def withdraw(self, stream: ids.StreamId) -> None:
         """Remove a request that waits: its caller is gone."""
-        self._queue.pop(stream, None)
+        self._queue.remove(stream)
 
     def decide(self, now: float) -> list[generations.Decision]:
         """Place what can be placed now; give up what can't end in time."""
         decisions: list[generations.Decision] = []
-        for job in sorted(self._queue.values(), key=self._order(now)):
-            if self._is_hopeless(job, now):
-                del self._queue[job.stream]
-                decisions.append(self._refuse(job, 'no_time_left', now))
-                continue
-            if self._is_late(job, now) and self._is_crowded(job, now):
-                break
-            placed = self._place(job, now)
-            if placed is None:
-                break
-            del self._queue[job.stream]
-            decisions.append(placed)
+        is_full = False
+        for job in self._queue.in_order(now):
+            decision: generations.Decision | None = None
+            if self._queue.is_hopeless(job, now):
+                decision = self._refuse(job, 'no_time_left', now)
+            elif not is_full:
+                decision = self._place(job, now)
+                is_full = decision is None
+            if decision is None and waiting.is_due(job, now):
+                decision = self._keep_or_refuse(job, now)
+            if decision is not None:
+                self._queue.remove(job.stream)
+                decisions.append(decision)
         return decisions
 
     def next_look(self, now: float) -> float | None:
         """Return when `decide` should be called again; None if idle."""
-        return now + _RECHECK if self._queue else None
+        return now + _RECHECK if len(self._queue) else None
 
     def prefilled(
         self, stream: ids.StreamId, tokens: int, seconds: float, now: float
@@ -259,7 +257,7 @@
                 decode.health.worked()
                 decode.memory.learn_pace(tokens, seconds)
         self._forget(stream, now)
-        self._queue.pop(stream, None)
+        self._queue.remove(stream)
 
     def rebuild(
         self,
@@ -291,40 +289,17 @@
             if now - placement.told_at > _LAPSE:
                 self._forget(stream, now)
 
-    # Order.
-
-    def _order(self, now: float) -> typing.Callable[[Job], Order]:
-        def key(job: Job) -> Order:
-            if job.going_on:
-                return False, 0, 0.0
-            if self._is_late(job, now):
-                return True, 1, job.leaves_at
-            return False, 1 if job.returned else 2, job.start_by
-
-        return key
-
-    def _is_late(self, job: Job, now: float) -> bool:
-        if job.going_on:
-            return False
-        return job.start_by < now + self._measures.until_first(job)
-
-    def _is_hopeless(self, job: Job, now: float) -> bool:
-        if job.deadline < now + self._measures.shortest_life(job):
-            return True
-        return not job.going_on and job.leaves_at < now
-
-    def _is_crowded(self, job: Job, now: float) -> bool:
-        """Return whether a late request would take the place of others.
+    # Prediction.
 
-        It is served before its caller leaves, all the same.
-        """
-        first_at = now + self._measures.until_first(job)
-        if job.leaves_at < first_at + _LAST_CALL:
-            return False
-        run = job.run(first_at)
-        decodes = self._pool.decodes.values()
-        free = sum(engine.fits(run, now) for engine in decodes)
-        return free < 1 + len(decodes) * _FREE_FOR_LATE
+    def _keep_or_refuse(
+        self, job: Job, now: float
+    ) -> generations.Refused | None:
+        """Decide on a request that could not be placed so far."""
+        wait = _CAUTION * self._expected_wait(job, 1, now)
+        if now + wait > waiting.limit(job):
+            return self._refuse(job, self._why(job, wait), now)
+        self._queue.keep(job)
+        return None
 
     # Placement.
 
@@ -375,28 +350,51 @@
         )
         return generations.Refused(job, wait, why)
 
-    def _expected_wait(self, job: Job, now: float) -> float:
-        """Return the predicted seconds until the first event."""
-        ahead = [
-            other
-            for other in self._queue.values()
-            if other.start_by >= now or other.going_on
-        ]
+    def _why(self, job: Job, wait: float) -> str:
+        return (
+            f'wait={wait:.3f} queue={len(self._queue)} returned={job.returned}'
+        )
+
+    def _expected_wait(self, job: Job, owed: int, now: float) -> float:
+        """Return the predicted seconds until the first event.
+
+        Args:
+            job: that waits.
+            owed: places that are needed beside those of the ones before it.
+            now: monotonic seconds.
+        """
+        ahead = self._queue.ahead(job, now)
         own = self._measures.until_first(job)
         rate = self._service_rate()
-        trial = self._pool.next_trial(now)
-        if not rate or (not ahead and self._has_room(job, now)):
-            return own + trial
         lines = max(1, len(self._pool.prefills))
         prompts = sum(other.prompt for other in ahead)
         reading = self._measures.reading(prompts) / lines
-        owed = len(ahead) + 1 + self._returns.due(now)
-        return own + max(reading, owed / rate, trial)
-
-    def _has_room(self, job: Job, now: float) -> bool:
-        run = job.run(now + self._measures.until_first(job))
-        usable = self._pool.usable_decodes(job, now)
-        return any(engine.fits(run, now) for engine in usable)
+        before = max(reading, self._pool.next_trial(now))
+        if not rate or self._has_room(job, ahead, now):
+            return own + before
+        return own + max(before, (len(ahead) + owed) / rate)
+
+    def _has_room(
+        self, job: Job, ahead: collections.abc.Collection[Job], now: float
+    ) -> bool:
+        """Return whether there is memory now for a request and all before."""
+        if len(ahead) > _LOOKED_AT:
+            return False
+        added = []
+        try:
+            for one in (*ahead, job):
+                run = one.run(now + self._measures.until_first(one))
+                usable = self._pool.usable_decodes(one, now)
+                fitting = (e for e in usable if e.fits(run, now))
+                engine = next(fitting, None)
+                if engine is None:
+                    return False
+                engine.memory.add(run)
+                added.append((engine, run))
+            return True
+        finally:
+            for engine, run in added:
+                engine.memory.take_back(run.stream)
 
     def _service_rate(self) -> float:
         known = self._measures.figures
--- a/galenahatch/core/generations.py
+++ b/galenahatch/core/generations.py
@@ -40,6 +40,8 @@
         output: predicted tokens of the answer; set by the dispatcher.
         returned: whether it was refused before, with a time to come back;
             set by the dispatcher.
+        kept: whether it is to be served, late if need be, before all that
+            came after it; set by the dispatcher.
     """
 
     stream: ids.StreamId
@@ -58,6 +60,7 @@
     is_read: bool = False
     output: int = 0
     returned: bool = False
+    kept: bool = False
 
     def run(self, starts_at: float) -> memory.Run:
         """Return what it holds at a decode engine from some moment on."""
--- a/galenahatch/core/memory.py
+++ b/galenahatch/core/memory.py
@@ -91,6 +91,10 @@
             self._ended.append((now, self._held(run, now)))
         return run
 
+    def take_back(self, stream: ids.StreamId) -> None:
+        """Undo an `add` that nothing came of."""
+        self._runs.pop(stream, None)
+
     def learn_pace(self, tokens: int, seconds: float) -> None:
         """Take how long a run took for its tokens."""
         if tokens > 0 and seconds > 0:
@@ -135,6 +139,10 @@
         """
         if len(self._runs) >= self.slots:
             return False
+        if not self._runs and not self.foreign:
+            # Nothing is gained by waiting; if it is too large, the engine
+            # says so.
+            return True
         # Bounds that are cheap: an owner decides some hundred times a
         # second over all engines, and the sum over time costs the square
         # of the runs.
--- /dev/null
+++ b/galenahatch/core/waiting.py
@@ -0,0 +1,107 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Requests that wait for engines, and their order.
+
+First what goes on with a stream that its caller has begun to read, then
+what is kept, then who comes back after a refusal, then all others by the
+time until which they must have started. What has become late goes last: it
+is worth a fifth, and served earlier it makes those behind it late as well.
+
+Times are monotonic seconds.
+"""
+
+import collections.abc
+import dataclasses
+import typing
+
+from galenahatch.core import figures
+from galenahatch.core import generations
+from galenahatch import ids
+
+_UNDECIDED: typing.Final = 0.12
+"""Part of its objective for which a request may wait without being kept. A
+refusal after an eighth to a quarter of it counts as a late one."""
+
+Job = generations.Job
+Rank = tuple[int, float]
+
+
+def limit(job: Job) -> float:
+    """Return until when a request's first event must be expected.
+
+    One that an engine has failed already is served late if need be.
+    """
+    return job.leaves_at if job.avoid else job.start_by
+
+
+def is_due(job: Job, now: float) -> bool:
+    """Return whether a request is to be kept or refused now."""
+    if job.going_on or job.kept:
+        return False
+    objective = max(0.0, job.start_by - job.arrived_at)
+    return now >= job.arrived_at + _UNDECIDED * objective
+
+
+class Waiting:
+    """The requests of one service that wait.
+
+    Args:
+        measures: tell how long a request takes once it is placed.
+    """
+
+    def __init__(self, measures: figures.Measures) -> None:
+        self._measures = measures
+        self._jobs: dict[ids.StreamId, Job] = {}
+
+    def __len__(self) -> int:
+        return len(self._jobs)
+
+    def add(self, job: Job) -> None:
+        """Take a request."""
+        self._jobs[job.stream] = job
+
+    def remove(self, stream: ids.StreamId) -> None:
+        """Forget a request, if it waits."""
+        self._jobs.pop(stream, None)
+
+    def keep(self, job: Job) -> None:
+        """Note that a request is to be served."""
+        self._jobs[job.stream] = dataclasses.replace(job, kept=True)
+
+    def in_order(self, now: float) -> list[Job]:
+        """Return the requests in the order in which they are placed."""
+        return sorted(self._jobs.values(), key=self._ranking(now))
+
+    def ahead(self, job: Job, now: float) -> list[Job]:
+        """Return the requests that are placed before another."""
+        rank = self._ranking(now)
+        return [j for j in self._jobs.values() if rank(j) < rank(job)]
+
+    def is_hopeless(self, job: Job, now: float) -> bool:
+        """Return whether nothing would come of a request any more."""
+        if job.deadline < now + self._measures.shortest_life(job):
+            return True
+        first_at = now + self._measures.until_first(job)
+        return not job.going_on and job.leaves_at < first_at
+
+    def _ranking(self, now: float) -> collections.abc.Callable[[Job], Rank]:
+        def rank(job: Job) -> Rank:
+            if job.going_on:
+                return 0, job.arrived_at
+            if job.start_by < now + self._measures.until_first(job):
+                return 4, job.arrived_at
+            if job.kept:
+                return 1, job.arrived_at
+            return 2 if job.returned else 3, job.start_by
+
+        return rank
