The lease on orders in a module of its own, fuzzed against an oracle

What: gateway/lease is taken out of gateway/orders, behaviour as it was. test_lease steps two holders through their calls in any order (Hypothesis, 300 examples of 60 steps, fixed): time passes between any two steps, a holder stands still within its calls while the other runs, calls are refused, lost after they were done, or done much later. Orders of two holders must be a lease apart and fences must rise.

Measured: five planted faults, each found (time to order 2.5 leases; our lease as long as the platform's; always free; the row's version not asked for; no look at the clock after the lease was taken). Ruled out: three holders with single steps alone, which did not find the first and the last.

--- a/galenahatch/gateway/orders.py
+++ b/galenahatch/gateway/orders.py
@@ -12,12 +12,8 @@
 
 """Orders to engines to change their stage.
 
-Only the owner gives orders, and only while it holds a lease in the store.
-The lease is a row with its holder and the moment, on the store's clock, at
-which another gateway may take it; its version is the fencing number of the
-orders, so a later holder always has a higher one. A holder orders in the
-first quarter of its lease only. So two holders never order within the time
-that the platform asks for between them, also if one of them was frozen.
+Only the owner gives orders, and only while it holds a lease in the store
+(`gateway/lease`).
 
 Nothing is believed of an order before the engine's entry tells the new
 stage. Each order names the number of orders that the engine has taken, as
@@ -27,14 +23,13 @@
 import asyncio
 import typing
 
-import msgspec
-
 from galenahatch import clock
 from galenahatch.core import dispatch
 from galenahatch.core import upstreams
 from galenahatch import errors
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import instruments
+from galenahatch.gateway import lease as leases
 from galenahatch.gateway import mesh as meshes
 from galenahatch.gateway import owner as owners
 from galenahatch.gateway import sender as senders
@@ -45,12 +40,6 @@
 from galenahatch import tasks
 
 _LOOK_EVERY: typing.Final = 0.5
-_TABLE: typing.Final = 'leases'
-_KEY: typing.Final = 'orders'
-_LEASES: typing.Final = 2.0
-"""Length of our lease, in those that the platform asks for."""
-_ORDERING: typing.Final = 0.5
-"""Part of the platform's lease in which its holder gives orders."""
 _CALL_TIMEOUT: typing.Final = 0.6
 _LOST_AFTER: typing.Final = 8.0
 """Seconds beyond the change itself after which an order counts as lost;
@@ -59,17 +48,6 @@
 _log = logs.Log('orders')
 
 
-class _Lease(msgspec.Struct, frozen=True):
-    """The row.
-
-    Attributes:
-        until_ms: on the store's clock.
-    """
-
-    holder: str
-    until_ms: float
-
-
 class Orders:
     """The part of a gateway that gives orders.
 
@@ -91,12 +69,11 @@
         sender: senders.Sender,
         lease: float,
     ) -> None:
-        self._store = store
         self._mesh = mesh
         self._owner = owner
         self._directory = directory
         self._sender = sender
-        self._lease = lease
+        self._lease = leases.Lease(store, mesh.me, lease)
         self._pause_until = 0.0
 
     def run(self, background: tasks.Tasks) -> None:
@@ -140,7 +117,7 @@
             )
             self._pause_until = clock.now() + _AFTER_REFUSAL
             return
-        fence = await self._fence()
+        fence = await self._lease.fence()
         if fence is None:
             self._pause_until = clock.now() + _AFTER_REFUSAL
             return
@@ -151,12 +128,6 @@
             dispatcher.engines.changing(engine.id, stage, clock.now())
             self._pause_until = clock.now() + _AFTER_REFUSAL
 
-    async def _fence(self) -> int | None:
-        """Return a fencing number, if there is time to order with it."""
-        until = clock.now() + _ORDERING * self._lease
-        fence = await self._take_lease()
-        return fence if clock.now() <= until else None
-
     async def _send(
         self,
         engine: upstreams.Upstream,
@@ -196,35 +167,3 @@
             return None
         report = engines.report(reply[1])
         return None if isinstance(report, errors.Failure) else report
-
-    async def _take_lease(self) -> int | None:
-        """Return a fencing number, if this gateway may give orders."""
-        found = await self._store.rows(_TABLE)
-        if isinstance(found, errors.Failure):
-            _log.warning('Lease not read.', detail=found.detail)
-            return None
-        row = next((r for r in found.rows if r.key == _KEY), None)
-        if row is not None and not self._is_free(row, found.now_ms):
-            return None
-        until = found.now_ms + _LEASES * self._lease * 1000
-        value = msgspec.json.encode(_Lease(self._mesh.me, until))
-        seen = row.ver if row is not None else 0
-        written = await self._store.transact(
-            [stores.Entry(_TABLE, _KEY, ver=seen)],
-            put=[stores.Entry(_TABLE, _KEY, value=value)],
-        )
-        if not isinstance(written, stores.Written):
-            _log.warning('Lease not taken.', holder=self._mesh.me)
-            return None
-        _log.info('Lease taken.', holder=self._mesh.me, fence=written.ver)
-        return written.ver
-
-    def _is_free(self, row: stores.Row, now_ms: float) -> bool:
-        try:
-            lease = msgspec.json.decode(row.value, type=_Lease)
-        except msgspec.MsgspecError as error:
-            _log.error('Bad lease row.', error=str(error))
-            return True
-        if lease.holder == self._mesh.me:
-            return True
-        return now_ms > lease.until_ms
