A stopping gateway begins no stream once others have looked away

Streams are refused if they would outlast the process by the ninth tenth of those seen; this process had started seconds before and had seen hardly any, which counted as zero seconds.

Change: from 2.6 s after the signal on, when the balancer has looked away, a stopping gateway refuses every new stream, at once and with the time to come back. What came before is judged as it was.

Ruled out: a bound from the longest answer (longer than what is left after 2.6 s anyway, so the same refusal with more to know).

Test, which failed first: test_stop_takes_no_late_streams.

--- a/galenahatch/gateway/front.py
+++ b/galenahatch/gateway/front.py
@@ -142,6 +142,7 @@
         self._lives: collections.deque[float] = collections.deque(
             maxlen=_LIVES
         )
+        self._quiet_at = 0.0
         self._ends_at = 0.0
         self.leaving = False
 
@@ -150,9 +151,15 @@
         """Requests that are being answered."""
         return self._in_flight
 
-    def leave(self, ends_at: float) -> None:
-        """Stop to be ready; the process ends at a moment."""
+    def leave(self, quiet_at: float, ends_at: float) -> None:
+        """Stop to be ready.
+
+        Args:
+            quiet_at: from when on no stream is begun.
+            ends_at: when the process ends.
+        """
         self.leaving = True
+        self._quiet_at = quiet_at
         self._ends_at = ends_at
 
     def close_idle(self, server: Server) -> None:
@@ -162,9 +169,15 @@
                 connection.force_close()
 
     def _ends_first(self) -> bool:
-        """Return whether a stream that begins now would be cut."""
+        """Return whether a stream that begins now might be cut.
+
+        Callers have had the time to go elsewhere when no more are begun: a
+        process that started lately has not seen how long streams last.
+        """
         if not self.leaving:
             return False
+        if clock.now() > self._quiet_at:
+            return True
         lives = sorted(self._lives)
         usual = lives[int(_LONG_LIFE * len(lives))] if lives else 0.0
         return clock.now() + usual > self._ends_at
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -45,8 +45,8 @@
 METRICS_PORT: typing.Final = 9464
 """Where metrics are served; the deploy file names the same port."""
 _LOOK_AWAY: typing.Final = 2.6
-"""Seconds for which a stopping gateway takes new callers: the balancer asks
-once a second and looks away after two answers."""
+"""Seconds for which a stopping gateway takes new callers and streams: the
+balancer asks once a second and looks away after two answers."""
 _LAST_SECOND: typing.Final = 0.4
 """Seconds before the end of the grace at which the process ends by itself."""
 _CUT_OFF: typing.Final = 0.05
@@ -174,7 +174,7 @@
         """Finish what is in flight, then close."""
         began = clock.now()
         last = began + self._settings.bounds.grace - _LAST_SECOND
-        self._front.leave(last)
+        self._front.leave(began + _LOOK_AWAY, last)
         self._mesh.leaving = True
         self._ownership.owner.decline_all()
         _log.info('Stopping.', in_flight=self._front.in_flight)
--- a/galenahatch/test/test_gateway.py
+++ b/galenahatch/test/test_gateway.py
@@ -420,6 +420,29 @@
         assert vm.wait() == 0
 
 
+def test_stop_takes_no_late_streams() -> None:
+    """A stopping gateway begins no stream that may outlast it.
+
+    It has just started, so it has not seen how long streams last.
+    """
+    with fleets.Fleet(1, _MEMBERS) as fleet:
+        vm = fleet.vms[0]
+        for upstream in fleet.of('desk'):
+            upstream.delay = 2.0
+        vm.signal(signal.SIGTERM)
+        assert fleet.ask('/say/x').served, 'others may not know yet'
+        time.sleep(2.2)
+        with fleets.Caller(vm) as busy:
+            busy.begin('/once/x')
+            time.sleep(0.6)
+            answer = fleet.ask('/say/x')
+            assert answer.status == 503
+            assert float(answer.headers['retry-after']) > 0
+            assert fleet.runs(answer.id) == 0
+            assert busy.end().served
+        assert vm.wait() == 0
+
+
 def test_reload_at_any_moment() -> None:
     """SIGHUP never ends a gateway, not even one that has just started.
 
