galenahatchctl gateway: check, config, upstreams and status

`gateway check` checks a settings file offline with field, value and what would be right; `config`, `upstreams` and `status` show what the store tells, through the gateways' own adapter. Nothing is written.

The gateway itself only had two readers of rows taken out of its code, so that the command uses them (a member's row, the lease's holder), and the lease logs under a prefix of its own.

--- a/galenahatch/gateway/lease.py
+++ b/galenahatch/gateway/lease.py
@@ -30,13 +30,27 @@
 from galenahatch import logs
 from galenahatch.platform import store as stores
 
-_TABLE: typing.Final = 'leases'
+TABLE: typing.Final = 'leases'
 _KEY: typing.Final = 'orders'
 _LEASES: typing.Final = 2.0
 """Length of our lease, in those that the platform asks for."""
 _ORDERING: typing.Final = 0.5
 """Part of the platform's lease in which its holder gives orders."""
-_log = logs.Log('orders')
+_log = logs.Log('lease')
+
+
+def holder(found: stores.Rows) -> str:
+    """Return who holds the lease at the moment of a reading, or nobody."""
+    for row in found.rows:
+        if row.key != _KEY:
+            continue
+        try:
+            lease = msgspec.json.decode(row.value, type=_Row)
+        except msgspec.MsgspecError as error:
+            _log.error('Bad lease row.', error=str(error))
+            return ''
+        return lease.holder if found.now_ms <= lease.until_ms else ''
+    return ''
 
 
 class Rows(typing.Protocol):
@@ -90,7 +104,7 @@
         return fence if clock.now() <= until else None
 
     async def _take(self) -> int | None:
-        found = await self._store.rows(_TABLE)
+        found = await self._store.rows(TABLE)
         if isinstance(found, errors.Failure):
             _log.warning('Lease not read.', detail=found.detail)
             return None
@@ -101,8 +115,8 @@
         value = msgspec.json.encode(_Row(self._me, until))
         seen = row.ver if row is not None else 0
         written = await self._store.transact(
-            [stores.Entry(_TABLE, _KEY, ver=seen)],
-            put=[stores.Entry(_TABLE, _KEY, value=value)],
+            [stores.Entry(TABLE, _KEY, ver=seen)],
+            put=[stores.Entry(TABLE, _KEY, value=value)],
         )
         if not isinstance(written, stores.Written):
             _log.warning('Lease not taken.', holder=self._me)
--- a/galenahatch/gateway/mesh.py
+++ b/galenahatch/gateway/mesh.py
@@ -68,13 +68,22 @@
 Handler = collections.abc.Callable[[ids.MemberId, messages.AnyMessage], None]
 
 
-class _Introduction(msgspec.Struct, frozen=True):
+class Introduction(msgspec.Struct, frozen=True):
     """A member's row."""
 
     port: int
     data_centre: str
 
 
+def introduction(row: stores.Row) -> Introduction | None:
+    """Return what a member's row tells; None if it can't be read."""
+    try:
+        return msgspec.json.decode(row.value, type=Introduction)
+    except msgspec.MsgspecError as error:
+        _log.error('Bad member row.', member=row.key, error=str(error))
+        return None
+
+
 class Mesh:
     """The members, and the connections to those that matter.
 
@@ -200,7 +209,7 @@
 
     async def _join(self) -> None:
         """Write this member's row; done once it is acknowledged."""
-        row = _Introduction(self._port, self._data_centre)
+        row = Introduction(self._port, self._data_centre)
         value = msgspec.json.encode(row)
         entry = stores.Entry(MEMBER_TABLE, self.me, value=value)
         while True:
@@ -230,10 +239,8 @@
             if row.removed:
                 self._drop(name)
                 continue
-            try:
-                told = msgspec.json.decode(row.value, type=_Introduction)
-            except msgspec.MsgspecError as error:
-                _log.error('Bad member row.', member=name, error=str(error))
+            told = introduction(row)
+            if told is None:
                 continue
             if self._members.put(name, told.port, row.ver, clock.now()):
                 _log.info('Member found.', member=name, order=row.ver)
--- /dev/null
+++ b/galenahatch/gatewayctl.py
@@ -0,0 +1,214 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""`galenahatchctl gateway ...`: gateways on the users' platform.
+
+What the platform's store tells is read through the adapter that the
+gateways use, and shown in our words. Nothing is written. Results and exit
+codes are those of the other commands.
+"""
+
+import asyncio
+import collections.abc
+import os
+import pathlib
+import typing
+
+import aiohttp
+import cyclopts
+
+from galenahatch import console
+from galenahatch import errors
+from galenahatch.gateway import lease
+from galenahatch.gateway import mesh
+from galenahatch.gateway import node
+from galenahatch.platform import deployment
+from galenahatch.platform import documents
+from galenahatch.platform import store as stores
+
+_ANSWER: typing.Final = 1.0
+"""Seconds for a gateway's metrics; they take some ms."""
+_ROUTES: typing.Final = (
+    'route',
+    'host',
+    'prefix',
+    'kind',
+    'services',
+    'timeout',
+    'attempts',
+)
+_UPSTREAMS: typing.Final = (
+    'upstream',
+    'service',
+    'address',
+    'data_centre',
+    'stage',
+    'slots',
+    'standing',
+)
+_GATEWAYS: typing.Final = (
+    'gateway',
+    'data_centre',
+    'order',
+    'answers',
+    'gives_orders',
+)
+
+app = cyclopts.App(
+    name='gateway', help='Gateways on the platform: settings and state.'
+)
+
+Json = typing.Annotated[
+    bool, cyclopts.Parameter(name='--json', help='Print JSON.')
+]
+StoreAddress = typing.Annotated[
+    str,
+    cyclopts.Parameter(
+        name='--store',
+        help='IP:PORT of the store; else that of the settings file.',
+    ),
+]
+Work = collections.abc.Callable[
+    [aiohttp.ClientSession, stores.Store],
+    collections.abc.Coroutine[None, None, int],
+]
+
+
+@app.command
+def check(file: pathlib.Path, *, json: Json = False) -> int:
+    """Check a settings file as a gateway would; works offline."""
+    found = deployment.load(str(file))
+    if isinstance(found, errors.Failure):
+        return console.report(found)
+    rows = [
+        (name, str(getattr(found, name)))
+        for name in ('name', 'data_centre', 'front', 'readiness', 'store')
+    ]
+    console.print_rows(('setting', 'value'), rows, json)
+    return console.DONE
+
+
+@app.command
+def config(*, store: StoreAddress = '', json: Json = False) -> int:
+    """Show the routes of the newest configuration."""
+
+    async def work(client: aiohttp.ClientSession, at: stores.Store) -> int:
+        found = await at.rows(documents.CONFIG_TABLE)
+        if isinstance(found, errors.Failure):
+            return console.report(found)
+        values = [r.value for r in found.rows if r.key == documents.CONFIG_KEY]
+        if not values:
+            return console.report(errors.Failure(errors.NO_CONFIGURATION))
+        decoded = documents.configuration(values[0])
+        if isinstance(decoded, errors.Failure):
+            return console.report(decoded)
+        rows = [
+            (
+                route.name,
+                route.host,
+                route.prefix,
+                route.kind.value,
+                ' '.join(f'{t.service}:{t.weight}' for t in route.targets),
+                route.timeout,
+                route.max_attempts,
+            )
+            for route in decoded.routes
+        ]
+        if not json:
+            print(f'version {decoded.version}')
+        console.print_rows(_ROUTES, rows, json)
+        return console.DONE
+
+    return _run(store, work)
+
+
+@app.command
+def upstreams(*, store: StoreAddress = '', json: Json = False) -> int:
+    """Show the upstreams that have registered themselves."""
+
+    async def work(client: aiohttp.ClientSession, at: stores.Store) -> int:
+        found = await at.rows(documents.UPSTREAM_TABLE)
+        if isinstance(found, errors.Failure):
+            return console.report(found)
+        rows: list[console.Row] = []
+        for row in found.rows:
+            one = documents.upstream(row.key, row.value)
+            if isinstance(one, errors.Failure):
+                rows.append((row.key, '', '', '', '', '', one.detail))
+                continue
+            rows.append(
+                (
+                    one.id,
+                    one.service,
+                    one.address,
+                    one.data_centre,
+                    one.stage.value if one.stage else '',
+                    one.slots,
+                    'leaving' if one.leaving else 'ready',
+                )
+            )
+        console.print_rows(_UPSTREAMS, rows, json)
+        return console.DONE
+
+    return _run(store, work)
+
+
+@app.command
+def status(*, store: StoreAddress = '', json: Json = False) -> int:
+    """Show the gateways in the order in which they decide."""
+
+    async def work(client: aiohttp.ClientSession, at: stores.Store) -> int:
+        found = await at.rows(mesh.MEMBER_TABLE)
+        held = await at.rows(lease.TABLE)
+        for one in (found, held):
+            if isinstance(one, errors.Failure):
+                return console.report(one)
+        assert isinstance(found, stores.Rows)
+        assert isinstance(held, stores.Rows)
+        holder = lease.holder(held)
+        rows: list[console.Row] = []
+        for row in sorted(found.rows, key=lambda row: row.ver):
+            told = mesh.introduction(row)
+            where = told.data_centre if told is not None else ''
+            up = await _answers(client, row.key)
+            rows.append((row.key, where, row.ver, up, row.key == holder))
+        console.print_rows(_GATEWAYS, rows, json)
+        return console.DONE
+
+    return _run(store, work)
+
+
+async def _answers(client: aiohttp.ClientSession, address: str) -> bool:
+    """Return whether a gateway serves its metrics."""
+    url = f'http://{address}:{node.METRICS_PORT}/metrics'
+    limit = aiohttp.ClientTimeout(total=_ANSWER)
+    try:
+        async with client.get(url, timeout=limit) as response:
+            return response.status == 200
+    except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
+        return False
+
+
+def _run(address: str, work: Work) -> int:
+    """Run a command with a client of the store."""
+    if not address:
+        path = deployment.path() or os.devnull
+        found = deployment.load(path)
+        if isinstance(found, errors.Failure):
+            return console.report(found)
+        address = str(found.store)
+
+    async def within() -> int:
+        async with aiohttp.ClientSession() as client:
+            return await work(client, stores.Store(client, address))
+
+    return asyncio.run(within())
--- a/galenahatch/main.py
+++ b/galenahatch/main.py
@@ -23,6 +23,7 @@
 from galenahatch import controller as controller_module
 from galenahatch import ctl as ctl_module
 from galenahatch import entry as entry_module
+from galenahatch import gatewayctl
 from galenahatch import options as options_module
 from galenahatch import scheduler as scheduler_module
 
@@ -85,4 +86,5 @@
 
 def ctl() -> None:
     """Run galenahatchctl."""
+    ctl_module.app.command(gatewayctl.app)
     sys.exit(_exit_code(ctl_module.app))
--- a/galenahatch/test/fleet.py
+++ b/galenahatch/test/fleet.py
@@ -155,7 +155,7 @@
         self.front = free_port(self.address)
         self.ready_port = free_port(self.address)
         self._store = store
-        self._file = folder / f'{self.address}.json'
+        self.settings_file = folder / f'{self.address}.json'
         self.log = folder / f'{self.address}.log'
         self._process: subprocess.Popen[bytes] | None = None
         self.write_settings()
@@ -176,14 +176,17 @@
             'unknown_field': {'new': True},
             **changed,
         }
-        self._file.write_bytes(msgspec.json.encode(settings))
+        self.settings_file.write_bytes(msgspec.json.encode(settings))
 
     def start(self) -> None:
         """Start the process."""
         with self.log.open('ab') as log:
             self._process = subprocess.Popen(
                 [sys.executable, '-m', 'galenahatch.gateway'],
-                env={**os.environ, 'GALENAHATCH_SETTINGS': str(self._file)},
+                env={
+                    **os.environ,
+                    'GALENAHATCH_SETTINGS': str(self.settings_file),
+                },
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
@@ -268,7 +271,7 @@
             self.call(upstream.start())
             self.put('servers', upstream.id, upstream.row())
         folder = pathlib.Path(self._folder.name)
-        self.vms = [Vm(self._address, folder) for _ in range(vms)]
+        self.vms = [Vm(self.address, folder) for _ in range(vms)]
 
     async def _open_store(self) -> rows.Store:
         store = rows.Store()
@@ -276,7 +279,7 @@
         await self._runner.setup()
         port = free_port('127.0.0.1')
         await web.TCPSite(self._runner, '127.0.0.1', port).start()
-        self._address = f'127.0.0.1:{port}'
+        self.address = f'127.0.0.1:{port}'
         return store
 
     def __enter__(self) -> 'Fleet':
--- /dev/null
+++ b/galenahatch/test/test_gatewayctl.py
@@ -0,0 +1,107 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""The command line for gateways on the platform, against the stand-ins."""
+
+import collections.abc
+import json
+import pathlib
+
+import pytest
+
+from galenahatch import console
+from galenahatch import gatewayctl
+from galenahatch.test import fleet as fleets
+
+
+@pytest.fixture(scope='module')
+def fleet() -> collections.abc.Iterator[fleets.Fleet]:
+    """One gateway before an upstream of each kind."""
+    members = (('desk', ''), ('model', 'prefill'), ('model', 'decode'))
+    with fleets.Fleet(1, members) as started:
+        yield started
+
+
+def _run(*words: str) -> int:
+    code = gatewayctl.app(words, result_action='return_value')
+    assert isinstance(code, int)
+    return code
+
+
+def test_check(
+    fleet: fleets.Fleet,
+    capsys: pytest.CaptureFixture[str],
+    tmp_path: pathlib.Path,
+) -> None:
+    """A good file is shown; a wrong one names field, value and what to do."""
+    assert _run('check', str(fleet.vms[0].settings_file), '--json') == 0
+    shown = {
+        row['setting']: row['value']
+        for row in json.loads(capsys.readouterr().out)
+    }
+    assert shown['store'] == fleet.address
+    wrong = tmp_path / 'wrong.json'
+    text = fleet.vms[0].settings_file.read_text()
+    wrong.write_text(text.replace('[7660,7675]', '[7675,7660]'))
+    assert _run('check', str(wrong)) == console.BAD_USE
+    told = capsys.readouterr().err
+    assert 'port_range is (7675, 7660), expected two ports' in told
+    assert _run('check', str(tmp_path / 'none.json')) == console.BAD_USE
+
+
+def test_config(
+    fleet: fleets.Fleet, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Routes are shown in our words, with what they allow."""
+    assert _run('config', '--store', fleet.address, '--json') == 0
+    rows = json.loads(capsys.readouterr().out)
+    by_prefix = {row['prefix']: row for row in rows}
+    assert by_prefix['/once/']['kind'] == 'non_idempotent'
+    assert by_prefix['/often/']['attempts'] == 2
+    assert by_prefix['/say/']['services'] == 'model:1'
+
+
+def test_upstreams(
+    fleet: fleets.Fleet, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Each upstream is shown, also one whose entry can't be read."""
+    fleet.put('servers', 'i-bad', {'service': 7})
+    leaving = fleet.upstreams[0]
+    fleet.put('servers', leaving.id, leaving.row('draining'))
+    assert _run('upstreams', '--store', fleet.address, '--json') == 0
+    rows = {r['upstream']: r for r in json.loads(capsys.readouterr().out)}
+    assert rows[leaving.id]['standing'] == 'leaving'
+    assert rows[fleet.upstreams[1].id]['stage'] == 'prefill'
+    assert 'i-bad' in rows['i-bad']['standing']
+
+
+def test_status(
+    fleet: fleets.Fleet, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Gateways stand in the order in which they decide; a dead one shows."""
+    vm = fleet.vms[0]
+    assert _run('status', '--store', fleet.address, '--json') == 0
+    (row,) = json.loads(capsys.readouterr().out)
+    assert (row['gateway'], row['answers']) == (vm.address, True)
+    assert row['gives_orders'] is False
+    vm.kill()
+    assert _run('status', '--store', fleet.address, '--json') == 0
+    (row,) = json.loads(capsys.readouterr().out)
+    assert row['answers'] is False
+
+
+def test_store_away(capsys: pytest.CaptureFixture[str]) -> None:
+    """A store that does not answer is told, with an exit code of its own."""
+    for command in ('config', 'upstreams', 'status'):
+        code = _run(command, '--store', '127.0.0.1:1')
+        assert code == console.UNAVAILABLE
+        assert 'store_unavailable' in capsys.readouterr().err
