What OpenAI's client needs: models, total tokens, messages of errors

Cause: with the client of the registry, GET /v1/models answered 404, usage.total_tokens was missing, and an error had no message and code, which is what that client shows its user.

Change: the three are there, the fields that were there stay. The client is a requirement of the tests only (requirements-test.txt); the deployment's build installs what it did.

Shown by test_openai (4 passed): completion, chat, stream, models, typed errors. test_path passed. Not shown: the client against the gateways, whose callers speak the platform's protocol.

--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,10 @@
 
 .PHONY: demo test fuzz faults soak bench decisions path claims capacity mutations reference format clean
 
-.venv/ready: requirements.txt
+.venv/ready: requirements.txt requirements-test.txt
 	$(PYTHON) -m venv .venv
-	$(BIN)/pip install --quiet --requirement requirements.txt
+	$(BIN)/pip install --quiet --requirement requirements.txt \
+	    --requirement requirements-test.txt
 	$(BIN)/pip install --quiet --no-deps --editable .
 	touch .venv/ready
 
--- a/galenahatch/answers.py
+++ b/galenahatch/answers.py
@@ -22,6 +22,7 @@
 from galenahatch import errors
 from galenahatch import ids
 from galenahatch import inbound
+from galenahatch import schema
 
 JSON: typing.Final = 'application/json'
 EVENT_STREAM: typing.Final = 'text/event-stream'
@@ -138,6 +139,7 @@
         'usage': {
             'prompt_tokens': asked.prompt_tokens,
             'completion_tokens': tokens,
+            'total_tokens': asked.prompt_tokens + tokens,
         },
     }
     return claim.Answer(
@@ -145,6 +147,23 @@
     )
 
 
+def models(settings: schema.Config) -> claim.Answer:
+    """Return the list of models that are configured."""
+    listed = [
+        {
+            'id': service.name,
+            'object': 'model',
+            'created': 0,
+            'owned_by': 'galenahatch',
+        }
+        for service in settings.services
+    ]
+    body = {'object': 'list', 'data': listed}
+    return claim.Answer(
+        200, errors.Outcome.ANSWERED.value, JSON, msgspec.json.encode(body)
+    )
+
+
 def failed(failure: errors.Failure, request: ids.RequestId) -> claim.Answer:
     """Return a failure as an answer, to be kept with a claim."""
     return claim.Answer(
@@ -159,6 +178,9 @@
     """Return the JSON body of a failure."""
     error: dict[str, typing.Any] = {
         'type': failure.reason.name,
+        # What OpenAI's client shows its user, and what programs compare.
+        'message': f'{failure.reason.message} {failure.detail}'.rstrip(),
+        'code': failure.reason.name,
         'reason': failure.reason.message,
         'detail': failure.detail,
         'outcome': failure.outcome.value,
--- a/galenahatch/serving.py
+++ b/galenahatch/serving.py
@@ -81,6 +81,7 @@
         return [
             web.post('/v1/completions', self._completion),
             web.post('/v1/chat/completions', self._chat),
+            web.get('/v1/models', self._models),
             web.route('*', '/v1/services/{name}/{tail:.*}', self._service),
         ]
 
@@ -118,6 +119,17 @@
     async def _chat(self, request: web.Request) -> web.StreamResponse:
         return await self._counted(request, self._model, True)
 
+    async def _models(self, request: web.Request) -> web.StreamResponse:
+        """List the models for a known caller."""
+        none = ids.RequestId('')
+        settings = self._config.mine()
+        if self.closed or settings is None:
+            return answers.refusal_of(self._unavailable(request), none)
+        caller = inbound.read_caller(request.headers, settings)
+        if isinstance(caller, errors.Failure):
+            return answers.refusal_of(caller, none)
+        return answers.response_of(answers.models(settings), none)
+
     async def _service(self, request: web.Request) -> web.StreamResponse:
         return await self._counted(request, self._call, False)
 
