--- a/galenahatch/core/generations.py
+++ b/galenahatch/core/generations.py
@@ -40,8 +40,8 @@
         output: predicted tokens of the answer; set by the dispatcher.
         returned: whether it was refused before, with a time to come back;
             set by the dispatcher.
-        kept: whether it is to be served, late if need be, before all that
-            came after it; set by the dispatcher.
+        kept: whether it is to be served before all that came after it, or
+            last once it has become late; set by the dispatcher.
     """
 
     stream: ids.StreamId
