Plain upstreams that fail are known to all gateways, and have no quota

Two of three upstreams of the plain service reset a third of their requests for five seconds.

Change: outcomes of sends go to the owner with the beats, the sums come back with its answers. What an upstream fails beyond its best sibling, less one standard deviation, is added to its load; ejection, its limit and its timers are gone. Requests that may be repeated avoid it half as much, so they find out when it is well. A caller that leaves no longer counts as a failure of the upstream. Balancer and exchange forget upstreams that are gone (nothing called `forget` before).

--- a/galenahatch/core/balance.py
+++ b/galenahatch/core/balance.py
@@ -13,75 +13,44 @@
 """Choice of an upstream of a plain service by one VM, on its own.
 
 Each VM sees its own requests in flight and the load that each answer tells.
-Upstreams whose answers fail much more often than those of their siblings,
-or that are silent, are left alone for a while and tried again gently; never
-more than half of them at once, since all of them failing alike says more
-about the requests than about the upstreams.
+An upstream whose answers fail more often than those of its best sibling
+(`core/outliers`) counts as busier than it is, by so much that it is used
+only when its siblings are full. There is no limit on how many are avoided
+so: if all fail alike, nobody is, and as long as one serves well it is better
+than those that don't. Requests that may be repeated avoid it less, so they
+find out when it is well again.
 """
 
-import collections
 import dataclasses
 import random
 import typing
 
+from galenahatch.core import outliers
 from galenahatch.core import upstreams
 from galenahatch import ids
 
-_OUTCOMES: typing.Final = 20
-"""Newest outcomes of each upstream that are compared."""
-_LEAST_OUTCOMES: typing.Final = 6
-_WORSE_BY: typing.Final = 0.3
-"""Share of errors over that of the siblings at which an upstream is left
-alone; ordinary error shares of the users' services reach 0.15."""
-_SILENCES: typing.Final = 2
-"""Failures to connect or to answer in time, in a row, that suffice."""
-_BROKEN_FIRST: typing.Final = 0.5
-"""Seconds for which an upstream is left alone after it broke a fresh
-connection off without an answer, doubled with each further one in a row. It
-looks idle and draws what its siblings would serve: one of three that went
-down and up for five seconds lost 575 requests of 80 VMs, each of which
-waited for six outcomes before it drew a conclusion."""
-_ALONE_FIRST: typing.Final = 1.0
-_ALONE_MOST: typing.Final = 4.0
+_AVOID_ONCE: typing.Final = 12.0
+"""Load, in parts of an upstream's slots, that a share of failures of 1 is
+worth to a request that may run only once. One that loses a fifth of its
+requests is used when its siblings have a queue of twice their slots, some 45
+ms at the users' services."""
+_AVOID_REPEATABLE: typing.Final = 6.0
+"""The same for a request that a second upstream may run."""
+_AVOIDED: typing.Final = 0.1
+"""Excess of failures from which on an upstream is called avoided in logs:
+more than a queue of its slots."""
 _LOAD_LIFE: typing.Final = 1.0
 """Seconds for which the load that an answer tells is believed."""
 _AWAY: typing.Final = 0.2
 """Weight, in requests, of an upstream in another data centre."""
 
 
-class Outcome(typing.NamedTuple):
-    """How a send ended, as far as the upstream's health goes.
-
-    Attributes:
-        good: whether it was answered, and without an error.
-        silent: whether nothing at all was heard.
-        broken: whether a fresh connection ended without an answer; on a
-            kept one that may be its age.
-    """
-
-    good: bool
-    silent: bool = False
-    broken: bool = False
-
-
 @dataclasses.dataclass
 class _State:
     in_flight: int = 0
     told: int = 0
     told_at: float = -1e9
-    outcomes: collections.deque[bool] = dataclasses.field(
-        default_factory=lambda: collections.deque(maxlen=_OUTCOMES)
-    )
-    silences: int = 0
-    breaks: int = 0
-    ejections: int = 0
-    alone_until: float = 0.0
-
-    @property
-    def error_share(self) -> float:
-        if len(self.outcomes) < _LEAST_OUTCOMES:
-            return 0.0
-        return self.outcomes.count(False) / len(self.outcomes)
+    avoided: bool = False
 
 
 class Balancer:
@@ -98,56 +67,68 @@
         self._random = random_source
         self._data_centre = data_centre
         self._states: dict[ids.UpstreamId, _State] = {}
+        self.outliers = outliers.Outliers()
 
     def choose(
         self,
         candidates: typing.Sequence[upstreams.Upstream],
         avoid: typing.Container[ids.UpstreamId],
         now: float,
+        repeatable: bool = False,
     ) -> upstreams.Upstream | None:
-        """Return the least loaded upstream that is well, if there is one."""
+        """Return the upstream that is likely to answer soonest and well."""
         allowed = [c for c in candidates if c.id not in avoid]
         if not allowed:
             return None
-        well = [c for c in allowed if self._state(c.id).alone_until <= now]
-        return min(well or allowed, key=lambda c: self._cost(c, now))
+        weight = _AVOID_REPEATABLE if repeatable else _AVOID_ONCE
+        shares = [self.outliers.share(c.id, now) for c in allowed]
+        usual = min(share.likely for share in shares)
+
+        def cost(at: int) -> tuple[float, float]:
+            excess = max(0.0, shares[at].least - usual)
+            load = self._load(allowed[at], now)
+            return load + weight * excess, self._random.random()
+
+        return allowed[min(range(len(allowed)), key=cost)]
 
     def begin(self, upstream: ids.UpstreamId) -> None:
         """Note a request that is sent."""
         self._state(upstream).in_flight += 1
 
+    def left(self, upstream: ids.UpstreamId) -> None:
+        """Note a send whose caller left: it tells nothing of the upstream."""
+        state = self._state(upstream)
+        state.in_flight = max(0, state.in_flight - 1)
+
     def end(
         self,
         upstream: ids.UpstreamId,
-        outcome: Outcome,
+        good: bool,
         siblings: typing.Sequence[upstreams.Upstream],
         now: float,
-    ) -> bool:
-        """Note how it ended; return whether the upstream is ejected now."""
+    ) -> bool | None:
+        """Note how a send ended.
+
+        Args:
+            upstream: that it went to.
+            good: whether it was answered, and without an error.
+            siblings: all upstreams of the service.
+            now: monotonic seconds.
+
+        Returns:
+            whether the upstream is avoided, if that has changed; else None.
+        """
+        self.left(upstream)
+        self.outliers.note(upstream, good, now)
+        shares = [self.outliers.share(s.id, now) for s in siblings]
+        usual = min((share.likely for share in shares), default=0.0)
+        excess = self.outliers.share(upstream, now).least - usual
+        avoided = excess > _AVOIDED
         state = self._state(upstream)
-        state.in_flight = max(0, state.in_flight - 1)
-        state.outcomes.append(outcome.good)
-        if outcome.good:
-            state.silences = 0
-            state.breaks = 0
-            if state.error_share < _WORSE_BY:
-                state.ejections = 0
-            return False
-        state.silences = state.silences + 1 if outcome.silent else 0
-        others = [s.id for s in siblings if s.id != upstream]
-        if self._is_worse(state, others):
-            wait = _ALONE_FIRST * 2**state.ejections
-            if not self._eject(state, others, wait, now):
-                return False
-            state.ejections += 1
-            state.outcomes.clear()
-            state.silences = 0
-            return True
-        if not outcome.broken:
-            return False
-        wait = _BROKEN_FIRST * 2**state.breaks
-        state.breaks += 1
-        return self._eject(state, others, wait, now)
+        if avoided == state.avoided:
+            return None
+        state.avoided = avoided
+        return avoided
 
     def told_load(
         self, upstream: ids.UpstreamId, load: int, now: float
@@ -159,43 +140,19 @@
 
     def forget(self, known: typing.Container[ids.UpstreamId]) -> None:
         """Drop upstreams that are gone."""
+        self.outliers.forget(known)
         for gone in [key for key in self._states if key not in known]:
             del self._states[gone]
 
-    def _is_worse(
-        self, state: _State, others: typing.Sequence[ids.UpstreamId]
-    ) -> bool:
-        if state.silences >= _SILENCES:
-            return True
-        shares = [self._state(other).error_share for other in others]
-        usual = sorted(shares)[len(shares) // 2] if shares else 0.0
-        return state.error_share > usual + _WORSE_BY
-
-    def _eject(
-        self,
-        state: _State,
-        others: typing.Sequence[ids.UpstreamId],
-        wait: float,
-        now: float,
-    ) -> bool:
-        """Leave an upstream alone, unless half of them are already."""
-        out = sum(1 for o in others if self._state(o).alone_until > now)
-        if 2 * (out + 1) > len(others) + 1:
-            return False
-        state.alone_until = now + min(wait, _ALONE_MOST)
-        return True
-
-    def _cost(
-        self, upstream: upstreams.Upstream, now: float
-    ) -> tuple[float, float]:
+    def _load(self, upstream: upstreams.Upstream, now: float) -> float:
+        """Return the load in parts of the upstream's slots."""
         state = self._state(upstream.id)
         load = float(state.in_flight)
         if now - state.told_at < _LOAD_LIFE:
             load = max(load, load * 0.5 + state.told)
         if upstream.data_centre != self._data_centre:
             load += _AWAY
-        slots = max(1, upstream.slots)
-        return load / slots, self._random.random()
+        return load / max(1, upstream.slots)
 
     def _state(self, upstream: ids.UpstreamId) -> _State:
         state = self._states.get(upstream)
--- a/galenahatch/gateway/mesh.py
+++ b/galenahatch/gateway/mesh.py
@@ -35,6 +35,7 @@
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import instruments
 from galenahatch.gateway import messages
+from galenahatch.gateway import outcomes
 from galenahatch import ids
 from galenahatch import logs
 from galenahatch.platform import store as stores
@@ -93,6 +94,7 @@
         port: where this gateway listens for others.
         data_centre: of this VM.
         directory: what this gateway knows.
+        exchange: what sends to plain upstreams came to.
         handler: called with each message and the member that sent it.
         background: where its tasks run.
     """
@@ -104,6 +106,7 @@
         port: int,
         data_centre: ids.DataCentre,
         directory: directories.Directory,
+        exchange: outcomes.Exchange,
         handler: Handler,
         background: tasks.Tasks,
     ) -> None:
@@ -111,6 +114,7 @@
         self._port = port
         self._data_centre = data_centre
         self._directory = directory
+        self._exchange = exchange
         self._handler = handler
         self._tasks = background
         self._incarnation = clock.incarnation()
@@ -269,7 +273,10 @@
             self._directory.upstreams_ver,
             self.leaving,
             self.held(),
+            self._exchange.take_new(),
         )
+        if self._members.owner(self.leaving, now) == self.me:
+            self._exchange.decides()
         live = 0
         for name in self._members.ordered():
             if live >= _CANDIDATES:
@@ -323,6 +330,7 @@
                 message.leaving,
                 message.incarnation,
             )
+            self._exchange.take(message.outcomes)
             self.reply(
                 message.member,
                 messages.BeatBack(
@@ -334,6 +342,7 @@
                     self._directory.hears_store,
                     self.size,
                     self.figures(),
+                    self._exchange.sums(),
                 ),
             )
             self._compare(message)
@@ -354,6 +363,8 @@
                 name, clock.now(), message.leaving, message.incarnation
             )
             self._members.told(name, message.hears_store, message.members)
+            if name == self._members.owner(self.leaving, clock.now()):
+                self._exchange.hear(message.outcomes)
             self._compare(message)
             self._handler(name, message)
             return
--- a/galenahatch/gateway/messages.py
+++ b/galenahatch/gateway/messages.py
@@ -50,6 +50,14 @@
     since: float
 
 
+class Outcomes(msgspec.Struct, frozen=True, array_like=True):
+    """What sends to a plain upstream came to; the newest count most."""
+
+    upstream: ids.UpstreamId
+    sends: float
+    failures: float
+
+
 class Beat(Message, frozen=True, array_like=True, tag=True):
     """A sign of life, with all that its sender runs.
 
@@ -60,6 +68,7 @@
         upstreams: version of the store up to which it knows upstreams.
         leaving: whether it stops.
         held: what it runs.
+        outcomes: of its sends since the last beat.
     """
 
     member: ids.MemberId
@@ -68,6 +77,7 @@
     upstreams: int
     leaving: bool
     held: tuple[Held, ...] = ()
+    outcomes: tuple[Outcomes, ...] = ()
 
 
 class Figures(msgspec.Struct, frozen=True, array_like=True):
@@ -96,6 +106,7 @@
         hears_store: whether its sender follows the store without trouble.
         members: gateways that it knows of.
         figures: of each service that it decides for.
+        outcomes: of the sends of all gateways that beat to it.
     """
 
     member: ids.MemberId
@@ -106,6 +117,7 @@
     hears_store: bool = False
     members: int = 1
     figures: tuple[Figures, ...] = ()
+    outcomes: tuple[Outcomes, ...] = ()
 
 
 class Place(Message, frozen=True, array_like=True, tag=True):
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -33,6 +33,7 @@
 from galenahatch.gateway import means as means_module
 from galenahatch.gateway import mesh as meshes
 from galenahatch.gateway import orders
+from galenahatch.gateway import outcomes
 from galenahatch.gateway import ownership as ownerships
 from galenahatch.gateway import reports
 from galenahatch.gateway import sender as senders
@@ -76,6 +77,14 @@
 
     async def start(self) -> None:
         """Open all parts and listen."""
+        self._open()
+        await self._listen()
+        self._run()
+        self._on_signals()
+        settings = self._settings
+        _log.info('Listening.', vm=settings.name, front=str(settings.front))
+
+    def _open(self) -> None:
         settings = self._settings
         self._client = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
@@ -90,16 +99,21 @@
         self._ownership = ownerships.Ownership(
             self._directory, settings.data_centre
         )
+        self._balancer = balance.Balancer(clock.RANDOM, settings.data_centre)
+        self._exchange = outcomes.Exchange(self._balancer.outliers)
         self._mesh = meshes.Mesh(
             self._store,
             settings.address,
             settings.peer_port,
             settings.data_centre,
             self._directory,
+            self._exchange,
             self._ownership.take,
             self._background,
         )
-        await self._listen()
+
+    def _run(self) -> None:
+        """Start the tasks that go on until the end."""
         self._directory.run()
         self._mesh.run()
         self._ownership.run(self._mesh, self._background)
@@ -112,11 +126,9 @@
             self._ownership.owner,
             self._directory,
             self._sender,
-            settings.bounds.lease,
+            self._settings.bounds.lease,
         ).run(self._background)
-        self._background.keep('members', self._count_members)
-        self._on_signals()
-        _log.info('Listening.', vm=settings.name, front=str(settings.front))
+        self._background.keep('members', self._look_around)
 
     async def _listen(self) -> None:
         settings = self._settings
@@ -128,7 +140,7 @@
             means_module.Means(
                 directory=self._directory,
                 sender=self._sender,
-                balancer=balance.Balancer(clock.RANDOM, settings.data_centre),
+                balancer=self._balancer,
                 budget=self._budget,
                 ownership=self._ownership,
                 tasks=self._background,
@@ -152,9 +164,13 @@
                 reuse_address=True,
             )
 
-    async def _count_members(self) -> None:
+    async def _look_around(self) -> None:
+        """Note how many gateways there are, and which upstreams are gone."""
         while True:
             self._budget.set_members(self._mesh.size)
+            known = self._directory.registry.known
+            self._balancer.forget(known)
+            self._exchange.forget(known)
             await asyncio.sleep(_MEMBERS_EVERY)
 
     def _on_signals(self) -> None:
--- a/galenahatch/gateway/plain.py
+++ b/galenahatch/gateway/plain.py
@@ -22,7 +22,6 @@
 import typing
 
 from galenahatch import clock
-from galenahatch.core import balance
 from galenahatch.core import fate
 from galenahatch.core import routes
 from galenahatch.core import upstreams
@@ -111,7 +110,9 @@
     def _choose(self) -> upstreams.Upstream | None:
         now = clock.now()
         usable = self._means.directory.registry.usable(self._service, now)
-        chosen = self._means.balancer.choose(usable, self._avoid, now)
+        chosen = self._means.balancer.choose(
+            usable, self._avoid, now, self._route.repeatable
+        )
         if chosen is None:
             self._detail = f'{len(usable)} usable, {len(self._avoid)} tried'
         return chosen
@@ -143,11 +144,24 @@
             else:
                 await self._read(answer, attempt)
         finally:
+            seconds = clock.now() - began
             if attempt.lost is None and attempt.whole is None:
-                attempt.lost = senders.Lost(fate.Fate.UNCERTAIN, 'left')
-            self._note(attempt, clock.now() - began)
+                self._abandon(upstream.id, seconds)
+            else:
+                self._note(attempt, seconds)
         return attempt
 
+    def _abandon(self, upstream: ids.UpstreamId, seconds: float) -> None:
+        """Note a send whose caller left."""
+        self._sends.end(fate.Fate.UNCERTAIN)
+        self._means.balancer.left(upstream)
+        _log.info(
+            'Caller left.',
+            request=self._call.id,
+            upstream=upstream,
+            seconds=seconds,
+        )
+
     async def _read(self, answer: senders.Answer, attempt: _Attempt) -> None:
         body = await answer.body()
         whole = body is not None and not answer.head.encoded
@@ -193,18 +207,22 @@
         if head is not None and head.load is not None:
             self._means.balancer.told_load(attempt.upstream, head.load, now)
         good = lost is None and head is not None and head.status < 500
-        silent = lost is not None and lost.silent
-        fresh = not self._route.repeatable
-        broken = fresh and lost is not None and lost.broken
         registry = self._means.directory.registry
-        ejected = self._means.balancer.end(
+        avoided = self._means.balancer.end(
             attempt.upstream,
-            balance.Outcome(good, silent, broken),
+            good,
             registry.usable(self._service, now),
             now,
         )
-        if ejected:
-            _log.warning('Upstream ejected.', upstream=attempt.upstream)
+        if avoided is None:
+            return
+        _log.warning(
+            'Upstream avoided.' if avoided else 'Upstream used again.',
+            upstream=attempt.upstream,
+            share=self._means.balancer.outliers.share(
+                attempt.upstream, now
+            ).likely,
+        )
 
     def _judge(self, attempt: _Attempt) -> means_module.Whole | None:
         """Return an answer to pass on; keep one that may be bettered."""
--- a/galenahatch/gateway/sender.py
+++ b/galenahatch/gateway/sender.py
@@ -65,15 +65,11 @@
 
     Attributes:
         fate: what is known of it.
-        silent: whether the upstream said nothing at all.
-        broken: whether the connection ended before an answer began.
         head: of the answer, where there was one.
     """
 
     fate: fate.Fate
     detail: str
-    silent: bool = False
-    broken: bool = False
     head: calls.AnswerHead | None = None
 
 
@@ -195,7 +191,7 @@
             async with asyncio.timeout(timeout):
                 return await self._response.content.readany()
         except asyncio.TimeoutError:
-            return Lost(fate.Fate.UNCERTAIN, 'silent', silent=True)
+            return Lost(fate.Fate.UNCERTAIN, 'silent')
         except http.ERRORS as error:
             detail = f'{type(error).__name__} {error}'
             return Lost(fate.Fate.UNCERTAIN, detail)
@@ -252,11 +248,11 @@
                     timeout=limits,
                 )
         except http.NOT_CONNECTED as error:
-            return Lost(fate.Fate.NOT_SENT, repr(error), silent=True)
+            return Lost(fate.Fate.NOT_SENT, repr(error))
         except asyncio.TimeoutError:
-            return Lost(fate.Fate.UNCERTAIN, 'no answer', silent=True)
+            return Lost(fate.Fate.UNCERTAIN, 'no answer')
         except http.ERRORS as error:
-            return Lost(fate.Fate.UNCERTAIN, repr(error), broken=True)
+            return Lost(fate.Fate.UNCERTAIN, repr(error))
         head = decode(response.status, response.raw_headers)
         return await self._checked(request, response, head)
 
