Ports of tests come from a block that each worker holds; no known red

Cause: not proved; the only failure (entry not ready within 30 s at the set-up of test_openai) left no logs. A port was found free, closed, and bound later by another process: in between another worker's deployment could draw it, or the kernel for a connection that goes out, and the process could not listen, with this symptom.

Change: test/ports: blocks of 200 ports below the kernel's own range, held by their first port for the life of the worker.

Ruled out: equal ports within one deployment (closed before).

--- a/galenahatch/test/deployment.py
+++ b/galenahatch/test/deployment.py
@@ -16,7 +16,6 @@
 Everything started here is ended here, by process id.
 """
 
-import contextlib
 import dataclasses
 import functools
 import hashlib
@@ -25,7 +24,6 @@
 import pathlib
 import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -34,6 +32,8 @@
 from urllib import error as urllib_error
 from urllib import request as urllib_request
 
+from galenahatch.test import ports
+
 TOKEN: typing.Final = 'planner-token'
 OTHER_TOKEN: typing.Final = 'officer-token'
 START_SECONDS: typing.Final = 30.0
@@ -59,23 +59,6 @@
 )
 
 
-def free_ports(count: int, address: str = '127.0.0.1') -> list[int]:
-    """Return ports that are free, and differ: all are held at once."""
-    with contextlib.ExitStack() as stack:
-        held = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for one in held:
-            one.bind((address, 0))
-        return [int(one.getsockname()[1]) for one in held]
-
-
-def free_port(address: str = '127.0.0.1') -> int:
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((address, 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 def call(
     method: str,
     url: str,
@@ -193,7 +176,7 @@
         net = random.SystemRandom().randrange(1, 200)
         self.addresses = [f'127.0.{net}.{i + 1}' for i in range(vms)]
         names = ('entry', 'scheduler', 'scheduler_http', 'controller')
-        self.ports = dict(zip(names, free_ports(len(names)), strict=True))
+        self.ports = {name: ports.free() for name in names}
         self.stand_ins: dict[str, Process] = {}
         self.urls: dict[str, str] = {}
         self.daemons: dict[str, Process] = {}
@@ -275,7 +258,7 @@
 
     def add_stand_in(self, name: str, command: list[str]) -> None:
         """Start a stand-in and remember its URL."""
-        port = free_port()
+        port = ports.free()
         args = [
             'galenahatch.test.standin.main',
             command[0],
--- a/galenahatch/test/fleet.py
+++ b/galenahatch/test/fleet.py
@@ -25,7 +25,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -36,6 +35,7 @@
 from aiohttp import web
 import msgspec
 
+from galenahatch.test import ports
 from galenahatch.test.standin import rows
 from galenahatch.test.standin import upstreams
 
@@ -67,15 +67,6 @@
         return self.status == 200 and self.whole
 
 
-def free_port(address: str) -> int:
-    """Return a port that is free at an address."""
-    with socket.socket() as probe:
-        probe.bind((address, 0))
-        port = probe.getsockname()[1]
-        assert isinstance(port, int)
-        return port
-
-
 def configuration(version: int = 1) -> dict[str, typing.Any]:
     """Return a configuration with a route of each kind."""
     engine = {
@@ -152,8 +143,8 @@
         number = next(_VMS)
         high, low = divmod(number, 250)
         self.address = f'127.1.{high % 250}.{low + 1}'
-        self.front = free_port(self.address)
-        self.ready_port = free_port(self.address)
+        self.front = ports.free(self.address)
+        self.ready_port = ports.free(self.address)
         self._store = store
         self.settings_file = folder / f'{self.address}.json'
         self.log = folder / f'{self.address}.log'
@@ -283,7 +274,7 @@
         store = rows.Store()
         self._runner = web.AppRunner(store.app(), shutdown_timeout=0.1)
         await self._runner.setup()
-        port = free_port('127.0.0.1')
+        port = ports.free()
         await web.TCPSite(self._runner, '127.0.0.1', port).start()
         self.address = f'127.0.0.1:{port}'
         return store
