One feed asks while the store is away, and many gateways ask less often

Change: feeds of a gateway share what they know of an outage: one asks, the others wait for it. The longest pause grows with the members, but for the first two of the order, which the others hear from.

Ruled out: only the first two ask (nobody would hear the store when just these are cut off from it).

--- a/galenahatch/core/members.py
+++ b/galenahatch/core/members.py
@@ -154,13 +154,25 @@
         member.incarnation = incarnation or member.incarnation
         member.take_order(order)
 
-    def told(self, name: ids.MemberId, hears_store: bool, size: int) -> None:
-        """Note what a member that is asked often tells of itself."""
+    def told_size(self, size: int) -> None:
+        """Note how many members one that is asked often knows of."""
         self._told_size = size
+
+    def told_store(self, name: ids.MemberId, hears_store: bool) -> None:
+        """Note whether a member hears the store."""
         member = self.known.get(name)
         if member is not None:
             member.hears_store = hears_store
 
+    def hearing(self, now: float) -> ids.MemberId | None:
+        """Return the first member beside this one that hears the store."""
+        for name in self.ordered():
+            if name == self._me or not self.known[name].hears_store:
+                continue
+            if self.is_live(name, now):
+                return name
+        return None
+
     def suspect(self, name: ids.MemberId) -> None:
         """Count a member as away until it is heard again."""
         member = self.known.get(name)
--- a/galenahatch/gateway/directory.py
+++ b/galenahatch/gateway/directory.py
@@ -21,9 +21,7 @@
 wherever it comes, so no delayed answer brings an older one back.
 """
 
-import asyncio
 import collections.abc
-import random
 import typing
 import zlib
 
@@ -31,7 +29,7 @@
 from galenahatch.core import routes
 from galenahatch.core import upstreams
 from galenahatch import errors
-from galenahatch.gateway import instruments
+from galenahatch.gateway import follower as followers
 from galenahatch.gateway import messages
 from galenahatch import ids
 from galenahatch import logs
@@ -39,122 +37,9 @@
 from galenahatch.platform import store as stores
 from galenahatch import tasks
 
-FEED_WAIT: typing.Final = 3.0
-"""Seconds for which a feed call waits at the store. Calls are paid for; but
-a call that began when the store fell silent ends only then, and a change
-must be in force about five seconds after the store is back."""
-_FIRST_PAUSE: typing.Final = 0.15
-_LONGEST_PAUSE: typing.Final = 0.8
-"""Seconds between tries while the store fails: each refused call is paid
-for, and a configuration must be in force about two seconds after the store
-is back."""
-GATHER: typing.Final = 0.2
-"""Seconds between two calls of a feed that brings changes: those that come
-close together, as when all upstreams start, cost one call. A tenth of the
-shortest bound on a change."""
 _HEARD_SLACK: typing.Final = 1.0
-_IDLE_CHECK: typing.Final = 0.25
 _log = logs.Log('directory')
 
-TakeAll = collections.abc.Callable[[list[stores.Row], int], None]
-TakeSome = collections.abc.Callable[[list[stores.Row], int], None]
-
-
-class Follower:
-    """Follows one table of the store.
-
-    Args:
-        store: to read.
-        table: its name.
-        take_all: called with all rows after a reading.
-        take_some: called with the rows that changed.
-        gather: seconds between two calls that bring changes.
-        idle: whether peers tell what the feed would.
-    """
-
-    def __init__(
-        self,
-        store: stores.Store,
-        table: str,
-        take_all: TakeAll,
-        take_some: TakeSome,
-        gather: float = GATHER,
-        idle: collections.abc.Callable[[], bool] = lambda: False,
-    ) -> None:
-        self._gather = gather
-        self._idle = idle
-        self._store = store
-        self._table = table
-        self._take_all = take_all
-        self._take_some = take_some
-        self._ver = -1
-        self._pause = 0.0
-        self._failed_at = 0.0
-        self.heard_at = -1e9
-
-    @property
-    def ver(self) -> int:
-        """Version of the store up to which the table was read."""
-        return self._ver
-
-    async def run(self) -> None:
-        """Follow for ever."""
-        while True:
-            while self._ver >= 0 and self._idle():
-                await asyncio.sleep(_IDLE_CHECK)
-            found = await self._read()
-            if isinstance(found, errors.Failure):
-                await self._failed(found)
-                continue
-            self._well()
-            if found.rows:
-                await asyncio.sleep(self._gather)
-
-    async def _read(self) -> stores.Rows | errors.Failure:
-        if self._ver < 0:
-            found = await self._store.rows(self._table)
-            if not isinstance(found, errors.Failure):
-                self._ver = found.ver
-                self._take_all(found.rows, found.ver)
-            return found
-        # After a failure, ask whether the store is back, and do not wait.
-        wait = 0.0 if self._pause else FEED_WAIT
-        found = await self._store.changes(self._table, self._ver, wait)
-        if isinstance(found, errors.Failure):
-            if found.reason is errors.HISTORY_GONE:
-                _log.info('History gone, reading again.', table=self._table)
-                self._ver = -1
-            return found
-        self._ver = max(self._ver, found.ver)
-        if found.rows:
-            self._take_some(found.rows, found.ver)
-        return found
-
-    def _well(self) -> None:
-        if self._pause:
-            _log.info(
-                'Store regained.',
-                table=self._table,
-                away=clock.now() - self._failed_at,
-            )
-        self._pause = 0.0
-        self.heard_at = clock.now()
-
-    async def _failed(self, failure: errors.Failure) -> None:
-        if failure.reason is errors.HISTORY_GONE:
-            return
-        if not self._pause:
-            self._failed_at = clock.now()
-            instruments.store_losses.add(1)
-            _log.warning(
-                'Store lost.',
-                table=self._table,
-                reason=failure.reason.name,
-                detail=failure.detail,
-            )
-        self._pause = min(max(_FIRST_PAUSE, 2 * self._pause), _LONGEST_PAUSE)
-        await asyncio.sleep(self._pause * random.uniform(0.7, 1.3))
-
 
 class Directory:
     """Configuration and upstreams in force on this VM.
@@ -181,15 +66,18 @@
         self.registry = upstreams.Registry(drain)
         self.upstreams_ver = -1
         self.fed_by_peers: collections.abc.Callable[[], bool] = lambda: False
-        self._config_feed = Follower(
+        self.outage = followers.Outage()
+        self._config_feed = followers.Follower(
             store,
+            self.outage,
             documents.CONFIG_TABLE,
             self._take_config,
             self._take_config,
             idle=lambda: self.ready and self.fed_by_peers(),
         )
-        self._upstream_feed = Follower(
+        self._upstream_feed = followers.Follower(
             store,
+            self.outage,
             documents.UPSTREAM_TABLE,
             self._take_upstreams,
             self._take_changes,
@@ -217,7 +105,7 @@
         heard_at = min(
             self._config_feed.heard_at, self._upstream_feed.heard_at
         )
-        return clock.now() - heard_at < FEED_WAIT + _HEARD_SLACK
+        return clock.now() - heard_at < followers.FEED_WAIT + _HEARD_SLACK
 
     def on_change(self, listener: collections.abc.Callable[[], None]) -> None:
         """Call a function after each change."""
--- /dev/null
+++ b/galenahatch/gateway/follower.py
@@ -0,0 +1,199 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Feeds of the store's tables.
+
+A feed brings changes as they are made; when the store has dropped the
+history that a feed needs, the table is read again.
+
+While the store does not answer, one feed of this gateway asks whether it is
+back and the others wait for it. Gateways that others would tell of changes
+ask less often the more of them there are: together they still ask several
+times a second. Eighty that asked with each feed made 4,000 calls in eight
+seconds, each of them paid for, and a load on a store that was coming back.
+"""
+
+import asyncio
+import collections.abc
+import random
+import typing
+
+from galenahatch import clock
+from galenahatch import errors
+from galenahatch.gateway import instruments
+from galenahatch import logs
+from galenahatch.platform import store as stores
+
+FEED_WAIT: typing.Final = 3.0
+"""Seconds for which a feed call waits at the store. Calls are paid for; but
+a call that began when the store fell silent ends only then, and a change
+must be in force about five seconds after the store is back."""
+_FIRST_PAUSE: typing.Final = 0.15
+LONGEST_PAUSE: typing.Final = 0.8
+"""Seconds between tries while the store fails: each refused call is paid
+for, and a configuration must be in force about two seconds after the store
+is back."""
+GATHER: typing.Final = 0.2
+"""Seconds between two calls of a feed that brings changes: those that come
+close together, as when all upstreams start, cost one call. A tenth of the
+shortest bound on a change."""
+_IDLE_CHECK: typing.Final = 0.25
+_log = logs.Log('directory')
+
+_JITTER: typing.Final = (0.7, 1.3)
+
+TakeAll = collections.abc.Callable[[list[stores.Row], int], None]
+TakeSome = collections.abc.Callable[[list[stores.Row], int], None]
+
+
+class Outage:
+    """What the feeds of a gateway know of a store that does not answer.
+
+    Attributes:
+        longest_pause: tells the seconds between two questions at the most.
+    """
+
+    def __init__(self) -> None:
+        self._asking: Follower | None = None
+        self._pause = 0.0
+        self._over = asyncio.Event()
+        self.longest_pause: collections.abc.Callable[[], float] = lambda: (
+            LONGEST_PAUSE
+        )
+
+    async def wait(self, feed: 'Follower') -> None:
+        """Return when a feed whose call failed should call again."""
+        if self._asking not in (None, feed):
+            await self._wait_for_other()
+            return
+        self._asking = feed
+        longest = self.longest_pause()
+        self._pause = min(max(_FIRST_PAUSE, 2 * self._pause), longest)
+        await asyncio.sleep(self._pause * random.uniform(*_JITTER))
+
+    def answered(self, feed: 'Follower') -> None:
+        """Note that a feed's call was answered, or that it calls no more."""
+        if self._asking is not feed:
+            return
+        self._asking = None
+        self._pause = 0.0
+        self._over.set()
+        self._over = asyncio.Event()
+
+    async def _wait_for_other(self) -> None:
+        # Only a part of the store may be away: not for ever.
+        try:
+            async with asyncio.timeout(2 * self.longest_pause()):
+                await self._over.wait()
+        except asyncio.TimeoutError:
+            return
+
+
+class Follower:
+    """Follows one table of the store.
+
+    Args:
+        store: to read.
+        outage: shared by all feeds of the gateway.
+        table: its name.
+        take_all: called with all rows after a reading.
+        take_some: called with the rows that changed.
+        gather: seconds between two calls that bring changes.
+        idle: whether peers tell what the feed would.
+    """
+
+    def __init__(
+        self,
+        store: stores.Store,
+        outage: Outage,
+        table: str,
+        take_all: TakeAll,
+        take_some: TakeSome,
+        gather: float = GATHER,
+        idle: collections.abc.Callable[[], bool] = lambda: False,
+    ) -> None:
+        self._gather = gather
+        self._idle = idle
+        self._store = store
+        self._outage = outage
+        self._table = table
+        self._take_all = take_all
+        self._take_some = take_some
+        self._ver = -1
+        self._away = False
+        self._failed_at = 0.0
+        self.heard_at = -1e9
+
+    @property
+    def ver(self) -> int:
+        """Version of the store up to which the table was read."""
+        return self._ver
+
+    async def run(self) -> None:
+        """Follow for ever."""
+        while True:
+            while self._ver >= 0 and self._idle():
+                self._outage.answered(self)
+                await asyncio.sleep(_IDLE_CHECK)
+            found = await self._read()
+            if isinstance(found, errors.Failure):
+                await self._failed(found)
+                continue
+            self._well()
+            if found.rows:
+                await asyncio.sleep(self._gather)
+
+    async def _read(self) -> stores.Rows | errors.Failure:
+        if self._ver < 0:
+            found = await self._store.rows(self._table)
+            if not isinstance(found, errors.Failure):
+                self._ver = found.ver
+                self._take_all(found.rows, found.ver)
+            return found
+        # After a failure, ask whether the store is back, and do not wait.
+        wait = 0.0 if self._away else FEED_WAIT
+        found = await self._store.changes(self._table, self._ver, wait)
+        if isinstance(found, errors.Failure):
+            if found.reason is errors.HISTORY_GONE:
+                _log.info('History gone, reading again.', table=self._table)
+                self._ver = -1
+            return found
+        self._ver = max(self._ver, found.ver)
+        if found.rows:
+            self._take_some(found.rows, found.ver)
+        return found
+
+    def _well(self) -> None:
+        if self._away:
+            _log.info(
+                'Store regained.',
+                table=self._table,
+                away=clock.now() - self._failed_at,
+            )
+        self._away = False
+        self._outage.answered(self)
+        self.heard_at = clock.now()
+
+    async def _failed(self, failure: errors.Failure) -> None:
+        if failure.reason is errors.HISTORY_GONE:
+            return
+        if not self._away:
+            self._away = True
+            self._failed_at = clock.now()
+            instruments.store_losses.add(1)
+            _log.warning(
+                'Store lost.',
+                table=self._table,
+                reason=failure.reason.name,
+                detail=failure.detail,
+            )
+        await self._outage.wait(self)
--- /dev/null
+++ b/galenahatch/gateway/roster.py
@@ -0,0 +1,213 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""The rows of members in the store.
+
+Each gateway writes one row at its start, and the version that the store gives
+the write is its place in the order (`core/members`). Those first in the order
+follow the store; all others hear of changes from them.
+"""
+
+import asyncio
+import collections.abc
+import typing
+
+import msgspec
+
+from galenahatch import clock
+from galenahatch.core import members
+from galenahatch import errors
+from galenahatch.gateway import follower as followers
+from galenahatch import ids
+from galenahatch import logs
+from galenahatch.platform import store as stores
+
+MEMBER_TABLE: typing.Final = 'gateways'
+CANDIDATES: typing.Final = 2
+"""Members that each gateway keeps in touch with: the owner, and the next,
+which takes over with what the beats told it."""
+_FORGET_AFTER: typing.Final = 20.0
+"""Seconds of silence after which the owner removes a member's row; longer
+than any restart."""
+_SMALL: typing.Final = 8
+"""Members up to which each follows the store by itself: the calls of so few
+cost less than a beat's delay in hearing of a change."""
+_GATHER: typing.Final = 1.0
+"""Seconds between two looks at changed members; all write at once when a
+deployment starts."""
+_WRITE_PAUSE: typing.Final = 0.5
+_log = logs.Log('mesh')
+
+Dropped = collections.abc.Callable[[ids.MemberId], None]
+
+
+class Introduction(msgspec.Struct, frozen=True):
+    """A member's row."""
+
+    port: int
+    data_centre: str
+
+
+def introduction(row: stores.Row) -> Introduction | None:
+    """Return what a member's row tells; None if it can't be read."""
+    try:
+        return msgspec.json.decode(row.value, type=Introduction)
+    except msgspec.MsgspecError as error:
+        _log.error('Bad member row.', member=row.key, error=str(error))
+        return None
+
+
+class Roster:
+    """Reads and writes the rows of members.
+
+    Args:
+        store: the platform's store.
+        outage: of the store, as all feeds of this gateway see it.
+        me: this member.
+        row: what it writes.
+        dropped: called with each member that is gone.
+
+    Attributes:
+        members: all that are known.
+    """
+
+    def __init__(
+        self,
+        store: stores.Store,
+        outage: followers.Outage,
+        me: ids.MemberId,
+        row: Introduction,
+        dropped: Dropped,
+    ) -> None:
+        self._store = store
+        self._me = me
+        self._row = row
+        self._dropped = dropped
+        self._newest_told = 0
+        self.members = members.Members(me)
+        self.feed = followers.Follower(
+            store,
+            outage,
+            MEMBER_TABLE,
+            self._take_all,
+            self._take_some,
+            gather=_GATHER,
+            idle=self._is_told_all,
+        )
+        outage.longest_pause = self._longest_pause
+
+    # Who follows the store.
+
+    def fed_by_peers(self) -> bool:
+        """Return whether others follow the store for this gateway.
+
+        Those first in the order read the store; all others hear from them,
+        with each beat, what is new, as long as one of them hears the store.
+        """
+        now = clock.now()
+        first = self.members.ordered()[:CANDIDATES]
+        if self._me in first or len(self.members.known) <= _SMALL:
+            return False
+        return any(
+            self.members.is_live(name, now)
+            and self.members.known[name].hears_store
+            for name in first
+        )
+
+    def told(self, order: int) -> None:
+        """Note the place that a member tells to have."""
+        self._newest_told = max(self._newest_told, order)
+
+    def _is_told_all(self) -> bool:
+        """Return whether the rows of members need not be read.
+
+        When many restart at once, a gateway reads some rows of before. Those
+        members tell that they have newer ones; the rest is read then. Without
+        it, 80 gateways asked six owners for four seconds after a loss of
+        power, and these filled the same engines.
+        """
+        return self.fed_by_peers() and self.feed.ver >= self._newest_told
+
+    def _longest_pause(self) -> float:
+        """Return the seconds between two questions to a store that is away.
+
+        Those first in the order ask often, and so do few members.
+        """
+        known = len(self.members.known)
+        if self._me in self.members.ordered()[:CANDIDATES]:
+            known = 0
+        return followers.LONGEST_PAUSE * max(1.0, known / _SMALL)
+
+    # Rows.
+
+    async def join(self) -> None:
+        """Write this member's row; done once it is acknowledged."""
+        value = msgspec.json.encode(self._row)
+        entry = stores.Entry(MEMBER_TABLE, self._me, value=value)
+        while True:
+            written = await self._store.transact(put=[entry])
+            if isinstance(written, stores.Written):
+                self.members.joined(written.ver)
+                _log.info('Joined.', member=self._me, order=written.ver)
+                await asyncio.Event().wait()
+            detail = (
+                written.detail
+                if isinstance(written, errors.Failure)
+                else 'conflict'
+            )
+            _log.warning('Could not join yet.', detail=detail)
+            await asyncio.sleep(_WRITE_PAUSE)
+
+    async def tidy(self) -> None:
+        """Remove the row of a member that is long gone."""
+        now = clock.now()
+        for name, member in self.members.known.items():
+            since = max(member.heard_at, member.found_at)
+            if name == self._me or now - since < _FORGET_AFTER:
+                continue
+            member.found_at = now
+            await self._remove(name, member.order)
+            return
+
+    async def _remove(self, name: ids.MemberId, order: int) -> None:
+        row = stores.Entry(MEMBER_TABLE, name, ver=order)
+        gone = stores.Entry(MEMBER_TABLE, name)
+        result = await self._store.transact([row], remove=[gone])
+        _log.info(
+            'Row of a silent member removed.',
+            member=name,
+            done=isinstance(result, stores.Written),
+        )
+
+    def _take_all(self, rows: list[stores.Row], ver: int) -> None:
+        current = {row.key for row in rows}
+        for name in list(self.members.known):
+            if name not in current:
+                self._drop(name)
+        self._take_some(rows, ver)
+
+    def _take_some(self, rows: list[stores.Row], ver: int) -> None:
+        for row in rows:
+            name = ids.MemberId(row.key)
+            if row.removed:
+                self._drop(name)
+                continue
+            told = introduction(row)
+            if told is None:
+                continue
+            if self.members.put(name, told.port, row.ver, clock.now()):
+                _log.info('Member found.', member=name, order=row.ver)
+
+    def _drop(self, name: ids.MemberId) -> None:
+        self._dropped(name)
+        if self.members.drop(name):
+            _log.info('Member gone.', member=name)
--- a/galenahatch/gatewayctl.py
+++ b/galenahatch/gatewayctl.py
@@ -29,8 +29,8 @@
 from galenahatch import console
 from galenahatch import errors
 from galenahatch.gateway import lease
-from galenahatch.gateway import mesh
 from galenahatch.gateway import node
+from galenahatch.gateway import roster
 from galenahatch.platform import deployment
 from galenahatch.platform import documents
 from galenahatch.platform import store as stores
@@ -167,7 +167,7 @@
     """Show the gateways in the order in which they decide."""
 
     async def work(client: aiohttp.ClientSession, at: stores.Store) -> int:
-        found = await at.rows(mesh.MEMBER_TABLE)
+        found = await at.rows(roster.MEMBER_TABLE)
         held = await at.rows(lease.TABLE)
         for one in (found, held):
             if isinstance(one, errors.Failure):
@@ -177,7 +177,7 @@
         holder = lease.holder(held)
         rows: list[console.Row] = []
         for row in sorted(found.rows, key=lambda row: row.ver):
-            told = mesh.introduction(row)
+            told = roster.introduction(row)
             where = told.data_centre if told is not None else ''
             up = await _answers(client, row.key)
             rows.append((row.key, where, row.ver, up, row.key == holder))
