An owner without the store has its orders given by another gateway

Change: it asks the first member that hears the store (beats tell), which gives the order under its own lease and fence and tells what came of it. A change that failed is planned again after three seconds in place of never before the next occasion. An engine is left alone from the moment on at which the order is decided.

Found beside it: test_peers_tell_what_the_store_does_not and the soak turned gateways away by the address that they called from, which is the same for all on loopback: nobody was turned away. The stand-in has an address for each gateway now; the test passes, and does what it says.

--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -32,12 +32,14 @@
 from galenahatch.gateway import front as fronts
 from galenahatch.gateway import means as means_module
 from galenahatch.gateway import mesh as meshes
+from galenahatch.gateway import messages
 from galenahatch.gateway import orders
 from galenahatch.gateway import outcomes
 from galenahatch.gateway import ownership as ownerships
 from galenahatch.gateway import reports
 from galenahatch.gateway import sender as senders
 from galenahatch.gateway import settings as settings_module
+from galenahatch import ids
 from galenahatch import logs
 from galenahatch.platform import deployment
 from galenahatch.platform import store as stores
@@ -108,10 +110,29 @@
             settings.data_centre,
             self._directory,
             self._exchange,
-            self._ownership.take,
+            self._take,
             self._background,
         )
 
+        self._orders = orders.Orders(
+            self._store,
+            self._mesh,
+            self._ownership.owner,
+            self._directory,
+            self._sender,
+            settings.bounds.lease,
+            self._background,
+        )
+
+    def _take(
+        self, member: ids.MemberId, message: messages.AnyMessage
+    ) -> None:
+        """Take a message of another gateway."""
+        if isinstance(message, messages.Change | messages.Changed):
+            self._orders.take(member, message)
+        else:
+            self._ownership.take(member, message)
+
     def _run(self) -> None:
         """Start the tasks that go on until the end."""
         self._directory.run()
@@ -120,14 +141,7 @@
         reports.Reports(
             self._directory, self._mesh, self._ownership.owner, self._sender
         ).run(self._background)
-        orders.Orders(
-            self._store,
-            self._mesh,
-            self._ownership.owner,
-            self._directory,
-            self._sender,
-            self._settings.bounds.lease,
-        ).run(self._background)
+        self._orders.run()
         self._background.keep('members', self._look_around)
 
     async def _listen(self) -> None:
--- a/galenahatch/gateway/orders.py
+++ b/galenahatch/gateway/orders.py
@@ -12,8 +12,10 @@
 
 """Orders to engines to change their stage.
 
-Only the owner gives orders, and only while it holds a lease in the store
-(`gateway/lease`).
+The owner decides on orders. Who gives them holds a lease in the store
+(`gateway/lease`): the owner itself, or, while it alone can't reach the
+store, another gateway that it asks. Without that, a service was divided
+wrongly for a whole day, since its owner was cut off as it first looked.
 
 Nothing is believed of an order before the engine's entry tells the new
 stage. Each order names the number of orders that the engine has taken, as
@@ -31,6 +33,7 @@
 from galenahatch.gateway import instruments
 from galenahatch.gateway import lease as leases
 from galenahatch.gateway import mesh as meshes
+from galenahatch.gateway import messages
 from galenahatch.gateway import owner as owners
 from galenahatch.gateway import sender as senders
 from galenahatch import ids
@@ -44,6 +47,8 @@
 _LOST_AFTER: typing.Final = 8.0
 """Seconds beyond the change itself after which an order counts as lost;
 runs of the engine are finished before it changes."""
+_MAYBE_TAKEN: typing.Final = frozenset((0, 200, 202))
+"""Statuses after which an engine may be changing; 0 if there was none."""
 _AFTER_REFUSAL: typing.Final = 3.0
 _log = logs.Log('orders')
 
@@ -58,6 +63,7 @@
         directory: tells how long a change takes.
         sender: for calls to engines.
         lease: seconds between the orders of two holders.
+        background: where its tasks run.
     """
 
     def __init__(
@@ -68,17 +74,19 @@
         directory: directories.Directory,
         sender: senders.Sender,
         lease: float,
+        background: tasks.Tasks,
     ) -> None:
         self._mesh = mesh
         self._owner = owner
         self._directory = directory
         self._sender = sender
         self._lease = leases.Lease(store, mesh.me, lease)
+        self._tasks = background
         self._pause_until = 0.0
 
-    def run(self, background: tasks.Tasks) -> None:
+    def run(self) -> None:
         """Start to give orders whenever this gateway is the owner."""
-        background.keep('orders', self._forever)
+        self._tasks.keep('orders', self._forever)
 
     async def _forever(self) -> None:
         while True:
@@ -98,6 +106,31 @@
                     )
                     await self._change(service, found, engine, stage)
 
+    def take(
+        self, member: ids.MemberId, message: messages.Change | messages.Changed
+    ) -> None:
+        """Take what another gateway asks for, or what came of it."""
+        if isinstance(message, messages.Change):
+            self._tasks.once(self._give_for(member, message))
+            return
+        if message.ordered:
+            return
+        for dispatcher in self._owner.dispatchers.values():
+            if dispatcher.engines.is_awaited(message.engine):
+                self._failed(dispatcher, message.engine, message.stage)
+
+    async def _give_for(
+        self, member: ids.MemberId, wanted: messages.Change
+    ) -> None:
+        """Give an order that another gateway decided on."""
+        engine = self._directory.registry.find(wanted.engine)
+        ordered = False
+        if engine is not None:
+            ordered = await self._give(engine, wanted.stage)
+        self._mesh.reply(
+            member, messages.Changed(wanted.engine, wanted.stage, ordered)
+        )
+
     async def _change(
         self,
         service: ids.ServiceName,
@@ -105,9 +138,35 @@
         engine: upstreams.Upstream,
         stage: upstreams.Stage,
     ) -> None:
+        """Have one engine changed, and leave it alone meanwhile."""
         spec = self._directory.service(service)
         if spec is None or spec.engine is None:
             return
+        lost_at = clock.now() + spec.engine.switch + _LOST_AFTER
+        dispatcher.engines.changing(engine.id, stage, lost_at)
+        other = self._mesh.hearing()
+        if other is not None and not self._directory.hears_store:
+            _log.info('Order passed on.', engine=engine.id, member=other)
+            me = self._mesh.me
+            self._mesh.send(other, messages.Change(me, engine.id, stage))
+        elif not await self._give(engine, stage):
+            self._failed(dispatcher, engine.id, stage)
+
+    def _failed(
+        self,
+        dispatcher: dispatch.Dispatcher,
+        engine: ids.UpstreamId,
+        stage: upstreams.Stage,
+    ) -> None:
+        """Use an engine as it is, and plan again after a while."""
+        dispatcher.engines.changing(engine, stage, clock.now())
+        dispatcher.plan_again()
+        self._pause_until = clock.now() + _AFTER_REFUSAL
+
+    async def _give(
+        self, engine: upstreams.Upstream, stage: upstreams.Stage
+    ) -> bool:
+        """Give an order; return whether the engine may be changing now."""
         report = await self._report(engine)
         if report is None or report.busy:
             _log.info(
@@ -115,18 +174,12 @@
                 engine=engine.id,
                 why='no report' if report is None else 'busy',
             )
-            self._pause_until = clock.now() + _AFTER_REFUSAL
-            return
+            return False
         fence = await self._lease.fence()
         if fence is None:
-            self._pause_until = clock.now() + _AFTER_REFUSAL
-            return
-        lost_at = clock.now() + spec.engine.switch + _LOST_AFTER
-        dispatcher.engines.changing(engine.id, stage, lost_at)
+            return False
         status = await self._send(engine, stage, fence, report.taken)
-        if status not in (0, 200, 202):
-            dispatcher.engines.changing(engine.id, stage, clock.now())
-            self._pause_until = clock.now() + _AFTER_REFUSAL
+        return status in _MAYBE_TAKEN
 
     async def _send(
         self,
--- a/galenahatch/test/fleet.py
+++ b/galenahatch/test/fleet.py
@@ -145,7 +145,7 @@
         self.address = f'127.1.{high % 250}.{low + 1}'
         self.front = ports.free(self.address)
         self.ready_port = ports.free(self.address)
-        self._store = store
+        self.store = store
         self.settings_file = folder / f'{self.address}.json'
         self.log = folder / f'{self.address}.log'
         self._process: subprocess.Popen[bytes] | None = None
@@ -162,7 +162,7 @@
                 'readiness': f'{self.address}:{self.ready_port}',
             },
             'port_range': [7660, 7675],
-            'platform': {'address': self._store, 'form': 'table'},
+            'platform': {'address': self.store, 'form': 'table'},
             'bounds': {'grace_s': 8, 'drain_ms': 2000, 'lease_ms': 300},
             'unknown_field': {'new': True},
             **changed,
@@ -268,16 +268,24 @@
             self.call(upstream.start())
             self.put('servers', upstream.id, upstream.row())
         folder = pathlib.Path(self._folder.name)
-        self.vms = [Vm(self.address, folder) for _ in range(vms)]
+        # The store tells gateways apart by the address that each calls; all
+        # of them call from the same one here.
+        self.vms = [
+            Vm(self.call(self._store_address()), folder) for _ in range(vms)
+        ]
 
     async def _open_store(self) -> rows.Store:
         store = rows.Store()
         self._runner = web.AppRunner(store.app(), shutdown_timeout=0.1)
         await self._runner.setup()
+        self.address = await self._store_address()
+        return store
+
+    async def _store_address(self) -> str:
+        """Serve the store at one more address."""
         port = ports.free()
         await web.TCPSite(self._runner, '127.0.0.1', port).start()
-        self.address = f'127.0.0.1:{port}'
-        return store
+        return f'127.0.0.1:{port}'
 
     def __enter__(self) -> 'Fleet':
         """Start all gateways and wait until they are ready."""
--- a/galenahatch/test/soak.py
+++ b/galenahatch/test/soak.py
@@ -244,7 +244,7 @@
         if what == 'lose':
             store.lose_answers = True
         elif what == 'some':
-            store.turned_away = {self._random.choice(self._fleet.vms).address}
+            store.turned_away = {self._random.choice(self._fleet.vms).store}
             store.mode = 'busy'
         else:
             store.mode = what
--- a/galenahatch/test/standin/rows.py
+++ b/galenahatch/test/standin/rows.py
@@ -15,7 +15,7 @@
 Runs on the event loop of the test harness. `mode` disturbs it: `busy`
 answers 503, `silent` answers nothing, `reset` breaks connections, `garbage`
 answers what is no JSON. `turned_away` limits a disturbance to callers that
-connect from some addresses.
+connect to some of its addresses.
 """
 
 import asyncio
@@ -90,7 +90,7 @@
         self.calls += 1
         if not self.mode:
             return None
-        if self.turned_away and request.remote not in self.turned_away:
+        if self.turned_away and _address(request) not in self.turned_away:
             return None
         if self.mode == 'busy':
             return web.Response(status=503)
@@ -192,3 +192,10 @@
     else:
         shown['value'] = base64.b64encode(row.value).decode()
     return shown
+
+
+def _address(request: web.Request) -> str:
+    """Return the address at which a call came in."""
+    assert request.transport is not None
+    host, port = request.transport.get_extra_info('sockname')
+    return f'{host}:{port}'
--- a/galenahatch/test/test_gateway.py
+++ b/galenahatch/test/test_gateway.py
@@ -366,7 +366,7 @@
 
 def test_peers_tell_what_the_store_does_not(fleet: fleets.Fleet) -> None:
     """A gateway that the store turns away hears of a change from a peer."""
-    fleet.store.turned_away = {fleet.vms[1].address}
+    fleet.store.turned_away = {fleet.vms[1].store}
     fleet.store.mode = 'busy'
     try:
         changed = fleets.configuration(version=100000)
