Connections between gateways that have gone silent are replaced

Change: ZeroMQ's own pings on every connection, every 0.5 s, given up after 1 s.

Ruled out: TCP_MAXRT alone (a relay that acknowledges and drops hides the silence from it).

--- a/galenahatch/bus.py
+++ b/galenahatch/bus.py
@@ -39,6 +39,12 @@
 _RECONNECT_MS: typing.Final = 100
 _RECONNECT_MAX_MS: typing.Final = 2000
 _LINGER_MS: typing.Final = 200
+_PING_EVERY_MS: typing.Final = 500
+_PING_TIMEOUT_MS: typing.Final = 1000
+"""A connection that has gone silent without a reset is replaced after so
+long; nothing else shows that it is dead. Gateways beat every 250 ms and take
+a member for away after 800. Without it they asked different owners for up to
+ten seconds after their connections had gone silent."""
 _DROP_LOG_EVERY: typing.Final = 100
 _AT_ONCE: typing.Final = 64
 _log = logs.Log('bus')
@@ -160,6 +166,8 @@
     socket.setsockopt(zmq.SNDHWM, _QUEUE_FRAMES)
     socket.setsockopt(zmq.RCVHWM, _QUEUE_FRAMES)
     socket.setsockopt(zmq.MAXMSGSIZE, messages.MAX_FRAME_BYTES)
+    socket.setsockopt(zmq.HEARTBEAT_IVL, _PING_EVERY_MS)
+    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, _PING_TIMEOUT_MS)
     return socket
 
 
--- a/galenahatch/test/standin/proxy.py
+++ b/galenahatch/test/standin/proxy.py
@@ -14,7 +14,8 @@
 
 Modes: empty for none, `delay` (50 ms on the way there), `silent` (nothing
 passes, either way), `one-way` (requests pass, answers don't) and `refuse`
-(new connections are reset). `reset` breaks all connections at once.
+(new connections are reset). `reset` breaks all connections at once; `hush`
+silences those that are open for good, without a word, and not new ones.
 """
 
 import asyncio
@@ -36,6 +37,7 @@
     def __init__(self, target: str) -> None:
         self._target = target
         self._writers: set[asyncio.StreamWriter] = set()
+        self._hushed: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
         self.mode = ''
         self.address = ''
@@ -58,6 +60,10 @@
         for writer in list(self._writers):
             _abort(writer)
 
+    def hush(self) -> None:
+        """Let nothing pass on the connections that are open now."""
+        self._hushed |= self._writers
+
     async def _connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -76,6 +82,7 @@
             self._copy(there, writer, ('silent', 'one-way')),
         )
         self._writers -= {writer, back}
+        self._hushed -= {writer, back}
 
     async def _copy(
         self,
@@ -87,7 +94,7 @@
             while data := await reader.read(65536):
                 if self.mode == 'delay':
                     await asyncio.sleep(_DELAY)
-                while self.mode in blocked:
+                while self.mode in blocked or writer in self._hushed:
                     await asyncio.sleep(_STEP)
                 writer.write(data)
                 await writer.drain()
