--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -23,10 +23,10 @@
 """
 
 import asyncio
+import dataclasses
 import typing
 
 from galenahatch import clock
-from galenahatch.core import events
 from galenahatch.core import fate
 from galenahatch.core import routes
 from galenahatch.core import upstreams
@@ -37,6 +37,7 @@
 from galenahatch.gateway import messages
 from galenahatch.gateway import ownership as ownerships
 from galenahatch.gateway import prefill
+from galenahatch.gateway import relay as relays
 from galenahatch.gateway import sender as senders
 from galenahatch import ids
 from galenahatch import logs
@@ -87,17 +88,14 @@
         self._service = service
         self._spec = service.engine
         self._prompt = call.prompt
-        self._sink = sink
         self._sends = fate.Sends()
-        self._splitter = events.EventSplitter()
-        self._splitter.last_id = call.last_event
+        self._relay = relays.Relay(sink, call.last_event)
         self._avoid: list[ids.UpstreamId] = []
         self._end_by = means_module.end_by(call, route)
         self._decodes = 0
         self._detail = ''
-        self._first_at = 0.0
-        self._event_at = 0.0
-        self._pause = 0.0
+        self._spent = relays.Spent()
+        self._sent_at = 0.0
         self._stage = 'waiting'
         self._engine = ids.UpstreamId('')
         self._reader = prefill.Reader(means, call, service)
@@ -129,7 +127,9 @@
                 break
             stream = ids.StreamId(f'{self._call.id}.{number}')
             self._stage = 'waiting'
+            began = clock.now()
             placed = await self._means.ownership.place(self._wish(stream))
+            self._spent.waited += clock.now() - began
             if isinstance(placed, messages.GivenUp):
                 return self._given_up(placed)
             result = await self._attempt(stream, placed)
@@ -142,7 +142,7 @@
         return self._failure()
 
     def _wish(self, stream: ids.StreamId) -> ownerships.Wish:
-        made = self._splitter.count * self._spec.stride
+        made = self._relay.count * self._spec.stride
         prompt = self._prompt
         likely = prompt.likely_output or 0
         return ownerships.Wish(
@@ -156,7 +156,7 @@
             deadline=self._end_by,
             subject=prompt.subject,
             avoid=tuple(self._avoid),
-            going_on=self._sink.begun,
+            going_on=self._relay.has_reached_caller,
             is_read=bool(self._reader.source()),
             longest_pause=self._route.longest_pause,
         )
@@ -188,9 +188,11 @@
                 return prefill.Again(placed.decode, 'decode engine gone')
             if engine is not None:
                 self._stage = 'prefill'
+                began = clock.now()
                 again = await self._reader.read(
-                    stream, engine, self._splitter.last_id, self._end_by
+                    stream, engine, self._relay.last_event, self._end_by
                 )
+                self._spent.read += clock.now() - began
                 if again is not None:
                     release = self._failed(release, again)
                     return again
@@ -219,25 +221,27 @@
         )
 
     def _ended(self, release: messages.Release) -> messages.Release:
-        count = self._splitter.count
-        tokens = count * self._spec.stride
+        relay = self._relay
         # The first event's tokens were made before the clock ran.
-        seconds = (clock.now() - self._first_at) * count / max(1, count - 1)
-        first = self._first_at - self._call.arrived_at
+        share = relay.run_count / max(1, relay.run_count - 1)
+        seconds = (clock.now() - relay.run_first_at) * share
+        first = relay.first_at - self._call.arrived_at
         instruments.first_event_seconds.record(first)
-        instruments.pause_seconds.record(self._pause)
+        instruments.pause_seconds.record(relay.longest_pause)
         _log.info(
             'Streamed.',
             request=self._call.id,
             prompt=self._prompt.tokens,
             likely=self._prompt.likely_output or 0,
             most=self._prompt.most_output,
-            tokens=tokens,
+            tokens=relay.count * self._spec.stride,
             first=first,
             seconds=seconds,
-            pause=self._pause,
+            pause=relay.longest_pause,
             engine=self._engine,
+            **dataclasses.asdict(self._spent),
         )
+        tokens = relay.run_count * self._spec.stride
         return messages.Release(
             release.stream,
             release.service,
@@ -264,9 +268,10 @@
             engine.id,
             left,
             kv_source=self._reader.source(),
-            last_event=self._splitter.last_id,
+            last_event=self._relay.last_event,
         )
         self._sends.begin()
+        self._sent_at = clock.now()
         known = fate.Fate.UNCERTAIN
         try:
             answer = await self._means.sender.send(
@@ -330,17 +335,17 @@
                 engine.id, f'status {head.status}', (engine.id,)
             )
         try:
-            return await self._relay(stream, engine, answer)
+            return await self._pass_on(stream, engine, answer)
         finally:
             answer.close()
 
-    async def _relay(
+    async def _pass_on(
         self,
         stream: ids.StreamId,
         engine: upstreams.Upstream,
         answer: senders.Answer,
     ) -> prefill.Again | None:
-        self._splitter.restart()
+        self._relay.restart()
         began = False
         while True:
             left = means_module.left(self._end_by)
@@ -351,23 +356,17 @@
                 self._log_lost('Stream lost.', engine, data)
                 return prefill.Again(engine.id, data.detail, (engine.id,))
             if not data:
-                if self._splitter.rest:
+                if self._relay.is_within_event:
                     return prefill.Again(engine.id, 'ended within an event')
                 return None
-            whole = self._splitter.feed(data)
+            whole = self._relay.feed(data)
             if not whole:
                 continue
-            now = clock.now()
             if not began:
                 began = True
-                self._first_at = now
+                self._spent.made = self._relay.run_first_at - self._sent_at
                 self._means.ownership.started(stream)
-            else:
-                self._pause = max(self._pause, now - self._event_at)
-            self._event_at = now
-            if not self._sink.begun:
-                await self._sink.begin(answer.head)
-            await self._sink.write(whole)
+            await self._relay.pass_on(answer.head, whole)
 
     def _held(
         self, stream: ids.StreamId, engine: upstreams.Upstream, output: int
@@ -386,7 +385,7 @@
     # Ends.
 
     def _given_up(self, given_up: messages.GivenUp) -> errors.Failure:
-        if self._sink.begun:
+        if self._relay.has_reached_caller:
             raise Broken(given_up.why)
         if not self._sends.surely_not_run:
             return errors.Failure(errors.SEND_INTERRUPTED, given_up.why)
@@ -395,7 +394,7 @@
         )
 
     def _failure(self) -> errors.Failure:
-        if self._sink.begun:
+        if self._relay.has_reached_caller:
             raise Broken(self._detail)
         if self._sends.surely_not_run:
             return means_module.refusal(
@@ -416,6 +415,6 @@
             request=self._call.id,
             engine=engine.id,
             fate=lost.fate.value,
-            events=self._splitter.count,
+            events=self._relay.count,
             detail=lost.detail,
         )
