Programs beside the gateway export their metrics again

Cause: gave the gateway's provider of metrics to the library as its module was loaded.

Change: the gateway sets it as it starts. Ruled out: the split of the exporter into galenahatch/telemetry (it is called as before).

--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -51,8 +51,6 @@
     ],
     shutdown_on_exit=False,
 )
-# What is counted outside this package, such as the bytes between gateways.
-api.set_meter_provider(_provider)
 _meter: api.Meter = _provider.get_meter('galenahatch')
 
 answers = _meter.create_counter(
@@ -90,6 +88,15 @@
 )
 
 
+def serve_all() -> None:
+    """Count here what is counted outside this package as well.
+
+    That is, for one, the bytes between gateways (`bus`). Other programs load
+    this module too and export theirs elsewhere, so it is no matter of import.
+    """
+    api.set_meter_provider(_provider)
+
+
 def text() -> str:
     """Return all instruments in the text format."""
     data = _reader.get_metrics_data()
--- a/galenahatch/gateway/program.py
+++ b/galenahatch/gateway/program.py
@@ -24,6 +24,7 @@
 import uvloop
 
 from galenahatch import errors
+from galenahatch.gateway import instruments
 from galenahatch.gateway import node
 from galenahatch import logs
 from galenahatch.platform import deployment
@@ -40,6 +41,7 @@
         print(f'{settings.reason.name}: {settings.detail}', file=sys.stderr)
         return _BAD_USE
     logs.set_up_bounded('info')
+    instruments.serve_all()
     log = logs.Log('gateway')
     gateway = node.Gateway(settings, path)
     try:
