--- a/galenahatch/core/outliers.py
+++ b/galenahatch/core/outliers.py
@@ -34,8 +34,6 @@
 _BENEFIT: typing.Final = 4.0
 """Sends without a failure that each upstream is given, so that one failure
 counts as a share of a fifth."""
-_TOLD_LIFE: typing.Final = 2.0
-"""Seconds for which the sums of others are used: eight beats."""
 
 
 class Count(typing.NamedTuple):
@@ -63,14 +61,13 @@
 
 @dataclasses.dataclass
 class _Fading:
-    """Counts that lose weight with time."""
+    """A count that loses weight with time."""
 
     count: Count
     at: float
 
     def seen(self, now: float) -> Count:
-        left = math.exp(min(0.0, self.at - now) / _MEMORY)
-        return Count(self.count.sends * left, self.count.failures * left)
+        return _faded(self.count, now - self.at)
 
     def add(self, more: Count, now: float) -> None:
         before = self.seen(now)
@@ -80,6 +77,12 @@
         self.at = now
 
 
+def _faded(count: Count, age: float) -> Count:
+    """Return what is left of a count after some seconds."""
+    left = math.exp(-max(0.0, age) / _MEMORY)
+    return Count(count.sends * left, count.failures * left)
+
+
 class Tally:
     """Outcomes of sends, the newest counting most."""
 
@@ -146,9 +149,8 @@
     def share(self, upstream: ids.UpstreamId, now: float) -> Share:
         """Return the part of the sends that failed."""
         own = self._own.seen(upstream, now)
-        told = NOTHING
-        if now - self._told_at < _TOLD_LIFE:
-            told = self._told.get(upstream, NOTHING)
+        told = self._told.get(upstream, NOTHING)
+        told = _faded(told, now - self._told_at)
         sends = own.sends + told.sends + _BENEFIT
         share = (own.failures + told.failures) / sends
         return Share(share, share - math.sqrt(share * (1 - share) / sends))
