The division of engines is planned from what they show, at the price of a change

Change: gateways tell in each beat how far their streams have come, so pace is known in the first second; core/pace has the pace beside any number of runs; overlap is looked for on purpose (pairs of prompts at one engine) and no plan is made before it is known; a surplus of prefill engines is given up at once, a decode engine only while requests wait for reading; what decode engines may read is part of the plan.

--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -50,10 +50,13 @@
 predictions are off by about a third."""
 _RECHECK: typing.Final = 0.02
 _LEAST_MEASURED: typing.Final = 20
-"""Requests, prefills and ended runs measured before the division of engines
-is planned from them: a mean of 20 sizes that spread by a factor of 1.6 is
-off by a tenth, and a change must gain a fifth. Planned on a pace that none
-had shown, an engine was taken away in the second second, and back at 13."""
+"""Requests whose sizes were seen before the division of engines is planned
+from them: a mean of 20 sizes that spread by a factor of 1.6 is off by a
+tenth, and a change must gain a fifth. Planned on a pace that no run had
+shown, an engine was taken away in the second second, and back at 13."""
+_LEAST_PACED: typing.Final = 1000
+"""Tokens from which the pace was measured before it is planned with: 100
+events or more of any engine, whose times spread by a fifth."""
 _CALM: typing.Final = 3.0
 """Seconds without a refusal before engines change their stage: they are
 away for some seconds, which costs most when there are too few."""
@@ -80,6 +83,7 @@
 
     Attributes:
         waits: seconds until its prefill engine was expected to be idle.
+        is_alone: whether that engine had no other prompt.
         read_at: when its prompt had been read, if known.
     """
 
@@ -89,6 +93,7 @@
     prefill: ids.UpstreamId | None = None
     placed_at: float = 0.0
     waits: float = 0.0
+    is_alone: bool = False
     read_at: float | None = None
 
 
@@ -111,6 +116,7 @@
         )
         self._placements: dict[ids.StreamId, _Placement] = {}
         self._refused_at = -1e9
+        self._lagged_at = -1e9
 
     @property
     def waiting(self) -> int:
@@ -167,13 +173,17 @@
     ) -> list[tuple[upstreams.Upstream, upstreams.Stage]]:
         """Return the engines whose stage should change."""
         known = self.measured
-        measured = min(known.seen, known.reads, self._pool.paced)
-        if measured < _LEAST_MEASURED or self._pool.is_changing:
+        if self._pool.paced < _LEAST_PACED or self._pool.is_changing:
             return []
-        part = 1 / self._pool.at_once(self._measures.held, known.output)
-        life = known.output * known.pace
+        is_read = self._measures.knows_reading and self._measures.knows_overlap
+        if known.seen < _LEAST_MEASURED or not is_read:
+            return []
+        runs = self._pool.at_once(self._measures.held, known.output)
+        life = known.output * self._pool.full_pace(runs, known.pace)
+        life += self._measures.reading(round(known.prompt))
         read = self._measures.occupied(known.prompt)
-        work = stages.Work(read, part * life)
+        helped = reading.mean_seconds(self._measures)
+        work = stages.Work(read, life / runs, helped)
         prefills = sorted(
             self._pool.prefills.values(), key=lambda e: e.idle_at
         )
@@ -185,6 +195,7 @@
             [engine.upstream for engine in prefills],
             [engine.upstream for engine in decodes],
             not self._queue and now - self._refused_at > _CALM,
+            now - self._lagged_at < _CALM,
             now,
         )
 
@@ -231,6 +242,8 @@
                     decision = found
                 else:
                     full = found is _Lack.MEMORY
+                    if not full and waiting.is_due(job, now):
+                        self._lagged_at = now
                     lacks += forecast.LOOKED_AT if full else 1
             if decision is None and waiting.is_due(job, now):
                 decision = self._keep_or_refuse(job, now)
@@ -249,11 +262,13 @@
         """Note that a prompt was read, and how long it took."""
         self._told(stream, now)
         placement = self._placements.get(stream)
-        waited = placement.waits if placement is not None else 0.0
-        self._measures.note_prefill(tokens, seconds - waited)
         if placement is None or placement.prefill is None:
             return
+        self._measures.note_prefill(
+            tokens, seconds - placement.waits, placement.is_alone
+        )
         placement.read_at = now
+        self._pool.answered(placement.prefill, stream)
         alone = self._pool.read(
             placement.prefill,
             placement.placed_at,
@@ -296,7 +311,7 @@
             decode = self._pool.decodes.get(placement.engine)
             if decode is not None:
                 decode.health.worked()
-                decode.memory.learn_pace(tokens, seconds)
+                decode.memory.ended(stream, tokens, seconds, now)
         self._forget(stream, now)
         self._queue.remove(stream)
 
@@ -315,6 +330,8 @@
                 self._forget(run.stream, now)
                 decode.memory.add(run)
                 self._placements[run.stream] = _Placement(engine, 0, now)
+            elif decode is not None:
+                decode.memory.progress(run.stream, run.made, run.made_at)
             self._told(run.stream, now)
         for stream, placement in list(self._placements.items()):
             known = self._run(stream)
@@ -345,7 +362,8 @@
     def _place(self, job: Job, now: float) -> generations.Placed | _Lack:
         prefill = None
         if not job.is_read:
-            prefill = self._pool.choose_prefill(job, now)
+            explore = not self._measures.knows_overlap
+            prefill = self._pool.choose_prefill(job, explore, now)
         if prefill is not None and prefill.idle_at > now + LOOKAHEAD:
             if not self._forecast.decode_may_read(job, now):
                 return _Lack.PREFILL
@@ -371,16 +389,19 @@
         chosen = prefill.upstream.id if prefill is not None else None
         decode.memory.add(job.run(ready))
         decode.health.given(now)
-        idle_at = max(now, prefill.idle_at) if prefill is not None else now
-        self._placements[job.stream] = _Placement(
+        placement = _Placement(
             decode.upstream.id,
             0 if job.going_on else job.hint,
             now,
             chosen,
             now,
-            idle_at - now,
         )
+        self._placements[job.stream] = placement
         if prefill is not None:
+            idle_at = max(now, prefill.idle_at)
+            placement.waits = idle_at - now
+            placement.is_alone = not prefill.unread
+            prefill.unread.add(job.stream)
             prefill.idle_at = idle_at + self._measures.occupied(job.prompt)
             prefill.health.given(now)
         elif not job.is_read:
@@ -438,6 +459,8 @@
 
     def _forget(self, stream: ids.StreamId, now: float) -> None:
         placement = self._placements.pop(stream, None)
+        if placement is not None and placement.prefill is not None:
+            self._pool.answered(placement.prefill, stream)
         if placement is not None and placement.engine in self._pool.decodes:
             decode = self._pool.decodes[placement.engine]
             decode.memory.remove(stream, now)
--- a/galenahatch/core/figures.py
+++ b/galenahatch/core/figures.py
@@ -29,6 +29,11 @@
 _SLACK_SHARE: typing.Final = 0.8
 """The newest starts that count, and the share of them that are to be no later
 than what is believed: who is kept is to start in time."""
+_LEAST_PAIRS: typing.Final = 5
+"""Pairs of prompts from which on an engine is believed to read within the
+delay when engines are taken from reading; the newest five weigh two thirds."""
+_SMALL_DELAY: typing.Final = 0.1
+"""Part of a prefill below which its delay changes no plan."""
 _OVERLAP_WEIGHT: typing.Final = 0.2
 """Weight of the newest pair of prompts in the overlap believed."""
 _SIZE_WEIGHT: typing.Final = 0.03
@@ -50,6 +55,7 @@
         alone: part of the delay in which the engine reads nothing else.
         reads: prefills that were measured.
         slack: seconds from the end of a prefill to the first event.
+        pairs: prompts that told whether the engine had read within the delay.
     """
 
     rate: float = FIRST_RATE
@@ -61,6 +67,7 @@
     alone: float = 0.0
     reads: int = 0
     slack: float = FIRST_SLACK
+    pairs: int = 0
 
 
 class Measures:
@@ -111,10 +118,22 @@
         span = max(1.0, now - self._arrivals[0])
         return len(self._arrivals) / span
 
-    def note_prefill(self, tokens: int, seconds: float) -> None:
-        """Take how long a prefill took from when its engine was idle."""
+    def note_prefill(
+        self, tokens: int, seconds: float, is_alone: bool = True
+    ) -> None:
+        """Take how long a prefill took.
+
+        Args:
+            tokens: of the prompt.
+            seconds: since its engine was expected to be idle.
+            is_alone: whether the engine had no other prompt. What was behind
+                another counts only as long as there is little else: it took
+                longer by as much as the expectation was wrong.
+        """
         if tokens <= 0 or seconds <= 0:
             return
+        if not is_alone and self._latency.is_known:
+            return
         line = self._latency.learn(tokens, seconds, self.line)
         self.figures = self.figures._replace(
             rate=line.rate, delay=line.delay, reads=self.figures.reads + 1
@@ -124,7 +143,9 @@
         """Take in what part of the delay an engine read nothing else."""
         believed = self.figures.alone
         step = _OVERLAP_WEIGHT * (min(1.0, max(0.0, alone)) - believed)
-        self.figures = self.figures._replace(alone=believed + step)
+        self.figures = self.figures._replace(
+            alone=believed + step, pairs=self.figures.pairs + 1
+        )
 
     def note_start(self, seconds: float) -> None:
         """Take the time from the end of a prefill to the first event."""
@@ -151,6 +172,19 @@
         known = self.figures
         return prompt / known.rate + known.alone * known.delay
 
+    @property
+    def knows_reading(self) -> bool:
+        """Whether enough prefills were seen to plan with."""
+        return self.figures.reads >= latency.LEAST
+
+    @property
+    def knows_overlap(self) -> bool:
+        """Whether it was seen if engines read within the delay, if any."""
+        known = self.figures
+        if known.delay < _SMALL_DELAY * self.reading(round(known.prompt)):
+            return self.knows_reading
+        return known.pairs >= _LEAST_PAIRS
+
     def until_first(self, job: generations.Job) -> float:
         """Return the seconds from placing to the first event."""
         slack = self.figures.slack
--- a/galenahatch/core/memory.py
+++ b/galenahatch/core/memory.py
@@ -25,14 +25,16 @@
 import math
 import typing
 
+from galenahatch.core import pace as paces
 from galenahatch import ids
 
 FIRST_PACE: typing.Final = 0.001
 """Seconds for a token before any run was measured; middle of what engines
 of the users' sizes take with half of their slots in use."""
 
-_PACE_WEIGHT: typing.Final = 0.15
-"""Weight of the newest run in the average pace."""
+_PACE_TOKENS: typing.Final = 2000.0
+"""Tokens of an engine over which its pace is averaged: one to two seconds
+of ten runs, in which a burst fills an engine."""
 _OVERRUN: typing.Final = 1.25
 """Predicted length of a run that has outlived its prediction, by what it
 has made so far; the mean for lengths that spread by a factor of 1.4."""
@@ -54,6 +56,8 @@
         output: predicted tokens of the answer.
         most: bound on the tokens of the answer.
         starts_at: when the first token is made, predicted or seen.
+        made: tokens that it was seen to have made.
+        made_at: when it was seen to have made them.
     """
 
     stream: ids.StreamId
@@ -62,6 +66,8 @@
     output: int
     most: int
     starts_at: float
+    made: int = 0
+    made_at: float = 0.0
 
 
 def margin(runs: typing.Iterable[Run], spread: float) -> float:
@@ -85,9 +91,14 @@
     Args:
         capacity: tokens of KV cache.
         slots: runs at once.
+        pace: what all engines of the service have shown.
     """
 
-    def __init__(self, capacity: int, slots: int) -> None:
+    def __init__(
+        self, capacity: int, slots: int, pace: paces.Pace | None = None
+    ) -> None:
+        self._shown = paces.Pace() if pace is None else pace
+        self._beside = 0.0
         self.capacity = capacity
         self.slots = slots
         self.pace = FIRST_PACE
@@ -117,12 +128,52 @@
         """Undo an `add` that nothing came of."""
         self._runs.pop(stream, None)
 
-    def learn_pace(self, tokens: int, seconds: float) -> None:
-        """Take how long a run took for its tokens."""
-        if tokens > 0 and seconds > 0:
-            seen = seconds / tokens
-            self.paced += 1
-            self.pace += _PACE_WEIGHT * (seen - self.pace)
+    def progress(
+        self, stream: ids.StreamId, made: int, made_at: float
+    ) -> None:
+        """Take how far a run has come, as its VM tells it.
+
+        What engines make is known while they make it, not only at the end of
+        answers: a burst fills them in less time than an answer takes.
+        """
+        run = self._runs[stream]
+        if made <= run.made:
+            return
+        if run.made:
+            self._learn_pace(made - run.made, made_at - run.made_at)
+        run.made = made
+        run.made_at = made_at
+
+    def ended(
+        self, stream: ids.StreamId, tokens: int, seconds: float, now: float
+    ) -> None:
+        """Take that a run has ended well.
+
+        Args:
+            stream: of the run.
+            tokens: of its answer.
+            seconds: that they took.
+            now: monotonic seconds.
+        """
+        run = self._runs.get(stream)
+        if run is not None and run.made:
+            self.progress(stream, tokens, now)
+        else:
+            self._learn_pace(tokens, seconds)
+
+    def _learn_pace(self, tokens: int, seconds: float) -> None:
+        if tokens <= 0 or seconds <= 0:
+            return
+        self.paced += tokens
+        weight = min(1.0, max(tokens / _PACE_TOKENS, tokens / self.paced))
+        self.pace += weight * (seconds / tokens - self.pace)
+        runs = max(1, len(self._runs))
+        self._beside += weight * (runs - self._beside)
+        self._shown.learn(runs, tokens, seconds)
+
+    def pace_beside(self, runs: float) -> float:
+        """Return the seconds for a token beside some number of runs."""
+        return self.pace * self._shown.slower(self._beside, runs)
 
     def observe(self, used: int, now: float) -> None:
         """Take the used tokens of a report.
@@ -187,11 +238,16 @@
         output = float(run.output)
         if made > output:
             output = min(run.most, made * _OVERRUN)
-        end = max(now, run.starts_at + output * self.pace)
-        return run.starts_at, end, run.prompt
+        if made > 0:
+            # As if it had always made tokens at the present pace.
+            starts_at = now - made * self.pace
+            return starts_at, starts_at + output * self.pace, run.prompt
+        end = run.starts_at + output * self.pace
+        return run.starts_at, max(now, end), run.prompt
 
     def _held(self, run: Run, now: float) -> float:
         return run.prompt + min(run.most, self._made(run, now))
 
     def _made(self, run: Run, now: float) -> float:
-        return max(0.0, now - run.starts_at) / self.pace
+        since = run.made_at if run.made else run.starts_at
+        return run.made + max(0.0, now - since) / self.pace
--- a/galenahatch/core/pool.py
+++ b/galenahatch/core/pool.py
@@ -25,6 +25,7 @@
 from galenahatch.core import latency
 from galenahatch.core import lengths
 from galenahatch.core import memory
+from galenahatch.core import pace as paces
 from galenahatch.core import upstreams
 from galenahatch import ids
 
@@ -99,12 +100,14 @@
 
     Attributes:
         idle_at: when it will have read what it was given.
+        unread: what it was given and has not answered.
     """
 
     def __init__(self, upstream: upstreams.Upstream) -> None:
         self.upstream = upstream
         self.health = Health()
         self.idle_at = 0.0
+        self.unread: set[ids.StreamId] = set()
         self._read_at = -1e9
 
     def read(
@@ -145,11 +148,15 @@
     """
 
     def __init__(
-        self, upstream: upstreams.Upstream, capacity: int, slots: int
+        self,
+        upstream: upstreams.Upstream,
+        capacity: int,
+        slots: int,
+        pace: paces.Pace,
     ) -> None:
         self.upstream = upstream
         self.health = Health()
-        self.memory = memory.EngineMemory(capacity, slots)
+        self.memory = memory.EngineMemory(capacity, slots, pace)
         self.reads_until = -1e9
 
     def fits(self, run: memory.Run, now: float) -> bool:
@@ -171,6 +178,7 @@
         self.prefills: dict[ids.UpstreamId, PrefillEngine] = {}
         self.decodes: dict[ids.UpstreamId, DecodeEngine] = {}
         self.spread = lengths.FIRST_SPREAD
+        self._pace = paces.Pace()
         self._told: dict[ids.UpstreamId, _Told] = {}
         self._changing: dict[
             ids.UpstreamId, tuple[upstreams.Stage, float]
@@ -237,7 +245,9 @@
             return
         self.prefills.pop(engine.id, None)
         if engine.id not in self.decodes:
-            decode = DecodeEngine(engine, self.capacity, self.slots)
+            decode = DecodeEngine(
+                engine, self.capacity, self.slots, self._pace
+            )
             decode.memory.pace = pace
             decode.memory.spread = self.spread
             self.decodes[engine.id] = decode
@@ -304,13 +314,24 @@
 
     def mean_pace(self, otherwise: float) -> float:
         """Return the mean seconds for a token."""
-        paces = [engine.memory.pace for engine in self.decodes.values()]
-        return sum(paces) / len(paces) if paces else otherwise
+        known = [engine.memory.pace for engine in self.decodes.values()]
+        return sum(known) / len(known) if known else otherwise
+
+    def full_pace(self, runs: float, otherwise: float) -> float:
+        """Return the mean seconds for a token at engines with some runs."""
+        known = [e.memory.pace_beside(runs) for e in self.decodes.values()]
+        return sum(known) / len(known) if known else otherwise
 
     def readers(self, now: float) -> int:
         """Return how many prefill engines are not left alone."""
         return sum(e.health.until <= now for e in self.prefills.values())
 
+    def answered(self, engine: ids.UpstreamId, stream: ids.StreamId) -> None:
+        """Note that a prefill engine has no more to do for a stream."""
+        found = self.prefills.get(engine)
+        if found is not None:
+            found.unread.discard(stream)
+
     def read(
         self,
         engine: ids.UpstreamId,
@@ -334,9 +355,16 @@
     # Choices.
 
     def choose_prefill(
-        self, job: generations.Job, now: float
+        self, job: generations.Job, explore: bool, now: float
     ) -> PrefillEngine | None:
-        """Return the engine that is idle first, of those the nearest."""
+        """Return the engine that is idle first, of those the nearest.
+
+        Args:
+            job: that wants one.
+            explore: whether to prefer one that has not answered yet, though
+                it should have read all: whether it has is seen from that.
+            now: monotonic seconds.
+        """
         found = [
             engine
             for engine in self.prefills.values()
@@ -344,9 +372,10 @@
             and engine.upstream.id not in job.avoid
         ]
 
-        def key(engine: PrefillEngine) -> tuple[float, bool]:
+        def key(engine: PrefillEngine) -> tuple[float, bool, bool]:
             near = engine.upstream.data_centre == job.data_centre
-            return max(now, engine.idle_at), not near
+            tells = explore and bool(engine.unread)
+            return max(now, engine.idle_at), not tells, not near
 
         return min(found, key=key, default=None)
 
@@ -429,8 +458,8 @@
         """
         if held <= 0:
             return 0.0
+        runs = self.at_once(held, output)
         return sum(
-            self.at_once(held, output)
-            / (max(0.1, output * engine.memory.pace) + read)
+            runs / (max(0.1, output * engine.memory.pace_beside(runs)) + read)
             for engine in self.decodes.values()
         )
--- a/galenahatch/core/reading.py
+++ b/galenahatch/core/reading.py
@@ -56,6 +56,11 @@
     return seconds(job, measures) + _REST
 
 
+def mean_seconds(measures: figures.Measures) -> float:
+    """Return how long a decode engine reads a prompt of mean length."""
+    return _SLOWER * measures.figures.prompt / measures.figures.rate
+
+
 def is_short(job: generations.Job, measures: figures.Measures) -> bool:
     """Return whether a reading fits into the pause that is allowed."""
     return seconds(job, measures) <= _PAUSE_SHARE * job.longest_pause
--- a/galenahatch/core/stages.py
+++ b/galenahatch/core/stages.py
@@ -22,18 +22,26 @@
 """
 
 import dataclasses
+import math
 import typing
 
 from galenahatch.core import upstreams
 
-LEAST_GAIN: typing.Final = 1.2
+LEAST_GAIN: typing.Final = 1.15
 """Times the present rate that a division must reach to be worth a change."""
 BUSY_GAIN: typing.Final = 1.4
-"""The same while requests wait: engines that change are away when they are
-needed most."""
+"""The same while requests wait and the engines that change are missed
+meanwhile. A surplus of prefill engines is not missed: decode engines limit,
+and go on. It is given up at once, for the first of the bursts that follow
+each other every ten seconds leaves no calm moment."""
+_SAME: typing.Final = 0.97
+"""Part of the present rate from which on a division counts as no worse."""
 _SETTLED: typing.Final = 5.0
 """Seconds since an engine vanished without a word, and since the last plan;
 engines that crash are back within about four."""
+_HELPED: typing.Final = 0.3
+"""Part of the prompts that decode engines may read, at the most; half of
+them are short enough where that was measured."""
 _PREFILL_USE: typing.Final = 0.85
 """Part of a prefill engine's time that is planned for, so that prompts wait
 for each other little."""
@@ -46,18 +54,29 @@
     Attributes:
         read: seconds of a prefill engine.
         hold: seconds of a decode engine, the whole of it.
+        help: seconds of a decode engine that reads the prompt itself.
     """
 
     read: float
     hold: float
+    help: float = math.inf
 
 
 def rate(work: Work, prefills: int, decodes: int) -> float:
-    """Return requests a second that a division of engines can end."""
-    return min(
-        _PREFILL_USE * prefills / work.read,
-        decodes / work.hold,
-    )
+    """Return requests a second that a division of engines can end.
+
+    Where prefill engines limit, decode engines read what those leave, up to
+    a part of all prompts: some are too long for the pause that their runs
+    may make. Their time then goes into holding and reading.
+    """
+    reading = _PREFILL_USE * prefills / work.read
+    making = decodes / work.hold
+    if making <= reading:
+        return making
+    if math.isinf(work.help):
+        return reading
+    helped = (decodes + reading * work.help) / (work.hold + work.help)
+    return max(reading, min(helped, reading / (1 - _HELPED)))
 
 
 def best(work: Work, engines: int) -> int:
@@ -101,6 +120,7 @@
         prefills: typing.Sequence[upstreams.Upstream],
         decodes: typing.Sequence[upstreams.Upstream],
         calm: bool,
+        lags: bool,
         now: float,
     ) -> list[tuple[upstreams.Upstream, upstreams.Stage]]:
         """Return the engines to change, and to which stage.
@@ -110,6 +130,9 @@
             prefills: engines that read, the most idle first.
             decodes: engines that make answers, the most idle first.
             calm: whether no request has waited lately.
+            lags: whether requests have waited for prefill engines lately. No
+                decode engine is given up for less: it is missed at once, and
+                what it would gain rests on figures.
             now: monotonic seconds.
         """
         total = len(prefills) + len(decodes)
@@ -119,10 +142,17 @@
         wanted = best(work, total)
         before = rate(work, len(prefills), len(decodes))
         after = rate(work, wanted, total - wanted)
-        if after < (LEAST_GAIN if calm else BUSY_GAIN) * before:
+        surplus = len(prefills) - wanted
+        if surplus > 0:
+            meanwhile = rate(work, wanted, len(decodes))
+        else:
+            meanwhile = rate(work, len(prefills), len(decodes) + surplus)
+        is_free = calm or meanwhile > _SAME * before
+        if surplus < 0 and not lags:
+            return []
+        if after < (LEAST_GAIN if is_free else BUSY_GAIN) * before:
             return []
         self._planned_at = now
-        surplus = len(prefills) - wanted
         if surplus > 0:
             stage = upstreams.Stage.DECODE
             return [(e, stage) for e in prefills[:surplus]]
--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -262,7 +262,10 @@
             return prefill.Again(engine.id, 'retry budget spent', final=True)
         self._engine = engine.id
         self._stage = 'decode'
-        self._means.ownership.hold(self._held(stream, engine, output))
+        self._means.ownership.hold(
+            self._held(stream, engine, output),
+            lambda: self._relay.run_count * self._spec.stride,
+        )
         left = means_module.left(self._end_by)
         directions = calls.Directions(
             engine.id,
--- a/galenahatch/gateway/messages.py
+++ b/galenahatch/gateway/messages.py
@@ -40,6 +40,7 @@
 
     Attributes:
         since: seconds since its first event; negative until then.
+        made: tokens that its engine has made so far.
     """
 
     stream: ids.StreamId
@@ -49,6 +50,7 @@
     output: int
     most: int
     since: float
+    made: int = 0
 
 
 class Outcomes(msgspec.Struct, frozen=True, array_like=True):
@@ -98,6 +100,7 @@
         alone: part of the delay in which the engine reads nothing else.
         reads: prefills that were measured.
         slack: seconds from the end of a prefill to the first event.
+        pairs: prompts that told whether the engine had read within the delay.
     """
 
     service: ids.ServiceName
@@ -110,6 +113,7 @@
     alone: float = 0.0
     reads: int = 0
     slack: float = 0.0
+    pairs: int = 0
 
 
 class BeatBack(Message, frozen=True, array_like=True, tag=True):
--- a/galenahatch/gateway/owner.py
+++ b/galenahatch/gateway/owner.py
@@ -121,6 +121,7 @@
                         told.alone,
                         told.reads,
                         told.slack or figures.FIRST_SLACK,
+                        told.pairs,
                     )
                 )
 
@@ -184,6 +185,8 @@
                 held.output,
                 held.most,
                 starts_at,
+                held.made,
+                now,
             )
             if self._dispatcher(held.service) is not None:
                 runs = by_service.setdefault(held.service, [])
--- a/galenahatch/gateway/ownership.py
+++ b/galenahatch/gateway/ownership.py
@@ -19,9 +19,12 @@
 """
 
 import asyncio
+import collections.abc
 import dataclasses
 import typing
 
+import msgspec
+
 from galenahatch import clock
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import mesh as meshes
@@ -57,6 +60,20 @@
     longest_pause: float = 0.0
 
 
+@dataclasses.dataclass
+class _Running:
+    """A generation at its decode engine.
+
+    Attributes:
+        made: returns the tokens that the engine has made so far.
+        began_at: when its first event came.
+    """
+
+    held: messages.Held
+    made: collections.abc.Callable[[], int]
+    began_at: float | None = None
+
+
 class Ownership:
     """This gateway's talk with the owner.
 
@@ -71,7 +88,7 @@
         self._data_centre = data_centre
         self._mesh: meshes.Mesh | None = None
         self._asked: dict[ids.StreamId, asyncio.Queue[owners.Word]] = {}
-        self._held: dict[ids.StreamId, tuple[messages.Held, float]] = {}
+        self._held: dict[ids.StreamId, _Running] = {}
         self._placed_by: dict[ids.StreamId, ids.MemberId] = {}
         self.owner = owners.Owner(directory, self._deliver)
 
@@ -170,9 +187,16 @@
             if not isinstance(word, messages.Queued):
                 return word
 
-    def hold(self, held: messages.Held) -> None:
-        """Note a generation that was sent to its decode engine."""
-        self._held[held.stream] = (held, -1.0)
+    def hold(
+        self, held: messages.Held, made: collections.abc.Callable[[], int]
+    ) -> None:
+        """Note a generation that was sent to its decode engine.
+
+        Args:
+            held: the generation.
+            made: returns the tokens that the engine has made so far.
+        """
+        self._held[held.stream] = _Running(held, made)
 
     def prefilled(
         self,
@@ -193,8 +217,8 @@
         owner = self._placed_by.get(stream)
         if found is None or owner is None:
             return
-        self._held[stream] = (found[0], clock.now())
-        self._tell(owner, messages.Started(stream, found[0].service))
+        found.began_at = clock.now()
+        self._tell(owner, messages.Started(stream, found.held.service))
 
     def release(self, release: messages.Release) -> None:
         """Tell that a generation has ended at its engines."""
@@ -206,16 +230,12 @@
     def _held_now(self) -> tuple[messages.Held, ...]:
         now = clock.now()
         return tuple(
-            messages.Held(
-                held.stream,
-                held.service,
-                held.decode,
-                held.prompt,
-                held.output,
-                held.most,
-                now - since if since >= 0 else -1.0,
+            msgspec.structs.replace(
+                running.held, since=now - running.began_at, made=running.made()
             )
-            for held, since in self._held.values()
+            if running.began_at is not None
+            else running.held
+            for running in self._held.values()
         )
 
     def _tell(self, owner: ids.MemberId, message: messages.AnyMessage) -> None:
--- a/galenahatch/test/test_load.py
+++ b/galenahatch/test/test_load.py
@@ -19,16 +19,56 @@
 that were played for them.
 """
 
+import pathlib
 import random
+import statistics
+import tomllib
 
 import pytest
 
+from bench import dispatching
 from galenahatch.core import figures
 from galenahatch.core import latency
 from galenahatch.core import memory
 from galenahatch import ids
 
 
+_DATA = pathlib.Path(__file__).parents[2] / 'test-data' / 'engines.toml'
+_TABLE = tomllib.loads(_DATA.read_text())['kinds']
+KINDS = {
+    name: dispatching.Engines(
+        **{k: v for k, v in kind.items() if k not in ('prefills', 'decodes')}
+    )
+    for name, kind in _TABLE.items()
+}
+
+
+def _day(
+    kind: str,
+    share: float,
+    bursts: tuple[tuple[float, float, float], ...] = (),
+    prefills: int = 0,
+    decodes: int = 0,
+) -> dispatching.Day:
+    """Return a day at a share of what a kind's division can end."""
+    reads = _TABLE[kind]['prefills']
+    makes = _TABLE[kind]['decodes']
+    rate = share * KINDS[kind].rate(reads, makes)
+    return dispatching.Day(
+        kind,
+        prefills or reads,
+        decodes or makes,
+        rate,
+        bursts,
+        engines=KINDS[kind],
+    )
+
+
+def _in_time(day: dispatching.Day, seeds: int = 2) -> float:
+    played = [dispatching.play((day, seed)) for seed in range(seeds)]
+    return statistics.fmean(one.in_time for one in played)
+
+
 # What a prompt takes.
 
 
@@ -108,3 +148,41 @@
         if engine.fits(run, 0.0):
             engine.add(run)
     assert len(engine.runs) == most
+
+
+# Load.
+
+
+@pytest.mark.parametrize('kind', sorted(KINDS))
+def test_steady_load(kind: str) -> None:
+    """Seven tenths of what the engines can end are served in time.
+
+    The deciders learn all figures of the engines while they are asked.
+    """
+    assert _in_time(_day(kind, 0.7)) > 0.9
+
+
+def test_delay_costs_no_engine_its_time() -> None:
+    """Results that come 0.1 s after they were read keep no engine idle.
+
+    Load that one and a half prefill engines can read, before two: when the
+    delay is taken for work, three would be needed, and half is refused.
+    """
+    day = _day('delayed', 0.95)
+    crowded = dispatching.Day(day.name, 2, 12, 13.0, (), engines=day.engines)
+    assert _in_time(crowded) > 0.9
+
+
+def test_no_change_on_belief() -> None:
+    """Two seconds of requests, and no token seen: engines stay as they are."""
+    replay = dispatching.Replay(_day('delayed', 0.9), 1)
+    replay.run()
+    assert not [at for at in replay.changes if at < 1.0]
+
+
+def test_overlap_is_learnt_from_pairs_of_prompts() -> None:
+    """Whether an engine reads within the delay of another prompt is seen."""
+    for kind, most, least in (('delayed', 0.3, 0.0), ('serial', 1.0, 0.6)):
+        replay = dispatching.Replay(_day(kind, 0.9), 1)
+        replay.run()
+        assert least <= replay.measured.alone <= most
