--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -312,7 +312,10 @@
 
         Served late beats not served, and held in vain is worse than both.
         """
-        late = self._forecast.late_wait(job, 1 + self._returns.due(now), now)
+        owed = 1 + self._returns.due(now)
+        late = self._forecast.late_wait(job, owed, now)
+        if not job.returned:
+            late *= _CAUTION
         if now + late > job.leaves_at:
             return self._refuse(job, self._forecast.why(job, wait), now)
         self._queue.keep(job, is_late=True)
--- a/galenahatch/core/stages.py
+++ b/galenahatch/core/stages.py
@@ -34,6 +34,9 @@
 meanwhile. A surplus of prefill engines is not missed: decode engines limit,
 and go on. It is given up at once, for the first of the bursts that follow
 each other every ten seconds leaves no calm moment."""
+_FREE_GAIN: typing.Final = 1.05
+"""The same where engines change that nobody misses meanwhile: the price is
+an order. Engines that are half empty show little of the gain yet."""
 _SAME: typing.Final = 0.97
 """Part of the present rate from which on a division counts as no worse."""
 _SETTLED: typing.Final = 5.0
@@ -176,5 +179,6 @@
         meanwhile = rate(work, prefills - surplus, decodes)
     else:
         meanwhile = rate(work, prefills, decodes + surplus)
-    is_free = calm or meanwhile > _SAME * before
-    return after >= (LEAST_GAIN if is_free else BUSY_GAIN) * before
+    if surplus > 0 and meanwhile > _SAME * before:
+        return after >= _FREE_GAIN * before
+    return after >= (LEAST_GAIN if calm else BUSY_GAIN) * before
