--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -314,8 +314,6 @@
         """
         owed = 1 + self._returns.due(now)
         late = self._forecast.late_wait(job, owed, now)
-        if not job.returned:
-            late *= _CAUTION
         if now + late > job.leaves_at:
             return self._refuse(job, self._forecast.why(job, wait), now)
         self._queue.keep(job, is_late=True)
