A new owner learns from lone prompts, and plans once every engine has told its stage

Change: only prompts that an engine had alone tell what a prompt takes, with a slope from six of them; no plan before every listed engine has told its stage and none is busy; a change that nobody misses needs 10%.

Ruled out: 5% for such a change (with a rate that was off by a fifth it took the second prefill engine of two).

--- a/bench/dispatching.py
+++ b/bench/dispatching.py
@@ -251,19 +251,21 @@
         caller.events = events
         caller.event_at = now
 
-    def _used(self) -> float:
+    @property
+    def used(self) -> float:
+        """Tokens of memory that can't yield."""
         return sum(caller.prompt + caller.made for caller in self.runs)
 
     def _fit(self) -> None:
         """Preempt the newest while memory is short; take them back."""
-        while self._used() > self._kind.capacity and len(self.runs) > 1:
+        while self.used > self._kind.capacity and len(self.runs) > 1:
             caller = self.runs.pop()
             self.wasted += caller.prompt + caller.made
             self.paused.append(caller)
         while self.paused and len(self.runs) < self._kind.slots:
             caller = self.paused[0]
             need = caller.prompt + caller.made
-            if self.runs and self._used() + need > self._kind.capacity:
+            if self.runs and self.used + need > self._kind.capacity:
                 return
             self.runs.append(self.paused.popleft())
 
@@ -375,6 +377,10 @@
 
     def _plan(self, now: float) -> None:
         """Carry out the changes of stage that the owner wants."""
+        for name in self._idle_at:
+            self._report(name, upstreams.Stage.PREFILL, now)
+        for name in self._decodes:
+            self._report(name, upstreams.Stage.DECODE, now)
         for upstream, stage in self._owner.changes(now):
             back_at = now + self._kind.switch
             self._owner.engines.changing(upstream.id, stage, back_at + 8)
@@ -384,6 +390,14 @@
             gone = self._decodes.pop(name, None)
             self._later.append((back_at, self._change(name, stage, gone)))
 
+    def _report(self, name: str, stage: upstreams.Stage, now: float) -> None:
+        """Have an engine tell its stage, as its report does."""
+        decode = self._decodes.get(name)
+        used = int(decode.used) if decode is not None else 0
+        self._owner.engines.observe(
+            ids.UpstreamId(name), used, stage, False, now
+        )
+
     def _change(
         self, name: str, stage: upstreams.Stage, gone: _Decode | None
     ) -> collections.abc.Callable[[float], None]:
--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -210,9 +210,8 @@
         placement = self._placements.get(stream)
         if placement is None or placement.prefill is None:
             return
-        self._measures.note_prefill(
-            tokens, seconds - placement.waits, placement.is_alone
-        )
+        if placement.is_alone:
+            self._measures.note_prefill(tokens, seconds)
         placement.read_at = now
         self._pool.answered(placement.prefill, stream)
         alone = self._pool.read(
@@ -368,7 +367,6 @@
         self._placements[job.stream] = placement
         if prefill is not None:
             idle_at = max(now, prefill.idle_at)
-            placement.waits = idle_at - now
             placement.is_alone = not prefill.unread
             prefill.unread.add(job.stream)
             prefill.idle_at = idle_at + self._measures.occupied(job.prompt)
--- a/galenahatch/core/division.py
+++ b/galenahatch/core/division.py
@@ -91,7 +91,7 @@
             is_waiting: whether requests wait for engines.
             now: monotonic seconds.
         """
-        if self._pool.is_changing or not self._is_measured():
+        if not self._pool.is_settled(now) or not self._is_measured():
             return []
         prefills = sorted(
             self._pool.prefills.values(), key=lambda e: e.idle_at
--- a/galenahatch/core/figures.py
+++ b/galenahatch/core/figures.py
@@ -119,22 +119,10 @@
         span = max(1.0, now - self._arrivals[0])
         return len(self._arrivals) / span
 
-    def note_prefill(
-        self, tokens: int, seconds: float, is_alone: bool = True
-    ) -> None:
-        """Take how long a prefill took.
-
-        Args:
-            tokens: of the prompt.
-            seconds: since its engine was expected to be idle.
-            is_alone: whether the engine had no other prompt. What was behind
-                another counts only as long as there is little else: it took
-                longer by as much as the expectation was wrong.
-        """
+    def note_prefill(self, tokens: int, seconds: float) -> None:
+        """Take how long a prefill took at an engine that had no other."""
         if tokens <= 0 or seconds <= 0:
             return
-        if not is_alone and self._latency.is_known:
-            return
         line = self._latency.learn(tokens, seconds, self.line)
         self.figures = self.figures._replace(
             rate=line.rate, delay=line.delay, reads=self.figures.reads + 1
--- a/galenahatch/core/latency.py
+++ b/galenahatch/core/latency.py
@@ -31,7 +31,15 @@
 """Prefills that count. Thirds of 15 bear five outliers at most; the window
 turns over in about five seconds at one engine in steady use."""
 LEAST: typing.Final = 15
-"""Prefills from which on the slope is believed; thirds of five."""
+"""Prefills from which on a plan rests on the slope; thirds of five."""
+_LEAST_FOR_SLOPE: typing.Final = 6
+"""Prefills from which on there is a slope at all; thirds of two. Without one
+all of the time is taken for work, and half of what an engine with a delay can
+read is refused: a new owner sees few prompts alone when it starts in a
+burst."""
+_MOST_WORK: typing.Final = 4.0
+"""Times that a rate may exceed tokens by the whole time: no delay of more
+than three times the reading is told from so few."""
 _LEAST_SPREAD: typing.Final = 1.5
 """Times that the large prompts must exceed the small ones for a slope: below
 that, an error of a tenth in a time is one of a half in the slope."""
@@ -61,11 +69,6 @@
             maxlen=_WINDOW
         )
 
-    @property
-    def is_known(self) -> bool:
-        """Whether there are enough prefills for a slope."""
-        return len(self._seen) >= LEAST
-
     def learn(self, tokens: int, seconds: float, believed: Line) -> Line:
         """Take a prefill; return the line through the newest ones.
 
@@ -87,7 +90,7 @@
 
     def _slope(self) -> float | None:
         """Return tokens a second between small and large prompts."""
-        if not self.is_known:
+        if len(self._seen) < _LEAST_FOR_SLOPE:
             return None
         ordered = sorted(self._seen, key=lambda seen: seen[0])
         third = len(ordered) // 3
@@ -96,7 +99,9 @@
         rises = large_seconds > small_seconds
         if not rises or large < _LEAST_SPREAD * small:
             return None
-        return (large - small) / (large_seconds - small_seconds)
+        rate = (large - small) / (large_seconds - small_seconds)
+        whole = statistics.median(t / s for t, s in self._seen)
+        return min(rate, _MOST_WORK * whole)
 
 
 def _medians(
--- a/galenahatch/core/placements.py
+++ b/galenahatch/core/placements.py
@@ -22,8 +22,8 @@
     """Where a run is, and when its VM last told of it.
 
     Attributes:
-        waits: seconds until its prefill engine was expected to be idle.
-        is_alone: whether that engine had no other prompt.
+        is_alone: whether its prefill engine had no other prompt: only then
+            its time tells what a prompt takes, and not how many wait there.
         read_at: when its prompt had been read, if known.
     """
 
@@ -32,6 +32,5 @@
     told_at: float
     prefill: ids.UpstreamId | None = None
     placed_at: float = 0.0
-    waits: float = 0.0
     is_alone: bool = False
     read_at: float | None = None
--- a/galenahatch/core/pool.py
+++ b/galenahatch/core/pool.py
@@ -80,6 +80,23 @@
         """Whether an engine is changing its stage."""
         return bool(self._changing)
 
+    def is_settled(self, now: float) -> bool:
+        """Return whether every engine has told its stage, and none changes.
+
+        A new owner does not know what the one before it ordered: it counted
+        an engine that was about to answer as one that still reads, and took
+        a second one away from reading.
+        """
+        told = self._told
+        every = (*self.prefills, *self.decodes)
+        if any(e not in told or self._is_old(told[e], now) for e in every):
+            return False
+        busy = (t for t in told.values() if t.busy)
+        return not self._changing and all(self._is_old(t, now) for t in busy)
+
+    def _is_old(self, told: _Told, now: float) -> bool:
+        return now - told.at > _TOLD_LIFE
+
     def set_engines(
         self,
         engines: typing.Iterable[upstreams.Upstream],
@@ -134,7 +151,7 @@
         self, engine: upstreams.Upstream, now: float
     ) -> upstreams.Upstream:
         told = self._told.get(engine.id)
-        if told is None or now - told.at > _TOLD_LIFE:
+        if told is None or self._is_old(told, now):
             return engine
         return dataclasses.replace(engine, stage=told.stage)
 
--- a/galenahatch/core/stages.py
+++ b/galenahatch/core/stages.py
@@ -34,7 +34,7 @@
 meanwhile. A surplus of prefill engines is not missed: decode engines limit,
 and go on. It is given up at once, for the first of the bursts that follow
 each other every ten seconds leaves no calm moment."""
-_FREE_GAIN: typing.Final = 1.05
+_FREE_GAIN: typing.Final = 1.1
 """The same where engines change that nobody misses meanwhile: the price is
 an order. Engines that are half empty show little of the gain yet."""
 _SAME: typing.Final = 0.97
--- a/galenahatch/test/mutations.py
+++ b/galenahatch/test/mutations.py
@@ -29,7 +29,12 @@
 ROOT: typing.Final = pathlib.Path(__file__).resolve().parents[2]
 ROWS: typing.Final = ROOT / 'test-data' / 'mutations.txt'
 _AT_ONCE: typing.Final = 3
-_COPIED: typing.Final = ('galenahatch', 'test-data', 'pyproject.toml')
+_COPIED: typing.Final = (
+    'galenahatch',
+    'bench',
+    'test-data',
+    'pyproject.toml',
+)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/galenahatch/test/test_decisions.py
+++ b/galenahatch/test/test_decisions.py
@@ -608,6 +608,24 @@
     assert placed.decode == 'p1'
 
 
+def test_no_plan_before_every_engine_has_told_its_stage() -> None:
+    """A new owner does not take away what the one before it ordered."""
+    owner = _dispatcher(prefills=2, decodes=1)
+    stages_of = {'p0': 'PREFILL', 'p1': 'PREFILL', 'd0': 'DECODE'}
+    for name, stage in stages_of.items():
+        assert not owner.engines.is_settled(1.0)
+        is_busy = name == 'p1'
+        owner.engines.observe(
+            ids.UpstreamId(name), 0, upstreams.Stage[stage], is_busy, 1.0
+        )
+    assert not owner.engines.is_settled(1.0), 'one is about to change'
+    owner.engines.observe(
+        ids.UpstreamId('p1'), 0, upstreams.Stage.DECODE, False, 2.0
+    )
+    assert owner.engines.is_settled(2.0)
+    assert not owner.engines.is_settled(9.0), 'too old'
+
+
 def test_engine_that_ends_while_it_changes_holds_up_nothing() -> None:
     """A crash during a change of stage does not forbid the next change."""
     owner = _dispatcher(prefills=2, decodes=1)
--- a/galenahatch/test/test_load.py
+++ b/galenahatch/test/test_load.py
@@ -27,10 +27,13 @@
 import pytest
 
 from bench import dispatching
+from galenahatch.core import dispatch
 from galenahatch.core import figures
+from galenahatch.core import generations
 from galenahatch.core import latency
 from galenahatch.core import memory
 from galenahatch.core import pace
+from galenahatch.core import upstreams
 from galenahatch import ids
 
 
@@ -195,6 +198,61 @@
     assert _in_time(_day(kind, 0.7)) > 0.9
 
 
+def _new_owner() -> dispatch.Dispatcher:
+    """Return an owner of one prefill and one decode engine."""
+    owner = dispatch.Dispatcher(58_379, 64)
+    stages = (upstreams.Stage.PREFILL, upstreams.Stage.DECODE)
+    engines = [
+        upstreams.Upstream(
+            ids.UpstreamId(stage.value),
+            ids.ServiceName('lm'),
+            stage.value,
+            ids.DataCentre('a'),
+            64,
+            False,
+            stage,
+        )
+        for stage in stages
+    ]
+    owner.set_engines(engines, (), 0.0)
+    return owner
+
+
+def _asked(number: int, now: float) -> generations.Job:
+    return generations.Job(
+        stream=ids.StreamId(str(number)),
+        entry=ids.MemberId('m'),
+        prompt=5000,
+        hint=400,
+        most=1200,
+        arrived_at=now,
+        start_by=now + 0.9,
+        leaves_at=now + 3.6,
+        deadline=now + 14,
+        subject=str(number),
+        data_centre=ids.DataCentre('a'),
+    )
+
+
+def test_crowded_restart_is_not_taken_for_slow_engines() -> None:
+    """A new owner learns nothing from prompts that queue at an engine.
+
+    After all gateways were killed, callers come again at once, and a prompt
+    took 0.7 s behind others: taken for the engine's rate, which was then
+    believed to be a fifth, most of them were refused for ten seconds.
+    """
+    owner = _new_owner()
+    for number in range(8):
+        now = 0.14 * number
+        owner.submit(_asked(number, now), now)
+        assert owner.decide(now)
+    for number in range(8):
+        seconds = 0.19 + 0.1 * number
+        stream = ids.StreamId(str(number))
+        owner.prefilled(stream, 5000, seconds, 0.14 * number + seconds)
+    assert owner.measured.rate > 20_000
+
+
 def test_delay_costs_no_engine_its_time() -> None:
     """Results that come 0.1 s after they were read keep no engine idle.
 
