--- a/galenahatch/core/figures.py
+++ b/galenahatch/core/figures.py
@@ -78,6 +78,7 @@
         self.figures = Figures()
         self.lengths = lengths.Lengths()
         self._latency = latency.Latency()
+        self._adopted_reads = 0
         self._slacks: collections.deque[float] = collections.deque(
             maxlen=_SLACKS
         )
@@ -93,6 +94,7 @@
         if figures.seen <= self.figures.seen:
             return False
         self.figures = figures
+        self._adopted_reads = figures.reads
         return True
 
     def note_size(self, prompt: int, output: int) -> None:
@@ -124,9 +126,12 @@
         if tokens <= 0 or seconds <= 0:
             return
         line = self._latency.learn(tokens, seconds, self.line)
-        self.figures = self.figures._replace(
-            rate=line.rate, delay=line.delay, reads=self.figures.reads + 1
-        )
+        self.figures = self.figures._replace(reads=self.figures.reads + 1)
+        if self._adopted_reads and not self._latency.is_known:
+            # The owner before knew more than a few prompts can tell, which
+            # may have met prompts that it placed.
+            return
+        self.figures = self.figures._replace(rate=line.rate, delay=line.delay)
 
     def note_overlap(self, alone: float) -> None:
         """Take in what part of the delay an engine read nothing else."""
--- a/galenahatch/core/latency.py
+++ b/galenahatch/core/latency.py
@@ -69,6 +69,11 @@
             maxlen=_WINDOW
         )
 
+    @property
+    def is_known(self) -> bool:
+        """Whether there are enough prefills for a slope."""
+        return len(self._seen) >= _LEAST_FOR_SLOPE
+
     def learn(self, tokens: int, seconds: float, believed: Line) -> Line:
         """Take a prefill; return the line through the newest ones.
 
@@ -90,7 +95,7 @@
 
     def _slope(self) -> float | None:
         """Return tokens a second between small and large prompts."""
-        if len(self._seen) < _LEAST_FOR_SLOPE:
+        if not self.is_known:
             return None
         ordered = sorted(self._seen, key=lambda seen: seen[0])
         third = len(ordered) // 3
--- a/galenahatch/core/memory.py
+++ b/galenahatch/core/memory.py
@@ -38,9 +38,9 @@
 _OVERRUN: typing.Final = 1.25
 """Predicted length of a run that has outlived its prediction, by what it
 has made so far; the mean for lengths that spread by a factor of 1.4."""
-DEVIATIONS: typing.Final = 2.0
+DEVIATIONS: typing.Final = 1.5
 """Standard deviations that are kept free for longer answers than predicted:
-one sum in forty exceeds that. Preempting a run costs its prompt again and a
+one sum in fifteen exceeds that. Preempting a run costs its prompt again and a
 pause, an empty place a fraction of a run's time."""
 _RECENT: typing.Final = 1.5
 """Seconds for which a run that has ended may still stand in a report; the
