The last prefill engine is replaced at once

Change: without prefill engines only the part of prompts that is short enough counts, and a change needs no request that waits for reading. Test failed before.

--- a/galenahatch/core/stages.py
+++ b/galenahatch/core/stages.py
@@ -79,7 +79,9 @@
     if math.isinf(work.help):
         return reading
     if not prefills:
-        return decodes / (work.hold + work.help)
+        # Prompts that are too long make every run of their engine pause for
+        # too long: what is served then is late.
+        return _HELPED * decodes / (work.hold + work.help)
     helped = (decodes + reading * work.help) / (work.hold + work.help)
     return max(reading, min(helped, reading / (1 - _HELPED)))
 
@@ -148,7 +150,7 @@
         surplus = _agreed(
             [len(prefills) - best(work, total) for work in works]
         )
-        if not surplus or (surplus < 0 and not lags):
+        if not surplus or (surplus < 0 and prefills and not lags):
             return []
         engines = (len(prefills), len(decodes))
         if not all(_pays(work, engines, surplus, calm) for work in works):
--- a/galenahatch/test/test_decisions.py
+++ b/galenahatch/test/test_decisions.py
@@ -685,6 +685,20 @@
         assert bool(found) is lags
 
 
+def test_last_prefill_engine_is_replaced_at_once() -> None:
+    """Decode engines that read everything themselves make all of it late.
+
+    The last prefill engine was taken away, and 115 of 250 streams paused for
+    longer than they may through the rest of the day.
+    """
+    work = stages.Work(read=0.1, hold=0.33, help=0.2)
+    engines = [_engine(f'e{n}', None) for n in range(3)]
+    ((_, stage),) = stages.Planner().plan(
+        [work], [], engines, False, False, 10.0
+    )
+    assert stage is upstreams.Stage.PREFILL
+
+
 def test_change_must_pay_whatever_is_not_known() -> None:
     """As long as overlap is not known, a change has to pay either way."""
     engines = [_engine(f'e{n}', None) for n in range(6)]
