A peer that started later tells all upstreams, so what has gone meanwhile is dropped

Read: a gateway that started in between knows no row that went before its first reading, and told the asker only what was newer.

Change: such a gateway tells all rows, marked as whole, and the asker drops what is not among them (messages.News.is_whole, at the end with a default).

Ruled out: telling nothing then; after a restart of both that follow the store nobody would hear of changes.

Measured: test_what_went_before_a_peer_started_is_gone fails without it.

--- a/galenahatch/gateway/directory.py
+++ b/galenahatch/gateway/directory.py
@@ -65,6 +65,8 @@
         self.table = routes.RouteTable(())
         self.registry = upstreams.Registry(drain)
         self.upstreams_ver = -1
+        # Version of the first reading: what was gone before is not known.
+        self._knows_since = -1
         self.fed_by_peers: collections.abc.Callable[[], bool] = lambda: False
         self.outage = followers.Outage()
         self._config_feed = followers.Follower(
@@ -120,20 +122,28 @@
     # News of peers.
 
     def news(self, ask: messages.Ask) -> messages.News | None:
-        """Return what is newer here than at a peer, if anything is."""
+        """Return what is newer here than at a peer, if anything is.
+
+        A gateway that started after the peer does not know what has gone in
+        between; it tells all rows, and the peer drops what is not among them.
+        """
         config = b''
         if self.config_version > ask.config:
             config = zlib.compress(self._document)
         rows: tuple[messages.NewsRow, ...] = ()
+        is_whole = ask.upstreams < self._knows_since
+        after = -1 if is_whole else ask.upstreams
         if self.upstreams_ver > ask.upstreams:
             rows = tuple(
                 messages.NewsRow(key, ver, document or b'')
                 for key, (ver, document) in self._rows.items()
-                if ver > ask.upstreams
+                if ver > after
             )
         if not config and self.upstreams_ver <= ask.upstreams:
             return None
-        return messages.News(config, ask.upstreams, self.upstreams_ver, rows)
+        return messages.News(
+            config, ask.upstreams, self.upstreams_ver, rows, is_whole
+        )
 
     def take_news(self, news: messages.News) -> None:
         """Take what a peer knows, if it is newer."""
@@ -144,7 +154,11 @@
                 stores.Row(row.key, row.ver, row.document, not row.document)
                 for row in news.rows
             ]
-            self._take_changes(rows, news.upstreams)
+            if news.is_whole:
+                current = [row for row in rows if not row.removed]
+                self._take_upstreams(current, news.upstreams)
+            else:
+                self._take_changes(rows, news.upstreams)
 
     def _take_compressed(self, config: bytes) -> None:
         try:
@@ -187,6 +201,8 @@
     def _take_upstreams(self, rows: list[stores.Row], ver: int) -> None:
         if ver < self.upstreams_ver:
             return
+        if self.upstreams_ver < 0:
+            self._knows_since = ver
         self.upstreams_ver = ver
         current = {row.key for row in rows}
         for key in self._rows:
@@ -201,6 +217,8 @@
     def _take_changes(self, rows: list[stores.Row], ver: int) -> None:
         if ver < self.upstreams_ver:
             return
+        if self.upstreams_ver < 0:
+            self._knows_since = ver
         self.upstreams_ver = ver
         for row in rows:
             if row.removed:
--- a/galenahatch/gateway/messages.py
+++ b/galenahatch/gateway/messages.py
@@ -289,12 +289,15 @@
         after: version of the store from which on rows are told.
         upstreams: version of the store up to which rows are told.
         rows: of upstreams that changed in between.
+        is_whole: whether they are all that there are, and what is not among
+            them is gone.
     """
 
     config: bytes
     after: int
     upstreams: int
     rows: tuple[NewsRow, ...]
+    is_whole: bool = False
 
 
 AnyMessage = (
--- a/galenahatch/test/test_follower.py
+++ b/galenahatch/test/test_follower.py
@@ -15,8 +15,11 @@
 import asyncio
 
 from galenahatch import errors
+from galenahatch.gateway import directory as directories
 from galenahatch.gateway import follower as followers
+from galenahatch.gateway import messages
 from galenahatch.platform import store as stores
+from galenahatch import tasks
 
 _AWAY = errors.Failure(errors.STORE_UNAVAILABLE, 'away')
 
@@ -136,3 +139,36 @@
         return store.calls['a']
 
     assert asyncio.run(run(8.0)) < asyncio.run(run(0.1)) / 3
+
+
+_ENTRY = (
+    b'{"service":"desk","address":"10.1.0.9:80","zone":"a","version":1,'
+    b'"slots":4,"state":"ready","cold_left_ms":0,"seq_no":1}'
+)
+
+
+def _directory() -> directories.Directory:
+    return directories.Directory(_Store(), tasks.Tasks(), 2.0)
+
+
+def _told(ver: int, *keys: str) -> messages.News:
+    rows = tuple(messages.NewsRow(key, ver, _ENTRY) for key in keys)
+    return messages.News(b'', -1, ver, rows)
+
+
+def test_what_went_before_a_peer_started_is_gone() -> None:
+    """A peer that has just started knows nothing of entries that went before.
+
+    Told only what is newer, a gateway kept an upstream that had left for six
+    seconds, and sent it calls.
+    """
+    old = _directory()
+    old.take_news(_told(1, 'left', 'stays'))
+    assert set(old.registry.known) == {'left', 'stays'}
+    started = _directory()
+    started.take_news(_told(5, 'stays'))
+    news = started.news(messages.Ask(0, old.upstreams_ver))
+    assert news is not None
+    old.take_news(news)
+    assert set(old.registry.known) == {'stays'}
+    assert old.upstreams_ver == 5
