Each start of an upstream is an incarnation; entries by anybody name one or none

Cause, read in the code: the id alone stood for a start everywhere. One that had said that it leaves was refused for good under its id; a quick restart, faster than the entry lapses, kept the memory, runs, health and stage of the start before; a row that could not be read was kept in use by the feed and dropped by a whole reading, so gateways differed; a state without a meaning counted as leaving for good; an address that is none raised in the path of a send.

Change: core/incarnations names a start by id and moment, in one text that all maps and messages already carry; the adapter takes it apart for the pin. Orders are put off while the report is of another start. Rows older than the one known are dropped. gatewayctl shows starts, reasons and services that are not configured.

--- a/galenahatch/core/upstreams.py
+++ b/galenahatch/core/upstreams.py
@@ -12,21 +12,26 @@
 
 """Upstreams that register themselves, and which of them take new work.
 
-Every start of an upstream is a new incarnation with an id of its own, and
-addresses are used again by others. So everything is kept by id, and a send
-is pinned to the id that it was meant for.
-
-An upstream that says that it is leaving never takes new work again. One
-whose entry vanished takes none either, with one exception: entries lapse
-while the store is away and come back about two seconds after its return.
-If a whole service vanished that way, its last members are used until then,
-since refusing everything would be worse than a send that is turned away.
+Every start of an upstream is a new incarnation, which may have the id of the
+one before (`core/incarnations`), and addresses are used again by others. So
+everything is kept by incarnation, and a send is pinned to the id that it was
+meant for. The latest start that was heard of replaces the ones before it;
+what is heard of an earlier one later on changes nothing.
+
+An upstream that says that it is leaving never takes new work again; only a
+later start of it does. One whose entry vanished takes none either, with one
+exception: entries lapse while the store is away and come back about two
+seconds after its return. If a whole service vanished that way, its last
+members are used until then, since refusing everything would be worse than a
+send that is turned away. An entry that can't be used takes the upstream away
+without that grace: somebody wrote it, so it did not lapse.
 """
 
 import dataclasses
 import enum
 import typing
 
+from galenahatch.core import incarnations
 from galenahatch import ids
 
 LAPSE_GRACE: typing.Final = 1.8
@@ -79,17 +84,34 @@
         self._known: dict[ids.UpstreamId, Upstream] = {}
         self._removed: dict[ids.UpstreamId, tuple[float, Upstream]] = {}
         self._left: dict[ids.UpstreamId, float] = {}
+        # Latest start of each instance, and when it was heard of last.
+        self._latest: dict[ids.InstanceId, tuple[ids.UpstreamId, float]] = {}
 
     @property
     def known(self) -> typing.Mapping[ids.UpstreamId, Upstream]:
         """Upstreams by id."""
         return self._known
 
+    def latest(self, instance: ids.InstanceId) -> ids.UpstreamId | None:
+        """Return the latest start of an instance that was heard of."""
+        found = self._latest.get(instance)
+        return found[0] if found is not None else None
+
     def put(self, upstream: Upstream, now: float) -> bool:
         """Take an entry; return whether it changed anything."""
+        instance = incarnations.instance(upstream.id)
+        latest = self.latest(instance)
+        if latest is not None:
+            if incarnations.born(upstream.id) == incarnations.UNKNOWN:
+                upstream = dataclasses.replace(upstream, id=latest)
+            elif incarnations.is_later(latest, upstream.id):
+                return False
+            elif latest != upstream.id:
+                self._forget(latest)
+        self._latest[instance] = upstream.id, now
         if upstream.id in self._left and not upstream.leaving:
-            # Once an upstream has said that it leaves, it does not return
-            # under this id: what says otherwise is older news.
+            # Once an upstream has said that it leaves, this start of it does
+            # not return: what says otherwise is older news.
             return False
         if upstream.leaving:
             self._left.setdefault(upstream.id, now)
@@ -98,19 +120,62 @@
         self._known[upstream.id] = upstream
         return before != upstream
 
-    def remove(self, upstream: ids.UpstreamId, now: float) -> bool:
+    def restarted(
+        self,
+        upstream: ids.UpstreamId,
+        born: int,
+        stage: Stage | None,
+        now: float,
+    ) -> Upstream | None:
+        """Take from an upstream itself when it started.
+
+        It tells so earlier than its entry may. One that leaves is not used
+        again before its entry says so.
+
+        Args:
+            upstream: that was asked.
+            born: Unix milliseconds of its start, as it says.
+            stage: that it is in, as it says.
+            now: monotonic seconds.
+
+        Returns:
+            The later start, if it is one that takes work.
+        """
+        before = self._known.get(upstream)
+        if before is None or before.leaving:
+            return None
+        instance = incarnations.instance(upstream)
+        later = incarnations.incarnation(instance, born)
+        if not incarnations.is_later(later, upstream):
+            return None
+        started = dataclasses.replace(before, id=later, stage=stage)
+        self.put(started, now)
+        return started
+
+    def remove(self, instance: ids.InstanceId, now: float) -> bool:
         """Take the news that an entry is gone."""
-        gone = self._known.pop(upstream, None)
+        latest = self.latest(instance)
+        gone = self._known.pop(latest, None) if latest is not None else None
         if gone is None:
             return False
-        self._removed[upstream] = (now, gone)
+        self._removed[gone.id] = (now, gone)
+        self._latest[instance] = gone.id, now
         self._forget_old(now)
         return True
 
+    def withdraw(self, instance: ids.InstanceId, now: float) -> bool:
+        """Take the news that an entry names no upstream that can be used."""
+        was_known = self.remove(instance, now)
+        latest = self.latest(instance)
+        if latest is not None:
+            self._removed.pop(latest, None)
+        return was_known
+
     def replace(self, entries: typing.Iterable[Upstream], now: float) -> None:
         """Take the whole list: what is not in it is gone."""
-        current = {entry.id: entry for entry in entries}
-        for missing in [key for key in self._known if key not in current]:
+        current = {incarnations.instance(e.id): e for e in entries}
+        present = {incarnations.instance(key) for key in self._known}
+        for missing in present - current.keys():
             self.remove(missing, now)
         for entry in current.values():
             self.put(entry, now)
@@ -129,19 +194,41 @@
         found = self._known.get(upstream)
         if found is None and upstream in self._removed:
             return self._removed[upstream][1]
-        return found
+        return found or self._ahead(upstream)
 
     def takes_work(self, upstream: ids.UpstreamId, now: float) -> bool:
         """Return whether an upstream may be sent new work."""
         found = self._known.get(upstream)
         if found is not None:
             return not found.leaving
+        ahead = self._ahead(upstream)
+        if ahead is not None:
+            return not ahead.leaving
         removed = self._removed.get(upstream)
         if removed is None:
             return False
         service = removed[1].service
         return any(u.id == upstream for u in self.usable(service, now))
 
+    def _ahead(self, upstream: ids.UpstreamId) -> Upstream | None:
+        """Return a start that another VM knows of and this one does not yet.
+
+        The owner reads an engine's report before the engine's entry is
+        written again, and places runs on the start that it found there.
+        """
+        latest = self.latest(incarnations.instance(upstream))
+        if latest is None or latest not in self._known:
+            return None
+        if not incarnations.is_later(upstream, latest):
+            return None
+        return dataclasses.replace(self._known[latest], id=upstream)
+
+    def _forget(self, upstream: ids.UpstreamId) -> None:
+        """Forget a start that another one has followed."""
+        self._known.pop(upstream, None)
+        self._removed.pop(upstream, None)
+        self._left.pop(upstream, None)
+
     def _lapsed(self, service: ids.ServiceName, now: float) -> list[Upstream]:
         return [
             upstream
@@ -158,3 +245,8 @@
         for key, left_at in list(self._left.items()):
             if key not in self._known and now - left_at > _REMEMBERED:
                 del self._left[key]
+        for instance, (latest, heard_at) in list(self._latest.items()):
+            is_old = now - heard_at > _REMEMBERED
+            if is_old and latest not in self._known:
+                if latest not in self._removed:
+                    del self._latest[instance]
--- a/galenahatch/gateway/calls.py
+++ b/galenahatch/gateway/calls.py
@@ -67,7 +67,7 @@
     """What this system tells the upstream beside the caller's request.
 
     Attributes:
-        instance: the only upstream that may run it.
+        upstream: the only one that may run it.
         patience: seconds that are left for it.
         prefill_only: read the prompt and keep the result.
         kv_source: address and handle of a prefill's result, or empty.
@@ -75,7 +75,7 @@
         priority: rank at the engine, 0 to 9; 0 goes first.
     """
 
-    instance: ids.UpstreamId
+    upstream: ids.UpstreamId
     patience: float | None
     prefill_only: bool = False
     kv_source: str = ''
--- a/galenahatch/gateway/directory.py
+++ b/galenahatch/gateway/directory.py
@@ -26,6 +26,7 @@
 import zlib
 
 from galenahatch import clock
+from galenahatch.core import incarnations
 from galenahatch.core import routes
 from galenahatch.core import upstreams
 from galenahatch import errors
@@ -64,6 +65,10 @@
         self.config: routes.Configuration | None = None
         self.table = routes.RouteTable(())
         self.registry = upstreams.Registry(drain)
+        self._unusable: dict[str, str] = {}
+        self._starts: list[
+            collections.abc.Callable[[ids.UpstreamId], None]
+        ] = []
         self.upstreams_ver = -1
         # Version of the first reading: what was gone before is not known.
         self._knows_since = -1
@@ -113,6 +118,29 @@
         """Call a function after each change."""
         self._listeners.append(listener)
 
+    def on_start(
+        self, listener: collections.abc.Callable[[ids.UpstreamId], None]
+    ) -> None:
+        """Call a function with each start that follows another one."""
+        self._starts.append(listener)
+
+    def restarted(
+        self,
+        upstream: ids.UpstreamId,
+        born: int,
+        stage: upstreams.Stage | None,
+    ) -> upstreams.Upstream | None:
+        """Take from an upstream itself when it started.
+
+        Returns:
+            The later start, if it is one that takes work.
+        """
+        later = self.registry.restarted(upstream, born, stage, clock.now())
+        if later is not None:
+            self._note_start(later.id, upstream, 'report')
+            self._changed()
+        return later
+
     def service(self, name: ids.ServiceName) -> routes.Service | None:
         """Return a service of the configuration in force."""
         if self.config is None:
@@ -209,8 +237,14 @@
             if key not in current:
                 self._rows[key] = (ver, None)
         self._rows.update((row.key, (row.ver, row.value)) for row in rows)
-        found = [entry for row in rows if (entry := _decoded(row))]
+        found = [entry for row in rows if (entry := self._usable(row))]
+        before = {
+            entry.id: self.registry.latest(incarnations.instance(entry.id))
+            for entry in found
+        }
         self.registry.replace(found, clock.now())
+        for key, earlier in before.items():
+            self._note_start(key, earlier, 'store')
         _log.info('Upstreams read.', count=len(found), ver=ver)
         self._changed()
 
@@ -221,33 +255,70 @@
             self._knows_since = ver
         self.upstreams_ver = ver
         for row in rows:
-            if row.removed:
-                self._rows[row.key] = (row.ver or ver, None)
-                if self.registry.remove(ids.UpstreamId(row.key), clock.now()):
-                    _log.info('Upstream gone.', upstream=row.key, ver=ver)
+            if row.ver < self._rows.get(row.key, (0, None))[0]:
                 continue
-            self._rows[row.key] = (row.ver, row.value)
-            entry = _decoded(row)
-            if entry and self.registry.put(entry, clock.now()):
-                _log.info(
-                    'Upstream changed.',
-                    upstream=row.key,
-                    service=entry.service,
-                    address=entry.address,
-                    leaving=entry.leaving,
-                    stage=entry.stage.value if entry.stage else '',
-                    ver=ver,
-                )
+            if row.removed:
+                self._take_removal(row, ver)
+            else:
+                self._rows[row.key] = (row.ver, row.value)
+                self._take_entry(row)
         self._changed()
 
-    def _changed(self) -> None:
-        for listener in self._listeners:
-            listener()
+    def _take_removal(self, row: stores.Row, ver: int) -> None:
+        self._rows[row.key] = (row.ver or ver, None)
+        self._unusable.pop(row.key, None)
+        if self.registry.remove(ids.InstanceId(row.key), clock.now()):
+            _log.info('Upstream gone.', upstream=row.key, ver=ver)
 
+    def _take_entry(self, row: stores.Row) -> None:
+        entry = self._usable(row)
+        if entry is None:
+            return
+        earlier = self.registry.latest(ids.InstanceId(row.key))
+        if not self.registry.put(entry, clock.now()):
+            return
+        self._note_start(entry.id, earlier, 'store')
+        _log.info(
+            'Upstream changed.',
+            upstream=entry.id,
+            service=entry.service,
+            address=entry.address,
+            leaving=entry.leaving,
+            stage=entry.stage.value if entry.stage else '',
+            ver=row.ver,
+        )
 
-def _decoded(row: stores.Row) -> upstreams.Upstream | None:
-    entry = documents.upstream(row.key, row.value)
-    if isinstance(entry, errors.Failure):
-        _log.error('Bad upstream entry.', detail=entry.detail)
+    def _usable(self, row: stores.Row) -> upstreams.Upstream | None:
+        """Return the upstream that an entry names, if it can be used."""
+        entry = documents.upstream(row.key, row.value)
+        if not isinstance(entry, errors.Failure):
+            self._unusable.pop(row.key, None)
+            return entry
+        if self._unusable.get(row.key) != entry.detail:
+            self._unusable[row.key] = entry.detail
+            _log.error('Bad upstream entry.', detail=entry.detail)
+        if self.registry.withdraw(ids.InstanceId(row.key), clock.now()):
+            _log.warning('Upstream withdrawn.', upstream=row.key, ver=row.ver)
         return None
-    return entry
+
+    def _note_start(
+        self,
+        upstream: ids.UpstreamId,
+        earlier: ids.UpstreamId | None,
+        source: str,
+    ) -> None:
+        """Tell that an upstream has started again, if it has."""
+        if earlier is None or not incarnations.is_later(upstream, earlier):
+            return
+        _log.info(
+            'Upstream started again.',
+            upstream=upstream,
+            before=earlier,
+            source=source,
+        )
+        for listener in self._starts:
+            listener(upstream)
+
+    def _changed(self) -> None:
+        for listener in self._listeners:
+            listener()
--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -277,7 +277,7 @@
         known = fate.Fate.UNCERTAIN
         try:
             answer = await self._means.sender.send(
-                engine.address,
+                engine,
                 self._call,
                 wire.outgoing(self._call, directions),
                 wire.answer_head,
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -98,6 +98,7 @@
             self._store, self._background, settings.bounds.drain
         )
         self._sender = senders.Sender()
+        self._directory.on_start(self._end_waits)
         self._ownership = ownerships.Ownership(
             self._directory, settings.data_centre
         )
@@ -133,6 +134,12 @@
         else:
             self._ownership.take(member, message)
 
+    def _end_waits(self, upstream: ids.UpstreamId) -> None:
+        """Give up what is under way at the start before."""
+        ended = self._sender.waits.started(upstream)
+        if ended:
+            _log.info('Waits ended.', upstream=upstream, waits=ended)
+
     def _run(self) -> None:
         """Start the tasks that go on until the end."""
         self._directory.run()
--- a/galenahatch/gateway/orders.py
+++ b/galenahatch/gateway/orders.py
@@ -168,12 +168,9 @@
     ) -> bool:
         """Give an order; return whether the engine may be changing now."""
         report = await self._report(engine)
-        if report is None or report.busy:
-            _log.info(
-                'Order put off.',
-                engine=engine.id,
-                why='no report' if report is None else 'busy',
-            )
+        why = _put_off(engine, report)
+        if report is None or why:
+            _log.info('Order put off.', engine=engine.id, why=why)
             return False
         fence = await self._lease.fence()
         if fence is None:
@@ -220,3 +217,14 @@
             return None
         report = engines.report(reply[1])
         return None if isinstance(report, errors.Failure) else report
+
+
+def _put_off(engine: upstreams.Upstream, report: engines.Report | None) -> str:
+    """Return why an engine gets no order now; empty if it may get one."""
+    if report is None:
+        return 'no report'
+    if not report.is_of(engine.id):
+        # It counts its orders anew: the order would be checked against the
+        # count of a start that nobody has planned with.
+        return 'started again'
+    return 'busy' if report.busy else ''
--- a/galenahatch/gateway/plain.py
+++ b/galenahatch/gateway/plain.py
@@ -131,7 +131,7 @@
         attempt = _Attempt(upstream.id, None, None)
         try:
             answer = await self._means.sender.send(
-                upstream.address,
+                upstream,
                 self._call,
                 headers,
                 wire.answer_head,
--- a/galenahatch/gateway/prefill.py
+++ b/galenahatch/gateway/prefill.py
@@ -155,7 +155,7 @@
             engine.id, left, prefill_only=True, last_event=last_event
         )
         return await self._means.sender.send(
-            engine.address,
+            engine,
             self._call,
             wire.outgoing(self._call, directions),
             wire.answer_head,
--- a/galenahatch/gateway/reports.py
+++ b/galenahatch/gateway/reports.py
@@ -17,6 +17,7 @@
 
 from galenahatch import clock
 from galenahatch.core import dispatch
+from galenahatch.core import incarnations
 from galenahatch import errors
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import mesh as meshes
@@ -89,11 +90,28 @@
                 )
                 continue
             report = engines.report(reply[1])
-            if not isinstance(report, errors.Failure):
-                dispatcher.engines.observe(
-                    engine.id,
-                    report.kv_used,
-                    report.stage,
-                    report.busy,
-                    clock.now(),
+            if isinstance(report, errors.Failure):
+                _log.warning(
+                    'Bad report.', engine=engine.id, detail=report.detail
                 )
+                continue
+            self._take(dispatcher, engine.id, report)
+
+    def _take(
+        self,
+        dispatcher: dispatch.Dispatcher,
+        engine: ids.UpstreamId,
+        report: engines.Report,
+    ) -> None:
+        """Take the report of an engine, of its present start alone."""
+        told = (incarnations.UNKNOWN, incarnations.born(engine))
+        if report.born not in told:
+            later = self._directory.restarted(
+                engine, report.born, report.stage
+            )
+            if later is None:
+                return
+            engine = later.id
+        dispatcher.engines.observe(
+            engine, report.kv_used, report.stage, report.busy, clock.now()
+        )
--- a/galenahatch/gateway/sender.py
+++ b/galenahatch/gateway/sender.py
@@ -35,8 +35,11 @@
 import yarl
 
 from galenahatch.core import fate
+from galenahatch.core import upstreams
 from galenahatch import errors
 from galenahatch.gateway import calls
+from galenahatch.gateway import inflight
+from galenahatch import ids
 from galenahatch.upstream import http
 
 KEEP_ALIVE: typing.Final = 4.0
@@ -156,16 +159,31 @@
     Args:
         response: of the client library.
         head: decoded.
+        upstream: that answers.
+        waits: of the process.
     """
 
     def __init__(
-        self, response: aiohttp.ClientResponse, head: calls.AnswerHead
+        self,
+        response: aiohttp.ClientResponse,
+        head: calls.AnswerHead,
+        upstream: ids.UpstreamId,
+        waits: inflight.Waits,
     ) -> None:
         self.head = head
         self._response = response
+        self._upstream = upstream
+        self._waits = waits
 
     async def body(self) -> bytes | None:
         """Return the whole body; None if it broke off."""
+        try:
+            async with self._waits.limit(self._upstream, None):
+                return await self._collected()
+        except asyncio.TimeoutError:
+            return None
+
+    async def _collected(self) -> bytes | None:
         data = bytearray()
         try:
             async for chunk in self._response.content.iter_any():
@@ -188,7 +206,7 @@
             timeout: seconds of silence after which the stream is lost.
         """
         try:
-            async with asyncio.timeout(timeout):
+            async with self._waits.limit(self._upstream, timeout):
                 return await self._response.content.readany()
         except asyncio.TimeoutError:
             return Lost(fate.Fate.UNCERTAIN, 'silent')
@@ -205,6 +223,7 @@
     """Connections of one process to all upstreams."""
 
     def __init__(self) -> None:
+        self.waits = inflight.Waits()
         self._kept = _session(keep=True)
         self._fresh = _session(keep=False)
 
@@ -215,7 +234,7 @@
 
     async def send(
         self,
-        address: str,
+        upstream: upstreams.Upstream,
         request: calls.Call,
         headers: Headers,
         decode: typing.Callable[[int, typing.Any], calls.AnswerHead],
@@ -226,7 +245,7 @@
         """Send a request; return the head of its answer.
 
         Args:
-            address: of the upstream.
+            upstream: that it goes to.
             request: of the caller.
             headers: to send.
             decode: reads the head of an answer.
@@ -237,10 +256,10 @@
         session = self._kept if keep else self._fresh
         limits = aiohttp.ClientTimeout(total=None, sock_connect=connect)
         try:
-            async with asyncio.timeout(timeout):
+            async with self.waits.limit(upstream.id, timeout):
                 response = await session.request(
                     request.method,
-                    _url(address, request.target),
+                    _url(upstream.address, request.target),
                     data=request.body or None,
                     headers=headers,
                     skip_auto_headers=_SKIPPED,
@@ -254,23 +273,22 @@
         except http.ERRORS as error:
             return Lost(fate.Fate.UNCERTAIN, repr(error))
         head = decode(response.status, response.raw_headers)
-        return await self._checked(request, response, head)
+        answer = Answer(response, head, upstream.id, self.waits)
+        return await self._checked(request, answer)
 
     async def _checked(
-        self,
-        request: calls.Call,
-        response: aiohttp.ClientResponse,
-        head: calls.AnswerHead,
+        self, request: calls.Call, answer: Answer
     ) -> Answer | Lost:
+        head = answer.head
         if head.request and head.request != request.id:
-            response.close()
+            answer.close()
             detail = f'answer to {head.request}'
             return Lost(fate.Fate.UNCERTAIN, detail)
         if head.not_executed and head.status >= 400:
-            await Answer(response, head).body()
+            await answer.body()
             detail = f'refused with {head.status}'
             return Lost(fate.Fate.REFUSED, detail, head=head)
-        return Answer(response, head)
+        return answer
 
     async def small(
         self,
--- a/galenahatch/gatewayctl.py
+++ b/galenahatch/gatewayctl.py
@@ -19,6 +19,7 @@
 
 import asyncio
 import collections.abc
+import datetime
 import os
 import pathlib
 import typing
@@ -27,6 +28,8 @@
 import cyclopts
 
 from galenahatch import console
+from galenahatch.core import incarnations
+from galenahatch.core import routes
 from galenahatch import errors
 from galenahatch.gateway import lease
 from galenahatch.gateway import node
@@ -53,6 +56,7 @@
     'data_centre',
     'stage',
     'slots',
+    'started',
     'standing',
 )
 _GATEWAYS: typing.Final = (
@@ -102,13 +106,7 @@
     """Show the routes of the newest configuration."""
 
     async def work(client: aiohttp.ClientSession, at: stores.Store) -> int:
-        found = await at.rows(documents.CONFIG_TABLE)
-        if isinstance(found, errors.Failure):
-            return console.report(found)
-        values = [r.value for r in found.rows if r.key == documents.CONFIG_KEY]
-        if not values:
-            return console.report(errors.Failure(errors.NO_CONFIGURATION))
-        decoded = documents.configuration(values[0])
+        decoded = await _configuration(at)
         if isinstance(decoded, errors.Failure):
             return console.report(decoded)
         rows = [
@@ -139,23 +137,11 @@
         found = await at.rows(documents.UPSTREAM_TABLE)
         if isinstance(found, errors.Failure):
             return console.report(found)
-        rows: list[console.Row] = []
-        for row in found.rows:
-            one = documents.upstream(row.key, row.value)
-            if isinstance(one, errors.Failure):
-                rows.append((row.key, '', '', '', '', '', one.detail))
-                continue
-            rows.append(
-                (
-                    one.id,
-                    one.service,
-                    one.address,
-                    one.data_centre,
-                    one.stage.value if one.stage else '',
-                    one.slots,
-                    'leaving' if one.leaving else 'ready',
-                )
-            )
+        config = await _configuration(at)
+        services = (
+            None if isinstance(config, errors.Failure) else config.services
+        )
+        rows = [_upstream(row, services) for row in found.rows]
         console.print_rows(_UPSTREAMS, rows, json)
         return console.DONE
 
@@ -187,6 +173,54 @@
     return _run(store, work)
 
 
+async def _configuration(
+    at: stores.Store,
+) -> routes.Configuration | errors.Failure:
+    """Return the newest configuration."""
+    found = await at.rows(documents.CONFIG_TABLE)
+    if isinstance(found, errors.Failure):
+        return found
+    values = [r.value for r in found.rows if r.key == documents.CONFIG_KEY]
+    if not values:
+        return errors.Failure(errors.NO_CONFIGURATION)
+    return documents.configuration(values[0])
+
+
+def _upstream(
+    row: stores.Row, services: collections.abc.Container[str] | None
+) -> console.Row:
+    """Return what an entry shows: the upstream, or why it names none.
+
+    Args:
+        row: of the store.
+        services: of the newest configuration; None if there is none.
+    """
+    one = documents.upstream(row.key, row.value)
+    if isinstance(one, errors.Failure):
+        return (row.key, '', '', '', '', '', '', one.detail)
+    standing = 'leaving' if one.leaving else 'ready'
+    if services is not None and one.service not in services:
+        standing = 'service not configured'
+    return (
+        incarnations.instance(one.id),
+        one.service,
+        one.address,
+        one.data_centre,
+        one.stage.value if one.stage else '',
+        one.slots,
+        _started(incarnations.born(one.id)),
+        standing,
+    )
+
+
+def _started(born: int) -> str:
+    """Return the moment of a start; empty if it is not told."""
+    if born == incarnations.UNKNOWN:
+        return ''
+    moment = datetime.datetime.fromtimestamp(born / 1000, datetime.UTC)
+    return moment.isoformat(timespec='milliseconds')
+
+
 async def _answers(client: aiohttp.ClientSession, address: str) -> bool:
     """Return whether a gateway serves its metrics."""
     url = f'http://{address}:{node.METRICS_PORT}/metrics'
--- a/galenahatch/ids.py
+++ b/galenahatch/ids.py
@@ -40,8 +40,11 @@
 RegionName = typing.NewType('RegionName', str)
 DataCentre = typing.NewType('DataCentre', str)
 
+InstanceId = typing.NewType('InstanceId', str)
+"""The id under which an upstream registers; several starts may share it."""
+
 UpstreamId = typing.NewType('UpstreamId', str)
-"""One start of an upstream; the next start has another id."""
+"""One start of an upstream, see `core/incarnations`."""
 
 MemberId = typing.NewType('MemberId', str)
 """A daemon's `role/ip:port`; survives a restart at the same address."""
--- a/galenahatch/platform/documents.py
+++ b/galenahatch/platform/documents.py
@@ -13,13 +13,17 @@
 """Decodes what operators and upstreams write into the store.
 
 Names in these documents are the platform's. A document that does not decode
-is a failure with the field that is wrong; the last good one stays in force.
+is a failure with the field that is wrong. The last good configuration stays
+in force; an upstream's entry that is a failure names no upstream to use,
+whatever the entry before it said.
 """
 
+import ipaddress
 import typing
 
 import msgspec
 
+from galenahatch.core import incarnations
 from galenahatch.core import routes
 from galenahatch.core import upstreams
 from galenahatch import errors
@@ -29,6 +33,14 @@
 CONFIG_KEY: typing.Final = 'config'
 UPSTREAM_TABLE: typing.Final = 'servers'
 
+_MOST_SLOTS: typing.Final = 65_536
+"""Requests at once beyond which an entry is taken for nonsense; there are no
+more ports to come from."""
+_MOST_BORN: typing.Final = 4_102_444_800_000
+"""Unix milliseconds of the year 2100: a start beyond is taken for nonsense,
+since no true start would come after it."""
+_MOST_PORT: typing.Final = 65_535
+
 
 class _Target(msgspec.Struct, frozen=True):
     service: str
@@ -85,9 +97,19 @@
 class _Upstream(msgspec.Struct, frozen=True):
     service: str
     address: str
-    zone: str = ''
-    slots: int = 1
-    state: str = 'ready'
+    # Data centre.
+    zone: str
+    # Of its software.
+    version: str
+    slots: int
+    # `ready` or `draining`.
+    state: str
+    # Milliseconds for which it is still slow after its start.
+    cold_left_ms: float
+    # Counts what it writes here, not the orders that it took.
+    seq_no: int
+    # Unix milliseconds of its start; older upstreams do not tell it.
+    born: int | msgspec.UnsetType = msgspec.UNSET
     stage: str | None = None
 
 
@@ -113,7 +135,7 @@
 
 
 def upstream(key: str, data: bytes) -> upstreams.Upstream | errors.Failure:
-    """Return an upstream from its row.
+    """Return an upstream from its row; never raises, whatever the bytes.
 
     Args:
         key: of the row, which is the id of the upstream.
@@ -121,18 +143,55 @@
     """
     try:
         raw = _UPSTREAM.decode(data)
-        stage = upstreams.Stage(raw.stage) if raw.stage else None
-    except (msgspec.MsgspecError, ValueError) as error:
+        return upstreams.Upstream(
+            id=_incarnation(key, raw.born),
+            service=ids.ServiceName(raw.service),
+            address=_address(raw.address),
+            data_centre=ids.DataCentre(raw.zone),
+            slots=_slots(raw.slots),
+            leaving=_leaving(raw.state),
+            stage=upstreams.Stage(raw.stage) if raw.stage else None,
+        )
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         return errors.Failure(errors.BAD_UPSTREAM, f'{key}: {error}')
-    return upstreams.Upstream(
-        id=ids.UpstreamId(key),
-        service=ids.ServiceName(raw.service),
-        address=raw.address,
-        data_centre=ids.DataCentre(raw.zone),
-        slots=raw.slots,
-        leaving=raw.state != 'ready',
-        stage=stage,
-    )
+
+
+def start(told: int | msgspec.UnsetType) -> int:
+    """Return the moment at which an upstream says that it started.
+
+    Raises:
+        ValueError: it can't be one.
+    """
+    if told is msgspec.UNSET:
+        return incarnations.UNKNOWN
+    if not 0 <= told <= _MOST_BORN:
+        raise ValueError(f'born: {told}')
+    return told
+
+
+def _incarnation(key: str, told: int | msgspec.UnsetType) -> ids.UpstreamId:
+    return incarnations.incarnation(ids.InstanceId(key), start(told))
+
+
+def _address(address: str) -> str:
+    host, _, port = address.rpartition(':')
+    ipaddress.ip_address(host.strip('[]'))
+    is_number = port.isascii() and port.isdigit()
+    if not is_number or not 0 < int(port) <= _MOST_PORT:
+        raise ValueError(f'address: {address}')
+    return address
+
+
+def _slots(slots: int) -> int:
+    if not 0 < slots <= _MOST_SLOTS:
+        raise ValueError(f'slots: {slots}')
+    return slots
+
+
+def _leaving(state: str) -> bool:
+    if state not in ('ready', 'draining'):
+        raise ValueError(f'state: {state}')
+    return state == 'draining'
 
 
 def _route(raw: _Route) -> routes.Route:
--- a/galenahatch/platform/engines.py
+++ b/galenahatch/platform/engines.py
@@ -17,8 +17,11 @@
 
 import msgspec
 
+from galenahatch.core import incarnations
 from galenahatch.core import upstreams
 from galenahatch import errors
+from galenahatch import ids
+from galenahatch.platform import documents
 from galenahatch.platform import wire
 
 REPORT: typing.Final = '/report'
@@ -31,7 +34,10 @@
     queued: int = 0
     kv_used: int = 0
     busy: bool = False
+    # Orders taken since its start.
     seq_no: int = 0
+    # Unix milliseconds of its start.
+    born: int | msgspec.UnsetType = msgspec.UNSET
 
 
 @dataclasses.dataclass(frozen=True)
@@ -45,6 +51,7 @@
         stage: that it is in.
         busy: whether an order is being carried out.
         taken: orders that it has taken since its start.
+        born: Unix milliseconds of its start, or `incarnations.UNKNOWN`.
     """
 
     active: int
@@ -53,6 +60,14 @@
     stage: upstreams.Stage | None
     busy: bool
     taken: int
+    born: int = incarnations.UNKNOWN
+
+    def is_of(self, upstream: ids.UpstreamId) -> bool:
+        """Return whether it may come from a certain start."""
+        unknown = incarnations.UNKNOWN
+        return self.born in (unknown, incarnations.born(upstream)) or (
+            incarnations.born(upstream) == unknown
+        )
 
 
 class _Order(msgspec.Struct, frozen=True):
@@ -93,7 +108,8 @@
     try:
         raw = _REPORT.decode(data)
         stage = upstreams.Stage(raw.stage) if raw.stage else None
-    except (msgspec.MsgspecError, ValueError) as error:
+        born = documents.start(raw.born)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         return errors.Failure(errors.BAD_UPSTREAM, str(error))
     return Report(
         active=raw.active,
@@ -102,6 +118,7 @@
         stage=stage,
         busy=raw.busy,
         taken=raw.seq_no,
+        born=born,
     )
 
 
@@ -125,9 +142,9 @@
     return msgspec.json.encode(_Order('stage', stage, holder, fence, taken))
 
 
-def pinned(instance: str) -> dict[str, str]:
-    """Return the headers of a call that only one start may take."""
+def pinned(upstream: ids.UpstreamId) -> dict[str, str]:
+    """Return the headers of a call that only one upstream may take."""
     return {
-        wire.INSTANCE: instance,
+        wire.INSTANCE: incarnations.instance(upstream),
         'Content-Type': 'application/json',
     }
--- a/galenahatch/platform/wire.py
+++ b/galenahatch/platform/wire.py
@@ -21,6 +21,7 @@
 
 import multidict
 
+from galenahatch.core import incarnations
 from galenahatch.gateway import calls
 
 _PREFIX: typing.Final = 'X-Galenahatch-'
@@ -115,7 +116,7 @@
 ) -> 'multidict.CIMultiDict[str]':
     """Return the headers of a request to an upstream."""
     headers = request.headers.copy()
-    headers[INSTANCE] = directions.instance
+    headers[INSTANCE] = incarnations.instance(directions.upstream)
     if directions.patience is not None:
         left = max(1, int(directions.patience * 1000))
         headers[_PATIENCE] = str(left)
--- a/galenahatch/test/soak.py
+++ b/galenahatch/test/soak.py
@@ -83,9 +83,15 @@
     Args:
         seed: fixes faults and requests.
         seconds: of faults.
+        restarts: whether upstreams also start again under their id, and
+            others write their entries; seeds found without that stay
+            without it, as another choice of faults is another scenario.
     """
 
-    def __init__(self, seed: int, seconds: float) -> None:
+    def __init__(
+        self, seed: int, seconds: float, restarts: bool = False
+    ) -> None:
+        self._restarts = restarts
         self._random = random.Random(seed)
         self._seconds = seconds
         self._vms = self._random.randint(2, 4)
@@ -182,6 +188,8 @@
             self._stop,
             self._reload,
         )
+        if self._restarts:
+            actions = (*actions, self._start_again, self._spoil)
         while time.monotonic() < until:
             action = self._random.choice(actions)
             self.events.append(action.__name__)
@@ -232,6 +240,43 @@
 
         self._later(_DRAIN + _SLACK + 0.5, _DRAIN + _SLACK + 1.0, back)
 
+    def _start_again(self) -> None:
+        """An upstream crashes and starts under its id; the entry lags."""
+        upstream = self._random.choice(self._fleet.upstreams)
+        proxy = self._proxies[self._fleet.upstreams.index(upstream)]
+        self._returns(upstream)
+        self._fleet.run(upstream.start_again)
+        if self._random.random() < 0.5:
+            self._fleet.run(proxy.reset)
+        self._later(
+            0.0,
+            0.8,
+            lambda: self._fleet.put('servers', upstream.id, upstream.row()),
+        )
+
+    def _returns(self, upstream: upstreams.Upstream) -> None:
+        """Drop what was noted of its leaving: it may be used again."""
+        self._left = [left for left in self._left if left[0] is not upstream]
+
+    def _spoil(self) -> None:
+        """Somebody else writes the entry of an upstream, for a while."""
+        upstream = self._random.choice(self._fleet.upstreams)
+        self._returns(upstream)
+        entry: object = self._random.choice(
+            (
+                {**upstream.row(), 'state': 'resting'},
+                {**upstream.row(), 'slots': -1},
+                {'service': upstream.service},
+                [],
+            )
+        )
+        self._fleet.put('servers', upstream.id, entry)
+        self._later(
+            0.2,
+            1.0,
+            lambda: self._fleet.put('servers', upstream.id, upstream.row()),
+        )
+
     def _store(self) -> None:
         store = self._fleet.store
         what = self._random.choice(
@@ -429,9 +474,11 @@
     return pieces == [f'data: piece {n}'.encode() for n in range(1, 9)]
 
 
-def play(seed: int, seconds: float = SECONDS) -> list[str]:
+def play(
+    seed: int, seconds: float = SECONDS, restarts: bool = False
+) -> list[str]:
     """Play one seed; return what was broken."""
-    return Soak(seed, seconds).run()
+    return Soak(seed, seconds, restarts).run()
 
 
 def main() -> int:
@@ -443,7 +490,7 @@
     options = parser.parse_args()
     failed = 0
     for seed in range(options.first, options.first + options.seeds):
-        soak = Soak(seed, options.seconds)
+        soak = Soak(seed, options.seconds, restarts=True)
         broken = soak.run()
         failed += bool(broken)
         print(f'seed {seed}: {"failed" if broken else "passed"}', flush=True)
--- a/galenahatch/test/standin/upstreams.py
+++ b/galenahatch/test/standin/upstreams.py
@@ -71,6 +71,7 @@
         self, service: str, stage: str = '', data_centre: str = 'dc1'
     ) -> None:
         self.id = f'i-{next(_NUMBERS):04x}'
+        self.born = _unix_ms()
         self.service = service
         self.stage = stage
         self.data_centre = data_centre
@@ -93,6 +94,15 @@
         port = self._server.sockets[0].getsockname()[1]
         self.address = f'127.0.0.1:{port}'
 
+    def start_again(self) -> None:
+        """Forget all, as a new start under the same id does.
+
+        Connections stay open and silent, as behind a cut.
+        """
+        self.born = max(_unix_ms(), self.born + 1)
+        self.orders.clear()
+        self.handles.clear()
+
     def stop(self) -> None:
         """Stop listening."""
         if self._server is not None:
@@ -109,6 +119,7 @@
             'state': state,
             'cold_left_ms': 0,
             'seq_no': 1,
+            'born': self.born,
         }
         if self.stage:
             row['stage'] = self.stage
@@ -196,6 +207,7 @@
                 'active': 0,
                 'kv_used': 0,
                 'kv_total': 50000,
+                'born': self.born,
             }
             return _json(report)
         if seen.target == '/order':
@@ -324,6 +336,10 @@
         ).encode()
 
 
+def _unix_ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
 async def _reset(writer: asyncio.StreamWriter) -> bool:
     """Reset a connection right behind what was written."""
     await writer.drain()
--- a/galenahatch/test/test_decisions.py
+++ b/galenahatch/test/test_decisions.py
@@ -183,7 +183,7 @@
     registry = upstreams.Registry()
     for name in ('d', 'dd'):
         registry.put(_engine(name, None), 0.0)
-    registry.remove(ids.UpstreamId('d'), 1.0)
+    registry.remove(ids.InstanceId('d'), 1.0)
     assert not registry.takes_work(ids.UpstreamId('d'), 1.0)
 
 
--- a/galenahatch/test/test_gateway.py
+++ b/galenahatch/test/test_gateway.py
@@ -309,6 +309,93 @@
     )
 
 
+def test_started_again_under_its_id(fleet: fleets.Fleet) -> None:
+    """One that left is used again once it has started anew, id or not."""
+    leaving, other = fleet.of('desk')
+    fleet.put('servers', leaving.id, leaving.row('draining'))
+    time.sleep(0.3)
+    before = len(leaving.seen)
+    fleet.run(leaving.start_again)
+    fleet.put('servers', leaving.id, leaving.row())
+    fleets.eventually(
+        lambda: fleet.ask('/often/x', 'GET') and len(leaving.seen) > before,
+        'the new start is used',
+    )
+
+
+@pytest.mark.parametrize('path', ['/once/x', '/say/x'])
+def test_start_that_is_over_is_not_waited_for(
+    fleet: fleets.Fleet, path: str
+) -> None:
+    """A send to a start that is over ends at once, and runs nowhere else.
+
+    Behind a cut no reset tells of the end: the caller would wait for its
+    deadline, 2.5 s here.
+    """
+    service = 'model' if path == '/say/x' else 'desk'
+    _break_all(fleet, service, 'mute' if service == 'model' else 'silent')
+    with fleets.Caller(fleet.vms[0]) as caller:
+        began = time.monotonic()
+        request = caller.begin(path)
+        fleets.eventually(lambda: fleet.runs(request), 'running')
+        for upstream in fleet.upstreams:
+            if request in upstream.ran:
+                fleet.run(upstream.start_again)
+                fleet.put('servers', upstream.id, upstream.row())
+        answer = caller.end()
+        assert time.monotonic() - began < 1.5
+    assert not answer.served
+    assert answer.status not in (429, 503), 'it has run'
+    assert fleet.runs(request) == 1
+
+
+def test_stream_goes_on_after_a_start_that_is_over(
+    fleet: fleets.Fleet,
+) -> None:
+    """A stream that may be resumed goes on elsewhere, whole."""
+    prefills = fleet.of('model', 'prefill')
+    for engine in fleet.of('model', 'decode'):
+        engine.faults.append('mute')
+    with fleets.Caller(fleet.vms[0]) as caller:
+        request = caller.begin('/tell/x')
+        fleets.eventually(lambda: fleet.runs(request), 'running')
+        for upstream in fleet.upstreams:
+            if request in upstream.ran:
+                fleet.run(upstream.start_again)
+                fleet.put('servers', upstream.id, upstream.row())
+            elif upstream not in prefills:
+                upstream.faults.clear()
+        answer = caller.end()
+    assert answer.served
+    ids_seen = [
+        line for line in answer.body.split(b'\n') if line.startswith(b'id:')
+    ]
+    assert ids_seen == [f'id: {n}'.encode() for n in range(1, 9)]
+
+
+def test_entries_by_others(fleet: fleets.Fleet) -> None:
+    """A spoiled entry takes its upstream away; the others serve."""
+    spoiled, other = fleet.of('desk')
+    for entry in (
+        {**spoiled.row(), 'state': 'resting'},
+        {**spoiled.row(), 'service': 'nobody-knows'},
+        {**spoiled.row(), 'slots': 'four'},
+        {'service': 'desk'},
+        ['not', 'an', 'object'],
+    ):
+        fleet.put('servers', spoiled.id, entry)
+        time.sleep(0.3)
+        before = len(spoiled.seen)
+        for vm in (0, 1):
+            assert fleet.ask('/often/x', 'GET', vm=vm).status == 200
+        assert len(spoiled.seen) == before, entry
+    fleet.put('servers', spoiled.id, spoiled.row())
+    fleets.eventually(
+        lambda: fleet.ask('/often/x', 'GET') and len(spoiled.seen) > before,
+        'a good entry brings it back',
+    )
+
+
 def test_configuration_never_goes_back(fleet: fleets.Fleet) -> None:
     """A change is in force at all gateways, and older ones are kept out."""
     changed = fleets.configuration(version=7)
--- a/galenahatch/test/test_gatewayctl.py
+++ b/galenahatch/test/test_gatewayctl.py
@@ -82,6 +82,12 @@
     assert rows[leaving.id]['standing'] == 'leaving'
     assert rows[fleet.upstreams[1].id]['stage'] == 'prefill'
     assert 'i-bad' in rows['i-bad']['standing']
+    other = fleet.upstreams[1]
+    fleet.put('servers', 'i-else', {**other.row(), 'service': 'nobody'})
+    assert _run('upstreams', '--store', fleet.address, '--json') == 0
+    rows = {r['upstream']: r for r in json.loads(capsys.readouterr().out)}
+    assert rows['i-else']['standing'] == 'service not configured'
+    assert rows[other.id]['started'].endswith('+00:00')
 
 
 def test_status(
--- a/galenahatch/test/test_soak.py
+++ b/galenahatch/test/test_soak.py
@@ -24,10 +24,15 @@
 _SECONDS: typing.Final = 6.0
 
 
-def _seeds() -> list[int]:
+def _seeds(mark: str = '') -> list[int]:
     """Return the seeds of the file; a line is a seed and its cause."""
     lines = (_FILE / 'soak.txt').read_text().splitlines()
-    return [int(line.split()[0]) for line in lines if line[:1].isdigit()]
+    words = [line.removeprefix(mark).split() or [''] for line in lines]
+    return [
+        int(first)
+        for line, (first, *_) in zip(lines, words, strict=True)
+        if line.startswith(mark) and first.isdigit()
+    ]
 
 
 @pytest.mark.parametrize('seed', _seeds())
@@ -36,6 +41,12 @@
     assert not soak.play(seed, _SECONDS)
 
 
+@pytest.mark.parametrize('seed', _seeds('+'))
+def test_seed_with_restarts(seed: int) -> None:
+    """The same, with starts under one id and entries by others."""
+    assert not soak.play(seed, _SECONDS, restarts=True)
+
+
 def test_reload_before_our_code() -> None:
     """SIGHUP that comes before our first line ends nothing for good."""
     played = soak.Soak(1, 0.0)
