--- a/bench/dispatching.py
+++ b/bench/dispatching.py
@@ -208,6 +208,10 @@
     def size(self) -> float:
         return self.prompt + 10.0 * self.output
 
+    @property
+    def is_held_in_vain(self) -> bool:
+        return not self.credit and self.held > _OBJECTIVE / 2
+
     @property
     def stream(self) -> ids.StreamId:
         return ids.StreamId(f'{self.number}.{self.attempt}')
@@ -598,15 +602,13 @@
                 prices += _REFUSED_AGAIN * size
         wasted = sum(engine.wasted for engine in self._decodes.values())
         prompts = sum(caller.prompt for caller in self._callers)
-        held = [
-            c.held > _OBJECTIVE / 2 and not c.credit for c in self._callers
-        ]
+        in_vain = sum(c.is_held_in_vain for c in self._callers)
         return Result(
             credit / owed,
             prices / owed,
             in_time,
             wasted / prompts,
-            sum(held) / len(held),
+            in_vain / len(self._callers),
         )
 
     @property
--- a/galenahatch/bus.py
+++ b/galenahatch/bus.py
@@ -32,7 +32,6 @@
 from galenahatch import clock
 from galenahatch import errors
 from galenahatch import logs
-from galenahatch import messages
 from galenahatch import metrics
 
 _QUEUE_FRAMES: typing.Final = 2000
@@ -49,6 +48,8 @@
 _AT_ONCE: typing.Final = 64
 _log = logs.Log('bus')
 
+MAX_FRAME_BYTES: typing.Final = 4 * 1024 * 1024
+
 M = typing.TypeVar('M')
 Peer = typing.NewType('Peer', bytes)
 _Frames = list[bytes]
@@ -62,12 +63,6 @@
     decode: collections.abc.Callable[[bytes], M | errors.Failure]
 
 
-DAEMONS: typing.Final = Codec[messages.AnyMessage](
-    messages.encode, messages.decode
-)
-"""Messages between entries, schedulers and controllers."""
-
-
 class _Pump:
     """Reads a socket whenever it has frames, and sends without blocking.
 
@@ -165,7 +160,7 @@
     socket.setsockopt(zmq.LINGER, _LINGER_MS)
     socket.setsockopt(zmq.SNDHWM, _QUEUE_FRAMES)
     socket.setsockopt(zmq.RCVHWM, _QUEUE_FRAMES)
-    socket.setsockopt(zmq.MAXMSGSIZE, messages.MAX_FRAME_BYTES)
+    socket.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
     socket.setsockopt(zmq.HEARTBEAT_IVL, _PING_EVERY_MS)
     socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, _PING_TIMEOUT_MS)
     return socket
--- a/galenahatch/messages.py
+++ b/galenahatch/messages.py
@@ -24,12 +24,12 @@
 
 import msgspec
 
+from galenahatch import bus
 from galenahatch import errors
 from galenahatch import ids
 from galenahatch import states
 
 VERSION: typing.Final = 1
-MAX_FRAME_BYTES: typing.Final = 4 * 1024 * 1024
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -404,7 +404,7 @@
 
 def decode(frame: bytes) -> AnyMessage | errors.Failure:
     """Return the message of a frame, or why there is none."""
-    if not frame or len(frame) > MAX_FRAME_BYTES:
+    if not frame or len(frame) > bus.MAX_FRAME_BYTES:
         return errors.Failure(errors.BAD_FRAME, f'{len(frame)} bytes')
     if frame[0] != VERSION:
         return errors.Failure(errors.BAD_FRAME, f'version {frame[0]}')
@@ -412,3 +412,7 @@
         return _DECODER.decode(memoryview(frame)[1:])
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         return errors.Failure(errors.BAD_FRAME, str(error))
+
+
+CODEC: typing.Final = bus.Codec[AnyMessage](encode, decode)
+"""Messages between entries, schedulers and controllers."""
--- a/galenahatch/peers.py
+++ b/galenahatch/peers.py
@@ -203,7 +203,7 @@
         if member in self._links or member == self.member:
             return
         self._links[member] = bus.Link(
-            f'tcp://{address}:{port}', bus.DAEMONS, self._receive
+            f'tcp://{address}:{port}', messages.CODEC, self._receive
         )
 
     def _receive(self, message: messages.AnyMessage) -> None:
--- a/galenahatch/scheduler.py
+++ b/galenahatch/scheduler.py
@@ -99,7 +99,7 @@
     async def _open_sockets(self) -> None:
         options = self.options
         endpoint = f'tcp://{options.address}:{options.scheduler_port}'
-        self._hub = bus.Hub(endpoint, bus.DAEMONS, self._from_peer)
+        self._hub = bus.Hub(endpoint, messages.CODEC, self._from_peer)
         app = web.Application()
         app.add_routes(application.health_routes(self._why_not_ready))
         await self.listen(app, options.scheduler_http_port, options.keepalive)
--- a/galenahatch/test/test_hostile.py
+++ b/galenahatch/test/test_hostile.py
@@ -18,6 +18,7 @@
 import pytest
 import zmq
 
+from galenahatch import bus
 from galenahatch import ids
 from galenahatch import messages
 from galenahatch import states
@@ -57,7 +58,7 @@
     for frame in FRAMES:
         dealer.send(frame)
     dealer.send_multipart([b'a', b'b', b'c'])
-    dealer.send(b'x' * (messages.MAX_FRAME_BYTES + 1))
+    dealer.send(b'x' * (bus.MAX_FRAME_BYTES + 1))
     dealer.close()
     context.term()
     assert _status(running)
