--- a/bench/days.py
+++ b/bench/days.py
@@ -15,9 +15,10 @@
 `python -m bench.days BENCH SITE [--jobs N] [--only NAME,...]` plays each
 kind of disruption of test-data/days/kinds.toml alone, three times in a day
 at three strengths with a final fault after it, and each kind of trouble of
-the platform's store together with each kind of trouble of our VMs. BENCH is
-the bench's program, SITE a site file; neither is part of this repository,
-and nothing in CI needs them.
+the platform's store together with each kind of trouble of our VMs. With
+`--files FOLDER` it plays the day files of a folder instead, those of
+`deploy/days` for one. BENCH is the bench's program, SITE a site file; neither
+is part of this repository, and nothing in CI needs them.
 """
 
 import argparse
@@ -122,7 +123,9 @@
     return '\n'.join(lines) + '\n'
 
 
-def _play(bench: str, site: str, name: str, text: str) -> Verdict:
+def _play(
+    bench: str, site: str, name: str, text: str, size: tuple[str, ...]
+) -> Verdict:
     """Play one day, and read its report."""
     with tempfile.TemporaryDirectory(prefix='galenahatch-day-') as folder:
         day = pathlib.Path(folder) / 'day.toml'
@@ -131,7 +134,7 @@
         command = [bench, 'run', site, str(day), '--report', str(report)]
         try:
             done = subprocess.run(
-                [*command, '--jobs', '1'],
+                [*command, *size, '--jobs', '1'],
                 capture_output=True,
                 text=True,
                 timeout=_LONGEST,
@@ -150,6 +153,24 @@
     )
 
 
+def _from_kinds(seed: int) -> dict[str, str]:
+    """Return the text of each day of the table of kinds by its name."""
+    table = tomllib.loads(_KINDS.read_text())
+    closings = table['defaults']['closings']
+    return {
+        name: _toml(
+            name, seed + number, entries, closings[number % len(closings)]
+        )
+        for number, (name, entries) in enumerate(_days(table).items())
+    }
+
+
+def _from_folder(folder: pathlib.Path) -> dict[str, str]:
+    """Return the text of each day file of a folder by its name."""
+    files = sorted(folder.glob('*.toml'))
+    return {path.stem: path.read_text() for path in files}
+
+
 def main() -> int:
     """Play the days and print the grid."""
     parser = argparse.ArgumentParser(description='Days of our own')
@@ -158,22 +179,23 @@
     parser.add_argument('--jobs', type=int, default=3)
     parser.add_argument('--only', default='')
     parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--files', type=pathlib.Path)
+    parser.add_argument('--small', action='store_true')
     options = parser.parse_args()
-    table = tomllib.loads(_KINDS.read_text())
-    closings = table['defaults']['closings']
-    days = _days(table)
+    if options.files is not None:
+        days = _from_folder(options.files)
+    else:
+        days = _from_kinds(options.seed)
     only = [name for name in options.only.split(',') if name]
+    size = ('--small',) if options.small else ()
     failed = 0
 
-    def play(numbered: tuple[int, str]) -> Verdict:
-        number, name = numbered
-        closing = closings[number % len(closings)]
-        text = _toml(name, options.seed + number, days[name], closing)
-        return _play(options.bench, options.site, name, text)
+    def play(name: str) -> Verdict:
+        return _play(options.bench, options.site, name, days[name], size)
 
     with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
         verdicts: collections.abc.Iterable[Verdict] = pool.map(
-            play, enumerate(only or days)
+            play, only or days
         )
         for verdict in verdicts:
             failed += verdict.state != 'pass'
