Slowness is what VMs waited; the slow engine is the first to change its stage

And in virtual time (2+4, x8) a plan took the idle prefill engine, which was the one that is well; all prompts then waited for the slow one.

Change: the seconds that the VM itself waited count, what is overdue only beyond 0.15 s; where prefill engines are taken from reading, slow ones go first.

--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -213,7 +213,7 @@
         if placement.is_alone:
             self._measures.note_prefill(tokens, seconds)
         placement.read_at = now
-        self._pool.answered(placement.prefill, stream, now)
+        self._pool.answered(placement.prefill, stream, seconds, now)
         alone = self._pool.read(
             placement.prefill,
             placement.placed_at,
--- a/galenahatch/core/division.py
+++ b/galenahatch/core/division.py
@@ -93,8 +93,11 @@
         """
         if not self._pool.is_settled(now) or not self._is_measured():
             return []
+        # A slow one is missed least. Taken by idleness alone, the others went,
+        # for the slow one is never idle, and all prompts waited for it.
         prefills = sorted(
-            self._pool.prefills.values(), key=lambda e: e.idle_at
+            self._pool.prefills.values(),
+            key=lambda e: (-e.slowness(now), e.idle_at),
         )
         decodes = sorted(
             self._pool.decodes.values(), key=lambda e: e.memory.load(now)
--- a/galenahatch/core/modelengines.py
+++ b/galenahatch/core/modelengines.py
@@ -47,6 +47,9 @@
 for it by the second result, and one that is well again by its third."""
 _WAITED_FOR: typing.Final = 1.5
 """Seconds for which VMs wait for a result, with the way of their word."""
+_WAY: typing.Final = 0.15
+"""Seconds that words between VMs may take; half a VM's patience with an
+owner that says nothing."""
 _SLOW_FADES: typing.Final = 4.0
 """Seconds in which what was seen loses all but a third: faults last for four
 to seven seconds, and a trial costs one prompt that is late."""
@@ -164,7 +167,8 @@
         seen = self._learnt(now)
         for given in self.unread.values():
             if now - given.at < _WAITED_FOR:
-                seen = max(seen, (now - given.at) / given.expected)
+                waited = now - given.at - _WAY
+                seen = max(seen, waited / given.expected)
         return seen if seen > _SLOW else 1.0
 
     def _learnt(self, now: float) -> float:
@@ -173,12 +177,22 @@
         seen = 1.0 + (self._seen - 1.0) * fading
         return seen if seen > _SLOW else 1.0
 
-    def answered(self, stream: ids.StreamId, now: float) -> None:
-        """Note that it has no more to do for a stream."""
+    def answered(
+        self, stream: ids.StreamId, seconds: float, now: float
+    ) -> None:
+        """Note that it has read the prompt of a stream.
+
+        Args:
+            stream: that wanted it.
+            seconds: that its VM waited for the result. The way of the words
+                between VMs is none of it: a VM that is slow itself would
+                have made all engines look slow.
+            now: monotonic seconds.
+        """
         given = self.unread.pop(stream, None)
         if given is None:
             return
-        seen = max(1.0, (now - given.at) / given.expected)
+        seen = max(1.0, seconds / given.expected)
         self._seen += _SLOW_WEIGHT * (seen - self._seen)
         self._seen_at = now
 
--- a/galenahatch/core/pool.py
+++ b/galenahatch/core/pool.py
@@ -250,12 +250,16 @@
         return sum(e.health.until <= now for e in self.prefills.values())
 
     def answered(
-        self, engine: ids.UpstreamId, stream: ids.StreamId, now: float
+        self,
+        engine: ids.UpstreamId,
+        stream: ids.StreamId,
+        seconds: float,
+        now: float,
     ) -> None:
-        """Note that a prefill engine has read the prompt of a stream."""
+        """Note how long a prefill engine took to read a prompt."""
         found = self.prefills.get(engine)
         if found is not None:
-            found.answered(stream, now)
+            found.answered(stream, seconds, now)
 
     def not_read(self, engine: ids.UpstreamId, stream: ids.StreamId) -> None:
         """Note that a prefill engine is not to read for a stream any more."""
--- a/galenahatch/test/test_load.py
+++ b/galenahatch/test/test_load.py
@@ -19,6 +19,7 @@
 seeds, each play of each kind comes to 0.98 or more.
 """
 
+import dataclasses
 import pathlib
 import random
 import statistics
@@ -32,6 +33,7 @@
 from galenahatch.core import generations
 from galenahatch.core import latency
 from galenahatch.core import memory
+from galenahatch.core import modelengines
 from galenahatch.core import pace
 from galenahatch.core import upstreams
 from galenahatch import ids
@@ -312,3 +314,80 @@
     played = [dispatching.play((_day(kind, 1.3), seed)) for seed in range(2)]
     assert statistics.fmean(one.in_vain for one in played) < 0.04
     assert statistics.fmean(one.in_time for one in played) > 0.55
+
+
+# Engines that turn slow.
+
+
+@pytest.mark.parametrize(
+    ('kind', 'factor'),
+    [('delayed', 4.0), ('delayed', 8.0), ('short-step', 4.0), ('serial', 6.0)],
+)
+def test_slow_engines_are_left_alone(kind: str, factor: float) -> None:
+    """One engine of each stage takes many times as long, without a word.
+
+    A third to a half of the prompts went to it as before, a fifth of all
+    callers on the whole day were late: results that lag, and those that are
+    overdue, tell within two prompts, and what fades brings it back.
+    """
+    day = dataclasses.replace(_day(kind, 0.5), slow=(1, 15.0, 12.0, factor))
+    assert _in_time(day) > 0.9
+
+
+def test_slow_engine_is_tried_again() -> None:
+    """An engine that was slow is used again soon after it is well."""
+    engine = modelengines.PrefillEngine(_prefill('p0'))
+    for number in range(4):
+        stream = ids.StreamId(f's{number}')
+        engine.give(stream, 0.2, 0.1, float(number))
+        engine.answered(stream, 0.8, number + 0.8)
+    assert engine.slowness(4.0) > 3
+    assert engine.slowness(10.0) < 2
+    for number in range(10, 13):
+        stream = ids.StreamId(f's{number}')
+        engine.give(stream, 0.2, 0.1, float(number))
+        engine.answered(stream, 0.2, number + 0.2)
+    assert engine.slowness(13.0) == 1.0
+
+
+def test_overdue_result_tells_before_it_comes() -> None:
+    """An engine that says nothing is slow at once, but not for ever."""
+    engine = modelengines.PrefillEngine(_prefill('p0'))
+    engine.give(ids.StreamId('s0'), 0.1, 0.1, 0.0)
+    assert engine.slowness(0.1) == 1.0
+    assert engine.slowness(0.2) == 1.0, 'words between VMs take their time'
+    assert engine.slowness(0.65) == pytest.approx(5.0)
+    assert engine.slowness(9.0) == 1.0, 'its VM is gone'
+
+
+def _prefill(name: str) -> upstreams.Upstream:
+    return upstreams.Upstream(
+        ids.UpstreamId(name),
+        ids.ServiceName('model'),
+        '10.0.0.1:80',
+        ids.DataCentre('a'),
+        8,
+        False,
+        upstreams.Stage.PREFILL,
+    )
+
+
+def test_engine_that_errs_is_tried_with_one_run() -> None:
+    """What errs at once is the emptiest, and is not filled for that.
+
+    Eleven runs in five seconds went to one such engine of ten, each with its
+    prompt read elsewhere.
+    """
+    health = modelengines.Health()
+    health.failed(0.0)
+    now = health.until
+    health.given(now)
+    assert health.until > now, 'the next one waits for this one'
+    health.alive()
+    assert health.until == 0.0
+    health.given(now + 1.0)
+    health.failed(now + 1.2)
+    assert health.until - now - 1.2 > 0.5, 'left alone for longer'
+    health.worked()
+    health.given(now + 9.0)
+    assert health.until == 0.0
