Demand is counted over three seconds, and who is refused comes behind the burst

Demand counted over 15 s hid that the burst was over; and times to come back were spaced by a rate that was not there, so callers returned within the same burst.

Change: demand over 3 s; times to come back are spaced by what is really left, up to the longest that callers heed, apart from each other; one who came back and finds nobody waiting is kept as a probe every 3 s.

--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -313,7 +313,8 @@
         """
         owed = 1 + self._returns.due(now)
         late = self._forecast.late_wait(job, owed, now)
-        if now + late > job.leaves_at:
+        is_in_vain = now + late > job.leaves_at
+        if is_in_vain and not self._queue.is_probe(job, now):
             return self._refuse(job, self._forecast.why(job, wait), now)
         self._queue.keep(job, is_late=True)
         return None
--- a/galenahatch/core/figures.py
+++ b/galenahatch/core/figures.py
@@ -40,12 +40,10 @@
 """Weight of the newest pair of prompts in the overlap believed."""
 _SIZE_WEIGHT: typing.Final = 0.03
 """Least weight of the newest request in the mean sizes."""
-_ARRIVAL_SPAN: typing.Final = 15.0
-"""Seconds over which the usual rate of requests is counted."""
-_LASTING: typing.Final = 6.0
-"""Seconds of demand that tell more than that callers have come; shorter than
-most bursts. With 15, overloaded engines in virtual time served 0.01 to 0.03
-fewer of the requests in time."""
+_ARRIVAL_SPAN: typing.Final = 3.0
+"""Seconds over which demand is counted: a burst is known as one while it
+lasts, and its end soon after. Counted over 15 s, a burst of five hid the
+room behind it, and who came back then was refused for good."""
 
 
 class Figures(typing.NamedTuple):
@@ -116,26 +114,14 @@
     def note_arrival(self, now: float) -> None:
         """Count a request that does not come back."""
         self._arrivals.append(now)
-        while self._arrivals[0] < now - _ARRIVAL_SPAN:
-            self._arrivals.popleft()
 
     def arrival_rate(self, now: float) -> float:
-        """Return the usual rate of requests."""
-        return self._arrivals_over(1.0, now)
-
-    def lasting_rate(self, now: float) -> float:
-        """Return the same, with no demand before the first request.
-
-        The first requests after silence may be all that come.
-        """
-        return self._arrivals_over(_LASTING, now)
-
-    def _arrivals_over(self, least: float, now: float) -> float:
-        """Return the rate of requests, counted over some seconds or more."""
+        """Return the requests a second that come now, without returns."""
+        while self._arrivals and self._arrivals[0] < now - _ARRIVAL_SPAN:
+            self._arrivals.popleft()
         if not self._arrivals:
             return 0.0
-        span = max(least, now - self._arrivals[0])
-        return len(self._arrivals) / span
+        return len(self._arrivals) / max(1.0, now - self._arrivals[0])
 
     def note_prefill(self, tokens: int, seconds: float) -> None:
         """Take how long a prefill took at an engine that had no other."""
--- a/galenahatch/core/forecast.py
+++ b/galenahatch/core/forecast.py
@@ -31,16 +31,13 @@
 from galenahatch.core import stages
 from galenahatch.core import waiting
 
-_LEAST_SPARE: typing.Final = 0.3
-"""Least part of the engines' rate that is taken to be left by usual traffic:
-what exceeds it for longer than callers wait can't be told from a burst."""
-_LEAST_LATE: typing.Final = 0.02
-"""Least part of the engines' rate at which late requests are taken to find a
-place, so that one is never refused for ever. Where demand is above what is
-served, more would hold them in vain: with 0.3, a tenth of all callers were
-held for three seconds and then refused, and those that were served late took
-the places of a fifth that would have been in time (virtual time, engines that
-end 0.87 of the demand)."""
+_LEAST_SPARE: typing.Final = 0.02
+"""Least part of the engines' rate that is taken to be left for who is late or
+comes back, so that nobody is refused for ever. Where demand is above what is
+served, more would be a promise that is not kept: with 0.3, a tenth of all
+callers were held for three seconds and then refused, and those that were
+served late took the places of a fifth that would have been in time (virtual
+time, engines that end 0.87 of the demand)."""
 LOOKED_AT: typing.Final = 8
 """Requests ahead for which room is looked for one by one; behind more of
 them the rate at which places become free tells enough."""
@@ -128,9 +125,10 @@
         """Return the predicted seconds until a late request's first event.
 
         All that come meanwhile and can start in time are placed before it, so
-        it is served by what usual traffic leaves. Where demand stays above
+        it is served by what present traffic leaves. While demand is above
         what is served, that is nothing: who was kept would be held until its
-        caller leaves, and is refused at once instead.
+        caller leaves. It is refused at once instead, and asked to come back
+        when the burst may be over.
 
         Args:
             job: that can't start in time.
@@ -139,20 +137,16 @@
         """
         late = dataclasses.replace(job, kept=True, is_late=True)
         ahead = len(self._queue.ahead(late, now))
-        served = self.rate()
-        usual = self._measures.arrival_rate(now)
-        if job.returned:
-            # It has no further attempt, and is expected: it owes no place.
-            usual, owed = self._measures.lasting_rate(now), 1
-        rate = max(served - usual, _LEAST_LATE * served)
-        ahead += owed
+        # Who comes back is expected, and owes no place to others that are.
+        ahead += 1 if job.returned else owed
+        rate = self.spare(now)
         if rate <= 0:
             return math.inf
         wait = max(ahead / rate, self._pool.next_trial(now))
         return self._measures.until_first(job) + wait
 
     def spare(self, now: float) -> float:
-        """Return the requests a second that usual traffic leaves."""
+        """Return the requests a second that present traffic leaves."""
         rate = self.rate()
         left = rate - self._measures.arrival_rate(now)
         return max(_LEAST_SPARE * rate, left)
--- a/galenahatch/core/returns.py
+++ b/galenahatch/core/returns.py
@@ -24,6 +24,11 @@
 """Shortest time after which a refused caller is asked to come back."""
 _HEEDED: typing.Final = 1 / 3
 """Callers heed a time to come back up to this part of what they have left."""
+_APART: typing.Final = 0.4
+"""Part of that time over which those are spread that no room is left for."""
+_STEPS: typing.Final = 16
+"""Times at which they come: as many as four engines end in a second or two.
+"""
 _SPREAD: typing.Final = 0.5
 """Seconds around the promised time in which a caller is expected."""
 
@@ -96,12 +101,22 @@
         spacing = 1 / spare if spare > 0 else _LEAST_WAIT
         last = max(self._dues(), default=now)
         wait = max(_LEAST_WAIT, last + spacing - now, queued)
-        wait = min(wait, max(0.0, left) * _HEEDED)
+        wait = min(wait, self._latest(left))
         if subject:
             new = _Caller(arrived_at, now + left)
             self._callers.setdefault(subject, new).due = now + wait
         return wait
 
+    def _latest(self, left: float) -> float:
+        """Return the longest wait that a caller heeds, apart from others'.
+
+        While nothing is left for those that come back, all would come at the
+        same time after they were refused.
+        """
+        share = len(self._callers) % _STEPS / _STEPS
+        heeded = max(0.0, left) * _HEEDED
+        return heeded * (1 - _APART + _APART * share)
+
     def _drop_old(self, now: float) -> None:
         for subject, caller in list(self._callers.items()):
             if caller.deadline < now:
--- a/galenahatch/core/waiting.py
+++ b/galenahatch/core/waiting.py
@@ -33,6 +33,11 @@
 """Part of its objective for which a request may wait without being kept. A
 refusal after an eighth to a quarter of it counts as a late one."""
 
+_PROBE_EVERY: typing.Final = 3.0
+"""Seconds between two requests that are kept late against the forecast. Kept
+one after another, they took the places of an eighth of all requests that
+would have been in time at engines that end 0.87 of the demand."""
+
 Job = generations.Job
 Rank = tuple[int, float]
 
@@ -66,6 +71,7 @@
     def __init__(self, measures: figures.Measures) -> None:
         self._measures = measures
         self._jobs: dict[ids.StreamId, Job] = {}
+        self._probed_at = -1e9
 
     def __len__(self) -> int:
         return len(self._jobs)
@@ -93,6 +99,21 @@
         rank = self._ranking(now)
         return [j for j in self._jobs.values() if rank(j) < rank(job)]
 
+    def is_probe(self, job: Job, now: float) -> bool:
+        """Return whether a request is kept though there seems to be no room.
+
+        One that has no further attempt, with nobody before it, every few
+        seconds: it is the first to be served when a burst is over.
+        """
+        if self._jobs or not job.returned:
+            return False
+        if now - self._probed_at < _PROBE_EVERY:
+            return False
+        if now + self._measures.until_first(job) > job.leaves_at:
+            return False
+        self._probed_at = now
+        return True
+
     def is_hopeless(self, job: Job, now: float) -> bool:
         """Return whether nothing would come of a request any more."""
         if job.deadline < now + self._measures.shortest_life(job):
--- a/galenahatch/gateway/owner.py
+++ b/galenahatch/gateway/owner.py
@@ -163,23 +163,7 @@
                 )
             )
             return
-        job = generations.Job(
-            stream=place.stream,
-            entry=member,
-            prompt=place.prompt,
-            hint=place.hint,
-            most=place.most,
-            arrived_at=now,
-            start_by=now + place.start_within,
-            leaves_at=now + place.leave_within,
-            deadline=now + place.end_within,
-            subject=place.subject,
-            data_centre=place.data_centre,
-            avoid=frozenset(place.avoid),
-            going_on=place.going_on,
-            is_read=place.is_read,
-            longest_pause=place.longest_pause,
-        )
+        job = _job(member, place, now)
         self._replies[place.stream] = reply
         decision = dispatcher.submit(job, now)
         if decision is not None:
@@ -331,3 +315,26 @@
             )
         if reply is not None:
             reply(word)
+
+
+def _job(
+    member: ids.MemberId, place: messages.Place, now: float
+) -> generations.Job:
+    """Return what a gateway asks for, in the owner's time."""
+    return generations.Job(
+        stream=place.stream,
+        entry=member,
+        prompt=place.prompt,
+        hint=place.hint,
+        most=place.most,
+        arrived_at=now,
+        start_by=now + place.start_within,
+        leaves_at=now + place.leave_within,
+        deadline=now + place.end_within,
+        subject=place.subject,
+        data_centre=place.data_centre,
+        avoid=frozenset(place.avoid),
+        going_on=place.going_on,
+        is_read=place.is_read,
+        longest_pause=place.longest_pause,
+    )
