What was measured of the pace outlives entries that lapse

Change: they are counted with the pace that all engines of a service share.

Measured: test_pace_outlives_an_entry_that_lapses fails without it (0 for 3000).

--- a/galenahatch/core/pace.py
+++ b/galenahatch/core/pace.py
@@ -33,9 +33,14 @@
 
 
 class Pace:
-    """What the decode engines of a service have shown."""
+    """What the decode engines of a service have shown.
+
+    Attributes:
+        tokens: from which it was learnt, of engines that are gone as well.
+    """
 
     def __init__(self) -> None:
+        self.tokens = 0
         self._weight = 0.0
         self._runs = 0.0
         self._seconds = 0.0
@@ -50,6 +55,7 @@
             tokens: that it made.
             seconds: that they took.
         """
+        self.tokens += tokens
         keep = max(0.0, 1 - tokens / _TOKENS)
         self._weight = self._weight * keep + tokens
         share = tokens / self._weight
--- a/galenahatch/core/pool.py
+++ b/galenahatch/core/pool.py
@@ -284,8 +284,12 @@
 
     @property
     def paced(self) -> int:
-        """Runs from which the pace of the engines was measured."""
-        return sum(e.memory.paced for e in self.decodes.values())
+        """Tokens from which the pace was measured.
+
+        Those of engines whose entries have lapsed since count as well: they
+        are back within seconds, and no order was given until then.
+        """
+        return self._pace.tokens
 
     # Choices.
 
--- a/galenahatch/test/test_decisions.py
+++ b/galenahatch/test/test_decisions.py
@@ -888,3 +888,16 @@
     assert members.owner(False, 0.2) == 'b'
     members.put(ids.MemberId('a'), 1, 1, 0.2)
     assert members.owner(False, 0.2) == 'b', 'read late, and still of before'
+
+
+def test_pace_outlives_an_entry_that_lapses() -> None:
+    """What was measured of the engines counts while their entries are away."""
+    owner = _dispatcher(decodes=1)
+    owner.submit(_job(1, 0.0), 0.0)
+    (placed,) = owner.decide(0.0)
+    owner.release(placed.job.stream, 3000, 3.0, 3.0)
+    measured = owner.engines.paced
+    assert measured == 3000
+    owner.set_engines([], (), 4.0)
+    owner.set_engines([_engine('d0', upstreams.Stage.DECODE)], (), 5.0)
+    assert owner.engines.paced == measured
