--- a/galenahatch/gateway/owner.py
+++ b/galenahatch/gateway/owner.py
@@ -157,11 +157,7 @@
         if place.attempt == 1:
             self._budget.request(place.service, now)
         if not self._budget.grant(place.service, place.extra, now):
-            reply(
-                messages.GivenUp(
-                    place.stream, _NO_BUDGET_PAUSE, 'retry budget spent'
-                )
-            )
+            reply(_without_budget(member, place))
             return
         job = _job(member, place, now)
         self._replies[place.stream] = reply
@@ -317,6 +313,23 @@
             reply(word)
 
 
+def _without_budget(
+    member: ids.MemberId, place: messages.Place
+) -> messages.GivenUp:
+    """Refuse a further attempt, before anything is read for it."""
+    why = 'retry budget spent'
+    instruments.decisions.add(1, {'outcome': 'refused'})
+    _log.info(
+        'Refused.',
+        stream=place.stream,
+        member=member,
+        retry_after=_NO_BUDGET_PAUSE,
+        why=why,
+        sends=place.extra,
+    )
+    return messages.GivenUp(place.stream, _NO_BUDGET_PAUSE, why)
+
+
 def _job(
     member: ids.MemberId, place: messages.Place, now: float
 ) -> generations.Job:
