The rate of prefills is believed from the third one on

For five seconds 50 callers were refused before engines that held a fifth of their memory, and as little was placed, little was learnt.

Change: the line that was believed stays until three prefills were seen.

Ruled out: the fastest of the first prefills (prompts that an engine still keeps come at once, and would show any rate).

--- a/galenahatch/core/latency.py
+++ b/galenahatch/core/latency.py
@@ -37,6 +37,12 @@
 all of the time is taken for work, and half of what an engine with a delay can
 read is refused: a new owner sees few prompts alone when it starts in a
 burst."""
+_LEAST_FOR_RATE: typing.Final = 3
+"""Prefills from which on there is a rate at all. The first one after all VMs
+have restarted waits behind what other owners placed: taken for the rate, it
+showed an engine to be six times as slow as it is, and for five seconds nearly
+all callers were refused before engines that stood at a fifth of their memory.
+"""
 _MOST_WORK: typing.Final = 4.0
 """Times that a rate may exceed tokens by the whole time: no delay of more
 than three times the reading is told from so few."""
@@ -83,6 +89,8 @@
             believed: line whose slope goes on to hold if they show none.
         """
         self._seen.append((tokens, seconds))
+        if len(self._seen) < _LEAST_FOR_RATE:
+            return believed
         rate = self._slope()
         if rate is None and believed.delay > 0:
             rate = believed.rate
--- a/galenahatch/test/test_load.py
+++ b/galenahatch/test/test_load.py
@@ -101,6 +101,21 @@
         assert line.rate == pytest.approx(55_555, rel=0.5)
 
 
+def test_first_prefill_after_a_restart_is_not_the_rate() -> None:
+    """A prompt that waited behind another owner's does not tell the rate.
+
+    All VMs restart, and five owners place on the one prefill engine at once:
+    the first result comes after 0.75 s, the true time is 0.19 s.
+    """
+    known = latency.Latency()
+    first = latency.Line(0.0, figures.FIRST_RATE)
+    line = known.learn(5200, 0.75, first)
+    assert line.seconds(5200) < 0.2
+    for _ in range(2):
+        line = known.learn(5200, 0.19, line)
+    assert line.seconds(5200) == pytest.approx(0.19)
+
+
 def test_pace_is_known_before_the_first_answer_ends() -> None:
     """A burst on engines that nobody measured fills them within a second.
 
