--- a/galenahatch/core/extras.py
+++ b/galenahatch/core/extras.py
@@ -37,8 +37,6 @@
 _RESTARTS: typing.Final = 2.0
 """Times that a VM may spend its share of the reserve in one window: before
 a restart and after it."""
-
-
 _OWNERS: typing.Final = 3
 """Owners that may grant in one window: two may follow another at once."""
 _HEARD: typing.Final = 2.0
@@ -142,8 +140,11 @@
         """Grant all of some extra sends, or none.
 
         A prompt that is read once more and whose run then lacks the budget
-        would have been read for nothing.
+        would have been read for nothing. No extra send needs no budget, also
+        when more was granted than is allowed by now.
         """
+        if not sends:
+            return True
         extras = _window(self._extras, service, self._window)
         if extras.count(now) + sends > self._allowed(service, now):
             return False
--- a/galenahatch/core/incarnations.py
+++ b/galenahatch/core/incarnations.py
@@ -46,13 +46,15 @@
 
 def instance(upstream: ids.UpstreamId) -> ids.InstanceId:
     """Return the id on the wire."""
-    return ids.InstanceId(upstream.rpartition(_MARK)[0] or upstream)
+    name, mark, moment = upstream.rpartition(_MARK)
+    is_told = bool(mark) and moment.isdecimal()
+    return ids.InstanceId(name if is_told else upstream)
 
 
 def born(upstream: ids.UpstreamId) -> int:
     """Return the Unix milliseconds of the start, or `UNKNOWN`."""
-    name, _, moment = upstream.rpartition(_MARK)
-    return int(moment) if name else UNKNOWN
+    _, mark, moment = upstream.rpartition(_MARK)
+    return int(moment) if mark and moment.isdecimal() else UNKNOWN
 
 
 def is_later(upstream: ids.UpstreamId, other: ids.UpstreamId) -> bool:
--- a/galenahatch/gateway/directory.py
+++ b/galenahatch/gateway/directory.py
@@ -255,7 +255,7 @@
             self._knows_since = ver
         self.upstreams_ver = ver
         for row in rows:
-            if row.ver < self._rows.get(row.key, (0, None))[0]:
+            if (row.ver or ver) < self._rows.get(row.key, (0, None))[0]:
                 continue
             if row.removed:
                 self._take_removal(row, ver)
--- a/galenahatch/test/test_decisions.py
+++ b/galenahatch/test/test_decisions.py
@@ -330,6 +330,17 @@
     assert not pooled.grant(_SERVICE, 200, 0.0)
 
 
+def test_first_sends_need_no_budget() -> None:
+    """What was granted in a burst does not refuse first attempts after it."""
+    budget = extras.GrantedBudget(0.2, 3.0, 10.0)
+    for _ in range(50):
+        budget.request(_SERVICE, 0.0)
+    while budget.grant(_SERVICE, 1, 5.0):
+        pass
+    assert not budget.grant(_SERVICE, 1, 11.0), 'the requests count no more'
+    assert budget.grant(_SERVICE, 0, 11.0)
+
+
 # Events.
 
 
--- a/galenahatch/test/test_incarnations.py
+++ b/galenahatch/test/test_incarnations.py
@@ -293,6 +293,17 @@
     _with_directory(check)
 
 
+def test_removal_without_a_version() -> None:
+    """A removal counts with the version of the reading that tells it."""
+
+    async def check(directory: directories.Directory) -> None:
+        directory._take_upstreams([_row(7), _row(7, name='i-2')], 7)
+        directory._take_changes([stores.Row('i-1', 0, b'', True)], 8)
+        assert not directory.registry.takes_work(_id(0), 0.0)
+
+    _with_directory(check)
+
+
 def test_starts_are_told_once() -> None:
     """Each later start is told, from wherever it is heard of first."""
 
--- a/galenahatch/test/test_load.py
+++ b/galenahatch/test/test_load.py
@@ -406,3 +406,13 @@
     health.worked()
     health.given(now + 9.0)
     assert health.until == 0.0
+
+
+def test_suspicion_outlasts_events_of_earlier_runs() -> None:
+    """An engine that broke off ten streams makes events of the eleventh."""
+    health = modelengines.Health()
+    for _ in range(3):
+        health.failed(1.0)
+    until = health.until
+    health.alive()
+    assert health.until == until
