--- /dev/null
+++ b/galenahatch/test/test_extras.py
@@ -0,0 +1,150 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""The retry budgets that all VMs share, kept apart or granted by owners.
+
+Pattern of load: engines break off streams, or lose answers, while requests
+are few; VMs restart, are cut off, or follow each other as owners meanwhile.
+"""
+
+import hypothesis
+from hypothesis import strategies
+
+from galenahatch.core import extras
+from galenahatch import ids
+
+_SERVICE = ids.ServiceName('model')
+
+
+@hypothesis.settings(deadline=None)
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 5),
+            strategies.booleans(),
+            strategies.floats(0.0, 0.5),
+        ),
+        max_size=300,
+    )
+)
+def test_budget_over_all_vms(
+    steps: list[tuple[int, bool, float]],
+) -> None:
+    """In each window, extras stay under the bound, also after restarts."""
+    ratio, reserve, window = 0.2, 52.0, 10.0
+
+    def fresh() -> extras.SharedBudget:
+        made = extras.SharedBudget(ratio, reserve, window)
+        made.set_members(6)
+        return made
+
+    budgets = [fresh() for _ in range(6)]
+    requests: list[float] = []
+    spent: list[float] = []
+    now = 0.0
+    for vm, is_request, pause in steps:
+        now += pause
+        if is_request:
+            budgets[vm].request(_SERVICE, now)
+            requests.append(now)
+        else:
+            while budgets[vm].spend(_SERVICE, now):
+                spent.append(now)
+    for end in spent:
+        extra = sum(end - window < t <= end for t in spent)
+        owed = sum(end - window < t <= end for t in requests)
+        assert extra <= ratio * owed + reserve
+
+
+@hypothesis.settings(deadline=None)
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 5),
+            strategies.sampled_from(['request', 'retry', 'lost']),
+            strategies.integers(1, 3),
+            strategies.floats(0.0, 0.4),
+        ),
+        max_size=300,
+    ),
+    strategies.sets(strategies.integers(0, 5)),
+)
+def test_granted_budget_over_owners(
+    steps: list[tuple[int, str, int, float]], cut_off: set[int]
+) -> None:
+    """Whoever grants, extras in each window stay under the bound.
+
+    Some VMs can't reach the owner and decide for themselves; two owners may
+    follow another in one window, each knowing nothing of the one before.
+    """
+    ratio, reserve, window = 0.2, 52.0, 10.0
+    members = [ids.MemberId(f'm{n}') for n in range(6)]
+
+    def fresh() -> extras.GrantedBudget:
+        made = extras.GrantedBudget(ratio, reserve, window)
+        made.set_members(6)
+        return made
+
+    alone = {vm: fresh() for vm in cut_off}
+    owner = fresh()
+    requests: list[float] = []
+    spent: list[float] = []
+    lost: list[float] = []
+    now = 0.0
+    for vm, what, sends, pause in steps:
+        now += pause
+        if what == 'lost' and sum(at > now - window for at in lost) < 2:
+            owner = fresh()
+            lost.append(now)
+        for other in range(1, 6):
+            if other not in alone:
+                owner.heard(members[other], now)
+        asked = alone.get(vm, owner)
+        if what == 'request':
+            asked.request(_SERVICE, now)
+            requests.append(now)
+        while what == 'retry' and asked.grant(_SERVICE, sends, now):
+            spent += [now] * sends
+    for end in spent:
+        extra = sum(end - window < t <= end for t in spent)
+        owed = sum(end - window < t <= end for t in requests)
+        assert extra <= ratio * owed + reserve
+
+
+def test_pooled_budget_serves_where_engines_fail() -> None:
+    """Ten streams of one engine that breaks off go on, among 195 VMs.
+
+    Divided, each VM has less than the two sends that one of them needs.
+    """
+    pooled = extras.GrantedBudget(0.2, 430.0, 10.0)
+    divided = extras.SharedBudget(0.2, 430.0, 10.0)
+    pooled.set_members(195)
+    divided.set_members(195)
+    for vm in range(194):
+        pooled.heard(ids.MemberId(f'm{vm}'), 0.0)
+    for _ in range(2):
+        divided.request(_SERVICE, 0.0)
+    spent = sum(divided.spend(_SERVICE, 0.0) for _ in range(2))
+    assert spent < 2, 'what a stream that goes on needs'
+    assert all(pooled.grant(_SERVICE, 2, 0.0) for _ in range(10))
+    assert not pooled.grant(_SERVICE, 200, 0.0)
+
+
+def test_first_sends_need_no_budget() -> None:
+    """What was granted in a burst does not refuse first attempts after it."""
+    budget = extras.GrantedBudget(0.2, 3.0, 10.0)
+    for _ in range(50):
+        budget.request(_SERVICE, 0.0)
+    while budget.grant(_SERVICE, 1, 5.0):
+        pass
+    assert not budget.grant(_SERVICE, 1, 11.0), 'the requests count no more'
+    assert budget.grant(_SERVICE, 0, 11.0)
