--- a/galenahatch/test/test_decisions.py
+++ b/galenahatch/test/test_decisions.py
@@ -402,6 +402,23 @@
     assert placed.job.stream == 's5'
 
 
+def test_late_is_kept_where_usual_traffic_leaves_room() -> None:
+    """A first attempt that can't start in time waits while that is no more
+    than a burst, if it is reached before its caller leaves.
+    """
+    owner = _dispatcher(decodes=2)
+    for number in range(4):
+        owner.submit(_job(number, 0.0, patience=3.5), 0.0)
+        owner.decide(0.2 * number)
+    late = _job(5, 2.0, patience=0.3, leaves_at=5.6)
+    assert owner.submit(late, 2.0) is None
+    assert not owner.decide(2.1)
+    owner.release(ids.StreamId('s0'), 3000, 3.0, 3.0)
+    (placed,) = owner.decide(3.0)
+    assert isinstance(placed, generations.Placed)
+    assert placed.job.stream == 's5'
+
+
 def test_kept_late_only_where_there_will_be_room() -> None:
     """A first attempt that would wait in vain is told so at once."""
     owner = _dispatcher(decodes=2)
