--- a/galenahatch/gateway/messages.py
+++ b/galenahatch/gateway/messages.py
@@ -149,7 +149,7 @@
         end_within: seconds until its answer must be whole.
         leave_within: seconds until the caller leaves without a first event.
         longest_pause: seconds that may lie between two of its events.
-        attempt: the how manieth time that the request asks.
+        attempt: number of this attempt of the request, from 1.
         extra: sends beyond the first that it will make if it is placed.
     """
 
--- a/galenahatch/gateway/ownership.py
+++ b/galenahatch/gateway/ownership.py
@@ -47,7 +47,7 @@
     """A generation that wants engines; moments are monotonic seconds.
 
     Attributes:
-        attempt: the how manieth time that the request asks.
+        attempt: number of this attempt of the request, from 1.
         extra: sends beyond the first that it will make if it is placed.
     """
 
