Tests of pauses: calls and a stop in which the gateway did not run

Cause: a gateway that waits for a processor looks at its timers first and at what has come meanwhile afterwards.

The steps of test_stop_takes_no_late_streams with one pause around the end of the look away: 13 of 27 plays ended with status 502 or without an answer, log "Stopped.", in_flight 0, and 2 to 5 ms later "Sent." or "Caller left.".

Change: the tests, which fail; a fleet shows all logs after a failure, which were lost with its folder.

--- a/galenahatch/test/fleet.py
+++ b/galenahatch/test/fleet.py
@@ -297,9 +297,11 @@
         return self
 
     def __exit__(self, *details: object) -> None:
-        """End everything that was started."""
+        """End everything that was started; after a failure, show all logs."""
         for vm in self.vms:
             vm.kill()
+        if any(details):
+            self._show_logs()
         for upstream in self.upstreams:
             self.run(upstream.stop)
         self.call(self._runner.cleanup())
@@ -308,6 +310,20 @@
         self._thread.join()
         self._folder.cleanup()
 
+    def _show_logs(self) -> None:
+        """Print what gateways wrote and what upstreams saw, with times.
+
+        The folder goes with the fleet; without this, a failure that comes
+        once can't be traced.
+        """
+        for vm in self.vms:
+            print(f'--- log of {vm.address}')
+            print(vm.log.read_text(errors='replace'))
+        for upstream in self.upstreams:
+            print(f'--- {upstream.service} {upstream.stage} {upstream.id}')
+            for seen in upstream.seen:
+                print(f'{seen.at:.3f} {seen.id} {seen.target} {seen.ended}')
+
     def call(
         self, work: collections.abc.Coroutine[typing.Any, typing.Any, T]
     ) -> T:
--- /dev/null
+++ b/galenahatch/test/test_pauses.py
@@ -0,0 +1,221 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""A gateway that did not run for a while blames nobody else for it.
+
+On a VM that does much else a process may wait for a tenth of a second and
+more before it runs again. Its timers are then looked at first, and what has
+come meanwhile only afterwards. Two failures of callers came of that:
+
+A call to a plain service was refused with "2 usable, 2 tried". The limit of
+0.25 s for a connection ran out twice while the gateway itself did not run,
+though the connections were there at once. With pauses of 0.3 s the log shows
+`Sent.`, fate `not_sent`, `seconds` 0.3012, 0.3017, 0.3014: the length of the
+pause, and not the limit.
+
+A call of two seconds ended without an answer during a stop. The gateway did
+not run as the balancer had looked away, came back, and ended before it read
+what had come: `Stopped.` with `in_flight` 0, and 2 ms later `Sent.` or
+`Caller left.` of the request that it had read by then.
+"""
+
+import asyncio
+import collections.abc
+import itertools
+import signal
+import time
+import typing
+
+import multidict
+import pytest
+import uvloop
+
+from galenahatch.core import upstreams
+from galenahatch.gateway import calls
+from galenahatch.gateway import sender as senders
+from galenahatch import ids
+from galenahatch.platform import wire
+from galenahatch.test import fleet as fleets
+
+_LOOPS: typing.Final = {
+    'asyncio': asyncio.new_event_loop,
+    'uvloop': uvloop.new_event_loop,
+}
+_PAUSE: typing.Final = 0.3
+_SOON: typing.Final = 0.1
+"""Seconds that a limit allows, and a stand-in needs a part of."""
+_NUMBERS: typing.Final = itertools.count(1)
+
+_LOOK_AWAY: typing.Final = 2.6
+"""Seconds for which a gateway that stops takes new callers."""
+
+
+@pytest.fixture(scope='module')
+def desks() -> collections.abc.Iterator[fleets.Fleet]:
+    """One plain upstream, and one that streams, without a gateway."""
+    with fleets.Fleet(0, (('desk', ''), ('model', 'decode'))) as started:
+        yield started
+
+
+def _upstream(fleet: fleets.Fleet, service: str) -> upstreams.Upstream:
+    (standin,) = (one for one in fleet.upstreams if one.service == service)
+    return upstreams.Upstream(
+        ids.UpstreamId(standin.id),
+        ids.ServiceName(service),
+        standin.address,
+        ids.DataCentre('dc1'),
+        slots=8,
+    )
+
+
+async def _send(
+    sender: senders.Sender,
+    upstream: upstreams.Upstream,
+    timeout: float = 5.0,
+    keep: bool = False,
+) -> senders.Answer | senders.Lost:
+    number = f'{next(_NUMBERS):016x}'
+    headers = multidict.CIMultiDict({'Host': fleets.HOST})
+    call = calls.Call(
+        number, 'GET', '', '/x', headers, b'', 0.0, None, None, ''
+    )
+    told = wire.outgoing(call, calls.Directions(upstream.id, 5.0))
+    return await sender.send(
+        upstream, call, told, wire.answer_head, timeout, _SOON, keep
+    )
+
+
+async def _turns(count: int) -> None:
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize('loop', _LOOPS)
+@pytest.mark.parametrize('keep', [False, True])
+@pytest.mark.parametrize('turns', range(12))
+def test_pause_in_a_connect(
+    desks: fleets.Fleet, loop: str, keep: bool, turns: int
+) -> None:
+    """A connection that was made while the process slept counts as made."""
+    upstream = _upstream(desks, 'desk')
+
+    async def paused() -> senders.Answer | senders.Lost:
+        sender = senders.Sender()
+        sending = asyncio.create_task(_send(sender, upstream, keep=keep))
+        await _turns(turns)
+        time.sleep(_PAUSE)
+        answer = await sending
+        await sender.close()
+        return answer
+
+    with asyncio.Runner(loop_factory=_LOOPS[loop]) as runner:
+        answer = runner.run(paused())
+    assert isinstance(answer, senders.Answer), answer
+
+
+@pytest.mark.parametrize('loop', _LOOPS)
+def test_answer_that_came_in_a_pause(desks: fleets.Fleet, loop: str) -> None:
+    """An answer that is there counts, though the time for it is over."""
+    upstream = _upstream(desks, 'desk')
+    (standin,) = desks.of('desk')
+    standin.delay = _SOON
+
+    async def paused() -> senders.Answer | senders.Lost:
+        sender = senders.Sender()
+        sending = asyncio.create_task(
+            _send(sender, upstream, timeout=2 * _SOON)
+        )
+        await asyncio.sleep(_SOON / 2)
+        time.sleep(_PAUSE)
+        answer = await sending
+        await sender.close()
+        return answer
+
+    with asyncio.Runner(loop_factory=_LOOPS[loop]) as runner:
+        answer = runner.run(paused())
+    standin.delay = 0.0
+    assert isinstance(answer, senders.Answer), answer
+
+
+@pytest.mark.parametrize('loop', _LOOPS)
+def test_events_that_came_in_a_pause(desks: fleets.Fleet, loop: str) -> None:
+    """A stream is not silent whose events wait to be read."""
+    upstream = _upstream(desks, 'model')
+
+    async def paused() -> list[bytes | senders.Lost]:
+        sender = senders.Sender()
+        answer = await _send(sender, upstream)
+        assert isinstance(answer, senders.Answer)
+        found: list[bytes | senders.Lost] = []
+        for _ in range(4):
+            reading = asyncio.create_task(answer.read(_SOON))
+            await _turns(1)
+            time.sleep(_PAUSE)
+            found.append(await reading)
+        await sender.close()
+        return found
+
+    with asyncio.Runner(loop_factory=_LOOPS[loop]) as runner:
+        found = runner.run(paused())
+    assert not [one for one in found if isinstance(one, senders.Lost)], found
+
+
+@pytest.mark.parametrize('loop', _LOOPS)
+def test_silence_is_still_noticed(desks: fleets.Fleet, loop: str) -> None:
+    """A limit holds: what does not come in time is given up."""
+    upstream = _upstream(desks, 'desk')
+    (standin,) = desks.of('desk')
+    standin.delay = 5.0
+
+    async def silent() -> float:
+        sender = senders.Sender()
+        began = time.monotonic()
+        answer = await _send(sender, upstream, timeout=_SOON)
+        seconds = time.monotonic() - began
+        assert isinstance(answer, senders.Lost)
+        await sender.close()
+        return seconds
+
+    with asyncio.Runner(loop_factory=_LOOPS[loop]) as runner:
+        seconds = runner.run(silent())
+    standin.delay = 0.0
+    assert _SOON - 0.01 <= seconds < 10 * _SOON
+
+
+@pytest.mark.parametrize('before', [0.1, 0.4])
+@pytest.mark.parametrize('delay', [0.0, 1.0])
+def test_stop_answers_what_came_in_a_pause(
+    before: float, delay: float
+) -> None:
+    """Requests that wait to be read as a stop may end are answered.
+
+    One comes on a kept connection, one on a connection that the gateway has
+    not accepted yet. Each caller sent its request 0.1 s or more before the
+    gateway may end.
+    """
+    with fleets.Fleet(1, (('desk', ''), ('desk', ''))) as fleet:
+        (vm,) = fleet.vms
+        with fleets.Caller(vm) as kept, fleets.Caller(vm) as fresh:
+            assert kept.ask('/once/x').status == 200
+            for upstream in fleet.of('desk'):
+                upstream.delay = delay
+            vm.signal(signal.SIGTERM)
+            time.sleep(_LOOK_AWAY - before - 0.1)
+            vm.signal(signal.SIGSTOP)
+            sent = [kept.begin('/once/x'), fresh.begin('/once/x')]
+            time.sleep(before + 0.3)
+            vm.signal(signal.SIGCONT)
+            answers = [kept.end(), fresh.end()]
+        assert [answer.status for answer in answers] == [200, 200]
+        assert all(answer.whole for answer in answers)
+        assert [fleet.runs(request) for request in sent] == [1, 1]
+        assert vm.wait() == 0
