A stop closes only connections at which nobody waits

Cause: the stop decided by what had been read. A process that did not run as the balancer had looked away found nothing in flight, closed idle connections with requests unread in them, and ended; what it read meanwhile was sent to an upstream and broken off. Log: Stopped., in_flight 0, and 2 to 5 ms later Sent. or Caller left.

Change: the stop reads first what has come; a connection counts as idle only if nothing waits at its socket and no head has come in part; the listening socket is closed only when nobody waits there, and then the process ends when the last answer has gone out. Idle connections are judged so at the end of their time as well. It stands in a module of its own, gateway/connections.

--- a/galenahatch/gateway/front.py
+++ b/galenahatch/gateway/front.py
@@ -49,55 +49,6 @@
 _log = logs.Log('front')
 
 
-class _Connection(web.RequestHandler):
-    """One caller's connection."""
-
-    __slots__ = ()
-
-    @property
-    def idle(self) -> bool:
-        """Whether no request of the caller has been read.
-
-        The library's own `close` leaves an idle connection open without
-        anyone to read it, and it does not tell idle ones from those whose
-        request was read just now.
-        """
-        waiter = self._waiter
-        return not self._messages and waiter is not None and not waiter.done()
-
-
-class Server(web.Server):
-    """Connections of callers, with the limits of the configuration.
-
-    Args:
-        handler: called with each request.
-        limits: asked for each new connection.
-    """
-
-    def __init__(
-        self,
-        handler: collections.abc.Callable[
-            [web.BaseRequest], collections.abc.Awaitable[web.StreamResponse]
-        ],
-        limits: collections.abc.Callable[[], routes.Limits],
-    ) -> None:
-        super().__init__(handler, handler_cancellation=True)
-        self._limits = limits
-
-    def __call__(self) -> _Connection:
-        """Return the protocol of a new connection."""
-        limits = self._limits()
-        return _Connection(
-            self,
-            loop=self._loop,
-            keepalive_timeout=limits.idle_timeout,
-            access_log=typing.cast(typing.Any, None),
-            max_line_size=limits.header_bytes,
-            max_field_size=limits.header_bytes,
-            auto_decompress=False,
-        )
-
-
 class _StreamSink:
     """A streamed answer on a caller's connection."""
 
@@ -162,12 +113,6 @@
         self._quiet_at = quiet_at
         self._ends_at = ends_at
 
-    def close_idle(self, server: Server) -> None:
-        """Close the connections on which no request is being answered."""
-        for connection in server.connections:
-            if isinstance(connection, _Connection) and connection.idle:
-                connection.force_close()
-
     def _ends_first(self) -> bool:
         """Return whether a stream that begins now might be cut.
 
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -28,6 +28,7 @@
 from galenahatch.core import balance
 from galenahatch.core import extras
 from galenahatch import errors
+from galenahatch.gateway import connections
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import front as fronts
 from galenahatch.gateway import means as means_module
@@ -54,7 +55,6 @@
 """Seconds before the end of the grace at which the process ends by itself."""
 _CUT_OFF: typing.Final = 0.05
 """Seconds that requests still in flight at the end get to notice it."""
-_BACKLOG: typing.Final = 1024
 _IDLE_CHECK: typing.Final = 0.05
 _MEMBERS_EVERY: typing.Final = 1.0
 _log = logs.Log('gateway')
@@ -170,23 +170,17 @@
                 tasks=self._background,
             )
         )
-        self._callers = fronts.Server(self._front.handle, self._front.limits)
-        probes = fronts.Server(self._front.ready, self._front.limits)
-        metrics = fronts.Server(self._front.metrics, self._front.limits)
+        limits = self._front.limits
+        self._callers = connections.Server(self._front.handle, limits)
+        probes = connections.Server(self._front.ready, limits)
+        metrics = connections.Server(self._front.metrics, limits)
         scrapes = settings_module.Address(settings.address, METRICS_PORT)
-        loop = asyncio.get_running_loop()
         for server, where in (
             (self._callers, settings.front),
             (probes, settings.readiness),
             (metrics, scrapes),
         ):
-            await loop.create_server(
-                server,
-                where.host,
-                where.port,
-                backlog=_BACKLOG,
-                reuse_address=True,
-            )
+            await server.listen(where)
 
     async def _look_around(self) -> None:
         """Note how many gateways there are, and which upstreams are gone."""
@@ -220,15 +214,15 @@
         self._ownership.owner.decline_all()
         _log.info('Stopping.', in_flight=self._front.in_flight)
         while clock.now() < last:
-            looked_away = clock.now() - began > _LOOK_AWAY
-            if looked_away:
-                self._front.close_idle(self._callers)
-                if not self._front.in_flight:
-                    break
             await asyncio.sleep(_IDLE_CHECK)
+            if clock.now() - began < _LOOK_AWAY:
+                continue
+            if await self._callers.leave() and not self._front.in_flight:
+                break
         _log.info(
             'Stopped.',
             in_flight=self._front.in_flight,
+            connections=len(self._callers.connections),
             seconds=clock.now() - began,
         )
         await self._callers.shutdown(_CUT_OFF)
--- a/galenahatch/test/test_pauses.py
+++ b/galenahatch/test/test_pauses.py
@@ -30,21 +30,28 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import itertools
 import signal
+import socket
 import time
 import typing
 
+from aiohttp import web
 import multidict
 import pytest
 import uvloop
 
+from galenahatch.core import routes
 from galenahatch.core import upstreams
 from galenahatch.gateway import calls
+from galenahatch.gateway import connections
 from galenahatch.gateway import sender as senders
+from galenahatch.gateway import settings
 from galenahatch import ids
 from galenahatch.platform import wire
 from galenahatch.test import fleet as fleets
+from galenahatch.test import ports
 
 _LOOPS: typing.Final = {
     'asyncio': asyncio.new_event_loop,
@@ -219,3 +226,75 @@
         assert all(answer.whole for answer in answers)
         assert [fleet.runs(request) for request in sent] == [1, 1]
         assert vm.wait() == 0
+
+
+@pytest.mark.parametrize('pause', [0.2, 0.6, 1.2])
+def test_stop_paused_at_any_moment(pause: float) -> None:
+    """A call that was begun before a stop may end is answered.
+
+    The gateway does not run for one while, at each of some moments around
+    the end of the look away; the call takes a second.
+    """
+    with fleets.Fleet(3, (('desk', ''), ('desk', ''))) as fleet:
+        for upstream in fleet.of('desk'):
+            upstream.delay = 1.0
+        for vm in fleet.vms:
+            vm.signal(signal.SIGTERM)
+        began = time.monotonic()
+        with contextlib.ExitStack() as stack:
+            calls_begun = []
+            for vm, at in zip(fleet.vms, (2.1, 2.3, 2.5), strict=True):
+                time.sleep(max(0.0, began + at - time.monotonic()))
+                vm.signal(signal.SIGSTOP)
+                caller = stack.enter_context(fleets.Caller(vm))
+                caller.begin('/once/x')
+                calls_begun.append(caller)
+            for vm, at in zip(fleet.vms, (2.1, 2.3, 2.5), strict=True):
+                time.sleep(max(0.0, began + at + pause - time.monotonic()))
+                vm.signal(signal.SIGCONT)
+            answers = [caller.end() for caller in calls_begun]
+        assert [answer.status for answer in answers] == [200] * 3
+        assert [vm.wait() for vm in fleet.vms] == [0] * 3
+
+
+def test_stop_waits_for_the_rest_of_a_head() -> None:
+    """A request of which a part has come is read on and answered."""
+    with fleets.Fleet(1, (('desk', ''),)) as fleet:
+        (vm,) = fleet.vms
+        with socket.create_connection((vm.address, vm.front)) as caller:
+            vm.signal(signal.SIGTERM)
+            time.sleep(_LOOK_AWAY - 0.3)
+            caller.sendall(b'POST /once/x HTTP/1.1\r\n')
+            time.sleep(0.8)
+            rest = f'Host: {fleets.HOST}\r\nContent-Length: 0\r\n\r\n'
+            caller.sendall(rest.encode())
+            caller.settimeout(5.0)
+            assert caller.recv(100).startswith(b'HTTP/1.1 200 ')
+        assert vm.wait() == 0
+
+
+@pytest.mark.parametrize('loop', _LOOPS)
+def test_idle_connection_with_a_request(loop: str) -> None:
+    """A request that came in a pause is read before idleness is judged."""
+    limits = routes.Limits(idle_timeout=0.3)
+
+    async def answer(request: web.BaseRequest) -> web.StreamResponse:
+        return web.Response(text='answered')
+
+    async def paused() -> bytes:
+        server = connections.Server(answer, lambda: limits)
+        where = settings.Address('127.0.0.1', ports.free())
+        await server.listen(where)
+        reader, writer = await asyncio.open_connection(where.host, where.port)
+        writer.write(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+        first = await reader.read(1000)
+        assert first.endswith(b'answered')
+        writer.write(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+        time.sleep(0.5)
+        second = await reader.read(1000)
+        writer.close()
+        assert await server.leave() or await server.leave()
+        return second
+
+    with asyncio.Runner(loop_factory=_LOOPS[loop]) as runner:
+        assert runner.run(paused()).endswith(b'answered')
