A second signal does not cut a stop short

Symptom: a call in flight gets no answer when a gateway that stops is signalled again.

Cause: the library of services gives SIGTERM back to the system as its stop begins, so the next one ends the process. Seen: the second of two signals 0.6 s apart, exit by the signal, no line in the log after it.

Change: the program keeps its handler until the loop is closed; the first signal ends the loop's run and begins the stop, later ones are only logged.

Ruled out: a handler set by the stop itself, as the other daemons have it; it leaves a gap between the library's handing back and the stop's first line.

--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -75,7 +75,7 @@
         self._settings = settings
         self._path = settings_path
         self._background = tasks.Tasks()
-        self._done = asyncio.Event()
+        self._leaving = False
 
     async def start(self) -> None:
         """Open all parts and listen."""
@@ -205,6 +205,14 @@
         changed = found != self._settings
         _log.info('Settings read again.', changed=changed)
 
+    def leave(self) -> None:
+        """Begin to stop; once is enough."""
+        if self._leaving:
+            _log.info('Stopping already.')
+            return
+        self._leaving = True
+        asyncio.get_running_loop().stop()
+
     async def stop(self, exception: Exception | None = None) -> None:
         """Finish what is in flight, then close."""
         began = clock.now()
--- a/galenahatch/gateway/program.py
+++ b/galenahatch/gateway/program.py
@@ -16,7 +16,9 @@
 setting is where the settings file is, and each VM pays for its memory.
 """
 
+import asyncio
 import datetime
+import signal
 import sys
 import typing
 
@@ -51,9 +53,28 @@
             loop_factory=uvloop.new_event_loop,
             shutdown_timeout=_NO_TIMER,
             pool_size=1,
+            catch_signals=(),
         ) as loop:
+            _leave_on_signals(loop, gateway)
             loop.run_forever()
     except OSError as error:
         log.error('Could not start.', error=str(error))
         return 1
     return 0
+
+
+def _leave_on_signals(
+    loop: asyncio.AbstractEventLoop, gateway: node.Gateway
+) -> None:
+    """Begin a stop at the first signal, and let no later one cut it short.
+
+    The library of services gives signals back to the system as it begins to
+    stop; the second one would end the process and break every call that runs.
+    """
+
+    def leave(*details: object) -> None:
+        if not loop.is_closed():
+            loop.call_soon_threadsafe(gateway.leave)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, leave)
--- a/galenahatch/test/test_pauses.py
+++ b/galenahatch/test/test_pauses.py
@@ -273,6 +273,21 @@
         assert vm.wait() == 0
 
 
+def test_stop_is_told_more_than_once() -> None:
+    """Further signals do not cut a stop short."""
+    with fleets.Fleet(1, (('desk', ''),)) as fleet:
+        (vm,) = fleet.vms
+        (desk,) = fleet.of('desk')
+        desk.delay = 2.0
+        with fleets.Caller(vm) as caller:
+            caller.begin('/once/x')
+            for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+                vm.signal(number)
+                time.sleep(0.3)
+            assert caller.end().served
+        assert vm.wait() == 0
+
+
 @pytest.mark.parametrize('loop', _LOOPS)
 def test_idle_connection_with_a_request(loop: str) -> None:
     """A request that came in a pause is read before idleness is judged."""
