A stop ends with the last caller's answer, and takes none that it would cut

Symptom: calls cut at the end of the grace, status 500 after it, processes that end by a signal during their stop.

Cause: the gateway took callers up to its last moment, and its listening socket was never closed: what came while it closed its connections to upstreams met a closed session. Signals went back to the system as the loop was closed.

Change: no callers are taken in the last second of the grace; a plain call that might outlast the process is refused once callers have looked away, as streams are; the listening socket is closed before the rest. Signals are taken by the program until it ends, SIGHUP as well.

Ruled out: refusing from the signal on: calls with long limits would be refused while the balancer still sends them.

--- a/galenahatch/gateway/connections.py
+++ b/galenahatch/gateway/connections.py
@@ -67,7 +67,7 @@
         transport = self.transport
         if transport is None or transport.is_closing():
             return False
-        return _is_waited_at(transport.get_extra_info('socket'))
+        return _is_readable(transport.get_extra_info('socket'))
 
     def data_received(self, data: bytes) -> None:
         """Read on, and note whether a head has come in part."""
@@ -125,27 +125,37 @@
             self, where.host, where.port, backlog=_BACKLOG, reuse_address=True
         )
 
-    async def leave(self) -> bool:
+    async def leave(self, is_late: bool) -> bool:
         """Close what no caller waits at; return whether nothing is left.
 
         To be called again until it is: what has come is read first, answers
         go out to their last byte, and callers are taken as long as there is
         one to answer. Who comes later finds nobody listening, and so knows
         that nothing was sent.
+
+        Args:
+            is_late: whether to take no further callers in any case.
         """
         await timeouts.look_around()
-        if self.connections:
-            self._close_idle()
-            return False
-        if self._listening is None:
-            return True
-        if any(_is_waited_at(one) for one in self._listening.sockets):
-            return False
-        self._listening.close()
-        self._listening = None
+        if not self._is_waited_at and (is_late or not self.connections):
+            self.stop_listening()
+        self._close_idle()
         # One that was accepted just before is made known on the next turn.
         await timeouts.look_around()
-        return not self.connections
+        return self._listening is None and not self.connections
+
+    def stop_listening(self) -> None:
+        """Take no connections any more."""
+        if self._listening is not None:
+            self._listening.close()
+            self._listening = None
+
+    @property
+    def _is_waited_at(self) -> bool:
+        """Whether callers wait for their connections to be accepted."""
+        if self._listening is None:
+            return False
+        return any(_is_readable(one) for one in self._listening.sockets)
 
     def _close_idle(self) -> None:
         for connection in self.connections:
@@ -153,7 +163,7 @@
                 connection.force_close()
 
 
-def _is_waited_at(sock: typing.Any) -> bool:
+def _is_readable(sock: typing.Any) -> bool:
     """Return whether a socket has bytes or connections to read."""
     poll = select.poll()
     poll.register(sock.fileno(), select.POLLIN)
--- a/galenahatch/gateway/front.py
+++ b/galenahatch/gateway/front.py
@@ -128,6 +128,15 @@
         usual = lives[int(_LONG_LIFE * len(lives))] if lives else 0.0
         return clock.now() + usual > self._ends_at
 
+    def _cuts(self, call: calls.Call, route: routes.Route) -> bool:
+        """Return whether a plain call might not end before this process.
+
+        Callers have had the time to go elsewhere then, too.
+        """
+        if not self.leaving or clock.now() < self._quiet_at:
+            return False
+        return means_module.end_by(call, route) > self._ends_at
+
     def limits(self) -> routes.Limits:
         """Return the limits in force."""
         config = self._means.directory.config
@@ -202,6 +211,9 @@
             and call.prompt is not None
         ):
             return await self._generate(request, call, route, service)
+        if self._cuts(call, route):
+            failure = means_module.refusal(errors.LEAVING, '', _ELSEWHERE)
+            return self._respond(call, route, failure)
         result = await plain.Course(self._means, call, route, name).run()
         return self._respond(call, route, result)
 
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -18,7 +18,6 @@
 """
 
 import asyncio
-import signal
 import typing
 
 import aiohttp
@@ -53,6 +52,9 @@
 balancer asks once a second and looks away after two answers."""
 _LAST_SECOND: typing.Final = 0.4
 """Seconds before the end of the grace at which the process ends by itself."""
+_LAST_CALLERS: typing.Final = 1.0
+"""Seconds before that end from which on no callers are taken: those that are
+there are answered, or refused since they would take too long."""
 _CUT_OFF: typing.Final = 0.05
 """Seconds that requests still in flight at the end get to notice it."""
 _IDLE_CHECK: typing.Final = 0.05
@@ -82,7 +84,6 @@
         self._open()
         await self._listen()
         self._run()
-        self._on_signals()
         settings = self._settings
         _log.info('Listening.', vm=settings.name, front=str(settings.front))
 
@@ -192,11 +193,7 @@
             self._exchange.forget(known)
             await asyncio.sleep(_MEMBERS_EVERY)
 
-    def _on_signals(self) -> None:
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
-
-    def _reload(self) -> None:
+    def reload(self) -> None:
         """Look at the settings file again."""
         found = deployment.load(self._path)
         if isinstance(found, errors.Failure):
@@ -225,8 +222,13 @@
             await asyncio.sleep(_IDLE_CHECK)
             if clock.now() - began < _LOOK_AWAY:
                 continue
-            if await self._callers.leave() and not self._front.in_flight:
+            is_late = clock.now() > last - _LAST_CALLERS
+            if (
+                await self._callers.leave(is_late)
+                and not self._front.in_flight
+            ):
                 break
+        self._callers.stop_listening()
         _log.info(
             'Stopped.',
             in_flight=self._front.in_flight,
--- a/galenahatch/gateway/program.py
+++ b/galenahatch/gateway/program.py
@@ -55,26 +55,39 @@
             pool_size=1,
             catch_signals=(),
         ) as loop:
-            _leave_on_signals(loop, gateway)
+            _take_signals(loop, gateway)
             loop.run_forever()
+        _ignore_signals()
     except OSError as error:
         log.error('Could not start.', error=str(error))
         return 1
     return 0
 
 
-def _leave_on_signals(
+def _take_signals(
     loop: asyncio.AbstractEventLoop, gateway: node.Gateway
 ) -> None:
     """Begin a stop at the first signal, and let no later one cut it short.
 
     The library of services gives signals back to the system as it begins to
-    stop; the second one would end the process and break every call that runs.
+    stop, and the loop does as it is closed; any signal after that would end
+    the process, and break every call that runs.
     """
+    work = {
+        signal.SIGTERM: gateway.leave,
+        signal.SIGINT: gateway.leave,
+        signal.SIGHUP: gateway.reload,
+    }
 
-    def leave(*details: object) -> None:
+    def take(number: int, frame: object) -> None:
         if not loop.is_closed():
-            loop.call_soon_threadsafe(gateway.leave)
+            loop.call_soon_threadsafe(work[signal.Signals(number)])
 
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, leave)
+    for number in work:
+        signal.signal(number, take)
+
+
+def _ignore_signals() -> None:
+    """Let none of them end a process that is about to end by itself."""
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
--- a/galenahatch/test/fleet.py
+++ b/galenahatch/test/fleet.py
@@ -25,6 +25,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -301,7 +302,7 @@
         for vm in self.vms:
             vm.kill()
         if any(details):
-            self._show_logs()
+            self.show_logs()
         for upstream in self.upstreams:
             self.run(upstream.stop)
         self.call(self._runner.cleanup())
@@ -310,7 +311,7 @@
         self._thread.join()
         self._folder.cleanup()
 
-    def _show_logs(self) -> None:
+    def show_logs(self) -> None:
         """Print what gateways wrote and what upstreams saw, with times.
 
         The folder goes with the fleet; without this, a failure that comes
@@ -390,6 +391,11 @@
         )
         self._request = ''
 
+    @property
+    def socket(self) -> socket.socket | None:
+        """The connection; None before the first request."""
+        return self._connection.sock
+
     def __enter__(self) -> 'Caller':
         """Return itself."""
         return self
--- a/galenahatch/test/test_pauses.py
+++ b/galenahatch/test/test_pauses.py
@@ -326,7 +326,8 @@
         time.sleep(0.5)
         second = await reader.read(1000)
         writer.close()
-        assert await server.leave() or await server.leave()
+        await server.leave(is_late=False)
+        assert await server.leave(is_late=True)
         return second
 
     with asyncio.Runner(loop_factory=_LOOPS[loop]) as runner:
