Stalls are logged and counted; a stop closes by what waits, without turns

Change: Stalled. with its seconds and galenahatch_stalls_total; a refusal names the last send's detail as well; Stopped. tells connections. The turns before a stop's look are left out, since each socket is asked; so is the check of unread bytes at the end of a connection's idle time, which no test could make fail: the loop reads once before it comes to that timer.

Ruled out: nothing further.

--- a/galenahatch/core/members.py
+++ b/galenahatch/core/members.py
@@ -133,17 +133,22 @@
         if me is not None:
             me.order = self._joined or _LAST
 
-    def listen(self, now: float) -> None:
+    def listen(self, now: float) -> float:
         """Note that this process runs, and reads what members send.
 
         To be called every `LISTEN_EVERY` seconds. After a pause it comes
         before what was sent meanwhile is read: that time is no silence.
+
+        Returns:
+            Seconds for which this process did not run; 0 if hardly any.
         """
         missed = now - self._listened_at - LISTEN_EVERY
-        if missed > LISTEN_EVERY:
-            for member in self.known.values():
-                member.heard_at = min(now, member.heard_at + missed)
         self._listened_at = now
+        if missed < LISTEN_EVERY:
+            return 0.0
+        for member in self.known.values():
+            member.heard_at = min(now, member.heard_at + missed)
+        return missed
 
     def heard(
         self,
--- a/galenahatch/gateway/connections.py
+++ b/galenahatch/gateway/connections.py
@@ -31,9 +31,6 @@
 from galenahatch import timeouts
 
 _BACKLOG: typing.Final = 1024
-_READ_FIRST: typing.Final = 0.01
-"""Seconds until an idle connection at which bytes wait is looked at again;
-the loop reads them on its next turn."""
 
 
 class _Connection(web.RequestHandler):
@@ -77,15 +74,6 @@
         super().data_received(data)
         self._head_begun = is_head and self._request_count == known
 
-    def _process_keepalive(self) -> None:
-        """Close the connection if it has been idle for too long."""
-        if self._unread:
-            self._keepalive_handle = self._loop.call_later(
-                _READ_FIRST, super()._process_keepalive
-            )
-            return
-        super()._process_keepalive()
-
 
 class Server(web.Server):
     """Connections of callers, with the limits of the configuration.
@@ -128,7 +116,7 @@
     async def leave(self, is_late: bool) -> bool:
         """Close what no caller waits at; return whether nothing is left.
 
-        To be called again until it is: what has come is read first, answers
+        To be called again until it is: what waits is read in between, answers
         go out to their last byte, and callers are taken as long as there is
         one to answer. Who comes later finds nobody listening, and so knows
         that nothing was sent.
@@ -136,7 +124,6 @@
         Args:
             is_late: whether to take no further callers in any case.
         """
-        await timeouts.look_around()
         if not self._is_waited_at and (is_late or not self.connections):
             self.stop_listening()
         self._close_idle()
--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -83,6 +83,10 @@
 owner_changes = _meter.create_counter(
     'galenahatch_owner_changes', description='Times that the owner changed.'
 )
+stalls = _meter.create_counter(
+    'galenahatch_stalls',
+    description='Times that this process did not run for a while.',
+)
 orders = _meter.create_counter(
     'galenahatch_orders', description='Orders sent to engines, by status.'
 )
--- a/galenahatch/gateway/mesh.py
+++ b/galenahatch/gateway/mesh.py
@@ -166,7 +166,10 @@
 
     async def _listen(self) -> None:
         while True:
-            self._members.listen(clock.now())
+            stalled = self._members.listen(clock.now())
+            if stalled:
+                instruments.stalls.add(1)
+                _log.warning('Stalled.', seconds=stalled)
             await asyncio.sleep(members.LISTEN_EVERY)
 
     async def _beats(self) -> None:
--- a/galenahatch/gateway/plain.py
+++ b/galenahatch/gateway/plain.py
@@ -114,7 +114,8 @@
             usable, self._avoid, now, self._route.repeatable
         )
         if chosen is None:
-            self._detail = f'{len(usable)} usable, {len(self._avoid)} tried'
+            tried = f'{len(usable)} usable, {len(self._avoid)} tried'
+            self._detail = f'{tried}; {self._detail}'.rstrip('; ')
         return chosen
 
     async def _send(self, upstream: upstreams.Upstream) -> _Attempt:
--- a/galenahatch/test/test_pauses.py
+++ b/galenahatch/test/test_pauses.py
@@ -13,8 +13,9 @@
 """A gateway that did not run for a while blames nobody else for it.
 
 On a VM that does much else a process may wait for a tenth of a second and
-more before it runs again. Its timers are then looked at first, and what has
-come meanwhile only afterwards. Two failures of callers came of that:
+more before it runs again. Its event loop then comes to its timers before it
+is through with what has come meanwhile, which takes it several turns. Two
+failures of callers came of that:
 
 A call to a plain service was refused with "2 usable, 2 tried". The limit of
 0.25 s for a connection ran out twice while the gateway itself did not run,
@@ -229,6 +230,21 @@
         assert vm.wait() == 0
 
 
+def test_stop_takes_who_was_not_accepted() -> None:
+    """A caller alone, whose connection was not accepted yet, is answered."""
+    with fleets.Fleet(1, (('desk', ''),)) as fleet:
+        (vm,) = fleet.vms
+        vm.signal(signal.SIGTERM)
+        time.sleep(_LOOK_AWAY - 0.2)
+        vm.signal(signal.SIGSTOP)
+        with fleets.Caller(vm) as caller:
+            caller.begin('/once/x')
+            time.sleep(0.5)
+            vm.signal(signal.SIGCONT)
+            assert caller.end().served
+        assert vm.wait() == 0
+
+
 @pytest.mark.parametrize('pause', [0.2, 0.6, 1.2])
 def test_stop_paused_at_any_moment(pause: float) -> None:
     """A call that was begun before a stop may end is answered.
@@ -274,6 +290,32 @@
         assert vm.wait() == 0
 
 
+def test_stop_refuses_what_it_would_cut() -> None:
+    """A call that may outlast the process is refused, and has not run.
+
+    The deadline of calls is 2.5 s, and the process ends 7.6 s after the
+    signal at the latest; calls of two seconds keep it until then.
+    """
+    with fleets.Fleet(1, (('desk', ''),)) as fleet:
+        (vm,) = fleet.vms
+        (desk,) = fleet.of('desk')
+        desk.delay = 2.0
+        with fleets.Caller(vm) as first, fleets.Caller(vm) as second:
+            vm.signal(signal.SIGTERM)
+            time.sleep(2.2)
+            first.begin('/once/x')
+            time.sleep(1.8)
+            second.begin('/once/x')
+            time.sleep(1.7)
+            late = fleet.ask('/once/x')
+            assert first.end().served
+            assert second.end().served
+        assert late.status == 503
+        assert float(late.headers['retry-after']) > 0
+        assert not fleet.runs(late.id)
+        assert vm.wait() == 0
+
+
 def test_stop_closes_what_is_idle() -> None:
     """A connection whose last request came in parts is not waited for."""
     with fleets.Fleet(1, (('desk', ''),)) as fleet:
@@ -322,6 +364,7 @@
         writer.write(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
         first = await reader.read(1000)
         assert first.endswith(b'answered')
+        await asyncio.sleep(0.05)
         writer.write(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
         time.sleep(0.5)
         second = await reader.read(1000)
@@ -353,6 +396,7 @@
         paused.signal(signal.SIGCONT)
         time.sleep(1.0)
         told = paused.lines()[before[fleet.vms.index(paused)] :]
+        assert [line for line in told if line['message'] == 'Stalled.']
         wrong = ('Owner changed.', 'Store lost.', 'Member suspected.')
         assert not [line for line in told if line['message'] in wrong]
 
@@ -378,10 +422,10 @@
     known.heard(other, 10.0)
     # A timer of another task comes first after a pause of five seconds.
     assert known.owner(False, 15.0) == other
-    known.listen(15.0)
+    assert known.listen(15.0) == pytest.approx(5.0 - members.LISTEN_EVERY)
     assert known.is_live(other, 15.2)
     for tick in range(1, 6):
-        known.listen(15.0 + tick * members.LISTEN_EVERY)
+        assert not known.listen(15.0 + tick * members.LISTEN_EVERY)
     assert not known.is_live(other, 16.3)
     known.heard(other, 16.3)
     assert known.is_live(other, 16.4)
--- a/galenahatch/timeouts.py
+++ b/galenahatch/timeouts.py
@@ -12,11 +12,12 @@
 
 """Time limits on what has not come, not on what was not read yet.
 
-An event loop looks at its timers before it looks at its sockets. A process
-that did not run for longer than a limit, since its VM did other work or was
-frozen, would give up what has come meanwhile: a connection that was made at
-once, an answer that is ready. So a limit that has run out lets the loop turn
-a few times, and only what is still missing then is given up.
+An event loop that did not run for a while, since its VM did other work or was
+frozen, comes to its timers before it is through with what has come meanwhile:
+a connection, for one, takes it several turns. It would give up a connection
+that was made at once, or an answer that is ready. So a limit that has run out
+lets the loop turn a few times, and only what is still missing then is given
+up.
 """
 
 import asyncio
