What came in a stall is passed on at the deadline; stalls are no time to look away

Cause: the deadline was looked at before what had come was read. The time in which callers look away was counted over stalls, in which the balancer can't hear that the gateway is not ready.

Change: a stream is broken off at its deadline only when nothing is there to read; the look away counts the time in which the process runs.

Measured: test_answer_that_was_ready_at_the_deadline and test_pause_is_no_time_to_look_away failed before and pass.

--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -357,11 +357,12 @@
         self._relay.restart()
         began = False
         while True:
-            left = means_module.left(self._end_by)
-            if means_module.over(self._end_by):
-                raise Broken('deadline')
+            # What has come is passed on, also after the deadline.
+            left = max(0.0, means_module.left(self._end_by))
             data = await answer.read(self._patience(left))
             if isinstance(data, senders.Lost):
+                if means_module.over(self._end_by):
+                    raise Broken('deadline')
                 self._log_lost('Stream lost.', engine, data)
                 return prefill.Again(engine.id, data.detail, (engine.id,))
             if not data:
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -58,6 +58,8 @@
 _CUT_OFF: typing.Final = 0.05
 """Seconds that requests still in flight at the end get to notice it."""
 _IDLE_CHECK: typing.Final = 0.05
+_STALL: typing.Final = 2 * _IDLE_CHECK
+"""Seconds of one such check that count as time in which this process ran."""
 _MEMBERS_EVERY: typing.Final = 1.0
 _log = logs.Log('gateway')
 
@@ -210,6 +212,19 @@
         self._leaving = True
         asyncio.get_running_loop().stop()
 
+    async def _look_away(self, last: float) -> None:
+        """Go on taking callers until they have gone elsewhere.
+
+        Time in which this process did not run does not count: the balancer
+        could not hear that it is not ready. Streams are refused from the time
+        by the clock on, since their callers are told where to turn.
+        """
+        left = _LOOK_AWAY
+        while left > 0 and clock.now() < last - _LAST_CALLERS:
+            before = clock.now()
+            await asyncio.sleep(_IDLE_CHECK)
+            left -= min(clock.now() - before, _STALL)
+
     async def stop(self, exception: Exception | None = None) -> None:
         """Finish what is in flight, then close."""
         began = clock.now()
@@ -218,16 +233,15 @@
         self._mesh.leaving = True
         self._ownership.owner.decline_all()
         _log.info('Stopping.', in_flight=self._front.in_flight)
+        await self._look_away(last)
         while clock.now() < last:
-            await asyncio.sleep(_IDLE_CHECK)
-            if clock.now() - began < _LOOK_AWAY:
-                continue
             is_late = clock.now() > last - _LAST_CALLERS
             if (
                 await self._callers.leave(is_late)
                 and not self._front.in_flight
             ):
                 break
+            await asyncio.sleep(_IDLE_CHECK)
         self._callers.stop_listening()
         _log.info(
             'Stopped.',
--- a/galenahatch/test/test_pauses.py
+++ b/galenahatch/test/test_pauses.py
@@ -178,6 +178,29 @@
     assert not [one for one in found if isinstance(one, senders.Lost)], found
 
 
+@pytest.mark.parametrize('path', ['/once/x', '/say/x'])
+def test_answer_that_was_ready_at_the_deadline(path: str) -> None:
+    """An answer that came in a pause is passed on, though the time is over.
+
+    Seen beside stalls: `Stalled.`, and 2 ms later `Stream broken off.` with
+    `deadline`, where the engine had sent all its events a second before.
+    """
+    members = (('desk', ''), ('model', 'decode'))
+    with fleets.Fleet(1, members) as fleet:
+        (vm,) = fleet.vms
+        for upstream in fleet.upstreams:
+            upstream.delay, upstream.pause = 1.0, 0.15
+        time.sleep(1.0)
+        with fleets.Caller(vm) as caller:
+            request = caller.begin(path)
+            fleets.eventually(lambda: fleet.runs(request), 'running', 2.0)
+            time.sleep(0.3)
+            vm.signal(signal.SIGSTOP)
+            time.sleep(2.6)
+            vm.signal(signal.SIGCONT)
+            assert caller.end().served
+
+
 @pytest.mark.parametrize('loop', _LOOPS)
 def test_silence_is_still_noticed(desks: fleets.Fleet, loop: str) -> None:
     """A limit holds: what does not come in time is given up."""
@@ -290,6 +313,28 @@
         assert vm.wait() == 0
 
 
+def test_pause_is_no_time_to_look_away() -> None:
+    """Callers get their time to go elsewhere from a process that runs.
+
+    The balancer does not hear that a gateway is not ready while that does
+    not run. The steps of `test_stop_takes_no_late_streams` beside stalls: the
+    stream took over 0.4 s, so the call came 2.7 s after the signal, and found
+    nobody listening. Log: `Stopped.`, `seconds` 2.72, after four lines
+    `Stalled.` of 1.5 s in all.
+    """
+    with fleets.Fleet(1, (('desk', ''),)) as fleet:
+        (vm,) = fleet.vms
+        vm.signal(signal.SIGTERM)
+        for _ in range(3):
+            time.sleep(0.2)
+            vm.signal(signal.SIGSTOP)
+            time.sleep(0.5)
+            vm.signal(signal.SIGCONT)
+        time.sleep(1.0)
+        assert fleet.ask('/once/x').served
+        assert vm.wait() == 0
+
+
 def test_stop_refuses_what_it_would_cut() -> None:
     """A call that may outlast the process is refused, and has not run.
 
