Tests of what comes as a stop looks at its sockets

Change: a server of callers' connections in the test's own process, which does not turn between the request and the look.

--- a/galenahatch/test/test_pauses.py
+++ b/galenahatch/test/test_pauses.py
@@ -64,6 +64,7 @@
 """Seconds that a limit allows, and a stand-in needs a part of."""
 _NUMBERS: typing.Final = itertools.count(1)
 
+_REQUEST: typing.Final = b'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
 _LOOK_AWAY: typing.Final = 2.6
 """Seconds for which a gateway that stops takes new callers."""
 
@@ -393,24 +394,33 @@
         assert vm.wait() == 0
 
 
+async def _answer(request: web.BaseRequest) -> web.StreamResponse:
+    return web.Response(text='answered')
+
+
+async def _listening(
+    idle_timeout: float = 15.0,
+) -> tuple[connections.Server, settings.Address]:
+    """Return a server of callers' connections, and where it listens."""
+    limits = routes.Limits(idle_timeout=idle_timeout)
+    server = connections.Server(_answer, lambda: limits)
+    where = settings.Address('127.0.0.1', ports.free())
+    await server.listen(where)
+    return server, where
+
+
 @pytest.mark.parametrize('loop', _LOOPS)
 def test_idle_connection_with_a_request(loop: str) -> None:
     """A request that came in a pause is read before idleness is judged."""
-    limits = routes.Limits(idle_timeout=0.3)
-
-    async def answer(request: web.BaseRequest) -> web.StreamResponse:
-        return web.Response(text='answered')
 
     async def paused() -> bytes:
-        server = connections.Server(answer, lambda: limits)
-        where = settings.Address('127.0.0.1', ports.free())
-        await server.listen(where)
+        server, where = await _listening(idle_timeout=0.3)
         reader, writer = await asyncio.open_connection(where.host, where.port)
-        writer.write(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+        writer.write(_REQUEST)
         first = await reader.read(1000)
         assert first.endswith(b'answered')
         await asyncio.sleep(0.05)
-        writer.write(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+        writer.write(_REQUEST)
         time.sleep(0.5)
         second = await reader.read(1000)
         writer.close()
@@ -422,6 +432,31 @@
         assert runner.run(paused()).endswith(b'answered')
 
 
+@pytest.mark.parametrize('loop', _LOOPS)
+@pytest.mark.parametrize('is_kept', [True, False])
+def test_leave_answers_what_came_just_before(loop: str, is_kept: bool) -> None:
+    """A request that nobody has read, or accepted, is answered.
+
+    The loop does not turn between the request and the look at the sockets.
+    """
+
+    async def left() -> bytes:
+        server, where = await _listening()
+        with socket.create_connection((where.host, where.port)) as caller:
+            if is_kept:
+                caller.sendall(_REQUEST)
+                await asyncio.sleep(0.1)
+                assert caller.recv(1000).endswith(b'answered')
+            caller.sendall(_REQUEST)
+            while not await server.leave(is_late=False):
+                await asyncio.sleep(0.01)
+            caller.settimeout(1.0)
+            return caller.recv(1000)
+
+    with asyncio.Runner(loop_factory=_LOOPS[loop]) as runner:
+        assert runner.run(left()).endswith(b'answered')
+
+
 @pytest.mark.parametrize('pause', [0.9, 1.5, 2.5])
 def test_pause_takes_nobody_for_away(pause: float) -> None:
     """After a pause, members and the store are heard before they are judged.
