Lines on lost sends bear a digest of the work

What callers saw: failures of which logs could not tell whether one request stood behind them: each return bears a new id.

Change: a digest of caller, method, host, path and body (sha256, made when it is asked for) stands in the lines on lost sends, streams with the seconds since they were sent. Nothing is decided by it yet.

Addresses of callers are left out: a caller may come by another one.

--- a/galenahatch/gateway/calls.py
+++ b/galenahatch/gateway/calls.py
@@ -13,11 +13,18 @@
 """A caller's request and an upstream's answer, decoded from the wire."""
 
 import dataclasses
+import functools
+import hashlib
+import typing
 
 import multidict
 
 from galenahatch import ids
 
+_DIGEST_DIGITS: typing.Final = 16
+"""Hexadecimal digits of a digest. Two of a million requests have the same one
+with a chance of one in ten million."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Prompt:
@@ -48,6 +55,7 @@
         patience: seconds that the caller waits, counted from `arrived_at`;
             None if it did not say.
         last_event: id after which a stream goes on, or empty.
+        caller: credentials as sent, or empty.
     """
 
     id: str
@@ -60,6 +68,21 @@
     patience: float | None
     prompt: Prompt | None
     last_event: str
+    caller: str = ''
+
+    @functools.cached_property
+    def digest(self) -> ids.RequestDigest:
+        """What tells this request from others when it comes again.
+
+        Its id is new each time. The parts are joined by a byte that none but
+        the body can hold.
+        """
+        parts = (self.caller, self.method, self.host, self.target, '')
+        digest = hashlib.sha256(
+            '\0'.join(parts).encode(errors='surrogateescape')
+        )
+        digest.update(self.body)
+        return ids.RequestDigest(digest.hexdigest()[:_DIGEST_DIGITS])
 
 
 @dataclasses.dataclass(frozen=True)
--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -426,5 +426,7 @@
             engine=engine.id,
             fate=lost.fate.value,
             events=self._relay.count,
+            digest=self._call.digest,
+            seconds=clock.now() - self._sent_at,
             detail=lost.detail,
         )
--- a/galenahatch/gateway/plain.py
+++ b/galenahatch/gateway/plain.py
@@ -195,6 +195,7 @@
             fate=known.value,
             status=status,
             seconds=seconds,
+            digest=self._call.digest if lost is not None else '',
             detail=lost.detail if lost is not None else '',
         )
 
--- a/galenahatch/gateway/prefill.py
+++ b/galenahatch/gateway/prefill.py
@@ -145,6 +145,7 @@
             request=self._call.id,
             engine=engine.id,
             fate=lost.fate.value,
+            digest=self._call.digest,
             detail=lost.detail,
         )
         return Again(
--- a/galenahatch/ids.py
+++ b/galenahatch/ids.py
@@ -27,6 +27,10 @@
 ReservationId = typing.NewType('ReservationId', str)
 """A place held by a scheduler for one attempt."""
 
+RequestDigest = typing.NewType('RequestDigest', str)
+"""Digest of what a request asks for and who asks: the same each time that it
+comes, whatever its id."""
+
 ClaimKey = typing.NewType('ClaimKey', str)
 """Digest of caller and idempotency key."""
 
--- a/galenahatch/platform/wire.py
+++ b/galenahatch/platform/wire.py
@@ -108,6 +108,7 @@
         patience=patience / 1000 if patience is not None else None,
         prompt=_prompt(headers),
         last_event=headers.get(_LAST_EVENT, ''),
+        caller=headers.get('Authorization', ''),
     )
 
 
