--- a/galenahatch/test/standin/upstreams.py
+++ b/galenahatch/test/standin/upstreams.py
@@ -20,10 +20,15 @@
 to another request), `silent` (runs and says nothing), `early` (answers
 before the body is in). For model engines also `no-handle` (the result of a
 prefill is gone) and `mute` (silent in the middle of a stream).
+
+A request whose body begins with `CRASHES` ends the upstream that begins to run
+it, and one that begins with `CRASHES_READING` also the engine that reads its
+prompt: all connections are reset, and none can be made until it starts again.
 """
 
 import asyncio
 import collections
+import collections.abc
 import itertools
 import socket
 import struct
@@ -33,6 +38,12 @@
 import msgspec
 
 _PREFIX: typing.Final = 'x-galenahatch-'
+CRASHES: typing.Final = b'ends what runs it'
+CRASHES_READING: typing.Final = CRASHES + b' or reads it'
+_LASTS: typing.Final = 0.03
+"""Seconds for which a request that ends its upstream has run by then."""
+_DOWN: typing.Final = 1.0
+"""Seconds from such an end to the next start."""
 _RESET: typing.Final = struct.pack('ii', 1, 0)
 _NUMBERS: typing.Final = itertools.count(1)
 
@@ -84,15 +95,36 @@
         self.freed: list[str] = []
         self.handles: set[str] = set()
         self.address = ''
+        self.crashed_at: list[float] = []
+        self.on_start: collections.abc.Callable[[], None] = lambda: None
+        self._port = 0
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._starting: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
-        """Listen on a free port of the loopback."""
+        """Listen on a free port of the loopback, the same one each time."""
         self._server = await asyncio.start_server(
-            self._connection, '127.0.0.1', 0
+            self._connection, '127.0.0.1', self._port
         )
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f'127.0.0.1:{port}'
+        self._port = self._server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{self._port}'
+
+    def _crash(self) -> None:
+        """End as a process that is killed does, and start again later."""
+        if self._starting is not None and not self._starting.done():
+            return
+        self.crashed_at.append(time.monotonic())
+        self.stop()
+        for writer in self._writers:
+            _abort(writer)
+        self._starting = asyncio.create_task(self._come_back())
+
+    async def _come_back(self) -> None:
+        await asyncio.sleep(_DOWN)
+        self.start_again()
+        await self.start()
+        self.on_start()
 
     def start_again(self) -> None:
         """Forget all, as a new start under the same id does.
@@ -133,12 +165,14 @@
     async def _connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         try:
             while await self._one(reader, writer):
                 pass
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _one(
@@ -179,6 +213,9 @@
             writer.write(self._refusal(seen, 421))
             return True
         if seen.told('stage') == 'prefill':
+            if seen.body.startswith(CRASHES_READING):
+                self._crash()
+                return False
             return self._prefill(seen, writer)
         fault = self.faults.popleft() if self.faults else ''
         if fault == 'refuse':
@@ -189,6 +226,8 @@
             writer.write(self._refusal(seen, 503))
             return True
         seen.ran = True
+        if seen.body.startswith(CRASHES):
+            return await self._end_by(seen, writer)
         serve = self._stream if self.stage else self._plain
         try:
             return await serve(seen, fault, reader, writer)
@@ -196,6 +235,19 @@
             seen.ended = 'dropped'
             raise
 
+    async def _end_by(self, seen: Seen, writer: asyncio.StreamWriter) -> bool:
+        """Begin a request that ends this upstream; a stream has its head."""
+        if self.stage:
+            writer.write(
+                self._head(seen, 200)
+                + b'Content-Type: text/event-stream\r\n'
+                + b'Transfer-Encoding: chunked\r\n\r\n'
+            )
+        await asyncio.sleep(_LASTS)
+        seen.ended = 'crashed'
+        self._crash()
+        return False
+
     def _own_call(self, seen: Seen) -> bytes | None:
         """Answer a call that is no request of a caller."""
         if seen.target == '/report':
@@ -343,10 +395,15 @@
 async def _reset(writer: asyncio.StreamWriter) -> bool:
     """Reset a connection right behind what was written."""
     await writer.drain()
+    _abort(writer)
+    return False
+
+
+def _abort(writer: asyncio.StreamWriter) -> None:
     connection = writer.get_extra_info('socket')
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+    if connection is not None and connection.fileno() >= 0:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
     writer.transport.abort()
-    return False
 
 
 def _chunk(data: bytes) -> bytes:
