Requests that end the engines that begin them are held back

What callers saw: engines ended one after another, each taking up to ten runs with it. A request that ends what begins it came again, under another id and at another gateway, and was sent to engines for as long as it came.

Cause: what a gateway knows of a request ended with the course that answers it, and no gateway told another. The rule counts over all attempts and all gateways. The class: a bound on work over time, kept by state of one attempt.

Change: core/quarantine counts, by digest of caller, path and body, the upstreams that ended under a request that had just begun; three hold it back. Gateways tell each other with beats and answers to beats. The records are sets that only grow and the verdict follows from them, so order and repetition do not matter and nobody is asked. From two ends on, the owner stores a row in the table of the gateways, whose feed brings it: all that start together after a loss of power know. A record lasts ten minutes after its last end; 1,024 at the most; 16 in a message, some 45 bytes each, none while nobody is suspected. The caller of a held request hears ends_engines (502, failed), never not_run, and no time to come back.

An end counts if the connection broke and nobody listens at the address right after: resets, lost answers and cut ways leave a listener or no word at all. It counts for runs that had just begun (0.5 s from the first event). Whoever ran whole is cleared; an end counts for one request only, the one that explains most; suspects do not begin beside each other at an engine, so nobody is beside such a request twice once it is suspected.

Deciding at the owner alone: a plain call does not ask it, and a new owner would know nothing.

--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -55,9 +55,6 @@
 _ON_ITS_WAY: typing.Final = 1.0
 """Seconds for which a placed run need not stand in its VM's list: four
 beats."""
-_LAPSE: typing.Final = 15.0
-"""Seconds without a sign of its VM after which a run is forgotten; longer
-than the longest stream of the users, shorter than a minute."""
 
 Job = generations.Job
 
@@ -187,10 +184,7 @@
                 if isinstance(found, generations.Placed):
                     decision = found
                 else:
-                    full = found is generations.Lack.MEMORY
-                    if not full and waiting.has_waited(job, now):
-                        self._division.reading_lags(now)
-                    lacks += forecast.LOOKED_AT if full else 1
+                    lacks += self._lacks(found, job, now)
             if decision is None and waiting.is_due(job, now):
                 decision = self._keep_or_refuse(job, now)
             if decision is not None:
@@ -198,6 +192,14 @@
                 decisions.append(decision)
         return decisions
 
+    def _lacks(self, lack: generations.Lack, job: Job, now: float) -> int:
+        """Return how many of those behind need not be looked at."""
+        if lack is generations.Lack.MEMORY:
+            return forecast.LOOKED_AT
+        if lack is generations.Lack.PREFILL and waiting.has_waited(job, now):
+            self._division.reading_lags(now)
+        return 1
+
     def next_look(self, now: float) -> float | None:
         """Return when `decide` should be called again; None if idle."""
         return now + _RECHECK if len(self._queue) else None
@@ -230,6 +232,7 @@
         self._told(stream, now)
         placement = self._placements.get(stream)
         if placement is not None:
+            placement.started_at = now
             if placement.read_at is not None:
                 self._measures.note_start(now - placement.read_at)
             self._pool.alive(placement.engine)
@@ -290,9 +293,8 @@
 
     def lapse(self, now: float) -> None:
         """Forget runs whose VM has been silent for long."""
-        for stream, placement in list(self._placements.items()):
-            if now - placement.told_at > _LAPSE:
-                self._forget(stream, now)
+        for stream in placements.lapsed(self._placements, now):
+            self._forget(stream, now)
 
     def _keep_or_refuse(
         self, job: Job, now: float
@@ -324,7 +326,11 @@
     def _place(
         self, job: Job, now: float
     ) -> generations.Placed | generations.Lack:
-        prefill = None
+        runs = self._placements.values()
+        asks = placements.apart(job, runs, self._pool.decodes, now)
+        if asks is None:
+            return generations.Lack.TRIAL
+        job, prefill = asks, None
         if not job.is_read:
             explore = not self._measures.knows_overlap
             reads = self._measures.reading(job.prompt)
@@ -338,12 +344,9 @@
             ready += reading.seconds(job, self._measures)
         decode = self._pool.choose_decode(job, prefill, ready, now)
         if decode is None:
-            is_reading = prefill is None and not job.is_read
-            return (
-                generations.Lack.PREFILL
-                if is_reading
-                else generations.Lack.MEMORY
-            )
+            if prefill is None and not job.is_read:
+                return generations.Lack.PREFILL
+            return generations.Lack.MEMORY
         return self._placed(job, prefill, decode, ready, now)
 
     def _placed(
@@ -366,6 +369,7 @@
             now,
             chosen,
             now,
+            is_suspect=job.is_suspect,
         )
         self._placements[job.stream] = placement
         if prefill is not None:
--- a/galenahatch/core/generations.py
+++ b/galenahatch/core/generations.py
@@ -39,6 +39,7 @@
         going_on: whether a part of the answer was already passed on.
         is_read: whether a prefill engine holds its result already.
         longest_pause: seconds between two events at the most.
+        is_suspect: whether an engine ended under it lately.
         output: predicted tokens of the answer; set by the dispatcher.
         returned: whether it was refused before, with a time to come back;
             set by the dispatcher.
@@ -63,6 +64,7 @@
     going_on: bool = False
     is_read: bool = False
     longest_pause: float = 0.0
+    is_suspect: bool = False
     output: int = 0
     returned: bool = False
     kept: bool = False
@@ -113,7 +115,14 @@
 
 
 class Lack(enum.Enum):
-    """Why a request can't be placed now."""
+    """Why a request can't be placed now.
+
+    Attributes:
+        MEMORY: no decode engine has room.
+        PREFILL: no engine can read its prompt soon.
+        TRIAL: each decode engine has another suspect that has just begun.
+    """
 
     MEMORY = 'memory'
     PREFILL = 'prefill'
+    TRIAL = 'trial'
--- a/galenahatch/core/placements.py
+++ b/galenahatch/core/placements.py
@@ -12,10 +12,22 @@
 
 """Where a placed generation is, and what is awaited of its engines."""
 
+import collections.abc
 import dataclasses
+import typing
 
+from galenahatch.core import generations
 from galenahatch import ids
 
+BEGINS: typing.Final = 0.5
+"""Seconds from its first event in which a run has just begun. One that goes on
+for longer is not what ends its engine."""
+_LAPSE: typing.Final = 15.0
+"""Seconds without a sign of its VM after which a run is forgotten; longer
+than the longest stream of the users, shorter than a minute."""
+_STARTS: typing.Final = 2.0
+"""Seconds after which a run whose first event was not told is no news."""
+
 
 @dataclasses.dataclass
 class Placement:
@@ -25,6 +37,8 @@
         is_alone: whether its prefill engine had no other prompt: only then
             its time tells what a prompt takes, and not how many wait there.
         read_at: when its prompt had been read, if known.
+        is_suspect: whether an engine ended under it lately.
+        started_at: when its first event came, if known.
     """
 
     engine: ids.UpstreamId
@@ -34,3 +48,52 @@
     placed_at: float = 0.0
     is_alone: bool = False
     read_at: float | None = None
+    is_suspect: bool = False
+    started_at: float | None = None
+
+    def is_tried(self, now: float) -> bool:
+        """Return whether its engine may still end under a suspect."""
+        if self.started_at is None:
+            return self.is_suspect and now < self.placed_at + _STARTS
+        return self.is_suspect and now < self.started_at + BEGINS
+
+
+def lapsed(
+    placed: collections.abc.Mapping[ids.StreamId, Placement], now: float
+) -> list[ids.StreamId]:
+    """Return the runs whose VM has been silent for long."""
+    return [
+        stream
+        for stream, placement in placed.items()
+        if now - placement.told_at > _LAPSE
+    ]
+
+
+def apart(
+    job: generations.Job,
+    placed: collections.abc.Iterable[Placement],
+    engines: collections.abc.Iterable[ids.UpstreamId],
+    now: float,
+) -> generations.Job | None:
+    """Return a suspect with the engines that it avoids; None if it waits.
+
+    No two suspects begin beside each other. Should an engine end, it is known
+    which of them it was, and whoever was once beside a request that ends
+    engines is not beside it again.
+
+    Args:
+        job: that wants a decode engine.
+        placed: all runs.
+        engines: that it may go to.
+        now: seconds of the owner.
+    """
+    if not job.is_suspect:
+        return job
+    taken = {one.engine for one in placed if one.is_tried(now)}
+    free = set(engines) - taken
+    if taken and not free:
+        return None
+    avoid = job.avoid | taken
+    if not free - job.avoid:
+        avoid -= free
+    return dataclasses.replace(job, avoid=avoid)
--- a/galenahatch/errors.py
+++ b/galenahatch/errors.py
@@ -308,6 +308,13 @@
     'The connection broke after work was sent.',
     'Check by hand whether the work took effect.',
 )
+ENDS_ENGINES = _reason(
+    'ends_engines',
+    502,
+    _FAILED,
+    'Engines end when they begin this request; it is not sent again.',
+    'Change the request; see the logs of the engines that ended.',
+)
 STREAM_BROKEN = _reason(
     'stream_broken',
     502,
--- a/galenahatch/gateway/front.py
+++ b/galenahatch/gateway/front.py
@@ -203,6 +203,9 @@
         route = self._means.directory.table.find(call.host, call.target)
         if route is None:
             return self._own(errors.Failure(errors.NO_ROUTE), call.id)
+        if self._means.guard.holds(call):
+            failure = self._means.guard.failure(call)
+            return self._respond(call, route, failure)
         name = routes.pick_service(route, clock.RANDOM)
         service = self._means.directory.service(name)
         if (
--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -23,16 +23,16 @@
 """
 
 import asyncio
-import dataclasses
 import typing
 
 from galenahatch import clock
 from galenahatch.core import fate
+from galenahatch.core import placements
 from galenahatch.core import routes
 from galenahatch.core import upstreams
 from galenahatch import errors
 from galenahatch.gateway import calls
-from galenahatch.gateway import instruments
+from galenahatch.gateway import ending
 from galenahatch.gateway import means as means_module
 from galenahatch.gateway import messages
 from galenahatch.gateway import ownership as ownerships
@@ -47,11 +47,6 @@
 _SILENCE_PAUSES: typing.Final = 4.0
 """Silence of a resumable stream, in the pauses that its route allows, after
 which it goes on elsewhere. Callers leave after eight."""
-_LEAST_PATIENCE: typing.Final = 2.0
-_PATIENCE_OBJECTIVES: typing.Final = 4.0
-_PATIENCE_PAUSES: typing.Final = 8.0
-"""Callers leave a stream that is silent for the longest of: these seconds,
-these objectives, these pauses."""
 _MOST_PLACES: typing.Final = 6
 """Times that one request asks for engines."""
 _RETRY_AFTER: typing.Final = 0.3
@@ -98,6 +93,7 @@
         self._sent_at = 0.0
         self._stage = 'waiting'
         self._engine = ids.UpstreamId('')
+        self._ran_on = False
         self._reader = prefill.Reader(means, call, service)
 
     async def run(self) -> means_module.Whole | errors.Failure | None:
@@ -136,7 +132,12 @@
                 return result
             self._detail = result.detail
             self._avoid += {result.failed, *result.at_fault}
-            if not self._may_go_on():
+            if result.cut is not None and not self._ran_on:
+                await self._means.guard.cut(self._call, result.cut)
+            if self._means.guard.holds(self._call):
+                return self._held_back()
+            most = self._route.max_attempts
+            if not self._sends.may_send(self._route.repeatable, most):
                 break
         return self._failure()
 
@@ -151,7 +152,7 @@
             hint=max(0, likely - made),
             most=most,
             start_by=self._call.arrived_at + self._route.objective,
-            leaves_at=self._call.arrived_at + self._route_patience(),
+            leaves_at=means_module.leaves_at(self._call, self._route),
             deadline=self._end_by,
             subject=self._prompt.subject,
             avoid=tuple(self._avoid),
@@ -160,6 +161,7 @@
             longest_pause=self._route.longest_pause,
             attempt=attempt,
             extra=self._reader.extra_sends() + (self._decodes > 0),
+            is_suspect=self._means.guard.suspects(self._call),
         )
 
     def _sizes(self) -> tuple[int, int]:
@@ -168,19 +170,6 @@
         most = max(self._spec.stride, self._prompt.most_output - made)
         return self._prompt.tokens + made, most
 
-    def _route_patience(self) -> float:
-        """Return how long callers wait for a first event."""
-        return max(
-            _LEAST_PATIENCE,
-            _PATIENCE_OBJECTIVES * self._route.objective,
-            _PATIENCE_PAUSES * self._route.longest_pause,
-        )
-
-    def _may_go_on(self) -> bool:
-        return self._sends.may_send(
-            self._route.repeatable, self._route.max_attempts
-        )
-
     # One attempt.
 
     async def _attempt(
@@ -207,12 +196,19 @@
             if isinstance(result, prefill.Again):
                 release = self._failed(release, result)
             elif result is None:
+                self._means.guard.served(self._call)
                 release = self._ended(release)
             return result
         finally:
             self._means.ownership.release(release)
 
     def _takes_work(self, upstream: upstreams.Upstream) -> bool:
+        """Return whether the request may still go to an upstream.
+
+        Another gateway may have seen meanwhile what it does there.
+        """
+        if self._means.guard.holds(self._call):
+            return False
         registry = self._means.directory.registry
         return registry.takes_work(upstream.id, clock.now())
 
@@ -228,32 +224,15 @@
         )
 
     def _ended(self, release: messages.Release) -> messages.Release:
-        relay = self._relay
-        # The first event's tokens were made before the clock ran.
-        share = relay.run_count / max(1, relay.run_count - 1)
-        seconds = (clock.now() - relay.run_first_at) * share
-        first = relay.first_at - self._call.arrived_at
-        instruments.first_event_seconds.record(first)
-        instruments.pause_seconds.record(relay.longest_pause)
-        _log.info(
-            'Streamed.',
-            request=self._call.id,
-            prompt=self._prompt.tokens,
-            likely=self._prompt.likely_output or 0,
-            most=self._prompt.most_output,
-            tokens=relay.count * self._spec.stride,
-            first=first,
-            seconds=seconds,
-            pause=relay.longest_pause,
-            engine=self._engine,
-            **dataclasses.asdict(self._spent),
+        stride = self._spec.stride
+        made = ending.streamed(
+            self._call, self._relay, self._spent, stride, self._engine
         )
-        tokens = relay.run_count * self._spec.stride
         return messages.Release(
             release.stream,
             release.service,
-            tokens=tokens,
-            seconds=seconds,
+            tokens=made.tokens,
+            seconds=made.seconds,
             fetched=self._reader.engine,
         )
 
@@ -265,9 +244,11 @@
             return prefill.Again(engine.id, 'decode engine gone')
         self._engine = engine.id
         self._stage = 'decode'
-        self._means.ownership.hold(
-            self._held(stream, engine, output), self._made
+        prompt, most = self._sizes()
+        held = messages.Held(
+            stream, self._service.name, engine.id, prompt, output, most, -1.0
         )
+        self._means.ownership.hold(held, self._made)
         left = means_module.left(self._end_by)
         directions = calls.Directions(
             engine.id,
@@ -326,6 +307,7 @@
             lost.detail,
             tuple(at_fault),
             unreachable=lost.fate is fate.Fate.NOT_SENT,
+            cut=engine if lost.is_cut else None,
         )
 
     async def _take(
@@ -364,10 +346,11 @@
                 if means_module.over(self._end_by):
                     raise Broken('deadline')
                 self._log_lost('Stream lost.', engine, data)
-                return prefill.Again(engine.id, data.detail, (engine.id,))
+                return self._broke_off(engine, data.detail, data.is_cut)
             if not data:
                 if self._relay.is_within_event:
-                    return prefill.Again(engine.id, 'ended within an event')
+                    detail = 'ended within an event'
+                    return self._broke_off(engine, detail, is_cut=True)
                 return None
             whole = self._relay.feed(data)
             if not whole:
@@ -378,22 +361,27 @@
                 self._means.ownership.started(stream)
             await self._relay.pass_on(answer.head, whole)
 
-    def _held(
-        self, stream: ids.StreamId, engine: upstreams.Upstream, output: int
-    ) -> messages.Held:
-        prompt, most = self._sizes()
-        return messages.Held(
-            stream,
-            self._service.name,
-            engine.id,
-            prompt,
-            output,
-            most,
-            -1.0,
+    def _broke_off(
+        self, engine: upstreams.Upstream, detail: str, is_cut: bool
+    ) -> prefill.Again:
+        relay = self._relay
+        if (
+            relay.run_count
+            and clock.now() - relay.run_first_at > placements.BEGINS
+        ):
+            self._ran_on = True
+        return prefill.Again(
+            engine.id, detail, (engine.id,), cut=engine if is_cut else None
         )
 
     # Ends.
 
+    def _held_back(self) -> errors.Failure:
+        failure = self._means.guard.failure(self._call)
+        if self._relay.has_reached_caller:
+            raise Broken(failure.detail)
+        return failure
+
     def _given_up(self, given_up: messages.GivenUp) -> errors.Failure:
         if self._relay.has_reached_caller:
             raise Broken(given_up.why)
--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -87,6 +87,10 @@
     'galenahatch_stalls',
     description='Times that this process did not run for a while.',
 )
+upstream_ends = _meter.create_counter(
+    'galenahatch_upstream_ends',
+    description='Upstreams that ended under a request just begun.',
+)
 orders = _meter.create_counter(
     'galenahatch_orders', description='Orders sent to engines, by status.'
 )
--- a/galenahatch/gateway/means.py
+++ b/galenahatch/gateway/means.py
@@ -23,12 +23,19 @@
 from galenahatch.gateway import calls
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import ownership as ownerships
+from galenahatch.gateway import quarantine
 from galenahatch.gateway import sender as senders
 from galenahatch import tasks
 
 _LEAST_WAIT: typing.Final = 0.05
 """Shortest time after which a refused caller is asked to come back."""
 
+_LEAST_PATIENCE: typing.Final = 2.0
+_PATIENCE_OBJECTIVES: typing.Final = 4.0
+_PATIENCE_PAUSES: typing.Final = 8.0
+"""Callers leave a stream that is silent for the longest of: these seconds,
+these objectives, these pauses."""
+
 _TIMER_EARLY: typing.Final = 0.01
 """Seconds by which a timer of the event loop may be early; it counts from
 the last time that the loop looked at the clock."""
@@ -43,6 +50,7 @@
     balancer: balance.Balancer
     budget: extras.SharedBudget
     ownership: ownerships.Ownership
+    guard: quarantine.Guard
     tasks: tasks.Tasks
 
 
@@ -79,6 +87,16 @@
     return call.arrived_at + patience
 
 
+def leaves_at(call: calls.Call, route: routes.Route) -> float:
+    """Return the moment at which a caller leaves without a first event."""
+    patience = max(
+        _LEAST_PATIENCE,
+        _PATIENCE_OBJECTIVES * route.objective,
+        _PATIENCE_PAUSES * route.longest_pause,
+    )
+    return call.arrived_at + patience
+
+
 def left(moment: float) -> float:
     """Return the seconds until a moment."""
     return moment - clock.now()
--- a/galenahatch/gateway/mesh.py
+++ b/galenahatch/gateway/mesh.py
@@ -33,6 +33,7 @@
 from galenahatch.gateway import instruments
 from galenahatch.gateway import messages
 from galenahatch.gateway import outcomes
+from galenahatch.gateway import quarantine
 from galenahatch.gateway import roster as rosters
 from galenahatch import ids
 from galenahatch import logs
@@ -63,6 +64,7 @@
         data_centre: of this VM.
         directory: what this gateway knows.
         exchange: what sends to plain upstreams came to.
+        guard: what is known of requests that end upstreams.
         handler: called with each message and the member that sent it.
         background: where its tasks run.
     """
@@ -75,11 +77,13 @@
         data_centre: ids.DataCentre,
         directory: directories.Directory,
         exchange: outcomes.Exchange,
+        guard: quarantine.Guard,
         handler: Handler,
         background: tasks.Tasks,
     ) -> None:
         self._directory = directory
         self._exchange = exchange
+        self._guard = guard
         self._handler = handler
         self._tasks = background
         self._incarnation = clock.incarnation()
@@ -89,6 +93,7 @@
             ids.MemberId(address),
             rosters.Introduction(port, data_centre),
             self._drop,
+            guard.take,
         )
         self._members = self._roster.members
         self._links: dict[ids.MemberId, bus.Link[messages.AnyMessage]] = {}
@@ -118,6 +123,10 @@
         self._tasks.keep('member feed', self._roster.feed.run)
         self._tasks.keep('listening', self._listen)
         self._tasks.keep('beats', self._beats)
+        self._tasks.keep(
+            'quarantine',
+            lambda: self._guard.run(lambda: self._owner == self.me),
+        )
 
     def close(self) -> None:
         """Close all sockets."""
@@ -191,6 +200,7 @@
             self._exchange.take_new(),
             self._members.order,
             self._directory.hears_store,
+            self._guard.tell(),
         )
         if self._members.owner(self.leaving, now) == self.me:
             self._exchange.decides()
@@ -225,6 +235,7 @@
             self._meet(message.member, peer)
             self._hear(message.member, message)
             self._exchange.take(message.outcomes)
+            self._guard.hear(message.suspicions)
             self.reply(
                 message.member,
                 messages.BeatBack(
@@ -238,6 +249,7 @@
                     self.figures(),
                     self._exchange.sums(),
                     self._members.order,
+                    self._guard.tell(),
                 ),
             )
             self._compare(message)
@@ -258,6 +270,7 @@
             self._members.told_size(message.members)
             if name == self._members.owner(self.leaving, clock.now()):
                 self._exchange.hear(message.outcomes)
+            self._guard.hear(message.suspicions)
             self._compare(message)
             self._handler(name, message)
             return
--- a/galenahatch/gateway/messages.py
+++ b/galenahatch/gateway/messages.py
@@ -61,6 +61,21 @@
     failures: float
 
 
+class Suspicion(msgspec.Struct, frozen=True, array_like=True):
+    """What is known of a request that may end upstreams.
+
+    Attributes:
+        ends: numbers of the upstreams that ended under it.
+        age: seconds since its last end, or since it was cleared.
+        cleared: whether it ran whole.
+    """
+
+    digest: ids.RequestDigest
+    ends: tuple[int, ...]
+    age: float
+    cleared: bool = False
+
+
 class Beat(Message, frozen=True, array_like=True, tag=True):
     """A sign of life, with all that its sender runs.
 
@@ -74,6 +89,7 @@
         outcomes: of its sends since the last beat.
         order: version of its row in the store, 0 until it has one.
         hears_store: whether its sender follows the store without trouble.
+        suspicions: that changed of late, and of the rest some in turn.
     """
 
     member: ids.MemberId
@@ -85,6 +101,7 @@
     outcomes: tuple[Outcomes, ...] = ()
     order: int = 0
     hears_store: bool = False
+    suspicions: tuple[Suspicion, ...] = ()
 
 
 class Figures(msgspec.Struct, frozen=True, array_like=True):
@@ -125,6 +142,7 @@
         figures: of each service that it decides for.
         outcomes: of the sends of all gateways that beat to it.
         order: version of its row in the store, 0 until it has one.
+        suspicions: that changed of late, and of the rest some in turn.
     """
 
     member: ids.MemberId
@@ -137,6 +155,7 @@
     figures: tuple[Figures, ...] = ()
     outcomes: tuple[Outcomes, ...] = ()
     order: int = 0
+    suspicions: tuple[Suspicion, ...] = ()
 
 
 class Place(Message, frozen=True, array_like=True, tag=True):
@@ -151,6 +170,7 @@
         longest_pause: seconds that may lie between two of its events.
         attempt: number of this attempt of the request, from 1.
         extra: sends beyond the first that it will make if it is placed.
+        is_suspect: whether an engine ended under it lately.
     """
 
     stream: ids.StreamId
@@ -170,6 +190,7 @@
     longest_pause: float = 0.0
     attempt: int = 1
     extra: int = 0
+    is_suspect: bool = False
 
 
 class Queued(Message, frozen=True, array_like=True, tag=True):
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -36,7 +36,9 @@
 from galenahatch.gateway import orders
 from galenahatch.gateway import outcomes
 from galenahatch.gateway import ownership as ownerships
+from galenahatch.gateway import quarantine
 from galenahatch.gateway import reports
+from galenahatch.gateway import roster
 from galenahatch.gateway import sender as senders
 from galenahatch.gateway import settings as settings_module
 from galenahatch import ids
@@ -114,6 +116,14 @@
         )
         self._balancer = balance.Balancer(clock.RANDOM, settings.data_centre)
         self._exchange = outcomes.Exchange(self._balancer.outliers)
+        self._open_mesh()
+
+    def _open_mesh(self) -> None:
+        """Open what talks with other gateways."""
+        settings = self._settings
+        self._guard = quarantine.Guard(
+            self._sender, self._store, roster.MEMBER_TABLE
+        )
         self._mesh = meshes.Mesh(
             self._store,
             settings.address,
@@ -121,6 +131,7 @@
             settings.data_centre,
             self._directory,
             self._exchange,
+            self._guard,
             self._take,
             self._background,
         )
@@ -170,6 +181,7 @@
                 balancer=self._balancer,
                 budget=self._budget,
                 ownership=self._ownership,
+                guard=self._guard,
                 tasks=self._background,
             )
         )
--- a/galenahatch/gateway/owner.py
+++ b/galenahatch/gateway/owner.py
@@ -350,4 +350,5 @@
         going_on=place.going_on,
         is_read=place.is_read,
         longest_pause=place.longest_pause,
+        is_suspect=place.is_suspect,
     )
--- a/galenahatch/gateway/ownership.py
+++ b/galenahatch/gateway/ownership.py
@@ -67,6 +67,7 @@
     longest_pause: float = 0.0
     attempt: int = 1
     extra: int = 0
+    is_suspect: bool = False
 
 
 @dataclasses.dataclass
@@ -173,6 +174,7 @@
             longest_pause=wish.longest_pause,
             attempt=wish.attempt,
             extra=wish.extra,
+            is_suspect=wish.is_suspect,
         )
         self._tell(owner, message)
 
--- a/galenahatch/gateway/plain.py
+++ b/galenahatch/gateway/plain.py
@@ -94,6 +94,10 @@
             done = self._judge(attempt)
             if done is not None:
                 return done
+            if attempt.lost is not None and attempt.lost.is_cut:
+                await self._means.guard.cut(self._call, upstream)
+            if self._means.guard.holds(self._call):
+                return self._means.guard.failure(self._call)
         return self._answer or self._failure()
 
     def _may_try(self, tries: int) -> bool:
@@ -172,7 +176,10 @@
             attempt.whole = means_module.Whole(answer.head, body)
         else:
             attempt.lost = senders.Lost(
-                fate.Fate.UNCERTAIN, 'answer not whole', head=answer.head
+                fate.Fate.UNCERTAIN,
+                'answer not whole',
+                head=answer.head,
+                is_cut=body is None,
             )
 
     def _note(self, attempt: _Attempt, seconds: float) -> None:
@@ -231,6 +238,7 @@
         whole = attempt.whole
         if whole is None:
             return None
+        self._means.guard.served(self._call)
         if whole.head.status in _PROMISES:
             # It ran, so the caller must not be told that it did not.
             self._detail = f'status {whole.head.status} after a run'
--- a/galenahatch/gateway/prefill.py
+++ b/galenahatch/gateway/prefill.py
@@ -52,12 +52,14 @@
         failed: engine that the request avoids from now on.
         at_fault: engines that may be to blame.
         unreachable: whether nothing could be sent to the failed one.
+        cut: engine whose connection broke soon after it had begun.
     """
 
     failed: ids.UpstreamId
     detail: str
     at_fault: tuple[ids.UpstreamId, ...] = ()
     unreachable: bool = False
+    cut: upstreams.Upstream | None = None
 
 
 class Reader:
@@ -149,7 +151,11 @@
             detail=lost.detail,
         )
         return Again(
-            engine.id, lost.detail, (engine.id,), unreachable=unreachable
+            engine.id,
+            lost.detail,
+            (engine.id,),
+            unreachable=unreachable,
+            cut=engine if lost.is_cut else None,
         )
 
     async def _send(
--- /dev/null
+++ b/galenahatch/gateway/quarantine.py
@@ -0,0 +1,232 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Keeps requests that end upstreams from the upstreams that are left.
+
+A send whose connection breaks off under a request that had just begun may
+have ended its upstream. It has if nobody listens at its address right after:
+a connection that was reset, an answer that was lost or a way that was cut
+leave an upstream that still listens, or one that says nothing at all. What
+is seen is told to the other gateways with the beats (`core/quarantine`), and
+the owner writes what must last into the store, where gateways that start
+together find it.
+"""
+
+import asyncio
+import collections.abc
+import typing
+
+import msgspec
+
+from galenahatch import clock
+from galenahatch.core import quarantine
+from galenahatch.core import upstreams
+from galenahatch import errors
+from galenahatch.gateway import calls
+from galenahatch.gateway import instruments
+from galenahatch.gateway import messages
+from galenahatch.gateway import sender as senders
+from galenahatch import ids
+from galenahatch import logs
+from galenahatch.platform import store as stores
+
+ROW_PREFIX: typing.Final = 'quarantine/'
+"""Of the keys of rows. They stand in the table of the gateways, whose feed
+brings them without a call of their own."""
+_SAVE_EVERY: typing.Final = 0.5
+_MOST_WRITTEN: typing.Final = 16
+"""Rows in one transaction."""
+_log = logs.Log('quarantine')
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """A row in the store.
+
+    Attributes:
+        ends: numbers of the upstreams that ended under the request.
+        released: whether an operator lets it through.
+    """
+
+    ends: tuple[int, ...] = ()
+    released: bool = False
+
+
+def entry(row: stores.Row) -> Entry | None:
+    """Return what a row tells; None if it can't be read."""
+    try:
+        return msgspec.json.decode(row.value, type=Entry)
+    except msgspec.MsgspecError as error:
+        _log.error('Bad row.', key=row.key, error=str(error))
+        return None
+
+
+class Guard:
+    """This gateway's part of it.
+
+    Args:
+        sender: asks whether an upstream still listens.
+        store: keeps what must last.
+        table: of the rows.
+    """
+
+    def __init__(
+        self, sender: senders.Sender, store: stores.Store, table: str
+    ) -> None:
+        self._sender = sender
+        self._store = store
+        self._table = table
+        self._known = quarantine.Quarantine()
+        self._held: frozenset[ids.RequestDigest] = frozenset()
+        self._stored: dict[ids.RequestDigest, Entry] = {}
+
+    # What courses ask and tell.
+
+    def holds(self, call: calls.Call) -> bool:
+        """Return whether a request may not go to an upstream."""
+        return bool(self._held) and call.digest in self._held
+
+    def suspects(self, call: calls.Call) -> bool:
+        """Return whether an upstream ended under a request lately."""
+        return not self._known.is_empty and self._known.is_suspect(call.digest)
+
+    def failure(self, call: calls.Call) -> errors.Failure:
+        """Return what the caller of a held request is told."""
+        ends = self._known.ends(call.digest)
+        detail = f'{ends} engines ended; digest {call.digest}'
+        return errors.Failure(errors.ENDS_ENGINES, detail)
+
+    async def cut(
+        self, call: calls.Call, upstream: upstreams.Upstream
+    ) -> None:
+        """Note that a send broke off soon after its upstream began it."""
+        if not await self._sender.refuses(upstream):
+            return
+        self._known.ended(call.digest, upstream.id, clock.now())
+        instruments.upstream_ends.add(1)
+        _log.warning(
+            'Upstream ended under a request.',
+            request=call.id,
+            upstream=upstream.id,
+            digest=call.digest,
+            ends=self._known.ends(call.digest),
+        )
+        self._look()
+
+    def served(self, call: calls.Call) -> None:
+        """Note that a request ran whole."""
+        if self._known.is_empty:
+            return
+        if self._known.served(call.digest, clock.now()):
+            _log.info('Request cleared.', request=call.id, digest=call.digest)
+            self._look()
+
+    # What gateways tell each other.
+
+    def tell(self) -> tuple[messages.Suspicion, ...]:
+        """Return what goes into a beat, or the answer to one."""
+        if self._known.is_empty:
+            return ()
+        return tuple(
+            messages.Suspicion(one.digest, one.ends, one.age, one.cleared)
+            for one in self._known.tell(clock.now())
+        )
+
+    def hear(self, told: collections.abc.Iterable[messages.Suspicion]) -> None:
+        """Add what another gateway knows."""
+        self._hear(
+            quarantine.Suspicion(one.digest, one.ends, one.age, one.cleared)
+            for one in told
+        )
+
+    def _hear(
+        self, told: collections.abc.Iterable[quarantine.Suspicion]
+    ) -> None:
+        self._known.hear(told, clock.now())
+        self._look()
+
+    def _look(self) -> None:
+        """Take the verdicts, and log those that are new."""
+        held = self._known.held
+        if held == self._held:
+            return
+        for digest in held - self._held:
+            ends = self._known.ends(digest)
+            _log.warning('Request held back.', digest=digest, ends=ends)
+        for digest in self._held - held:
+            _log.info('Request let through again.', digest=digest)
+        self._held = held
+
+    # What outlives all gateways.
+
+    def take(self, row: stores.Row) -> None:
+        """Take a row of the store.
+
+        A row that is gone was forgotten by the owner, and is here as well
+        when its time has come.
+        """
+        digest = ids.RequestDigest(row.key.removeprefix(ROW_PREFIX))
+        if row.removed:
+            self._stored.pop(digest, None)
+            return
+        found = entry(row)
+        if found is None:
+            return
+        self._stored[digest] = found
+        self._hear(
+            [quarantine.Suspicion(digest, found.ends, cleared=found.released)]
+        )
+
+    async def run(self, decides: collections.abc.Callable[[], bool]) -> None:
+        """Forget what is old, and store what must last.
+
+        Args:
+            decides: whether this gateway is the owner, who writes.
+        """
+        while True:
+            self._known.forget(clock.now())
+            self._look()
+            if decides():
+                await self._save()
+            await asyncio.sleep(_SAVE_EVERY)
+
+    async def _save(self) -> None:
+        lasting = {
+            one.digest: Entry(one.ends, one.cleared)
+            for one in self._known.lasting(clock.now())
+        }
+        new = {
+            digest: made
+            for digest, made in lasting.items()
+            if self._stored.get(digest) != made
+        }
+        gone = [digest for digest in self._stored if digest not in lasting]
+        put = [
+            stores.Entry(
+                self._table,
+                ROW_PREFIX + digest,
+                value=msgspec.json.encode(made),
+            )
+            for digest, made in list(new.items())[:_MOST_WRITTEN]
+        ]
+        remove = [
+            stores.Entry(self._table, ROW_PREFIX + digest)
+            for digest in gone[:_MOST_WRITTEN]
+        ]
+        if not put and not remove:
+            return
+        result = await self._store.transact(put=put, remove=remove)
+        if not isinstance(result, stores.Written):
+            _log.warning('Not stored yet.', rows=len(put) + len(remove))
+            return
+        self._stored.update(list(new.items())[:_MOST_WRITTEN])
+        for digest in gone[:_MOST_WRITTEN]:
+            self._stored.pop(digest, None)
--- a/galenahatch/gateway/roster.py
+++ b/galenahatch/gateway/roster.py
@@ -57,6 +57,11 @@
     data_centre: str
 
 
+def is_member(row: stores.Row) -> bool:
+    """Return whether a row is a member's; its key is an address then."""
+    return '/' not in row.key
+
+
 def introduction(row: stores.Row) -> Introduction | None:
     """Return what a member's row tells; None if it can't be read."""
     try:
@@ -75,6 +80,7 @@
         me: this member.
         row: what it writes.
         dropped: called with each member that is gone.
+        others: called with each row that is no member's.
 
     Attributes:
         members: all that are known.
@@ -87,11 +93,13 @@
         me: ids.MemberId,
         row: Introduction,
         dropped: Dropped,
+        others: collections.abc.Callable[[stores.Row], None],
     ) -> None:
         self._store = store
         self._me = me
         self._row = row
         self._dropped = dropped
+        self._others = others
         self._newest_told = 0
         self.members = members.Members(me)
         self.feed = followers.Follower(
@@ -197,6 +205,9 @@
 
     def _take_some(self, rows: list[stores.Row], ver: int) -> None:
         for row in rows:
+            if not is_member(row):
+                self._others(row)
+                continue
             name = ids.MemberId(row.key)
             if row.removed:
                 self._drop(name)
--- a/galenahatch/gateway/sender.py
+++ b/galenahatch/gateway/sender.py
@@ -51,6 +51,10 @@
 _UNACKNOWLEDGED_MS: typing.Final = 2000
 """Milliseconds after which a connection whose peer acknowledges nothing is
 given up; a VM without power never closes its connections."""
+_ENDING: typing.Final = 0.005
+"""Seconds in which a process that ends closes one socket after another."""
+_LOOK: typing.Final = 0.1
+"""Seconds for a connection that only shows whether somebody listens."""
 _MOST_HEADERS: typing.Final = 32768
 _SKIPPED: typing.Final = (
     'Accept',
@@ -70,11 +74,13 @@
     Attributes:
         fate: what is known of it.
         head: of the answer, where there was one.
+        is_cut: whether the connection broke, and not our patience.
     """
 
     fate: fate.Fate
     detail: str
     head: calls.AnswerHead | None = None
+    is_cut: bool = False
 
 
 class _Protocol(client_proto.ResponseHandler):
@@ -213,7 +219,7 @@
             return Lost(fate.Fate.UNCERTAIN, 'silent')
         except http.ERRORS as error:
             detail = f'{type(error).__name__} {error}'
-            return Lost(fate.Fate.UNCERTAIN, detail)
+            return Lost(fate.Fate.UNCERTAIN, detail, is_cut=True)
 
     def close(self) -> None:
         """Close the connection: the upstream stops its work."""
@@ -272,7 +278,7 @@
         except asyncio.TimeoutError:
             return Lost(fate.Fate.UNCERTAIN, 'no answer')
         except http.ERRORS as error:
-            return Lost(fate.Fate.UNCERTAIN, repr(error))
+            return Lost(fate.Fate.UNCERTAIN, repr(error), is_cut=True)
         head = decode(response.status, response.raw_headers)
         answer = Answer(response, head, upstream.id, self.waits)
         return await self._checked(request, answer)
@@ -291,6 +297,23 @@
             return Lost(fate.Fate.REFUSED, detail, head=head)
         return answer
 
+    async def refuses(self, upstream: upstreams.Upstream) -> bool:
+        """Return whether nobody listens at the address of an upstream.
+
+        Where no answer comes at all, nothing is known of it.
+        """
+        await asyncio.sleep(_ENDING)
+        host, _, port = upstream.address.rpartition(':')
+        try:
+            async with timeouts.limit(_LOOK):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, asyncio.TimeoutError):
+            return False
+        writer.close()
+        return False
+
     async def small(
         self,
         method: str,
--- a/galenahatch/gatewayctl.py
+++ b/galenahatch/gatewayctl.py
@@ -162,7 +162,8 @@
         assert isinstance(held, stores.Rows)
         holder = lease.holder(held)
         rows: list[console.Row] = []
-        for row in sorted(found.rows, key=lambda row: row.ver):
+        members = filter(roster.is_member, found.rows)
+        for row in sorted(members, key=lambda row: row.ver):
             told = roster.introduction(row)
             where = told.data_centre if told is not None else ''
             up = await _answers(client, row.key)
--- a/galenahatch/test/test_quarantine.py
+++ b/galenahatch/test/test_quarantine.py
@@ -192,3 +192,27 @@
     over = _after(time.monotonic() + _CONTACT)
     _come_again(fleet, '/often/x', upstreams.CRASHES, over)
     assert _arrivals(fleet, upstreams.CRASHES, since) <= _MORE, _ends(fleet)
+
+
+@pytest.mark.parametrize(
+    ('path', 'service', 'fault'),
+    [
+        ('/often/x', 'desk', 'no-answer'),
+        ('/often/x', 'desk', 'cut-unframed'),
+        ('/once/x', 'desk', 'no-answer'),
+        ('/tell/x', 'model', 'cut'),
+    ],
+)
+def test_broken_connections_hold_nobody_back(
+    fleet: fleets.Fleet, path: str, service: str, fault: str
+) -> None:
+    """An upstream that resets connections and works on has not ended."""
+    for upstream in fleet.upstreams:
+        if upstream.service == service and upstream.stage != 'prefill':
+            upstream.faults.extend([fault] * 5)
+    for vm in (0, 1, 2) * 4:
+        answer = fleet.ask(path, 'POST', b'the same', vm)
+        assert b'ends_engines' not in answer.body, answer
+    fleets.eventually(
+        lambda: fleet.ask(path, 'POST', b'the same').served, 'it is served'
+    )
