Time in which a VM was suspended counts for leases, deadlines and what was heard

What callers would see: a gateway that was suspended wakes with a lease that others hold by now, and keeps callers waiting for as much longer as it slept.

Cause: one clock for all, the steady one, which stands still while the VM is suspended, as do the timers of the event loop. Each of its uses was looked at: all of them measure something promised to or heard from others; efforts of our own are measured by their differences, and a pause in them was allowed for already (stalls).

Change: `clock.now` counts the suspension (CLOCK_BOOTTIME). Limits, which are timers of the loop, are moved up once the two clocks have moved apart, which is looked at four times a second; what has come by then is still taken. The time is logged (`Suspended.`), and members are heard before they are judged.

Ruled out: the time of day, which jumps; looking at it per limit, a hundred times the reads.

--- a/galenahatch/clock.py
+++ b/galenahatch/clock.py
@@ -10,23 +10,51 @@
 # License for the specific language governing permissions and limitations
 # under the License.
 
-"""The clock and the random numbers of the programs.
+"""The clocks and the random numbers of the programs.
 
 The core takes both as arguments; only the programs read them, here.
+
+A VM may be suspended. What was promised to others is as old as it is for
+them: leases, deadlines, the age of what the store or a member said. So the
+one clock by which all of it is measured counts that time. The timers of the
+event loop go by a clock that does not; `timeouts` makes up for it.
 """
 
 import random
 import time
 import typing
 
+_LEAST_SUSPENSION: typing.Final = 0.05
+"""Seconds; the process may be interrupted between reading two clocks."""
 RANDOM: typing.Final = random.SystemRandom()
 
 
 def now() -> float:
-    """Return monotonic seconds."""
+    """Return monotonic seconds, those of a suspension included."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def awake() -> float:
+    """Return monotonic seconds in which the VM was not suspended."""
     return time.monotonic()
 
 
+class Suspension:
+    """Finds out that the VM was suspended: the clocks have moved apart."""
+
+    def __init__(self) -> None:
+        self._apart = now() - awake()
+
+    def look(self) -> float:
+        """Return the seconds of suspension since the last look, or 0."""
+        apart = now() - awake()
+        seconds = apart - self._apart
+        if seconds < _LEAST_SUSPENSION:
+            return 0.0
+        self._apart = apart
+        return seconds
+
+
 def token() -> str:
     """Return a fresh random token of 128 bits."""
     return f'{RANDOM.getrandbits(128):032x}'
--- a/galenahatch/gateway/mesh.py
+++ b/galenahatch/gateway/mesh.py
@@ -39,6 +39,7 @@
 from galenahatch import logs
 from galenahatch.platform import store as stores
 from galenahatch import tasks
+from galenahatch import timeouts
 
 BEAT_EVERY: typing.Final = 0.25
 """Seconds between beats."""
@@ -174,7 +175,12 @@
     # Beats.
 
     async def _listen(self) -> None:
+        suspension = clock.Suspension()
         while True:
+            suspended = suspension.look()
+            if suspended:
+                limits = timeouts.catch_up(suspended)
+                _log.warning('Suspended.', seconds=suspended, limits=limits)
             stalled = self._members.listen(clock.now())
             if stalled:
                 instruments.stalls.add(1)
--- a/galenahatch/timeouts.py
+++ b/galenahatch/timeouts.py
@@ -18,6 +18,10 @@
 that was made at once, or an answer that is ready. So a limit that has run out
 lets the loop turn a few times, and only what is still missing then is given
 up.
+
+The timers of a loop do not count the time in which the VM was suspended, and
+those to whom an answer was promised do. So limits are moved up by that time
+once it is noticed (`catch_up`).
 """
 
 import asyncio
@@ -45,22 +49,47 @@
         self._loop = asyncio.get_running_loop()
         self._handle: asyncio.Handle | None = None
         if seconds is not None:
-            self._handle = self._loop.call_later(
-                max(0.0, seconds), self._ring, _TURNS
-            )
+            self._rings_at = self._loop.time() + seconds
+            self._set()
 
     def cancel(self) -> None:
         """End nothing any more; to be called when the scope is left."""
+        _SET.discard(self)
         if self._handle is not None:
             self._handle.cancel()
 
+    def move_up(self, seconds: float) -> None:
+        """Ring earlier; only for one whose time is not over yet."""
+        if self._handle is not None:
+            self._handle.cancel()
+        self._rings_at -= seconds
+        self._set()
+
+    def _set(self) -> None:
+        _SET.add(self)
+        left = max(0.0, self._rings_at - self._loop.time())
+        self._handle = self._loop.call_later(left, self._ring, _TURNS)
+
     def _ring(self, turns: int) -> None:
+        _SET.discard(self)
         if turns:
             self._handle = self._loop.call_soon(self._ring, turns - 1)
         elif not self._scope.expired():
             self._scope.reschedule(self._loop.time())
 
 
+_SET: typing.Final[set[Alarm]] = set()
+"""Alarms whose time is not over."""
+
+
+def catch_up(seconds: float) -> int:
+    """Move all limits up by a suspension; return how many there are."""
+    moved = list(_SET)
+    for alarm in moved:
+        alarm.move_up(seconds)
+    return len(moved)
+
+
 @contextlib.asynccontextmanager
 async def limit(seconds: float | None) -> collections.abc.AsyncIterator[None]:
     """Limit the time that is spent within.
