Only a success shows that a request does not end its engines

Cause: an upstream that fails part of its requests by itself answers with an error before it begins them. That counted as a whole run and cleared a request that ends all others, for ten minutes.

Change: only a whole success clears. An error neither clears nor counts.

--- a/galenahatch/gateway/plain.py
+++ b/galenahatch/gateway/plain.py
@@ -238,7 +238,9 @@
         whole = attempt.whole
         if whole is None:
             return None
-        self._means.guard.served(self._call)
+        if whole.head.status < 300:
+            # An upstream may answer with an error and not have run it.
+            self._means.guard.served(self._call)
         if whole.head.status in _PROMISES:
             # It ran, so the caller must not be told that it did not.
             self._detail = f'status {whole.head.status} after a run'
--- a/galenahatch/test/standin/upstreams.py
+++ b/galenahatch/test/standin/upstreams.py
@@ -226,7 +226,7 @@
             writer.write(self._refusal(seen, 503))
             return True
         seen.ran = True
-        if seen.body.startswith(CRASHES):
+        if seen.body.startswith(CRASHES) and fault != 'error':
             return await self._end_by(seen, writer)
         serve = self._stream if self.stage else self._plain
         try:
--- a/galenahatch/test/test_quarantine.py
+++ b/galenahatch/test/test_quarantine.py
@@ -216,3 +216,20 @@
     fleets.eventually(
         lambda: fleet.ask(path, 'POST', b'the same').served, 'it is served'
     )
+
+
+def test_error_clears_nobody(fleet: fleets.Fleet) -> None:
+    """An upstream that answers with an error has not run it whole."""
+    work = upstreams.CRASHES
+    fleet.ask('/once/x', 'POST', work)
+    assert len(_ends(fleet)) == 1
+    for upstream in fleet.of('desk'):
+        upstream.faults.append('error')
+    for _ in range(4):
+        fleet.ask('/once/x', 'POST', work)
+    for upstream in fleet.upstreams:
+        upstream.faults.clear()
+    _until_known(fleet, '/once/x', work)
+    since = time.monotonic()
+    _come_again(fleet, '/once/x', work, _after(since + 2.0))
+    assert _arrivals(fleet, work, since) <= _MORE, _ends(fleet)
