--- a/galenahatch/gateway/quarantine.py
+++ b/galenahatch/gateway/quarantine.py
@@ -75,14 +75,14 @@
 class Guard:
     """This gateway's part of it.
 
-    Attributes:
-        announce: tells others at once; beats are slow where there are many
-            gateways.
-
     Args:
         sender: asks whether an upstream still listens.
         store: keeps what must last.
         table: of the rows.
+
+    Attributes:
+        announce: tells others at once; beats are slow where there are many
+            gateways.
     """
 
     def __init__(
--- a/galenahatch/gatewayctl.py
+++ b/galenahatch/gatewayctl.py
@@ -13,7 +13,7 @@
 """`galenahatchctl gateway ...`: gateways on the users' platform.
 
 What the platform's store tells is read through the adapter that the
-gateways use, and shown in our words. Nothing is written. Results and exit
+gateways use, and shown in our words. Only `release` writes. Results and exit
 codes are those of the other commands.
 """
 
@@ -26,13 +26,16 @@
 
 import aiohttp
 import cyclopts
+import msgspec
 
 from galenahatch import console
 from galenahatch.core import incarnations
+from galenahatch.core import quarantine
 from galenahatch.core import routes
 from galenahatch import errors
 from galenahatch.gateway import lease
 from galenahatch.gateway import node
+from galenahatch.gateway import quarantine as quarantines
 from galenahatch.gateway import roster
 from galenahatch.platform import deployment
 from galenahatch.platform import documents
@@ -66,6 +69,7 @@
     'answers',
     'gives_orders',
 )
+_REQUESTS: typing.Final = ('digest', 'ends', 'standing')
 
 app = cyclopts.App(
     name='gateway', help='Gateways on the platform: settings and state.'
@@ -174,6 +178,64 @@
     return _run(store, work)
 
 
+@app.command
+def held(*, store: StoreAddress = '', json: Json = False) -> int:
+    """Show the requests under which two engines and more have ended."""
+
+    async def work(client: aiohttp.ClientSession, at: stores.Store) -> int:
+        found = await at.rows(roster.MEMBER_TABLE)
+        if isinstance(found, errors.Failure):
+            return console.report(found)
+        rows: list[console.Row] = []
+        for row in found.rows:
+            entry = None if roster.is_member(row) else quarantines.entry(row)
+            if entry is not None:
+                digest = row.key.removeprefix(quarantines.ROW_PREFIX)
+                rows.append((digest, len(entry.ends), _standing(entry)))
+        console.print_rows(_REQUESTS, rows, json)
+        return console.DONE
+
+    return _run(store, work)
+
+
+def _standing(entry: quarantines.Entry) -> str:
+    if entry.released:
+        return 'released'
+    is_held = len(entry.ends) >= quarantine.ENDS
+    return 'held back' if is_held else 'suspected'
+
+
+@app.command
+def release(digest: str, *, store: StoreAddress = '') -> int:
+    """Let a request through again that is held back."""
+
+    async def work(client: aiohttp.ClientSession, at: stores.Store) -> int:
+        key = quarantines.ROW_PREFIX + digest
+        found = await at.rows(roster.MEMBER_TABLE)
+        if isinstance(found, errors.Failure):
+            return console.report(found)
+        rows = [row for row in found.rows if row.key == key]
+        known = quarantines.entry(rows[0]) if rows else None
+        if known is None:
+            return console.report(errors.Failure(errors.NOT_FOUND, digest))
+        value = msgspec.json.encode(
+            quarantines.Entry(known.ends, released=True)
+        )
+        seen = stores.Entry(roster.MEMBER_TABLE, key, ver=rows[0].ver)
+        made = stores.Entry(roster.MEMBER_TABLE, key, value=value)
+        written = await at.transact([seen], put=[made])
+        if isinstance(written, errors.Failure):
+            return console.report(written)
+        if isinstance(written, stores.Conflict):
+            detail = f'{digest} was written meanwhile'
+            return console.report(
+                errors.Failure(errors.CHANGE_CONFLICT, detail)
+            )
+        return console.DONE
+
+    return _run(store, work)
+
+
 async def _configuration(
     at: stores.Store,
 ) -> routes.Configuration | errors.Failure:
--- a/galenahatch/test/test_gatewayctl.py
+++ b/galenahatch/test/test_gatewayctl.py
@@ -90,6 +90,26 @@
     assert rows[other.id]['started'].endswith('+00:00')
 
 
+def test_held_and_released(
+    fleet: fleets.Fleet, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """A request that is held back is shown, and let through when told so."""
+    fleet.put('gateways', 'quarantine/aa', {'ends': [1, 2], 'released': False})
+    fleet.put('gateways', 'quarantine/bb', {'ends': [1, 2, 3]})
+    assert _run('held', '--store', fleet.address, '--json') == 0
+    shown = {r['digest']: r for r in json.loads(capsys.readouterr().out)}
+    assert shown['aa'] == {'digest': 'aa', 'ends': 2, 'standing': 'suspected'}
+    assert shown['bb']['standing'] == 'held back'
+    assert _run('release', 'cc', '--store', fleet.address) != 0
+    assert 'cc' in capsys.readouterr().err
+    assert _run('release', 'bb', '--store', fleet.address) == 0
+    assert _run('held', '--store', fleet.address, '--json') == 0
+    shown = {r['digest']: r for r in json.loads(capsys.readouterr().out)}
+    assert shown['bb']['standing'] == 'released'
+    assert _run('status', '--store', fleet.address, '--json') == 0
+    assert len(json.loads(capsys.readouterr().out)) == 1
+
+
 def test_status(
     fleet: fleets.Fleet, capsys: pytest.CaptureFixture[str]
 ) -> None:
@@ -107,7 +127,7 @@
 
 def test_store_away(capsys: pytest.CaptureFixture[str]) -> None:
     """A store that does not answer is told, with an exit code of its own."""
-    for command in ('config', 'upstreams', 'status'):
+    for command in ('config', 'upstreams', 'status', 'held'):
         code = _run(command, '--store', '127.0.0.1:1')
         assert code == console.UNAVAILABLE
         assert 'store_unavailable' in capsys.readouterr().err
--- a/galenahatch/test/test_quarantine.py
+++ b/galenahatch/test/test_quarantine.py
@@ -33,6 +33,7 @@
 import msgspec
 import pytest
 
+from galenahatch import gatewayctl
 from galenahatch.test import fleet as fleets
 from galenahatch.test.standin import upstreams
 
@@ -263,3 +264,33 @@
         since = time.monotonic()
         _come_once(fleet, range(3, 6))
         assert not _arrivals(fleet, upstreams.CRASHES, since)
+
+
+def test_released_by_an_operator(fleet: fleets.Fleet) -> None:
+    """What an operator lets through goes to upstreams again, at once."""
+    _until_known(fleet, '/once/x', upstreams.CRASHES)
+    address = ['--store', fleet.address]
+    rows = fleet.run(lambda: list(fleet.store.tables['gateways']))
+    (digest,) = (row.partition('/')[2] for row in rows if '/' in row)
+    words = ['release', digest, *address]
+    assert gatewayctl.app(words, result_action='return_value') == 0
+    since = time.monotonic()
+    over = _after(since + _CONTACT)
+    _come_again(fleet, '/once/x', upstreams.CRASHES, over)
+    assert _arrivals(fleet, upstreams.CRASHES, since) > _MORE
+
+
+def test_known_after_each_loss_of_power(fleet: fleets.Fleet) -> None:
+    """No loss of all gateways gives it three upstreams more."""
+    _until_known(fleet, '/once/x', upstreams.CRASHES)
+    since = time.monotonic()
+    for _ in range(2):
+        for vm in fleet.vms:
+            vm.kill()
+        for vm in fleet.vms:
+            vm.start()
+        for vm in fleet.vms:
+            fleets.eventually(vm.ready, f'{vm.address} is ready', 40)
+        over = _after(time.monotonic() + _CONTACT)
+        _come_again(fleet, '/once/x', upstreams.CRASHES, over)
+    assert _arrivals(fleet, upstreams.CRASHES, since) <= _MORE, _ends(fleet)
