A seeded soak of such a request while gateways are killed and frozen

It comes to gateways in turn, and at each of its first three ends a gateway, the owner too, may be killed and start again, or be frozen for up to a second.

A first version of this test failed once, since it took a gateway that is down for an error of its own; its callers go elsewhere.

--- a/galenahatch/test/test_quarantine.py
+++ b/galenahatch/test/test_quarantine.py
@@ -26,6 +26,9 @@
 
 import collections.abc
 import itertools
+import os
+import random
+import signal
 import threading
 import time
 import typing
@@ -55,6 +58,8 @@
 _NUMBERS: typing.Final = itertools.count(1)
 _PROMISES: typing.Final = (408, 421, 429, 503)
 """Statuses that say that a request has not run."""
+_SEEDS: typing.Final = int(os.environ.get('GALENAHATCH_SEEDS', '4'))
+"""Seeds of the cases beside faults; more are played by hand."""
 _BESIDE: typing.Final = 100
 _PATIENCE: typing.Final = 20.0
 """Seconds in which a caller who comes back must have been served."""
@@ -99,7 +104,11 @@
     for vm in itertools.cycle(range(len(fleet.vms))):
         if is_over() or time.monotonic() > until:
             break
-        answers.append(fleet.ask(path, 'POST', work, vm))
+        try:
+            answers.append(fleet.ask(path, 'POST', work, vm))
+        except ConnectionError:
+            # This gateway is down; callers go elsewhere.
+            continue
         time.sleep(_EVERY)
     return answers
 
@@ -294,3 +303,35 @@
         over = _after(time.monotonic() + _CONTACT)
         _come_again(fleet, '/once/x', upstreams.CRASHES, over)
     assert _arrivals(fleet, upstreams.CRASHES, since) <= _MORE, _ends(fleet)
+
+
+def _disturb(vm: fleets.Vm, source: random.Random) -> None:
+    """Kill a gateway, which starts again at once, or freeze it."""
+    if source.random() < 0.7:
+        vm.kill()
+        vm.start()
+        return
+    vm.signal(signal.SIGSTOP)
+    time.sleep(source.uniform(0.2, 1.0))
+    vm.signal(signal.SIGCONT)
+
+
+@pytest.mark.parametrize('seed', range(_SEEDS))
+@pytest.mark.parametrize('path', ['/once/x', '/tell/x'])
+def test_held_back_beside_faults(
+    fleet: fleets.Fleet, path: str, seed: int
+) -> None:
+    """It is known though gateways, also the owner, go as engines end."""
+    source = random.Random(seed)
+    work = upstreams.CRASHES
+    for ends in range(1, _ENDS + 1):
+        _come_again(fleet, path, work, lambda: len(_ends(fleet)) >= ends)
+        if source.random() < 0.8:
+            _disturb(source.choice(fleet.vms), source)
+    for vm in fleet.vms:
+        fleets.eventually(vm.ready, f'{vm.address} is ready', 40)
+    over = _after(time.monotonic() + _CONTACT)
+    _come_again(fleet, path, work, over)
+    since = time.monotonic()
+    _come_again(fleet, path, work, _after(since + 2.0))
+    assert _arrivals(fleet, work, since) <= _MORE, _ends(fleet)
