A verdict compares a request with those at the same ends only

What callers would see: a pause of 52 ms in all answers of a gateway after each end, if a thousand requests were held (found by a loop over core/quarantine).

Cause: each was compared with all others. Change: an index by end. Verdicts are the same (test_suspicions, in any order by Hypothesis).

Measured, one run beside other work: 2.2 to 2.4 ms with 1,024 held, 52 before; 0.5 ms with 1,000 suspected by one end, 0.16 before, since the index is made each time.

--- a/galenahatch/core/quarantine.py
+++ b/galenahatch/core/quarantine.py
@@ -220,15 +220,17 @@
             ),
             key=lambda item: (-len(item[1]), item[0]),
         )
+        at: dict[int, set[Digest]] = {}
+        for digest, ends in suspects:
+            for end in ends:
+                at.setdefault(end, set()).add(digest)
         explained: set[int] = set()
         held = set()
         for digest, ends in suspects:
             own = ends - explained
             if len(own) < ENDS:
                 continue
-            alike = any(
-                other != digest and own <= others for other, others in suspects
-            )
+            alike = len(set.intersection(*(at[end] for end in own))) > 1
             if alike and len(own) < _ENDS_SURELY:
                 continue
             held.add(digest)
