Suspects are not read beside each other

What callers would see: a request that ends the engine that reads it, and one that was read beside it, come again together; with two engines that read they meet again, look alike, and at the fifth end both are held.

Cause: suspects were kept apart at decode engines only, though such a request may end either kind.

Change: a suspect is given another prefill engine, or waits while each has one (a prompt is read in 0.1 to 0.2 s). Where the only free one has failed it before, its decode engine reads it, as before.

Measured: test_suspects_are_not_read_beside_each_other, four cases; before, where suspects are kept apart knew of no engine that reads. The whole of test_suspicions, test_load and test_decisions passes.

--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -326,8 +326,9 @@
     def _place(
         self, job: Job, now: float
     ) -> generations.Placed | generations.Lack:
+        engines = self._pool.decodes, self._pool.prefills
         runs = self._placements.values()
-        asks = placements.apart(job, runs, self._pool.decodes, now)
+        asks = placements.apart(job, runs, *engines, now)
         if asks is None:
             return generations.Lack.TRIAL
         job, prefill = asks, None
--- a/galenahatch/core/placements.py
+++ b/galenahatch/core/placements.py
@@ -72,28 +72,38 @@
 def apart(
     job: generations.Job,
     placed: collections.abc.Iterable[Placement],
-    engines: collections.abc.Iterable[ids.UpstreamId],
+    decodes: collections.abc.Iterable[ids.UpstreamId],
+    prefills: collections.abc.Iterable[ids.UpstreamId],
     now: float,
 ) -> generations.Job | None:
     """Return a suspect with the engines that it avoids; None if it waits.
 
-    No two suspects begin beside each other. Should an engine end, it is known
-    which of them it was, and whoever was once beside a request that ends
-    engines is not beside it again.
+    No two suspects begin beside each other, nor are read so. Should an engine
+    end, it is known which of them it was, and whoever was once beside a
+    request that ends engines is not beside it again.
 
     Args:
-        job: that wants a decode engine.
+        job: that wants engines.
         placed: all runs.
-        engines: that it may go to.
+        decodes: decode engines that it may go to.
+        prefills: prefill engines that it may go to.
         now: seconds of the owner.
     """
     if not job.is_suspect:
         return job
-    taken = {one.engine for one in placed if one.is_tried(now)}
-    free = set(engines) - taken
+    tried = [one for one in placed if one.is_tried(now)]
+    taken = {one.engine for one in tried}
+    reading = {
+        one.prefill
+        for one in tried
+        if one.prefill is not None and one.read_at is None
+    }
+    free = set(decodes) - taken
     if taken and not free:
         return None
-    avoid = job.avoid | taken
+    if reading and not job.is_read and reading.issuperset(prefills):
+        return None
+    avoid = job.avoid | taken | reading
     if not free - job.avoid:
         avoid -= free
     return dataclasses.replace(job, avoid=avoid)
--- a/galenahatch/test/test_suspicions.py
+++ b/galenahatch/test/test_suspicions.py
@@ -17,6 +17,7 @@
 Nothing here needs a network.
 """
 
+import dataclasses
 import itertools
 import random
 import typing
@@ -227,7 +228,7 @@
     runs = [_run(number, 0.0) for number in tried]
     runs.append(placements.Placement(_engine(3), 0, 0.0))
     engines = [_engine(number) for number in (1, 2, 3)]
-    found = placements.apart(_job(is_suspect, *avoid), runs, engines, 0.1)
+    found = placements.apart(_job(is_suspect, *avoid), runs, engines, (), 0.1)
     if found is None:
         assert not goes
         return
@@ -246,13 +247,48 @@
     """Those that have begun well, or tell nothing, keep nobody waiting."""
     runs = [_run(1, 0.0), _run(2, 0.0)]
     engines = [_engine(1), _engine(2)]
-    assert placements.apart(_job(True), runs, engines, 1.0) is None
+    assert placements.apart(_job(True), runs, engines, (), 1.0) is None
     runs[1].started_at = 1.0
-    assert placements.apart(_job(True), runs, engines, 1.4) is None
-    found = placements.apart(_job(True), runs, engines, 1.6)
+    assert placements.apart(_job(True), runs, engines, (), 1.4) is None
+    found = placements.apart(_job(True), runs, engines, (), 1.6)
     assert found is not None
     assert found.avoid == {_engine(1)}
-    assert placements.apart(_job(True), runs, engines, 2.1) is not None
+    assert placements.apart(_job(True), runs, engines, (), 2.1) is not None
+
+
+@pytest.mark.parametrize(
+    ('reading', 'avoid', 'goes'),
+    [
+        ((), (), {11, 12}),
+        ((11,), (), {12}),
+        ((11, 12), (), None),
+        # The other one failed it before: its decode engine reads it.
+        ((11,), (12,), set()),
+    ],
+)
+def test_suspects_are_not_read_beside_each_other(
+    reading: tuple[int, ...], avoid: tuple[int, ...], goes: set[int] | None
+) -> None:
+    """A request may end the engine that reads it, too."""
+    runs = [
+        dataclasses.replace(_run(place, 0.0), prefill=_engine(reader))
+        for place, reader in enumerate(reading, 1)
+    ]
+    engines = [_engine(number) for number in (1, 2, 3)]
+    readers = [_engine(number) for number in (11, 12)]
+    job = _job(True, *avoid)
+    found = placements.apart(job, runs, engines, readers, 0.1)
+    if goes is None:
+        assert found is None
+        for run in runs:
+            run.read_at = 0.1
+        found = placements.apart(job, runs, engines, readers, 0.1)
+        assert found is not None
+        return
+    assert found is not None
+    assert {e for e in readers if e not in found.avoid} == {
+        _engine(number) for number in goes
+    }
 
 
 def _placed(
@@ -266,7 +302,7 @@
     for digest in asking:
         suspect = known.is_suspect(digest)
         placed = [run for _, run in runs]
-        job = placements.apart(_job(suspect), placed, engines, 0.0)
+        job = placements.apart(_job(suspect), placed, engines, (), 0.0)
         if job is None:
             continue
         free = [engine for engine in engines if engine not in job.avoid]
