--- a/galenahatch/test/test_quarantine.py
+++ b/galenahatch/test/test_quarantine.py
@@ -20,8 +20,9 @@
 all of them and was given two engines. They ended 12 to 15 engines each, where
 a request that has ended three may go to three more.
 
-What proved it: the digest of caller, path and body in the lines on lost
-sends, and these tests, which failed on the code as it was.
+What proved it: at each end just one run had not begun its answer; these tests,
+which take the same course and failed on the code as it was; and the same kind
+of day, without a breach once such requests are held back.
 """
 
 import collections.abc
@@ -55,6 +56,7 @@
 """Seconds in which a message of its own must have come; a beat takes five
 times as long."""
 _EVERY: typing.Final = 0.2
+"""Seconds between two sends of the same work."""
 _NUMBERS: typing.Final = itertools.count(1)
 _PROMISES: typing.Final = (408, 421, 429, 503)
 """Statuses that say that a request has not run."""
