Quarantine reads easier: what is unsaved stands apart, names and comments

Read as a newcomer would: one function did three things, a local name said nothing, two comments were unclear. Nothing that runs has changed in what it does.

--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -328,10 +328,10 @@
     ) -> generations.Placed | generations.Lack:
         engines = self._pool.decodes, self._pool.prefills
         runs = self._placements.values()
-        asks = placements.apart(job, runs, *engines, now)
-        if asks is None:
+        apart = placements.apart(job, runs, *engines, now)
+        if apart is None:
             return generations.Lack.TRIAL
-        job, prefill = asks, None
+        job, prefill = apart, None
         if not job.is_read:
             explore = not self._measures.knows_overlap
             reads = self._measures.reading(job.prompt)
--- a/galenahatch/core/placements.py
+++ b/galenahatch/core/placements.py
@@ -26,7 +26,8 @@
 """Seconds without a sign of its VM after which a run is forgotten; longer
 than the longest stream of the users, shorter than a minute."""
 _STARTS: typing.Final = 2.0
-"""Seconds after which a run whose first event was not told is no news."""
+"""Seconds from its placement in which the first event of a run is awaited; its
+VM may never tell of it."""
 
 
 @dataclasses.dataclass
--- a/galenahatch/core/quarantine.py
+++ b/galenahatch/core/quarantine.py
@@ -220,17 +220,17 @@
             ),
             key=lambda item: (-len(item[1]), item[0]),
         )
-        at: dict[int, set[Digest]] = {}
+        by_end: dict[int, set[Digest]] = {}
         for digest, ends in suspects:
             for end in ends:
-                at.setdefault(end, set()).add(digest)
+                by_end.setdefault(end, set()).add(digest)
         explained: set[int] = set()
         held = set()
         for digest, ends in suspects:
             own = ends - explained
             if len(own) < ENDS:
                 continue
-            alike = len(set.intersection(*(at[end] for end in own))) > 1
+            alike = len(set.intersection(*(by_end[end] for end in own))) > 1
             if alike and len(own) < _ENDS_SURELY:
                 continue
             held.add(digest)
--- a/galenahatch/gateway/quarantine.py
+++ b/galenahatch/gateway/quarantine.py
@@ -56,7 +56,7 @@
 
     Attributes:
         ends: numbers of the upstreams that ended under the request.
-        released: whether an operator lets it through.
+        released: whether it ran whole, or an operator lets it through.
     """
 
     ends: tuple[int, ...] = ()
@@ -210,34 +210,41 @@
             await asyncio.sleep(_SAVE_EVERY)
 
     async def _save(self) -> None:
-        lasting = {
-            one.digest: Entry(one.ends, one.cleared)
-            for one in self._known.lasting(clock.now())
-        }
-        new = {
-            digest: made
-            for digest, made in lasting.items()
-            if self._stored.get(digest) != made
-        }
-        gone = [digest for digest in self._stored if digest not in lasting]
+        """Write what is new into the store, and remove what was forgotten."""
+        new, gone = self._unsaved()
+        if not new and not gone:
+            return
         put = [
             stores.Entry(
                 self._table,
                 ROW_PREFIX + digest,
                 value=msgspec.json.encode(made),
             )
-            for digest, made in list(new.items())[:_MOST_WRITTEN]
+            for digest, made in new.items()
         ]
         remove = [
-            stores.Entry(self._table, ROW_PREFIX + digest)
-            for digest in gone[:_MOST_WRITTEN]
+            stores.Entry(self._table, ROW_PREFIX + digest) for digest in gone
         ]
-        if not put and not remove:
-            return
         result = await self._store.transact(put=put, remove=remove)
         if not isinstance(result, stores.Written):
             _log.warning('Not stored yet.', rows=len(put) + len(remove))
             return
-        self._stored.update(list(new.items())[:_MOST_WRITTEN])
-        for digest in gone[:_MOST_WRITTEN]:
+        self._stored.update(new)
+        for digest in gone:
             self._stored.pop(digest, None)
+
+    def _unsaved(
+        self,
+    ) -> tuple[dict[ids.RequestDigest, Entry], list[ids.RequestDigest]]:
+        """Return rows to write and to remove, as many as go at once."""
+        lasting = {
+            one.digest: Entry(one.ends, one.cleared)
+            for one in self._known.lasting(clock.now())
+        }
+        new = [
+            (digest, made)
+            for digest, made in lasting.items()
+            if self._stored.get(digest) != made
+        ]
+        gone = [digest for digest in self._stored if digest not in lasting]
+        return dict(new[:_MOST_WRITTEN]), gone[:_MOST_WRITTEN]
