--- a/galenahatch/test/test_quarantine.py
+++ b/galenahatch/test/test_quarantine.py
@@ -99,8 +99,17 @@
     path: str,
     work: bytes,
     is_over: collections.abc.Callable[[], bool],
+    may_be_down: bool = False,
 ) -> list[fleets.Answer]:
-    """Send the same work to one gateway after another."""
+    """Send the same work to one gateway after another.
+
+    Args:
+        fleet: gateways.
+        path: of the work.
+        work: body.
+        is_over: whether to stop.
+        may_be_down: whether a gateway may refuse connections; else it fails.
+    """
     answers: list[fleets.Answer] = []
     until = time.monotonic() + _PATIENCE
     for vm in itertools.cycle(range(len(fleet.vms))):
@@ -109,7 +118,9 @@
         try:
             answers.append(fleet.ask(path, 'POST', work, vm))
         except ConnectionError:
-            # This gateway is down; callers go elsewhere.
+            if not may_be_down:
+                raise
+            # Callers go elsewhere.
             continue
         time.sleep(_EVERY)
     return answers
@@ -327,7 +338,13 @@
     source = random.Random(seed)
     work = upstreams.CRASHES
     for ends in range(1, _ENDS + 1):
-        _come_again(fleet, path, work, lambda: len(_ends(fleet)) >= ends)
+        _come_again(
+            fleet,
+            path,
+            work,
+            lambda: len(_ends(fleet)) >= ends,
+            may_be_down=True,
+        )
         if source.random() < 0.8:
             _disturb(source.choice(fleet.vms), source)
     for vm in fleet.vms:
