A limit that began after a suspension is not moved up by it

What callers would see: in the quarter of a second in which a gateway that woke has not noticed its suspension yet, what it sends is given up at once.

Cause: found on reading again. All limits were moved up by the time away, those too that had been set after it.

Change: a limit remembers the suspensions before it, and is moved up by those after it only.

Measured: test_limits_set_after_a_suspension_stay failed before and passes; test_suspensions, test_pauses and test_lease pass. Nothing else changes where no VM is suspended.

--- a/galenahatch/clock.py
+++ b/galenahatch/clock.py
@@ -39,15 +39,20 @@
     return time.monotonic()
 
 
+def suspended() -> float:
+    """Return the seconds of all suspensions so far, plus a constant."""
+    return now() - awake()
+
+
 class Suspension:
     """Finds out that the VM was suspended: the clocks have moved apart."""
 
     def __init__(self) -> None:
-        self._apart = now() - awake()
+        self._apart = suspended()
 
     def look(self) -> float:
         """Return the seconds of suspension since the last look, or 0."""
-        apart = now() - awake()
+        apart = suspended()
         seconds = apart - self._apart
         if seconds < _LEAST_SUSPENSION:
             return 0.0
--- a/galenahatch/test/test_suspensions.py
+++ b/galenahatch/test/test_suspensions.py
@@ -177,3 +177,23 @@
         _SLEPT - members.LISTEN_EVERY, abs=0.1
     )
     assert known.is_live(ids.MemberId('other'), clock.now())
+
+
+def test_limits_set_after_a_suspension_stay(vm: _Vm) -> None:
+    """A limit that began after the VM woke has lost no time.
+
+    The suspension is noticed some tenths of a second later; what was sent in
+    between would be given up at once.
+    """
+
+    async def wait() -> bool:
+        vm.suspend(_SLEPT)
+        try:
+            async with timeouts.limit(_SOON):
+                timeouts.catch_up(_SLEPT)
+                await asyncio.sleep(0.1)
+                return True
+        except asyncio.TimeoutError:
+            return False
+
+    assert asyncio.run(wait())
--- a/galenahatch/timeouts.py
+++ b/galenahatch/timeouts.py
@@ -29,6 +29,8 @@
 import contextlib
 import typing
 
+from galenahatch import clock
+
 _TURNS: typing.Final = 12
 """Turns of the loop for which what has come is still taken. The HTTP library
 needs four for a connection, over either loop (found by running the tests of
@@ -48,6 +50,7 @@
         self._scope = scope
         self._loop = asyncio.get_running_loop()
         self._handle: asyncio.Handle | None = None
+        self._suspended = clock.suspended()
         if seconds is not None:
             self._rings_at = self._loop.time() + seconds
             self._set()
@@ -59,10 +62,17 @@
             self._handle.cancel()
 
     def move_up(self, seconds: float) -> None:
-        """Ring earlier; only for one whose time is not over yet."""
+        """Ring earlier; only for one whose time is not over yet.
+
+        Args:
+            seconds: of a suspension; one that was over as this was set does
+                not count.
+        """
         if self._handle is not None:
             self._handle.cancel()
-        self._rings_at -= seconds
+        suspended = clock.suspended()
+        self._rings_at -= min(seconds, suspended - self._suspended)
+        self._suspended = suspended
         self._set()
 
     def _set(self) -> None:
