Customers are known by their keys, and keys go no further

What callers saw: on a deployment with customers every request was passed on with its key and without its customer's name, a key that nobody holds was served, and one that was taken away still was.

Cause: the gateway knew no customer. The adapter dropped them from the configuration, and `Authorization` went on like any header.

Change: customers are a part of the checked configuration (a missing or repeated name, a key held twice, absurd figures, an unknown unit are failures with field and value, keys told by digest). A gateway looks up the digest of the key (`core/customers`), answers 401 at once for none and for one that nobody holds, puts the customer's name in place of what the caller said, and drops the key before anything else sees the request. Anonymous routes take callers without a key; one that sends an unknown key is refused there too. Quarantine names a request by its customer, so two keys of one customer send the same request. A count of sizes of more than 15 digits is no number: 400 nines raised OverflowError.

Why it holds: the key leaves the request in one place, before the course of the request begins; upstreams get headers only from there. Keys change with the configuration, which only ever goes forward.

Ruled out: asking the store for a newer configuration at an unknown key. Peers bring a version within half a second, the bound is three, and unknown keys would be load on the store.

Without customers nothing changes: `test_without_customers_all_goes_on`.

--- a/galenahatch/core/routes.py
+++ b/galenahatch/core/routes.py
@@ -10,7 +10,7 @@
 # License for the specific language governing permissions and limitations
 # under the License.
 
-"""What operators configure: routes, services and limits on callers.
+"""What operators configure: routes, services, customers and limits.
 
 A route is found by host and longest prefix. Prefixes begin and end with a
 slash, so the table is looked up once for each slash of a path, from the
@@ -23,6 +23,7 @@
 import random
 import typing
 
+from galenahatch.core import customers as customers_module
 from galenahatch import ids
 
 
@@ -56,6 +57,7 @@
         resumable: whether a stream may be resumed at an event id.
         generative: whether requests carry a prompt for a model.
         longest_pause: pause between events that still counts as in time.
+        anonymous: whether it takes callers without a key.
     """
 
     name: str
@@ -70,6 +72,7 @@
     resumable: bool = False
     generative: bool = False
     longest_pause: float = 1.0
+    anonymous: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -123,12 +126,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Configuration:
-    """One accepted configuration, whole."""
+    """One accepted configuration, whole.
+
+    Attributes:
+        customers: None where callers need no key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[ids.ServiceName, Service]
     limits: Limits
+    customers: customers_module.Customers | None = None
 
 
 class RouteTable:
--- a/galenahatch/errors.py
+++ b/galenahatch/errors.py
@@ -185,6 +185,20 @@
     'The caller has more requests waiting than its share.',
     'Come back after Retry-After, or raise the share of the caller.',
 )
+OVER_QUOTA = _reason(
+    'over_quota',
+    429,
+    _NOT_RUN,
+    'The customer has used its quota.',
+    'Come back after Retry-After, or raise the quota of the customer.',
+)
+ABOVE_QUOTA = _reason(
+    'larger_than_quota',
+    429,
+    _NOT_RUN,
+    'The request alone is larger than the quota of its customer.',
+    'Ask for less at once, or raise the burst of the customer.',
+)
 NO_ENGINE = _reason(
     'no_engine',
     503,
--- a/galenahatch/gateway/calls.py
+++ b/galenahatch/gateway/calls.py
@@ -19,6 +19,7 @@
 
 import multidict
 
+from galenahatch.core import customers
 from galenahatch import ids
 
 _DIGEST_DIGITS: typing.Final = 16
@@ -55,7 +56,10 @@
         patience: seconds that the caller waits, counted from `arrived_at`;
             None if it did not say.
         last_event: id after which a stream goes on, or empty.
-        caller: credentials as sent, or empty.
+        tokens: of its prompt and at most of its answer; None if not said.
+        credentials: as sent, one for each header of them.
+        is_identified: whether credentials were looked at, and go nowhere.
+        customer: whom the caller belongs to; None if it needs no key.
     """
 
     id: str
@@ -68,7 +72,41 @@
     patience: float | None
     prompt: Prompt | None
     last_event: str
-    caller: str = ''
+    tokens: int | None = None
+    credentials: tuple[str, ...] = ()
+    is_identified: bool = False
+    customer: customers.Customer | None = None
+
+    @property
+    def caller(self) -> str:
+        """What tells whose request it is.
+
+        Two keys of one customer stand for the same caller.
+        """
+        if self.customer is not None:
+            return self.customer.name
+        if self.is_identified or not self.credentials:
+            return ''
+        return self.credentials[0]
+
+    @property
+    def customer_name(self) -> ids.CustomerName:
+        """Name of the customer, or empty."""
+        if self.customer is None:
+            return ids.CustomerName('')
+        return self.customer.name
+
+    @property
+    def priority(self) -> int | None:
+        """What its customer goes by; None where the route's counts."""
+        return self.customer.priority if self.customer is not None else None
+
+    @property
+    def units(self) -> float:
+        """What it counts as in the quota of its customer."""
+        if self.customer is None or self.customer.quota is None:
+            return 0.0
+        return self.customer.cost(self.tokens)
 
     @functools.cached_property
     def digest(self) -> ids.RequestDigest:
--- a/galenahatch/gateway/front.py
+++ b/galenahatch/gateway/front.py
@@ -27,6 +27,7 @@
 import msgspec
 
 from galenahatch import clock
+from galenahatch.core import customers
 from galenahatch.core import routes
 from galenahatch import errors
 from galenahatch.gateway import calls
@@ -203,6 +204,28 @@
         route = self._means.directory.table.find(call.host, call.target)
         if route is None:
             return self._own(errors.Failure(errors.NO_ROUTE), call.id)
+        known = self._identify(call, route)
+        if isinstance(known, errors.Failure):
+            return self._respond(call, route, known)
+        return await self._admitted(request, known, route)
+
+    def _identify(
+        self, call: calls.Call, route: routes.Route
+    ) -> calls.Call | errors.Failure:
+        """Return the request of a caller that may call."""
+        config = self._means.directory.config
+        if config is None or config.customers is None:
+            return call
+        customer = customers.identify(
+            config.customers, call.credentials, route.anonymous
+        )
+        if isinstance(customer, errors.Failure):
+            return customer
+        return wire.identified(call, customer)
+
+    async def _admitted(
+        self, request: web.BaseRequest, call: calls.Call, route: routes.Route
+    ) -> web.StreamResponse:
         if self._means.guard.holds(call):
             failure = self._means.guard.failure(call)
             return self._respond(call, route, failure)
@@ -298,7 +321,7 @@
         status = failure.reason.status
         if status == 429:
             status = 503
-        headers = wire.own_answer(request)
+        headers = wire.own_answer(request, status)
         if failure.retry_after is not None:
             headers['Retry-After'] = f'{failure.retry_after:.3f}'
         body = {
--- a/galenahatch/ids.py
+++ b/galenahatch/ids.py
@@ -44,6 +44,12 @@
 RegionName = typing.NewType('RegionName', str)
 DataCentre = typing.NewType('DataCentre', str)
 
+CustomerName = typing.NewType('CustomerName', str)
+"""Whom a gateway's callers belong to, as operators name it."""
+
+KeyDigest = typing.NewType('KeyDigest', str)
+"""Digest of a customer's key; stands for it wherever it is shown."""
+
 InstanceId = typing.NewType('InstanceId', str)
 """The id under which an upstream registers; several starts may share it."""
 
--- a/galenahatch/platform/documents.py
+++ b/galenahatch/platform/documents.py
@@ -23,6 +23,7 @@
 
 import msgspec
 
+from galenahatch.core import customers
 from galenahatch.core import incarnations
 from galenahatch.core import routes
 from galenahatch.core import upstreams
@@ -40,6 +41,11 @@
 """Unix milliseconds of the year 2100: a start beyond is taken for nonsense,
 since no true start would come after it."""
 _MOST_PORT: typing.Final = 65_535
+_MOST_NAME: typing.Final = 200
+"""Characters of a customer's name, which goes into a header."""
+_MOST_UNITS: typing.Final = 1e12
+"""Units beyond which a quota is taken for nonsense."""
+_MOST_PRIORITY: typing.Final = 100
 
 
 class _Target(msgspec.Struct, frozen=True):
@@ -63,6 +69,7 @@
     sticky: bool = False
     resumable: bool = False
     gap_aim_ms: float = 1000.0
+    anonymous: bool = False
 
 
 class _Engine(msgspec.Struct, frozen=True):
@@ -87,11 +94,23 @@
     idle_timeout_ms: float = 15000.0
 
 
+class _Tenant(msgspec.Struct, frozen=True):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    unit: str = customers.Unit.REQUESTS.value
+    plain_tokens: float = 0.0
+    # Units of the quota; a rate of 0 stands for no limit.
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
 class _Config(msgspec.Struct, frozen=True):
     version: int
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
+    tenants: list[_Tenant] | None = None
 
 
 class _Upstream(msgspec.Struct, frozen=True):
@@ -129,6 +148,7 @@
                 for item in raw.services
             },
             limits=_limits(raw.limits),
+            customers=_customers(raw.tenants),
         )
     except (msgspec.MsgspecError, ValueError) as error:
         return errors.Failure(errors.BAD_CONFIGURATION, str(error))
@@ -220,9 +240,73 @@
         resumable=raw.resumable,
         generative=raw.sticky,
         longest_pause=raw.gap_aim_ms / 1000,
+        anonymous=raw.anonymous,
+    )
+
+
+def _customers(
+    raw: list[_Tenant] | None,
+) -> customers.Customers | None:
+    """Return the customers; None if the document does not speak of any.
+
+    Keys are named by their digests.
+
+    Raises:
+        ValueError: a field has a wrong value.
+    """
+    if raw is None:
+        return None
+    names: set[str] = set()
+    keys: set[ids.KeyDigest] = set()
+    found = []
+    for item in raw:
+        customer = _customer(item)
+        if customer.name in names:
+            raise ValueError(f'tenant {customer.name}: name held twice')
+        twice = sorted(keys & customer.keys)
+        if twice:
+            raise ValueError(f'tenant {item.name}: key {twice[0]} held twice')
+        names.add(customer.name)
+        keys |= customer.keys
+        found.append(customer)
+    return customers.Customers(found)
+
+
+def _customer(raw: _Tenant) -> customers.Customer:
+    is_name = raw.name.isascii() and raw.name.isprintable()
+    if not is_name or not 0 < len(raw.name.strip()) <= _MOST_NAME:
+        raise ValueError(f'tenant name: {raw.name[:_MOST_NAME]!r}')
+    for field in ('plain_tokens', 'rate_per_s', 'burst'):
+        value = getattr(raw, field)
+        if not 0 <= value <= _MOST_UNITS:
+            raise ValueError(f'tenant {raw.name}: {field}: {value}')
+    if raw.priority is not None and not 0 <= raw.priority <= _MOST_PRIORITY:
+        raise ValueError(f'tenant {raw.name}: priority: {raw.priority}')
+    if not all(raw.api_keys):
+        raise ValueError(f'tenant {raw.name}: api_keys: an empty one')
+    keys = frozenset(customers.digest(key) for key in raw.api_keys)
+    if len(keys) < len(raw.api_keys):
+        raise ValueError(f'tenant {raw.name}: api_keys: one held twice')
+    quota = None
+    if raw.rate_per_s:
+        quota = customers.Quota(raw.rate_per_s, raw.burst)
+    return customers.Customer(
+        name=ids.CustomerName(raw.name),
+        keys=keys,
+        priority=raw.priority,
+        unit=_unit(raw),
+        quota=quota,
+        plain_tokens=raw.plain_tokens,
     )
 
 
+def _unit(raw: _Tenant) -> customers.Unit:
+    try:
+        return customers.Unit(raw.unit)
+    except ValueError:
+        raise ValueError(f'tenant {raw.name}: unit: {raw.unit!r}') from None
+
+
 def _service(raw: _Service) -> routes.Service:
     engine = None
     if raw.engine is not None:
--- a/galenahatch/platform/wire.py
+++ b/galenahatch/platform/wire.py
@@ -17,10 +17,12 @@
 dropped from a caller's request before it goes on.
 """
 
+import dataclasses
 import typing
 
 import multidict
 
+from galenahatch.core import customers
 from galenahatch.core import incarnations
 from galenahatch.gateway import calls
 
@@ -32,6 +34,8 @@
 _PARTS: typing.Final = _PREFIX + 'Prompt-Prefix'
 _HINT: typing.Final = _PREFIX + 'Length-Hint'
 _LAST_EVENT: typing.Final = 'Last-Event-Id'
+_CREDENTIALS: typing.Final = 'Authorization'
+_CUSTOMER: typing.Final = _PREFIX + 'Tenant'
 
 INSTANCE: typing.Final = _PREFIX + 'Expect-Instance'
 """The only upstream that may take a request or an order."""
@@ -78,6 +82,11 @@
 )
 """Concern one connection; never passed on."""
 
+_LAST_PRIORITY: typing.Final = 9
+"""The rank of what engines serve last."""
+_MOST_DIGITS: typing.Final = 15
+"""Of a number that is taken for one: beyond, sums are no longer exact."""
+
 Raw = typing.Iterable[tuple[bytes, bytes]]
 
 
@@ -108,7 +117,33 @@
         patience=patience / 1000 if patience is not None else None,
         prompt=_prompt(headers),
         last_event=headers.get(_LAST_EVENT, ''),
-        caller=headers.get('Authorization', ''),
+        tokens=_tokens(headers),
+        credentials=tuple(headers.getall(_CREDENTIALS, ())),
+    )
+
+
+def identified(
+    request: calls.Call, customer: customers.Customer | None
+) -> calls.Call:
+    """Return a request whose caller is known.
+
+    Neither its credentials nor what it says of its customer go on.
+
+    Args:
+        request: as it came.
+        customer: whom the caller belongs to; None on an anonymous route.
+    """
+    headers = request.headers.copy()
+    headers.popall(_CREDENTIALS, None)
+    headers.popall(_CUSTOMER, None)
+    if customer is not None:
+        headers[_CUSTOMER] = customer.name
+    return dataclasses.replace(
+        request,
+        headers=headers,
+        credentials=(),
+        is_identified=True,
+        customer=customer,
     )
 
 
@@ -128,7 +163,7 @@
     if directions.last_event:
         headers[_LAST_EVENT] = directions.last_event
     if directions.priority is not None:
-        headers[_PRIORITY] = str(directions.priority)
+        headers[_PRIORITY] = str(min(directions.priority, _LAST_PRIORITY))
     return headers
 
 
@@ -146,11 +181,13 @@
     )
 
 
-def own_answer(request: str) -> 'multidict.CIMultiDict[str]':
+def own_answer(request: str, status: int) -> 'multidict.CIMultiDict[str]':
     """Return the headers of an answer that the system makes itself."""
     headers: multidict.CIMultiDict[str] = multidict.CIMultiDict()
     if request:
         headers[_REQUEST] = request
+    if status == 401:
+        headers['WWW-Authenticate'] = 'Bearer'
     return headers
 
 
@@ -168,14 +205,28 @@
     return headers
 
 
-def _prompt(
-    headers: 'multidict.CIMultiDict[str]',
-) -> calls.Prompt | None:
+def _sizes(headers: 'multidict.CIMultiDict[str]') -> tuple[int, int] | None:
+    """Return the tokens of the prompt, and at most of the answer."""
     sizes = headers.get(_TOKENS, '').split(',')
     numbers = [_number(size.strip()) for size in sizes]
-    if len(numbers) != 2 or None in numbers or _MODEL not in headers:
+    if len(numbers) != 2 or None in numbers:
         return None
     tokens, most = (int(number or 0) for number in numbers)
+    return tokens, most
+
+
+def _tokens(headers: 'multidict.CIMultiDict[str]') -> int | None:
+    sizes = _sizes(headers)
+    return sum(sizes) if sizes is not None else None
+
+
+def _prompt(
+    headers: 'multidict.CIMultiDict[str]',
+) -> calls.Prompt | None:
+    sizes = _sizes(headers)
+    if sizes is None or _MODEL not in headers:
+        return None
+    tokens, most = sizes
     last = headers.get(_PARTS, '').rsplit(',', 1)[-1]
     hint = _number(headers.get(_HINT, ''))
     return calls.Prompt(
@@ -195,6 +246,6 @@
 
 
 def _number(text: str) -> float | None:
-    if not text.isascii() or not text.isdigit():
+    if not text.isascii() or not text.isdigit() or len(text) > _MOST_DIGITS:
         return None
     return float(text)
--- a/galenahatch/test/fleet.py
+++ b/galenahatch/test/fleet.py
@@ -111,6 +111,26 @@
     }
 
 
+def with_customers(
+    version: int, customers: dict[str, dict[str, typing.Any]]
+) -> dict[str, typing.Any]:
+    """Return a configuration whose callers need a key.
+
+    Args:
+        version: of it.
+        customers: fields of each, by name. One more route, `/open/`, takes
+            callers without a key.
+    """
+    found = configuration(version)
+    found['routes'].append(
+        _route('/open/', 'idempotent', 'desk', 2, anonymous=True)
+    )
+    found['tenants'] = [
+        {'name': name, **fields} for name, fields in customers.items()
+    ]
+    return found
+
+
 def _route(
     prefix: str,
     kind: str,
@@ -247,14 +267,17 @@
 
     Args:
         vms: gateways.
-        upstreams: as service and stage.
+        members: upstreams as service and stage.
+        first: configuration; one without customers if not said.
     """
 
     def __init__(
         self,
         vms: int,
         members: typing.Sequence[tuple[str, str]],
+        first: dict[str, typing.Any] | None = None,
     ) -> None:
+        self.first = first or configuration()
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(
             target=self._loop.run_forever, daemon=True
@@ -290,7 +313,7 @@
 
     def __enter__(self) -> 'Fleet':
         """Start all gateways and wait until they are ready."""
-        self.put('op', 'config', configuration())
+        self.put('op', 'config', self.first)
         for vm in self.vms:
             vm.start()
         for vm in self.vms:
