Quotas of customers over all gateways

Cause: nothing counted what runs for a customer.

Change: token buckets (`core/quotas`). The owner counts generations, which ask it for engines anyway; plain calls are counted where they arrive and told with the beats, at once where all gateways together might have used half a bucket since. Levels of customers that are short come back with the answers and are taken by their minimum, so a next owner goes on from them. After the loss of all, buckets begin with a part of what the bound allows beyond the limit. Gateways that can't reach each other use the part of the quota that the gateways they hear are of all; where that holds less than one request, requests are drawn by lot. 429 with the time at which there is room, each caller another one; a request that no bucket holds is told apart (`above_quota`) and gets none. What did not run is given back. A customer's priority goes before its route's in the queue and at engines.

Ruled out: a level in tokens for gateways that are apart. What they owed kept them from serving for seconds after they were back, so a level is of the whole quota and a request takes its units divided by the part.

--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -167,9 +167,9 @@
         self._queue.add(job)
         return None
 
-    def withdraw(self, stream: ids.StreamId) -> None:
-        """Remove a request that waits: its caller is gone."""
-        self._queue.remove(stream)
+    def withdraw(self, stream: ids.StreamId) -> Job | None:
+        """Remove and return a request that waits: its caller is gone."""
+        return self._queue.remove(stream)
 
     def decide(self, now: float) -> list[generations.Decision]:
         """Place what can be placed now; give up what can't end in time."""
--- a/galenahatch/core/generations.py
+++ b/galenahatch/core/generations.py
@@ -40,6 +40,9 @@
         is_read: whether a prefill engine holds its result already.
         longest_pause: seconds between two events at the most.
         is_suspect: whether an engine ended under it lately.
+        customer: that it counts for, or empty.
+        units: of the customer's quota that it was granted.
+        priority: 0 is the most urgent.
         output: predicted tokens of the answer; set by the dispatcher.
         returned: whether it was refused before, with a time to come back;
             set by the dispatcher.
@@ -65,6 +68,9 @@
     is_read: bool = False
     longest_pause: float = 0.0
     is_suspect: bool = False
+    customer: ids.CustomerName = ids.CustomerName('')
+    units: float = 0.0
+    priority: int = 0
     output: int = 0
     returned: bool = False
     kept: bool = False
--- a/galenahatch/core/members.py
+++ b/galenahatch/core/members.py
@@ -31,11 +31,15 @@
 
 SILENT_AFTER: typing.Final = 0.8
 """Seconds without a word after which a member counts as away: three beats."""
+BEAT_EVERY: typing.Final = 0.25
+"""Seconds between beats, where they are not slower."""
 LISTEN_EVERY: typing.Final = 0.25
 """Seconds between two looks at what members send."""
 SLOWER_FROM: typing.Final = 40
 """Members from which on the beat slows down, so that what the owner spends
 on beats stays the same."""
+_LATE: typing.Final = 1.3
+"""Times its interval after which a beat is missed, where beats are slow."""
 _LAST: typing.Final = sys.maxsize
 
 
@@ -73,6 +77,15 @@
         self.order = _LAST
 
 
+def heard_within(slower: float) -> float:
+    """Return the seconds in which each member that can be reached is heard.
+
+    Args:
+        slower: how many times slower than usual beats are.
+    """
+    return max(SILENT_AFTER, _LATE * BEAT_EVERY * slower)
+
+
 class Members:
     """All members with a row.
 
@@ -216,6 +229,17 @@
         listened = min(now, self._listened_at + LISTEN_EVERY)
         return listened - member.heard_at < SILENT_AFTER * self.slower
 
+    def part_heard(self, now: float) -> float:
+        """Return which part of all members this one decides for.
+
+        Those that are silent may be gone, or be decided for elsewhere.
+        """
+        listened = min(now, self._listened_at + LISTEN_EVERY)
+        others = [m for name, m in self.known.items() if name != self._me]
+        within = heard_within(self.slower)
+        heard = sum(listened - m.heard_at < within for m in others)
+        return min(1.0, (1 + heard) / self.size)
+
     def owner(self, leaving: bool, now: float) -> ids.MemberId:
         """Return the first member that answers; this one in the end.
 
--- /dev/null
+++ b/galenahatch/core/quotas.py
@@ -0,0 +1,348 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Quotas of customers over all VMs: who may use how much.
+
+The bound is on a sliding window: what runs for a customer stays under
+(rate x window + burst) x (1 + overshoot) + slack, over all VMs. What is
+refused below the limit is lost to the customer, so the part that the bound
+allows beyond the limit is spent on what can't be known exactly:
+
+- Generations ask the owner for engines anyway, and it alone counts them. Its
+  buckets hold somewhat more than the burst (`_MARGIN`), since requests reach
+  it in another order than they were sent in.
+- Plain calls are counted where they arrive, against the levels that the
+  owner last told, and told to it with the next beat; at once where so many
+  came that all VMs together might have used half a bucket since (`is_much`).
+- A new owner goes on from the levels that the last one told. After the loss
+  of all VMs nobody knows them; buckets then begin with a part (`_FRESH`).
+- VMs that can't reach each other have owners of their own. Each uses the
+  part of the quota that the VMs which it hears are of all, and a little more
+  (`_APART`), as some of those that are silent are gone and not apart. Where
+  that part holds less than one request, requests are drawn by lot, in such a
+  number that the parts of all VMs are used up and not exceeded: a part for
+  each VM would let no long request pass at all.
+
+A level is of the whole quota: a VM that decides for a tenth of all takes ten
+times the units of each request from it. What a VM has used by itself so
+stands for what all like it have used, once it decides for more of them.
+
+Levels are told and taken over by their minimum, so that words of two owners
+may come in any order, late or twice. Times are monotonic seconds.
+"""
+
+import dataclasses
+import random
+import typing
+
+from galenahatch.core import customers
+from galenahatch import ids
+
+_MARGIN: typing.Final = 0.3
+"""Part of what the bound allows beyond the limit that a bucket holds beyond
+the burst."""
+_FRESH: typing.Final = 0.3
+"""The same for the level at which buckets begin that nobody knows of: all
+VMs may be lost twice in one window."""
+_APART: typing.Final = 0.25
+"""The same for VMs that can't reach each other."""
+_SPREAD: typing.Final = 0.5
+"""Part of a window over which those come back that there is no room for in
+it."""
+_LEAST_TOLD: typing.Final = 0.25
+"""Least part of all VMs that one counts for whose plain calls are told."""
+_UNTOLD: typing.Final = 0.5
+"""Part of a bucket that all VMs may have used without a word."""
+_LOW: typing.Final = 0.5
+"""Part of a bucket below which its level is told."""
+_MOST_TOLD: typing.Final = 32
+"""Levels in one message, some 20 bytes each, the lowest first."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Bound:
+    """What all VMs together must keep.
+
+    Attributes:
+        window: seconds.
+        overshoot: part of the limit by which it may be exceeded.
+        slack: units by which it may be exceeded besides.
+    """
+
+    window: float = 10.0
+    overshoot: float = 0.1
+    slack: float = 0.0
+
+    def beyond(self, quota: customers.Quota) -> float:
+        """Return the units beyond a quota that a window may hold."""
+        limit = quota.rate * self.window + quota.burst
+        return self.overshoot * limit + self.slack
+
+    def boost(self, quota: customers.Quota) -> float:
+        """Return how many times their part VMs that are apart may use."""
+        limit = quota.rate * self.window + quota.burst
+        return 1 + _APART * self.beyond(quota) / limit
+
+
+@dataclasses.dataclass(frozen=True)
+class Denied:
+    """Why a request goes beyond a quota.
+
+    Attributes:
+        retry_after: seconds after which there is room for it; None if there
+            never is.
+        why: inputs of the decision.
+    """
+
+    retry_after: float | None
+    why: str
+
+
+class _Bucket:
+    """What one customer may use now."""
+
+    def __init__(self, quota: customers.Quota, bound: Bound) -> None:
+        self.set_quota(quota, bound)
+        self.level = self.capacity
+        self.filled_at = 0.0
+        # When there is room for all that were asked to come back.
+        self.booked_until = 0.0
+
+    def set_quota(self, quota: customers.Quota, bound: Bound) -> None:
+        self.quota = quota
+        self.capacity = quota.burst + _MARGIN * bound.beyond(quota)
+        self.boost = bound.boost(quota)
+
+    def begin(self, level: float) -> None:
+        self.level = min(self.capacity, level)
+
+    def fill(self, now: float) -> None:
+        """Add what has come since the last call."""
+        came = self.quota.rate * max(0.0, now - self.filled_at)
+        self.filled_at = max(self.filled_at, now)
+        self.begin(self.level + came)
+
+    def used(self, part: float) -> float:
+        """Return the part of the quota that may be used for a part of VMs."""
+        return min(1.0, part * self.boost)
+
+
+class Quotas:
+    """The buckets of all customers, as one VM knows them.
+
+    Args:
+        bound: that all VMs together keep.
+        random_source: draws lots.
+    """
+
+    def __init__(self, bound: Bound, random_source: random.Random) -> None:
+        self._bound = bound
+        self._random = random_source
+        self._buckets: dict[ids.CustomerName, _Bucket] = {}
+        self._untold: dict[ids.CustomerName, float] = {}
+        self._part = 1.0
+        self._is_new = True
+
+    def configure(
+        self,
+        known: typing.Mapping[ids.CustomerName, customers.Customer],
+        now: float,
+    ) -> None:
+        """Take the customers of a configuration.
+
+        A customer that is new in it begins with its burst; a burst that was
+        raised is there at once.
+        """
+        limited = {
+            name: customer.quota
+            for name, customer in known.items()
+            if customer.quota is not None
+        }
+        for name in self._buckets.keys() - limited.keys():
+            del self._buckets[name]
+            self._untold.pop(name, None)
+        for name, quota in limited.items():
+            self._set_quota(name, quota, now)
+        self._is_new = False
+
+    def _set_quota(
+        self, name: ids.CustomerName, quota: customers.Quota, now: float
+    ) -> None:
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            bucket = self._buckets[name] = _Bucket(quota, self._bound)
+            bucket.filled_at = now
+            if self._is_new:
+                bucket.begin(_FRESH * self._bound.beyond(quota))
+            return
+        if bucket.quota == quota:
+            return
+        bucket.fill(now)
+        raised = quota.burst - bucket.quota.burst
+        bucket.set_quota(quota, self._bound)
+        bucket.begin(bucket.level + max(0.0, raised))
+        bucket.booked_until = now
+
+    def decide_for(self, part: float) -> None:
+        """Note for which part of all VMs this one decides."""
+        self._part = part
+
+    def take(
+        self,
+        name: ids.CustomerName,
+        units: float,
+        now: float,
+        told: bool = False,
+    ) -> Denied | None:
+        """Take a request's units; return why it may not run.
+
+        Args:
+            name: of the customer.
+            units: that the request counts as.
+            now: monotonic seconds.
+            told: whether the owner must hear of it with the next beat.
+        """
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            return None
+        bucket.fill(now)
+        if units > bucket.capacity:
+            why = f'{units:.0f} units, {bucket.capacity:.0f} at most'
+            return Denied(None, why)
+        if not self._has_room(bucket, units):
+            return self._denied(bucket, units, now)
+        if told:
+            self._untold[name] = self._untold.get(name, 0.0) + units
+        return None
+
+    def _has_room(self, bucket: _Bucket, units: float) -> bool:
+        """Take units from a bucket, if it holds them.
+
+        Where a full one would not, all that it holds is staked on a request:
+        over all VMs as many units win as are lost.
+        """
+        wanted = units / bucket.used(self._part)
+        if wanted <= bucket.level:
+            bucket.level -= wanted
+            return True
+        if wanted <= bucket.capacity or bucket.level <= 0:
+            return False
+        wins = self._random.random() * wanted < bucket.level
+        bucket.level = 0.0
+        return wins
+
+    def _denied(self, bucket: _Bucket, units: float, now: float) -> Denied:
+        """Return when there is room, behind all that were told to come."""
+        used = bucket.used(self._part)
+        rate = bucket.quota.rate * used
+        wait = max(0.0, units - bucket.level * used) / rate
+        wait = max(wait, bucket.booked_until - now + units / rate)
+        if wait > self._bound.window:
+            # Not all come back; so far ahead nothing is known.
+            wait = self._bound.window * (1 - _SPREAD * self._random.random())
+        else:
+            bucket.booked_until = now + wait
+        why = (
+            f'{units:.0f} units, {bucket.level * used:.0f} left,'
+            f' {bucket.quota.rate:.0f} a second, part {used:.3f}'
+        )
+        return Denied(wait, why)
+
+    def give_back(
+        self,
+        name: ids.CustomerName,
+        units: float,
+        now: float,
+        told: bool = False,
+    ) -> None:
+        """Return the units of a request that did not run."""
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            return
+        bucket.fill(now)
+        bucket.begin(bucket.level + units / bucket.used(self._part))
+        if told:
+            self._untold[name] = self._untold.get(name, 0.0) - units
+
+    def most(self, name: ids.CustomerName) -> float | None:
+        """Return the most units of one request; None for no limit."""
+        bucket = self._buckets.get(name)
+        return None if bucket is None else bucket.capacity
+
+    # What VMs tell each other.
+
+    def is_much(self, name: ids.CustomerName, size: int) -> bool:
+        """Return whether what was used here can't wait for the next beat.
+
+        Args:
+            name: of the customer.
+            size: VMs that may have used as much.
+        """
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            return False
+        untold = self._untold.get(name, 0.0)
+        return untold * size >= _UNTOLD * bucket.capacity
+
+    def levels(
+        self, names: typing.Iterable[ids.CustomerName], now: float
+    ) -> dict[ids.CustomerName, float]:
+        """Return the levels of some customers."""
+        found = {}
+        for name in names:
+            bucket = self._buckets.get(name)
+            if bucket is not None:
+                bucket.fill(now)
+                found[name] = bucket.level
+        return found
+
+    def take_untold(self) -> dict[ids.CustomerName, float]:
+        """Return what was used here since the last call."""
+        untold, self._untold = self._untold, {}
+        return untold
+
+    def used_elsewhere(
+        self, used: typing.Mapping[ids.CustomerName, float], now: float
+    ) -> None:
+        """Take what another VM has counted; it may lead to a debt.
+
+        An owner that has just begun to hear the others has heard too few of
+        them to divide by its part.
+        """
+        part = max(self._part, _LEAST_TOLD)
+        for name, units in used.items():
+            bucket = self._buckets.get(name)
+            if bucket is not None:
+                bucket.fill(now)
+                bucket.begin(bucket.level - units / bucket.used(part))
+
+    def low(self, now: float) -> dict[ids.CustomerName, float]:
+        """Return the levels of customers that are short."""
+        levels = {}
+        for name, bucket in self._buckets.items():
+            bucket.fill(now)
+            if bucket.level < _LOW * bucket.capacity:
+                levels[name] = bucket.level
+        if len(levels) <= _MOST_TOLD:
+            return levels
+        lowest = sorted(levels, key=lambda name: levels[name])
+        return {name: levels[name] for name in lowest[:_MOST_TOLD]}
+
+    def hear(
+        self, levels: typing.Mapping[ids.CustomerName, float], now: float
+    ) -> None:
+        """Take the levels that an owner tells."""
+        for name, level in levels.items():
+            bucket = self._buckets.get(name)
+            if bucket is not None:
+                bucket.fill(now)
+                bucket.begin(min(bucket.level, level))
--- a/galenahatch/core/waiting.py
+++ b/galenahatch/core/waiting.py
@@ -39,7 +39,7 @@
 would have been in time at engines that end 0.87 of the demand."""
 
 Job = generations.Job
-Rank = tuple[int, float]
+Rank = tuple[int, int, float]
 
 
 def limit(job: Job) -> float:
@@ -80,9 +80,9 @@
         """Take a request."""
         self._jobs[job.stream] = job
 
-    def remove(self, stream: ids.StreamId) -> None:
-        """Forget a request, if it waits."""
-        self._jobs.pop(stream, None)
+    def remove(self, stream: ids.StreamId) -> Job | None:
+        """Forget a request; return it if it was waiting."""
+        return self._jobs.pop(stream, None)
 
     def keep(self, job: Job, is_late: bool = False) -> None:
         """Note that a request is to be served, in time or late."""
@@ -124,12 +124,13 @@
     def _ranking(self, now: float) -> collections.abc.Callable[[Job], Rank]:
         def rank(job: Job) -> Rank:
             if job.going_on:
-                return 0, job.arrived_at
+                return 0, 0, job.arrived_at
             late = job.start_by < now + self._measures.until_first(job)
             if job.is_late or late:
-                return 4 if job.returned else 5, job.leaves_at
+                turn = 4 if job.returned else 5
+                return turn, job.priority, job.leaves_at
             if job.kept:
-                return 1, job.arrived_at
-            return 2 if job.returned else 3, job.start_by
+                return 1, job.priority, job.arrived_at
+            return 2 if job.returned else 3, job.priority, job.start_by
 
         return rank
--- a/galenahatch/errors.py
+++ b/galenahatch/errors.py
@@ -186,18 +186,10 @@
     'Come back after Retry-After, or raise the share of the caller.',
 )
 OVER_QUOTA = _reason(
-    'over_quota',
-    429,
-    _NOT_RUN,
-    'The customer has used its quota.',
-    'Come back after Retry-After, or raise the quota of the customer.',
+    'over_quota', 429, _NOT_RUN, 'The quota is used.', 'Wait, or raise it.'
 )
 ABOVE_QUOTA = _reason(
-    'larger_than_quota',
-    429,
-    _NOT_RUN,
-    'The request alone is larger than the quota of its customer.',
-    'Ask for less at once, or raise the burst of the customer.',
+    'above_quota', 429, _NOT_RUN, 'No quota holds so much.', 'Raise the burst.'
 )
 NO_ENGINE = _reason(
     'no_engine',
--- /dev/null
+++ b/galenahatch/gateway/accounts.py
@@ -0,0 +1,168 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""What customers use of their quotas, and what gateways tell of it.
+
+The owner counts generations, which ask it for engines. Plain calls are
+counted by the gateway that takes them; the owner hears of them with the next
+beat, and tells with its answer which customers are short (`core/quotas`).
+"""
+
+import collections.abc
+import typing
+
+from galenahatch import clock
+from galenahatch.core import quotas
+from galenahatch import errors
+from galenahatch.gateway import calls
+from galenahatch.gateway import directory as directories
+from galenahatch.gateway import instruments
+from galenahatch.gateway import messages
+from galenahatch import ids
+from galenahatch import logs
+
+_LOOK_EVERY: typing.Final = 0.05
+"""Seconds for which told levels are not looked up again: an owner answers
+hundreds of beats a second."""
+_log = logs.Log('accounts')
+
+Announce = collections.abc.Callable[[tuple[messages.Used, ...]], None]
+
+
+class Accounts:
+    """This gateway's part of it.
+
+    Args:
+        directory: customers and their quotas.
+        bound: that all gateways together keep.
+
+    Attributes:
+        announce: tells the owner at once what was used here.
+        size: returns how many gateways there are.
+    """
+
+    def __init__(
+        self, directory: directories.Directory, bound: quotas.Bound
+    ) -> None:
+        self._directory = directory
+        self._quotas = quotas.Quotas(bound, clock.RANDOM)
+        self._version = 0
+        self._low: tuple[messages.Level, ...] = ()
+        self._looked_at = 0.0
+        self.announce: Announce = lambda used: None
+        self.size: collections.abc.Callable[[], int] = lambda: 1
+        directory.on_change(self._configure)
+
+    def _configure(self) -> None:
+        config = self._directory.config
+        if config is None or config.version == self._version:
+            return
+        self._version = config.version
+        known = config.customers.by_name if config.customers else {}
+        self._quotas.configure(known, clock.now())
+
+    # Plain calls, counted here.
+
+    def charge(self, call: calls.Call) -> errors.Failure | None:
+        """Count a plain call; return why it may not run."""
+        if call.customer is None or not call.units:
+            return None
+        denied = self._quotas.take(
+            call.customer.name, call.units, clock.now(), told=True
+        )
+        if denied is not None:
+            return failure(denied.why, denied.retry_after)
+        if self._quotas.is_much(call.customer.name, self.size()):
+            self.announce(self.take_new())
+        return None
+
+    def refund(self, call: calls.Call) -> None:
+        """Take back the charge of a plain call that did not run."""
+        if call.customer is not None and call.units:
+            self._quotas.give_back(
+                call.customer.name, call.units, clock.now(), told=True
+            )
+
+    def failure_alone(self, call: calls.Call) -> errors.Failure | None:
+        """Return why a request can never run, if it is too large."""
+        if call.customer is None or not call.units:
+            return None
+        most = self._quotas.most(call.customer.name)
+        if most is None or call.units <= most:
+            return None
+        return failure(f'{call.units:.0f} units, {most:.0f} at most', None)
+
+    # Generations, counted by the owner.
+
+    def grant(
+        self, customer: ids.CustomerName, units: float
+    ) -> quotas.Denied | None:
+        """Count a generation as the owner; return why it may not run."""
+        denied = self._quotas.take(customer, units, clock.now())
+        if denied is not None:
+            _log.info(
+                'Over quota.',
+                customer=customer,
+                why=denied.why,
+                config=self._version,
+            )
+        return denied
+
+    def give_back(self, customer: ids.CustomerName, units: float) -> None:
+        """Take back, as the owner, what a generation was granted."""
+        self._quotas.give_back(customer, units, clock.now())
+
+    # What gateways tell each other.
+
+    def decides_for(self, part: float) -> None:
+        """Note for which part of all gateways this one decides."""
+        self._quotas.decide_for(part)
+
+    def take_new(self) -> tuple[messages.Used, ...]:
+        """Return what was used here since the last call, for a beat."""
+        untold = self._quotas.take_untold()
+        return tuple(messages.Used(*item) for item in untold.items())
+
+    def take(self, used: tuple[messages.Used, ...]) -> None:
+        """Count what another gateway tells with its beat."""
+        units = {one.customer: one.units for one in used}
+        self._quotas.used_elsewhere(units, clock.now())
+
+    def levels(
+        self, used: tuple[messages.Used, ...]
+    ) -> tuple[messages.Level, ...]:
+        """Return what is left to the customers of another gateway's calls."""
+        names = [one.customer for one in used]
+        levels = self._quotas.levels(names, clock.now())
+        return tuple(messages.Level(*item) for item in levels.items())
+
+    def low(self) -> tuple[messages.Level, ...]:
+        """Return the customers that are short, for the answer to a beat."""
+        now = clock.now()
+        if now - self._looked_at > _LOOK_EVERY:
+            self._looked_at = now
+            levels = self._quotas.low(now)
+            self._low = tuple(messages.Level(*it) for it in levels.items())
+        return self._low
+
+    def hear(self, low: tuple[messages.Level, ...]) -> None:
+        """Take what an owner tells."""
+        levels = {one.customer: one.units for one in low}
+        self._quotas.hear(levels, clock.now())
+
+
+def failure(why: str, retry_after: float | None) -> errors.Failure:
+    """Return what a caller is told whose customer has used its quota."""
+    if retry_after is None:
+        return errors.Failure(errors.ABOVE_QUOTA, why)
+    instruments.over_quota.add(1)
+    return errors.Failure(errors.OVER_QUOTA, why, retry_after)
--- a/galenahatch/gateway/ending.py
+++ b/galenahatch/gateway/ending.py
@@ -10,7 +10,7 @@
 # License for the specific language governing permissions and limitations
 # under the License.
 
-"""What a stream that was passed on whole came to: metrics and one log line."""
+"""What streams came to: metrics, and one log line each."""
 
 import dataclasses
 
@@ -18,6 +18,7 @@
 from galenahatch.gateway import calls
 from galenahatch.gateway import instruments
 from galenahatch.gateway import relay as relays
+from galenahatch.gateway import sender as senders
 from galenahatch import ids
 from galenahatch import logs
 
@@ -37,6 +38,36 @@
     seconds: float
 
 
+def lost(
+    sentence: str,
+    call: calls.Call,
+    engine: ids.UpstreamId,
+    send: senders.Lost,
+    events: int,
+    seconds: float,
+) -> None:
+    """Note that a send to a decode engine came to no end.
+
+    Args:
+        sentence: of the log line.
+        call: of the caller.
+        engine: that it went to.
+        send: what is known of it.
+        events: that the caller has had.
+        seconds: since it was sent.
+    """
+    _log.warning(
+        sentence,
+        request=call.id,
+        engine=engine,
+        fate=send.fate.value,
+        events=events,
+        digest=call.digest,
+        seconds=seconds,
+        detail=send.detail,
+    )
+
+
 def streamed(
     call: calls.Call,
     relay: relays.Relay,
--- a/galenahatch/gateway/front.py
+++ b/galenahatch/gateway/front.py
@@ -35,6 +35,7 @@
 from galenahatch.gateway import instruments
 from galenahatch.gateway import means as means_module
 from galenahatch.gateway import plain
+from galenahatch import ids
 from galenahatch import logs
 from galenahatch.platform import wire
 from galenahatch import timeouts
@@ -48,6 +49,8 @@
 _LONG_LIFE: typing.Final = 0.9
 """Streams whose durations are kept, and the share of them that must end
 before this process does for another one to begin."""
+_CUSTOMERS_OWN: typing.Final = (errors.OVER_QUOTA, errors.ABOVE_QUOTA)
+"""Refusals for what a customer asks and not for what the system lacks."""
 _log = logs.Log('front')
 
 
@@ -229,6 +232,9 @@
         if self._means.guard.holds(call):
             failure = self._means.guard.failure(call)
             return self._respond(call, route, failure)
+        too_large = self._means.accounts.failure_alone(call)
+        if too_large is not None:
+            return self._respond(call, route, too_large)
         name = routes.pick_service(route, clock.RANDOM)
         service = self._means.directory.service(name)
         if (
@@ -240,8 +246,22 @@
         if self._cuts(call, route):
             failure = means_module.refusal(errors.LEAVING, '', _ELSEWHERE)
             return self._respond(call, route, failure)
-        result = await plain.Course(self._means, call, route, name).run()
-        return self._respond(call, route, result)
+        return self._respond(call, route, await self._call(call, route, name))
+
+    async def _call(
+        self, call: calls.Call, route: routes.Route, service: ids.ServiceName
+    ) -> means_module.Whole | errors.Failure:
+        """Run a plain call within its customer's quota."""
+        denied = self._means.accounts.charge(call)
+        if denied is not None:
+            return denied
+        result = await plain.Course(self._means, call, route, service).run()
+        if (
+            isinstance(result, errors.Failure)
+            and result.outcome is errors.Outcome.NOT_RUN
+        ):
+            self._means.accounts.refund(call)
+        return result
 
     async def _generate(
         self,
@@ -319,7 +339,7 @@
     ) -> web.StreamResponse:
         """Return an answer that the system makes itself."""
         status = failure.reason.status
-        if status == 429:
+        if status == 429 and failure.reason not in _CUSTOMERS_OWN:
             status = 503
         headers = wire.own_answer(request, status)
         if failure.retry_after is not None:
--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -31,6 +31,7 @@
 from galenahatch.core import routes
 from galenahatch.core import upstreams
 from galenahatch import errors
+from galenahatch.gateway import accounts
 from galenahatch.gateway import calls
 from galenahatch.gateway import ending
 from galenahatch.gateway import means as means_module
@@ -94,6 +95,7 @@
         self._stage = 'waiting'
         self._engine = ids.UpstreamId('')
         self._ran_on = False
+        self._was_placed = False
         self._reader = prefill.Reader(means, call, service)
 
     async def run(self) -> means_module.Whole | errors.Failure | None:
@@ -103,7 +105,10 @@
             Broken: it broke off after the caller had a part of it.
         """
         try:
-            return await self._run()
+            result = await self._run()
+            if self._was_placed and isinstance(result, errors.Failure):
+                self._give_back(result)
+            return result
         except asyncio.CancelledError:
             _log.info(
                 'Caller left.',
@@ -115,6 +120,12 @@
         finally:
             self._reader.free()
 
+    def _give_back(self, failure: errors.Failure) -> None:
+        """Return what the customer was charged for what has not run."""
+        units = self._call.units
+        if units and failure.outcome is errors.Outcome.NOT_RUN:
+            self._means.ownership.give_back(self._call.customer_name, units)
+
     async def _run(self) -> means_module.Whole | errors.Failure | None:
         for number in range(1, _MOST_PLACES + 1):
             if means_module.over(self._end_by):
@@ -127,6 +138,7 @@
             self._spent.waited += clock.now() - began
             if isinstance(placed, messages.GivenUp):
                 return self._given_up(placed)
+            self._was_placed = True
             result = await self._attempt(stream, placed)
             if not isinstance(result, prefill.Again):
                 return result
@@ -162,6 +174,9 @@
             attempt=attempt,
             extra=self._reader.extra_sends() + (self._decodes > 0),
             is_suspect=self._means.guard.suspects(self._call),
+            customer=self._call.customer_name,
+            units=self._call.units if attempt == 1 else 0.0,
+            priority=means_module.priority(self._call, self._route),
         )
 
     def _sizes(self) -> tuple[int, int]:
@@ -255,6 +270,7 @@
             left,
             kv_source=self._reader.source(),
             last_event=self._relay.last_event,
+            priority=self._call.priority,
         )
         self._sends.begin()
         self._sent_at = clock.now()
@@ -387,6 +403,8 @@
             raise Broken(given_up.why)
         if not self._sends.surely_not_run:
             return errors.Failure(errors.SEND_INTERRUPTED, given_up.why)
+        if given_up.is_over_quota:
+            return accounts.failure(given_up.why, given_up.retry_after)
         return means_module.refusal(
             errors.NO_TIME, given_up.why, given_up.retry_after
         )
@@ -403,18 +421,8 @@
         return errors.Failure(errors.SEND_INTERRUPTED, self._detail)
 
     def _log_lost(
-        self,
-        sentence: str,
-        engine: upstreams.Upstream,
-        lost: senders.Lost,
+        self, sentence: str, engine: upstreams.Upstream, lost: senders.Lost
     ) -> None:
-        _log.warning(
-            sentence,
-            request=self._call.id,
-            engine=engine.id,
-            fate=lost.fate.value,
-            events=self._relay.count,
-            digest=self._call.digest,
-            seconds=clock.now() - self._sent_at,
-            detail=lost.detail,
-        )
+        seconds = clock.now() - self._sent_at
+        events = self._relay.count
+        ending.lost(sentence, self._call, engine.id, lost, events, seconds)
--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -91,6 +91,10 @@
     'galenahatch_upstream_ends',
     description='Upstreams that ended under a request just begun.',
 )
+over_quota = _meter.create_counter(
+    'galenahatch_over_quota',
+    description='Requests refused since their customer used its quota.',
+)
 orders = _meter.create_counter(
     'galenahatch_orders', description='Orders sent to engines, by status.'
 )
--- a/galenahatch/gateway/means.py
+++ b/galenahatch/gateway/means.py
@@ -20,6 +20,7 @@
 from galenahatch.core import extras
 from galenahatch.core import routes
 from galenahatch import errors
+from galenahatch.gateway import accounts as accounts_module
 from galenahatch.gateway import calls
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import ownership as ownerships
@@ -51,6 +52,7 @@
     budget: extras.SharedBudget
     ownership: ownerships.Ownership
     guard: quarantine.Guard
+    accounts: accounts_module.Accounts
     tasks: tasks.Tasks
 
 
@@ -97,6 +99,11 @@
     return call.arrived_at + patience
 
 
+def priority(call: calls.Call, route: routes.Route) -> int:
+    """Return how urgent a request is; that of its customer goes first."""
+    return route.priority if call.priority is None else call.priority
+
+
 def left(moment: float) -> float:
     """Return the seconds until a moment."""
     return moment - clock.now()
--- a/galenahatch/gateway/mesh.py
+++ b/galenahatch/gateway/mesh.py
@@ -24,11 +24,13 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import typing
 
 from galenahatch import bus
 from galenahatch import clock
 from galenahatch.core import members
+from galenahatch.gateway import accounts
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import instruments
 from galenahatch.gateway import messages
@@ -41,8 +43,6 @@
 from galenahatch import tasks
 from galenahatch import timeouts
 
-BEAT_EVERY: typing.Final = 0.25
-"""Seconds between beats."""
 _ASK_EVERY: typing.Final = 0.6
 """Seconds between two questions for news. A configuration of 350 routes
 takes a slow link that long for all members; asked for with each beat, it
@@ -55,6 +55,21 @@
 Handler = collections.abc.Callable[[ids.MemberId, messages.AnyMessage], None]
 
 
+@dataclasses.dataclass(frozen=True)
+class Exchanges:
+    """What gateways tell each other with their beats.
+
+    Attributes:
+        outcomes: what sends to plain upstreams came to.
+        guard: what is known of requests that end upstreams.
+        accounts: what customers use of their quotas.
+    """
+
+    outcomes: outcomes.Exchange
+    guard: quarantine.Guard
+    accounts: accounts.Accounts
+
+
 class Mesh:
     """The members, and the connections to those that matter.
 
@@ -64,8 +79,7 @@
         port: where this gateway listens for others.
         data_centre: of this VM.
         directory: what this gateway knows.
-        exchange: what sends to plain upstreams came to.
-        guard: what is known of requests that end upstreams.
+        exchanges: what gateways tell each other.
         handler: called with each message and the member that sent it.
         background: where its tasks run.
     """
@@ -77,14 +91,14 @@
         port: int,
         data_centre: ids.DataCentre,
         directory: directories.Directory,
-        exchange: outcomes.Exchange,
-        guard: quarantine.Guard,
+        exchanges: Exchanges,
         handler: Handler,
         background: tasks.Tasks,
     ) -> None:
         self._directory = directory
-        self._exchange = exchange
-        self._guard = guard
+        self._exchange = exchanges.outcomes
+        self._guard = exchanges.guard
+        self._accounts = exchanges.accounts
         self._handler = handler
         self._tasks = background
         self._incarnation = clock.incarnation()
@@ -94,7 +108,7 @@
             ids.MemberId(address),
             rosters.Introduction(port, data_centre),
             self._drop,
-            guard.take,
+            self._guard.take,
         )
         self._members = self._roster.members
         self._links: dict[ids.MemberId, bus.Link[messages.AnyMessage]] = {}
@@ -112,7 +126,9 @@
         ] = tuple
         self._hub = bus.Hub(f'tcp://{address}:{port}', CODEC, self._from_hub)
         directory.fed_by_peers = self._roster.fed_by_peers
-        guard.announce = self._announce
+        self._guard.announce = self._announce
+        self._accounts.announce = self._announce_used
+        self._accounts.size = lambda: self.size
 
     @property
     def size(self) -> int:
@@ -193,7 +209,7 @@
             self._beat()
             if self._owner == self.me:
                 await self._roster.tidy()
-            await asyncio.sleep(BEAT_EVERY * self._members.slower)
+            await asyncio.sleep(members.BEAT_EVERY * self._members.slower)
 
     def _beat(self) -> None:
         now = clock.now()
@@ -208,9 +224,13 @@
             self._members.order,
             self._directory.hears_store,
             self._guard.tell(),
+            self._accounts.take_new(),
         )
         if self._members.owner(self.leaving, now) == self.me:
             self._exchange.decides()
+            self._accounts.decides_for(self._members.part_heard(now))
+        else:
+            self._accounts.decides_for(1.0)
         self._send_first(message)
 
     def _send_first(self, message: messages.AnyMessage) -> None:
@@ -233,6 +253,10 @@
         else:
             self._send_first(message)
 
+    def _announce_used(self, used: tuple[messages.Used, ...]) -> None:
+        """Tell the owner, and the next one, at once what was used here."""
+        self._send_first(messages.Spent(used))
+
     def _drop(self, name: ids.MemberId) -> None:
         link = self._links.pop(name, None)
         if link is not None:
@@ -256,6 +280,7 @@
             self._meet(message.member, peer)
             self._hear(message.member, message)
             self._exchange.take(message.outcomes)
+            self._accounts.take(message.used)
             self._guard.hear(message.suspicions)
             self.reply(
                 message.member,
@@ -271,6 +296,7 @@
                     self._exchange.sums(),
                     self._members.order,
                     self._guard.tell(),
+                    self._accounts.low(),
                 ),
             )
             self._compare(message)
@@ -291,6 +317,7 @@
             self._members.told_size(message.members)
             if name == self._members.owner(self.leaving, clock.now()):
                 self._exchange.hear(message.outcomes)
+            self._accounts.hear(message.low)
             self._guard.hear(message.suspicions)
             self._compare(message)
             self._handler(name, message)
@@ -333,6 +360,12 @@
             self._directory.take_news(message)
         elif isinstance(message, messages.Suspicions):
             self._guard.hear(message.told)
+        elif isinstance(message, messages.Spent):
+            self._accounts.take(message.used)
+            levels = self._accounts.levels(message.used)
+            answer(name, messages.Left(levels))
+        elif isinstance(message, messages.Left):
+            self._accounts.hear(message.levels)
         else:
             self._handler(name, message)
 
--- a/galenahatch/gateway/messages.py
+++ b/galenahatch/gateway/messages.py
@@ -76,6 +76,20 @@
     cleared: bool = False
 
 
+class Used(msgspec.Struct, frozen=True, array_like=True):
+    """What a gateway counted of a customer since its last beat."""
+
+    customer: ids.CustomerName
+    units: float
+
+
+class Level(msgspec.Struct, frozen=True, array_like=True):
+    """What a customer may still use now; a debt if negative."""
+
+    customer: ids.CustomerName
+    units: float
+
+
 class Beat(Message, frozen=True, array_like=True, tag=True):
     """A sign of life, with all that its sender runs.
 
@@ -90,6 +104,7 @@
         order: version of its row in the store, 0 until it has one.
         hears_store: whether its sender follows the store without trouble.
         suspicions: that changed of late, and of the rest some in turn.
+        used: of customers' quotas since the last beat.
     """
 
     member: ids.MemberId
@@ -102,6 +117,7 @@
     order: int = 0
     hears_store: bool = False
     suspicions: tuple[Suspicion, ...] = ()
+    used: tuple[Used, ...] = ()
 
 
 class Figures(msgspec.Struct, frozen=True, array_like=True):
@@ -143,6 +159,7 @@
         outcomes: of the sends of all gateways that beat to it.
         order: version of its row in the store, 0 until it has one.
         suspicions: that changed of late, and of the rest some in turn.
+        low: customers that are short.
     """
 
     member: ids.MemberId
@@ -156,6 +173,7 @@
     outcomes: tuple[Outcomes, ...] = ()
     order: int = 0
     suspicions: tuple[Suspicion, ...] = ()
+    low: tuple[Level, ...] = ()
 
 
 class Place(Message, frozen=True, array_like=True, tag=True):
@@ -171,6 +189,9 @@
         attempt: number of this attempt of the request, from 1.
         extra: sends beyond the first that it will make if it is placed.
         is_suspect: whether an engine ended under it lately.
+        customer: that it counts for, or empty.
+        units: of the customer's quota that it counts as.
+        priority: 0 is the most urgent.
     """
 
     stream: ids.StreamId
@@ -191,6 +212,9 @@
     attempt: int = 1
     extra: int = 0
     is_suspect: bool = False
+    customer: ids.CustomerName = ids.CustomerName('')
+    units: float = 0.0
+    priority: int = 0
 
 
 class Queued(Message, frozen=True, array_like=True, tag=True):
@@ -215,11 +239,16 @@
 
 
 class GivenUp(Message, frozen=True, array_like=True, tag=True):
-    """There is no room in time; come back after some seconds."""
+    """There is no room in time; come back after some seconds.
+
+    Attributes:
+        is_over_quota: whether its customer has used its quota.
+    """
 
     stream: ids.StreamId
     retry_after: float
     why: str
+    is_over_quota: bool = False
 
 
 class Declined(Message, frozen=True, array_like=True, tag=True):
@@ -270,6 +299,25 @@
     unreachable: ids.UpstreamId = ids.UpstreamId('')
 
 
+class GivenBack(Message, frozen=True, array_like=True, tag=True):
+    """A generation that was counted for a customer has not run."""
+
+    customer: ids.CustomerName
+    units: float
+
+
+class Spent(Message, frozen=True, array_like=True, tag=True):
+    """Tells what customers used, ahead of the next beat."""
+
+    used: tuple[Used, ...]
+
+
+class Left(Message, frozen=True, array_like=True, tag=True):
+    """The answer: what is left to them."""
+
+    levels: tuple[Level, ...]
+
+
 class Change(Message, frozen=True, array_like=True, tag=True):
     """Asks a gateway that hears the store to order a change of stage."""
 
@@ -343,6 +391,9 @@
     | Prefilled
     | Started
     | Release
+    | GivenBack
+    | Spent
+    | Left
     | Change
     | Changed
     | Suspicions
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -27,6 +27,7 @@
 from galenahatch.core import balance
 from galenahatch.core import extras
 from galenahatch import errors
+from galenahatch.gateway import accounts as accounts_module
 from galenahatch.gateway import connections
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import front as fronts
@@ -111,8 +112,14 @@
         self._grants = extras.GrantedBudget(
             bounds.retry_ratio, bounds.retry_reserve, bounds.retry_window
         )
+        self._accounts = accounts_module.Accounts(
+            self._directory, bounds.quota
+        )
         self._ownership = ownerships.Ownership(
-            self._directory, settings.data_centre, self._grants
+            self._directory,
+            settings.data_centre,
+            self._grants,
+            self._accounts,
         )
         self._balancer = balance.Balancer(clock.RANDOM, settings.data_centre)
         self._exchange = outcomes.Exchange(self._balancer.outliers)
@@ -130,8 +137,7 @@
             settings.peer_port,
             settings.data_centre,
             self._directory,
-            self._exchange,
-            self._guard,
+            meshes.Exchanges(self._exchange, self._guard, self._accounts),
             self._take,
             self._background,
         )
@@ -182,6 +188,7 @@
                 budget=self._budget,
                 ownership=self._ownership,
                 guard=self._guard,
+                accounts=self._accounts,
                 tasks=self._background,
             )
         )
--- a/galenahatch/gateway/owner.py
+++ b/galenahatch/gateway/owner.py
@@ -27,6 +27,8 @@
 from galenahatch.core import figures
 from galenahatch.core import generations
 from galenahatch.core import memory
+from galenahatch.core import quotas
+from galenahatch.gateway import accounts as accounts_module
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import instruments
 from galenahatch.gateway import messages
@@ -55,6 +57,7 @@
     Args:
         directory: upstreams and services.
         budget: of retries, over all gateways that ask.
+        accounts: of customers, over all gateways that ask.
         deliver: sends an answer to a member.
     """
 
@@ -62,10 +65,12 @@
         self,
         directory: directories.Directory,
         budget: extras.GrantedBudget,
+        accounts: accounts_module.Accounts,
         deliver: Deliver,
     ) -> None:
         self._directory = directory
         self._budget = budget
+        self._accounts = accounts
         self._deliver = deliver
         self._dispatchers: dict[ids.ServiceName, dispatch.Dispatcher] = {}
         self._replies: dict[ids.StreamId, Reply] = {}
@@ -97,10 +102,9 @@
             self._budget.heard(member, now)
             self._take_held(message, now)
         elif isinstance(message, messages.Withdraw):
-            self._replies.pop(message.stream, None)
-            for dispatcher in self._dispatchers.values():
-                dispatcher.withdraw(message.stream)
-                dispatcher.release(message.stream, 0, 0.0, now)
+            self._withdraw(message.stream, now)
+        elif isinstance(message, messages.GivenBack):
+            self._accounts.give_back(message.customer, message.units)
         elif isinstance(
             message,
             messages.Prefilled | messages.Started | messages.Release,
@@ -108,6 +112,14 @@
             self._take_progress(message, now)
         self._due.set()
 
+    def _withdraw(self, stream: ids.StreamId, now: float) -> None:
+        self._replies.pop(stream, None)
+        for dispatcher in self._dispatchers.values():
+            job = dispatcher.withdraw(stream)
+            if job is not None:
+                self._accounts.give_back(job.customer, job.units)
+            dispatcher.release(stream, 0, 0.0, now)
+
     def figures(self) -> tuple[messages.Figures, ...]:
         """Return what was measured of each service."""
         return tuple(
@@ -154,6 +166,10 @@
         if dispatcher is None:
             reply(messages.GivenUp(place.stream, 1.0, 'no_service'))
             return
+        denied = self._accounts.grant(place.customer, place.units)
+        if denied is not None:
+            reply(_without_quota(member, place, denied))
+            return
         if place.attempt == 1:
             self._budget.request(place.service, now)
         if not self._budget.grant(place.service, place.extra, now):
@@ -309,6 +325,7 @@
                 retry_after=decision.retry_after,
                 why=decision.why,
             )
+            self._accounts.give_back(job.customer, job.units)
         if reply is not None:
             reply(word)
 
@@ -330,6 +347,23 @@
     return messages.GivenUp(place.stream, _NO_BUDGET_PAUSE, why)
 
 
+def _without_quota(
+    member: ids.MemberId, place: messages.Place, denied: quotas.Denied
+) -> messages.GivenUp:
+    """Refuse a request whose customer has used its quota."""
+    retry_after = denied.retry_after or _NO_BUDGET_PAUSE
+    instruments.decisions.add(1, {'outcome': 'over_quota'})
+    _log.info(
+        'Refused.',
+        stream=place.stream,
+        member=member,
+        customer=place.customer,
+        retry_after=retry_after,
+        why=denied.why,
+    )
+    return messages.GivenUp(place.stream, retry_after, denied.why, True)
+
+
 def _job(
     member: ids.MemberId, place: messages.Place, now: float
 ) -> generations.Job:
@@ -351,4 +385,7 @@
         is_read=place.is_read,
         longest_pause=place.longest_pause,
         is_suspect=place.is_suspect,
+        customer=place.customer,
+        units=place.units,
+        priority=place.priority,
     )
--- a/galenahatch/gateway/ownership.py
+++ b/galenahatch/gateway/ownership.py
@@ -27,6 +27,7 @@
 
 from galenahatch import clock
 from galenahatch.core import extras
+from galenahatch.gateway import accounts as accounts_module
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import mesh as meshes
 from galenahatch.gateway import messages
@@ -50,6 +51,7 @@
     Attributes:
         attempt: number of this attempt of the request, from 1.
         extra: sends beyond the first that it will make if it is placed.
+        units: of the customer's quota, if they are not granted yet.
     """
 
     stream: ids.StreamId
@@ -68,6 +70,9 @@
     attempt: int = 1
     extra: int = 0
     is_suspect: bool = False
+    customer: ids.CustomerName = ids.CustomerName('')
+    units: float = 0.0
+    priority: int = 0
 
 
 @dataclasses.dataclass
@@ -91,6 +96,7 @@
         directory: upstreams and services.
         data_centre: of this VM.
         budget: of retries, for what this gateway decides on.
+        accounts: of customers, for the same.
     """
 
     def __init__(
@@ -98,13 +104,14 @@
         directory: directories.Directory,
         data_centre: ids.DataCentre,
         budget: extras.GrantedBudget,
+        accounts: accounts_module.Accounts,
     ) -> None:
         self._data_centre = data_centre
         self._mesh: meshes.Mesh | None = None
         self._asked: dict[ids.StreamId, asyncio.Queue[owners.Word]] = {}
         self._held: dict[ids.StreamId, _Running] = {}
         self._placed_by: dict[ids.StreamId, ids.MemberId] = {}
-        self.owner = owners.Owner(directory, budget, self._deliver)
+        self.owner = owners.Owner(directory, budget, accounts, self._deliver)
 
     def run(self, mesh: meshes.Mesh, background: tasks.Tasks) -> None:
         """Start to decide and to ask."""
@@ -175,6 +182,9 @@
             attempt=wish.attempt,
             extra=wish.extra,
             is_suspect=wish.is_suspect,
+            customer=wish.customer,
+            units=wish.units,
+            priority=wish.priority,
         )
         self._tell(owner, message)
 
@@ -244,6 +254,12 @@
         if owner is not None:
             self._tell(owner, release)
 
+    def give_back(self, customer: ids.CustomerName, units: float) -> None:
+        """Tell that a generation which was granted units has not run."""
+        assert self._mesh is not None
+        message = messages.GivenBack(customer, units)
+        self._tell(self._mesh.owner(), message)
+
     def _held_now(self) -> tuple[messages.Held, ...]:
         now = clock.now()
         return tuple(
--- a/galenahatch/gateway/prefill.py
+++ b/galenahatch/gateway/prefill.py
@@ -163,7 +163,11 @@
     ) -> senders.Answer | senders.Lost:
         left = means_module.left(end_by)
         directions = calls.Directions(
-            engine.id, left, prefill_only=True, last_event=last_event
+            engine.id,
+            left,
+            prefill_only=True,
+            last_event=last_event,
+            priority=self._call.priority,
         )
         return await self._means.sender.send(
             engine,
--- a/galenahatch/gateway/settings.py
+++ b/galenahatch/gateway/settings.py
@@ -19,6 +19,7 @@
 
 import dataclasses
 
+from galenahatch.core import quotas
 from galenahatch import ids
 
 
@@ -45,6 +46,7 @@
         retry_reserve: extra sends in any window, over all VMs.
         retry_window: length of that window.
         lease: life of the lease on orders.
+        quota: of what a customer may use.
     """
 
     drain: float = 2.0
@@ -53,6 +55,7 @@
     retry_reserve: float = 50.0
     retry_window: float = 10.0
     lease: float = 3.0
+    quota: quotas.Bound = quotas.Bound()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/galenahatch/platform/deployment.py
+++ b/galenahatch/platform/deployment.py
@@ -23,6 +23,7 @@
 
 import msgspec
 
+from galenahatch.core import quotas
 from galenahatch import errors
 from galenahatch.gateway import settings
 from galenahatch import ids
@@ -42,6 +43,9 @@
     retry_slack: float = 50.0
     budget_window_s: float = 10.0
     lease_ms: float = 3000.0
+    quota_window_s: float = 10.0
+    quota_overshoot: float = 0.1
+    quota_slack: float = 0.0
 
 
 class _Platform(msgspec.Struct, frozen=True):
@@ -111,6 +115,9 @@
         retry_reserve=raw.retry_slack,
         retry_window=raw.budget_window_s,
         lease=raw.lease_ms / 1000,
+        quota=quotas.Bound(
+            raw.quota_window_s, raw.quota_overshoot, raw.quota_slack
+        ),
     )
 
 
--- a/galenahatch/test/test_keys.py
+++ b/galenahatch/test/test_keys.py
@@ -10,11 +10,11 @@
 # License for the specific language governing permissions and limitations
 # under the License.
 
-"""Keys through real gateways.
+"""Keys and quotas through real gateways.
 
 The stand-ins keep the rule's books: what each upstream was sent, so that a
-key that went on or a customer that was not the key's is
-seen there.
+key that went on, a customer that was not the key's or a run beyond a quota
+is seen there.
 """
 
 import collections.abc
@@ -119,6 +119,8 @@
     sends = fleet.seen(answer.id)
     assert sends
     assert {seen.told('tenant') for seen in sends} == {'shop'}
+    if path in ('/say/x', '/tell/x'):
+        assert {seen.told('request-priority') for seen in sends} == {'1'}
 
 
 @pytest.mark.parametrize(
@@ -271,3 +273,63 @@
     finally:
         for upstream in fleet.of('model', 'decode'):
             upstream.pause = 0.005
+
+
+def _limited(rate: float, burst: float) -> dict[str, typing.Any]:
+    return {
+        'api_keys': [_SHOP],
+        'unit': 'tokens',
+        'plain_tokens': 200,
+        'rate_per_s': rate,
+        'burst': burst,
+    }
+
+
+@pytest.mark.parametrize(
+    ('path', 'units'), [('/once/x', 200), ('/say/x', 1100)]
+)
+def test_quota_over_all_gateways(
+    fleet: fleets.Fleet, path: str, units: int
+) -> None:
+    """What is over the quota gets 429, runs nowhere and may come back."""
+    rate, burst = 4.0 * units, 4.0 * units
+    _change(fleet, shop=_limited(rate, burst))
+    began = time.monotonic()
+    answers = [
+        fleet.ask(path, vm=number % 3, **_bearer(_SHOP))
+        for number in range(40)
+    ]
+    took = time.monotonic() - began
+    served = [answer for answer in answers if answer.status == 200]
+    refused = [answer for answer in answers if answer.status == 429]
+    assert len(served) + len(refused) == len(answers)
+    # A call of each gateway may be under way before the others hear of it.
+    limit = rate * took + burst + 0.1 * (10 * rate + burst)
+    assert 4 <= len(served) <= limit / units + len(fleet.vms)
+    assert refused
+    assert not any(fleet.runs(answer.id) for answer in refused)
+    assert fleet.ask('/once/x', **_bearer(_DESK)).status == 200
+    time.sleep(float(refused[-1].headers['retry-after']) + 0.3)
+    assert fleet.ask(path, vm=2, **_bearer(_SHOP)).status == 200
+
+
+def test_larger_than_the_quota(fleet: fleets.Fleet) -> None:
+    """What can never run is told so, without a time to come back."""
+    _change(fleet, shop=_limited(100.0, 100.0))
+    answer = fleet.ask('/say/x', **_bearer(_SHOP))
+    assert answer.status == 429
+    assert 'retry-after' not in answer.headers
+    assert b'above_quota' in answer.body
+
+
+def test_not_run_is_not_counted(fleet: fleets.Fleet) -> None:
+    """What upstreams refused leaves the quota as it was."""
+    _change(fleet, shop=_limited(1.0, 600.0))
+    for upstream in fleet.of('desk'):
+        upstream.faults.extend(['refuse'] * 6)
+    for _ in range(6):
+        assert fleet.ask('/once/x', **_bearer(_SHOP)).status == 503
+    fleets.eventually(
+        lambda: fleet.ask('/once/x', **_bearer(_SHOP)).status == 200,
+        'served within the quota',
+    )
