Operators see customers, their quotas and what they use

`galenahatchctl gateway customers` shows name, digests of keys, priority, unit, rate and burst from the newest configuration, and the units used and the refusals that the gateways' metrics have counted; `gateway status` shows which version of the configuration each gateway has. Metrics are by customer for 100 of them, and together for the rest.

--- a/galenahatch/gateway/accounts.py
+++ b/galenahatch/gateway/accounts.py
@@ -33,6 +33,9 @@
 _LOOK_EVERY: typing.Final = 0.05
 """Seconds for which told levels are not looked up again: an owner answers
 hundreds of beats a second."""
+_MOST_LABELS: typing.Final = 100
+"""Customers that are counted each by itself."""
+_REST: typing.Final = '(others)'
 _log = logs.Log('accounts')
 
 Announce = collections.abc.Callable[[tuple[messages.Used, ...]], None]
@@ -56,6 +59,7 @@
         self._directory = directory
         self._quotas = quotas.Quotas(bound, clock.RANDOM)
         self._version = 0
+        self._labels: set[ids.CustomerName] = set()
         self._low: tuple[messages.Level, ...] = ()
         self._looked_at = 0.0
         self.announce: Announce = lambda used: None
@@ -67,6 +71,7 @@
         if config is None or config.version == self._version:
             return
         self._version = config.version
+        instruments.config_version.set(config.version)
         known = config.customers.by_name if config.customers else {}
         self._quotas.configure(known, clock.now())
 
@@ -79,6 +84,7 @@
         denied = self._quotas.take(
             call.customer.name, call.units, clock.now(), told=True
         )
+        self._note(call.customer.name, call.units, denied)
         if denied is not None:
             return failure(denied.why, denied.retry_after)
         if self._quotas.is_much(call.customer.name, self.size()):
@@ -107,16 +113,33 @@
         self, customer: ids.CustomerName, units: float
     ) -> quotas.Denied | None:
         """Count a generation as the owner; return why it may not run."""
+        if not units:
+            return None
         denied = self._quotas.take(customer, units, clock.now())
-        if denied is not None:
-            _log.info(
-                'Over quota.',
-                customer=customer,
-                why=denied.why,
-                config=self._version,
-            )
+        self._note(customer, units, denied)
         return denied
 
+    def _note(
+        self,
+        customer: ids.CustomerName,
+        units: float,
+        denied: quotas.Denied | None,
+    ) -> None:
+        """Count a decision under its customer, or with those beyond many."""
+        if len(self._labels) < _MOST_LABELS:
+            self._labels.add(customer)
+        label = {'customer': customer if customer in self._labels else _REST}
+        if denied is None:
+            instruments.customer_units.add(units, label)
+            return
+        instruments.customer_refused.add(1, label)
+        _log.info(
+            'Over quota.',
+            customer=customer,
+            why=denied.why,
+            config=self._version,
+        )
+
     def give_back(self, customer: ids.CustomerName, units: float) -> None:
         """Take back, as the owner, what a generation was granted."""
         self._quotas.give_back(customer, units, clock.now())
@@ -164,5 +187,4 @@
     """Return what a caller is told whose customer has used its quota."""
     if retry_after is None:
         return errors.Failure(errors.ABOVE_QUOTA, why)
-    instruments.over_quota.add(1)
     return errors.Failure(errors.OVER_QUOTA, why, retry_after)
--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -13,7 +13,8 @@
 """Counters and histograms of the gateway, in the text format of scrapers.
 
 Instruments are OpenTelemetry's. A scrape reads them once; nothing is sent
-on its own. Labels are bounded: reasons and kinds, never ids or routes.
+on its own. Labels are bounded: reasons, kinds and some customers, never ids
+or routes.
 """
 
 import typing
@@ -91,9 +92,19 @@
     'galenahatch_upstream_ends',
     description='Upstreams that ended under a request just begun.',
 )
-over_quota = _meter.create_counter(
-    'galenahatch_over_quota',
-    description='Requests refused since their customer used its quota.',
+CUSTOMER_UNITS: typing.Final = 'galenahatch_customer_units'
+CUSTOMER_REFUSED: typing.Final = 'galenahatch_customer_refused'
+customer_units = _meter.create_counter(
+    CUSTOMER_UNITS,
+    description='Units of quotas that were granted here, by customer.',
+)
+customer_refused = _meter.create_counter(
+    CUSTOMER_REFUSED,
+    description='Requests refused for a quota here, by customer.',
+)
+CONFIG_VERSION: typing.Final = 'galenahatch_config_version'
+config_version = _meter.create_gauge(
+    CONFIG_VERSION, description='Version of the configuration in force.'
 )
 orders = _meter.create_counter(
     'galenahatch_orders', description='Orders sent to engines, by status.'
@@ -125,9 +136,10 @@
 def _lines(metric: typing.Any) -> list[str]:
     points = list(metric.data.data_points)
     histogram = bool(points) and hasattr(points[0], 'bucket_counts')
-    kind = 'histogram' if histogram else 'counter'
+    gauge = isinstance(metric.data, export.Gauge)
+    kind = 'histogram' if histogram else 'gauge' if gauge else 'counter'
     name = metric.name.replace('.', '_')
-    if not histogram:
+    if kind == 'counter':
         name += '_total'
     lines = [
         f'# HELP {name} {metric.description}',
--- a/galenahatch/gatewayctl.py
+++ b/galenahatch/gatewayctl.py
@@ -29,20 +29,19 @@
 import msgspec
 
 from galenahatch import console
+from galenahatch.core import customers as customers_module
 from galenahatch.core import incarnations
 from galenahatch.core import quarantine
 from galenahatch.core import routes
 from galenahatch import errors
 from galenahatch.gateway import lease
-from galenahatch.gateway import node
 from galenahatch.gateway import quarantine as quarantines
 from galenahatch.gateway import roster
 from galenahatch.platform import deployment
 from galenahatch.platform import documents
 from galenahatch.platform import store as stores
+from galenahatch import scrapes
 
-_ANSWER: typing.Final = 1.0
-"""Seconds for a gateway's metrics; they take some ms."""
 _ROUTES: typing.Final = (
     'route',
     'host',
@@ -68,6 +67,17 @@
     'order',
     'answers',
     'gives_orders',
+    'configuration',
+)
+_CUSTOMERS: typing.Final = (
+    'customer',
+    'keys',
+    'priority',
+    'unit',
+    'rate',
+    'burst',
+    'used',
+    'refused',
 )
 _REQUESTS: typing.Final = ('digest', 'ends', 'standing')
 
@@ -170,14 +180,58 @@
         for row in sorted(members, key=lambda row: row.ver):
             told = roster.introduction(row)
             where = told.data_centre if told is not None else ''
-            up = await _answers(client, row.key)
-            rows.append((row.key, where, row.ver, up, row.key == holder))
+            seen = await scrapes.read(client, row.key)
+            version = '' if seen is None else scrapes.version(seen)
+            up, gives = seen is not None, row.key == holder
+            rows.append((row.key, where, row.ver, up, gives, version))
         console.print_rows(_GATEWAYS, rows, json)
         return console.DONE
 
     return _run(store, work)
 
 
+@app.command
+def customers(*, store: StoreAddress = '', json: Json = False) -> int:
+    """Show customers, digests of their keys, quotas and what they used.
+
+    Counts are since each gateway's start, added up over those that answer.
+    """
+
+    async def work(client: aiohttp.ClientSession, at: stores.Store) -> int:
+        config = await _configuration(at)
+        found = await at.rows(roster.MEMBER_TABLE)
+        for one in (config, found):
+            if isinstance(one, errors.Failure):
+                return console.report(one)
+        assert isinstance(config, routes.Configuration)
+        assert isinstance(found, stores.Rows)
+        members = filter(roster.is_member, found.rows)
+        reads = [scrapes.read(client, row.key) for row in members]
+        seen = [one for one in await asyncio.gather(*reads) if one is not None]
+        known = config.customers.by_name if config.customers else {}
+        rows = [_customer(one, seen) for one in known.values()]
+        console.print_rows(_CUSTOMERS, rows, json)
+        return console.DONE
+
+    return _run(store, work)
+
+
+def _customer(
+    one: customers_module.Customer, seen: list[scrapes.Samples]
+) -> console.Row:
+    counts = [scrapes.of_customer(samples, one.name) for samples in seen]
+    return (
+        one.name,
+        ' '.join(sorted(one.keys)),
+        '' if one.priority is None else one.priority,
+        one.unit.value,
+        one.quota.rate if one.quota else '',
+        one.quota.burst if one.quota else '',
+        round(sum(used for used, _ in counts)),
+        round(sum(refused for _, refused in counts)),
+    )
+
+
 @app.command
 def held(*, store: StoreAddress = '', json: Json = False) -> int:
     """Show the requests under which two engines and more have ended."""
@@ -284,17 +338,6 @@
     return moment.isoformat(timespec='milliseconds')
 
 
-async def _answers(client: aiohttp.ClientSession, address: str) -> bool:
-    """Return whether a gateway serves its metrics."""
-    url = f'http://{address}:{node.METRICS_PORT}/metrics'
-    limit = aiohttp.ClientTimeout(total=_ANSWER)
-    try:
-        async with client.get(url, timeout=limit) as response:
-            return response.status == 200
-    except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
-        return False
-
-
 def _run(address: str, work: Work) -> int:
     """Run a command with a client of the store."""
     if not address:
