--- a/galenahatch/core/balance.py
+++ b/galenahatch/core/balance.py
@@ -17,9 +17,9 @@
 (`core/outliers`) counts as busier than it is, by so much that it is used
 only when its siblings are full. There is no limit on how many are avoided
 so: if all fail alike, nobody is, and as long as one serves well it is better
-than those that don't. Only where sends have just been broken off in a row
-nothing is sent for a while. Requests that may be repeated avoid it less, so they
-find out when it is well again.
+than those that don't. Requests that may be repeated avoid it less, so they
+find out when it is well again. Only where sends have just been broken off in
+a row, nothing is sent for a while.
 """
 
 import dataclasses
--- a/galenahatch/gateway/mesh.py
+++ b/galenahatch/gateway/mesh.py
@@ -128,7 +128,11 @@
             [], tuple[messages.Figures, ...]
         ] = tuple
         self._hub = bus.Hub(f'tcp://{address}:{port}', CODEC, self._from_hub)
-        directory.fed_by_peers = self._roster.fed_by_peers
+        self._serve_parts()
+
+    def _serve_parts(self) -> None:
+        """Tell the parts that exchange words how others are reached."""
+        self._directory.fed_by_peers = self._roster.fed_by_peers
         self._guard.announce = self._announce
         self._accounts.announce = self._announce_used
         self._accounts.size = lambda: self.size
