Quotas, accounts and balance: names and words of the field

`set_level`, `share`, `must_tell`, `check_size`, `_breaks_off`; the rounding of parts of requests is called by its name. No change of logic.

--- a/bench/quotas.py
+++ b/bench/quotas.py
@@ -305,7 +305,7 @@
         is_local = self._way is not Way.OWNER or units == _CALL
         where = gateway if is_local else self._of(gateway.group)[0]
         denied = where.quotas.take(_NAME, units, self.now, told=is_local)
-        if is_local and where.quotas.is_much(_NAME, self._size):
+        if is_local and where.quotas.must_tell(_NAME, self._size):
             self._tell(where)
         self._asked.append((self.now, units, denied is None))
 
--- a/galenahatch/core/balance.py
+++ b/galenahatch/core/balance.py
@@ -90,7 +90,7 @@
         allowed = [
             c
             for c in candidates
-            if c.id not in avoid and not self._is_hopeless(c.id, now)
+            if c.id not in avoid and not self._breaks_off(c.id, now)
         ]
         if not allowed:
             return None
@@ -105,7 +105,7 @@
 
         return allowed[min(range(len(allowed)), key=cost)]
 
-    def _is_hopeless(self, upstream: ids.UpstreamId, now: float) -> bool:
+    def _breaks_off(self, upstream: ids.UpstreamId, now: float) -> bool:
         """Return whether an upstream has just broken off several sends."""
         state = self._state(upstream)
         is_recent = now - state.broke_at < _BROKEN_PAUSE
--- a/galenahatch/core/quotas.py
+++ b/galenahatch/core/quotas.py
@@ -22,19 +22,19 @@
   it in another order than they were sent in.
 - Plain calls are counted where they arrive, against the levels that the
   owner last told, and told to it with the next beat; at once where so many
-  came that all VMs together might have used half a bucket since (`is_much`).
+  came that all VMs together might have used half a bucket since (`must_tell`).
 - A new owner goes on from the levels that the last one told. After the loss
   of all VMs nobody knows them; buckets then begin with a part (`_FRESH`).
 - VMs that can't reach each other have owners of their own. Each uses the
   part of the quota that the VMs which it hears are of all, and a little more
   (`_APART`), as some of those that are silent are gone and not apart. Where
-  that part holds less than one request, requests are drawn by lot, in such a
-  number that the parts of all VMs are used up and not exceeded: a part for
-  each VM would let no long request pass at all.
+  that part holds less than one request, it is rounded at random to none or
+  one (randomized rounding), so that over all VMs the parts are used up and
+  not exceeded: a fixed part for each would let no long request pass at all.
 
-A level is of the whole quota: a VM that decides for a tenth of all takes ten
-times the units of each request from it. What a VM has used by itself so
-stands for what all like it have used, once it decides for more of them.
+A level is that of the whole quota: a VM that decides for a tenth of all takes
+ten times the units of each request from it. So its own use is an estimate of
+what all VMs have used, once it decides for more of them.
 
 Levels are told and taken over by their minimum, so that words of two owners
 may come in any order, late or twice. Times are monotonic seconds.
@@ -122,16 +122,16 @@
         self.capacity = quota.burst + _MARGIN * bound.beyond(quota)
         self.boost = bound.boost(quota)
 
-    def begin(self, level: float) -> None:
+    def set_level(self, level: float) -> None:
         self.level = min(self.capacity, level)
 
     def fill(self, now: float) -> None:
         """Add what has come since the last call."""
         came = self.quota.rate * max(0.0, now - self.filled_at)
         self.filled_at = max(self.filled_at, now)
-        self.begin(self.level + came)
+        self.set_level(self.level + came)
 
-    def used(self, part: float) -> float:
+    def share(self, part: float) -> float:
         """Return the part of the quota that may be used for a part of VMs."""
         return min(1.0, part * self.boost)
 
@@ -141,7 +141,7 @@
 
     Args:
         bound: that all VMs together keep.
-        random_source: draws lots.
+        random_source: rounds parts of requests.
     """
 
     def __init__(self, bound: Bound, random_source: random.Random) -> None:
@@ -182,14 +182,14 @@
             bucket = self._buckets[name] = _Bucket(quota, self._bound)
             bucket.filled_at = now
             if self._is_new:
-                bucket.begin(_FRESH * self._bound.beyond(quota))
+                bucket.set_level(_FRESH * self._bound.beyond(quota))
             return
         if bucket.quota == quota:
             return
         bucket.fill(now)
         raised = quota.burst - bucket.quota.burst
         bucket.set_quota(quota, self._bound)
-        bucket.begin(bucket.level + max(0.0, raised))
+        bucket.set_level(bucket.level + max(0.0, raised))
         bucket.booked_until = now
 
     def decide_for(self, part: float) -> None:
@@ -227,24 +227,25 @@
     def _has_room(self, bucket: _Bucket, units: float) -> bool:
         """Take units from a bucket, if it holds them.
 
-        Where a full one would not, all that it holds is staked on a request:
-        over all VMs as many units win as are lost.
+        Where not even a full one would, a request passes with the probability
+        that the part of it is which the bucket holds, and empties it: the
+        expected units are those that were there.
         """
-        wanted = units / bucket.used(self._part)
+        wanted = units / bucket.share(self._part)
         if wanted <= bucket.level:
             bucket.level -= wanted
             return True
         if wanted <= bucket.capacity or bucket.level <= 0:
             return False
-        wins = self._random.random() * wanted < bucket.level
+        passes = self._random.random() * wanted < bucket.level
         bucket.level = 0.0
-        return wins
+        return passes
 
     def _denied(self, bucket: _Bucket, units: float, now: float) -> Denied:
         """Return when there is room, behind all that were told to come."""
-        used = bucket.used(self._part)
-        rate = bucket.quota.rate * used
-        wait = max(0.0, units - bucket.level * used) / rate
+        share = bucket.share(self._part)
+        rate = bucket.quota.rate * share
+        wait = max(0.0, units - bucket.level * share) / rate
         wait = max(wait, bucket.booked_until - now + units / rate)
         if wait > self._bound.window:
             # Not all come back; so far ahead nothing is known.
@@ -252,8 +253,8 @@
         else:
             bucket.booked_until = now + wait
         why = (
-            f'{units:.0f} units, {bucket.level * used:.0f} left,'
-            f' {bucket.quota.rate:.0f} a second, part {used:.3f}'
+            f'{units:.0f} units, {bucket.level * share:.0f} left,'
+            f' {bucket.quota.rate:.0f} a second, part {share:.3f}'
         )
         return Denied(wait, why)
 
@@ -269,7 +270,7 @@
         if bucket is None:
             return
         bucket.fill(now)
-        bucket.begin(bucket.level + units / bucket.used(self._part))
+        bucket.set_level(bucket.level + units / bucket.share(self._part))
         if told:
             self._untold[name] = self._untold.get(name, 0.0) - units
 
@@ -280,7 +281,7 @@
 
     # What VMs tell each other.
 
-    def is_much(self, name: ids.CustomerName, size: int) -> bool:
+    def must_tell(self, name: ids.CustomerName, size: int) -> bool:
         """Return whether what was used here can't wait for the next beat.
 
         Args:
@@ -323,7 +324,7 @@
             bucket = self._buckets.get(name)
             if bucket is not None:
                 bucket.fill(now)
-                bucket.begin(bucket.level - units / bucket.used(part))
+                bucket.set_level(bucket.level - units / bucket.share(part))
 
     def low(self, now: float) -> dict[ids.CustomerName, float]:
         """Return the levels of customers that are short."""
@@ -345,4 +346,4 @@
             bucket = self._buckets.get(name)
             if bucket is not None:
                 bucket.fill(now)
-                bucket.begin(min(bucket.level, level))
+                bucket.set_level(min(bucket.level, level))
--- a/galenahatch/gateway/accounts.py
+++ b/galenahatch/gateway/accounts.py
@@ -87,7 +87,7 @@
         self._note(call.customer.name, call.units, denied)
         if denied is not None:
             return failure(denied.why, denied.retry_after)
-        if self._quotas.is_much(call.customer.name, self.size()):
+        if self._quotas.must_tell(call.customer.name, self.size()):
             self.announce(self.take_new())
         return None
 
@@ -98,7 +98,7 @@
                 call.customer.name, call.units, clock.now(), told=True
             )
 
-    def failure_alone(self, call: calls.Call) -> errors.Failure | None:
+    def check_size(self, call: calls.Call) -> errors.Failure | None:
         """Return why a request can never run, if it is too large."""
         if call.customer is None or not call.units:
             return None
--- a/galenahatch/gateway/front.py
+++ b/galenahatch/gateway/front.py
@@ -232,7 +232,7 @@
         if self._means.guard.holds(call):
             failure = self._means.guard.failure(call)
             return self._respond(call, route, failure)
-        too_large = self._means.accounts.failure_alone(call)
+        too_large = self._means.accounts.check_size(call)
         if too_large is not None:
             return self._respond(call, route, too_large)
         name = routes.pick_service(route, clock.RANDOM)
--- a/galenahatch/gateway/mesh.py
+++ b/galenahatch/gateway/mesh.py
@@ -128,9 +128,9 @@
             [], tuple[messages.Figures, ...]
         ] = tuple
         self._hub = bus.Hub(f'tcp://{address}:{port}', CODEC, self._from_hub)
-        self._serve_parts()
+        self._connect_exchanges()
 
-    def _serve_parts(self) -> None:
+    def _connect_exchanges(self) -> None:
         """Tell the parts that exchange words how others are reached."""
         self._directory.fed_by_peers = self._roster.fed_by_peers
         self._guard.announce = self._announce
