--- a/galenahatch/test/soak.py
+++ b/galenahatch/test/soak.py
@@ -95,7 +95,7 @@
         self._random = random.Random(seed)
         self._seconds = seconds
         self._vms = self._random.randint(2, 4)
-        self._fleet = fleets.Fleet(self._vms, _MEMBERS)
+        self._fleet = fleets.Fleet(self._vms, _MEMBERS, self._document(1))
         self._proxies: list[proxies.Proxy] = []
         self._asked: list[Asked] = []
         self._over = threading.Event()
@@ -130,6 +130,18 @@
             time.sleep(0.5)
             return broken + self._verdicts()
 
+    def _document(self, version: int) -> dict[str, typing.Any]:
+        """Return a configuration."""
+        return fleets.configuration(version)
+
+    def _known(self) -> dict[str, typing.Any]:
+        """Return headers of a caller that may call at the end."""
+        return {}
+
+    def _credentials(self, source: random.Random) -> dict[str, typing.Any]:
+        """Return the headers by which a caller is known."""
+        return {}
+
     def settle(self) -> None:
         """Wait until all that was to happen later has happened."""
         for timer in self._timers:
@@ -152,7 +164,9 @@
             path = source.choice(_PATHS)
             method = 'GET' if path.startswith('/often') else 'POST'
             try:
-                request = caller.begin(path, method, b'x' * 300)
+                request = caller.begin(
+                    path, method, b'x' * 300, **self._credentials(source)
+                )
             except OSError:
                 caller.close()
                 caller = fleets.Caller(source.choice(self._fleet.vms))
@@ -304,7 +318,7 @@
     def _configure(self) -> None:
         for _ in range(self._random.randint(1, 3)):
             self._version += self._random.randint(1, 5)
-            document = fleets.configuration(self._version)
+            document = self._document(self._version)
             document['routes'].append(
                 {
                     **document['routes'][1],
@@ -422,7 +436,8 @@
             vm, path = waiting[0]
             try:
                 with fleets.Caller(vm) as caller:
-                    served = caller.ask(path).status == 200
+                    answer = caller.ask(path, **self._known())
+                    served = answer.status == 200
             except OSError:
                 served = False
             if served:
--- a/galenahatch/test/test_keys.py
+++ b/galenahatch/test/test_keys.py
@@ -324,6 +324,19 @@
     assert b'above_quota' in answer.body
 
 
+def test_resumed_stream_counts_once(fleet: fleets.Fleet) -> None:
+    """A stream that goes on at another engine is the same request."""
+    # Holds 1,100 tokens twice, and not three times.
+    _change(fleet, shop=_limited(1.0, 2400.0))
+    for upstream in fleet.of('model', 'decode'):
+        upstream.faults.append('cut')
+    cut = fleet.ask('/tell/x', **_bearer(_SHOP))
+    assert cut.served, cut
+    assert fleet.runs(cut.id) > 1
+    assert fleet.ask('/say/x', **_bearer(_SHOP)).status != 429
+    assert fleet.ask('/say/x', **_bearer(_SHOP)).status == 429
+
+
 def test_not_run_is_not_counted(fleet: fleets.Fleet) -> None:
     """What upstreams refused leaves the quota as it was."""
     _change(fleet, shop=_limited(1.0, 600.0))
--- a/galenahatch/test/test_soak.py
+++ b/galenahatch/test/test_soak.py
@@ -18,6 +18,7 @@
 import pytest
 
 from galenahatch.test import fleet as fleets
+from galenahatch.test import keysoak
 from galenahatch.test import soak
 
 _FILE: typing.Final = pathlib.Path(__file__).parents[2] / 'test-data'
@@ -47,6 +48,12 @@
     assert not soak.play(seed, _SECONDS, restarts=True)
 
 
+@pytest.mark.parametrize('seed', [1, 2])
+def test_seed_with_customers(seed: int) -> None:
+    """The same, while keys come and go and one customer has a quota."""
+    assert not keysoak.play(seed, _SECONDS)
+
+
 def test_reload_before_our_code() -> None:
     """SIGHUP that comes before our first line ends nothing for good."""
     played = soak.Soak(1, 0.0)
