Taken back: the pause after two breaks in a row

What callers would see: where both of two upstreams have just broken two sends each, 503 at once for what either would have served.

Which tests a worker runs one after the other decides it; one run on three workers had passed before. So it is a fault of the change and not of the load.

--- a/galenahatch/core/balance.py
+++ b/galenahatch/core/balance.py
@@ -18,8 +18,7 @@
 only when its siblings are full. There is no limit on how many are avoided
 so: if all fail alike, nobody is, and as long as one serves well it is better
 than those that don't. Requests that may be repeated avoid it less, so they
-find out when it is well again. Only where sends have just been broken off in
-a row, nothing is sent for a while.
+find out when it is well again.
 """
 
 import dataclasses
@@ -40,13 +39,6 @@
 _AVOIDED: typing.Final = 0.1
 """Excess of failures from which on an upstream is called avoided in logs:
 more than a queue of its slots."""
-_BREAKS: typing.Final = 2
-"""Sends in a row that an upstream has broken off, from which on nothing is
-sent there for a while. Callers can't repeat what may run only once and broke
-off, and can repeat what was refused; by then the upstream may be well, or a
-sibling have room."""
-_BROKEN_PAUSE: typing.Final = 0.6
-"""Seconds of that while."""
 _LOAD_LIFE: typing.Final = 1.0
 """Seconds for which the load that an answer tells is believed."""
 _AWAY: typing.Final = 0.2
@@ -59,8 +51,6 @@
     told: int = 0
     told_at: float = -1e9
     avoided: bool = False
-    breaks: int = 0
-    broke_at: float = -1e9
 
 
 class Balancer:
@@ -87,11 +77,7 @@
         repeatable: bool = False,
     ) -> upstreams.Upstream | None:
         """Return the upstream that is likely to answer soonest and well."""
-        allowed = [
-            c
-            for c in candidates
-            if c.id not in avoid and not self._breaks_off(c.id, now)
-        ]
+        allowed = [c for c in candidates if c.id not in avoid]
         if not allowed:
             return None
         weight = _AVOID_REPEATABLE if repeatable else _AVOID_ONCE
@@ -105,12 +91,6 @@
 
         return allowed[min(range(len(allowed)), key=cost)]
 
-    def _breaks_off(self, upstream: ids.UpstreamId, now: float) -> bool:
-        """Return whether an upstream has just broken off several sends."""
-        state = self._state(upstream)
-        is_recent = now - state.broke_at < _BROKEN_PAUSE
-        return is_recent and state.breaks >= _BREAKS
-
     def begin(self, upstream: ids.UpstreamId) -> None:
         """Note a request that is sent."""
         self._state(upstream).in_flight += 1
@@ -126,7 +106,6 @@
         good: bool,
         siblings: typing.Sequence[upstreams.Upstream],
         now: float,
-        broke: bool = False,
     ) -> bool | None:
         """Note how a send ended.
 
@@ -135,13 +114,11 @@
             good: whether it was answered, and without an error.
             siblings: all upstreams of the service.
             now: monotonic seconds.
-            broke: whether the connection broke under it.
 
         Returns:
             whether the upstream is avoided, if that has changed; else None.
         """
         self.left(upstream)
-        self._note_break(upstream, broke, now)
         self.outliers.note(upstream, good, now)
         shares = [self.outliers.share(s.id, now) for s in siblings]
         usual = min((share.likely for share in shares), default=0.0)
@@ -153,14 +130,6 @@
         state.avoided = avoided
         return avoided
 
-    def _note_break(
-        self, upstream: ids.UpstreamId, broke: bool, now: float
-    ) -> None:
-        state = self._state(upstream)
-        state.breaks = state.breaks + 1 if broke else 0
-        if broke:
-            state.broke_at = now
-
     def told_load(
         self, upstream: ids.UpstreamId, load: int, now: float
     ) -> None:
--- a/galenahatch/gateway/plain.py
+++ b/galenahatch/gateway/plain.py
@@ -222,7 +222,6 @@
             good,
             registry.usable(self._service, now),
             now,
-            broke=lost is not None and lost.is_cut,
         )
         if avoided is None:
             return
