Gateways see and log the rate limits that upstreams name

Cause looked for: after an upstream named a limit nothing in our logs or metrics changed, so 'nobody reads it' and 'one gateway knew' could not be told apart. The head of each answer is now decoded for Server-Limit (a total function: a decimal number, or a failure that names the value); a line tells each change with the answer that told it, at most one a second and upstream, and a gauge shows the limits in force. Nothing is held back for it yet.

A word has a time: a naming that of its answer, an answer without one that of its request, so that an answer from before the naming lifts nothing. A late answer to another request and a 421 tell nothing of the upstream that was meant.

--- a/galenahatch/gateway/calls.py
+++ b/galenahatch/gateway/calls.py
@@ -20,6 +20,7 @@
 import multidict
 
 from galenahatch.core import customers
+from galenahatch import errors
 from galenahatch import ids
 
 _DIGEST_DIGITS: typing.Final = 16
@@ -156,6 +157,9 @@
         load: requests running and waiting at the upstream; None if it does
             not tell.
         encoded: whether the body went through a content coding.
+        rate_limit: requests a second that the upstream takes from all VMs
+            together; None if it names no limit, a failure if what it names
+            is none.
     """
 
     status: int
@@ -165,3 +169,4 @@
     not_executed: bool
     load: int | None
     encoded: bool
+    rate_limit: float | None | errors.Failure = None
--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -106,11 +106,30 @@
 config_version = _meter.create_gauge(
     CONFIG_VERSION, description='Version of the configuration in force.'
 )
+RATE_LIMIT: typing.Final = 'galenahatch_upstream_rate_limit'
+_rate_limits: list[typing.Callable[[], dict[str, float]]] = []
+_meter.create_observable_gauge(
+    RATE_LIMIT,
+    callbacks=[lambda options: _observe_rate_limits()],
+    unit='1/s',
+    description='Requests a second that an upstream takes, by upstream.',
+)
 orders = _meter.create_counter(
     'galenahatch_orders', description='Orders sent to engines, by status.'
 )
 
 
+def watch_rate_limits(read: typing.Callable[[], dict[str, float]]) -> None:
+    """Show the limits that a function returns, by upstream."""
+    _rate_limits[:] = [read]
+
+
+def _observe_rate_limits() -> typing.Iterable[api.Observation]:
+    for read in _rate_limits:
+        for upstream, rate in read().items():
+            yield api.Observation(rate, {'upstream': upstream})
+
+
 def serve_all() -> None:
     """Count here what is counted outside this package as well.
 
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -38,6 +38,7 @@
 from galenahatch.gateway import outcomes
 from galenahatch.gateway import ownership as ownerships
 from galenahatch.gateway import quarantine
+from galenahatch.gateway import ratelimits
 from galenahatch.gateway import reports
 from galenahatch.gateway import roster
 from galenahatch.gateway import sender as senders
@@ -104,6 +105,8 @@
             self._store, self._background, settings.bounds.drain
         )
         self._sender = senders.Sender()
+        self._rate_limits = ratelimits.RateLimits()
+        self._sender.on_head = self._rate_limits.answered
         self._directory.on_start(self._end_waits)
         bounds = settings.bounds
         self._budget = extras.SharedBudget(
@@ -212,6 +215,7 @@
             known = self._directory.registry.known
             self._balancer.forget(known)
             self._exchange.forget(known)
+            self._rate_limits.forget(known)
             await asyncio.sleep(_MEMBERS_EVERY)
 
     def reload(self) -> None:
--- a/galenahatch/gateway/sender.py
+++ b/galenahatch/gateway/sender.py
@@ -34,6 +34,7 @@
 import multidict
 import yarl
 
+from galenahatch import clock
 from galenahatch.core import fate
 from galenahatch.core import upstreams
 from galenahatch import errors
@@ -56,6 +57,8 @@
 _LOOK: typing.Final = 0.1
 """Seconds for a connection that only shows whether somebody listens."""
 _MOST_HEADERS: typing.Final = 32768
+_WRONG_INSTANCE: typing.Final = 421
+"""Status of a request that was meant for another upstream, or stage."""
 _SKIPPED: typing.Final = (
     'Accept',
     'Accept-Encoding',
@@ -65,6 +68,7 @@
 """Headers that the client library would add."""
 
 Headers = multidict.CIMultiDict[str]
+HeadListener = typing.Callable[[ids.UpstreamId, float, calls.AnswerHead], None]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -227,10 +231,16 @@
 
 
 class Sender:
-    """Connections of one process to all upstreams."""
+    """Connections of one process to all upstreams.
+
+    Attributes:
+        on_head: called with the head of each answer to a request that was
+            sent, and when it was sent (monotonic seconds).
+    """
 
     def __init__(self) -> None:
         self.waits = inflight.Waits()
+        self.on_head: HeadListener = lambda upstream, sent_at, head: None
         self._kept = _session(keep=True)
         self._fresh = _session(keep=False)
 
@@ -260,11 +270,11 @@
             connect: seconds for a connection.
             keep: use a kept connection, and keep it.
         """
-        session = self._kept if keep else self._fresh
         limits = aiohttp.ClientTimeout(total=None, sock_connect=connect)
+        sent_at = clock.now()
         try:
             async with self.waits.limit(upstream.id, timeout):
-                response = await session.request(
+                response = await self._session(keep).request(
                     request.method,
                     _url(upstream.address, request.target),
                     data=request.body or None,
@@ -281,8 +291,13 @@
             return Lost(fate.Fate.UNCERTAIN, repr(error), is_cut=True)
         head = decode(response.status, response.raw_headers)
         answer = Answer(response, head, upstream.id, self.waits)
+        if _is_of(head, request):
+            self.on_head(upstream.id, sent_at, head)
         return await self._checked(request, answer)
 
+    def _session(self, keep: bool) -> aiohttp.ClientSession:
+        return self._kept if keep else self._fresh
+
     async def _checked(
         self, request: calls.Call, answer: Answer
     ) -> Answer | Lost:
@@ -344,6 +359,16 @@
             return errors.Failure(errors.UPSTREAM_UNREACHABLE, repr(error))
 
 
+def _is_of(head: calls.AnswerHead, request: calls.Call) -> bool:
+    """Return whether an answer tells of the upstream that was meant.
+
+    A late answer to another request tells of an earlier time, and one that
+    refuses the wrong instance is of another upstream.
+    """
+    is_late = bool(head.request) and head.request != request.id
+    return not is_late and head.status != _WRONG_INSTANCE
+
+
 def _session(keep: bool) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
         connector=_Connector(keep),
--- a/galenahatch/platform/wire.py
+++ b/galenahatch/platform/wire.py
@@ -18,12 +18,14 @@
 """
 
 import dataclasses
+import re
 import typing
 
 import multidict
 
 from galenahatch.core import customers
 from galenahatch.core import incarnations
+from galenahatch import errors
 from galenahatch.gateway import calls
 
 _PREFIX: typing.Final = 'X-Galenahatch-'
@@ -46,6 +48,8 @@
 _SIGNATURE: typing.Final = _PREFIX + 'Response-Stamp'
 _NOT_EXECUTED: typing.Final = _PREFIX + 'Not-Executed'
 _LOAD: typing.Final = _PREFIX + 'Instance-Load'
+_RATE_LIMIT: typing.Final = 'Server-Limit'
+_DECIMAL: typing.Final = re.compile(r'[0-9]{1,15}(\.[0-9]{1,15})?')
 
 _SYSTEM_ONLY: typing.Final = frozenset(
     name.lower()
@@ -86,6 +90,8 @@
 """The rank of what engines serve last."""
 _MOST_DIGITS: typing.Final = 15
 """Of a number that is taken for one: beyond, sums are no longer exact."""
+_SHOWN: typing.Final = 40
+"""Characters of a malformed value that are logged."""
 
 Raw = typing.Iterable[tuple[bytes, bytes]]
 
@@ -178,6 +184,7 @@
         not_executed=_NOT_EXECUTED in headers or status == 421,
         load=_load(headers.get(_LOAD, '')),
         encoded=headers.get('Content-Encoding', 'identity') != 'identity',
+        rate_limit=_rate_limit(headers),
     )
 
 
@@ -245,6 +252,23 @@
     return int(numbers[0] + numbers[1])
 
 
+def _rate_limit(
+    headers: 'multidict.CIMultiDict[str]',
+) -> float | None | errors.Failure:
+    """Return the requests a second that an upstream takes.
+
+    None if it names no limit. Of several values the lowest one counts.
+    """
+    texts = [text.strip() for text in headers.getall(_RATE_LIMIT, ())]
+    if not texts:
+        return None
+    rates = [float(text) for text in texts if _DECIMAL.fullmatch(text)]
+    if rates:
+        return min(rates)
+    detail = f'{_RATE_LIMIT} is {texts[0][:_SHOWN]!r}, expected a decimal'
+    return errors.Failure(errors.BAD_UPSTREAM, detail)
+
+
 def _number(text: str) -> float | None:
     if not text.isascii() or not text.isdigit() or len(text) > _MOST_DIGITS:
         return None
