--- a/galenahatch/test/standin/upstreams.py
+++ b/galenahatch/test/standin/upstreams.py
@@ -96,6 +96,8 @@
         self.handles: set[str] = set()
         self.address = ''
         self.crashed_at: list[float] = []
+        self.arrived_at: list[float] = []
+        self.says: dict[str, str] = {}
         self.on_start: collections.abc.Callable[[], None] = lambda: None
         self._port = 0
         self._server: asyncio.Server | None = None
@@ -204,6 +206,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
+        self.arrived_at.append(time.monotonic())
         own = self._own_call(seen)
         if own is not None:
             writer.write(own)
@@ -284,7 +287,7 @@
         self.handles.add(handle)
         tokens = int(seen.told('token-count').partition(',')[0])
         body = {'kv_handle': handle, 'tokens': tokens, 'version': 1}
-        writer.write(_json(body, seen.id))
+        writer.write(_json(body, seen.id, self._said()))
         return True
 
     async def _plain(
@@ -370,7 +373,7 @@
             f'X-Galenahatch-Request-Id: {seen.id}\r\n'
             f'X-Galenahatch-Response-Stamp: stamp-{self.id}\r\n'
             'X-Galenahatch-Instance-Load: 1,0,8\r\n'
-        ).encode()
+        ).encode() + self._said()
 
     def _framed(self, seen: Seen, status: int, body: bytes) -> bytes:
         length = f'Content-Length: {len(body)}\r\n\r\n'.encode()
@@ -381,11 +384,20 @@
 
     def _refusal(self, seen: Seen, status: int) -> bytes:
         return (
-            f'HTTP/1.1 {status} No\r\n'
-            f'X-Galenahatch-Request-Id: {seen.id}\r\n'
-            'X-Galenahatch-Not-Executed: 1\r\n'
-            'Content-Length: 0\r\n\r\n'
-        ).encode()
+            (
+                f'HTTP/1.1 {status} No\r\n'
+                f'X-Galenahatch-Request-Id: {seen.id}\r\n'
+                'X-Galenahatch-Not-Executed: 1\r\n'
+                'Content-Length: 0\r\n'
+            ).encode()
+            + self._said()
+            + b'\r\n'
+        )
+
+    def _said(self) -> bytes:
+        """Return what each answer says besides."""
+        lines = (f'{name}: {value}\r\n' for name, value in self.says.items())
+        return ''.join(lines).encode()
 
 
 def _unix_ms() -> int:
@@ -410,10 +422,15 @@
     return f'{len(data):x}\r\n'.encode() + data + b'\r\n'
 
 
-def _json(body: typing.Any, request: str = '') -> bytes:
+def _json(body: typing.Any, request: str = '', said: bytes = b'') -> bytes:
     data = msgspec.json.encode(body)
     named = f'X-Galenahatch-Request-Id: {request}\r\n' if request else ''
     return (
-        'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
-        f'{named}Content-Length: {len(data)}\r\n\r\n'
-    ).encode() + data
+        (
+            'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
+            f'{named}Content-Length: {len(data)}\r\n'
+        ).encode()
+        + said
+        + b'\r\n'
+        + data
+    )
