--- a/bench/quotas.py
+++ b/bench/quotas.py
@@ -40,8 +40,8 @@
 
 STEP: typing.Final = 0.01
 """Seconds between two looks at the clock."""
-_NAME: typing.Final = ids.CustomerName('customer')
-_ENTRY_BYTES: typing.Final = len(_NAME) + 11
+NAME: typing.Final = ids.CustomerName('customer')
+_ENTRY_BYTES: typing.Final = len(NAME) + 11
 """One level or one usage in a beat."""
 _CALL: typing.Final = 200.0
 """Units of a plain call."""
@@ -129,21 +129,26 @@
     """One gateway's knowledge."""
 
     def __init__(
-        self, number: int, load: Load, now: float, source: random.Random
+        self,
+        number: int,
+        load: Load,
+        bound: quotas.Bound,
+        now: float,
+        source: random.Random,
     ) -> None:
         self.number = number
         self.order = number
         self.group = 0
         self.is_up = True
-        self.quotas = quotas.Quotas(BOUND, source)
+        self.quotas = quotas.Quotas[ids.CustomerName](bound, source)
         self.set_quota(load.quota, now)
         self.began_at = now
         self.beats_at = now + source.random() * members.BEAT_EVERY
         self.heard: dict[int, float] = {}
 
     def set_quota(self, quota: customers.Quota, now: float) -> None:
-        customer = customers.Customer(_NAME, frozenset(), quota=quota)
-        self.quotas.configure({_NAME: customer}, now)
+        customer = customers.Customer(NAME, frozenset(), quota=quota)
+        self.quotas.configure({NAME: customer}, now)
 
 
 class Fleet:
@@ -156,6 +161,7 @@
         way: who counts.
         seed: of all chance.
         loss: share of beats that is lost.
+        bound: that all gateways together keep.
     """
 
     def __init__(
@@ -166,7 +172,9 @@
         way: Way = Way.OWNER,
         seed: int = 1,
         loss: float = 0.0,
+        bound: quotas.Bound = BOUND,
     ) -> None:
+        self._bound = bound
         self._load = load
         self._faults = faults
         self._way = way
@@ -176,7 +184,8 @@
         self._slower = max(1.0, size / members.SLOWER_FROM)
         self.now = 0.0
         self._gateways = [
-            _Gateway(number, load, 0.0, self._random) for number in range(size)
+            _Gateway(number, load, bound, 0.0, self._random)
+            for number in range(size)
         ]
         self._bytes = 0
         self._asked: list[tuple[float, float, bool]] = []
@@ -232,7 +241,9 @@
         )
 
     def _restart(self, gateway: _Gateway) -> None:
-        fresh = _Gateway(gateway.number, self._load, self.now, self._random)
+        fresh = _Gateway(
+            gateway.number, self._load, self._bound, self.now, self._random
+        )
         fresh.group = gateway.group
         fresh.order = 1 + max(one.order for one in self._gateways)
         fresh.set_quota(self.quota, self.now)
@@ -304,8 +315,8 @@
         gateway = up[0] if self._load.at_one else self._random.choice(up)
         is_local = self._way is not Way.OWNER or units == _CALL
         where = gateway if is_local else self._of(gateway.group)[0]
-        denied = where.quotas.take(_NAME, units, self.now, told=is_local)
-        if is_local and where.quotas.must_tell(_NAME, self._size):
+        denied = where.quotas.take(NAME, units, self.now, told=is_local)
+        if is_local and where.quotas.must_tell(NAME, self._size):
             self._tell(where)
         self._asked.append((self.now, units, denied is None))
 
@@ -320,10 +331,10 @@
             for at, units, ran in self._asked
             if ran and at >= since
         ]
-        limit = self.quota.rate * BOUND.window + self.quota.burst
-        bound = limit + BOUND.beyond(self.quota)
+        limit = self.quota.rate * self._bound.window + self.quota.burst
+        bound = limit + self._bound.beyond(self.quota)
         return Result(
-            worst=_fullest(granted) / bound,
+            worst=_fullest(granted, self._bound.window) / bound,
             refused=self._refused_within(),
             bytes_a_second=self._bytes / self.now / self._size,
             granted=sum(units for _, units in granted),
@@ -342,14 +353,16 @@
         return refused / owed if owed else 0.0
 
 
-def _fullest(granted: collections.abc.Iterable[tuple[float, float]]) -> float:
+def _fullest(
+    granted: collections.abc.Iterable[tuple[float, float]], window: float
+) -> float:
     """Return the units of the fullest window."""
     inside: collections.deque[tuple[float, float]] = collections.deque()
     total = worst = 0.0
     for at, units in granted:
         inside.append((at, units))
         total += units
-        while inside[0][0] <= at - BOUND.window:
+        while inside[0][0] <= at - window:
             total -= inside.popleft()[1]
         worst = max(worst, total)
     return worst
--- /dev/null
+++ b/galenahatch/core/admission.py
@@ -0,0 +1,122 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""What becomes of a request that can't be placed now: kept, or refused.
+
+A refusal promises when there is room; see `core/dispatch` for the reasons.
+"""
+
+import typing
+
+from galenahatch.core import division as divisions
+from galenahatch.core import forecast as forecasts
+from galenahatch.core import generations
+from galenahatch.core import pool as pools
+from galenahatch.core import ratelimits
+from galenahatch.core import returns as returns_module
+from galenahatch.core import waiting
+
+_CAUTION: typing.Final = 1.3
+"""Times the predicted wait that a request must have left to be kept. What is
+kept and not served costs more than what is refused at once and comes back;
+predictions are off by about a third."""
+
+Job = generations.Job
+
+
+class Admission:
+    """Decides on requests of one service.
+
+    Args:
+        pool: its engines.
+        queue: requests that wait.
+        forecast: tells how long they will wait.
+        returns: callers that were promised room.
+        division: of the engines, which hears of shortages.
+        limiter: of engines that name the rate of requests that they take.
+    """
+
+    def __init__(
+        self,
+        pool: pools.Pool,
+        queue: waiting.Waiting,
+        forecast: forecasts.Forecast,
+        returns: returns_module.Returns,
+        division: divisions.Division,
+        limiter: ratelimits.Limiter,
+    ) -> None:
+        self._pool = pool
+        self._queue = queue
+        self._forecast = forecast
+        self._returns = returns
+        self._division = division
+        self._limiter = limiter
+
+    def _until_room(self, job: Job, now: float) -> float:
+        """Return the seconds for which all engines' limits hold a job up."""
+        if self._limiter.is_idle:
+            return 0.0
+        engines = self._pool.usable_decodes(job, now)
+        found = [engine.upstream.id for engine in engines]
+        return self._limiter.wait(found, len(self._queue) + 1, now)
+
+    def is_limited(self, job: Job, now: float) -> bool:
+        """Return whether the limits of engines let no run start in time."""
+        wait = self._until_room(job, now)
+        return wait > 0 and now + wait > waiting.limit(job)
+
+    def keep_or_refuse(
+        self, job: Job, now: float
+    ) -> generations.Refused | None:
+        """Decide on a request that could not be placed so far."""
+        if self.is_limited(job, now):
+            return self.refuse(job, 'rate_limits', now)
+        wait = _CAUTION * self._forecast.wait(job, 1, now)
+        if now + wait > waiting.limit(job):
+            return self.keep_late(job, wait, now)
+        self._queue.keep(job)
+        return None
+
+    def keep_late(
+        self, job: Job, wait: float, now: float
+    ) -> generations.Refused | None:
+        """Keep a request that can't start in time, or give it up.
+
+        Served late beats not served, and held in vain is worse than both.
+        """
+        owed = 1 + self._returns.due(now)
+        late = self._forecast.late_wait(job, owed, now)
+        is_in_vain = now + late > job.leaves_at
+        if is_in_vain and not self._queue.is_probe(job, now):
+            return self.refuse(job, self._forecast.why(job, wait), now)
+        self._queue.keep(job, is_late=True)
+        return None
+
+    def refuse(self, job: Job, why: str, now: float) -> generations.Refused:
+        """Give a request up, and promise when there is room for it."""
+        self._division.is_short(now)
+        rate = self._forecast.rate()
+        queued = len(self._queue) / rate if rate else 0.0
+        queued = max(
+            queued,
+            self._pool.next_trial(now),
+            self._until_room(job, now),
+        )
+        wait = self._returns.promise(
+            job.subject,
+            self._forecast.spare(now),
+            queued,
+            job.deadline - now,
+            job.arrived_at,
+            now,
+        )
+        return generations.Refused(job, wait, why)
--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -28,8 +28,10 @@
 """
 
 import dataclasses
+import random
 import typing
 
+from galenahatch.core import admission
 from galenahatch.core import division as divisions
 from galenahatch.core import figures
 from galenahatch.core import forecast
@@ -38,6 +40,7 @@
 from galenahatch.core import modelengines
 from galenahatch.core import placements
 from galenahatch.core import pool
+from galenahatch.core import ratelimits
 from galenahatch.core import reading
 from galenahatch.core import returns
 from galenahatch.core import upstreams
@@ -47,10 +50,6 @@
 LOOKAHEAD: typing.Final = 0.02
 """Seconds of work that a prefill engine may have ahead; the rest waits in
 the queue, where it can still be reordered."""
-_CAUTION: typing.Final = 1.3
-"""Times the predicted wait that a request must have left to be kept. What is
-kept and not served costs more than what is refused at once and comes back;
-predictions are off by about a third."""
 _RECHECK: typing.Final = 0.02
 _ON_ITS_WAY: typing.Final = 1.0
 """Seconds for which a placed run need not stand in its VM's list: four
@@ -65,10 +64,20 @@
     Args:
         capacity: tokens of KV cache of each engine.
         slots: runs at once of each engine.
+        limiter: of engines that name the rate of requests that they take;
+            one of its own if not said.
     """
 
-    def __init__(self, capacity: int, slots: int) -> None:
-        self._pool = pool.Pool(capacity, slots)
+    def __init__(
+        self,
+        capacity: int,
+        slots: int,
+        limiter: ratelimits.Limiter | None = None,
+    ) -> None:
+        if limiter is None:
+            limiter = ratelimits.Limiter(random.Random())
+        self._limiter = limiter
+        self._pool = pool.Pool(capacity, slots, limiter)
         self._measures = figures.Measures()
         self._returns = returns.Returns()
         self._queue = waiting.Waiting(self._measures)
@@ -78,6 +87,14 @@
         self._division = divisions.Division(
             self._pool, self._measures, self._forecast
         )
+        self._admission = admission.Admission(
+            self._pool,
+            self._queue,
+            self._forecast,
+            self._returns,
+            self._division,
+            limiter,
+        )
         self._placements: dict[ids.StreamId, placements.Placement] = {}
 
     @property
@@ -158,12 +175,14 @@
             self._measures.note_arrival(now)
         self._forget(job.stream, now)
         if not self._pool.decodes:
-            return self._refuse(job, 'no_engine', now)
+            return self._admission.refuse(job, 'no_engine', now)
         if not job.going_on:
+            if self._admission.is_limited(job, now):
+                return self._admission.refuse(job, 'rate_limits', now)
             owed = 1 + self._returns.due(now)
             wait = self._forecast.wait(job, owed, now)
             if now + wait > waiting.limit(job):
-                return self._keep_late(job, wait, now)
+                return self._admission.keep_late(job, wait, now)
         self._queue.add(job)
         return None
 
@@ -178,7 +197,7 @@
         for job in self._queue.in_order(now):
             decision: generations.Decision | None = None
             if self._queue.is_hopeless(job, now):
-                decision = self._refuse(job, 'no_time_left', now)
+                decision = self._admission.refuse(job, 'no_time_left', now)
             elif lacks < forecast.LOOKED_AT:
                 found = self._place(job, now)
                 if isinstance(found, generations.Placed):
@@ -186,7 +205,7 @@
                 else:
                     lacks += self._lacks(found, job, now)
             if decision is None and waiting.is_due(job, now):
-                decision = self._keep_or_refuse(job, now)
+                decision = self._admission.keep_or_refuse(job, now)
             if decision is not None:
                 self._queue.remove(job.stream)
                 decisions.append(decision)
@@ -296,31 +315,6 @@
         for stream in placements.lapsed(self._placements, now):
             self._forget(stream, now)
 
-    def _keep_or_refuse(
-        self, job: Job, now: float
-    ) -> generations.Refused | None:
-        """Decide on a request that could not be placed so far."""
-        wait = _CAUTION * self._forecast.wait(job, 1, now)
-        if now + wait > waiting.limit(job):
-            return self._keep_late(job, wait, now)
-        self._queue.keep(job)
-        return None
-
-    def _keep_late(
-        self, job: Job, wait: float, now: float
-    ) -> generations.Refused | None:
-        """Keep a request that can't start in time, or give it up.
-
-        Served late beats not served, and held in vain is worse than both.
-        """
-        owed = 1 + self._returns.due(now)
-        late = self._forecast.late_wait(job, owed, now)
-        is_in_vain = now + late > job.leaves_at
-        if is_in_vain and not self._queue.is_probe(job, now):
-            return self._refuse(job, self._forecast.why(job, wait), now)
-        self._queue.keep(job, is_late=True)
-        return None
-
     # Placement.
 
     def _place(
@@ -348,6 +342,9 @@
             if prefill is None and not job.is_read:
                 return generations.Lack.PREFILL
             return generations.Lack.MEMORY
+        chosen = [e.upstream.id for e in (prefill, decode) if e is not None]
+        if not self._limiter.take_all(chosen, now):
+            return generations.Lack.MEMORY
         return self._placed(job, prefill, decode, ready, now)
 
     def _placed(
@@ -390,24 +387,6 @@
         )
         return generations.Placed(job, chosen, decode.upstream.id, why)
 
-    # Refusal.
-
-    def _refuse(self, job: Job, why: str, now: float) -> generations.Refused:
-        """Give a request up, and promise when there is room for it."""
-        self._division.is_short(now)
-        rate = self._forecast.rate()
-        queued = len(self._queue) / rate if rate else 0.0
-        queued = max(queued, self._pool.next_trial(now))
-        wait = self._returns.promise(
-            job.subject,
-            self._forecast.spare(now),
-            queued,
-            job.deadline - now,
-            job.arrived_at,
-            now,
-        )
-        return generations.Refused(job, wait, why)
-
     # Runs.
 
     def _run(self, stream: ids.StreamId) -> memory.Run | None:
--- a/galenahatch/core/pool.py
+++ b/galenahatch/core/pool.py
@@ -27,6 +27,7 @@
 from galenahatch.core import memory
 from galenahatch.core import modelengines
 from galenahatch.core import pace as paces
+from galenahatch.core import ratelimits
 from galenahatch.core import upstreams
 from galenahatch import ids
 
@@ -54,9 +55,13 @@
     Args:
         capacity: tokens of KV cache of each engine.
         slots: runs at once of each engine.
+        limiter: of engines that name the rate of requests that they take.
     """
 
-    def __init__(self, capacity: int, slots: int) -> None:
+    def __init__(
+        self, capacity: int, slots: int, limiter: ratelimits.Limiter
+    ) -> None:
+        self._limiter = limiter
         self.capacity = capacity
         self.slots = slots
         self.prefills: dict[ids.UpstreamId, modelengines.PrefillEngine] = {}
@@ -314,6 +319,7 @@
             for engine in self.prefills.values()
             if engine.health.until <= now
             and engine.upstream.id not in job.avoid
+            and self._limiter.may_take(engine.upstream.id, now)
         ]
 
         def key(
@@ -349,6 +355,7 @@
             for engine in self.usable_decodes(job, now)
             if engine.fits(run, now)
             and not (reads and engine.reads_until > now)
+            and self._limiter.may_take(engine.upstream.id, now)
         ]
 
         def key(engine: modelengines.DecodeEngine) -> float:
--- a/galenahatch/core/quotas.py
+++ b/galenahatch/core/quotas.py
@@ -10,7 +10,10 @@
 # License for the specific language governing permissions and limitations
 # under the License.
 
-"""Quotas of customers over all VMs: who may use how much.
+"""Quotas over all VMs: who may use how much.
+
+Kept for what customers may use, and for the rates that upstreams name
+(`core/ratelimits`). What is said of customers below holds for both.
 
 The bound is on a sliding window: what runs for a customer stays under
 (rate x window + burst) x (1 + overshoot) + slack, over all VMs. What is
@@ -45,7 +48,6 @@
 import typing
 
 from galenahatch.core import customers
-from galenahatch import ids
 
 _MARGIN: typing.Final = 0.3
 """Part of what the bound allows beyond the limit that a bucket holds beyond
@@ -67,6 +69,8 @@
 _MOST_TOLD: typing.Final = 32
 """Levels in one message, some 20 bytes each, the lowest first."""
 
+Key = typing.TypeVar('Key', bound=str)
+
 
 @dataclasses.dataclass(frozen=True)
 class Bound:
@@ -136,7 +140,7 @@
         return min(1.0, part * self.boost)
 
 
-class Quotas:
+class Quotas(typing.Generic[Key]):
     """The buckets of all customers, as one VM knows them.
 
     Args:
@@ -147,14 +151,14 @@
     def __init__(self, bound: Bound, random_source: random.Random) -> None:
         self._bound = bound
         self._random = random_source
-        self._buckets: dict[ids.CustomerName, _Bucket] = {}
-        self._untold: dict[ids.CustomerName, float] = {}
+        self._buckets: dict[Key, _Bucket] = {}
+        self._untold: dict[Key, float] = {}
         self._part = 1.0
         self._is_new = True
 
     def configure(
         self,
-        known: typing.Mapping[ids.CustomerName, customers.Customer],
+        known: typing.Mapping[Key, customers.Customer],
         now: float,
     ) -> None:
         """Take the customers of a configuration.
@@ -168,15 +172,18 @@
             if customer.quota is not None
         }
         for name in self._buckets.keys() - limited.keys():
-            del self._buckets[name]
-            self._untold.pop(name, None)
+            self.drop(name)
         for name, quota in limited.items():
-            self._set_quota(name, quota, now)
+            self.set_quota(name, quota, now)
         self._is_new = False
 
-    def _set_quota(
-        self, name: ids.CustomerName, quota: customers.Quota, now: float
-    ) -> None:
+    def drop(self, name: Key) -> None:
+        """Forget a quota: nothing is limited any more."""
+        self._buckets.pop(name, None)
+        self._untold.pop(name, None)
+
+    def set_quota(self, name: Key, quota: customers.Quota, now: float) -> None:
+        """Take a quota that is new or has changed."""
         bucket = self._buckets.get(name)
         if bucket is None:
             bucket = self._buckets[name] = _Bucket(quota, self._bound)
@@ -198,7 +205,7 @@
 
     def take(
         self,
-        name: ids.CustomerName,
+        name: Key,
         units: float,
         now: float,
         told: bool = False,
@@ -224,6 +231,27 @@
             self._untold[name] = self._untold.get(name, 0.0) + units
         return None
 
+    def may_take(self, name: Key, units: float, now: float) -> bool:
+        """Return whether `take` may grant units."""
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            return True
+        bucket.fill(now)
+        wanted = min(units / bucket.share(self._part), bucket.capacity)
+        return wanted <= bucket.level
+
+    def left(self, name: Key, now: float) -> tuple[float, float]:
+        """Return the units that are left here, and those a second.
+
+        Args:
+            name: of one with a quota.
+            now: monotonic seconds.
+        """
+        bucket = self._buckets[name]
+        bucket.fill(now)
+        share = bucket.share(self._part)
+        return bucket.level * share, bucket.quota.rate * share
+
     def _has_room(self, bucket: _Bucket, units: float) -> bool:
         """Take units from a bucket, if it holds them.
 
@@ -260,7 +288,7 @@
 
     def give_back(
         self,
-        name: ids.CustomerName,
+        name: Key,
         units: float,
         now: float,
         told: bool = False,
@@ -274,14 +302,14 @@
         if told:
             self._untold[name] = self._untold.get(name, 0.0) - units
 
-    def most(self, name: ids.CustomerName) -> float | None:
+    def most(self, name: Key) -> float | None:
         """Return the most units of one request; None for no limit."""
         bucket = self._buckets.get(name)
         return None if bucket is None else bucket.capacity
 
     # What VMs tell each other.
 
-    def must_tell(self, name: ids.CustomerName, size: int) -> bool:
+    def must_tell(self, name: Key, size: int) -> bool:
         """Return whether what was used here can't wait for the next beat.
 
         Args:
@@ -295,8 +323,8 @@
         return untold * size >= _UNTOLD * bucket.capacity
 
     def levels(
-        self, names: typing.Iterable[ids.CustomerName], now: float
-    ) -> dict[ids.CustomerName, float]:
+        self, names: typing.Iterable[Key], now: float
+    ) -> dict[Key, float]:
         """Return the levels of some customers."""
         found = {}
         for name in names:
@@ -306,13 +334,13 @@
                 found[name] = bucket.level
         return found
 
-    def take_untold(self) -> dict[ids.CustomerName, float]:
+    def take_untold(self) -> dict[Key, float]:
         """Return what was used here since the last call."""
         untold, self._untold = self._untold, {}
         return untold
 
     def used_elsewhere(
-        self, used: typing.Mapping[ids.CustomerName, float], now: float
+        self, used: typing.Mapping[Key, float], now: float
     ) -> None:
         """Take what another VM has counted; it may lead to a debt.
 
@@ -326,7 +354,7 @@
                 bucket.fill(now)
                 bucket.set_level(bucket.level - units / bucket.share(part))
 
-    def low(self, now: float) -> dict[ids.CustomerName, float]:
+    def low(self, now: float) -> dict[Key, float]:
         """Return the levels of customers that are short."""
         levels = {}
         for name, bucket in self._buckets.items():
@@ -338,9 +366,7 @@
         lowest = sorted(levels, key=lambda name: levels[name])
         return {name: levels[name] for name in lowest[:_MOST_TOLD]}
 
-    def hear(
-        self, levels: typing.Mapping[ids.CustomerName, float], now: float
-    ) -> None:
+    def hear(self, levels: typing.Mapping[Key, float], now: float) -> None:
         """Take the levels that an owner tells."""
         for name, level in levels.items():
             bucket = self._buckets.get(name)
--- a/galenahatch/core/ratelimits.py
+++ b/galenahatch/core/ratelimits.py
@@ -19,14 +19,32 @@
 the time at which its request was sent. So an answer that was made before the
 upstream named its limit, and came after it, does not lift the limit.
 
+The owner grants each request to such an upstream (`Limiter`), so that the
+count is that of all VMs: where 400 VMs each keep a part of two requests a
+second, no part holds a request. Who is told to wait asks again after a pause
+that bounds the questions.
+
 Times are monotonic seconds; there is no input or output here.
 """
 
+import collections.abc
 import dataclasses
+import random
 import typing
 
+from galenahatch.core import customers
+from galenahatch.core import quotas
 from galenahatch import ids
 
+BOUND: typing.Final = quotas.Bound(window=4.0, overshoot=0.5, slack=5.0)
+"""What an upstream gets at the most: in four seconds one and a half times its
+limit, and five requests. The buckets hold to the limit itself; what lies
+beyond it is for requests of before a change of the owner."""
+_QUESTIONS: typing.Final = 200.0
+"""Questions a second on one upstream that the owner has time for."""
+_PROBED: typing.Final = 0.25
+"""Part of the limit of an upstream that reading its report may take."""
+
 _LEAST_RATE: typing.Final = 0.25
 """Requests a second that are sent in any case. An upstream that gets none
 could never say that it takes some again."""
@@ -139,10 +157,128 @@
         self._turn = (self._turn + _MOST_TOLD) % len(told)
         return (told + told)[self._turn : self._turn + _MOST_TOLD]
 
+    def forget(
+        self, known: typing.Container[ids.UpstreamId], now: float
+    ) -> list[ids.UpstreamId]:
+        """Drop and return what is gone; entries may lapse and come back."""
+        gone = [
+            upstream
+            for upstream, notice in self._notices.items()
+            if upstream not in known and now - notice.at > _KEPT
+        ]
+        for upstream in gone:
+            del self._notices[upstream]
+        return gone
+
+
+def pause(wait: float, size: int) -> float:
+    """Return the seconds after which a VM asks the owner again.
+
+    Args:
+        wait: seconds until there is room for it, if all others come then.
+        size: VMs that may ask.
+    """
+    return min(wait, size / _QUESTIONS)
+
+
+class Limiter:
+    """Grants requests to upstreams that name a limit.
+
+    Args:
+        random_source: rounds parts of requests.
+    """
+
+    def __init__(self, random_source: random.Random) -> None:
+        self._notices = Notices()
+        self._buckets = quotas.Quotas[ids.UpstreamId](BOUND, random_source)
+        self._probed_at: dict[ids.UpstreamId, float] = {}
+
+    @property
+    def notices(self) -> Notices:
+        """What upstreams have named."""
+        return self._notices
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no upstream has named a limit of late."""
+        return not self._notices.known
+
+    def changed(self, upstream: ids.UpstreamId, now: float) -> None:
+        """Keep the limit that an upstream names now."""
+        rate = self._notices.rate(upstream)
+        if rate is None:
+            self._buckets.drop(upstream)
+        else:
+            quota = customers.Quota(rate, 0.0)
+            self._buckets.set_quota(upstream, quota, now)
+
+    def decide_for(self, part: float) -> None:
+        """Note for which part of all VMs this one decides."""
+        self._buckets.decide_for(part)
+
+    def may_take(self, upstream: ids.UpstreamId, now: float) -> bool:
+        """Return whether an upstream may get a request now."""
+        return self._buckets.may_take(upstream, 1.0, now)
+
+    def take(
+        self, upstream: ids.UpstreamId, now: float
+    ) -> quotas.Denied | None:
+        """Count a request; return why it may not be sent."""
+        return self._buckets.take(upstream, 1.0, now)
+
+    def take_all(
+        self,
+        upstreams: collections.abc.Sequence[ids.UpstreamId],
+        now: float,
+    ) -> bool:
+        """Count a request to each upstream, or none if one has no room."""
+        for number, upstream in enumerate(upstreams):
+            if self.take(upstream, now) is None:
+                continue
+            for counted in upstreams[:number]:
+                self._buckets.give_back(counted, 1.0, now)
+            return False
+        return True
+
+    def may_probe(self, upstream: ids.UpstreamId, now: float) -> bool:
+        """Return whether to read the report of an upstream; count it.
+
+        A report must not wait for room, nor take much of it.
+        """
+        rate = self._notices.rate(upstream)
+        if rate is None:
+            return True
+        probed_at = self._probed_at.get(upstream, -BOUND.window)
+        if now - probed_at < 1 / (_PROBED * rate):
+            return False
+        self._probed_at[upstream] = now
+        self._buckets.used_elsewhere({upstream: 1.0}, now)
+        return True
+
+    def wait(
+        self,
+        upstreams: collections.abc.Collection[ids.UpstreamId],
+        requests: int,
+        now: float,
+    ) -> float:
+        """Return the seconds until upstreams together have room.
+
+        Args:
+            upstreams: any of which will do.
+            requests: that they are to take.
+            now: monotonic seconds.
+        """
+        if not upstreams or not all(map(self._notices.rate, upstreams)):
+            return 0.0
+        left = [self._buckets.left(key, now) for key in upstreams]
+        units = sum(max(0.0, level) for level, _ in left)
+        rate = sum(rate for _, rate in left)
+        return max(0.0, requests - units) / rate
+
     def forget(
         self, known: typing.Container[ids.UpstreamId], now: float
     ) -> None:
-        """Drop upstreams that are gone; entries may lapse and come back."""
-        for upstream, notice in list(self._notices.items()):
-            if upstream not in known and now - notice.at > _KEPT:
-                del self._notices[upstream]
+        """Drop upstreams that are gone."""
+        for gone in self._notices.forget(known, now):
+            self._buckets.drop(gone)
+            self._probed_at.pop(gone, None)
--- a/galenahatch/errors.py
+++ b/galenahatch/errors.py
@@ -12,10 +12,9 @@
 
 """Registry of every reason a request or a command can fail for.
 
-A reason is a named object that fixes the HTTP status, the outcome told to
-the caller and the user's message. Functions return a `Failure` in place of
-a value: an expected failure is data, so the caller must look at it, and
-exceptions are left for programming errors.
+A reason fixes the HTTP status, the outcome told to the caller and the user's
+message. Functions return a `Failure` in place of a value: an expected failure
+is data. Exceptions are left for programming errors.
 """
 
 import dataclasses
@@ -198,6 +197,9 @@
     'No engine of the service can take work.',
     'See galenahatchctl status: start or undrain engines.',
 )
+RATE_LIMITED = _reason(
+    'rate_limited', 503, _NOT_RUN, 'All are at their limit.', 'Wait.'
+)
 NO_SCHEDULER = _reason(
     'no_scheduler',
     503,
--- a/galenahatch/gateway/accounts.py
+++ b/galenahatch/gateway/accounts.py
@@ -57,7 +57,7 @@
         self, directory: directories.Directory, bound: quotas.Bound
     ) -> None:
         self._directory = directory
-        self._quotas = quotas.Quotas(bound, clock.RANDOM)
+        self._quotas = quotas.Quotas[ids.CustomerName](bound, clock.RANDOM)
         self._version = 0
         self._labels: set[ids.CustomerName] = set()
         self._low: tuple[messages.Level, ...] = ()
--- /dev/null
+++ b/galenahatch/gateway/frames.py
@@ -0,0 +1,69 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Messages between gateways as bytes: a version, then the message."""
+
+import typing
+
+import msgspec
+
+from galenahatch import errors
+from galenahatch.gateway import messages
+
+_VERSION: typing.Final = 1
+_MOST_BYTES: typing.Final = 4 * 1024 * 1024
+
+AnyMessage = (
+    messages.Beat
+    | messages.BeatBack
+    | messages.Place
+    | messages.Queued
+    | messages.PlacedAt
+    | messages.GivenUp
+    | messages.Declined
+    | messages.Withdraw
+    | messages.Prefilled
+    | messages.Started
+    | messages.Release
+    | messages.GivenBack
+    | messages.Spent
+    | messages.Left
+    | messages.RateLimits
+    | messages.Permit
+    | messages.Permitted
+    | messages.Change
+    | messages.Changed
+    | messages.Suspicions
+    | messages.Ask
+    | messages.News
+)
+
+_PREFIX: typing.Final = bytes([_VERSION])
+_ENCODER: typing.Final = msgspec.msgpack.Encoder()
+_DECODER: typing.Final = msgspec.msgpack.Decoder(AnyMessage)
+
+
+def encode(message: AnyMessage) -> bytes:
+    """Return the frame of a message."""
+    return _PREFIX + _ENCODER.encode(message)
+
+
+def decode(frame: bytes) -> AnyMessage | errors.Failure:
+    """Return the message of a frame, or why there is none."""
+    if not frame or len(frame) > _MOST_BYTES:
+        return errors.Failure(errors.BAD_FRAME, f'{len(frame)} bytes')
+    if frame[0] != _VERSION:
+        return errors.Failure(errors.BAD_FRAME, f'version {frame[0]}')
+    try:
+        return _DECODER.decode(memoryview(frame)[1:])
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        return errors.Failure(errors.BAD_FRAME, str(error))
--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -106,6 +106,11 @@
 config_version = _meter.create_gauge(
     CONFIG_VERSION, description='Version of the configuration in force.'
 )
+HELD_BACK: typing.Final = 'galenahatch_held_back'
+held_back = _meter.create_counter(
+    HELD_BACK,
+    description='Times that a plain call found no room, by upstream.',
+)
 RATE_LIMIT: typing.Final = 'galenahatch_upstream_rate_limit'
 _rate_limits: list[typing.Callable[[], dict[str, float]]] = []
 _meter.create_observable_gauge(
--- a/galenahatch/gateway/means.py
+++ b/galenahatch/gateway/means.py
@@ -25,6 +25,7 @@
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import ownership as ownerships
 from galenahatch.gateway import quarantine
+from galenahatch.gateway import ratelimits
 from galenahatch.gateway import sender as senders
 from galenahatch import tasks
 
@@ -53,6 +54,7 @@
     ownership: ownerships.Ownership
     guard: quarantine.Guard
     accounts: accounts_module.Accounts
+    rate_limits: ratelimits.RateLimits
     tasks: tasks.Tasks
 
 
--- a/galenahatch/gateway/mesh.py
+++ b/galenahatch/gateway/mesh.py
@@ -32,10 +32,12 @@
 from galenahatch.core import members
 from galenahatch.gateway import accounts
 from galenahatch.gateway import directory as directories
+from galenahatch.gateway import frames
 from galenahatch.gateway import instruments
 from galenahatch.gateway import messages
 from galenahatch.gateway import outcomes
 from galenahatch.gateway import quarantine
+from galenahatch.gateway import ratelimits
 from galenahatch.gateway import roster as rosters
 from galenahatch import ids
 from galenahatch import logs
@@ -51,10 +53,12 @@
 """Seconds in which others that were ended at the same time are back."""
 _log = logs.Log('mesh')
 
-CODEC: typing.Final = bus.Codec[messages.AnyMessage](
-    messages.encode, messages.decode
+CODEC: typing.Final = bus.Codec[frames.AnyMessage](
+    frames.encode, frames.decode
 )
-Handler = collections.abc.Callable[[ids.MemberId, messages.AnyMessage], None]
+_FIRST: typing.Final = (messages.Place, messages.Change, messages.Permit)
+"""Messages that a gateway may send before its first beat."""
+Handler = collections.abc.Callable[[ids.MemberId, frames.AnyMessage], None]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -65,11 +69,13 @@
         outcomes: what sends to plain upstreams came to.
         guard: what is known of requests that end upstreams.
         accounts: what customers use of their quotas.
+        rate_limits: that upstreams name.
     """
 
     outcomes: outcomes.Exchange
     guard: quarantine.Guard
     accounts: accounts.Accounts
+    rate_limits: ratelimits.RateLimits
 
 
 class Mesh:
@@ -101,6 +107,7 @@
         self._exchange = exchanges.outcomes
         self._guard = exchanges.guard
         self._accounts = exchanges.accounts
+        self._rate_limits = exchanges.rate_limits
         self._handler = handler
         self._tasks = background
         self._incarnation = clock.incarnation()
@@ -113,7 +120,7 @@
             self._guard.take,
         )
         self._members = self._roster.members
-        self._links: dict[ids.MemberId, bus.Link[messages.AnyMessage]] = {}
+        self._links: dict[ids.MemberId, bus.Link[frames.AnyMessage]] = {}
         self._peers: dict[ids.MemberId, bus.Peer] = {}
         self._names: dict[bus.Peer, ids.MemberId] = {}
         self._asked_at = -1e9
@@ -136,6 +143,7 @@
         self._guard.announce = self._announce
         self._accounts.announce = self._announce_used
         self._accounts.size = lambda: self.size
+        self._rate_limits.join(self)
 
     @property
     def size(self) -> int:
@@ -178,12 +186,12 @@
         self._members.suspect(name)
         _log.warning('Member suspected.', member=name)
 
-    def send(self, name: ids.MemberId, message: messages.AnyMessage) -> None:
+    def send(self, name: ids.MemberId, message: frames.AnyMessage) -> None:
         """Send a message; lost if the member is away."""
         if name in self._members.known:
             self._link(name).send(message)
 
-    def reply(self, name: ids.MemberId, message: messages.AnyMessage) -> None:
+    def reply(self, name: ids.MemberId, message: frames.AnyMessage) -> None:
         """Send a message to a member that has sent one."""
         peer = self._peers.get(name)
         if peer is not None:
@@ -232,13 +240,16 @@
             self._directory.hears_store,
             self._guard.tell(),
             self._accounts.take_new(),
+            self._rate_limits.tell(),
         )
         if self._members.owner(self.leaving, now) == self.me:
             self._exchange.decides()
-            self._accounts.decides_for(self._part(now))
+            part = self._part(now)
         else:
-            self._accounts.decides_for(1.0)
-        self._send_first(message)
+            part = 1.0
+        self._accounts.decides_for(part)
+        self._rate_limits.decides_for(part)
+        self.tell_owner(message)
 
     def _part(self, now: float) -> float:
         """Return for which part of all members this one decides.
@@ -250,7 +261,7 @@
             return 1.0
         return self._members.part_heard(now)
 
-    def _send_first(self, message: messages.AnyMessage) -> None:
+    def tell_owner(self, message: frames.AnyMessage) -> None:
         """Send to the owner and whoever may be the next one."""
         now = clock.now()
         live = 0
@@ -268,18 +279,18 @@
             for name in self._peers:
                 self.reply(name, message)
         else:
-            self._send_first(message)
+            self.tell_owner(message)
 
     def _announce_used(self, used: tuple[messages.Used, ...]) -> None:
         """Tell the owner, and the next one, at once what was used here."""
-        self._send_first(messages.Spent(used))
+        self.tell_owner(messages.Spent(used))
 
     def _drop(self, name: ids.MemberId) -> None:
         link = self._links.pop(name, None)
         if link is not None:
             link.close()
 
-    def _link(self, name: ids.MemberId) -> bus.Link[messages.AnyMessage]:
+    def _link(self, name: ids.MemberId) -> bus.Link[frames.AnyMessage]:
         link = self._links.get(name)
         if link is None:
             member = self._members.known[name]
@@ -292,12 +303,13 @@
 
     # Messages that come in.
 
-    def _from_hub(self, peer: bus.Peer, message: messages.AnyMessage) -> None:
+    def _from_hub(self, peer: bus.Peer, message: frames.AnyMessage) -> None:
         if isinstance(message, messages.Beat):
             self._meet(message.member, peer)
             self._hear(message.member, message)
             self._exchange.take(message.outcomes)
             self._accounts.take(message.used)
+            self._rate_limits.hear(message.rate_limits)
             self._guard.hear(message.suspicions)
             self.reply(
                 message.member,
@@ -314,20 +326,20 @@
                     self._members.order,
                     self._guard.tell(),
                     self._accounts.low(),
+                    self._rate_limits.tell(),
                 ),
             )
             self._compare(message)
             self._handler(message.member, message)
             return
-        if isinstance(message, messages.Place | messages.Change):
-            # A gateway may ask before its first beat.
+        if isinstance(message, _FIRST):
             self._meet(message.member, peer)
         name = self._names.get(peer)
         if name is not None:
             self._take(name, message, self.reply)
 
     def _from_link(
-        self, name: ids.MemberId, message: messages.AnyMessage
+        self, name: ids.MemberId, message: frames.AnyMessage
     ) -> None:
         if isinstance(message, messages.BeatBack):
             self._hear(name, message)
@@ -335,6 +347,7 @@
             if name == self._members.owner(self.leaving, clock.now()):
                 self._exchange.hear(message.outcomes)
             self._accounts.hear(message.low)
+            self._rate_limits.hear(message.rate_limits)
             self._guard.hear(message.suspicions)
             self._compare(message)
             self._handler(name, message)
@@ -363,9 +376,9 @@
     def _take(
         self,
         name: ids.MemberId,
-        message: messages.AnyMessage,
+        message: frames.AnyMessage,
         answer: collections.abc.Callable[
-            [ids.MemberId, messages.AnyMessage], None
+            [ids.MemberId, frames.AnyMessage], None
         ],
     ) -> None:
         self._members.heard(name, clock.now())
@@ -377,6 +390,8 @@
             self._directory.take_news(message)
         elif isinstance(message, messages.Suspicions):
             self._guard.hear(message.told)
+        elif isinstance(message, messages.RateLimits):
+            self._rate_limits.hear(message.told)
         elif isinstance(message, messages.Spent):
             self._accounts.take(message.used)
             levels = self._accounts.levels(message.used)
--- a/galenahatch/gateway/messages.py
+++ b/galenahatch/gateway/messages.py
@@ -19,17 +19,11 @@
 since the clocks of two VMs can't be compared.
 """
 
-import typing
-
 import msgspec
 
 from galenahatch.core import upstreams
-from galenahatch import errors
 from galenahatch import ids
 
-_VERSION: typing.Final = 1
-_MOST_BYTES: typing.Final = 4 * 1024 * 1024
-
 
 class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Base of every message."""
@@ -90,6 +84,19 @@
     units: float
 
 
+class RateLimit(msgspec.Struct, frozen=True, array_like=True):
+    """What an upstream said of the rate of requests that it takes.
+
+    Attributes:
+        rate: requests a second; None if it names no limit any more.
+        age: seconds since that was so.
+    """
+
+    upstream: ids.UpstreamId
+    rate: float | None
+    age: float
+
+
 class Beat(Message, frozen=True, array_like=True, tag=True):
     """A sign of life, with all that its sender runs.
 
@@ -105,6 +112,7 @@
         hears_store: whether its sender follows the store without trouble.
         suspicions: that changed of late, and of the rest some in turn.
         used: of customers' quotas since the last beat.
+        rate_limits: that upstreams name, or have lifted of late.
     """
 
     member: ids.MemberId
@@ -118,6 +126,7 @@
     hears_store: bool = False
     suspicions: tuple[Suspicion, ...] = ()
     used: tuple[Used, ...] = ()
+    rate_limits: tuple[RateLimit, ...] = ()
 
 
 class Figures(msgspec.Struct, frozen=True, array_like=True):
@@ -160,6 +169,7 @@
         order: version of its row in the store, 0 until it has one.
         suspicions: that changed of late, and of the rest some in turn.
         low: customers that are short.
+        rate_limits: that upstreams name, or have lifted of late.
     """
 
     member: ids.MemberId
@@ -174,6 +184,7 @@
     order: int = 0
     suspicions: tuple[Suspicion, ...] = ()
     low: tuple[Level, ...] = ()
+    rate_limits: tuple[RateLimit, ...] = ()
 
 
 class Place(Message, frozen=True, array_like=True, tag=True):
@@ -318,6 +329,35 @@
     levels: tuple[Level, ...]
 
 
+class RateLimits(Message, frozen=True, array_like=True, tag=True):
+    """Tells what upstreams have said of it, ahead of the next beat."""
+
+    told: tuple[RateLimit, ...]
+
+
+class Permit(Message, frozen=True, array_like=True, tag=True):
+    """Asks for one request to an upstream that names a rate limit.
+
+    Attributes:
+        number: of this question.
+    """
+
+    member: ids.MemberId
+    number: int
+    upstream: ids.UpstreamId
+
+
+class Permitted(Message, frozen=True, array_like=True, tag=True):
+    """The answer.
+
+    Attributes:
+        wait: seconds until there is room; 0 if the request may be sent.
+    """
+
+    number: int
+    wait: float
+
+
 class Change(Message, frozen=True, array_like=True, tag=True):
     """Asks a gateway that hears the store to order a change of stage."""
 
@@ -377,47 +417,3 @@
     upstreams: int
     rows: tuple[NewsRow, ...]
     is_whole: bool = False
-
-
-AnyMessage = (
-    Beat
-    | BeatBack
-    | Place
-    | Queued
-    | PlacedAt
-    | GivenUp
-    | Declined
-    | Withdraw
-    | Prefilled
-    | Started
-    | Release
-    | GivenBack
-    | Spent
-    | Left
-    | Change
-    | Changed
-    | Suspicions
-    | Ask
-    | News
-)
-
-_PREFIX: typing.Final = bytes([_VERSION])
-_ENCODER: typing.Final = msgspec.msgpack.Encoder()
-_DECODER: typing.Final = msgspec.msgpack.Decoder(AnyMessage)
-
-
-def encode(message: AnyMessage) -> bytes:
-    """Return the frame of a message."""
-    return _PREFIX + _ENCODER.encode(message)
-
-
-def decode(frame: bytes) -> AnyMessage | errors.Failure:
-    """Return the message of a frame, or why there is none."""
-    if not frame or len(frame) > _MOST_BYTES:
-        return errors.Failure(errors.BAD_FRAME, f'{len(frame)} bytes')
-    if frame[0] != _VERSION:
-        return errors.Failure(errors.BAD_FRAME, f'version {frame[0]}')
-    try:
-        return _DECODER.decode(memoryview(frame)[1:])
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        return errors.Failure(errors.BAD_FRAME, str(error))
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -30,6 +30,7 @@
 from galenahatch.gateway import accounts as accounts_module
 from galenahatch.gateway import connections
 from galenahatch.gateway import directory as directories
+from galenahatch.gateway import frames
 from galenahatch.gateway import front as fronts
 from galenahatch.gateway import means as means_module
 from galenahatch.gateway import mesh as meshes
@@ -123,6 +124,7 @@
             settings.data_centre,
             self._grants,
             self._accounts,
+            self._rate_limits.limiter,
         )
         self._balancer = balance.Balancer(clock.RANDOM, settings.data_centre)
         self._exchange = outcomes.Exchange(self._balancer.outliers)
@@ -140,7 +142,9 @@
             settings.peer_port,
             settings.data_centre,
             self._directory,
-            meshes.Exchanges(self._exchange, self._guard, self._accounts),
+            meshes.Exchanges(
+                self._exchange, self._guard, self._accounts, self._rate_limits
+            ),
             self._take,
             self._background,
         )
@@ -155,12 +159,12 @@
             self._background,
         )
 
-    def _take(
-        self, member: ids.MemberId, message: messages.AnyMessage
-    ) -> None:
+    def _take(self, member: ids.MemberId, message: frames.AnyMessage) -> None:
         """Take a message of another gateway."""
         if isinstance(message, messages.Change | messages.Changed):
             self._orders.take(member, message)
+        elif isinstance(message, messages.Permit | messages.Permitted):
+            self._rate_limits.take(member, message)
         else:
             self._ownership.take(member, message)
 
@@ -176,7 +180,11 @@
         self._mesh.run()
         self._ownership.run(self._mesh, self._background)
         reports.Reports(
-            self._directory, self._mesh, self._ownership.owner, self._sender
+            self._directory,
+            self._mesh,
+            self._ownership.owner,
+            self._sender,
+            self._rate_limits.limiter,
         ).run(self._background)
         self._orders.run()
         self._background.keep('members', self._look_around)
@@ -192,6 +200,7 @@
                 ownership=self._ownership,
                 guard=self._guard,
                 accounts=self._accounts,
+                rate_limits=self._rate_limits,
                 tasks=self._background,
             )
         )
--- a/galenahatch/gateway/owner.py
+++ b/galenahatch/gateway/owner.py
@@ -28,8 +28,10 @@
 from galenahatch.core import generations
 from galenahatch.core import memory
 from galenahatch.core import quotas
+from galenahatch.core import ratelimits
 from galenahatch.gateway import accounts as accounts_module
 from galenahatch.gateway import directory as directories
+from galenahatch.gateway import frames
 from galenahatch.gateway import instruments
 from galenahatch.gateway import messages
 from galenahatch import ids
@@ -58,6 +60,7 @@
         directory: upstreams and services.
         budget: of retries, over all gateways that ask.
         accounts: of customers, over all gateways that ask.
+        limiter: of upstreams, over all gateways that ask.
         deliver: sends an answer to a member.
     """
 
@@ -66,11 +69,13 @@
         directory: directories.Directory,
         budget: extras.GrantedBudget,
         accounts: accounts_module.Accounts,
+        limiter: ratelimits.Limiter,
         deliver: Deliver,
     ) -> None:
         self._directory = directory
         self._budget = budget
         self._accounts = accounts
+        self._limiter = limiter
         self._deliver = deliver
         self._dispatchers: dict[ids.ServiceName, dispatch.Dispatcher] = {}
         self._replies: dict[ids.StreamId, Reply] = {}
@@ -93,7 +98,7 @@
         """Requests that wait for engines."""
         return sum(d.waiting for d in self._dispatchers.values())
 
-    def take(self, member: ids.MemberId, message: messages.AnyMessage) -> None:
+    def take(self, member: ids.MemberId, message: frames.AnyMessage) -> None:
         """Take a message of a gateway, this one included."""
         now = clock.now()
         if isinstance(message, messages.Place):
@@ -243,7 +248,7 @@
             if known is None or known.engine is None:
                 return None
             found = dispatch.Dispatcher(
-                known.engine.kv_tokens, known.engine.slots
+                known.engine.kv_tokens, known.engine.slots, self._limiter
             )
             self._dispatchers[service] = found
             self._set_engines(service, found)
--- a/galenahatch/gateway/ownership.py
+++ b/galenahatch/gateway/ownership.py
@@ -27,8 +27,10 @@
 
 from galenahatch import clock
 from galenahatch.core import extras
+from galenahatch.core import ratelimits
 from galenahatch.gateway import accounts as accounts_module
 from galenahatch.gateway import directory as directories
+from galenahatch.gateway import frames
 from galenahatch.gateway import mesh as meshes
 from galenahatch.gateway import messages
 from galenahatch.gateway import owner as owners
@@ -97,6 +99,7 @@
         data_centre: of this VM.
         budget: of retries, for what this gateway decides on.
         accounts: of customers, for the same.
+        limiter: of upstreams, for the same.
     """
 
     def __init__(
@@ -105,13 +108,16 @@
         data_centre: ids.DataCentre,
         budget: extras.GrantedBudget,
         accounts: accounts_module.Accounts,
+        limiter: ratelimits.Limiter,
     ) -> None:
         self._data_centre = data_centre
         self._mesh: meshes.Mesh | None = None
         self._asked: dict[ids.StreamId, asyncio.Queue[owners.Word]] = {}
         self._held: dict[ids.StreamId, _Running] = {}
         self._placed_by: dict[ids.StreamId, ids.MemberId] = {}
-        self.owner = owners.Owner(directory, budget, accounts, self._deliver)
+        self.owner = owners.Owner(
+            directory, budget, accounts, limiter, self._deliver
+        )
 
     def run(self, mesh: meshes.Mesh, background: tasks.Tasks) -> None:
         """Start to decide and to ask."""
@@ -120,7 +126,7 @@
         mesh.figures = self.owner.figures
         self.owner.run(background)
 
-    def take(self, member: ids.MemberId, message: messages.AnyMessage) -> None:
+    def take(self, member: ids.MemberId, message: frames.AnyMessage) -> None:
         """Take a message of another gateway."""
         if isinstance(message, messages.BeatBack):
             self.owner.adopt(message)
@@ -271,7 +277,7 @@
             for running in self._held.values()
         )
 
-    def _tell(self, owner: ids.MemberId, message: messages.AnyMessage) -> None:
+    def _tell(self, owner: ids.MemberId, message: frames.AnyMessage) -> None:
         assert self._mesh is not None
         if owner == self._mesh.me:
             self.take(owner, message)
--- a/galenahatch/gateway/plain.py
+++ b/galenahatch/gateway/plain.py
@@ -77,6 +77,8 @@
         self._service = service
         self._sends = fate.Sends()
         self._avoid: set[ids.UpstreamId] = set()
+        # Seconds until upstreams have room that could not be chosen.
+        self._waits: dict[ids.UpstreamId, float] = {}
         self._end_by = means_module.end_by(call, route)
         self._answer: means_module.Whole | None = None
         self._detail = ''
@@ -86,7 +88,7 @@
         self._means.budget.request(self._service, self._call.arrived_at)
         tries = 0
         while self._may_try(tries):
-            upstream = self._choose()
+            upstream = await self._choose()
             if upstream is None:
                 break
             tries += 1
@@ -111,16 +113,34 @@
             return True
         return self._means.budget.spend(self._service, clock.now())
 
-    def _choose(self) -> upstreams.Upstream | None:
-        now = clock.now()
-        usable = self._means.directory.registry.usable(self._service, now)
-        chosen = self._means.balancer.choose(
-            usable, self._avoid, now, self._route.repeatable
-        )
-        if chosen is None:
-            tried = f'{len(usable)} usable, {len(self._avoid)} tried'
-            self._detail = f'{tried}; {self._detail}'.rstrip('; ')
-        return chosen
+    async def _choose(self) -> upstreams.Upstream | None:
+        """Return an upstream that a request may be sent to now."""
+        self._waits.clear()
+        while True:
+            now = clock.now()
+            usable = self._means.directory.registry.usable(self._service, now)
+            chosen = self._means.balancer.choose(
+                usable,
+                self._avoid | self._waits.keys(),
+                now,
+                self._route.repeatable,
+            )
+            if chosen is None:
+                break
+            wait = await self._means.rate_limits.permit(chosen.id)
+            if not wait and self._takes_work(chosen.id):
+                return chosen
+            self._waits[chosen.id] = wait
+        tried = f'{len(usable)} usable, {len(self._avoid)} tried'
+        if self._waits:
+            tried += f', {len(self._waits)} limited'
+        self._detail = f'{tried}; {self._detail}'.rstrip('; ')
+        return None
+
+    def _takes_work(self, upstream: ids.UpstreamId) -> bool:
+        """Return whether an upstream may be sent to after all."""
+        registry = self._means.directory.registry
+        return registry.takes_work(upstream, clock.now())
 
     async def _send(self, upstream: upstreams.Upstream) -> _Attempt:
         left = means_module.left(self._end_by)
@@ -252,6 +272,12 @@
 
     def _failure(self) -> errors.Failure:
         if self._sends.surely_not_run:
+            if self._waits:
+                return means_module.refusal(
+                    errors.RATE_LIMITED,
+                    self._detail,
+                    min(self._waits.values()),
+                )
             return means_module.refusal(
                 errors.NO_ENGINE, self._detail, _RETRY_AFTER
             )
--- a/galenahatch/gateway/ratelimits.py
+++ b/galenahatch/gateway/ratelimits.py
@@ -10,34 +10,109 @@
 # License for the specific language governing permissions and limitations
 # under the License.
 
-"""What upstreams' answers say of the rate of requests that they take."""
+"""Rate limits that upstreams name: what gateways tell, ask and grant.
 
+A gateway that hears of a limit, or of its end, tells the owner at once, and
+the owner tells all with its answers to beats. A plain call to a limited
+upstream asks the owner first; generations ask it for engines anyway, and it
+counts those itself.
+"""
+
+import asyncio
+import dataclasses
+import itertools
 import typing
 
 from galenahatch import clock
 from galenahatch.core import ratelimits
 from galenahatch import errors
 from galenahatch.gateway import calls
+from galenahatch.gateway import frames
 from galenahatch.gateway import instruments
+from galenahatch.gateway import messages
 from galenahatch import ids
 from galenahatch import logs
+from galenahatch import timeouts
 
 _LOG_EVERY: typing.Final = 1.0
 """Seconds between two lines on one upstream that says something new in each
 answer."""
 _MOST_LABELS: typing.Final = 100
 """Upstreams that metrics show each by itself."""
+_REST: typing.Final = '(others)'
+_ANSWER_WITHIN: typing.Final = 0.05
+"""Seconds for the owner's answer; round trips take some ms. A call whose
+owner is away turns to another upstream after that."""
+_NO_ANSWER_PAUSE: typing.Final = 0.25
+"""Seconds for which an owner that did not answer is not asked again."""
 _log = logs.Log('ratelimits')
 
 
+class Peers(typing.Protocol):
+    """The other gateways, as far as they matter here."""
+
+    me: ids.MemberId
+
+    @property
+    def size(self) -> int:
+        """Gateways that there are."""
+        ...
+
+    def owner(self) -> ids.MemberId:
+        """Return who decides."""
+        ...
+
+    def send(self, name: ids.MemberId, message: frames.AnyMessage) -> None:
+        """Send a message to a gateway."""
+        ...
+
+    def reply(self, name: ids.MemberId, message: frames.AnyMessage) -> None:
+        """Answer a gateway."""
+        ...
+
+    def tell_owner(self, message: frames.AnyMessage) -> None:
+        """Send a message to the owner and whoever may be the next one."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True)
+class _Pause:
+    """Until when an upstream is not asked for.
+
+    Attributes:
+        until: when the owner may be asked again.
+        room_at: when the owner expects room.
+    """
+
+    until: float
+    room_at: float
+
+
 class RateLimits:
     """This gateway's part in keeping them."""
 
     def __init__(self) -> None:
-        self._notices = ratelimits.Notices()
+        self._limiter = ratelimits.Limiter(clock.RANDOM)
+        self._notices = self._limiter.notices
         self._logged_at: dict[ids.UpstreamId, float] = {}
+        self._pauses: dict[ids.UpstreamId, _Pause] = {}
+        self._questions: dict[int, asyncio.Future[float]] = {}
+        self._numbers = itertools.count()
+        self._labels: set[ids.UpstreamId] = set()
+        self._peers: Peers | None = None
         instruments.watch_rate_limits(self._rates)
 
+    def join(self, peers: Peers) -> None:
+        """Talk to other gateways from now on."""
+        self._peers = peers
+
+    @property
+    def limiter(self) -> ratelimits.Limiter:
+        """What this gateway grants as the owner."""
+        return self._limiter
+
+    # What upstreams say.
+
     def answered(
         self,
         upstream: ids.UpstreamId,
@@ -58,7 +133,16 @@
         now = clock.now()
         if not self._notices.answered(upstream, rate, sent_at, now):
             return
-        self._log_change(upstream, 'answer', head.request)
+        self._changed(upstream, 'answer', head.request)
+        if self._peers is not None:
+            self._peers.tell_owner(messages.RateLimits(self.tell()))
+
+    def _changed(
+        self, upstream: ids.UpstreamId, source: str, request: str = ''
+    ) -> None:
+        self._limiter.changed(upstream, clock.now())
+        self._pauses.pop(upstream, None)
+        self._log_change(upstream, source, request)
 
     def _log_change(
         self, upstream: ids.UpstreamId, source: str, request: str
@@ -83,9 +167,99 @@
 
     def forget(self, known: typing.Container[ids.UpstreamId]) -> None:
         """Drop upstreams that are gone."""
-        self._notices.forget(known, clock.now())
+        self._limiter.forget(known, clock.now())
         for gone in [key for key in self._logged_at if key not in known]:
             del self._logged_at[gone]
+        for gone in [key for key in self._pauses if key not in known]:
+            del self._pauses[gone]
+
+    # What gateways tell each other.
+
+    def tell(self) -> tuple[messages.RateLimit, ...]:
+        """Return what other gateways should know."""
+        return tuple(
+            messages.RateLimit(one.upstream, one.rate, one.age)
+            for one in self._notices.tell(clock.now())
+        )
+
+    def hear(self, told: tuple[messages.RateLimit, ...]) -> None:
+        """Take what another gateway tells."""
+        now = clock.now()
+        for one in told:
+            notice = ratelimits.Told(one.upstream, one.rate, one.age)
+            if self._notices.hear(notice, now):
+                self._changed(one.upstream, 'peer')
+
+    def decides_for(self, part: float) -> None:
+        """Note for which part of all gateways this one decides."""
+        self._limiter.decide_for(part)
+
+    def take(self, member: ids.MemberId, message: frames.AnyMessage) -> None:
+        """Take a question, or the answer to one."""
+        if isinstance(message, messages.Permitted):
+            question = self._questions.get(message.number)
+            if question is not None and not question.done():
+                question.set_result(message.wait)
+        elif isinstance(message, messages.Permit):
+            assert self._peers is not None
+            wait = self._decide(message.upstream)
+            self._peers.reply(member, messages.Permitted(message.number, wait))
+
+    # Plain calls.
+
+    async def permit(self, upstream: ids.UpstreamId) -> float:
+        """Count one request to an upstream.
+
+        Returns:
+            0 if it may be sent now, else the seconds until there is room.
+        """
+        now = clock.now()
+        if self._notices.rate(upstream) is None:
+            return 0.0
+        pause = self._pauses.get(upstream)
+        if pause is not None and now < pause.until:
+            self._note_held_back(upstream)
+            return max(pause.until, pause.room_at) - now
+        wait = await self._ask(upstream)
+        if wait:
+            assert self._peers is not None
+            until = now + ratelimits.pause(wait, self._peers.size)
+            self._pauses[upstream] = _Pause(until, now + wait)
+            self._note_held_back(upstream)
+        return wait
+
+    def _note_held_back(self, upstream: ids.UpstreamId) -> None:
+        if len(self._labels) < _MOST_LABELS:
+            self._labels.add(upstream)
+        label = upstream if upstream in self._labels else _REST
+        instruments.held_back.add(1, {'upstream': label})
+
+    async def _ask(self, upstream: ids.UpstreamId) -> float:
+        """Ask the owner; return the seconds to wait, or 0."""
+        assert self._peers is not None
+        owner = self._peers.owner()
+        if owner == self._peers.me:
+            return self._decide(upstream)
+        number = next(self._numbers)
+        question = asyncio.get_running_loop().create_future()
+        self._questions[number] = question
+        self._peers.send(
+            owner, messages.Permit(self._peers.me, number, upstream)
+        )
+        try:
+            async with timeouts.limit(_ANSWER_WITHIN):
+                return float(await question)
+        except asyncio.TimeoutError:
+            return _NO_ANSWER_PAUSE
+        finally:
+            del self._questions[number]
+
+    def _decide(self, upstream: ids.UpstreamId) -> float:
+        """Grant a request as the owner; return the seconds to wait, or 0."""
+        denied = self._limiter.take(upstream, clock.now())
+        if denied is None:
+            return 0.0
+        return denied.retry_after or _NO_ANSWER_PAUSE
 
     def _rates(self) -> dict[str, float]:
         """Return the limits in force, for metrics."""
--- a/galenahatch/gateway/reports.py
+++ b/galenahatch/gateway/reports.py
@@ -18,6 +18,7 @@
 from galenahatch import clock
 from galenahatch.core import dispatch
 from galenahatch.core import incarnations
+from galenahatch.core import ratelimits
 from galenahatch import errors
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import mesh as meshes
@@ -43,6 +44,7 @@
         mesh: tells who is the owner.
         owner: that is told.
         sender: for the calls.
+        limiter: of upstreams, which count these calls too.
     """
 
     def __init__(
@@ -51,11 +53,13 @@
         mesh: meshes.Mesh,
         owner: owners.Owner,
         sender: senders.Sender,
+        limiter: ratelimits.Limiter,
     ) -> None:
         self._directory = directory
         self._mesh = mesh
         self._owner = owner
         self._sender = sender
+        self._limiter = limiter
 
     def run(self, background: tasks.Tasks) -> None:
         """Start to read."""
@@ -74,7 +78,12 @@
         self, service: ids.ServiceName, dispatcher: dispatch.Dispatcher
     ) -> None:
         registry = self._directory.registry
-        found = registry.usable(service, clock.now())
+        now = clock.now()
+        found = [
+            engine
+            for engine in registry.usable(service, now)
+            if self._limiter.may_probe(engine.id, now)
+        ]
         replies = await asyncio.gather(
             *(
                 self._sender.small(
--- a/galenahatch/test/test_quotas.py
+++ b/galenahatch/test/test_quotas.py
@@ -194,8 +194,10 @@
 _BOUND = quotas.Bound(8.0, 0.1, 1_000.0)
 
 
-def _buckets(rate: float = 100.0, burst: float = 100.0) -> quotas.Quotas:
-    known = quotas.Quotas(_BOUND, random.Random(1))
+def _buckets(
+    rate: float = 100.0, burst: float = 100.0
+) -> quotas.Quotas[ids.CustomerName]:
+    known = quotas.Quotas[ids.CustomerName](_BOUND, random.Random(1))
     known.configure({}, 0.0)
     quota = customers.Quota(rate, burst)
     customer = customers.Customer(_NAME, frozenset(), quota=quota)
@@ -250,7 +252,7 @@
 
 def test_many_customers() -> None:
     """What is kept and told is bounded, however many come and go."""
-    known = quotas.Quotas(_BOUND, random.Random(1))
+    known = quotas.Quotas[ids.CustomerName](_BOUND, random.Random(1))
     quota = customers.Quota(10.0, 10.0)
     for turn in range(10):
         names = [ids.CustomerName(f'c{turn}-{i}') for i in range(660)]
--- a/galenahatch/test/test_ratelimits.py
+++ b/galenahatch/test/test_ratelimits.py
@@ -20,6 +20,9 @@
 from hypothesis import strategies
 import pytest
 
+from bench import limits as fleets
+from bench import quotas
+from galenahatch.core import incarnations
 from galenahatch.core import ratelimits
 from galenahatch import errors
 from galenahatch import ids
@@ -149,3 +152,109 @@
     assert len(seen) == 100
     notices.forget((), 100.0)
     assert not notices.known
+
+
+# The fleet, in virtual time.
+
+
+@pytest.mark.parametrize('scene', fleets.SCENES)
+@pytest.mark.parametrize('size', [6, 63, 195, 410])
+def test_all_gateways_together(scene: str, size: int) -> None:
+    """An upstream gets what it takes, and no more, however many send."""
+    load, faults = fleets.SCENES[scene]
+    worst, used, asked = fleets.play(size, load, faults)
+    assert worst <= 1
+    assert asked <= 200
+    if load.hot_x >= 2:
+        assert used >= 0.85
+
+
+@hypothesis.settings(
+    max_examples=25, deadline=None, derandomize=True, database=None
+)
+@hypothesis.given(
+    size=strategies.sampled_from([6, 12, 63]),
+    faults=strategies.lists(
+        strategies.builds(
+            quotas.Fault,
+            strategies.sampled_from(['kill', 'cut', 'suspend']),
+            strategies.floats(2.0, 14.0),
+            strategies.floats(0.5, 8.0),
+            strategies.floats(0.0, 0.5),
+            strategies.booleans(),
+        ),
+        max_size=3,
+    ),
+    rate=strategies.floats(0.25, 50.0),
+    seed=strategies.integers(0, 2**31),
+)
+def test_under_any_faults(
+    size: int, faults: list[quotas.Fault], rate: float, seed: int
+) -> None:
+    """The bound holds for overlapping faults."""
+    load = fleets.Load(rate=rate)
+    worst, _, _ = fleets.play(size, load, faults, seed=seed)
+    assert worst <= 1
+
+
+# The owner's part.
+
+
+def _limiter(**rates: float) -> ratelimits.Limiter:
+    made = ratelimits.Limiter(random.Random(1))
+    for name, rate in rates.items():
+        upstream = ids.UpstreamId(name)
+        made.notices.answered(upstream, rate, 0.0, 0.0)
+        made.changed(upstream, 0.0)
+    return made
+
+
+def _drain(limiter: ratelimits.Limiter, name: str, now: float) -> int:
+    upstream = ids.UpstreamId(name)
+    count = 0
+    while limiter.take(upstream, now) is None:
+        count += 1
+    return count
+
+
+def test_run_that_one_engine_has_no_room_for() -> None:
+    """A run is counted at both of its engines, or at none."""
+    limiter = _limiter(read=2.0, make=2.0)
+    engines = [ids.UpstreamId('read'), ids.UpstreamId('make')]
+    _drain(limiter, 'make', 0.0)
+    assert not limiter.take_all(engines, 0.0)
+    assert _drain(limiter, 'read', 0.0) == 2
+
+
+def test_unlimited_engine_is_waited_for_by_nobody() -> None:
+    """As long as one engine names no limit, nothing is refused for limits."""
+    limiter = _limiter(a=1.0, b=2.0)
+    _drain(limiter, 'a', 0.0)
+    _drain(limiter, 'b', 0.0)
+    both = [ids.UpstreamId('a'), ids.UpstreamId('b')]
+    assert limiter.wait(both, 3, 0.0) == pytest.approx(1.0, abs=0.5)
+    assert limiter.wait([*both, ids.UpstreamId('c')], 3, 0.0) == 0
+
+
+def test_reports_take_a_part_of_a_limit() -> None:
+    """Reading reports leaves three quarters of a low limit to requests."""
+    limiter = _limiter(a=1.0)
+    upstream = ids.UpstreamId('a')
+    looks = [limiter.may_probe(upstream, 0.5 * n) for n in range(80)]
+    assert sum(looks) == 10
+    assert limiter.may_probe(ids.UpstreamId('b'), 0.0)
+
+
+def test_restarted_upstream_has_no_limit() -> None:
+    """What an upstream named belongs to that start of it."""
+    instance = ids.InstanceId('i-1')
+    before = incarnations.incarnation(instance, 1000)
+    after = incarnations.incarnation(instance, 2000)
+    limiter = _limiter(**{before: 1.0})
+    assert limiter.notices.rate(before) == 1.0
+    assert limiter.notices.rate(after) is None
+    assert _takes_many(limiter, after)
+
+
+def _takes_many(limiter: ratelimits.Limiter, upstream: ids.UpstreamId) -> bool:
+    return all(limiter.take(upstream, 0.0) is None for _ in range(50))
