--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -111,28 +111,41 @@
     HELD_BACK,
     description='Times that a plain call found no room, by upstream.',
 )
-RATE_LIMIT: typing.Final = 'galenahatch_upstream_rate_limit'
-_rate_limits: list[typing.Callable[[], dict[str, float]]] = []
-_meter.create_observable_gauge(
-    RATE_LIMIT,
-    callbacks=[lambda options: _observe_rate_limits()],
-    unit='1/s',
-    description='Requests a second that an upstream takes, by upstream.',
+Gauge = typing.Callable[[], typing.Mapping[str, float]]
+"""Returns the value of each upstream that has one."""
+_gauges: dict[str, Gauge] = {}
+
+
+def _upstream_gauge(name: str, unit: str, description: str) -> str:
+    def observe(
+        options: api.CallbackOptions,
+    ) -> typing.Iterable[api.Observation]:
+        values = _gauges[name]() if name in _gauges else {}
+        for upstream, value in values.items():
+            yield api.Observation(value, {'upstream': upstream})
+
+    _meter.create_observable_gauge(name, [observe], unit, description)
+    return name
+
+
+RATE_LIMIT: typing.Final = _upstream_gauge(
+    'galenahatch_upstream_rate_limit',
+    '1/s',
+    'Requests a second that an upstream takes, by upstream.',
+)
+LIMITED_SECONDS: typing.Final = _upstream_gauge(
+    'galenahatch_upstream_limited_seconds',
+    's',
+    'Seconds since an upstream began to name a limit, by upstream.',
 )
 orders = _meter.create_counter(
     'galenahatch_orders', description='Orders sent to engines, by status.'
 )
 
 
-def watch_rate_limits(read: typing.Callable[[], dict[str, float]]) -> None:
-    """Show the limits that a function returns, by upstream."""
-    _rate_limits[:] = [read]
-
-
-def _observe_rate_limits() -> typing.Iterable[api.Observation]:
-    for read in _rate_limits:
-        for upstream, rate in read().items():
-            yield api.Observation(rate, {'upstream': upstream})
+def watch(name: str, gauge: Gauge) -> None:
+    """Show what a function returns as one of the gauges by upstream."""
+    _gauges[name] = gauge
 
 
 def serve_all() -> None:
--- a/galenahatch/gateway/ratelimits.py
+++ b/galenahatch/gateway/ratelimits.py
@@ -100,7 +100,8 @@
         self._numbers = itertools.count()
         self._labels: set[ids.UpstreamId] = set()
         self._peers: Peers | None = None
-        instruments.watch_rate_limits(self._rates)
+        instruments.watch(instruments.RATE_LIMIT, self._rates)
+        instruments.watch(instruments.LIMITED_SECONDS, self._ages)
 
     def join(self, peers: Peers) -> None:
         """Talk to other gateways from now on."""
@@ -261,11 +262,18 @@
             return 0.0
         return denied.retry_after or _NO_ANSWER_PAUSE
 
-    def _rates(self) -> dict[str, float]:
-        """Return the limits in force, for metrics."""
-        rates = {
-            str(upstream): notice.rate
+    def _limited(self) -> list[tuple[ids.UpstreamId, ratelimits.Notice]]:
+        """Return the limits in force, of very many the first ones."""
+        limited = [
+            (upstream, notice)
             for upstream, notice in self._notices.known.items()
             if notice.rate is not None
-        }
-        return dict(list(rates.items())[:_MOST_LABELS])
+        ]
+        return limited[:_MOST_LABELS]
+
+    def _rates(self) -> dict[str, float]:
+        return {key: notice.rate or 0.0 for key, notice in self._limited()}
+
+    def _ages(self) -> dict[str, float]:
+        now = clock.now()
+        return {key: now - notice.since for key, notice in self._limited()}
--- a/galenahatch/gatewayctl.py
+++ b/galenahatch/gatewayctl.py
@@ -34,6 +34,7 @@
 from galenahatch.core import quarantine
 from galenahatch.core import routes
 from galenahatch import errors
+from galenahatch.gateway import instruments
 from galenahatch.gateway import lease
 from galenahatch.gateway import quarantine as quarantines
 from galenahatch.gateway import roster
@@ -69,6 +70,13 @@
     'gives_orders',
     'configuration',
 )
+_LIMITS: typing.Final = (
+    'upstream',
+    'rate',
+    'seconds',
+    'held_back',
+    'gateways',
+)
 _CUSTOMERS: typing.Final = (
     'customer',
     'keys',
@@ -205,9 +213,7 @@
                 return console.report(one)
         assert isinstance(config, routes.Configuration)
         assert isinstance(found, stores.Rows)
-        members = filter(roster.is_member, found.rows)
-        reads = [scrapes.read(client, row.key) for row in members]
-        seen = [one for one in await asyncio.gather(*reads) if one is not None]
+        seen = await _scraped(client, found)
         known = config.customers.by_name if config.customers else {}
         rows = [_customer(one, seen) for one in known.values()]
         console.print_rows(_CUSTOMERS, rows, json)
@@ -232,6 +238,47 @@
     )
 
 
+@app.command
+def limits(*, store: StoreAddress = '', json: Json = False) -> int:
+    """Show the upstreams that name a rate of requests that they take.
+
+    Counts are since each gateway's start, added up over those that answer.
+    """
+
+    async def work(client: aiohttp.ClientSession, at: stores.Store) -> int:
+        found = await at.rows(roster.MEMBER_TABLE)
+        if isinstance(found, errors.Failure):
+            return console.report(found)
+        seen = await _scraped(client, found)
+        console.print_rows(_LIMITS, _limits(seen), json)
+        return console.DONE
+
+    return _run(store, work)
+
+
+def _limits(seen: list[scrapes.Samples]) -> list[console.Row]:
+    def values(metric: str, upstream: str) -> list[float]:
+        found = (scrapes.of_upstreams(one, metric) for one in seen)
+        return [one[upstream] for one in found if upstream in one]
+
+    limited = {
+        upstream
+        for one in seen
+        for upstream in scrapes.of_upstreams(one, instruments.RATE_LIMIT)
+    }
+    held_back = f'{instruments.HELD_BACK}_total'
+    return [
+        (
+            upstream,
+            min(values(instruments.RATE_LIMIT, upstream)),
+            round(max(values(instruments.LIMITED_SECONDS, upstream)), 1),
+            round(sum(values(held_back, upstream))),
+            len(values(instruments.RATE_LIMIT, upstream)),
+        )
+        for upstream in sorted(limited)
+    ]
+
+
 @app.command
 def held(*, store: StoreAddress = '', json: Json = False) -> int:
     """Show the requests under which two engines and more have ended."""
@@ -290,6 +337,15 @@
     return _run(store, work)
 
 
+async def _scraped(
+    client: aiohttp.ClientSession, found: stores.Rows
+) -> list[scrapes.Samples]:
+    """Return the metrics of all gateways that answer."""
+    members = filter(roster.is_member, found.rows)
+    reads = [scrapes.read(client, row.key) for row in members]
+    return [one for one in await asyncio.gather(*reads) if one is not None]
+
+
 async def _configuration(
     at: stores.Store,
 ) -> routes.Configuration | errors.Failure:
--- a/galenahatch/scrapes.py
+++ b/galenahatch/scrapes.py
@@ -26,10 +26,10 @@
 _SAMPLE: typing.Final = re.compile(
     r'(?P<name>\w+)(?:\{(?P<labels>[^}]*)\})? (?P<value>\S+)'
 )
-_CUSTOMER: typing.Final = re.compile(r'customer="([^"]*)"')
+_SUBJECT: typing.Final = re.compile(r'(?:customer|upstream)="([^"]*)"')
 
 Samples = dict[tuple[str, str], float]
-"""Values by metric and customer; empty where there is no customer."""
+"""Values by metric and customer or upstream; empty where there is none."""
 
 
 def parse(text: str) -> Samples:
@@ -39,8 +39,8 @@
         found = _SAMPLE.fullmatch(line)
         if found is None:
             continue
-        customer = _CUSTOMER.search(found['labels'] or '')
-        key = (found['name'], customer.group(1) if customer else '')
+        subject = _SUBJECT.search(found['labels'] or '')
+        key = (found['name'], subject.group(1) if subject else '')
         samples[key] = samples.get(key, 0.0) + float(found['value'])
     return samples
 
@@ -69,3 +69,12 @@
         samples.get((f'{instruments.CUSTOMER_UNITS}_total', name), 0.0),
         samples.get((f'{instruments.CUSTOMER_REFUSED}_total', name), 0.0),
     )
+
+
+def of_upstreams(samples: Samples, metric: str) -> dict[str, float]:
+    """Return the values of a metric, by upstream."""
+    return {
+        subject: value
+        for (name, subject), value in samples.items()
+        if name == metric and subject
+    }
--- a/galenahatch/test/test_gatewayctl.py
+++ b/galenahatch/test/test_gatewayctl.py
@@ -150,6 +150,34 @@
     assert (free['keys'], free['rate']) == ('', '')
 
 
+def test_limits(
+    fleet: fleets.Fleet, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """A limited upstream is shown with its limit and what was held back."""
+    (desk,) = fleet.of('desk')
+    desk.says = {'Server-Limit': '1'}
+    # A start of its own: another test may have had it leave.
+    fleet.run(desk.start_again)
+    fleet.put('servers', desk.id, desk.row())
+
+    def is_limited() -> bool:
+        # Which one is served depends on whether callers need a key by now.
+        paths = ('/often/x', '/open/x')
+        return 'rate_limited' in str([fleet.ask(path) for path in paths])
+
+    fleets.eventually(is_limited, 'at its limit')
+    desk.says = {}
+    assert _run('limits', '--store', fleet.address, '--json') == 0
+    (row,) = json.loads(capsys.readouterr().out)
+    assert row['upstream'].startswith(desk.id)
+    assert row['rate'] == 1.0
+    assert row['seconds'] >= 0
+    assert row['held_back'] >= 1
+    assert row['gateways'] == 1
+    log = fleet.vms[0].log.read_text()
+    assert log.count('Rate limit named.') == 1
+
+
 def _version(fleet: fleets.Fleet, capsys: pytest.CaptureFixture[str]) -> int:
     assert _run('status', '--store', fleet.address, '--json') == 0
     (row,) = json.loads(capsys.readouterr().out)
@@ -173,7 +201,14 @@
 
 def test_store_away(capsys: pytest.CaptureFixture[str]) -> None:
     """A store that does not answer is told, with an exit code of its own."""
-    for command in ('config', 'upstreams', 'status', 'held', 'customers'):
+    for command in (
+        'config',
+        'upstreams',
+        'status',
+        'held',
+        'customers',
+        'limits',
+    ):
         code = _run(command, '--store', '127.0.0.1:1')
         assert code == console.UNAVAILABLE
         assert 'store_unavailable' in capsys.readouterr().err
