Gateways see and log what answers say of leaving and pauses

Cause looked for: an upstream that leaves says so in its answers, and one that turns a request away may ask for a pause; our logs showed neither, so 'nobody reads it' could not be told from 'known, and not acted on'. Nothing acts on them yet.

--- a/galenahatch/gateway/calls.py
+++ b/galenahatch/gateway/calls.py
@@ -160,6 +160,10 @@
         rate_limit: requests a second that the upstream takes from all VMs
             together; None if it names no limit, a failure if what it names
             is none.
+        leaving: whether the upstream says that it leaves; a failure if it
+            says something else.
+        pause: seconds for which the upstream, which turned the request away,
+            wants nothing more from this VM; None or a failure as above.
     """
 
     status: int
@@ -170,3 +174,5 @@
     load: int | None
     encoded: bool
     rate_limit: float | None | errors.Failure = None
+    leaving: bool | errors.Failure = False
+    pause: float | None | errors.Failure = None
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -28,6 +28,7 @@
 from galenahatch.core import extras
 from galenahatch import errors
 from galenahatch.gateway import accounts as accounts_module
+from galenahatch.gateway import calls
 from galenahatch.gateway import connections
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import frames
@@ -35,6 +36,7 @@
 from galenahatch.gateway import means as means_module
 from galenahatch.gateway import mesh as meshes
 from galenahatch.gateway import messages
+from galenahatch.gateway import notices
 from galenahatch.gateway import orders
 from galenahatch.gateway import outcomes
 from galenahatch.gateway import ownership as ownerships
@@ -107,7 +109,8 @@
         )
         self._sender = senders.Sender()
         self._rate_limits = ratelimits.RateLimits()
-        self._sender.on_head = self._rate_limits.answered
+        self._notices = notices.Notices()
+        self._sender.on_head = self._answered
         self._directory.on_start(self._end_waits)
         bounds = settings.bounds
         self._budget = extras.SharedBudget(
@@ -168,6 +171,16 @@
         else:
             self._ownership.take(member, message)
 
+    def _answered(
+        self,
+        upstream: ids.UpstreamId,
+        sent_at: float,
+        head: calls.AnswerHead,
+    ) -> None:
+        """Take what an upstream's answer says of the next requests."""
+        self._rate_limits.answered(upstream, sent_at, head)
+        self._notices.answered(upstream, sent_at, head)
+
     def _end_waits(self, upstream: ids.UpstreamId) -> None:
         """Give up what is under way at the start before."""
         ended = self._sender.waits.started(upstream)
@@ -225,6 +238,7 @@
             self._balancer.forget(known)
             self._exchange.forget(known)
             self._rate_limits.forget(known)
+            self._notices.forget(known)
             await asyncio.sleep(_MEMBERS_EVERY)
 
     def reload(self) -> None:
--- a/galenahatch/platform/wire.py
+++ b/galenahatch/platform/wire.py
@@ -49,6 +49,8 @@
 _NOT_EXECUTED: typing.Final = _PREFIX + 'Not-Executed'
 _LOAD: typing.Final = _PREFIX + 'Instance-Load'
 _RATE_LIMIT: typing.Final = 'Server-Limit'
+_LEAVING: typing.Final = 'Server-Leaving'
+_RETRY_AFTER: typing.Final = 'Retry-After'
 _DECIMAL: typing.Final = re.compile(r'[0-9]{1,15}(\.[0-9]{1,15})?')
 
 _SYSTEM_ONLY: typing.Final = frozenset(
@@ -184,7 +186,9 @@
         not_executed=_NOT_EXECUTED in headers or status == 421,
         load=_load(headers.get(_LOAD, '')),
         encoded=headers.get('Content-Encoding', 'identity') != 'identity',
-        rate_limit=_rate_limit(headers),
+        rate_limit=_lowest(headers, _RATE_LIMIT),
+        leaving=_leaving(headers),
+        pause=_lowest(headers, _RETRY_AFTER) if status == 503 else None,
     )
 
 
@@ -252,20 +256,32 @@
     return int(numbers[0] + numbers[1])
 
 
-def _rate_limit(
-    headers: 'multidict.CIMultiDict[str]',
+def _lowest(
+    headers: 'multidict.CIMultiDict[str]', name: str
 ) -> float | None | errors.Failure:
-    """Return the requests a second that an upstream takes.
-
-    None if it names no limit. Of several values the lowest one counts.
-    """
-    texts = [text.strip() for text in headers.getall(_RATE_LIMIT, ())]
+    """Return the lowest decimal number of a header; None without it."""
+    texts = [text.strip() for text in headers.getall(name, ())]
     if not texts:
         return None
-    rates = [float(text) for text in texts if _DECIMAL.fullmatch(text)]
-    if rates:
-        return min(rates)
-    detail = f'{_RATE_LIMIT} is {texts[0][:_SHOWN]!r}, expected a decimal'
+    numbers = [float(text) for text in texts if _DECIMAL.fullmatch(text)]
+    if numbers:
+        return min(numbers)
+    return _malformed(name, texts[0], 'a decimal number')
+
+
+def _leaving(
+    headers: 'multidict.CIMultiDict[str]',
+) -> bool | errors.Failure:
+    """Return whether an upstream says that it leaves."""
+    texts = {text.strip() for text in headers.getall(_LEAVING, ())}
+    if '1' in texts:
+        return True
+    odd = sorted(texts - {'0'})
+    return _malformed(_LEAVING, odd[0], '1') if odd else False
+
+
+def _malformed(name: str, text: str, expected: str) -> errors.Failure:
+    detail = f'{name} is {text[:_SHOWN]!r}, expected {expected}'
     return errors.Failure(errors.BAD_UPSTREAM, detail)
 
 
--- /dev/null
+++ b/galenahatch/test/test_notices.py
@@ -0,0 +1,92 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+
+"""What upstreams' answers say of the next requests: leaving, and pauses."""
+
+import math
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from galenahatch import errors
+from galenahatch.gateway import calls
+from galenahatch.platform import wire
+
+
+def _head(status: int, *headers: tuple[str, str]) -> calls.AnswerHead:
+    raw = [(name.encode(), value.encode()) for name, value in headers]
+    return wire.answer_head(status, raw)
+
+
+@pytest.mark.parametrize(
+    ('values', 'leaving'),
+    [
+        ((), False),
+        (('1',), True),
+        ((' 1 ',), True),
+        (('0',), False),
+        (('0', '1'), True),
+    ],
+)
+def test_leaving(values: tuple[str, ...], leaving: bool) -> None:
+    """Only a plain yes says that an upstream leaves."""
+    head = _head(200, *(('server-leaving', value) for value in values))
+    assert head.leaving is leaving
+
+
+@pytest.mark.parametrize('value', ['', '2', '-1', 'true', '1, 1', '1' * 99])
+def test_malformed_leaving(value: str) -> None:
+    """What says something else takes no upstream out."""
+    found = _head(200, ('Server-Leaving', value)).leaving
+    assert isinstance(found, errors.Failure)
+    assert len(found.detail) < 200
+
+
+@pytest.mark.parametrize(
+    ('status', 'value', 'pause'),
+    [(503, '3', 3.0), (503, '0.25', 0.25), (503, '0', 0.0), (429, '3', None)],
+)
+def test_pause(status: int, value: str, pause: float | None) -> None:
+    """Seconds, with the refusal that bears them."""
+    assert _head(status, ('Retry-After', value)).pause == pause
+
+
+@pytest.mark.parametrize(
+    'value',
+    ['', '-3', 'nan', 'inf', '1e9', '3 s', 'Thu, 03 Dec 2026 10:00:00 GMT'],
+)
+def test_malformed_pause(value: str) -> None:
+    """What is no number of seconds is ignored, and told."""
+    found = _head(503, ('Retry-After', value)).pause
+    assert isinstance(found, errors.Failure)
+
+
+@hypothesis.settings(
+    max_examples=300, deadline=None, derandomize=True, database=None
+)
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from([b'Server-Leaving', b'Retry-After']),
+            strategies.binary(),
+        ),
+        max_size=4,
+    )
+)
+def test_any_bytes(raw: list[tuple[bytes, bytes]]) -> None:
+    """Whatever an upstream sends is decoded, or a failure."""
+    head = wire.answer_head(503, raw)
+    assert isinstance(head.leaving, bool | errors.Failure)
+    if isinstance(head.pause, float):
+        assert math.isfinite(head.pause) and head.pause >= 0
