Upstreams that say that they leave get no more requests

Ruled out: an owner that had not heard, as plain calls ask none. Class of fault: as for limits, what an answer says of the next requests was not decoded.

Change: an answer or refusal with Server-Leaving: 1 takes that start of the upstream out, in the registry that all choices use: calls, prompts, runs, repeats and resumed streams. The owner hears at once and tells all with the beats. An entry that lapses and comes back as ready is older news; a later start is used again.

Why it holds: every send asks the registry right before it, and what it knows of a start only ever grows (property test over any order of news).

--- a/galenahatch/core/upstreams.py
+++ b/galenahatch/core/upstreams.py
@@ -18,13 +18,14 @@
 meant for. The latest start that was heard of replaces the ones before it;
 what is heard of an earlier one later on changes nothing.
 
-An upstream that says that it is leaving never takes new work again; only a
-later start of it does. One whose entry vanished takes none either, with one
-exception: entries lapse while the store is away and come back about two
-seconds after its return. If a whole service vanished that way, its last
-members are used until then, since refusing everything would be worse than a
-send that is turned away. An entry that can't be used takes the upstream away
-without that grace: somebody wrote it, so it did not lapse.
+An upstream that says that it is leaving, in its entry or in an answer, never
+takes new work again; only a later start of it does. One whose entry vanished
+takes none either, with one exception: entries lapse while the store is away
+and come back about two seconds after its return. If a whole service vanished
+that way, its last members are used until then, since refusing everything
+would be worse than a send that is turned away. An entry that can't be used
+takes the upstream away without that grace: somebody wrote it, so it did not
+lapse.
 """
 
 import dataclasses
@@ -43,6 +44,9 @@
 
 _REMEMBERED: typing.Final = 60.0
 """Seconds for which a removed upstream is remembered as gone."""
+_LEFT_REMEMBERED: typing.Final = 3600.0
+"""Seconds for which one that said that it leaves is remembered: the store may
+be away for long, and tell of it as ready afterwards."""
 
 
 class Stage(enum.Enum):
@@ -120,6 +124,24 @@
         self._known[upstream.id] = upstream
         return before != upstream
 
+    def told_leaving(self, upstream: ids.UpstreamId, now: float) -> bool:
+        """Take from an upstream itself that it leaves.
+
+        Returns:
+            Whether that is news.
+        """
+        if upstream in self._left:
+            return False
+        self._left[upstream] = now
+        found = self._known.get(upstream)
+        if found is not None:
+            self._known[upstream] = dataclasses.replace(found, leaving=True)
+        removed = self._removed.get(upstream)
+        if removed is not None:
+            gone = dataclasses.replace(removed[1], leaving=True)
+            self._removed[upstream] = removed[0], gone
+        return True
+
     def restarted(
         self,
         upstream: ids.UpstreamId,
@@ -198,6 +220,8 @@
 
     def takes_work(self, upstream: ids.UpstreamId, now: float) -> bool:
         """Return whether an upstream may be sent new work."""
+        if upstream in self._left:
+            return False
         found = self._known.get(upstream)
         if found is not None:
             return not found.leaving
@@ -243,7 +267,7 @@
             if now - removed_at > _REMEMBERED:
                 del self._removed[key]
         for key, left_at in list(self._left.items()):
-            if key not in self._known and now - left_at > _REMEMBERED:
+            if key not in self._known and now - left_at > _LEFT_REMEMBERED:
                 del self._left[key]
         for instance, (latest, heard_at) in list(self._latest.items()):
             is_old = now - heard_at > _REMEMBERED
--- a/galenahatch/gateway/directory.py
+++ b/galenahatch/gateway/directory.py
@@ -141,6 +141,13 @@
             self._changed()
         return later
 
+    def told_leaving(self, upstream: ids.UpstreamId) -> bool:
+        """Take that an upstream said so itself; return whether it is news."""
+        if not self.registry.told_leaving(upstream, clock.now()):
+            return False
+        self._changed()
+        return True
+
     def service(self, name: ids.ServiceName) -> routes.Service | None:
         """Return a service of the configuration in force."""
         if self.config is None:
--- a/galenahatch/gateway/frames.py
+++ b/galenahatch/gateway/frames.py
@@ -38,6 +38,7 @@
     | messages.Spent
     | messages.Left
     | messages.RateLimits
+    | messages.Leaving
     | messages.Permit
     | messages.Permitted
     | messages.Change
--- a/galenahatch/gateway/mesh.py
+++ b/galenahatch/gateway/mesh.py
@@ -35,6 +35,7 @@
 from galenahatch.gateway import frames
 from galenahatch.gateway import instruments
 from galenahatch.gateway import messages
+from galenahatch.gateway import notices
 from galenahatch.gateway import outcomes
 from galenahatch.gateway import quarantine
 from galenahatch.gateway import ratelimits
@@ -70,12 +71,14 @@
         guard: what is known of requests that end upstreams.
         accounts: what customers use of their quotas.
         rate_limits: that upstreams name.
+        notices: what else upstreams' answers say.
     """
 
     outcomes: outcomes.Exchange
     guard: quarantine.Guard
     accounts: accounts.Accounts
     rate_limits: ratelimits.RateLimits
+    notices: notices.Notices
 
 
 class Mesh:
@@ -108,6 +111,7 @@
         self._guard = exchanges.guard
         self._accounts = exchanges.accounts
         self._rate_limits = exchanges.rate_limits
+        self._notices = exchanges.notices
         self._handler = handler
         self._tasks = background
         self._incarnation = clock.incarnation()
@@ -144,6 +148,7 @@
         self._accounts.announce = self._announce_used
         self._accounts.size = lambda: self.size
         self._rate_limits.join(self)
+        self._notices.tell_owner = self.tell_owner
 
     @property
     def size(self) -> int:
@@ -241,6 +246,7 @@
             self._guard.tell(),
             self._accounts.take_new(),
             self._rate_limits.tell(),
+            self._notices.tell(),
         )
         if self._members.owner(self.leaving, now) == self.me:
             self._exchange.decides()
@@ -310,6 +316,7 @@
             self._exchange.take(message.outcomes)
             self._accounts.take(message.used)
             self._rate_limits.hear(message.rate_limits)
+            self._notices.hear(message.leaving_upstreams)
             self._guard.hear(message.suspicions)
             self.reply(
                 message.member,
@@ -327,6 +334,7 @@
                     self._guard.tell(),
                     self._accounts.low(),
                     self._rate_limits.tell(),
+                    self._notices.tell(),
                 ),
             )
             self._compare(message)
@@ -348,6 +356,7 @@
                 self._exchange.hear(message.outcomes)
             self._accounts.hear(message.low)
             self._rate_limits.hear(message.rate_limits)
+            self._notices.hear(message.leaving_upstreams)
             self._guard.hear(message.suspicions)
             self._compare(message)
             self._handler(name, message)
@@ -392,6 +401,8 @@
             self._guard.hear(message.told)
         elif isinstance(message, messages.RateLimits):
             self._rate_limits.hear(message.told)
+        elif isinstance(message, messages.Leaving):
+            self._notices.hear(message.upstreams)
         elif isinstance(message, messages.Spent):
             self._accounts.take(message.used)
             levels = self._accounts.levels(message.used)
--- a/galenahatch/gateway/messages.py
+++ b/galenahatch/gateway/messages.py
@@ -113,6 +113,7 @@
         suspicions: that changed of late, and of the rest some in turn.
         used: of customers' quotas since the last beat.
         rate_limits: that upstreams name, or have lifted of late.
+        leaving_upstreams: that have said so in an answer of late.
     """
 
     member: ids.MemberId
@@ -127,6 +128,7 @@
     suspicions: tuple[Suspicion, ...] = ()
     used: tuple[Used, ...] = ()
     rate_limits: tuple[RateLimit, ...] = ()
+    leaving_upstreams: tuple[ids.UpstreamId, ...] = ()
 
 
 class Figures(msgspec.Struct, frozen=True, array_like=True):
@@ -170,6 +172,7 @@
         suspicions: that changed of late, and of the rest some in turn.
         low: customers that are short.
         rate_limits: that upstreams name, or have lifted of late.
+        leaving_upstreams: that have said so in an answer of late.
     """
 
     member: ids.MemberId
@@ -185,6 +188,7 @@
     suspicions: tuple[Suspicion, ...] = ()
     low: tuple[Level, ...] = ()
     rate_limits: tuple[RateLimit, ...] = ()
+    leaving_upstreams: tuple[ids.UpstreamId, ...] = ()
 
 
 class Place(Message, frozen=True, array_like=True, tag=True):
@@ -335,6 +339,12 @@
     told: tuple[RateLimit, ...]
 
 
+class Leaving(Message, frozen=True, array_like=True, tag=True):
+    """Tells of upstreams that leave, ahead of the next beat."""
+
+    upstreams: tuple[ids.UpstreamId, ...]
+
+
 class Permit(Message, frozen=True, array_like=True, tag=True):
     """Asks for one request to an upstream that names a rate limit.
 
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -109,7 +109,7 @@
         )
         self._sender = senders.Sender()
         self._rate_limits = ratelimits.RateLimits()
-        self._notices = notices.Notices()
+        self._notices = notices.Notices(self._directory)
         self._sender.on_head = self._answered
         self._directory.on_start(self._end_waits)
         bounds = settings.bounds
@@ -146,7 +146,11 @@
             settings.data_centre,
             self._directory,
             meshes.Exchanges(
-                self._exchange, self._guard, self._accounts, self._rate_limits
+                self._exchange,
+                self._guard,
+                self._accounts,
+                self._rate_limits,
+                self._notices,
             ),
             self._take,
             self._background,
--- a/galenahatch/gateway/notices.py
+++ b/galenahatch/gateway/notices.py
@@ -14,7 +14,8 @@
 """What upstreams' answers say of the next requests, besides their rate.
 
 An upstream that leaves says so in its answers, which may be long before the
-store tells. One that turns a request away may ask for a pause.
+store tells. Gateways tell each other: the owner at once, who tells all. One
+that turns a request away may ask for a pause.
 """
 
 import typing
@@ -22,19 +23,38 @@
 from galenahatch import clock
 from galenahatch import errors
 from galenahatch.gateway import calls
+from galenahatch.gateway import directory as directories
+from galenahatch.gateway import frames
+from galenahatch.gateway import messages
 from galenahatch import ids
 from galenahatch import logs
 
 _LOG_EVERY: typing.Final = 1.0
 """Seconds between two lines of a kind on one upstream."""
+_TOLD: typing.Final = 60.0
+"""Seconds for which gateways tell that an upstream leaves; it has left then,
+or each gateway that it answers has heard it itself."""
+_MOST_TOLD: typing.Final = 32
+"""Upstreams in one message, the latest ones."""
 _log = logs.Log('notices')
 
 
 class Notices:
-    """What answers to this gateway have said."""
+    """What answers to this gateway, and to others, have said.
 
-    def __init__(self) -> None:
+    Args:
+        directory: upstreams, those among them that leave.
+
+    Attributes:
+        tell_owner: sends a message to the owner, and who may be the next.
+    """
+
+    def __init__(self, directory: directories.Directory) -> None:
+        self._directory = directory
         self._leaving: dict[ids.UpstreamId, float] = {}
+        self.tell_owner: typing.Callable[[frames.AnyMessage], None] = (
+            lambda message: None
+        )
         self._logged_at: dict[tuple[ids.UpstreamId, str], float] = {}
 
     def answered(
@@ -49,12 +69,29 @@
                 self._note(
                     upstream, 'Bad notice ignored.', head, detail=value.detail
                 )
-        if head.leaving is True and upstream not in self._leaving:
-            self._leaving[upstream] = clock.now()
+        if head.leaving is True and self._leaves(upstream):
             self._note(upstream, 'Upstream says that it leaves.', head)
+            self.tell_owner(messages.Leaving(self.tell()))
         if isinstance(head.pause, float):
             self._note(upstream, 'Pause asked for.', head, seconds=head.pause)
 
+    def _leaves(self, upstream: ids.UpstreamId) -> bool:
+        """Send an upstream no more; return whether that is news."""
+        if not self._directory.told_leaving(upstream):
+            return False
+        self._leaving[upstream] = clock.now()
+        return True
+
+    def tell(self) -> tuple[ids.UpstreamId, ...]:
+        """Return the upstreams that have said that they leave."""
+        return tuple(self._leaving)[-_MOST_TOLD:]
+
+    def hear(self, leaving: tuple[ids.UpstreamId, ...]) -> None:
+        """Take what another gateway tells."""
+        for upstream in leaving:
+            if self._leaves(upstream):
+                _log.info('Upstream leaves, by a peer.', upstream=upstream)
+
     def _note(
         self,
         upstream: ids.UpstreamId,
@@ -70,8 +107,10 @@
         _log.info(sentence, upstream=upstream, request=head.request, **fields)
 
     def forget(self, known: typing.Container[ids.UpstreamId]) -> None:
-        """Drop upstreams that are gone."""
-        for gone in [key for key in self._leaving if key not in known]:
-            del self._leaving[gone]
+        """Drop what is long ago, and upstreams that are gone."""
+        now = clock.now()
+        for upstream, told_at in list(self._leaving.items()):
+            if now - told_at > _TOLD:
+                del self._leaving[upstream]
         for old in [key for key in self._logged_at if key[0] not in known]:
             del self._logged_at[old]
--- a/galenahatch/test/test_notices.py
+++ b/galenahatch/test/test_notices.py
@@ -19,8 +19,10 @@
 from hypothesis import strategies
 import pytest
 
+from galenahatch.core import upstreams
 from galenahatch import errors
 from galenahatch.gateway import calls
+from galenahatch import ids
 from galenahatch.platform import wire
 
 
@@ -90,3 +92,60 @@
     assert isinstance(head.leaving, bool | errors.Failure)
     if isinstance(head.pause, float):
         assert math.isfinite(head.pause) and head.pause >= 0
+
+
+_ID = ids.UpstreamId('i-1@1000')
+_LATER = ids.UpstreamId('i-1@2000')
+_SERVICE = ids.ServiceName('desk')
+
+
+def _entry(
+    upstream: ids.UpstreamId, leaving: bool = False
+) -> upstreams.Upstream:
+    return upstreams.Upstream(
+        upstream, _SERVICE, 'a:1', ids.DataCentre('dc1'), 8, leaving
+    )
+
+
+_NEWS = {
+    'ready': lambda known, now: known.put(_entry(_ID), now),
+    'draining': lambda known, now: known.put(_entry(_ID, True), now),
+    'gone': lambda known, now: known.remove(ids.InstanceId('i-1'), now),
+    'bad': lambda known, now: known.withdraw(ids.InstanceId('i-1'), now),
+    'list': lambda known, now: known.replace([_entry(_ID)], now),
+    'empty': lambda known, now: known.replace([], now),
+    'told': lambda known, now: known.told_leaving(_ID, now),
+}
+
+
+@hypothesis.settings(
+    max_examples=300, deadline=None, derandomize=True, database=None
+)
+@hypothesis.given(
+    before=strategies.lists(strategies.sampled_from(sorted(_NEWS))),
+    after=strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(sorted(_NEWS)),
+            strategies.floats(0.01, 100.0),
+        )
+    ),
+)
+def test_never_used_again(
+    before: list[str], after: list[tuple[str, float]]
+) -> None:
+    """Whatever news come, one that said that it leaves takes no work."""
+    registry = upstreams.Registry()
+    for word in before:
+        _NEWS[word](registry, 0.0)
+    registry.told_leaving(_ID, 0.0)
+    now = 0.0
+    for word, seconds in [('told', 0.0), *after]:
+        now += seconds
+        if now > 3000:
+            break
+        _NEWS[word](registry, now)
+        assert not registry.takes_work(_ID, now)
+        assert _ID not in [u.id for u in registry.usable(_SERVICE, now)]
+    registry.put(_entry(_LATER), now)
+    assert registry.takes_work(_LATER, now)
+    assert [u.id for u in registry.usable(_SERVICE, now)] == [_LATER]
