--- a/galenahatch/test/fleet.py
+++ b/galenahatch/test/fleet.py
@@ -370,6 +370,24 @@
         """Remove a row of the store."""
         self.run(lambda: self.store.drop(table, key))
 
+    def start_upstreams_again(self) -> None:
+        """Start all upstreams again, well, and wait until that is known.
+
+        What they said, and what they were thought of, was of an earlier start.
+        """
+        for upstream in self.upstreams:
+            upstream.says = {}
+            upstream.faults.clear()
+            self.run(upstream.start_again)
+            self.put('servers', upstream.id, upstream.row())
+        starts = [f'{one.id}@{one.born}' for one in self.upstreams]
+
+        def are_known() -> bool:
+            logs = [vm.log.read_text() for vm in self.vms]
+            return all(start in log for start in starts for log in logs)
+
+        eventually(are_known, 'the starts are known')
+
     def of(self, service: str, stage: str = '') -> list[upstreams.Upstream]:
         """Return the upstreams of a service and stage."""
         return [
--- a/galenahatch/test/standin/upstreams.py
+++ b/galenahatch/test/standin/upstreams.py
@@ -56,6 +56,7 @@
     headers: dict[str, str]
     body: bytes
     ran: bool = False
+    refused: bool = False
     ended: str = ''
     at: float = msgspec.field(default_factory=time.monotonic)
 
@@ -383,6 +384,7 @@
         return self._head(seen, 200) + b'Connection: close\r\n\r\n'
 
     def _refusal(self, seen: Seen, status: int) -> bytes:
+        seen.refused = True
         return (
             (
                 f'HTTP/1.1 {status} No\r\n'
--- a/galenahatch/test/test_told_leaving.py
+++ b/galenahatch/test/test_told_leaving.py
@@ -49,18 +49,7 @@
 def calm(fleet: fleets.Fleet) -> collections.abc.Iterator[None]:
     """End each test with upstreams that have started again, and stay."""
     yield
-    for upstream in fleet.upstreams:
-        upstream.says = {}
-        upstream.faults.clear()
-        fleet.run(upstream.start_again)
-        fleet.put('servers', upstream.id, upstream.row())
-    starts = [f'{one.id}@{one.born}' for one in fleet.upstreams]
-    fleets.eventually(lambda: _know(fleet, starts), 'starts are known')
-
-
-def _know(fleet: fleets.Fleet, starts: list[str]) -> bool:
-    logs = [vm.log.read_text() for vm in fleet.vms]
-    return all(start in log for start in starts for log in logs)
+    fleet.start_upstreams_again()
 
 
 def _leave(upstream: upstreams.Upstream, word: str = '1') -> None:
