A pause that an upstream asks for is kept

What callers saw: attempts at engines that had just asked to be left alone, and refusals that sent them back after 0.1 or 0.3 s.

Cause: the Retry-After of an upstream was read nowhere (hypothesis 1). What kept most sends away was the health that the owner keeps and the share of failures among siblings, and their trials came by times of our own (hypothesis 3): fine where one of several refuses, not where most do. Ruled out: an owner that had not heard (hypothesis 2) is a part of it, as it places for all gateways. Class of fault: as for limits and leaving.

Change: each gateway keeps the pauses that it was asked for, up to a fifth longer by chance, so that those told in one moment come back apart. It sends no call, prompt, run, report or order there, and tells the owner with each question which engines want nothing from it, and for how long. If all do, the request is refused at once with the end of the first pause; one that can start in time after it waits. A pause of a year counts as five minutes.

Why it holds: every send looks right before it; those under way when the refusal comes arrive within half a second. A pause is the VM's that was told: others go on, as the upstream tells each by itself.

--- a/galenahatch/core/admission.py
+++ b/galenahatch/core/admission.py
@@ -62,24 +62,30 @@
         self._limiter = limiter
 
     def _until_room(self, job: Job, now: float) -> float:
-        """Return the seconds for which all engines' limits hold a job up."""
-        if self._limiter.is_idle:
+        """Return the seconds for which all engines' wishes hold a job up.
+
+        That is, the limits that they name and the pauses that they ask for.
+        """
+        if self._limiter.is_idle and not job.paused:
             return 0.0
         engines = self._pool.usable_decodes(job, now)
+        if not engines:
+            ends = (job.paused.get(key, now) for key in self._pool.decodes)
+            return max(0.0, min(ends, default=now) - now)
         found = [engine.upstream.id for engine in engines]
         return self._limiter.wait(found, len(self._queue) + 1, now)
 
     def is_limited(self, job: Job, now: float) -> bool:
-        """Return whether the limits of engines let no run start in time."""
+        """Return whether the wishes of engines let no run start in time."""
         wait = self._until_room(job, now)
-        return wait > 0 and now + wait > waiting.limit(job)
+        return wait > 0 and now + wait > job.start_by
 
     def keep_or_refuse(
         self, job: Job, now: float
     ) -> generations.Refused | None:
         """Decide on a request that could not be placed so far."""
         if self.is_limited(job, now):
-            return self.refuse(job, 'rate_limits', now)
+            return self.refuse(job, 'engines_hold_back', now)
         if job.kept:
             return None
         wait = _CAUTION * self._forecast.wait(job, 1, now)
@@ -97,7 +103,7 @@
         Where engines are at their limits, those in time take all the room.
         """
         if self.is_limited(job, now):
-            return self.refuse(job, 'rate_limits', now)
+            return self.refuse(job, 'engines_hold_back', now)
         owed = 1 + self._returns.due(now)
         late = self._forecast.late_wait(job, owed, now)
         is_in_vain = now + late > job.leaves_at
@@ -111,11 +117,8 @@
         self._division.is_short(now)
         rate = self._forecast.rate()
         queued = len(self._queue) / rate if rate else 0.0
-        queued = max(
-            queued,
-            self._pool.next_trial(now),
-            self._until_room(job, now),
-        )
+        until_room = self._until_room(job, now)
+        queued = max(queued, self._pool.next_trial(now), until_room)
         wait = self._returns.promise(
             job.subject,
             self._forecast.spare(now),
@@ -124,4 +127,4 @@
             job.arrived_at,
             now,
         )
-        return generations.Refused(job, wait, why)
+        return generations.Refused(job, max(wait, until_room), why)
--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -178,7 +178,7 @@
             return self._admission.refuse(job, 'no_engine', now)
         if not job.going_on:
             if self._admission.is_limited(job, now):
-                return self._admission.refuse(job, 'rate_limits', now)
+                return self._admission.refuse(job, 'engines_hold_back', now)
             owed = 1 + self._returns.due(now)
             wait = self._forecast.wait(job, owed, now)
             if now + wait > waiting.limit(job):
--- a/galenahatch/core/generations.py
+++ b/galenahatch/core/generations.py
@@ -17,6 +17,7 @@
 
 import dataclasses
 import enum
+import typing
 
 from galenahatch.core import memory
 from galenahatch import ids
@@ -36,6 +37,7 @@
         subject: id of the part of the prompt that only this caller sends;
             tells that a request comes back.
         avoid: engines that failed the request already.
+        paused: until when engines want nothing from its VM.
         going_on: whether a part of the answer was already passed on.
         is_read: whether a prefill engine holds its result already.
         longest_pause: seconds between two events at the most.
@@ -73,9 +75,16 @@
     priority: int = 0
     output: int = 0
     returned: bool = False
+    paused: typing.Mapping[ids.UpstreamId, float] = dataclasses.field(
+        default_factory=dict
+    )
     kept: bool = False
     is_late: bool = False
 
+    def is_paused(self, engine: ids.UpstreamId, now: float) -> bool:
+        """Return whether an engine wants nothing from this job's VM."""
+        return self.paused.get(engine, 0.0) > now
+
     def run(self, starts_at: float) -> memory.Run:
         """Return what it holds at a decode engine from some moment on."""
         return memory.Run(
--- a/galenahatch/core/pool.py
+++ b/galenahatch/core/pool.py
@@ -319,6 +319,7 @@
             for engine in self.prefills.values()
             if engine.health.until <= now
             and engine.upstream.id not in job.avoid
+            and not job.is_paused(engine.upstream.id, now)
             and self._limiter.may_take(engine.upstream.id, now)
         ]
 
@@ -372,13 +373,14 @@
         """Return the engines that a request may go to now.
 
         Those that failed of late are used only if there is no other, and
-        those that could not be reached not even then.
+        those that could not be reached, or want a pause, not even then.
         """
-        usable = [
+        free = [
             engine
             for engine in self.decodes.values()
-            if engine.upstream.id not in job.avoid
-        ] or list(self.decodes.values())
+            if not job.is_paused(engine.upstream.id, now)
+        ]
+        usable = [e for e in free if e.upstream.id not in job.avoid] or free
         well = [engine for engine in usable if engine.health.until <= now]
         return well or [e for e in usable if not e.health.unreachable]
 
--- a/galenahatch/core/waiting.py
+++ b/galenahatch/core/waiting.py
@@ -57,7 +57,7 @@
 
 def has_become_late(job: Job, now: float) -> bool:
     """Return whether a request that is kept can't start in time any more."""
-    return job.kept and not job.going_on and now > limit(job)
+    return job.kept and not job.going_on and now > job.start_by
 
 
 def has_waited(job: Job, now: float) -> bool:
--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -220,9 +220,11 @@
     def _takes_work(self, upstream: upstreams.Upstream) -> bool:
         """Return whether the request may still go to an upstream.
 
-        Another gateway may have seen meanwhile what it does there.
+        Another gateway may have seen meanwhile what it does there, and the
+        upstream may have asked this one for a pause.
         """
-        if self._means.guard.holds(self._call):
+        paused = self._means.notices.pause_left(upstream.id)
+        if paused or self._means.guard.holds(self._call):
             return False
         registry = self._means.directory.registry
         return registry.takes_work(upstream.id, clock.now())
--- a/galenahatch/gateway/means.py
+++ b/galenahatch/gateway/means.py
@@ -23,6 +23,7 @@
 from galenahatch.gateway import accounts as accounts_module
 from galenahatch.gateway import calls
 from galenahatch.gateway import directory as directories
+from galenahatch.gateway import notices as notices_module
 from galenahatch.gateway import ownership as ownerships
 from galenahatch.gateway import quarantine
 from galenahatch.gateway import ratelimits
@@ -55,6 +56,7 @@
     guard: quarantine.Guard
     accounts: accounts_module.Accounts
     rate_limits: ratelimits.RateLimits
+    notices: notices_module.Notices
     tasks: tasks.Tasks
 
 
--- a/galenahatch/gateway/mesh.py
+++ b/galenahatch/gateway/mesh.py
@@ -39,6 +39,7 @@
 from galenahatch.gateway import outcomes
 from galenahatch.gateway import quarantine
 from galenahatch.gateway import ratelimits
+from galenahatch.gateway import records
 from galenahatch.gateway import roster as rosters
 from galenahatch import ids
 from galenahatch import logs
@@ -108,8 +109,7 @@
     ) -> None:
         self._directory = directory
         self._exchange = exchanges.outcomes
-        self._guard = exchanges.guard
-        self._accounts = exchanges.accounts
+        self._guard, self._accounts = exchanges.guard, exchanges.accounts
         self._rate_limits = exchanges.rate_limits
         self._notices = exchanges.notices
         self._handler = handler
@@ -136,7 +136,7 @@
             tuple
         )
         self.figures: collections.abc.Callable[
-            [], tuple[messages.Figures, ...]
+            [], tuple[records.Figures, ...]
         ] = tuple
         self._hub = bus.Hub(f'tcp://{address}:{port}', CODEC, self._from_hub)
         self._connect_exchanges()
--- a/galenahatch/gateway/messages.py
+++ b/galenahatch/gateway/messages.py
@@ -22,6 +22,7 @@
 import msgspec
 
 from galenahatch.core import upstreams
+from galenahatch.gateway import records
 from galenahatch import ids
 
 
@@ -84,19 +85,6 @@
     units: float
 
 
-class RateLimit(msgspec.Struct, frozen=True, array_like=True):
-    """What an upstream said of the rate of requests that it takes.
-
-    Attributes:
-        rate: requests a second; None if it names no limit any more.
-        age: seconds since that was so.
-    """
-
-    upstream: ids.UpstreamId
-    rate: float | None
-    age: float
-
-
 class Beat(Message, frozen=True, array_like=True, tag=True):
     """A sign of life, with all that its sender runs.
 
@@ -127,39 +115,10 @@
     hears_store: bool = False
     suspicions: tuple[Suspicion, ...] = ()
     used: tuple[Used, ...] = ()
-    rate_limits: tuple[RateLimit, ...] = ()
+    rate_limits: tuple[records.RateLimit, ...] = ()
     leaving_upstreams: tuple[ids.UpstreamId, ...] = ()
 
 
-class Figures(msgspec.Struct, frozen=True, array_like=True):
-    """What an owner has measured of a service; a new one begins with it.
-
-    Attributes:
-        rate: prompt tokens a second of a prefill engine.
-        prompt: mean tokens of a prompt.
-        output: mean tokens of an answer.
-        pace: seconds for a token.
-        seen: requests that were measured.
-        delay: seconds that a prefill takes besides reading.
-        alone: part of the delay in which the engine reads nothing else.
-        reads: prefills that were measured.
-        slack: seconds from the end of a prefill to the first event.
-        pairs: prompts that told whether the engine had read within the delay.
-    """
-
-    service: ids.ServiceName
-    rate: float
-    prompt: float
-    output: float
-    pace: float
-    seen: int
-    delay: float = 0.0
-    alone: float = 0.0
-    reads: int = 0
-    slack: float = 0.0
-    pairs: int = 0
-
-
 class BeatBack(Message, frozen=True, array_like=True, tag=True):
     """The answer to a beat.
 
@@ -182,12 +141,12 @@
     leaving: bool
     hears_store: bool = False
     members: int = 1
-    figures: tuple[Figures, ...] = ()
+    figures: tuple[records.Figures, ...] = ()
     outcomes: tuple[Outcomes, ...] = ()
     order: int = 0
     suspicions: tuple[Suspicion, ...] = ()
     low: tuple[Level, ...] = ()
-    rate_limits: tuple[RateLimit, ...] = ()
+    rate_limits: tuple[records.RateLimit, ...] = ()
     leaving_upstreams: tuple[ids.UpstreamId, ...] = ()
 
 
@@ -207,6 +166,7 @@
         customer: that it counts for, or empty.
         units: of the customer's quota that it counts as.
         priority: 0 is the most urgent.
+        paused: engines that want nothing from this gateway now.
     """
 
     stream: ids.StreamId
@@ -230,6 +190,7 @@
     customer: ids.CustomerName = ids.CustomerName('')
     units: float = 0.0
     priority: int = 0
+    paused: tuple[records.Paused, ...] = ()
 
 
 class Queued(Message, frozen=True, array_like=True, tag=True):
@@ -336,7 +297,7 @@
 class RateLimits(Message, frozen=True, array_like=True, tag=True):
     """Tells what upstreams have said of it, ahead of the next beat."""
 
-    told: tuple[RateLimit, ...]
+    told: tuple[records.RateLimit, ...]
 
 
 class Leaving(Message, frozen=True, array_like=True, tag=True):
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -128,6 +128,7 @@
             self._grants,
             self._accounts,
             self._rate_limits.limiter,
+            self._notices.paused,
         )
         self._balancer = balance.Balancer(clock.RANDOM, settings.data_centre)
         self._exchange = outcomes.Exchange(self._balancer.outliers)
@@ -162,6 +163,7 @@
             self._ownership.owner,
             self._directory,
             self._sender,
+            self._notices,
             settings.bounds.lease,
             self._background,
         )
@@ -202,6 +204,7 @@
             self._ownership.owner,
             self._sender,
             self._rate_limits.limiter,
+            self._notices,
         ).run(self._background)
         self._orders.run()
         self._background.keep('members', self._look_around)
@@ -218,6 +221,7 @@
                 guard=self._guard,
                 accounts=self._accounts,
                 rate_limits=self._rate_limits,
+                notices=self._notices,
                 tasks=self._background,
             )
         )
--- a/galenahatch/gateway/notices.py
+++ b/galenahatch/gateway/notices.py
@@ -21,6 +21,7 @@
 import typing
 
 from galenahatch import clock
+from galenahatch.core import pauses
 from galenahatch import errors
 from galenahatch.gateway import calls
 from galenahatch.gateway import directory as directories
@@ -46,12 +47,14 @@
         directory: upstreams, those among them that leave.
 
     Attributes:
+        pauses: that upstreams have asked this gateway for.
         tell_owner: sends a message to the owner, and who may be the next.
     """
 
     def __init__(self, directory: directories.Directory) -> None:
         self._directory = directory
         self._leaving: dict[ids.UpstreamId, float] = {}
+        self.pauses = pauses.Pauses(clock.RANDOM)
         self.tell_owner: typing.Callable[[frames.AnyMessage], None] = (
             lambda message: None
         )
@@ -73,8 +76,17 @@
             self._note(upstream, 'Upstream says that it leaves.', head)
             self.tell_owner(messages.Leaving(self.tell()))
         if isinstance(head.pause, float):
+            self.pauses.begin(upstream, head.pause, clock.now())
             self._note(upstream, 'Pause asked for.', head, seconds=head.pause)
 
+    def pause_left(self, upstream: ids.UpstreamId) -> float:
+        """Return the seconds for which an upstream wants nothing from here."""
+        return self.pauses.left(upstream, clock.now())
+
+    def paused(self) -> dict[ids.UpstreamId, float]:
+        """Return the seconds that are left of each pause."""
+        return self.pauses.active(clock.now())
+
     def _leaves(self, upstream: ids.UpstreamId) -> bool:
         """Send an upstream no more; return whether that is news."""
         if not self._directory.told_leaving(upstream):
--- a/galenahatch/gateway/orders.py
+++ b/galenahatch/gateway/orders.py
@@ -34,6 +34,7 @@
 from galenahatch.gateway import lease as leases
 from galenahatch.gateway import mesh as meshes
 from galenahatch.gateway import messages
+from galenahatch.gateway import notices as notices_module
 from galenahatch.gateway import owner as owners
 from galenahatch.gateway import sender as senders
 from galenahatch import ids
@@ -62,6 +63,7 @@
         owner: tells which engines should change.
         directory: tells how long a change takes.
         sender: for calls to engines.
+        notices: which engines want no calls now.
         lease: seconds between the orders of two holders.
         background: where its tasks run.
     """
@@ -73,6 +75,7 @@
         owner: owners.Owner,
         directory: directories.Directory,
         sender: senders.Sender,
+        notices: notices_module.Notices,
         lease: float,
         background: tasks.Tasks,
     ) -> None:
@@ -80,6 +83,7 @@
         self._owner = owner
         self._directory = directory
         self._sender = sender
+        self._notices = notices
         self._lease = leases.Lease(store, mesh.me, lease)
         self._tasks = background
         self._pause_until = 0.0
@@ -167,6 +171,9 @@
         self, engine: upstreams.Upstream, stage: upstreams.Stage
     ) -> bool:
         """Give an order; return whether the engine may be changing now."""
+        if self._notices.pause_left(engine.id):
+            _log.info('Order put off.', engine=engine.id, why='paused')
+            return False
         report = await self._report(engine)
         why = _put_off(engine, report)
         if report is None or why:
--- a/galenahatch/gateway/owner.py
+++ b/galenahatch/gateway/owner.py
@@ -34,6 +34,7 @@
 from galenahatch.gateway import frames
 from galenahatch.gateway import instruments
 from galenahatch.gateway import messages
+from galenahatch.gateway import records
 from galenahatch import ids
 from galenahatch import logs
 from galenahatch import tasks
@@ -125,10 +126,10 @@
                 self._accounts.give_back(job.customer, job.units)
             dispatcher.release(stream, 0, 0.0, now)
 
-    def figures(self) -> tuple[messages.Figures, ...]:
+    def figures(self) -> tuple[records.Figures, ...]:
         """Return what was measured of each service."""
         return tuple(
-            messages.Figures(service, *dispatcher.measured)
+            records.Figures(service, *dispatcher.measured)
             for service, dispatcher in self._dispatchers.items()
         )
 
@@ -393,4 +394,5 @@
         customer=place.customer,
         units=place.units,
         priority=place.priority,
+        paused={one.upstream: now + one.left for one in place.paused},
     )
--- a/galenahatch/gateway/ownership.py
+++ b/galenahatch/gateway/ownership.py
@@ -34,6 +34,7 @@
 from galenahatch.gateway import mesh as meshes
 from galenahatch.gateway import messages
 from galenahatch.gateway import owner as owners
+from galenahatch.gateway import records
 from galenahatch import ids
 from galenahatch import tasks
 from galenahatch import timeouts
@@ -100,6 +101,8 @@
         budget: of retries, for what this gateway decides on.
         accounts: of customers, for the same.
         limiter: of upstreams, for the same.
+        paused: returns the engines that want nothing from this gateway, and
+            the seconds for which they don't.
     """
 
     def __init__(
@@ -109,7 +112,9 @@
         budget: extras.GrantedBudget,
         accounts: accounts_module.Accounts,
         limiter: ratelimits.Limiter,
+        paused: collections.abc.Callable[[], dict[ids.UpstreamId, float]],
     ) -> None:
+        self._paused = paused
         self._data_centre = data_centre
         self._mesh: meshes.Mesh | None = None
         self._asked: dict[ids.StreamId, asyncio.Queue[owners.Word]] = {}
@@ -191,6 +196,9 @@
             customer=wish.customer,
             units=wish.units,
             priority=wish.priority,
+            paused=tuple(
+                records.Paused(*item) for item in self._paused().items()
+            ),
         )
         self._tell(owner, message)
 
--- a/galenahatch/gateway/plain.py
+++ b/galenahatch/gateway/plain.py
@@ -18,6 +18,7 @@
 shared budget allows that.
 """
 
+import collections.abc
 import dataclasses
 import typing
 
@@ -77,8 +78,9 @@
         self._service = service
         self._sends = fate.Sends()
         self._avoid: set[ids.UpstreamId] = set()
-        # Seconds until upstreams have room that could not be chosen.
-        self._waits: dict[ids.UpstreamId, float] = {}
+        # Seconds until upstreams that could not be chosen have room again.
+        self._limited: dict[ids.UpstreamId, float] = {}
+        self._paused: dict[ids.UpstreamId, float] = {}
         self._end_by = means_module.end_by(call, route)
         self._answer: means_module.Whole | None = None
         self._detail = ''
@@ -115,13 +117,14 @@
 
     async def _choose(self) -> upstreams.Upstream | None:
         """Return an upstream that a request may be sent to now."""
-        self._waits.clear()
+        self._limited.clear()
         while True:
             now = clock.now()
             usable = self._means.directory.registry.usable(self._service, now)
+            self._paused = self._pauses_of(usable)
             chosen = self._means.balancer.choose(
                 usable,
-                self._avoid | self._waits.keys(),
+                self._avoid | self._limited.keys() | self._paused.keys(),
                 now,
                 self._route.repeatable,
             )
@@ -130,13 +133,21 @@
             wait = await self._means.rate_limits.permit(chosen.id)
             if not wait and self._takes_work(chosen.id):
                 return chosen
-            self._waits[chosen.id] = wait
-        tried = f'{len(usable)} usable, {len(self._avoid)} tried'
-        if self._waits:
-            tried += f', {len(self._waits)} limited'
+            self._limited[chosen.id] = wait
+        tried = (
+            f'{len(usable)} usable, {len(self._avoid)} tried,'
+            f' {len(self._limited)} limited, {len(self._paused)} paused'
+        )
         self._detail = f'{tried}; {self._detail}'.rstrip('; ')
         return None
 
+    def _pauses_of(
+        self, usable: collections.abc.Iterable[upstreams.Upstream]
+    ) -> dict[ids.UpstreamId, float]:
+        """Return the upstreams that want nothing, and for how long."""
+        paused = self._means.notices.paused()
+        return {u.id: paused[u.id] for u in usable if u.id in paused}
+
     def _takes_work(self, upstream: ids.UpstreamId) -> bool:
         """Return whether an upstream may be sent to after all."""
         registry = self._means.directory.registry
@@ -272,15 +283,15 @@
 
     def _failure(self) -> errors.Failure:
         if self._sends.surely_not_run:
-            if self._waits:
-                return means_module.refusal(
-                    errors.RATE_LIMITED,
-                    self._detail,
-                    min(self._waits.values()),
-                )
-            return means_module.refusal(
-                errors.NO_ENGINE, self._detail, _RETRY_AFTER
-            )
+            return self._refusal()
         if means_module.over(self._end_by):
             return errors.Failure(errors.DEADLINE, self._detail)
         return errors.Failure(errors.SEND_INTERRUPTED, self._detail)
+
+    def _refusal(self) -> errors.Failure:
+        """Refuse a request that has not run, with when to come back."""
+        waits = [*self._limited.values(), *self._paused.values()]
+        reason = errors.RATE_LIMITED if self._limited else errors.NO_ENGINE
+        return means_module.refusal(
+            reason, self._detail, min(waits, default=_RETRY_AFTER)
+        )
--- a/galenahatch/gateway/prefill.py
+++ b/galenahatch/gateway/prefill.py
@@ -122,6 +122,8 @@
         now = clock.now()
         if not self._means.directory.registry.takes_work(engine.id, now):
             return Again(engine.id, 'prefill engine gone')
+        if self._means.notices.pause_left(engine.id):
+            return Again(engine.id, 'prefill engine wants a pause')
         answer = await self._send(engine, last_event, end_by)
         if isinstance(answer, senders.Lost):
             return self._lost(engine, answer)
@@ -188,7 +190,8 @@
         """Drop a result that nobody will take."""
         source = self.source()
         self._source = ''
-        if not source:
+        if not source or self._means.notices.pause_left(self.engine):
+            # It lapses by itself where the engine wants no calls.
             return
         address, _, handle = source.partition('/')
 
--- a/galenahatch/gateway/ratelimits.py
+++ b/galenahatch/gateway/ratelimits.py
@@ -30,6 +30,7 @@
 from galenahatch.gateway import frames
 from galenahatch.gateway import instruments
 from galenahatch.gateway import messages
+from galenahatch.gateway import records
 from galenahatch import ids
 from galenahatch import logs
 from galenahatch import timeouts
@@ -176,14 +177,14 @@
 
     # What gateways tell each other.
 
-    def tell(self) -> tuple[messages.RateLimit, ...]:
+    def tell(self) -> tuple[records.RateLimit, ...]:
         """Return what other gateways should know."""
         return tuple(
-            messages.RateLimit(one.upstream, one.rate, one.age)
+            records.RateLimit(one.upstream, one.rate, one.age)
             for one in self._notices.tell(clock.now())
         )
 
-    def hear(self, told: tuple[messages.RateLimit, ...]) -> None:
+    def hear(self, told: tuple[records.RateLimit, ...]) -> None:
         """Take what another gateway tells."""
         now = clock.now()
         for one in told:
--- a/galenahatch/gateway/reports.py
+++ b/galenahatch/gateway/reports.py
@@ -22,6 +22,7 @@
 from galenahatch import errors
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import mesh as meshes
+from galenahatch.gateway import notices as notices_module
 from galenahatch.gateway import owner as owners
 from galenahatch.gateway import sender as senders
 from galenahatch import ids
@@ -45,6 +46,7 @@
         owner: that is told.
         sender: for the calls.
         limiter: of upstreams, which count these calls too.
+        notices: which upstreams want no calls now.
     """
 
     def __init__(
@@ -54,7 +56,9 @@
         owner: owners.Owner,
         sender: senders.Sender,
         limiter: ratelimits.Limiter,
+        notices: notices_module.Notices,
     ) -> None:
+        self._notices = notices
         self._directory = directory
         self._mesh = mesh
         self._owner = owner
@@ -82,7 +86,8 @@
         found = [
             engine
             for engine in registry.usable(service, now)
-            if self._limiter.may_probe(engine.id, now)
+            if not self._notices.pause_left(engine.id)
+            and self._limiter.may_probe(engine.id, now)
         ]
         replies = await asyncio.gather(
             *(
--- a/galenahatch/test/test_notices.py
+++ b/galenahatch/test/test_notices.py
@@ -13,12 +13,17 @@
 
 """What upstreams' answers say of the next requests: leaving, and pauses."""
 
+import dataclasses
 import math
+import random
 
 import hypothesis
 from hypothesis import strategies
 import pytest
 
+from galenahatch.core import dispatch
+from galenahatch.core import generations
+from galenahatch.core import pauses
 from galenahatch.core import upstreams
 from galenahatch import errors
 from galenahatch.gateway import calls
@@ -149,3 +154,88 @@
     registry.put(_entry(_LATER), now)
     assert registry.takes_work(_LATER, now)
     assert [u.id for u in registry.usable(_SERVICE, now)] == [_LATER]
+
+
+def test_pause_lasts_a_little_longer() -> None:
+    """VMs that were told at the same moment don't come back at the same."""
+    ends = set()
+    for seed in range(100):
+        known = pauses.Pauses(random.Random(seed))
+        known.begin(_ID, 3.0, 10.0)
+        left = known.left(_ID, 10.0)
+        assert 3.0 <= left <= 3.6
+        ends.add(round(left, 3))
+    assert len(ends) > 50
+
+
+def test_pause_is_bounded_and_not_cut() -> None:
+    """A year is a few minutes; a shorter one does not end a longer one."""
+    known = pauses.Pauses(random.Random(1))
+    known.begin(_ID, 31_536_000.0, 0.0)
+    assert 300 <= known.left(_ID, 0.0) <= 360
+    known.begin(_ID, 1.0, 10.0)
+    assert known.left(_ID, 10.0) >= 290
+    assert known.left(_LATER, 10.0) == 0
+    assert not known.active(1000.0)
+
+
+def _dispatcher() -> dispatch.Dispatcher:
+    made = dispatch.Dispatcher(capacity=20_000, slots=8)
+    entries = [
+        dataclasses.replace(_entry(ids.UpstreamId(name)), stage=stage)
+        for name, stage in (
+            ('p1', upstreams.Stage.PREFILL),
+            ('d1', upstreams.Stage.DECODE),
+            ('d2', upstreams.Stage.DECODE),
+        )
+    ]
+    made.set_engines(entries, set(), 0.0)
+    return made
+
+
+def _job(number: int, **paused: float) -> generations.Job:
+    return generations.Job(
+        stream=ids.StreamId(f's{number}'),
+        entry=ids.MemberId('vm'),
+        prompt=1000,
+        hint=0,
+        most=100,
+        arrived_at=0.0,
+        start_by=0.9,
+        leaves_at=3.6,
+        deadline=14.0,
+        subject=f'subject{number}',
+        data_centre=ids.DataCentre('dc1'),
+        paused={ids.UpstreamId(name): at for name, at in paused.items()},
+    )
+
+
+def test_no_run_where_a_pause_was_asked_for() -> None:
+    """Runs of the VM that was told go elsewhere, those of others as before."""
+    made = _dispatcher()
+    for number in range(4):
+        assert made.submit(_job(number, d1=3.0), 0.0) is None
+    placed = []
+    for now in (0.0, 0.3, 0.6, 0.9):
+        placed += made.decide(now)
+    assert placed
+    for decision in placed:
+        assert isinstance(decision, generations.Placed)
+        assert decision.decode == 'd2'
+
+
+def test_all_engines_want_a_pause() -> None:
+    """The request is refused at once, with the end of the first pause."""
+    refused = _dispatcher().submit(_job(1, d1=3.0, d2=4.0), 0.0)
+    assert isinstance(refused, generations.Refused)
+    assert refused.retry_after == 3.0
+
+
+def test_short_pause_is_waited_for() -> None:
+    """A request that can start in time after a pause is kept for it."""
+    made = _dispatcher()
+    assert made.submit(_job(1, d1=0.3, d2=0.4), 0.0) is None
+    assert not made.decide(0.1)
+    (placed,) = made.decide(0.35)
+    assert isinstance(placed, generations.Placed)
+    assert placed.decode == 'd1'
--- a/galenahatch/test/test_told_pauses.py
+++ b/galenahatch/test/test_told_pauses.py
@@ -151,7 +151,9 @@
     assert refused
     for answer in refused:
         assert answer.status == 503, answer
-        assert 0.1 < float(answer.headers['retry-after']) < 2 * _PAUSE
+        # The pauses began up to 2.5 s ago.
+        wait = float(answer.headers['retry-after'])
+        assert _PAUSE / 2 - 0.5 < wait < 2 * _PAUSE
         assert load.seconds[answer.id] < 0.5
         assert not fleet.runs(answer.id)
 
