--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -138,6 +138,16 @@
     's',
     'Seconds since an upstream began to name a limit, by upstream.',
 )
+LEAVING_SECONDS: typing.Final = _upstream_gauge(
+    'galenahatch_upstream_leaving_seconds',
+    's',
+    'Seconds since an upstream said that it leaves, by upstream.',
+)
+PAUSED_SECONDS: typing.Final = _upstream_gauge(
+    'galenahatch_upstream_paused_seconds',
+    's',
+    'Seconds left of a pause that this gateway was asked for, by upstream.',
+)
 orders = _meter.create_counter(
     'galenahatch_orders', description='Orders sent to engines, by status.'
 )
--- a/galenahatch/gateway/notices.py
+++ b/galenahatch/gateway/notices.py
@@ -26,6 +26,7 @@
 from galenahatch.gateway import calls
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import frames
+from galenahatch.gateway import instruments
 from galenahatch.gateway import messages
 from galenahatch import ids
 from galenahatch import logs
@@ -58,6 +59,8 @@
         self.tell_owner: typing.Callable[[frames.AnyMessage], None] = (
             lambda message: None
         )
+        instruments.watch(instruments.LEAVING_SECONDS, self._leaving_for)
+        instruments.watch(instruments.PAUSED_SECONDS, self._paused_for)
         self._logged_at: dict[tuple[ids.UpstreamId, str], float] = {}
 
     def answered(
@@ -118,6 +121,14 @@
         self._logged_at[key] = now
         _log.info(sentence, upstream=upstream, request=head.request, **fields)
 
+    def _leaving_for(self) -> dict[str, float]:
+        now = clock.now()
+        found = [(key, now - at) for key, at in self._leaving.items()]
+        return dict(found[-_MOST_TOLD:])
+
+    def _paused_for(self) -> dict[str, float]:
+        return dict(list(self.paused().items())[:_MOST_TOLD])
+
     def forget(self, known: typing.Container[ids.UpstreamId]) -> None:
         """Drop what is long ago, and upstreams that are gone."""
         now = clock.now()
--- a/galenahatch/gatewayctl.py
+++ b/galenahatch/gatewayctl.py
@@ -73,8 +73,10 @@
 _LIMITS: typing.Final = (
     'upstream',
     'rate',
-    'seconds',
+    'limited_for',
     'held_back',
+    'leaving_for',
+    'paused_for',
     'gateways',
 )
 _CUSTOMERS: typing.Final = (
@@ -240,9 +242,10 @@
 
 @app.command
 def limits(*, store: StoreAddress = '', json: Json = False) -> int:
-    """Show the upstreams that name a rate of requests that they take.
+    """Show what upstreams say in their answers of the next requests.
 
-    Counts are since each gateway's start, added up over those that answer.
+    That is, the rate that they take, that they leave, and pauses that they
+    ask for. Counts are since each gateway's start.
     """
 
     async def work(client: aiohttp.ClientSession, at: stores.Store) -> int:
@@ -257,26 +260,37 @@
 
 
 def _limits(seen: list[scrapes.Samples]) -> list[console.Row]:
-    def values(metric: str, upstream: str) -> list[float]:
-        found = (scrapes.of_upstreams(one, metric) for one in seen)
-        return [one[upstream] for one in found if upstream in one]
-
-    limited = {
+    gauges = (
+        instruments.RATE_LIMIT,
+        instruments.LIMITED_SECONDS,
+        instruments.LEAVING_SECONDS,
+        instruments.PAUSED_SECONDS,
+    )
+    named = {
         upstream
         for one in seen
-        for upstream in scrapes.of_upstreams(one, instruments.RATE_LIMIT)
+        for gauge in gauges
+        for upstream in scrapes.of_upstreams(one, gauge)
     }
-    held_back = f'{instruments.HELD_BACK}_total'
-    return [
-        (
-            upstream,
-            min(values(instruments.RATE_LIMIT, upstream)),
-            round(max(values(instruments.LIMITED_SECONDS, upstream)), 1),
-            round(sum(values(held_back, upstream))),
-            len(values(instruments.RATE_LIMIT, upstream)),
+    rows: list[console.Row] = []
+    for upstream in sorted(named):
+        values = [
+            [one[gauge, upstream] for one in seen if (gauge, upstream) in one]
+            for gauge in (*gauges, f'{instruments.HELD_BACK}_total')
+        ]
+        rates, limited, leaving, paused, held_back = values
+        rows.append(
+            (
+                upstream,
+                min(rates, default=''),
+                round(max(limited), 1) if limited else '',
+                round(sum(held_back)),
+                round(max(leaving), 1) if leaving else '',
+                round(max(paused), 1) if paused else '',
+                max(len(rates), len(leaving), len(paused)),
+            )
         )
-        for upstream in sorted(limited)
-    ]
+    return rows
 
 
 @app.command
--- a/galenahatch/test/test_gatewayctl.py
+++ b/galenahatch/test/test_gatewayctl.py
@@ -171,7 +171,8 @@
     (row,) = json.loads(capsys.readouterr().out)
     assert row['upstream'].startswith(desk.id)
     assert row['rate'] == 1.0
-    assert row['seconds'] >= 0
+    assert row['limited_for'] >= 0
+    assert row['leaving_for'] == row['paused_for'] == ''
     assert row['held_back'] >= 1
     assert row['gateways'] == 1
     log = fleet.vms[0].log.read_text()
@@ -184,6 +185,27 @@
     return int(row['configuration'])
 
 
+def test_leaving_and_pauses_are_shown(
+    fleet: fleets.Fleet, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """So is an upstream that wants a pause, or leaves by its own word."""
+    fleet.start_upstreams_again()
+    (desk,) = fleet.of('desk')
+    desk.says = {'Retry-After': '30', 'Server-Leaving': '1'}
+    desk.faults.append('refuse')
+    # Which one is sent depends on whether callers need a key by now.
+    for path in ('/often/x', '/open/x'):
+        fleet.ask(path)
+    desk.says = {}
+    assert _run('limits', '--store', fleet.address, '--json') == 0
+    rows = json.loads(capsys.readouterr().out)
+    (row,) = [row for row in rows if row['upstream'].endswith(str(desk.born))]
+    assert row['rate'] == row['limited_for'] == ''
+    assert row['leaving_for'] >= 0
+    assert 0 < row['paused_for'] <= 36
+    fleet.start_upstreams_again()
+
+
 def test_status(
     fleet: fleets.Fleet, capsys: pytest.CaptureFixture[str]
 ) -> None:
