Limits that gateways tell each other again grow old, and absurd ones are none

Found by reading: what one gateway tells seems newer by its time on the way, and taken over by the other, and told back, a naming never grew old, so that an upstream that names no limit any more would keep it where ways are slow. The same limit is now taken for newer only by more than half a second. A limit of 10,000 a second and more binds nobody and would cost a question with each call: none.

--- a/galenahatch/core/ratelimits.py
+++ b/galenahatch/core/ratelimits.py
@@ -53,6 +53,8 @@
 _LEAST_RATE: typing.Final = 0.25
 """Requests a second that are sent in any case. An upstream that gets none
 could never say that it takes some again."""
+_MOST_RATE: typing.Final = 10_000.0
+"""Requests a second from which on a limit is none: all VMs send less."""
 _DISAGREEMENT: typing.Final = 0.5
 """Seconds by which a word without a limit must be later than one that names
 it: what another VM tells seems later by its time on the way."""
@@ -128,15 +130,24 @@
         return self._take(upstream, rate, sent_at if rate is None else now)
 
     def hear(self, told: Told, now: float) -> bool:
-        """Take what another VM tells; return whether the limit changed."""
-        return self._take(told.upstream, told.rate, now - max(0.0, told.age))
+        """Take what another VM tells; return whether the limit changed.
+
+        What was known before seems a little newer with each VM that tells it;
+        taken so, it would never grow old.
+        """
+        at = now - max(0.0, told.age)
+        before = self._notices.get(told.upstream)
+        if before is not None and told.rate == before.rate:
+            if at < before.at + _DISAGREEMENT:
+                return False
+        return self._take(told.upstream, told.rate, at)
 
     def _take(
         self, upstream: ids.UpstreamId, rate: float | None, at: float
     ) -> bool:
         before = self._notices.get(upstream)
         if rate is not None:
-            rate = max(_LEAST_RATE, rate)
+            rate = max(_LEAST_RATE, rate) if rate < _MOST_RATE else None
         if before is None:
             if rate is None:
                 return False
