Refused streams are told to come back one after another

Found by test_limits: where all decode engines are at their limits, hundreds of streams were told nearly the same time (0.5 to 0.8 s for two runs a second), so all but two a second would have been refused again. The time now counts those that were promised one before, up to the caller's own deadline: who was told more does not come.

Measured: before one engine with 0.5 runs a second the first five refusals lie 8.0 s apart in all (test_refused_streams_come_one_after_another, failed before).

--- a/galenahatch/core/admission.py
+++ b/galenahatch/core/admission.py
@@ -61,10 +61,15 @@
         self._division = division
         self._limiter = limiter
 
-    def _until_room(self, job: Job, now: float) -> float:
+    def _until_room(self, job: Job, before: int, now: float) -> float:
         """Return the seconds for which all engines' wishes hold a job up.
 
         That is, the limits that they name and the pauses that they ask for.
+
+        Args:
+            job: that wants a decode engine.
+            before: requests that are served before it, beside the queue.
+            now: monotonic seconds.
         """
         if self._limiter.is_idle and not job.paused:
             return 0.0
@@ -73,11 +78,12 @@
             ends = (job.paused.get(key, now) for key in self._pool.decodes)
             return max(0.0, min(ends, default=now) - now)
         found = [engine.upstream.id for engine in engines]
-        return self._limiter.wait(found, len(self._queue) + 1, now)
+        requests = len(self._queue) + before + 1
+        return self._limiter.wait(found, requests, now)
 
     def is_limited(self, job: Job, now: float) -> bool:
         """Return whether the wishes of engines let no run start in time."""
-        wait = self._until_room(job, now)
+        wait = self._until_room(job, self._returns.due(now), now)
         return wait > 0 and now + wait > job.start_by
 
     def keep_or_refuse(
@@ -117,7 +123,14 @@
         self._division.is_short(now)
         rate = self._forecast.rate()
         queued = len(self._queue) / rate if rate else 0.0
-        until_room = self._until_room(job, now)
+        # Who was told to come later than its caller can wait does not come.
+        until_room = max(
+            self._until_room(job, 0, now),
+            min(
+                self._until_room(job, self._returns.promised, now),
+                job.deadline - now,
+            ),
+        )
         queued = max(queued, self._pool.next_trial(now), until_room)
         wait = self._returns.promise(
             job.subject,
--- a/galenahatch/core/returns.py
+++ b/galenahatch/core/returns.py
@@ -74,6 +74,11 @@
         """Return how many are expected just now."""
         return sum(abs(due - now) < _SPREAD for due in self._dues())
 
+    @property
+    def promised(self) -> int:
+        """How many were told when to come, and have not come."""
+        return len(self._dues())
+
     def _dues(self) -> list[float]:
         callers = self._callers.values()
         return [caller.due for caller in callers if caller.due is not None]
