Soak: upstreams that name limits, leave by their word, or want pauses

galenahatch/test/noticesoak plays the faults of the soak and checks the three rules as the users' pages have them: from the moment on at which a gateway passed such an answer on, with gateways excused that were frozen, killed or stopped since.

--- a/galenahatch/test/fleet.py
+++ b/galenahatch/test/fleet.py
@@ -427,6 +427,7 @@
     """A caller with one kept connection."""
 
     def __init__(self, vm: Vm) -> None:
+        self.vm = vm
         self._connection = http.client.HTTPConnection(
             vm.address, vm.front, timeout=10
         )
--- a/galenahatch/test/soak.py
+++ b/galenahatch/test/soak.py
@@ -75,6 +75,8 @@
     request: str
     path: str
     answer: fleets.Answer
+    vm: fleets.Vm
+    at: float
 
 
 class Soak:
@@ -165,7 +167,11 @@
             method = 'GET' if path.startswith('/often') else 'POST'
             try:
                 request = caller.begin(
-                    path, method, b'x' * 300, **self._credentials(source)
+                    path,
+                    method,
+                    b'x' * 300,
+                    X_Via=caller.vm.address,
+                    **self._credentials(source),
                 )
             except OSError:
                 caller.close()
@@ -177,7 +183,9 @@
                 answer = fleets.Answer(0, {}, b'', False, request)
             else:
                 answer = caller.end()
-            self._asked.append(Asked(request, path, answer))
+            self._asked.append(
+                Asked(request, path, answer, caller.vm, time.monotonic())
+            )
             keep = answer.whole and source.random() < 0.9
             if not keep or answer.headers.get('connection') == 'close':
                 caller.close()
@@ -204,12 +212,19 @@
         )
         if self._restarts:
             actions = (*actions, self._start_again, self._spoil)
+        actions = (*actions, *self._more_actions())
         while time.monotonic() < until:
             action = self._random.choice(actions)
             self.events.append(action.__name__)
             action()
             time.sleep(self._random.uniform(0.05, 0.6))
 
+    def _more_actions(
+        self,
+    ) -> tuple[collections.abc.Callable[[], None], ...]:
+        """Return faults beside those of every soak."""
+        return ()
+
     def _later(
         self,
         least: float,
--- a/galenahatch/test/standin/upstreams.py
+++ b/galenahatch/test/standin/upstreams.py
@@ -57,6 +57,7 @@
     body: bytes
     ran: bool = False
     refused: bool = False
+    said: dict[str, str] = {}
     ended: str = ''
     at: float = msgspec.field(default_factory=time.monotonic)
 
@@ -384,7 +385,8 @@
         return self._head(seen, 200) + b'Connection: close\r\n\r\n'
 
     def _refusal(self, seen: Seen, status: int) -> bytes:
-        seen.refused = True
+        seen.refused = status == 503
+        seen.said = dict(self.says)
         return (
             (
                 f'HTTP/1.1 {status} No\r\n'
--- a/galenahatch/test/test_soak.py
+++ b/galenahatch/test/test_soak.py
@@ -19,6 +19,7 @@
 
 from galenahatch.test import fleet as fleets
 from galenahatch.test import keysoak
+from galenahatch.test import noticesoak
 from galenahatch.test import soak
 
 _FILE: typing.Final = pathlib.Path(__file__).parents[2] / 'test-data'
@@ -54,6 +55,12 @@
     assert not keysoak.play(seed, _SECONDS)
 
 
+@pytest.mark.parametrize('seed', [1, 11])
+def test_seed_with_notices(seed: int) -> None:
+    """The same, while upstreams name limits, leave by their word or pause."""
+    assert not noticesoak.play(seed)
+
+
 def test_reload_before_our_code() -> None:
     """SIGHUP that comes before our first line ends nothing for good."""
     played = soak.Soak(1, 0.0)
