--- a/galenahatch/test/noticesoak.py
+++ b/galenahatch/test/noticesoak.py
@@ -23,8 +23,8 @@
 - none that left by its own word gets a request of a gateway that it told;
 - at most two requests come within a pause.
 
-A gateway that was frozen, killed or stopped since is excused, and an upstream
-that started again begins anew.
+A gateway that was frozen, killed or stopped is excused until it is told again,
+and an upstream that started again begins anew.
 """
 
 import argparse
@@ -155,33 +155,43 @@
             broken += self._within_pause(upstream)
         return broken
 
-    def _told(self, spell: Spell, header: str) -> dict[str, float]:
-        """Return when each gateway first passed such an answer on."""
-        told: dict[str, float] = {}
+    def _told(self, spell: Spell, header: str) -> dict[str, list[float]]:
+        """Return when each gateway passed such an answer on."""
+        told: dict[str, list[float]] = {}
         for asked in self._asked:
             headers = asked.answer.headers
             stamp = headers.get('x-galenahatch-response-stamp', '')
             if header not in headers or stamp != f'stamp-{spell.upstream.id}':
                 continue
             if spell.began_at <= asked.at <= spell.ended_at:
-                told.setdefault(asked.vm.address, asked.at)
+                told.setdefault(asked.vm.address, []).append(asked.at)
         return told
 
+    def _is_bound(
+        self, told: dict[str, list[float]], seen: upstreams.Seen, after: float
+    ) -> bool:
+        """Return whether a gateway knew, for so long, as it sent a request."""
+        address = _via(seen)
+        return any(
+            at + after <= seen.at
+            and not self._is_excused(address, at, seen.at)
+            for at in told.get(address, ())
+        )
+
     def _is_excused(self, address: str, since: float, until: float) -> bool:
         return any(
-            vm.address == address and since - 2.0 <= at <= until
+            vm.address == address and since <= at <= until
             for vm, at in self._disturbed
         )
 
     def _over_limit(self, spell: Spell) -> list[str]:
         told = self._told(spell, 'server-limit')
-        first = min(told.values(), default=math.inf)
+        first = min((at for times in told.values() for at in times), default=0)
         times = [
             seen.at
             for seen in spell.upstream.seen
             if first + _CONTACT <= seen.at <= spell.ended_at
-            and told.get(_via(seen), math.inf) + _UNDER_WAY <= seen.at
-            and not self._is_excused(_via(seen), first, seen.at)
+            and self._is_bound(told, seen, _UNDER_WAY)
         ]
         allowed = 1.5 * spell.rate * _WINDOW + 5
         for at in times:
@@ -195,9 +205,8 @@
         return [
             f'left by its word: {spell.upstream.id} got {seen.id}'
             for seen in spell.upstream.seen
-            if told.get(_via(seen), math.inf) + _DRAIN + _SLACK < seen.at
-            and seen.at < spell.ended_at
-            and not self._is_excused(_via(seen), told[_via(seen)], seen.at)
+            if seen.at < spell.ended_at
+            and self._is_bound(told, seen, _DRAIN + _SLACK)
         ]
 
     def _within_pause(self, upstream: upstreams.Upstream) -> list[str]:
