Test processes have loopback addresses of their own; failed starts show logs

Processes with numbers equal by 200 shared a block of addresses, and so the metrics port; that this was the cause is likely and not shown (docs/FINDINGS).

--- a/galenahatch/test/fleet.py
+++ b/galenahatch/test/fleet.py
@@ -43,7 +43,9 @@
 HOST: typing.Final = 'shop.example'
 _START: typing.Final = 40.0
 """Seconds for a gateway to start on a machine that does much else."""
-_VMS: typing.Final = itertools.count(os.getpid() % 200 * 250 + 2)
+_VMS: typing.Final = itertools.count()
+_BLOCK: typing.Final = 250
+"""VMs of one process that have addresses of their own."""
 _IDS: typing.Final = itertools.count(0x1000)
 T = typing.TypeVar('T')
 
@@ -152,6 +154,12 @@
     }
 
 
+def _address(process: int, number: int) -> str:
+    """Return a loopback address; no two live test processes share one."""
+    high, low = divmod(process, _BLOCK)
+    return f'127.{1 + high % _BLOCK}.{low}.{number % _BLOCK + 2}'
+
+
 class Vm:
     """One gateway.
 
@@ -161,9 +169,7 @@
     """
 
     def __init__(self, store: str, folder: pathlib.Path) -> None:
-        number = next(_VMS)
-        high, low = divmod(number, 250)
-        self.address = f'127.1.{high % 250}.{low + 1}'
+        self.address = _address(os.getpid(), next(_VMS))
         self.front = ports.free(self.address)
         self.ready_port = ports.free(self.address)
         self.store = store
@@ -314,10 +320,14 @@
     def __enter__(self) -> 'Fleet':
         """Start all gateways and wait until they are ready."""
         self.put('op', 'config', self.first)
-        for vm in self.vms:
-            vm.start()
-        for vm in self.vms:
-            eventually(vm.ready, f'{vm.address} is ready', _START)
+        try:
+            for vm in self.vms:
+                vm.start()
+            for vm in self.vms:
+                eventually(vm.ready, f'{vm.address} is ready', _START)
+        except BaseException:
+            self.__exit__(*sys.exc_info())
+            raise
         return self
 
     def __exit__(self, *details: object) -> None:
