A question for a permit tells the limit that it is about

Found by reading: an owner that has just begun and has heard no beat of the asking gateway, up to 2.6 s later where there are 400, knew of no limit and granted whatever was asked. The question now bears the limit with its age.

--- a/galenahatch/core/ratelimits.py
+++ b/galenahatch/core/ratelimits.py
@@ -13,11 +13,11 @@
 """Rate limits that upstreams name in their answers.
 
 An upstream names the requests a second that it takes from all VMs together,
-for as long as it says so. VMs tell each other what they heard. Each word has
-a time, and the latest one of an upstream counts (last writer wins): one that
-names a limit has the time at which its answer came, and one that names none
-the time at which its request was sent. So an answer that was made before the
-upstream named its limit, and came after it, does not lift the limit.
+for as long as it says so. VMs tell each other what they heard. Each statement
+has a time, and the latest one of an upstream counts (last writer wins): one
+that names a limit has the time at which its answer came, and one that names
+none the time at which its request was sent. So an answer that was made before
+the upstream named its limit, and came after it, does not lift the limit.
 
 The owner grants each request to such an upstream (`Limiter`), so that the
 count is that of all VMs: where 400 VMs each keep a part of two requests a
@@ -56,7 +56,7 @@
 _MOST_RATE: typing.Final = 10_000.0
 """Requests a second from which on a limit is none: all VMs send less."""
 _DISAGREEMENT: typing.Final = 0.5
-"""Seconds by which a word without a limit must be later than one that names
+"""Seconds by which an answer without a limit must be later than one that names
 it: what another VM tells seems later by its time on the way."""
 _REMEMBERED: typing.Final = 10.0
 """Seconds for which VMs are told that a limit was lifted."""
@@ -96,7 +96,7 @@
 
 
 class Notices:
-    """The latest word of each upstream that names a limit, or did so."""
+    """What each upstream that names a limit, or did so, has said last."""
 
     def __init__(self) -> None:
         self._notices: dict[ids.UpstreamId, Notice] = {}
--- a/galenahatch/gateway/messages.py
+++ b/galenahatch/gateway/messages.py
@@ -311,11 +311,12 @@
 
     Attributes:
         number: of this question.
+        limit: as the sender knows it; a new owner may not have heard of it.
     """
 
     member: ids.MemberId
     number: int
-    upstream: ids.UpstreamId
+    limit: records.RateLimit
 
 
 class Permitted(Message, frozen=True, array_like=True, tag=True):
--- a/galenahatch/gateway/ratelimits.py
+++ b/galenahatch/gateway/ratelimits.py
@@ -204,7 +204,8 @@
                 question.set_result(message.wait)
         elif isinstance(message, messages.Permit):
             assert self._peers is not None
-            wait = self._decide(message.upstream)
+            self.hear((message.limit,))
+            wait = self._decide(message.limit.upstream)
             self._peers.reply(member, messages.Permitted(message.number, wait))
 
     # Plain calls.
@@ -253,9 +254,10 @@
         number = next(self._numbers)
         question = asyncio.get_running_loop().create_future()
         self._questions[number] = question
-        self._peers.send(
-            owner, messages.Permit(self._peers.me, number, upstream)
-        )
+        notice = self._notices.known[upstream]
+        age = max(0.0, clock.now() - notice.at)
+        limit = records.RateLimit(upstream, notice.rate, age)
+        self._peers.send(owner, messages.Permit(self._peers.me, number, limit))
         try:
             async with timeouts.limit(_ANSWER_WITHIN):
                 return float(await question)
--- a/galenahatch/test/test_ratelimits.py
+++ b/galenahatch/test/test_ratelimits.py
@@ -30,6 +30,7 @@
 from galenahatch.core import upstreams
 from galenahatch import errors
 from galenahatch.gateway import frames
+from galenahatch.gateway import messages
 from galenahatch.gateway import ratelimits as gateway_limits
 from galenahatch.gateway import records
 from galenahatch import ids
@@ -355,6 +356,7 @@
         self.me = ids.MemberId('me')
         self.size = 6
         self.sent: list[frames.AnyMessage] = []
+        self.answers: list[messages.Permitted] = []
 
     def owner(self) -> ids.MemberId:
         """Return another gateway."""
@@ -365,12 +367,29 @@
         self.sent.append(message)
 
     def reply(self, name: ids.MemberId, message: frames.AnyMessage) -> None:
-        """Lose an answer."""
+        """Keep an answer."""
+        assert isinstance(message, messages.Permitted)
+        self.answers.append(message)
 
     def tell_owner(self, message: frames.AnyMessage) -> None:
         """Lose what the owner should know."""
 
 
+def test_new_owner_knows_the_limit_with_the_first_question() -> None:
+    """One that has heard no beat yet grants no more than the limit."""
+    asking, owner = gateway_limits.RateLimits(), gateway_limits.RateLimits()
+    asked, answered = _SilentPeers(), _SilentPeers()
+    asking.join(asked)
+    owner.join(answered)
+    asking.hear((records.RateLimit(_UP, 2.0, 0.0),))
+    asyncio.run(asking.permit(_UP))
+    (question,) = asked.sent
+    for _ in range(20):
+        owner.take(ids.MemberId('me'), question)
+    waits = [answer.wait for answer in answered.answers]
+    assert waits.count(0.0) < 5
+
+
 def test_silent_owner_is_not_waited_for_again() -> None:
     """One call in a quarter of a second waits for it, not each of them."""
 
