--- a/galenahatch/test/keysoak.py
+++ b/galenahatch/test/keysoak.py
@@ -23,7 +23,6 @@
 - at the end keys that are gone are refused by all gateways.
 """
 
-import argparse
 import collections
 import random
 import sys
@@ -163,19 +162,7 @@
 
 def main() -> int:
     """Play seeds and print what they broke."""
-    parser = argparse.ArgumentParser(description='Soak with customers')
-    parser.add_argument('--first', type=int, default=1)
-    parser.add_argument('--seeds', type=int, default=5)
-    options = parser.parse_args()
-    failed = 0
-    for seed in range(options.first, options.first + options.seeds):
-        broken = play(seed)
-        failed += bool(broken)
-        print(f'seed {seed}: {"failed" if broken else "passed"}', flush=True)
-        for line in broken[:10]:
-            print('  ', line[:300])
-    print(f'{options.seeds - failed} passed, {failed} failed')
-    return int(failed > 0)
+    return soak.play_seeds('Soak with customers', KeySoak)
 
 
 if __name__ == '__main__':
--- a/galenahatch/test/noticesoak.py
+++ b/galenahatch/test/noticesoak.py
@@ -27,7 +27,6 @@
 and an upstream that started again begins anew.
 """
 
-import argparse
 import collections.abc
 import dataclasses
 import math
@@ -240,19 +239,7 @@
 
 def main() -> int:
     """Play seeds and print what they broke."""
-    parser = argparse.ArgumentParser(description='Soak with notices')
-    parser.add_argument('--first', type=int, default=1)
-    parser.add_argument('--seeds', type=int, default=5)
-    options = parser.parse_args()
-    failed = 0
-    for seed in range(options.first, options.first + options.seeds):
-        broken = play(seed)
-        failed += bool(broken)
-        print(f'seed {seed}: {"failed" if broken else "passed"}', flush=True)
-        for line in broken[:10]:
-            print('  ', line[:300])
-    print(f'{options.seeds - failed} passed, {failed} failed')
-    return int(failed > 0)
+    return soak.play_seeds('Soak with notices', NoticeSoak)
 
 
 if __name__ == '__main__':
--- a/galenahatch/test/soak.py
+++ b/galenahatch/test/soak.py
@@ -511,26 +511,42 @@
     return Soak(seed, seconds, restarts).run()
 
 
-def main() -> int:
-    """Play seeds and print what they broke."""
-    parser = argparse.ArgumentParser(description='Soak of the gateways')
+def play_seeds(
+    description: str,
+    make: collections.abc.Callable[[int, float], Soak],
+) -> int:
+    """Play the seeds that the command line names; print what they broke.
+
+    Args:
+        description: for the help text.
+        make: returns the soak of a seed, for some seconds.
+    """
+    parser = argparse.ArgumentParser(description=description)
     parser.add_argument('--first', type=int, default=1)
     parser.add_argument('--seeds', type=int, default=5)
     parser.add_argument('--seconds', type=float, default=SECONDS)
     options = parser.parse_args()
     failed = 0
     for seed in range(options.first, options.first + options.seeds):
-        soak = Soak(seed, options.seconds, restarts=True)
+        soak = make(seed, options.seconds)
         broken = soak.run()
         failed += bool(broken)
         print(f'seed {seed}: {"failed" if broken else "passed"}', flush=True)
         for line in broken[:10]:
-            print('  ', line)
+            print('  ', line[:300])
         if broken:
             print('   events:', ' '.join(soak.events))
     print(f'{options.seeds - failed} passed, {failed} failed')
     return int(failed > 0)
 
 
+def main() -> int:
+    """Play seeds with starts under one id and entries by others."""
+    return play_seeds(
+        'Soak of the gateways',
+        lambda seed, seconds: Soak(seed, seconds, restarts=True),
+    )
+
+
 if __name__ == '__main__':
     sys.exit(main())
