Sight: the store's era in logs and metrics; dropped news of upstreams are logged

The header Store-Era is decoded by a total function for each answer of the store; 'Era of the store.' and 'Store restored.' name it, a gauge and a counter show it, and 'Older news of upstreams dropped.' tells what a gateway keeps out. What is believed has not changed.

--- a/galenahatch/gateway/directory.py
+++ b/galenahatch/gateway/directory.py
@@ -235,6 +235,7 @@
 
     def _take_upstreams(self, rows: list[stores.Row], ver: int) -> None:
         if ver < self.upstreams_ver:
+            self._note_outdated(rows, ver)
             return
         if self.upstreams_ver < 0:
             self._knows_since = ver
@@ -257,6 +258,7 @@
 
     def _take_changes(self, rows: list[stores.Row], ver: int) -> None:
         if ver < self.upstreams_ver:
+            self._note_outdated(rows, ver)
             return
         if self.upstreams_ver < 0:
             self._knows_since = ver
@@ -271,6 +273,14 @@
                 self._take_entry(row)
         self._changed()
 
+    def _note_outdated(self, rows: list[stores.Row], ver: int) -> None:
+        _log.warning(
+            'Older news of upstreams dropped.',
+            rows=len(rows),
+            ver=ver,
+            known=self.upstreams_ver,
+        )
+
     def _take_removal(self, row: stores.Row, ver: int) -> None:
         self._rows[row.key] = (row.ver or ver, None)
         self._unusable.pop(row.key, None)
--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -81,6 +81,13 @@
 store_losses = _meter.create_counter(
     'galenahatch_store_losses', description='Times that the store was lost.'
 )
+store_restores = _meter.create_counter(
+    'galenahatch_store_restores',
+    description='Times that the store came back from an older copy.',
+)
+store_era = _meter.create_gauge(
+    'galenahatch_store_era', description='Newest era that the store named.'
+)
 owner_changes = _meter.create_counter(
     'galenahatch_owner_changes', description='Times that the owner changed.'
 )
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -33,6 +33,7 @@
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import frames
 from galenahatch.gateway import front as fronts
+from galenahatch.gateway import instruments
 from galenahatch.gateway import means as means_module
 from galenahatch.gateway import mesh as meshes
 from galenahatch.gateway import messages
@@ -104,6 +105,7 @@
             )
         )
         self._store = stores.Store(self._client, str(settings.store))
+        self._store.eras.on_change = _note_era
         self._directory = directories.Directory(
             self._store, self._background, settings.bounds.drain
         )
@@ -308,3 +310,9 @@
         await self._sender.close()
         await self._client.close()
         self._mesh.close()
+
+
+def _note_era(before: int | None, after: int) -> None:
+    instruments.store_era.set(after)
+    if before is not None:
+        instruments.store_restores.add(after - before)
--- a/galenahatch/platform/store.py
+++ b/galenahatch/platform/store.py
@@ -15,6 +15,10 @@
 Values are bytes; versions are numbers of one counter of the whole store. A
 call that fails may have taken effect all the same, now or seconds later, if
 its conditions still hold then.
+
+The store may come back from an older copy. What it had acknowledged since is
+lost, and the counter goes back; so each answer names its era
+(`core/versions`), and one of an era before the newest tells nothing.
 """
 
 import asyncio
@@ -25,7 +29,9 @@
 import aiohttp
 import msgspec
 
+from galenahatch.core import versions
 from galenahatch import errors
+from galenahatch.platform import eras
 from galenahatch import timeouts
 
 CALL_TIMEOUT: typing.Final = 1.5
@@ -41,7 +47,8 @@
     """One row, or the news that it is gone.
 
     Attributes:
-        ver: the store's version at its last change.
+        ver: number of the store's version at its last change, which may be
+            of an earlier era.
         removed: whether the row is gone; it has no value then.
     """
 
@@ -55,14 +62,21 @@
     """Rows as of one moment.
 
     Attributes:
-        ver: the store's version then.
+        ver: number of the store's version then.
         now_ms: the store's steady clock then.
+        era: of the store then.
     """
 
     rows: list[Row]
     ver: int = 0
     now_ms: float = 0.0
     has_more: bool = False
+    era: int = 0
+
+    @property
+    def version(self) -> versions.Version:
+        """The store's version then."""
+        return versions.Version(self.era, self.ver)
 
 
 class Written(msgspec.Struct, frozen=True):
@@ -70,6 +84,12 @@
 
     ver: int = 0
     now_ms: float = 0.0
+    era: int = 0
+
+    @property
+    def version(self) -> versions.Version:
+        """The version that it made."""
+        return versions.Version(self.era, self.ver)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -102,6 +122,12 @@
     remove: list[Entry]
 
 
+class _Reply(typing.NamedTuple):
+    status: int
+    data: bytes
+    era: int
+
+
 _ROWS: typing.Final = msgspec.json.Decoder(Rows)
 _WRITTEN: typing.Final = msgspec.json.Decoder(Written)
 
@@ -112,11 +138,15 @@
     Args:
         client: session.
         address: `ip:port`.
+
+    Attributes:
+        eras: that its answers named.
     """
 
     def __init__(self, client: aiohttp.ClientSession, address: str) -> None:
         self._client = client
         self._url = f'http://{address}'
+        self.eras = eras.Eras()
 
     async def rows(self, table: str, part: str = '') -> Rows | errors.Failure:
         """Return all rows of a part of a table, in pages of one version
@@ -135,7 +165,9 @@
             first = first or page
             found.extend(page.rows)
             if not page.has_more or not page.rows:
-                return Rows(found, first.ver, first.now_ms)
+                return msgspec.structs.replace(
+                    first, rows=found, has_more=False
+                )
             # The range includes its first key: go on right behind the last.
             start = page.rows[-1].key + '\0'
 
@@ -170,15 +202,15 @@
         reply = await self._call('POST', 'rows-tx', body, CALL_TIMEOUT)
         if isinstance(reply, errors.Failure):
             return reply
-        status, data = reply
         try:
-            if status == 412:
-                return Conflict(_ROWS.decode(data).rows)
-            if status == 200:
-                return _WRITTEN.decode(data)
+            if reply.status == 412:
+                return Conflict(_ROWS.decode(reply.data).rows)
+            if reply.status == 200:
+                written = _WRITTEN.decode(reply.data)
+                return msgspec.structs.replace(written, era=reply.era)
         except msgspec.MsgspecError as error:
             return errors.Failure(errors.STORE_UNAVAILABLE, str(error))
-        return _refused(status)
+        return _refused(reply.status)
 
     async def _read(
         self, call: str, query: dict[str, str], timeout: float
@@ -187,19 +219,19 @@
         reply = await self._call('GET', path, None, timeout)
         if isinstance(reply, errors.Failure):
             return reply
-        status, data = reply
-        if status == 410:
+        if reply.status == 410:
             return errors.Failure(errors.HISTORY_GONE, path)
-        if status != 200:
-            return _refused(status)
+        if reply.status != 200:
+            return _refused(reply.status)
         try:
-            return _ROWS.decode(data)
+            found = _ROWS.decode(reply.data)
+            return msgspec.structs.replace(found, era=reply.era)
         except msgspec.MsgspecError as error:
             return errors.Failure(errors.STORE_UNAVAILABLE, str(error))
 
     async def _call(
         self, method: str, path: str, body: bytes | None, timeout: float
-    ) -> tuple[int, bytes] | errors.Failure:
+    ) -> _Reply | errors.Failure:
         headers = {'Content-Type': 'application/json'} if body else None
         url = f'{self._url}/{path}'
         try:
@@ -218,7 +250,8 @@
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             detail = f'{type(error).__name__} {error}'
             return errors.Failure(errors.STORE_UNAVAILABLE, detail)
-        return response.status, data
+        era = self.eras.hear(response.headers.getall(eras.HEADER, ()))
+        return _Reply(response.status, data, era)
 
 
 def _refused(status: int) -> errors.Failure:
