--- a/galenahatch/platform/eras.py
+++ b/galenahatch/platform/eras.py
@@ -79,8 +79,13 @@
         self.on_change(before, after)
 
     def _note_unreadable(self, values: tuple[str, ...]) -> None:
-        """Log a header that names no era, once in a row."""
-        is_expected = not values and self._newest is None
-        if values != self._unreadable and not is_expected:
+        """Log a header that names no era, once in a row.
+
+        A store that never names one is in era 0: if it names one later, it
+        may have been restored meanwhile.
+        """
+        if not values and not self._newest:
+            self._newest = 0
+        elif values != self._unreadable:
             _log.error('Bad era ignored.', values=repr(values)[:80])
         self._unreadable = values
--- a/galenahatch/test/standin/rows.py
+++ b/galenahatch/test/standin/rows.py
@@ -15,7 +15,8 @@
 Runs on the event loop of the test harness. `mode` disturbs it: `busy`
 answers 503, `silent` answers nothing, `reset` breaks connections, `garbage`
 answers what is no JSON. `turned_away` limits a disturbance to callers that
-connect to some of its addresses.
+connect to some of its addresses. `restore` goes back to the last `copy`, in a
+new era, which each answer names.
 """
 
 import asyncio
@@ -49,6 +50,8 @@
         self.lose_answers = False
         self.history_from = 0
         self.calls = 0
+        self.era = 1
+        self._copy: tuple[dict[str, dict[str, Row]], int] = ({}, 0)
         self._changed = asyncio.Event()
 
     def app(self) -> web.Application:
@@ -82,6 +85,19 @@
         self.history_from = self.ver
         self._wake()
 
+    def copy(self) -> None:
+        """Remember all rows, and the version."""
+        tables = {name: dict(rows) for name, rows in self.tables.items()}
+        self._copy = tables, self.ver
+
+    def restore(self) -> None:
+        """Go back to the copy: what was written since is lost."""
+        tables, self.ver = self._copy
+        self.tables = {name: dict(rows) for name, rows in tables.items()}
+        self.history_from = min(self.history_from, self.ver)
+        self.era += 1
+        self._wake()
+
     def _wake(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
@@ -93,7 +109,7 @@
         if self.turned_away and _address(request) not in self.turned_away:
             return None
         if self.mode == 'busy':
-            return web.Response(status=503)
+            return web.Response(status=503, headers=self._headers)
         if self.mode == 'garbage':
             return web.Response(text='{"rows": [')
         if self.mode == 'reset':
@@ -126,8 +142,8 @@
         until = loop.time() + int(request.query['wait_ms']) / 1000
         name = request.query['table']
         while True:
-            if after < self.history_from:
-                return web.Response(status=410)
+            if not self.history_from <= after <= self.ver:
+                return web.Response(status=410, headers=self._headers)
             rows = sorted(
                 (row.ver, key, row)
                 for key, row in self.tables.get(name, {}).items()
@@ -178,8 +194,13 @@
             body=msgspec.json.encode(whole),
             status=status,
             content_type='application/json',
+            headers=self._headers,
         )
 
+    @property
+    def _headers(self) -> dict[str, str]:
+        return {'Store-Era': str(self.era)}
+
 
 def _shown(table: str, key: str, row: Row) -> dict[str, typing.Any]:
     shown: dict[str, typing.Any] = {
