An older copy of the store brings back no upstream that is known to be gone

What callers would see: calls sent to an upstream that has left and exited, since the entry that was removed in the lost seconds is listed again; and upstreams out of use for a second or two, since the copy lacks an entry that was written after it was made.

Cause: the first list of a new era was believed as it stood, row by row.

Change: core/restores compares it with what was known. An entry known as gone or spoiled stays unused until a change of it is seen, until its number shows that it was written later, or until it has been listed for three heartbeats and two seconds (the store removes entries of upstreams that are silent for so long). An entry that appeared at a higher number than all that the copy has is kept for the two seconds within which upstreams that live write theirs again. heartbeat_ms is read from the settings. A later start of an id and a start that said that it leaves were kept before and still are.

Ruled out: keeping all that is lacking. Where an entry was only changed in the lost seconds, the copy has it, so lacking means removed (away-2-gone of test_leaving_after_a_restore_is_known_in_time failed with that).

--- a/galenahatch/core/upstreams.py
+++ b/galenahatch/core/upstreams.py
@@ -28,6 +28,7 @@
 lapse.
 """
 
+import collections.abc
 import dataclasses
 import enum
 import typing
@@ -193,11 +194,16 @@
             self._removed.pop(latest, None)
         return was_known
 
-    def replace(self, entries: typing.Iterable[Upstream], now: float) -> None:
-        """Take the whole list: what is not in it is gone."""
+    def replace(
+        self,
+        entries: typing.Iterable[Upstream],
+        now: float,
+        kept: collections.abc.Set[str] = frozenset(),
+    ) -> None:
+        """Take the whole list: what is not in it is gone, or is kept."""
         current = {incarnations.instance(e.id): e for e in entries}
         present = {incarnations.instance(key) for key in self._known}
-        for missing in present - current.keys():
+        for missing in present - current.keys() - kept:
             self.remove(missing, now)
         for entry in current.values():
             self.put(entry, now)
--- /dev/null
+++ b/galenahatch/gateway/entries.py
@@ -0,0 +1,323 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""The entries that upstreams write into the store.
+
+They are known up to a version of the store (`core/versions`): what is older
+changes nothing, whatever its number, and the first list of a new era replaces
+that of the one before, but for what is known better (`core/restores`). News
+come from the store or from peers, which tell what they know in the same form.
+"""
+
+import asyncio
+import collections.abc
+import typing
+
+from galenahatch import clock
+from galenahatch.core import incarnations
+from galenahatch.core import restores
+from galenahatch.core import upstreams
+from galenahatch.core import versions
+from galenahatch import errors
+from galenahatch.gateway import messages
+from galenahatch import ids
+from galenahatch import logs
+from galenahatch.platform import documents
+from galenahatch.platform import store as stores
+
+HEARTBEAT: typing.Final = 1.2
+"""Seconds between two writes of an entry where nobody says."""
+_SETTLE_EVERY: typing.Final = 0.25
+_log = logs.Log('directory')
+
+Changed = collections.abc.Callable[[], None]
+Started = collections.abc.Callable[[ids.UpstreamId], None]
+
+
+class _Entry(typing.NamedTuple):
+    """An entry as the store has it.
+
+    Attributes:
+        number: of the version of its last change, in the newest era.
+        document: None once it is gone.
+        since: number at which it appeared; 0 if that was not seen.
+    """
+
+    number: int = 0
+    document: bytes | None = None
+    since: int = 0
+
+
+class Entries:
+    """Upstreams as their entries tell.
+
+    Args:
+        drain: seconds after which an upstream that is gone may get nothing.
+        heartbeat: seconds between two writes of an entry.
+        changed: called after each change.
+
+    Attributes:
+        registry: the upstreams.
+        on_start: called with each start that follows another one.
+    """
+
+    def __init__(
+        self, drain: float, heartbeat: float, changed: Changed
+    ) -> None:
+        self._changed = changed
+        self.registry = upstreams.Registry(drain)
+        self.on_start: Started = lambda upstream: None
+        self._rows: dict[str, _Entry] = {}
+        self._unusable: dict[str, str] = {}
+        self._version = versions.NEVER
+        # Version of the first list of the newest era: what was gone before
+        # is not known.
+        self._knows_since = versions.NEVER
+        self._unsettled = restores.Unsettled(heartbeat)
+        self._restored = asyncio.Event()
+
+    @property
+    def version(self) -> versions.Version:
+        """Version of the store up to which entries are known."""
+        return self._version
+
+    # News of peers.
+
+    def news(self, ask: messages.Ask, config: bytes) -> messages.News | None:
+        """Return what is newer here than at a peer, if anything is.
+
+        A gateway that started after the peer does not know what has gone in
+        between; it tells all rows, and the peer drops what is not among them.
+        So does one that has heard of a restore since.
+
+        Args:
+            ask: of the peer.
+            config: to be told besides; empty if it needs none.
+        """
+        asked = messages.upstreams_version(ask)
+        if not config and self._version <= asked:
+            return None
+        is_whole = asked < self._knows_since
+        after = -1 if is_whole else ask.upstreams
+        rows: tuple[messages.NewsRow, ...] = ()
+        if self._version > asked:
+            rows = tuple(
+                messages.NewsRow(key, row.number, row.document or b'')
+                for key, row in self._rows.items()
+                if row.number > after
+            )
+        return messages.News(
+            config,
+            ask.upstreams,
+            self._version.number,
+            rows,
+            is_whole,
+            self._version.era,
+        )
+
+    def take_news(self, news: messages.News) -> None:
+        """Take what a peer knows, if it is newer."""
+        version = messages.upstreams_version(news)
+        if version <= self._version:
+            return
+        rows = [
+            stores.Row(row.key, row.ver, row.document, not row.document)
+            for row in news.rows
+        ]
+        after = versions.Version(news.era, news.after)
+        if news.is_whole:
+            current = [row for row in rows if not row.removed]
+            self.take_all(current, version)
+        elif after <= self._version:
+            self.take_some(rows, version)
+
+    # News of the store.
+
+    def take_all(
+        self, rows: list[stores.Row], version: versions.Version
+    ) -> None:
+        """Take the whole list, as of a version."""
+        is_restored = versions.NEVER < self._version
+        is_restored &= self._version.era < version.era
+        if not self._advance(rows, version):
+            return
+        if is_restored:
+            self._compare(rows, version)
+        current = {row.key for row in rows}
+        for key in self._rows:
+            if key not in current:
+                self._rows[key] = _Entry(version.number)
+        for row in rows:
+            self._rows[row.key] = _Entry(row.ver, row.value)
+        believed = [
+            row for row in rows if not self._unsettled.doubts(row.key, row.ver)
+        ]
+        for row in believed:
+            self._unsettled.changed(row.key)
+        found = [entry for row in believed if (entry := self._usable(row))]
+        before = {
+            entry.id: self.registry.latest(incarnations.instance(entry.id))
+            for entry in found
+        }
+        self.registry.replace(found, clock.now(), self._unsettled.kept)
+        for key, earlier in before.items():
+            self.note_start(key, earlier, 'store')
+        _log.info(
+            'Upstreams read.',
+            count=len(found),
+            era=version.era,
+            ver=version.number,
+        )
+        self._changed()
+
+    def take_some(
+        self, rows: list[stores.Row], version: versions.Version
+    ) -> None:
+        """Take entries that have changed up to a version."""
+        if not self._advance(rows, version):
+            return
+        for row in rows:
+            number = row.ver or version.number
+            known = self._rows.get(row.key, _Entry())
+            if number < known.number:
+                continue
+            self._unsettled.changed(row.key)
+            if row.removed:
+                self._take_removal(row.key, number)
+            else:
+                since = known.since if known.document is not None else row.ver
+                self._rows[row.key] = _Entry(row.ver, row.value, since)
+                self._take_entry(row)
+        self._changed()
+
+    def _advance(
+        self, rows: list[stores.Row], version: versions.Version
+    ) -> bool:
+        """Move on to a version, unless a later one is known."""
+        known = self._version
+        if version < known:
+            _log.warning(
+                'Older news of upstreams dropped.',
+                rows=len(rows),
+                era=version.era,
+                ver=version.number,
+                known_era=known.era,
+                known=known.number,
+            )
+            return False
+        if known == versions.NEVER or version.era != known.era:
+            self._knows_since = version
+        self._version = version
+        return True
+
+    def _take_removal(self, key: str, number: int) -> None:
+        self._rows[key] = _Entry(number)
+        self._unusable.pop(key, None)
+        if self.registry.remove(ids.InstanceId(key), clock.now()):
+            _log.info('Upstream gone.', upstream=key, ver=number)
+
+    def _take_entry(self, row: stores.Row) -> None:
+        entry = self._usable(row)
+        if entry is None:
+            return
+        earlier = self.registry.latest(ids.InstanceId(row.key))
+        if not self.registry.put(entry, clock.now()):
+            return
+        self.note_start(entry.id, earlier, 'store')
+        _log.info(
+            'Upstream changed.',
+            upstream=entry.id,
+            service=entry.service,
+            address=entry.address,
+            leaving=entry.leaving,
+            stage=entry.stage.value if entry.stage else '',
+            ver=row.ver,
+        )
+
+    def _usable(self, row: stores.Row) -> upstreams.Upstream | None:
+        """Return the upstream that an entry names, if it can be used."""
+        entry = documents.upstream(row.key, row.value)
+        if not isinstance(entry, errors.Failure):
+            self._unusable.pop(row.key, None)
+            return entry
+        if self._unusable.get(row.key) != entry.detail:
+            self._unusable[row.key] = entry.detail
+            _log.error('Bad upstream entry.', detail=entry.detail)
+        if self.registry.withdraw(ids.InstanceId(row.key), clock.now()):
+            _log.warning('Upstream withdrawn.', upstream=row.key, ver=row.ver)
+        return None
+
+    def note_start(
+        self,
+        upstream: ids.UpstreamId,
+        earlier: ids.UpstreamId | None,
+        source: str,
+    ) -> None:
+        """Tell that an upstream has started again, if it has."""
+        if earlier is None or not incarnations.is_later(upstream, earlier):
+            return
+        _log.info(
+            'Upstream started again.',
+            upstream=upstream,
+            before=earlier,
+            source=source,
+        )
+        self.on_start(upstream)
+
+    # What a restore leaves unsettled.
+
+    def _compare(
+        self, rows: list[stores.Row], version: versions.Version
+    ) -> None:
+        """Find what is known better than the list of a restored store."""
+        known = {
+            key: restores.Known(
+                row.number,
+                row.document is None or key in self._unusable,
+                row.since,
+            )
+            for key, row in self._rows.items()
+        }
+        listed = {row.key: row.ver for row in rows}
+        now = clock.now()
+        self._unsettled.restored(known, listed, version.number, now)
+        doubted = sum(self._unsettled.doubts(r.key, r.ver) for r in rows)
+        _log.info(
+            'Upstreams of a restored store.',
+            era=version.era,
+            ver=version.number,
+            count=len(rows),
+            doubted=doubted,
+            kept=len(self._unsettled.kept),
+        )
+        self._restored.set()
+
+    async def run(self) -> None:
+        """Believe what restored stores list, each time when it is due."""
+        while True:
+            await self._restored.wait()
+            await asyncio.sleep(_SETTLE_EVERY)
+            self.settle()
+            if self._unsettled.is_empty:
+                self._restored.clear()
+
+    def settle(self) -> None:
+        """Believe what a restored store has listed for long enough."""
+        believed, lost = self._unsettled.settle(clock.now())
+        for key in lost:
+            self._take_removal(key, self._rows[key].number)
+        for key in believed:
+            row = self._rows[key]
+            if row.document is not None:
+                self._take_entry(stores.Row(key, row.number, row.document))
+        if believed or lost:
+            self._changed()
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -107,7 +107,10 @@
         self._store = stores.Store(self._client, str(settings.store))
         self._store.eras.on_change = _note_era
         self._directory = directories.Directory(
-            self._store, self._background, settings.bounds.drain
+            self._store,
+            self._background,
+            settings.bounds.drain,
+            settings.heartbeat,
         )
         self._sender = senders.Sender()
         self._rate_limits = ratelimits.RateLimits()
--- a/galenahatch/gateway/settings.py
+++ b/galenahatch/gateway/settings.py
@@ -68,6 +68,7 @@
         readiness: where the balancer asks whether to send callers here.
         peer_port: where other gateways connect.
         store: the platform's store.
+        heartbeat: between two writes of an upstream's entry there.
     """
 
     name: str
@@ -78,3 +79,4 @@
     peer_port: int
     store: Address
     bounds: Bounds
+    heartbeat: float
--- a/galenahatch/platform/deployment.py
+++ b/galenahatch/platform/deployment.py
@@ -18,6 +18,7 @@
 value and what would be right.
 """
 
+import math
 import os
 import typing
 
@@ -60,6 +61,7 @@
     port_range: tuple[int, int]
     platform: _Platform
     bounds: _Bounds = _Bounds()
+    heartbeat_ms: float = 1200.0
 
 
 def path() -> str:
@@ -95,6 +97,8 @@
     first, last = raw.port_range
     if not 0 < first < last < 65536:
         return _wrong('port_range', raw.port_range, 'two ports, ascending')
+    if not 0 < raw.heartbeat_ms < math.inf:
+        return _wrong('heartbeat_ms', raw.heartbeat_ms, 'a time over 0')
     return settings.Settings(
         name=raw.node_name,
         address=raw.ip,
@@ -104,6 +108,7 @@
         peer_port=first,
         store=store,
         bounds=_bounds(raw.bounds),
+        heartbeat=raw.heartbeat_ms / 1000,
     )
 
 
--- a/galenahatch/test/test_restores.py
+++ b/galenahatch/test/test_restores.py
@@ -26,6 +26,7 @@
 import msgspec
 import pytest
 
+from galenahatch import clock
 from galenahatch.core import incarnations
 from galenahatch.core import versions
 from galenahatch.gateway import directory as directories
@@ -183,7 +184,7 @@
     """Return what a gateway knows that has read a table."""
     store = stores.Store(typing.cast(aiohttp.ClientSession, None), '')
     made = directories.Directory(store, tasks.Tasks(), _DRAIN)
-    made._take_upstreams(_rows(*keys), versions.Version(era, ver))
+    made.entries.take_all(_rows(*keys), versions.Version(era, ver))
     return made
 
 
@@ -247,3 +248,84 @@
     assert heard.newest == (era or 2)
     assert heard.hear(['1']) == 1, 'late, and known as such'
     assert heard.newest == (era or 2)
+
+
+_Step = tuple[str, int, int, int, str]
+"""What is told: all or some; era and number; number and kind of `i-1`."""
+_BEFORE: typing.Final = ('all', 1, 20, 5, 'ready')
+_LOST: typing.Final = (
+    ('some', 1, 21, 21, 'gone'),
+    ('some', 1, 22, 22, 'ready'),
+)
+_KINDS: typing.Final = {
+    'ready': msgspec.json.encode(_entry()),
+    'draining': msgspec.json.encode(_entry('draining')),
+    'again': msgspec.json.encode(_entry(born=9)),
+    'spoiled': b'{}',
+}
+
+
+def _take(known: directories.Directory, step: _Step) -> None:
+    what, era, number, ver, kind = step
+    version = versions.Version(era, number)
+    row = stores.Row('i-1', ver, _KINDS.get(kind, b''), kind == 'gone')
+    if what == 'some':
+        known.entries.take_some([row], version)
+    else:
+        listed = [row] if kind in _KINDS else []
+        known.entries.take_all([*listed, *_rows('i-2')], version)
+
+
+# Guards against: an older copy of the store brings back what is known better,
+# or takes away what it only lacks.
+@pytest.mark.parametrize(
+    ('steps', 'used'),
+    [
+        ([('some', 1, 21, 21, 'gone'), ('all', 2, 10, 5, 'ready')], '--7'),
+        ([('some', 1, 21, 21, 'gone'), ('all', 2, 30, 22, 'ready')], '777'),
+        (
+            [
+                ('some', 1, 21, 21, 'gone'),
+                ('all', 2, 10, 5, 'ready'),
+                ('some', 2, 11, 11, 'ready'),
+            ],
+            '777',
+        ),
+        (
+            [
+                ('some', 1, 21, 21, 'gone'),
+                ('all', 2, 10, 5, 'ready'),
+                ('all', 3, 9, 5, 'ready'),
+                ('some', 3, 10, 10, 'gone'),
+            ],
+            '---',
+        ),
+        ([('some', 1, 21, 21, 'spoiled'), ('all', 2, 10, 5, 'ready')], '--7'),
+        ([('some', 1, 21, 21, 'draining'), ('all', 2, 9, 5, 'ready')], '---'),
+        ([('some', 1, 21, 21, 'again'), ('all', 2, 10, 5, 'ready')], '999'),
+        ([*_LOST, ('all', 2, 10, 0, '')], '7--'),
+        ([*_LOST, ('all', 2, 10, 0, ''), ('all', 3, 9, 0, '')], '7--'),
+        (
+            [*_LOST, ('all', 2, 10, 0, ''), ('all', 2, 11, 11, 'ready')],
+            '777',
+        ),
+        ([*_LOST, ('all', 2, 23, 0, '')], '---'),
+        ([('some', 1, 21, 21, 'ready'), ('all', 2, 10, 0, '')], '---'),
+    ],
+)
+def test_copy_brings_nothing_back_that_is_known_better(
+    steps: list[_Step], used: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Which start is used at once, after 2.1 s, and after 7 s."""
+    now = 100.0
+    monkeypatch.setattr(clock, 'now', lambda: now)
+    known = _knows(1, 1, 'i-2')
+    for step in [_BEFORE, *steps]:
+        _take(known, step)
+    found = ''
+    for now in (100.0, 102.1, 107.0):
+        known.entries.settle()
+        usable = known.registry.usable(ids.ServiceName('desk'), now)
+        starts = {str(one.id) for one in usable}
+        found += next((b for b in '79' if f'i-1@{b}' in starts), '-')
+    assert found == used
