Gateways write their rows again that a restored store has lost

What callers would see: gateways that started shortly before the store came back from an older copy are gone for all others until they start again: they are told nothing, several decide at once and fill the same engines, and the budget for repeated sends is divided by too few.

Cause: a member's row is written once and taken as lasting, and places in the order were numbers of a counter that goes back. A member that told a place of before the restore also kept others reading for a number that does not come.

Change: each gateway looks for its own row in each list of all rows, and writes it again if it is lacking or is one of an earlier process; also if the owner has removed it. One that is fed by peers reads the rows once after it has heard of a restore. Places are pairs of era and number; a list of a new era places all rows anew, in the order that they have there, and what members tell of their places counts only within the era of the list. A member whose row was lost for sure is last until it is written again, for five seconds at the most, and then gone. A row of a process that has ended, listed again, does not place the one that has followed it. Rows are not removed by a number of another era.

Tests that gave places as plain numbers give versions of era 0 now; what they check is the same.

--- a/galenahatch/core/members.py
+++ b/galenahatch/core/members.py
@@ -17,6 +17,11 @@
 knows nothing; its place is at the end from the moment on at which it is
 noticed, until its new row tells so.
 
+A place is a version of the store (`core/versions`). A store that comes back
+from an older copy may have lost rows; the rows that it has keep their order,
+and are placed anew by the numbers that it lists. What members tell of their
+places counts only if it is of the era of the rows that were read.
+
 Silence counts only while this process listens. One that did not run for 0.9 s
 took all others for away, and itself for the owner, for half a second after
 it; what two owners place fills the same engines.
@@ -27,6 +32,7 @@
 import sys
 import typing
 
+from galenahatch.core import versions
 from galenahatch import ids
 
 SILENT_AFTER: typing.Final = 0.8
@@ -40,7 +46,8 @@
 on beats stays the same."""
 _LATE: typing.Final = 1.3
 """Times its interval after which a beat is missed, where beats are slow."""
-_LAST: typing.Final = sys.maxsize
+_LAST: typing.Final = versions.Version(sys.maxsize, sys.maxsize)
+NO_PLACE: typing.Final = versions.Version(0, 0)
 
 
 @dataclasses.dataclass
@@ -56,20 +63,30 @@
 
     address: str
     port: int
-    order: int
+    order: versions.Version
     found_at: float
     heard_at: float = -1e9
     leaving: bool = False
     incarnation: int = 0
     hears_store: bool = False
-    outdated: int = 0
+    outdated: versions.Version = NO_PLACE
+    lost_at: float = math.inf
 
-    def take_order(self, order: int) -> None:
+    def take_order(self, order: versions.Version) -> None:
         """Take a place, if it is newer than the one that is known."""
         known = self.outdated if self.order == _LAST else self.order
         if order > known:
             self.order = order
 
+    def take_row(self, order: versions.Version) -> None:
+        """Take the place of a row.
+
+        After a restore, the row of a process that has ended may be back.
+        """
+        is_back = order.number <= self.outdated.number
+        if self.order != _LAST or not is_back:
+            self.take_order(order)
+
     def restarted(self) -> None:
         """Be last until the row of the new process is known."""
         if self.order != _LAST:
@@ -95,14 +112,15 @@
 
     def __init__(self, me: ids.MemberId) -> None:
         self._me = me
-        self._joined = 0
+        self._joined = NO_PLACE
+        self._era = 0
         self._told_size = 1
         self._listened_at = math.inf
         self.known: dict[ids.MemberId, Member] = {}
 
     @property
-    def order(self) -> int:
-        """The place that this member's row has got; 0 until then."""
+    def order(self) -> versions.Version:
+        """The place that this member's row has got; number 0 until then."""
         return self._joined
 
     @property
@@ -116,27 +134,64 @@
         return max(1.0, self.size / SLOWER_FROM)
 
     def put(
-        self, name: ids.MemberId, port: int, order: int, now: float
+        self,
+        name: ids.MemberId,
+        port: int,
+        order: versions.Version,
+        now: float,
     ) -> bool:
         """Take a row; return whether the member is new."""
+        self._era = max(self._era, order.era)
         member = self.known.get(name)
         if member is None:
             self.known[name] = Member(name, port, order, now)
         else:
-            member.take_order(order)
+            member.take_row(order)
             member.leaving = False
+            member.lost_at = math.inf
         self._place_me()
         return member is None
 
+    def lose(
+        self, name: ids.MemberId, version: versions.Version, now: float
+    ) -> bool:
+        """Keep a member that a restored store lacks, if its row was lost.
+
+        It is last until its row is written again.
+
+        Args:
+            name: of the member.
+            version: as of which the store lists rows.
+            now: monotonic seconds.
+
+        Returns:
+            Whether it is kept. A row with a number that the store has given
+            out again may have been removed.
+        """
+        member = self.known[name]
+        if member.order.number <= version.number:
+            return False
+        member.order = _LAST
+        member.lost_at = min(member.lost_at, now)
+        return True
+
+    def lost_since(self, moment: float) -> list[ids.MemberId]:
+        """Return members whose rows have been lost since a moment."""
+        return [n for n, m in self.known.items() if m.lost_at <= moment]
+
     def drop(self, name: ids.MemberId) -> bool:
         """Forget a member whose row is gone; return whether it was known."""
         return self.known.pop(name, None) is not None
 
-    def joined(self, order: int) -> None:
+    def joined(self, order: versions.Version) -> None:
         """Note the place that this member's row has got."""
         self._joined = order
         self._place_me()
 
+    def lost_row(self) -> None:
+        """Note that this member has no row any more."""
+        self.joined(NO_PLACE)
+
     def _place_me(self) -> None:
         """Keep this member last until it has joined.
 
@@ -144,7 +199,8 @@
         """
         me = self.known.get(self._me)
         if me is not None:
-            me.order = self._joined or _LAST
+            is_placed = self._joined != NO_PLACE
+            me.order = self._joined if is_placed else _LAST
 
     def listen(self, now: float) -> float:
         """Note that this process runs, and reads what members send.
@@ -169,7 +225,7 @@
         now: float,
         leaving: bool | None = None,
         incarnation: int = 0,
-        order: int = 0,
+        order: versions.Version = NO_PLACE,
     ) -> None:
         """Note a word of a member.
 
@@ -190,7 +246,8 @@
         if incarnation and member.incarnation not in (0, incarnation):
             member.restarted()
         member.incarnation = incarnation or member.incarnation
-        member.take_order(order)
+        if order.era == self._era:
+            member.take_order(order)
 
     def told_size(self, size: int) -> None:
         """Note how many members one that is asked often knows of."""
@@ -219,7 +276,9 @@
 
     def ordered(self) -> list[ids.MemberId]:
         """Return all members, who has been there longest first."""
-        return sorted(self.known, key=lambda name: self.known[name].order)
+        return sorted(
+            self.known, key=lambda name: (self.known[name].order, name)
+        )
 
     def is_live(self, name: ids.MemberId, now: float) -> bool:
         """Return whether a member answers and does not stop."""
--- a/galenahatch/gateway/mesh.py
+++ b/galenahatch/gateway/mesh.py
@@ -224,8 +224,7 @@
     async def _beats(self) -> None:
         while True:
             self._beat()
-            if self._owner == self.me:
-                await self._roster.tidy()
+            await self._roster.tidy(self._owner == self.me)
             await asyncio.sleep(members.BEAT_EVERY * self._members.slower)
 
     def _beat(self) -> None:
@@ -238,13 +237,14 @@
             self.leaving,
             self.held(),
             self._exchange.take_new(),
-            self._members.order,
+            self._members.order.number,
             self._directory.hears_store,
             self._guard.tell(),
             self._accounts.take_new(),
             self._rate_limits.tell(),
             self._notices.tell(),
             self._directory.upstreams_version.era,
+            self._members.order.era,
         )
         if self._members.owner(self.leaving, now) == self.me:
             self._exchange.decides()
@@ -328,12 +328,13 @@
                     self.size,
                     self.figures(),
                     self._exchange.sums(),
-                    self._members.order,
+                    self._members.order.number,
                     self._guard.tell(),
                     self._accounts.low(),
                     self._rate_limits.tell(),
                     self._notices.tell(),
                     self._directory.upstreams_version.era,
+                    self._members.order.era,
                 ),
             )
             self._compare(message)
@@ -366,9 +367,10 @@
         self, name: ids.MemberId, beat: messages.Beat | messages.BeatBack
     ) -> None:
         """Take what a member tells of itself."""
-        self._roster.told(beat.order)
+        order = messages.place(beat)
+        self._roster.told(order, messages.upstreams_version(beat))
         self._members.heard(
-            name, clock.now(), beat.leaving, beat.incarnation, beat.order
+            name, clock.now(), beat.leaving, beat.incarnation, order
         )
         feeds = beat.hears_store and self._asking.is_current(beat)
         self._members.told_store(name, feeds)
--- a/galenahatch/gateway/messages.py
+++ b/galenahatch/gateway/messages.py
@@ -105,6 +105,7 @@
         rate_limits: that upstreams name, or have lifted of late.
         leaving_upstreams: that have said so in an answer of late.
         era: of `upstreams`.
+        order_era: of `order`.
     """
 
     member: ids.MemberId
@@ -121,6 +122,7 @@
     rate_limits: tuple[records.RateLimit, ...] = ()
     leaving_upstreams: tuple[ids.UpstreamId, ...] = ()
     era: int = 0
+    order_era: int = 0
 
 
 class BeatBack(Message, frozen=True, array_like=True, tag=True):
@@ -137,6 +139,7 @@
         rate_limits: that upstreams name, or have lifted of late.
         leaving_upstreams: that have said so in an answer of late.
         era: of `upstreams`.
+        order_era: of `order`.
     """
 
     member: ids.MemberId
@@ -154,6 +157,7 @@
     rate_limits: tuple[records.RateLimit, ...] = ()
     leaving_upstreams: tuple[ids.UpstreamId, ...] = ()
     era: int = 0
+    order_era: int = 0
 
 
 class Place(Message, frozen=True, array_like=True, tag=True):
@@ -404,6 +408,11 @@
     era: int = 0
 
 
+def place(message: Beat | BeatBack) -> versions.Version:
+    """Return the place in the order that the sender of a message tells."""
+    return versions.Version(message.order_era, message.order)
+
+
 def upstreams_version(
     message: Beat | BeatBack | Ask | News,
 ) -> versions.Version:
--- a/galenahatch/gateway/roster.py
+++ b/galenahatch/gateway/roster.py
@@ -15,6 +15,10 @@
 Each gateway writes one row at its start, and the version that the store gives
 the write is its place in the order (`core/members`). Those first in the order
 follow the store; all others hear of changes from them.
+
+A row may be lost, with a store that comes back from an older copy or since
+others took its member for gone. Then it is written again, and its member is
+last. So each gateway reads the rows once after a restore.
 """
 
 import asyncio
@@ -39,6 +43,9 @@
 _FORGET_AFTER: typing.Final = 20.0
 """Seconds of silence after which the owner removes a member's row; longer
 than any restart."""
+_REJOIN: typing.Final = 5.0
+"""Seconds after which a member is gone that has not written its lost row
+again: the slowest beat tells it of the restore, and it reads and writes."""
 _SMALL: typing.Final = 8
 """Members up to which each follows the store by itself: the calls of so few
 cost less than a beat's delay in hearing of a change."""
@@ -46,6 +53,7 @@
 """Seconds between two looks at changed members; all write at once when a
 deployment starts."""
 _WRITE_PAUSE: typing.Final = 0.5
+_NO_ROW: typing.Final = members.NO_PLACE
 _log = logs.Log('mesh')
 
 Dropped = collections.abc.Callable[[ids.MemberId], None]
@@ -101,7 +109,9 @@
         self._row = row
         self._dropped = dropped
         self._others = others
-        self._newest_told = 0
+        self._newest_told = versions.NEVER
+        self._listed = versions.NEVER
+        self._is_lost = asyncio.Event()
         self.members = members.Members(me)
         self.feed = followers.Follower(
             store,
@@ -132,9 +142,17 @@
             for name in first
         )
 
-    def told(self, order: int) -> None:
-        """Note the place that a member tells to have."""
-        self._newest_told = max(self._newest_told, order)
+    def told(
+        self, order: versions.Version, upstreams: versions.Version
+    ) -> None:
+        """Note which versions a member knows of.
+
+        Args:
+            order: its place.
+            upstreams: up to which it knows upstreams.
+        """
+        restored = versions.Version(upstreams.era, 0)
+        self._newest_told = max(self._newest_told, order, restored)
 
     def _is_told_all(self) -> bool:
         """Return whether the rows of members need not be read.
@@ -144,10 +162,7 @@
         it, 80 gateways asked six owners for four seconds after a loss of
         power, and these filled the same engines.
         """
-        return (
-            self.fed_by_peers()
-            and self.feed.version.number >= self._newest_told
-        )
+        return self.fed_by_peers() and self.feed.version >= self._newest_told
 
     def _longest_pause(self) -> float:
         """Return the seconds between two questions to a store that is away.
@@ -162,15 +177,27 @@
     # Rows.
 
     async def join(self) -> None:
+        """Write this member's row, and again each time that it is lost."""
+        while True:
+            written = await self._write()
+            self._is_lost.clear()
+            self.members.joined(written.version)
+            _log.info(
+                'Joined.',
+                member=self._me,
+                era=written.era,
+                order=written.ver,
+            )
+            await self._is_lost.wait()
+
+    async def _write(self) -> stores.Written:
         """Write this member's row; done once it is acknowledged."""
         value = msgspec.json.encode(self._row)
         entry = stores.Entry(MEMBER_TABLE, self._me, value=value)
         while True:
             written = await self._store.transact(put=[entry])
             if isinstance(written, stores.Written):
-                self.members.joined(written.ver)
-                _log.info('Joined.', member=self._me, order=written.ver)
-                await asyncio.Event().wait()
+                return written
             detail = (
                 written.detail
                 if isinstance(written, errors.Failure)
@@ -179,15 +206,47 @@
             _log.warning('Could not join yet.', detail=detail)
             await asyncio.sleep(_WRITE_PAUSE)
 
-    async def tidy(self) -> None:
-        """Remove the row of a member that is long gone."""
+    def _check_mine(
+        self, rows: list[stores.Row], version: versions.Version
+    ) -> None:
+        """Find this member's row in a list of all."""
+        joined = self.members.order
+        if not _NO_ROW < joined <= version:
+            return
+        number = next((row.ver for row in rows if row.key == self._me), 0)
+        is_same_era = version.era == joined.era
+        if number == joined.number or (is_same_era and number > joined.number):
+            self.members.joined(versions.Version(version.era, number))
+        else:
+            self._lose_row(version)
+
+    def _lose_row(self, version: versions.Version) -> None:
+        _log.warning('Own row lost.', era=version.era, ver=version.number)
+        self.members.lost_row()
+        self._is_lost.set()
+
+    async def tidy(self, decides: bool) -> None:
+        """Drop members without a row, and the row of one that is long gone.
+
+        Args:
+            decides: whether this member is the owner, who removes rows.
+        """
         now = clock.now()
+        for name in self.members.lost_since(now - _REJOIN):
+            self._drop(name)
+        if decides:
+            await self._remove_silent(now)
+
+    async def _remove_silent(self, now: float) -> None:
         for name, member in self.members.known.items():
             since = max(member.heard_at, member.found_at)
             if name == self._me or now - since < _FORGET_AFTER:
                 continue
+            if member.order.era != self.feed.version.era:
+                # The number may be another row's in this era.
+                continue
             member.found_at = now
-            await self._remove(name, member.order)
+            await self._remove(name, member.order.number)
             return
 
     async def _remove(self, name: ids.MemberId, order: int) -> None:
@@ -203,10 +262,16 @@
     def _take_all(
         self, rows: list[stores.Row], version: versions.Version
     ) -> None:
+        self._check_mine(rows, version)
+        is_restored = versions.NEVER < self._listed
+        is_restored &= self._listed.era < version.era
+        self._listed = version
+        now = clock.now()
         current = {row.key for row in rows}
-        for name in list(self.members.known):
-            if name not in current:
-                self._drop(name)
+        for name in self.members.known.keys() - current:
+            if is_restored and self.members.lose(name, version, now):
+                continue
+            self._drop(name)
         self._take_some(rows, version)
 
     def _take_some(
@@ -219,11 +284,14 @@
             name = ids.MemberId(row.key)
             if row.removed:
                 self._drop(name)
+                if name == self._me and _NO_ROW < self.members.order < version:
+                    self._lose_row(version)
                 continue
             told = introduction(row)
             if told is None:
                 continue
-            if self.members.put(name, told.port, row.ver, clock.now()):
+            order = versions.Version(version.era, row.ver)
+            if self.members.put(name, told.port, order, clock.now()):
                 _log.info('Member found.', member=name, order=row.ver)
 
     def _drop(self, name: ids.MemberId) -> None:
--- a/galenahatch/test/test_decisions.py
+++ b/galenahatch/test/test_decisions.py
@@ -29,6 +29,7 @@
 from galenahatch.core import routes
 from galenahatch.core import stages
 from galenahatch.core import upstreams
+from galenahatch.core import versions
 from galenahatch import ids
 
 _SERVICE = ids.ServiceName('model')
@@ -752,22 +753,26 @@
 # Members.
 
 
+def _place(number: int) -> versions.Version:
+    return versions.Version(0, number)
+
+
 def test_restarted_member_decides_last() -> None:
     """Who restarted knows nothing and is last until its new row is seen."""
     members = members_module.Members(ids.MemberId('c'))
     for order, name in enumerate('abc', 1):
-        members.put(ids.MemberId(name), 1, order, 0.0)
+        members.put(ids.MemberId(name), 1, _place(order), 0.0)
     for name in 'ab':
         members.heard(ids.MemberId(name), 0.0, False, incarnation=1)
     assert members.owner(False, 0.1) == 'a'
     members.heard(ids.MemberId('a'), 0.2, False, incarnation=2)
     assert members.owner(False, 0.3) == 'b'
-    members.put(ids.MemberId('a'), 1, 1, 0.3)
+    members.put(ids.MemberId('a'), 1, _place(1), 0.3)
     assert members.owner(False, 0.3) == 'b', 'a row of before tells nothing'
-    members.put(ids.MemberId('a'), 1, 9, 0.4)
+    members.put(ids.MemberId('a'), 1, _place(9), 0.4)
     members.heard(ids.MemberId('a'), 0.4, False, incarnation=2)
     assert members.ordered() == ['b', 'a', 'c']
-    members.joined(3)
+    members.joined(_place(3))
     assert members.ordered() == ['b', 'c', 'a']
     assert members.owner(False, 2.0) == 'c', 'both others are silent'
     assert members.owner(True, 0.4) == 'b', 'this one stops'
@@ -780,12 +785,16 @@
     owner though they read the rows at different moments.
     """
     members = members_module.Members(ids.MemberId('c'))
-    members.put(ids.MemberId('a'), 1, 1, 0.0)
-    members.put(ids.MemberId('b'), 1, 21, 0.0)
-    members.heard(ids.MemberId('a'), 0.1, False, incarnation=5, order=22)
-    members.heard(ids.MemberId('b'), 0.1, False, incarnation=6, order=21)
+    members.put(ids.MemberId('a'), 1, _place(1), 0.0)
+    members.put(ids.MemberId('b'), 1, _place(21), 0.0)
+    members.heard(
+        ids.MemberId('a'), 0.1, False, incarnation=5, order=_place(22)
+    )
+    members.heard(
+        ids.MemberId('b'), 0.1, False, incarnation=6, order=_place(21)
+    )
     assert members.owner(False, 0.2) == 'b'
-    members.put(ids.MemberId('a'), 1, 1, 0.2)
+    members.put(ids.MemberId('a'), 1, _place(1), 0.2)
     assert members.owner(False, 0.2) == 'b', 'read late, and still of before'
 
 
--- a/galenahatch/test/test_pauses.py
+++ b/galenahatch/test/test_pauses.py
@@ -37,6 +37,7 @@
 
 from galenahatch.core import members
 from galenahatch.core import upstreams
+from galenahatch.core import versions
 from galenahatch.gateway import calls
 from galenahatch.gateway import sender as senders
 from galenahatch import ids
@@ -258,8 +259,9 @@
     """A pause is no silence of others; silence after it is."""
     known = members.Members(ids.MemberId('b'))
     for name, order in (('a', 1), ('b', 2)):
-        known.put(ids.MemberId(name), 7660, order, now=0.0)
-    known.joined(2)
+        place = versions.Version(0, order)
+        known.put(ids.MemberId(name), 7660, place, now=0.0)
+    known.joined(versions.Version(0, 2))
     other = ids.MemberId('a')
     known.listen(10.0)
     known.heard(other, 10.0)
--- a/galenahatch/test/test_restores.py
+++ b/galenahatch/test/test_restores.py
@@ -28,14 +28,17 @@
 
 from galenahatch import clock
 from galenahatch.core import incarnations
+from galenahatch.core import members
 from galenahatch.core import versions
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import messages
+from galenahatch.gateway import roster
 from galenahatch import ids
 from galenahatch.platform import documents
 from galenahatch.platform import eras
 from galenahatch.platform import store as stores
 from galenahatch import tasks
+from galenahatch.test import fleet as fleets
 from galenahatch.test.standin import rows
 
 _DRAIN: typing.Final = 2.0
@@ -329,3 +332,106 @@
         starts = {str(one.id) for one in usable}
         found += next((b for b in '79' if f'i-1@{b}' in starts), '-')
     assert found == used
+
+
+# Guards against: a restored store lists the row of a process that has ended,
+# and its member decides though it has just started and knows nothing.
+def test_rows_of_a_copy_keep_their_order() -> None:
+    """Places of an earlier era don't count beside those of the copy."""
+
+    def name(member: str) -> ids.MemberId:
+        return ids.MemberId(member)
+
+    known = members.Members(name('d'))
+    known.joined(versions.Version(1, 45))
+    for number, member in enumerate('abcd', 5):
+        known.put(name(member), 1, versions.Version(1, number), 0.0)
+        known.heard(name(member), 0.0, False, incarnation=1)
+    known.heard(name('a'), 0.1, False, incarnation=2)
+    assert known.ordered() == ['b', 'c', 'd', 'a']
+    for number, member in enumerate('abc', 5):
+        known.put(name(member), 1, versions.Version(2, number), 0.2)
+    known.lost_row()
+    assert known.lose(name('d'), versions.Version(2, 7), 0.2)
+    assert known.ordered() == ['b', 'c', 'a', 'd']
+    assert not known.lose(name('c'), versions.Version(2, 7), 0.2), 'removed'
+    assert known.lost_since(0.2) == ['d']
+    known.heard(name('b'), 0.3, order=versions.Version(1, 90))
+    known.heard(name('a'), 0.3, order=versions.Version(2, 5))
+    assert known.ordered() == ['a', 'b', 'c', 'd'], 'its own word counts'
+    known.put(name('d'), 1, versions.Version(2, 8), 0.4)
+    assert not known.lost_since(9.0)
+
+
+@pytest.fixture
+def fleet() -> collections.abc.Iterator[fleets.Fleet]:
+    """Three gateways; the store's copy is from before they started."""
+    made = fleets.Fleet(3, [('desk', '')] * 3)
+    made.run(made.store.copy)
+    with made:
+        yield made
+
+
+def _restore(fleet: fleets.Fleet, away: float = 0.5) -> None:
+    """Restore the store; the operator writes its configuration again."""
+    fleet.store.mode = 'reset'
+    time.sleep(away)
+    fleet.run(fleet.store.restore)
+    fleet.put('op', 'config', fleet.first)
+    fleet.store.mode = ''
+
+
+def _present(fleet: fleets.Fleet) -> set[str]:
+    table = dict(fleet.store.tables.get(roster.MEMBER_TABLE, {}))
+    return {key for key, row in table.items() if not row.removed}
+
+
+def _owners(fleet: fleets.Fleet) -> set[str]:
+    """Return who decides, as each gateway sees it."""
+    return {
+        [line for line in vm.lines() if line['message'] == 'Owner changed.'][
+            -1
+        ]['owner']
+        for vm in fleet.vms
+    }
+
+
+# Guards against: gateways whose rows are lost with an older copy of the store
+# are gone for all others for good.
+@pytest.mark.parametrize('times', [1, 3])
+def test_lost_rows_are_written_again(fleet: fleets.Fleet, times: int) -> None:
+    """After one restore, and after several in a row."""
+    everybody = {vm.address for vm in fleet.vms}
+    fleets.eventually(lambda: _present(fleet) == everybody, 'all joined')
+    for _ in range(times):
+        _restore(fleet)
+    fleets.eventually(lambda: _present(fleet) == everybody, 'all are back')
+    fleets.eventually(lambda: len(_owners(fleet)) == 1, 'one decides')
+    for number in range(3):
+        assert fleet.ask('/once/x', vm=number).served
+
+
+# Guards against: calls to an upstream that left after a restore, or in the
+# seconds that it took away.
+@pytest.mark.parametrize('when', ['before', 'after'])
+def test_no_call_goes_where_an_upstream_left(
+    fleet: fleets.Fleet, when: str
+) -> None:
+    """All gateways leave it alone, though the copy calls it ready."""
+    leaving = fleet.upstreams[0]
+
+    def leave() -> None:
+        fleet.put('servers', leaving.id, leaving.row('draining'))
+
+    if when == 'before':
+        leave()
+        time.sleep(0.5)
+    _restore(fleet)
+    time.sleep(1.0)
+    if when == 'after':
+        leave()
+    time.sleep(_DRAIN)
+    seen = len(leaving.seen)
+    for number in range(60):
+        assert fleet.ask('/often/x', vm=number % 3).served
+    assert len(leaving.seen) == seen
--- a/galenahatch/test/test_suspensions.py
+++ b/galenahatch/test/test_suspensions.py
@@ -28,6 +28,7 @@
 
 from galenahatch import clock
 from galenahatch.core import members
+from galenahatch.core import versions
 from galenahatch.gateway import inflight
 from galenahatch.gateway import lease as leases
 from galenahatch import ids
@@ -168,7 +169,8 @@
 def test_suspension_takes_nobody_for_away(vm: _Vm) -> None:
     """Members are heard before they are judged, as after any pause."""
     known = members.Members(ids.MemberId('me'))
-    known.put(ids.MemberId('other'), 1, 1, clock.now())
+    place = versions.Version(0, 1)
+    known.put(ids.MemberId('other'), 1, place, clock.now())
     known.listen(clock.now())
     known.heard(ids.MemberId('other'), clock.now())
     vm.suspend(_SLEPT)
