A lease counts only in the era of the store in which it was written

What callers would see: engines changed to and fro by two gateways at once, whose orders bear the same fencing number or a lower one than before.

Cause: the store's row of the lease, and its version as the fencing number, were taken as lasting. A store that comes back from an older copy has lost the row of a holder, or has an earlier holder's, gives its numbers out again, and a write whose condition was read before the restore may hold for another row.

Change: the row names its era. Whoever finds none of the newest era writes one that nobody holds and that lapses as a lease does; the owner does so as soon as it hears of an era, so that the first order need not wait. Fencing numbers begin with the era. What is written in another era than it was read in counts for nothing. The store's clock is compared within an era only.

Why it holds: orders of a holder end in the first quarter of its lease, counted from before it asked, and no lease of the new era begins before a whole lease after the restore.

--- a/galenahatch/gateway/lease.py
+++ b/galenahatch/gateway/lease.py
@@ -18,6 +18,12 @@
 gives orders in the first quarter of its lease only, counted from before it
 asked. So two holders never order within the time that the platform asks for
 between them, also if one of them was frozen meanwhile.
+
+A store that comes back from an older copy may have lost the row of a holder
+that still gives orders, has another clock perhaps, and gives its versions out
+again. So a row counts in the era only in which it was written. Whoever finds
+none of the newest era writes one that nobody holds, and that lapses as a lease
+does; fencing numbers begin with the era.
 """
 
 import typing
@@ -25,6 +31,7 @@
 import msgspec
 
 from galenahatch import clock
+from galenahatch.core import versions
 from galenahatch import errors
 from galenahatch import ids
 from galenahatch import logs
@@ -32,25 +39,28 @@
 
 TABLE: typing.Final = 'leases'
 _KEY: typing.Final = 'orders'
+_NOBODY: typing.Final = ''
 _LEASES: typing.Final = 2.0
 """Length of our lease, in those that the platform asks for."""
 _ORDERING: typing.Final = 0.5
 """Part of the platform's lease in which its holder gives orders."""
+_NUMBER_BITS: typing.Final = 40
+"""Bits of a fencing number that count versions within an era: enough for
+decades of writes."""
 _log = logs.Log('lease')
 
 
+def fencing_number(version: versions.Version) -> int:
+    """Return the fencing number of a version; it rises as versions do."""
+    return (version.era << _NUMBER_BITS) + version.number
+
+
 def holder(found: stores.Rows) -> str:
     """Return who holds the lease at the moment of a reading, or nobody."""
-    for row in found.rows:
-        if row.key != _KEY:
-            continue
-        try:
-            lease = msgspec.json.decode(row.value, type=_Row)
-        except msgspec.MsgspecError as error:
-            _log.error('Bad lease row.', error=str(error))
-            return ''
-        return lease.holder if found.now_ms <= lease.until_ms else ''
-    return ''
+    _, lease = _find(found)
+    if lease is None or found.now_ms > lease.until_ms:
+        return ''
+    return lease.holder
 
 
 class Rows(typing.Protocol):
@@ -77,10 +87,28 @@
 
     Attributes:
         until_ms: on the store's clock.
+        era: of the store.
     """
 
     holder: str
     until_ms: float
+    era: int = 0
+
+
+def _find(found: stores.Rows) -> tuple[int, _Row | None]:
+    """Return the number of the row, 0 if there is none, and the lease.
+
+    There is no lease if the row can't be read or is of another era.
+    """
+    row = next((row for row in found.rows if row.key == _KEY), None)
+    if row is None:
+        return 0, None
+    try:
+        lease = msgspec.json.decode(row.value, type=_Row)
+    except msgspec.MsgspecError as error:
+        _log.error('Bad lease row.', error=str(error))
+        return row.ver, None
+    return row.ver, lease if lease.era == found.era else None
 
 
 class Lease:
@@ -103,33 +131,69 @@
         fence = await self._take()
         return fence if clock.now() <= until else None
 
+    async def prepare(self) -> None:
+        """Begin the leases of the newest era, if nobody has.
+
+        Done ahead of the first order, which would have to wait otherwise.
+        """
+        found = await self._read()
+        if found is None or not found.era:
+            return
+        number, lease = _find(found)
+        if lease is None:
+            await self._begin_era(found, number)
+
     async def _take(self) -> int | None:
+        found = await self._read()
+        if found is None:
+            return None
+        number, lease = _find(found)
+        if lease is None and found.era:
+            await self._begin_era(found, number)
+            return None
+        if lease is not None and not self._is_free(lease, found.now_ms):
+            return None
+        written = await self._write(self._me, found, number)
+        if written is None:
+            _log.warning('Lease not taken.', holder=self._me)
+            return None
+        fence = fencing_number(written)
+        _log.info('Lease taken.', holder=self._me, fence=fence)
+        return fence
+
+    async def _begin_era(self, found: stores.Rows, number: int) -> None:
+        """Write a row that nobody holds.
+
+        Who held the lease before the restore gives no more orders by the
+        time at which it lapses.
+        """
+        if await self._write(_NOBODY, found, number) is not None:
+            _log.info('Leases of an era begun.', era=found.era)
+
+    async def _read(self) -> stores.Rows | None:
         found = await self._store.rows(TABLE)
         if isinstance(found, errors.Failure):
             _log.warning('Lease not read.', detail=found.detail)
             return None
-        row = next((r for r in found.rows if r.key == _KEY), None)
-        if row is not None and not self._is_free(row, found.now_ms):
-            return None
+        return found
+
+    async def _write(
+        self, name: str, found: stores.Rows, number: int
+    ) -> versions.Version | None:
+        """Replace the row as it was found; return its version if that is done.
+
+        What is written in another era than it was read in replaces some other
+        row, and counts for nothing: it names the era of the reading.
+        """
         until = found.now_ms + _LEASES * self._seconds * 1000
-        value = msgspec.json.encode(_Row(self._me, until))
-        seen = row.ver if row is not None else 0
+        value = msgspec.json.encode(_Row(name, until, found.era))
         written = await self._store.transact(
-            [stores.Entry(TABLE, _KEY, ver=seen)],
+            [stores.Entry(TABLE, _KEY, ver=number)],
             put=[stores.Entry(TABLE, _KEY, value=value)],
         )
         if not isinstance(written, stores.Written):
-            _log.warning('Lease not taken.', holder=self._me)
             return None
-        _log.info('Lease taken.', holder=self._me, fence=written.ver)
-        return written.ver
-
-    def _is_free(self, row: stores.Row, now_ms: float) -> bool:
-        try:
-            lease = msgspec.json.decode(row.value, type=_Row)
-        except msgspec.MsgspecError as error:
-            _log.error('Bad lease row.', error=str(error))
-            return True
-        if lease.holder == self._me:
-            return True
-        return now_ms > lease.until_ms
+        return written.version if written.era == found.era else None
+
+    def _is_free(self, lease: _Row, now_ms: float) -> bool:
+        return lease.holder == self._me or now_ms > lease.until_ms
--- a/galenahatch/gateway/orders.py
+++ b/galenahatch/gateway/orders.py
@@ -79,6 +79,7 @@
         lease: float,
         background: tasks.Tasks,
     ) -> None:
+        self._store = store
         self._mesh = mesh
         self._owner = owner
         self._directory = directory
@@ -87,6 +88,7 @@
         self._lease = leases.Lease(store, mesh.me, lease)
         self._tasks = background
         self._pause_until = 0.0
+        self._prepared_for = 0
 
     def run(self) -> None:
         """Start to give orders whenever this gateway is the owner."""
@@ -98,6 +100,7 @@
             now = clock.now()
             if self._mesh.owner() != self._mesh.me or now < self._pause_until:
                 continue
+            await self._prepare()
             for service, found in list(self._owner.dispatchers.items()):
                 for engine, stage in found.changes(now):
                     _log.info(
@@ -110,6 +113,14 @@
                     )
                     await self._change(service, found, engine, stage)
 
+    async def _prepare(self) -> None:
+        """Let the leases of an era begin as soon as it is heard of."""
+        era = self._store.eras.newest
+        if era == self._prepared_for:
+            return
+        self._prepared_for = era
+        await self._lease.prepare()
+
     def take(
         self, member: ids.MemberId, message: messages.Change | messages.Changed
     ) -> None:
--- a/galenahatch/test/test_lease.py
+++ b/galenahatch/test/test_lease.py
@@ -54,6 +54,24 @@
         self._machine = machine
         self._rows: dict[str, stores.Row] = {}
         self._ver = 0
+        self._era = 0
+        self._copy: tuple[dict[str, stores.Row], int] = ({}, 0)
+        self._clock_ahead = 0.0
+
+    def copy(self) -> None:
+        """Remember the rows and the version."""
+        self._copy = dict(self._rows), self._ver
+
+    def restore(self, clock_ahead: float) -> None:
+        """Go back to the copy, with a clock that may go another way."""
+        rows, self._ver = self._copy
+        self._rows = dict(rows)
+        self._era += 1
+        self._clock_ahead = clock_ahead
+
+    @property
+    def _now_ms(self) -> float:
+        return (self._machine.now + self._clock_ahead) * 1000
 
     async def rows(
         self, table: str, part: str = ''
@@ -61,8 +79,9 @@
         """Return all rows, as of the moment of the turn."""
         if await _Turn() != 'good':
             return _AWAY
-        now = self._machine.now * 1000
-        answer = stores.Rows(list(self._rows.values()), self._ver, now)
+        answer = stores.Rows(
+            list(self._rows.values()), self._ver, self._now_ms, era=self._era
+        )
         await _Turn()
         return answer
 
@@ -84,7 +103,7 @@
                 assert entry.value is not msgspec.UNSET
                 row = stores.Row(entry.key, self._ver, entry.value)
                 self._rows[entry.key] = row
-            return stores.Written(self._ver, self._machine.now * 1000)
+            return stores.Written(self._ver, self._now_ms, self._era)
 
         how = await _Turn()
         if how == 'refused':
@@ -113,9 +132,9 @@
         self.later: list[Done] = []
         self._patch = pytest.MonkeyPatch()
         self._patch.setattr(clock, 'now', lambda: self.now)
-        store = _Store(self)
+        self.store = _Store(self)
         self._leases = [
-            leases.Lease(store, ids.MemberId(f'10.0.0.{n}'), _SECONDS)
+            leases.Lease(self.store, ids.MemberId(f'10.0.0.{n}'), _SECONDS)
             for n in range(_HOLDERS)
         ]
         self._calls: dict[
@@ -190,10 +209,40 @@
                 assert after.at - before.at >= _SECONDS, self._orders
 
 
+class RestoredLeaseMachine(LeaseMachine):
+    """The same, before a store that comes back from older copies."""
+
+    @stateful.rule()
+    def copy(self) -> None:
+        """Remember what the store has."""
+        self.store.copy()
+
+    @stateful.rule(clock_ahead=strategies.sampled_from((0.0, -50.0, 50.0)))
+    def restore(self, clock_ahead: float) -> None:
+        """Lose what was written since."""
+        self.store.restore(clock_ahead)
+
+    @stateful.rule(
+        holder=strategies.integers(0, _HOLDERS - 1),
+        steps=strategies.integers(1, 4),
+    )
+    def restore_within_calls(self, holder: int, steps: int) -> None:
+        """Restore while one holder asks, and let another one ask as well."""
+        for _ in range(steps):
+            self.step(holder, 'good')
+        self.store.restore(0.0)
+        self.run((holder + 1) % _HOLDERS)
+        self.run(holder)
+
+
 LeaseMachine.TestCase.settings = hypothesis.settings(
     max_examples=300, stateful_step_count=60, deadline=None, derandomize=True
 )
+RestoredLeaseMachine.TestCase.settings = LeaseMachine.TestCase.settings
 TestLease = LeaseMachine.TestCase
+# Guards against: two gateways give orders within one lease, or with the same
+# or a lower fencing number, since the store lost the row of the first one.
+TestRestoredLease = RestoredLeaseMachine.TestCase
 
 
 def test_order_is_given_when_the_store_answers() -> None:
@@ -206,4 +255,10 @@
     for _ in range(5):
         machine.step(1, 'good')
     assert [order.holder for order in machine._orders] == [0, 1]
+    machine.store.copy()
+    machine.store.restore(0.0)
+    machine.run(0)
+    machine.wait(6.5)
+    machine.run(0)
+    assert [order.holder for order in machine._orders] == [0, 1, 0]
     machine.teardown()
