Requests that end engines are stored again after a restore of the store

What callers would see: a request that ends engines is let through again, and ends three more, once all gateways have started anew: its record was lost with an older copy of the store.

Cause: what was written, or read, once counted as stored for ever.

Change: each list of all rows says anew what is stored; the owner writes what is lacking.

Test: test_held_request_is_stored_again, failed before (not within 10 s), passes.

--- a/galenahatch/gateway/mesh.py
+++ b/galenahatch/gateway/mesh.py
@@ -118,6 +118,7 @@
             ids.MemberId(address),
             rosters.Introduction(port, data_centre),
             self._drop,
+            self._guard.begin_list,
             self._guard.take,
         )
         self._members = self._roster.members
--- a/galenahatch/gateway/quarantine.py
+++ b/galenahatch/gateway/quarantine.py
@@ -178,6 +178,14 @@
 
     # What outlives all gateways.
 
+    def begin_list(self) -> None:
+        """Begin to take all rows that are stored.
+
+        A store that comes back from an older copy may have lost some: the
+        owner writes them again.
+        """
+        self._stored.clear()
+
     def take(self, row: stores.Row) -> None:
         """Take a row of the store.
 
--- a/galenahatch/gateway/roster.py
+++ b/galenahatch/gateway/roster.py
@@ -89,6 +89,7 @@
         me: this member.
         row: what it writes.
         dropped: called with each member that is gone.
+        begin_list: called before the rows of a list of all.
         others: called with each row that is no member's.
 
     Attributes:
@@ -102,12 +103,14 @@
         me: ids.MemberId,
         row: Introduction,
         dropped: Dropped,
+        begin_list: collections.abc.Callable[[], None],
         others: collections.abc.Callable[[stores.Row], None],
     ) -> None:
         self._store = store
         self._me = me
         self._row = row
         self._dropped = dropped
+        self._begin_list = begin_list
         self._others = others
         self._newest_told = versions.NEVER
         self._listed = versions.NEVER
@@ -272,6 +275,7 @@
             if is_restored and self.members.lose(name, version, now):
                 continue
             self._drop(name)
+        self._begin_list()
         self._take_some(rows, version)
 
     def _take_some(
--- a/galenahatch/test/test_restores.py
+++ b/galenahatch/test/test_restores.py
@@ -32,6 +32,7 @@
 from galenahatch.core import versions
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import messages
+from galenahatch.gateway import quarantine
 from galenahatch.gateway import roster
 from galenahatch import ids
 from galenahatch.platform import documents
@@ -435,3 +436,19 @@
     for number in range(60):
         assert fleet.ask('/often/x', vm=number % 3).served
     assert len(leaving.seen) == seen
+
+
+# Guards against: a request that ends engines is let through again after all
+# gateways have started anew, since its record was lost with an older copy.
+def test_held_request_is_stored_again(fleet: fleets.Fleet) -> None:
+    """The owner writes what gateways know and the store has lost."""
+    key = quarantine.ROW_PREFIX + 'deadbeef'
+    fleet.put(roster.MEMBER_TABLE, key, {'ends': [1, 2, 3]})
+
+    def is_known() -> bool:
+        logs = [vm.log.read_text() for vm in fleet.vms]
+        return all('Request held back.' in log for log in logs)
+
+    fleets.eventually(is_known, 'the request is held back')
+    _restore(fleet)
+    fleets.eventually(lambda: key in _present(fleet), 'it is stored again')
