Soak with a store that comes back from older copies; release tells a restore

restoresoak plays the faults of noticesoak beside restores in series, with and without an outage, while upstreams leave in the lost seconds and just after, and gateways restart.

galenahatchctl gateway release says so when the store was restored between its reading and its write, whose condition held for another row then.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: demo test fuzz faults soak keysoak noticesoak stops bench decisions path claims capacity mutations reference format clean
+.PHONY: demo test fuzz faults soak keysoak noticesoak restoresoak stops bench decisions path claims capacity mutations reference format clean
 
 .venv/ready: requirements.txt requirements-test.txt
 	$(PYTHON) -m venv .venv
@@ -31,6 +31,9 @@
 noticesoak: .venv/ready
 	$(BIN)/python -m galenahatch.test.noticesoak --first $$(date +%s) --seeds 10
 
+restoresoak: .venv/ready
+	$(BIN)/python -m galenahatch.test.restoresoak --first $$(date +%s) --seeds 10
+
 stops: .venv/ready
 	$(BIN)/python -m galenahatch.test.stops --first $$(date +%s) --seeds 10
 
--- a/galenahatch/core/members.py
+++ b/galenahatch/core/members.py
@@ -48,6 +48,7 @@
 """Times its interval after which a beat is missed, where beats are slow."""
 _LAST: typing.Final = versions.Version(sys.maxsize, sys.maxsize)
 NO_PLACE: typing.Final = versions.Version(0, 0)
+"""Of a member that has no row yet."""
 
 
 @dataclasses.dataclass
--- a/galenahatch/gateway/entries.py
+++ b/galenahatch/gateway/entries.py
@@ -205,7 +205,7 @@
         """Move on to a version, unless a later one is known."""
         known = self._version
         if version < known:
-            _log.warning(
+            _log.info(
                 'Older news of upstreams dropped.',
                 rows=len(rows),
                 era=version.era,
--- a/galenahatch/gateway/roster.py
+++ b/galenahatch/gateway/roster.py
@@ -53,7 +53,6 @@
 """Seconds between two looks at changed members; all write at once when a
 deployment starts."""
 _WRITE_PAUSE: typing.Final = 0.5
-_NO_ROW: typing.Final = members.NO_PLACE
 _log = logs.Log('mesh')
 
 Dropped = collections.abc.Callable[[ids.MemberId], None]
@@ -214,7 +213,7 @@
     ) -> None:
         """Find this member's row in a list of all."""
         joined = self.members.order
-        if not _NO_ROW < joined <= version:
+        if not members.NO_PLACE < joined <= version:
             return
         number = next((row.ver for row in rows if row.key == self._me), 0)
         is_same_era = version.era == joined.era
@@ -288,7 +287,10 @@
             name = ids.MemberId(row.key)
             if row.removed:
                 self._drop(name)
-                if name == self._me and _NO_ROW < self.members.order < version:
+                if (
+                    name == self._me
+                    and members.NO_PLACE < self.members.order < version
+                ):
                     self._lose_row(version)
                 continue
             told = introduction(row)
--- a/galenahatch/gatewayctl.py
+++ b/galenahatch/gatewayctl.py
@@ -341,7 +341,11 @@
         written = await at.transact([seen], put=[made])
         if isinstance(written, errors.Failure):
             return console.report(written)
-        if isinstance(written, stores.Conflict):
+        # A restore between both calls has given the number to another row.
+        is_restored = (
+            isinstance(written, stores.Written) and written.era != found.era
+        )
+        if isinstance(written, stores.Conflict) or is_restored:
             detail = f'{digest} was written meanwhile'
             return console.report(
                 errors.Failure(errors.CHANGE_CONFLICT, detail)
--- a/galenahatch/test/noticesoak.py
+++ b/galenahatch/test/noticesoak.py
@@ -41,8 +41,8 @@
 _CONTACT: typing.Final = 3.0
 _WINDOW: typing.Final = 4.0
 _UNDER_WAY: typing.Final = 0.5
-_DRAIN: typing.Final = 2.0
-_SLACK: typing.Final = 1.0
+DRAIN: typing.Final = 2.0
+SLACK: typing.Final = 1.0
 """Seconds for this busy machine on top of the bound on leaving upstreams."""
 
 
@@ -175,7 +175,7 @@
         self, told: dict[str, list[float]], seen: upstreams.Seen, after: float
     ) -> bool:
         """Return whether a gateway knew, for so long, as it sent a request."""
-        address = _via(seen)
+        address = via(seen)
         return any(
             at + after <= seen.at
             and not self._is_excused(address, at, seen.at)
@@ -211,7 +211,7 @@
             for seen in spell.upstream.seen
             if seen.at < spell.ended_at
             and seen.told('expect-instance') == spell.upstream.id
-            and self._is_bound(told, seen, _DRAIN + _SLACK)
+            and self._is_bound(told, seen, DRAIN + SLACK)
         ]
 
     def _within_pause(self, upstream: upstreams.Upstream) -> list[str]:
@@ -223,17 +223,17 @@
             came = [
                 seen
                 for seen in upstream.seen
-                if _via(seen) == _via(refusal)
+                if via(seen) == via(refusal)
                 and refusal.at + _UNDER_WAY < seen.at < until
             ]
             cut = any(refusal.at - 2.0 < at < until for at in self._cut_at)
-            excused = self._is_excused(_via(refusal), refusal.at, until)
+            excused = self._is_excused(via(refusal), refusal.at, until)
             if len(came) > 2 and not cut and not excused:
                 broken.append(f'pause: {upstream.id} got {len(came)}')
         return broken
 
 
-def _via(seen: upstreams.Seen) -> str:
+def via(seen: upstreams.Seen) -> str:
     """Return the address of the gateway that a request went through."""
     return seen.headers.get('x-via', '')
 
--- a/galenahatch/test/test_soak.py
+++ b/galenahatch/test/test_soak.py
@@ -20,6 +20,7 @@
 from galenahatch.test import fleet as fleets
 from galenahatch.test import keysoak
 from galenahatch.test import noticesoak
+from galenahatch.test import restoresoak
 from galenahatch.test import soak
 
 _FILE: typing.Final = pathlib.Path(__file__).parents[2] / 'test-data'
@@ -61,6 +62,12 @@
     assert not noticesoak.play(seed)
 
 
+@pytest.mark.parametrize('seed', [4, 5])
+def test_seed_with_restores(seed: int) -> None:
+    """The same, while the store comes back from older copies."""
+    assert not restoresoak.play(seed)
+
+
 def test_reload_before_our_code() -> None:
     """SIGHUP that comes before our first line ends nothing for good."""
     played = soak.Soak(1, 0.0)
