--- a/galenahatch/test/test_lease.py
+++ b/galenahatch/test/test_lease.py
@@ -225,13 +225,21 @@
     @stateful.rule(
         holder=strategies.integers(0, _HOLDERS - 1),
         steps=strategies.integers(1, 4),
+        is_lost=strategies.booleans(),
     )
-    def restore_within_calls(self, holder: int, steps: int) -> None:
-        """Restore while one holder asks, and let another one ask as well."""
+    def restore_within_calls(
+        self, holder: int, steps: int, is_lost: bool
+    ) -> None:
+        """Restore while one holder asks; another one asks before, or after."""
+        other = (holder + 1) % _HOLDERS
+        self.store.copy()
         for _ in range(steps):
             self.step(holder, 'good')
+        if is_lost:
+            self.run(other)
         self.store.restore(0.0)
-        self.run((holder + 1) % _HOLDERS)
+        if not is_lost:
+            self.run(other)
         self.run(holder)
 
 
--- a/galenahatch/test/test_restores.py
+++ b/galenahatch/test/test_restores.py
@@ -44,6 +44,8 @@
 
 _DRAIN: typing.Final = 2.0
 """Seconds after the store took it at which each gateway knows who leaves."""
+_READ_BY_ALL: typing.Final = 1.5
+"""Seconds in which each gateway has read a new row by itself."""
 _KEY: typing.Final = 'i-1'
 
 
@@ -349,6 +351,7 @@
         known.put(name(member), 1, versions.Version(1, number), 0.0)
         known.heard(name(member), 0.0, False, incarnation=1)
     known.heard(name('a'), 0.1, False, incarnation=2)
+    known.heard(name('b'), 0.1, order=versions.Version(2, 6))
     assert known.ordered() == ['b', 'c', 'd', 'a']
     for number, member in enumerate('abc', 5):
         known.put(name(member), 1, versions.Version(2, number), 0.2)
@@ -450,5 +453,6 @@
         return all('Request held back.' in log for log in logs)
 
     fleets.eventually(is_known, 'the request is held back')
+    time.sleep(_READ_BY_ALL)
     _restore(fleet)
     fleets.eventually(lambda: key in _present(fleet), 'it is stored again')
