--- a/galenahatch/test/test_told_leaving.py
+++ b/galenahatch/test/test_told_leaving.py
@@ -60,6 +60,8 @@
     """Send requests through all gateways; each is served."""
     for number in range(times):
         answer = fleet.ask(path, vm=number % 3)
+        if not answer.served:
+            fleet.show_logs()
         assert answer.served, answer
 
 
