--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -85,8 +85,9 @@
     'galenahatch_store_restores',
     description='Times that the store came back from an older copy.',
 )
+STORE_ERA: typing.Final = 'galenahatch_store_era'
 store_era = _meter.create_gauge(
-    'galenahatch_store_era', description='Newest era that the store named.'
+    STORE_ERA, description='Newest era that the store named.'
 )
 owner_changes = _meter.create_counter(
     'galenahatch_owner_changes', description='Times that the owner changed.'
--- a/galenahatch/gatewayctl.py
+++ b/galenahatch/gatewayctl.py
@@ -69,6 +69,7 @@
     'answers',
     'gives_orders',
     'configuration',
+    'store_era',
 )
 _LIMITS: typing.Final = (
     'upstream',
@@ -193,7 +194,8 @@
             seen = await scrapes.read(client, row.key)
             version = '' if seen is None else scrapes.version(seen)
             up, gives = seen is not None, row.key == holder
-            rows.append((row.key, where, row.ver, up, gives, version))
+            era = '' if seen is None else scrapes.store_era(seen)
+            rows.append((row.key, where, row.ver, up, gives, version, era))
         console.print_rows(_GATEWAYS, rows, json)
         return console.DONE
 
--- a/galenahatch/scrapes.py
+++ b/galenahatch/scrapes.py
@@ -63,6 +63,11 @@
     return int(samples.get((instruments.CONFIG_VERSION, ''), 0))
 
 
+def store_era(samples: Samples) -> int:
+    """Return the newest era of the store that a gateway has heard of."""
+    return int(samples.get((instruments.STORE_ERA, ''), 0))
+
+
 def of_customer(samples: Samples, name: str) -> tuple[float, float]:
     """Return the units and the refusals that a gateway has counted."""
     return (
--- a/galenahatch/test/test_gatewayctl.py
+++ b/galenahatch/test/test_gatewayctl.py
@@ -215,6 +215,7 @@
     (row,) = json.loads(capsys.readouterr().out)
     assert (row['gateway'], row['answers']) == (vm.address, True)
     assert row['gives_orders'] is False
+    assert row['store_era'] == fleet.run(lambda: fleet.store.era)
     vm.kill()
     assert _run('status', '--store', fleet.address, '--json') == 0
     (row,) = json.loads(capsys.readouterr().out)
