Members are put in order when places change, not with each question

Places are pairs since the restores, and are compared by name as well, so sorting them took 41 us with 103 members and 212 us with 410, where plain numbers took 12 and 48; it was done with each message to the owner.

--- a/galenahatch/core/members.py
+++ b/galenahatch/core/members.py
@@ -117,6 +117,8 @@
         self._era = 0
         self._told_size = 1
         self._listened_at = math.inf
+        # In their order; nothing once places or members have changed.
+        self._ordered: list[ids.MemberId] | None = None
         self.known: dict[ids.MemberId, Member] = {}
 
     @property
@@ -143,6 +145,7 @@
     ) -> bool:
         """Take a row; return whether the member is new."""
         self._era = max(self._era, order.era)
+        self._ordered = None
         member = self.known.get(name)
         if member is None:
             self.known[name] = Member(name, port, order, now)
@@ -172,6 +175,7 @@
         member = self.known[name]
         if member.order.number <= version.number:
             return False
+        self._ordered = None
         member.order = _LAST
         member.lost_at = min(member.lost_at, now)
         return True
@@ -182,10 +186,12 @@
 
     def drop(self, name: ids.MemberId) -> bool:
         """Forget a member whose row is gone; return whether it was known."""
+        self._ordered = None
         return self.known.pop(name, None) is not None
 
     def joined(self, order: versions.Version) -> None:
         """Note the place that this member's row has got."""
+        self._ordered = None
         self._joined = order
         self._place_me()
 
@@ -244,11 +250,14 @@
         member.heard_at = now
         if leaving is not None:
             member.leaving = leaving
+        before = member.order
         if incarnation and member.incarnation not in (0, incarnation):
             member.restarted()
         member.incarnation = incarnation or member.incarnation
         if order.era == self._era:
             member.take_order(order)
+        if member.order != before:
+            self._ordered = None
 
     def told_size(self, size: int) -> None:
         """Note how many members one that is asked often knows of."""
@@ -277,9 +286,11 @@
 
     def ordered(self) -> list[ids.MemberId]:
         """Return all members, who has been there longest first."""
-        return sorted(
-            self.known, key=lambda name: (self.known[name].order, name)
-        )
+        if self._ordered is None:
+            self._ordered = sorted(
+                self.known, key=lambda name: (self.known[name].order, name)
+            )
+        return self._ordered
 
     def is_live(self, name: ids.MemberId, now: float) -> bool:
         """Return whether a member answers and does not stop."""
