Restores: one test for a restore between versions, names that can be told apart

From reading the change again. Whether the store was restored between two versions was worked out in the entries and in the roster; it stands in core/versions now. Members.lose, lost_row and lost_since meant two things, an own row and others': keep_unlisted, lost_own_row, unlisted_since. One type for the two callbacks of a feed. Behaviour is the same; tests only follow the names.

--- a/galenahatch/core/members.py
+++ b/galenahatch/core/members.py
@@ -71,7 +71,7 @@
     incarnation: int = 0
     hears_store: bool = False
     outdated: versions.Version = NO_PLACE
-    lost_at: float = math.inf
+    unlisted_at: float = math.inf
 
     def take_order(self, order: versions.Version) -> None:
         """Take a place, if it is newer than the one that is known."""
@@ -152,11 +152,11 @@
         else:
             member.take_row(order)
             member.leaving = False
-            member.lost_at = math.inf
+            member.unlisted_at = math.inf
         self._place_me()
         return member is None
 
-    def lose(
+    def keep_unlisted(
         self, name: ids.MemberId, version: versions.Version, now: float
     ) -> bool:
         """Keep a member that a restored store lacks, if its row was lost.
@@ -177,12 +177,12 @@
             return False
         self._ordered = None
         member.order = _LAST
-        member.lost_at = min(member.lost_at, now)
+        member.unlisted_at = min(member.unlisted_at, now)
         return True
 
-    def lost_since(self, moment: float) -> list[ids.MemberId]:
-        """Return members whose rows have been lost since a moment."""
-        return [n for n, m in self.known.items() if m.lost_at <= moment]
+    def unlisted_since(self, moment: float) -> list[ids.MemberId]:
+        """Return members that have had no row since a moment."""
+        return [n for n, m in self.known.items() if m.unlisted_at <= moment]
 
     def drop(self, name: ids.MemberId) -> bool:
         """Forget a member whose row is gone; return whether it was known."""
@@ -195,7 +195,7 @@
         self._joined = order
         self._place_me()
 
-    def lost_row(self) -> None:
+    def lost_own_row(self) -> None:
         """Note that this member has no row any more."""
         self.joined(NO_PLACE)
 
--- a/galenahatch/core/versions.py
+++ b/galenahatch/core/versions.py
@@ -34,3 +34,13 @@
 
 NEVER: typing.Final = Version(0, -1)
 """Older than all versions."""
+
+
+def is_restore(before: Version, after: Version) -> bool:
+    """Return whether the store was restored between two versions.
+
+    Args:
+        before: known until now; `NEVER` if nothing was known.
+        after: of the news.
+    """
+    return before != NEVER and before.era < after.era
--- a/galenahatch/gateway/entries.py
+++ b/galenahatch/gateway/entries.py
@@ -146,8 +146,7 @@
         self, rows: list[stores.Row], version: versions.Version
     ) -> None:
         """Take the whole list, as of a version."""
-        is_restored = versions.NEVER < self._version
-        is_restored &= self._version.era < version.era
+        is_restored = versions.is_restore(self._version, version)
         if not self._advance(rows, version):
             return
         if is_restored:
--- a/galenahatch/gateway/follower.py
+++ b/galenahatch/gateway/follower.py
@@ -54,8 +54,7 @@
 
 _JITTER: typing.Final = (0.7, 1.3)
 
-TakeAll = collections.abc.Callable[[list[stores.Row], versions.Version], None]
-TakeSome = TakeAll
+Take = collections.abc.Callable[[list[stores.Row], versions.Version], None]
 
 
 class Outage:
@@ -119,8 +118,8 @@
         store: stores.Store,
         outage: Outage,
         table: str,
-        take_all: TakeAll,
-        take_some: TakeSome,
+        take_all: Take,
+        take_some: Take,
         gather: float = GATHER,
         idle: collections.abc.Callable[[], bool] = lambda: False,
     ) -> None:
--- a/galenahatch/gateway/roster.py
+++ b/galenahatch/gateway/roster.py
@@ -208,7 +208,7 @@
             _log.warning('Could not join yet.', detail=detail)
             await asyncio.sleep(_WRITE_PAUSE)
 
-    def _check_mine(
+    def _check_own_row(
         self, rows: list[stores.Row], version: versions.Version
     ) -> None:
         """Find this member's row in a list of all."""
@@ -220,11 +220,11 @@
         if number == joined.number or (is_same_era and number > joined.number):
             self.members.joined(versions.Version(version.era, number))
         else:
-            self._lose_row(version)
+            self._lost_own_row(version)
 
-    def _lose_row(self, version: versions.Version) -> None:
+    def _lost_own_row(self, version: versions.Version) -> None:
         _log.warning('Own row lost.', era=version.era, ver=version.number)
-        self.members.lost_row()
+        self.members.lost_own_row()
         self._is_lost.set()
 
     async def tidy(self, decides: bool) -> None:
@@ -234,7 +234,7 @@
             decides: whether this member is the owner, who removes rows.
         """
         now = clock.now()
-        for name in self.members.lost_since(now - _REJOIN):
+        for name in self.members.unlisted_since(now - _REJOIN):
             self._drop(name)
         if decides:
             await self._remove_silent(now)
@@ -264,14 +264,13 @@
     def _take_all(
         self, rows: list[stores.Row], version: versions.Version
     ) -> None:
-        self._check_mine(rows, version)
-        is_restored = versions.NEVER < self._listed
-        is_restored &= self._listed.era < version.era
+        self._check_own_row(rows, version)
+        is_restored = versions.is_restore(self._listed, version)
         self._listed = version
         now = clock.now()
         current = {row.key for row in rows}
         for name in self.members.known.keys() - current:
-            if is_restored and self.members.lose(name, version, now):
+            if is_restored and self.members.keep_unlisted(name, version, now):
                 continue
             self._drop(name)
         self._begin_list()
@@ -291,7 +290,7 @@
                     name == self._me
                     and members.NO_PLACE < self.members.order < version
                 ):
-                    self._lose_row(version)
+                    self._lost_own_row(version)
                 continue
             told = introduction(row)
             if told is None:
--- a/galenahatch/test/test_restores.py
+++ b/galenahatch/test/test_restores.py
@@ -355,16 +355,18 @@
     assert known.ordered() == ['b', 'c', 'd', 'a']
     for number, member in enumerate('abc', 5):
         known.put(name(member), 1, versions.Version(2, number), 0.2)
-    known.lost_row()
-    assert known.lose(name('d'), versions.Version(2, 7), 0.2)
+    known.lost_own_row()
+    assert known.keep_unlisted(name('d'), versions.Version(2, 7), 0.2)
     assert known.ordered() == ['b', 'c', 'a', 'd']
-    assert not known.lose(name('c'), versions.Version(2, 7), 0.2), 'removed'
-    assert known.lost_since(0.2) == ['d']
+    assert not known.keep_unlisted(name('c'), versions.Version(2, 7), 0.2), (
+        'removed'
+    )
+    assert known.unlisted_since(0.2) == ['d']
     known.heard(name('b'), 0.3, order=versions.Version(1, 90))
     known.heard(name('a'), 0.3, order=versions.Version(2, 5))
     assert known.ordered() == ['a', 'b', 'c', 'd'], 'its own word counts'
     known.put(name('d'), 1, versions.Version(2, 8), 0.4)
-    assert not known.lost_since(9.0)
+    assert not known.unlisted_since(9.0)
 
 
 @pytest.fixture
