Tests: cases of restores as text, one reader for such files

The table of what a gateway knows around a restore stood in the test; it is test-data/restores.txt now, like entries, settings and documents, and these are read by one function in place of three.

--- a/galenahatch/test/test_incarnations.py
+++ b/galenahatch/test/test_incarnations.py
@@ -20,8 +20,6 @@
 import asyncio
 import collections.abc
 import dataclasses
-import pathlib
-import re
 import typing
 
 import aiohttp
@@ -43,6 +41,7 @@
 from galenahatch.platform import engines
 from galenahatch.platform import store as stores
 from galenahatch import tasks
+from galenahatch.test import cases
 
 _SERVICE: typing.Final = ids.ServiceName('model')
 _ENTRY: typing.Final[dict[str, typing.Any]] = {
@@ -56,9 +55,6 @@
     'seq_no': 1,
     'stage': 'decode',
 }
-_CASES: typing.Final = (
-    pathlib.Path(__file__).parents[2] / 'test-data' / 'entries.txt'
-)
 
 
 def _id(born: int, name: str = 'i-1') -> ids.UpstreamId:
@@ -104,21 +100,11 @@
 # Entries.
 
 
-def _cases() -> list[typing.Any]:
-    parts = re.split(r'^== ', _CASES.read_text(), flags=re.M)[1:]
-    found = []
-    for part in parts:
-        title, _, rest = part.partition('\n')
-        value, _, expected = rest.partition('\n-- ')
-        data = value.encode().decode('unicode_escape').encode('latin-1')
-        found.append(pytest.param(data, expected.strip(), id=title))
-    return found
-
-
-@pytest.mark.parametrize(('value', 'expected'), _cases())
-def test_entries(value: bytes, expected: str) -> None:
+@pytest.mark.parametrize(('value', 'expected'), cases.read('entries.txt'))
+def test_entries(value: str, expected: str) -> None:
     """An entry names an upstream, or says why it names none."""
-    found = documents.upstream('i-1', value)
+    data = value.encode().decode('unicode_escape').encode('latin-1')
+    found = documents.upstream('i-1', data)
     if expected == 'good':
         assert isinstance(found, upstreams.Upstream), found
         return
--- a/galenahatch/test/test_platform.py
+++ b/galenahatch/test/test_platform.py
@@ -15,7 +15,6 @@
 import asyncio
 import collections.abc
 import pathlib
-import typing
 
 import aiohttp
 from aiohttp import web
@@ -32,26 +31,12 @@
 from galenahatch.platform import engines
 from galenahatch.platform import store as stores
 from galenahatch.platform import wire
+from galenahatch.test import cases
 from galenahatch.test.standin import rows
 
-CASES: typing.Final = pathlib.Path(__file__).parents[2] / 'test-data'
 
-
-def _cases(name: str) -> list[tuple[str, str, str]]:
-    """Return title, document and expectation of each case of a file."""
-    found = []
-    text = (CASES / name).read_text()
-    for block in text.split('\n== ')[1:]:
-        title, _, rest = block.partition('\n')
-        document, _, expected = rest.partition('\n-- ')
-        found.append((title, document.strip(), expected.strip()))
-    return found
-
-
-@pytest.mark.parametrize(
-    ('title', 'document', 'expected'), _cases('settings.txt')
-)
-def test_settings(title: str, document: str, expected: str) -> None:
+@pytest.mark.parametrize(('document', 'expected'), cases.read('settings.txt'))
+def test_settings(document: str, expected: str) -> None:
     """Each wrong field is named, with what would be right."""
     found = deployment.decode(document.encode())
     if expected == 'good':
@@ -62,10 +47,8 @@
     assert expected in found.detail
 
 
-@pytest.mark.parametrize(
-    ('title', 'document', 'expected'), _cases('documents.txt')
-)
-def test_documents(title: str, document: str, expected: str) -> None:
+@pytest.mark.parametrize(('document', 'expected'), cases.read('documents.txt'))
+def test_documents(document: str, expected: str) -> None:
     """A bad configuration is a failure that says which field is wrong."""
     found = documents.configuration(document.encode())
     if expected == 'good':
--- a/galenahatch/test/test_restores.py
+++ b/galenahatch/test/test_restores.py
@@ -39,6 +39,7 @@
 from galenahatch.platform import eras
 from galenahatch.platform import store as stores
 from galenahatch import tasks
+from galenahatch.test import cases
 from galenahatch.test import fleet as fleets
 from galenahatch.test.standin import rows
 
@@ -256,13 +257,6 @@
     assert heard.newest == (era or 2)
 
 
-_Step = tuple[str, int, int, int, str]
-"""What is told: all or some; era and number; number and kind of `i-1`."""
-_BEFORE: typing.Final = ('all', 1, 20, 5, 'ready')
-_LOST: typing.Final = (
-    ('some', 1, 21, 21, 'gone'),
-    ('some', 1, 22, 22, 'ready'),
-)
 _KINDS: typing.Final = {
     'ready': msgspec.json.encode(_entry()),
     'draining': msgspec.json.encode(_entry('draining')),
@@ -271,10 +265,10 @@
 }
 
 
-def _take(known: directories.Directory, step: _Step) -> None:
-    what, era, number, ver, kind = step
-    version = versions.Version(era, number)
-    row = stores.Row('i-1', ver, _KINDS.get(kind, b''), kind == 'gone')
+def _take(known: directories.Directory, step: str) -> None:
+    what, era, number, ver, kind = step.split()
+    version = versions.Version(int(era), int(number))
+    row = stores.Row('i-1', int(ver), _KINDS.get(kind, b''), kind == 'gone')
     if what == 'some':
         known.entries.take_some([row], version)
     else:
@@ -284,49 +278,15 @@
 
 # Guards against: an older copy of the store brings back what is known better,
 # or takes away what it only lacks.
-@pytest.mark.parametrize(
-    ('steps', 'used'),
-    [
-        ([('some', 1, 21, 21, 'gone'), ('all', 2, 10, 5, 'ready')], '--7'),
-        ([('some', 1, 21, 21, 'gone'), ('all', 2, 30, 22, 'ready')], '777'),
-        (
-            [
-                ('some', 1, 21, 21, 'gone'),
-                ('all', 2, 10, 5, 'ready'),
-                ('some', 2, 11, 11, 'ready'),
-            ],
-            '777',
-        ),
-        (
-            [
-                ('some', 1, 21, 21, 'gone'),
-                ('all', 2, 10, 5, 'ready'),
-                ('all', 3, 9, 5, 'ready'),
-                ('some', 3, 10, 10, 'gone'),
-            ],
-            '---',
-        ),
-        ([('some', 1, 21, 21, 'spoiled'), ('all', 2, 10, 5, 'ready')], '--7'),
-        ([('some', 1, 21, 21, 'draining'), ('all', 2, 9, 5, 'ready')], '---'),
-        ([('some', 1, 21, 21, 'again'), ('all', 2, 10, 5, 'ready')], '999'),
-        ([*_LOST, ('all', 2, 10, 0, '')], '7--'),
-        ([*_LOST, ('all', 2, 10, 0, ''), ('all', 3, 9, 0, '')], '7--'),
-        (
-            [*_LOST, ('all', 2, 10, 0, ''), ('all', 2, 11, 11, 'ready')],
-            '777',
-        ),
-        ([*_LOST, ('all', 2, 23, 0, '')], '---'),
-        ([('some', 1, 21, 21, 'ready'), ('all', 2, 10, 0, '')], '---'),
-    ],
-)
+@pytest.mark.parametrize(('steps', 'used'), cases.read('restores.txt'))
 def test_copy_brings_nothing_back_that_is_known_better(
-    steps: list[_Step], used: str, monkeypatch: pytest.MonkeyPatch
+    steps: str, used: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Which start is used at once, after 2.1 s, and after 7 s."""
     now = 100.0
     monkeypatch.setattr(clock, 'now', lambda: now)
     known = _knows(1, 1, 'i-2')
-    for step in [_BEFORE, *steps]:
+    for step in steps.splitlines():
         _take(known, step)
     found = ''
     for now in (100.0, 102.1, 107.0):
