--- a/galenahatch/test/deployment.py
+++ b/galenahatch/test/deployment.py
@@ -211,7 +211,7 @@
             self.start_vm(index)
         for name, url in self.urls.items():
             path = '/vms' if name == 'vms' else '/runs'
-            wait_for(
+            self._wait_for(
                 functools.partial(_answers, url + path), f'{name} answers'
             )
         self.list_vms()
@@ -228,21 +228,30 @@
             entry = self.daemons.get(f'entry{index}')
             if entry is not None and entry.running():
                 url = self.entry_url(index) + '/readyz'
-                try:
-                    wait_for(
-                        functools.partial(_is_ready, url),
-                        f'entry{index} is ready',
-                        START_SECONDS,
-                    )
-                except AssertionError as error:
-                    raise AssertionError(f'{error}\n{self._told()}') from None
+                self._wait_for(
+                    functools.partial(_is_ready, url),
+                    f'entry{index} is ready',
+                    START_SECONDS,
+                )
+
+    def _wait_for(
+        self,
+        check: typing.Callable[[], bool],
+        what: str,
+        seconds: float = 15.0,
+    ) -> None:
+        """Wait until a check holds; show all logs if it does not."""
+        try:
+            wait_for(check, what, seconds)
+        except AssertionError as error:
+            raise AssertionError(f'{error}\n{self._told()}') from None
 
     def _told(self) -> str:
         """Return the ends of all logs, for a failure to be traced by."""
         return '\n'.join(
             f'{name}, running {process.running()}, ports {self.ports}:'
             f' {process.log_text()[-1500:]}'
-            for name, process in self.daemons.items()
+            for name, process in {**self.stand_ins, **self.daemons}.items()
         )
 
     def close(self) -> None:
