--- a/galenahatch/test/test_told_leaving.py
+++ b/galenahatch/test/test_told_leaving.py
@@ -18,6 +18,7 @@
 """
 
 import collections.abc
+from concurrent import futures
 import threading
 import time
 import typing
@@ -59,26 +60,26 @@
 def _ask_all(fleet: fleets.Fleet, path: str, times: int = 40) -> None:
     """Send requests through all gateways; each is served."""
     for number in range(times):
-        answer = fleet.ask(path, vm=number % 3)
-        if not answer.served:
-            fleet.show_logs()
-        assert answer.served, answer
+        _check_served(fleet, fleet.ask(path, vm=number % 3))
+
+
+def _check_served(fleet: fleets.Fleet, answer: fleets.Answer) -> None:
+    if not answer.served:
+        fleet.show_logs()
+    assert answer.served, answer
 
 
 def _ask_at_once(fleet: fleets.Fleet, path: str) -> None:
-    """Send a request through each gateway at the same time.
+    """Send a request through each gateway at the same time; all are served.
 
     Of two idle engines, the one that was known first would get all requests
     that come one by one.
     """
-    callers = [
-        threading.Thread(target=fleet.ask, args=(path,), kwargs={'vm': vm})
-        for vm in range(len(fleet.vms))
-    ]
-    for caller in callers:
-        caller.start()
-    for caller in callers:
-        caller.join()
+    vms = range(len(fleet.vms))
+    with futures.ThreadPoolExecutor() as callers:
+        answers = list(callers.map(lambda vm: fleet.ask(path, vm=vm), vms))
+    for answer in answers:
+        _check_served(fleet, answer)
 
 
 def _tell(
