Settings: features that a deployment asks for

Cause: nothing said for which deployments admission control and flow control take effect.

Change: `Settings.features`, off by default. The contract `pressure` of the settings turns both on; `features` names them one by one and goes first. A wrong type is reported with field, value and what would be right. `gatewayctl check` shows them.

--- a/galenahatch/gateway/settings.py
+++ b/galenahatch/gateway/settings.py
@@ -59,6 +59,21 @@
     quota: quotas.Bound = quotas.Bound()
 
 
+@dataclasses.dataclass(frozen=True)
+class Features:
+    """Features that a deployment asks for.
+
+    Attributes:
+        admission_control: Whether plain calls to a service that lacks
+            capacity need a grant of the owner.
+        flow_control: Whether the bytes held for slow callers and upstreams
+            are limited.
+    """
+
+    admission_control: bool = False
+    flow_control: bool = False
+
+
 @dataclasses.dataclass(frozen=True)
 class Settings:
     """Settings of one gateway process.
@@ -73,6 +88,7 @@
         store: Address of the platform's store.
         bounds: Limits that the deployment guarantees.
         heartbeat: Time between two writes of an upstream's entry to the store.
+        features: Features that the deployment asks for.
     """
 
     name: str
@@ -84,3 +100,17 @@
     store: Address
     bounds: Bounds
     heartbeat: float
+    features: Features = Features()
+
+    def summary(self) -> list[tuple[str, str]]:
+        """Return the settings that operators check, with their values."""
+        rows = [
+            (name, str(getattr(self, name)))
+            for name in ('name', 'data_centre', 'front', 'readiness', 'store')
+        ]
+        features = dataclasses.asdict(self.features)
+        rows += [
+            (f'features.{name}', 'on' if is_on else 'off')
+            for name, is_on in features.items()
+        ]
+        return rows
--- a/galenahatch/gatewayctl.py
+++ b/galenahatch/gatewayctl.py
@@ -117,11 +117,7 @@
     settings = deployment.load(str(file))
     if isinstance(settings, errors.Failure):
         return console.report(settings)
-    rows = [
-        (name, str(getattr(settings, name)))
-        for name in ('name', 'data_centre', 'front', 'readiness', 'store')
-    ]
-    console.print_table(('setting', 'value'), rows, json)
+    console.print_table(('setting', 'value'), settings.summary(), json)
     return console.SUCCESS
 
 
--- a/galenahatch/platform/deployment.py
+++ b/galenahatch/platform/deployment.py
@@ -17,6 +17,7 @@
 or invalid field is reported with its name, its value and the expected value.
 """
 
+import dataclasses
 import math
 import os
 import typing
@@ -29,6 +30,8 @@
 from galenahatch import ids
 
 PATH_VARIABLE: typing.Final = 'GALENAHATCH_SETTINGS'
+_PRESSURE_CONTRACT: typing.Final = 'pressure'
+"""Contract that turns on all features unless `features` says otherwise."""
 
 
 class _Listen(msgspec.Struct, frozen=True):
@@ -61,6 +64,8 @@
     platform: _Platform
     bounds: _Bounds = _Bounds()
     heartbeat_ms: float = 1200.0
+    contracts: object = ()
+    features: object = None
 
 
 def settings_path() -> str:
@@ -102,6 +107,9 @@
         return _invalid_field(
             'heartbeat_ms', raw.heartbeat_ms, 'a finite time above 0'
         )
+    features = _parse_features(raw.contracts, raw.features)
+    if isinstance(features, errors.Failure):
+        return features
     return settings.Settings(
         name=raw.node_name,
         address=raw.ip,
@@ -112,6 +120,7 @@
         store=store,
         bounds=_convert_bounds(raw.bounds),
         heartbeat=raw.heartbeat_ms / 1000,
+        features=features,
     )
 
 
@@ -129,6 +138,33 @@
     )
 
 
+def _parse_features(
+    contracts: object, overrides: object
+) -> settings.Features | errors.Failure:
+    """Return the features that contracts ask for, or that are named.
+
+    The value of a wrong field is part of the failure, which a typed decoder
+    would leave out.
+    """
+    if not isinstance(contracts, list | tuple) or not all(
+        isinstance(contract, str) for contract in contracts
+    ):
+        return _invalid_field('contracts', contracts, 'a list of names')
+    if overrides is None:
+        overrides = {}
+    if not isinstance(overrides, dict):
+        return _invalid_field('features', overrides, 'an object')
+    enabled: dict[str, bool] = {}
+    for field in dataclasses.fields(settings.Features):
+        value = overrides.get(field.name, _PRESSURE_CONTRACT in contracts)
+        if not isinstance(value, bool):
+            return _invalid_field(
+                f'features.{field.name}', value, 'true or false'
+            )
+        enabled[field.name] = value
+    return settings.Features(**enabled)
+
+
 def _parse_address(field: str, text: str) -> settings.Address | errors.Failure:
     host, _, port = text.rpartition(':')
     if not host or not port.isdigit() or not 0 < int(port) < 65536:
--- a/galenahatch/test/test_gatewayctl.py
+++ b/galenahatch/test/test_gatewayctl.py
@@ -50,6 +50,7 @@
         for row in json.loads(capsys.readouterr().out)
     }
     assert shown['store'] == fleet.vms[0].store
+    assert shown['features.admission_control'] == 'off'
     wrong = tmp_path / 'wrong.json'
     text = fleet.vms[0].settings_file.read_text()
     wrong.write_text(text.replace('[7660,7675]', '[7675,7660]'))
--- a/galenahatch/test/test_platform.py
+++ b/galenahatch/test/test_platform.py
@@ -47,6 +47,31 @@
     assert expected in found.detail
 
 
+@pytest.mark.parametrize(
+    ('fields', 'expected'),
+    [
+        ('', settings.Features()),
+        ('"contracts": ["base", "drain"]', settings.Features()),
+        ('"contracts": ["base", "pressure"]', settings.Features(True, True)),
+        (
+            '"contracts": ["pressure"], "features": {"flow_control": false}',
+            settings.Features(True, False),
+        ),
+        (
+            '"features": {"admission_control": true, "new": 1}',
+            settings.Features(True, False),
+        ),
+    ],
+)
+def test_features(fields: str, expected: settings.Features) -> None:
+    """A contract turns features on; features that are named go first."""
+    least = cases.read('settings.txt')[0].values[0].rstrip('}\n')
+    document = f'{least}}}, {fields}}}' if fields else f'{least}}}}}'
+    found = deployment.decode(document.encode())
+    assert isinstance(found, settings.Settings), found
+    assert found.features == expected
+
+
 @pytest.mark.parametrize(('document', 'expected'), cases.read('documents.txt'))
 def test_documents(document: str, expected: str) -> None:
     """A bad configuration is a failure that says which field is wrong."""
