Load reports: decode all figures of the load header

Cause: the adapter kept only the sum of running and waiting requests, so nothing could use the slots or the present time of work that upstreams state.

Change: `ResponseHead.load` is a `LoadReport` with all figures. Malformed and implausible figures (counts above 65,535, a time of work outside 10 to 10,000 percent) are ignored one by one and returned as `load_error`. The balancer still gets running + waiting. Heads whose load was an absurd count, which were taken at their word before, now have no load.

Measured: test_platform.py passes (65 cases, 18 of them new in test-data/loads.txt); format, lint, types, layers, boundary, sizes pass.

--- a/galenahatch/gateway/calls.py
+++ b/galenahatch/gateway/calls.py
@@ -20,6 +20,7 @@
 import multidict
 
 from galenahatch.core import customers
+from galenahatch.core import loadreports
 from galenahatch import errors
 from galenahatch import ids
 
@@ -158,7 +159,7 @@
         is_signed: Whether the response bears the upstream's signature.
         not_executed: Whether the upstream states that it did not execute the
             request.
-        load: Requests running and queued at the upstream; None if not stated.
+        load: Load of the upstream; None if not stated.
         is_encoded: Whether a content coding was applied to the body.
         rate_limit: Requests per second that the upstream accepts from all VMs
             together; None if it states no limit, a failure if the value is
@@ -168,6 +169,8 @@
         pause: Seconds for which the upstream, having rejected the request,
             wants no more requests from this VM; None if not stated, a failure
             if the value is invalid.
+        load_error: Figures of the load that are malformed or implausible and
+            were ignored; None if there are none.
     """
 
     status: int
@@ -175,8 +178,9 @@
     request_id: str
     is_signed: bool
     not_executed: bool
-    load: int | None
+    load: loadreports.LoadReport | None
     is_encoded: bool
     rate_limit: float | None | errors.Failure = None
     leaving: bool | errors.Failure = False
     pause: float | None | errors.Failure = None
+    load_error: errors.Failure | None = None
--- a/galenahatch/gateway/plain.py
+++ b/galenahatch/gateway/plain.py
@@ -249,7 +249,7 @@
         now = clock.now()
         if head is not None and head.load is not None:
             self._context.balancer.record_load(
-                attempt.upstream, head.load, now
+                attempt.upstream, head.load.total, now
             )
         is_success = failure is None and head is not None and head.status < 500
         registry = self._context.directory.registry
--- a/galenahatch/platform/wire.py
+++ b/galenahatch/platform/wire.py
@@ -25,6 +25,7 @@
 
 from galenahatch.core import customers
 from galenahatch.core import incarnations
+from galenahatch.core import loadreports
 from galenahatch import errors
 from galenahatch.gateway import calls
 
@@ -94,6 +95,12 @@
 """Digits in a valid number; sums of longer ones are not exact."""
 _MAX_LOGGED_CHARS: typing.Final = 40
 """Characters of a malformed value to include in an error."""
+_MAX_LOAD_COUNT: typing.Final = 65535
+"""Highest plausible number of requests at an upstream: each has a connection,
+and a port has no more of them from one address."""
+_SLOWDOWN_PERCENT_RANGE: typing.Final = (10.0, 10000.0)
+"""Plausible times of work, in percent of the usual time. Work that takes a
+hundred times as long is never answered in time."""
 
 RawHeaders = typing.Iterable[tuple[bytes, bytes]]
 
@@ -179,17 +186,19 @@
 def decode_response_head(status: int, raw: RawHeaders) -> calls.ResponseHead:
     """Decode the head of an upstream's response."""
     headers = _end_to_end_headers(raw)
+    load, load_error = _parse_load(headers.get(_LOAD, ''))
     return calls.ResponseHead(
         status=status,
         headers=headers,
         request_id=headers.get(_REQUEST_ID, ''),
         is_signed=_SIGNATURE in headers,
         not_executed=_NOT_EXECUTED in headers or status == 421,
-        load=_parse_load(headers.get(_LOAD, '')),
+        load=load,
         is_encoded=headers.get('Content-Encoding', 'identity') != 'identity',
         rate_limit=_lowest_number(headers, _RATE_LIMIT),
         leaving=_announces_drain(headers),
         pause=_lowest_number(headers, _RETRY_AFTER) if status == 503 else None,
+        load_error=load_error,
     )
 
 
@@ -255,15 +264,47 @@
     )
 
 
-def _parse_load(text: str) -> int | None:
-    """Return the sum of running and waiting requests.
+def _parse_load(
+    text: str,
+) -> tuple[loadreports.LoadReport | None, errors.Failure | None]:
+    """Return the load that a header states, and what is wrong with it.
 
-    A third number, the slots, is ignored.
+    The figures are the requests running and waiting, optionally the slots and
+    the present time of work in percent of the usual. If one of the latter two
+    is implausible, the others still count.
     """
-    numbers = [_parse_number(part.strip()) for part in text.split(',')]
-    if len(numbers) < 2 or numbers[0] is None or numbers[1] is None:
+    if not text:
+        return None, None
+    parts = [part.strip() for part in text.split(',')]
+    counts = [_parse_count(part) for part in parts[:3]]
+    slowdown = _parse_slowdown(parts[3]) if len(parts) > 3 else None
+    is_malformed = None in counts or (len(parts) > 3 and slowdown is None)
+    error = (
+        _malformed_header(_LOAD, text, 'plausible counts and percentage')
+        if is_malformed or len(counts) < 2
+        else None
+    )
+    running, waiting, slots = (*counts, None, None, None)[:3]
+    if running is None or waiting is None:
+        return None, error
+    report = loadreports.LoadReport(running, waiting, slots or 0, slowdown)
+    return report, error
+
+
+def _parse_count(text: str) -> int | None:
+    number = _parse_number(text)
+    if number is None or number > _MAX_LOAD_COUNT:
+        return None
+    return int(number)
+
+
+def _parse_slowdown(text: str) -> float | None:
+    """Return the time of work as a multiple of the usual, if plausible."""
+    if not _DECIMAL_FORMAT.fullmatch(text):
         return None
-    return int(numbers[0] + numbers[1])
+    percent = float(text)
+    lowest, highest = _SLOWDOWN_PERCENT_RANGE
+    return percent / 100 if lowest <= percent <= highest else None
 
 
 def _lowest_number(
