Call grants: messages, the owner's side, the client and the path of a call

Cause: each gateway sent plain calls at once, so that an upstream's FIFO queue decided under a burst: nearly all calls waited until they were late.

Change: gateways state the level of messages that they know, and new messages go only to those that state it (`gateway/links`). `gateway/choice` is the part of `plain` that chooses the upstream, with grants for contended services.

--- a/galenahatch/gateway/callmessages.py
+++ b/galenahatch/gateway/callmessages.py
@@ -94,6 +94,12 @@
     why: str = ''
 
 
+class CallDeclined(messages.Message, frozen=True, array_like=True, tag=True):
+    """Declines a queued call, which the next owner may grant."""
+
+    number: int
+
+
 class CallEnded(messages.Message, frozen=True, array_like=True, tag=True):
     """Reports the end of a granted send, or of the wait for a grant.
 
@@ -130,3 +136,11 @@
 
     services: tuple[ids.ServiceName, ...]
     seconds: float
+
+
+OwnerReply = CallQueued | CallGranted | CallRejected | CallDeclined
+"""What the owner sends about one call."""
+OwnerRequest = CallRequest | CallEnded | LoadNotice
+"""What gateways send to the owner."""
+AnyCallMessage = OwnerReply | OwnerRequest | Contention
+"""Every message of this module."""
--- /dev/null
+++ b/galenahatch/gateway/choice.py
@@ -0,0 +1,254 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Chooses the upstream for each send of one request to a plain service.
+
+While the service is contended, each send needs a grant of the owner
+(`callgrants`), which also chooses the upstream. Without an owner that decides,
+a request is sent only if the known load lets it end within its deadline.
+Otherwise the balancer chooses.
+"""
+
+import collections.abc
+import typing
+
+from galenahatch import clock
+from galenahatch.core import loadreports
+from galenahatch.core import plaincalls
+from galenahatch.core import routes
+from galenahatch.core import upstreams
+from galenahatch import errors
+from galenahatch.gateway import calls
+from galenahatch.gateway import context as contexts
+from galenahatch.gateway import grants
+from galenahatch import ids
+from galenahatch import logs
+
+_RETRY_AFTER_S: typing.Final = 0.1
+_MAX_FULL: typing.Final = 2
+"""Rejections for lack of room after which a request is refused: the known
+loads have been wrong twice then."""
+_REJECTIONS: typing.Final = {
+    plaincalls.RejectionReason.NO_ROOM: errors.NO_TIME,
+    plaincalls.RejectionReason.QUEUE_FULL: errors.QUEUE_FULL,
+    plaincalls.RejectionReason.NO_UPSTREAM: errors.NO_ENGINE,
+}
+_log = logs.Log('choice')
+
+
+class UpstreamChoice:
+    """Chooses upstreams for one request.
+
+    Attributes:
+        avoid: Upstreams that the request was sent to.
+        full_count: Upstreams that rejected the request for lack of room,
+            where grants are enabled.
+        detail: Why the last choice found no upstream.
+    """
+
+    def __init__(
+        self,
+        context: contexts.Context,
+        call: calls.Call,
+        route: routes.Route,
+        service: ids.ServiceName,
+    ) -> None:
+        self._context = context
+        self._call = call
+        self._route = route
+        self._service = service
+        self._deadline = contexts.answer_deadline(call, route)
+        # Seconds until the upstreams that were skipped accept requests again.
+        self._rate_limited: dict[ids.UpstreamId, float] = {}
+        self._paused: dict[ids.UpstreamId, float] = {}
+        self._grant: grants.Grant | None = None
+        self._rejected: grants.Rejected | None = None
+        self.avoid: set[ids.UpstreamId] = set()
+        self.full_count = 0
+        self.detail = ''
+
+    @property
+    def are_full(self) -> bool:
+        """Whether too many upstreams were full to try another one."""
+        return self.full_count >= _MAX_FULL
+
+    async def choose(self) -> upstreams.Upstream | None:
+        """Return an upstream that accepts a request now, or None."""
+        self._rate_limited.clear()
+        if not self._context.contention.is_contended(self._service):
+            return await self._choose_balanced()
+        outcome = await self._acquire_grant()
+        if isinstance(outcome, grants.Undecided):
+            return await self._choose_alone(outcome.why)
+        if isinstance(outcome, grants.Rejected):
+            self._rejected = outcome
+            return None
+        return outcome
+
+    def end_grant(
+        self,
+        result: plaincalls.SendResult,
+        seconds: float = 0.0,
+        load: loadreports.LoadReport | None = None,
+    ) -> None:
+        """End the grant of the current send, if there is one."""
+        if self._grant is not None:
+            self._grant.end(result, seconds, load)
+            self._grant = None
+
+    def refusal(self, detail: str) -> errors.Failure:
+        """Refuse the request, which was not executed, with a retry time."""
+        if self.are_full and self._rejected is None:
+            self._rejected = _no_room(_RETRY_AFTER_S, 'all full')
+        if self._rejected is not None:
+            return contexts.retryable_failure(
+                _REJECTIONS[self._rejected.reason],
+                f'{self._rejected.why}; {detail}'.rstrip('; '),
+                self._rejected.retry_after,
+            )
+        retry_times = [*self._rate_limited.values(), *self._paused.values()]
+        reason = (
+            errors.RATE_LIMITED if self._rate_limited else errors.NO_ENGINE
+        )
+        return contexts.retryable_failure(
+            reason, detail, min(retry_times, default=_RETRY_AFTER_S)
+        )
+
+    def _usable(self) -> collections.abc.Sequence[upstreams.Upstream]:
+        """Return the service's usable upstreams; update their pauses."""
+        usable = self._context.directory.registry.usable(
+            self._service, clock.now()
+        )
+        paused = self._context.notices.pauses_left()
+        self._paused = {u.id: paused[u.id] for u in usable if u.id in paused}
+        return usable
+
+    def _excluded(self) -> frozenset[ids.UpstreamId]:
+        return frozenset(
+            self.avoid | self._rate_limited.keys() | self._paused.keys()
+        )
+
+    def _takes_work(self, upstream: ids.UpstreamId) -> bool:
+        """Return whether an upstream still accepts work."""
+        registry = self._context.directory.registry
+        return registry.accepts_work(upstream, clock.now())
+
+    async def _choose_balanced(self) -> upstreams.Upstream | None:
+        """Return the balancer's choice among those that accept a request."""
+        while True:
+            usable = self._usable()
+            chosen = self._context.balancer.choose(
+                usable,
+                self._excluded(),
+                clock.now(),
+                self._route.is_repeatable,
+            )
+            if chosen is None:
+                break
+            wait = await self._context.rate_limits.acquire(chosen.id)
+            if not wait and self._takes_work(chosen.id):
+                return chosen
+            self._rate_limited[chosen.id] = wait
+        self.detail = (
+            f'{len(usable)} usable, {len(self.avoid)} tried,'
+            f' {len(self._rate_limited)} limited, {len(self._paused)} paused'
+        )
+        return None
+
+    # Contended services.
+
+    async def _acquire_grant(
+        self,
+    ) -> upstreams.Upstream | grants.Rejected | grants.Undecided:
+        """Return an upstream that is granted and accepts a request now.
+
+        A grant that can't be used is ended, and another upstream is asked for.
+        """
+        while True:
+            usable = {upstream.id: upstream for upstream in self._usable()}
+            excluded = self._excluded()
+            outcome = await self._context.call_grants.acquire(
+                self._grant_request(excluded)
+            )
+            if not isinstance(outcome, grants.Grant):
+                return outcome
+            self._grant = outcome
+            if outcome.upstream in excluded:
+                self.end_grant(plaincalls.SendResult.CANCELLED)
+                return grants.Undecided('no other upstream')
+            wait = await self._context.rate_limits.acquire(outcome.upstream)
+            chosen = usable.get(outcome.upstream)
+            if chosen and not wait and self._takes_work(chosen.id):
+                return chosen
+            self.end_grant(plaincalls.SendResult.CANCELLED)
+            self._rate_limited[outcome.upstream] = wait
+
+    def _grant_request(
+        self, excluded: frozenset[ids.UpstreamId]
+    ) -> grants.GrantRequest:
+        call, route = self._call, self._route
+        return grants.GrantRequest(
+            request_id=call.id,
+            service=self._service,
+            customer=call.customer_name,
+            priority=contexts.priority(call, route),
+            arrived_at=call.arrived_at,
+            objective_at=call.arrived_at + route.latency_objective,
+            deadline=self._deadline,
+            fingerprint=call.digest,
+            is_repeat=bool(self.avoid),
+            avoid=excluded,
+        )
+
+    async def _choose_alone(self, why: str) -> upstreams.Upstream | None:
+        """Return the balancer's choice if its known load leaves time for it.
+
+        A request that was sent before is sent only to an upstream whose load
+        is known.
+        """
+        chosen = await self._choose_balanced()
+        if chosen is None:
+            return None
+        delay = self._expected_delay(chosen)
+        time_left = contexts.seconds_until(self._deadline)
+        is_allowed = not self.avoid if delay is None else delay <= time_left
+        _log.info(
+            'Decided alone.',
+            request=self._call.id,
+            upstream=chosen.id,
+            sent=is_allowed,
+            expected=-1.0 if delay is None else delay,
+            time_left=time_left,
+            why=why,
+        )
+        if is_allowed:
+            return chosen
+        retry_after = max(_RETRY_AFTER_S, (delay or 0.0) - time_left)
+        self._rejected = _no_room(retry_after, f'decided alone, {why}')
+        return None
+
+    def _expected_delay(self, upstream: upstreams.Upstream) -> float | None:
+        """Return the seconds until a call ends; None if not known."""
+        now = clock.now()
+        report = self._context.loads.latest(upstream.id, now)
+        if report is None:
+            return None
+        siblings = self._context.directory.registry.usable(self._service, now)
+        return self._context.balancer.delays.delay(
+            upstream, report.total, [one.id for one in siblings], now
+        )
+
+
+def _no_room(retry_after: float, why: str) -> grants.Rejected:
+    return grants.Rejected(
+        plaincalls.RejectionReason.NO_ROOM, retry_after, why
+    )
--- a/galenahatch/gateway/context.py
+++ b/galenahatch/gateway/context.py
@@ -17,11 +17,14 @@
 
 from galenahatch import clock
 from galenahatch.core import balance
+from galenahatch.core import loadreports
 from galenahatch.core import retrybudget
 from galenahatch.core import routes
 from galenahatch import errors
 from galenahatch.gateway import accounts as accounts_module
+from galenahatch.gateway import callgrants
 from galenahatch.gateway import calls
+from galenahatch.gateway import contention as contention_module
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import notices as notices_module
 from galenahatch.gateway import owner_client
@@ -58,6 +61,9 @@
     rate_limits: ratelimits.RateLimits
     notices: notices_module.Notices
     tasks: tasks.Tasks
+    loads: loadreports.Loads
+    contention: contention_module.Contention
+    call_grants: callgrants.CallGrants
 
 
 @dataclasses.dataclass(frozen=True)
--- a/galenahatch/gateway/frames.py
+++ b/galenahatch/gateway/frames.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from galenahatch import errors
+from galenahatch.gateway import callmessages
 from galenahatch.gateway import messages
 
 _VERSION: typing.Final = 1
@@ -51,6 +52,7 @@
     | messages.Suspicions
     | messages.UpdateRequest
     | messages.Update
+    | callmessages.AnyCallMessage
 )
 """Every message that one gateway can send to another."""
 
--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -122,50 +122,97 @@
     HELD_BACK,
     description='Times that a plain call found no room, by upstream.',
 )
+call_grants = _meter.create_counter(
+    'galenahatch_call_grants',
+    description='Sends to plain services granted as owner, by service.',
+)
+call_rejections = _meter.create_counter(
+    'galenahatch_call_rejections',
+    description='Plain calls rejected as owner, by service and reason.',
+)
+call_outcomes = _meter.create_counter(
+    'galenahatch_call_outcomes',
+    description='What came of the grants that this gateway asked for.',
+)
+call_wait_seconds = _meter.create_histogram(
+    'galenahatch_call_wait_seconds',
+    unit='s',
+    description='From the arrival of a plain call to its grant, by service.',
+)
 GaugeCallback = typing.Callable[[], typing.Mapping[str, float]]
-"""Returns the values of a gauge by upstream."""
+"""Returns the values of a gauge by upstream, or by its other label."""
 _gauge_callbacks: dict[str, GaugeCallback] = {}
 
 
-def _upstream_gauge(name: str, unit: str, description: str) -> str:
+def _gauge(
+    name: str, unit: str, description: str, label: str = 'upstream'
+) -> str:
     def observe(
         options: api.CallbackOptions,
     ) -> typing.Iterable[api.Observation]:
         values = _gauge_callbacks[name]() if name in _gauge_callbacks else {}
-        for upstream, value in values.items():
-            yield api.Observation(value, {'upstream': upstream})
+        for key, value in values.items():
+            yield api.Observation(value, {label: key})
 
     _meter.create_observable_gauge(name, [observe], unit, description)
     return name
 
 
-RATE_LIMIT: typing.Final = _upstream_gauge(
+RATE_LIMIT: typing.Final = _gauge(
     'galenahatch_upstream_rate_limit',
     '1/s',
     'Requests a second that an upstream takes, by upstream.',
 )
-LIMITED_SECONDS: typing.Final = _upstream_gauge(
+LIMITED_SECONDS: typing.Final = _gauge(
     'galenahatch_upstream_limited_seconds',
     's',
     'Seconds since an upstream began to name a limit, by upstream.',
 )
-LEAVING_SECONDS: typing.Final = _upstream_gauge(
+LEAVING_SECONDS: typing.Final = _gauge(
     'galenahatch_upstream_leaving_seconds',
     's',
     'Seconds since an upstream said that it leaves, by upstream.',
 )
-PAUSED_SECONDS: typing.Final = _upstream_gauge(
+PAUSED_SECONDS: typing.Final = _gauge(
     'galenahatch_upstream_paused_seconds',
     's',
     'Seconds left of a pause that this gateway was asked for, by upstream.',
 )
+CALL_IN_FLIGHT: typing.Final = _gauge(
+    'galenahatch_call_in_flight',
+    '1',
+    'Granted sends in flight as the owner counts them, by upstream.',
+)
+CALL_WINDOW: typing.Final = _gauge(
+    'galenahatch_call_window',
+    '1',
+    'Sends that the owner allows at the same time, by upstream.',
+)
+CALLS_QUEUED: typing.Final = _gauge(
+    'galenahatch_calls_queued',
+    '1',
+    'Plain calls that wait for a grant of this owner, by service.',
+    'service',
+)
+CUSTOMER_CALLS_QUEUED: typing.Final = _gauge(
+    'galenahatch_customer_calls_queued',
+    '1',
+    'Plain calls that wait for a grant of this owner, by customer.',
+    'customer',
+)
+SERVICE_CONTENDED: typing.Final = _gauge(
+    'galenahatch_service_contended',
+    '1',
+    'Whether calls to a service need a grant of this owner, by service.',
+    'service',
+)
 orders = _meter.create_counter(
     'galenahatch_orders', description='Orders sent to engines, by status.'
 )
 
 
 def register_gauge(name: str, callback: GaugeCallback) -> None:
-    """Set the function that returns the values of a gauge by upstream."""
+    """Set the function that returns the values of a gauge by its label."""
     _gauge_callbacks[name] = callback
 
 
--- a/galenahatch/gateway/mesh.py
+++ b/galenahatch/gateway/mesh.py
@@ -29,9 +29,11 @@
 from galenahatch import clock
 from galenahatch.core import members
 from galenahatch.gateway import accounts
+from galenahatch.gateway import callmessages
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import frames
 from galenahatch.gateway import instruments
+from galenahatch.gateway import links
 from galenahatch.gateway import messages
 from galenahatch.gateway import notices
 from galenahatch.gateway import outcomes
@@ -50,9 +52,6 @@
 """Seconds in which members that were stopped at the same time restart."""
 _log = logs.Log('mesh')
 
-CODEC: typing.Final = bus.Codec[frames.AnyMessage](
-    frames.encode, frames.decode
-)
 _BEFORE_HEARTBEAT: typing.Final = (
     messages.PlacementRequest,
     messages.StageChangeRequest,
@@ -119,14 +118,11 @@
             directory.outage,
             ids.MemberId(address),
             rosters.MemberRow(port, data_centre),
-            self._close_link,
+            lambda name: self._links.close_link(name),
             self._guard.begin_snapshot,
             self._guard.apply_row,
         )
         self._members = self._roster.members
-        self._links: dict[ids.MemberId, bus.Link[frames.AnyMessage]] = {}
-        self._peers: dict[ids.MemberId, bus.Peer] = {}
-        self._member_ids: dict[bus.Peer, ids.MemberId] = {}
         self._updates = updates.UpdateRequester(directory)
         self._started_at = clock.now()
         self._owner = ids.MemberId('')
@@ -138,7 +134,10 @@
         self.figures: collections.abc.Callable[
             [], tuple[records.Figures, ...]
         ] = tuple
-        self._hub = bus.Hub(f'tcp://{address}:{port}', CODEC, self._on_hub)
+        endpoint = f'tcp://{address}:{port}'
+        self._links = links.Links(
+            endpoint, self._members, self._on_hub, self._on_link
+        )
         self._connect_exchanges()
 
     def _connect_exchanges(self) -> None:
@@ -168,9 +167,7 @@
 
     def close(self) -> None:
         """Close all sockets."""
-        self._hub.close()
-        for link in self._links.values():
-            link.close()
+        self._links.close()
 
     def owner(self) -> ids.MemberId:
         """Return the first member that answers, or else this one."""
@@ -191,14 +188,25 @@
 
     def send(self, name: ids.MemberId, message: frames.AnyMessage) -> None:
         """Send a message, which is lost if the member is unreachable."""
-        if name in self._members.by_name:
-            self._link(name).send(message)
+        self._links.send(name, message)
 
     def reply(self, name: ids.MemberId, message: frames.AnyMessage) -> None:
         """Send a message to a member that has sent one."""
-        peer = self._peers.get(name)
-        if peer is not None:
-            self._hub.send(peer, message)
+        self._links.reply(name, message)
+
+    def broadcast(self, message: frames.AnyMessage) -> None:
+        """Send a message to all members that ask this one."""
+        for name in self._links.peers:
+            self._links.reply(name, message)
+
+    def knows(self, name: ids.MemberId, level: int) -> bool:
+        """Return whether a member knows messages up to a level."""
+        return name == self.me or self._links.knows(name, level)
+
+    @property
+    def heartbeat_window(self) -> float:
+        """Seconds within which each reachable member sends a heartbeat."""
+        return members.liveness_window(self._members.heartbeat_slowdown)
 
     def _set_owner(self, name: ids.MemberId) -> ids.MemberId:
         if name != self._owner:
@@ -246,6 +254,7 @@
             self._notices.leaving_upstreams(),
             self._directory.upstreams_version.era,
             self._members.rank.era,
+            callmessages.MESSAGE_LEVEL,
         )
         if self._members.owner(self.leaving, now) == self.me:
             self._exchange.apply_own_totals()
@@ -275,14 +284,13 @@
                 break
             live_count += name == self.me or self._members.is_live(name, now)
             if name != self.me:
-                self._link(name).send(message)
+                self._links.send(name, message)
 
     def _announce(self, new: tuple[messages.Suspicion, ...]) -> None:
         """Send suspicions to the owner, which sends them to all members."""
         message = messages.Suspicions(new)
         if self._owner == self.me:
-            for name in self._peers:
-                self.reply(name, message)
+            self.broadcast(message)
         else:
             self.tell_owner(message)
 
@@ -290,25 +298,9 @@
         """Report use of quotas to the owner and the candidates at once."""
         self.tell_owner(messages.QuotaUsage(used))
 
-    def _close_link(self, name: ids.MemberId) -> None:
-        link = self._links.pop(name, None)
-        if link is not None:
-            link.close()
-
-    def _link(self, name: ids.MemberId) -> bus.Link[frames.AnyMessage]:
-        link = self._links.get(name)
-        if link is None:
-            member = self._members.by_name[name]
-            link = self._links[name] = bus.Link(
-                f'tcp://{member.address}:{member.port}',
-                CODEC,
-                lambda message: self._on_link(name, message),
-            )
-        return link
-
     def _on_hub(self, peer: bus.Peer, message: frames.AnyMessage) -> None:
         if isinstance(message, messages.Heartbeat):
-            self._record_peer(message.member, peer)
+            self._links.record_peer(message.member, peer)
             self._record_heartbeat(message.member, message)
             self._exchange.add_reported(message.outcomes)
             self._accounts.add_reported(message.used)
@@ -334,14 +326,15 @@
                     self._notices.leaving_upstreams(),
                     self._directory.upstreams_version.era,
                     self._members.rank.era,
+                    callmessages.MESSAGE_LEVEL,
                 ),
             )
             self._request_update(message)
             self._handler(message.member, message)
             return
         if isinstance(message, _BEFORE_HEARTBEAT):
-            self._record_peer(message.member, peer)
-        name = self._member_ids.get(peer)
+            self._links.record_peer(message.member, peer)
+        name = self._links.member(peer)
         if name is not None:
             self._dispatch(name, message, self.reply)
 
@@ -365,6 +358,7 @@
         name: ids.MemberId,
         heartbeat: messages.Heartbeat | messages.HeartbeatReply,
     ) -> None:
+        self._links.record_level(name, heartbeat.message_level)
         order = messages.order_version(heartbeat)
         self._roster.add_versions(order, messages.upstreams_version(heartbeat))
         self._members.record_message(
@@ -375,15 +369,6 @@
         )
         self._members.set_follows_store(name, delivers_changes)
 
-    def _record_peer(self, name: ids.MemberId, peer: bus.Peer) -> None:
-        """Record the connection on which replies reach a member."""
-        old_peer = self._peers.get(name)
-        if old_peer != peer:
-            if old_peer is not None:
-                self._member_ids.pop(old_peer, None)
-            self._peers[name] = peer
-            self._member_ids[peer] = name
-
     def _dispatch(
         self,
         name: ids.MemberId,
--- a/galenahatch/gateway/messages.py
+++ b/galenahatch/gateway/messages.py
@@ -111,6 +111,7 @@
         leaving_upstreams: Upstreams whose answers recently announced this.
         era: Era of `upstreams_version`.
         order_era: Era of `order`.
+        message_level: Level of messages that the sender knows.
     """
 
     member: ids.MemberId
@@ -128,6 +129,7 @@
     leaving_upstreams: tuple[ids.UpstreamId, ...] = ()
     era: int = 0
     order_era: int = 0
+    message_level: int = 0
 
 
 class HeartbeatReply(Message, frozen=True, array_like=True, tag='BeatBack'):
@@ -156,6 +158,7 @@
     leaving_upstreams: tuple[ids.UpstreamId, ...] = ()
     era: int = 0
     order_era: int = 0
+    message_level: int = 0
 
 
 class PlacementRequest(Message, frozen=True, array_like=True, tag='Place'):
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -27,11 +27,16 @@
 
 from galenahatch import clock
 from galenahatch.core import balance
+from galenahatch.core import loadreports
 from galenahatch.core import retrybudget
 from galenahatch import errors
 from galenahatch.gateway import accounts as accounts_module
+from galenahatch.gateway import callgrants
+from galenahatch.gateway import callmessages
+from galenahatch.gateway import callowner
 from galenahatch.gateway import calls
 from galenahatch.gateway import connections
+from galenahatch.gateway import contention
 from galenahatch.gateway import context as contexts
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import frames
@@ -142,10 +147,30 @@
             self._rate_limits.limiter,
             self._notices.pauses_left,
         )
-        self._balancer = balance.Balancer(clock.RANDOM, settings.data_centre)
+        self._loads = loadreports.Loads()
+        self._balancer = balance.Balancer(
+            clock.RANDOM, settings.data_centre, self._loads
+        )
         self._exchange = outcomes.OutcomeExchange(self._balancer.outliers)
+        self._open_admission()
         self._open_mesh()
 
+    def _open_admission(self) -> None:
+        """Create the components that admit plain calls."""
+        settings = self._settings
+        self._contention = contention.Contention(
+            self._directory,
+            self._loads,
+            settings.features.admission_control,
+        )
+        self._call_owner = callowner.CallOwner(self._directory)
+        self._call_grants = callgrants.CallGrants(
+            self._directory,
+            self._contention,
+            self._call_owner,
+            settings.data_centre,
+        )
+
     def _open_mesh(self) -> None:
         """Create the components that communicate with other gateways."""
         settings = self._settings
@@ -192,7 +217,13 @@
             message, messages.PermitRequest | messages.PermitReply
         ):
             self._rate_limits.handle_message(member, message)
+        elif isinstance(message, callmessages.OwnerRequest):
+            self._call_owner.handle_message(member, message)
+        elif isinstance(message, callmessages.AnyCallMessage):
+            self._call_grants.handle_message(member, message)
         else:
+            if isinstance(message, messages.Heartbeat):
+                self._call_owner.handle_message(member, message)
             self._owner_client.handle_message(member, message)
 
     def _record_answer(
@@ -203,6 +234,8 @@
     ) -> None:
         """Record what an upstream's answer says about further requests."""
         self._rate_limits.observe_response(upstream, sent_at, head)
+        if head.load is not None:
+            self._loads.record(upstream, head.load, clock.now())
         self._notices.record_answer(upstream, sent_at, head)
 
     def _cancel_waits(self, upstream: ids.UpstreamId) -> None:
@@ -220,6 +253,8 @@
         self._directory.run()
         self._mesh.run()
         self._owner_client.start(self._mesh, self._background_tasks)
+        self._call_owner.start(self._mesh, self._background_tasks)
+        self._call_grants.set_peers(self._mesh)
         reports.ReportPoller(
             self._directory,
             self._mesh,
@@ -245,6 +280,9 @@
                 rate_limits=self._rate_limits,
                 notices=self._notices,
                 tasks=self._background_tasks,
+                loads=self._loads,
+                contention=self._contention,
+                call_grants=self._call_grants,
             )
         )
         limits = self._frontend.limits
@@ -314,6 +352,7 @@
         self._frontend.drain(began_at + _BALANCER_DRAIN_S, exit_at)
         self._mesh.leaving = True
         self._owner_client.owner.decline_all()
+        self._call_owner.decline_all()
         _log.info('Stopping.', in_flight=self._frontend.in_flight)
         await self._wait_for_balancer(exit_at)
         while clock.now() < exit_at:
--- a/galenahatch/gateway/plain.py
+++ b/galenahatch/gateway/plain.py
@@ -16,18 +16,21 @@
 that no upstream has started it. A repeatable request is sent to a second
 upstream after an error, or if the first one is silent for too long, provided
 that the shared retry budget allows it.
+
+Which upstream gets a send, and whether any does, is decided in `choice`.
 """
 
-import collections.abc
 import dataclasses
 import typing
 
 from galenahatch import clock
 from galenahatch.core import fate
+from galenahatch.core import plaincalls
 from galenahatch.core import routes
 from galenahatch.core import upstreams
 from galenahatch import errors
 from galenahatch.gateway import calls
+from galenahatch.gateway import choice
 from galenahatch.gateway import context as contexts
 from galenahatch.gateway import instruments
 from galenahatch.gateway import sender as senders
@@ -40,9 +43,9 @@
 its first upstream is silent; the second attempt needs the rest."""
 _CONNECT_TIMEOUT_S: typing.Final = 0.25
 """Connections take a few ms within a region."""
-_RETRY_AFTER_S: typing.Final = 0.1
 _NOT_EXECUTED_STATUSES: typing.Final = frozenset((408, 421, 429, 503))
 """Statuses that tell a caller that its request was not executed."""
+_FULL_STATUS: typing.Final = 503
 _log = logs.Log('plain')
 
 
@@ -70,22 +73,25 @@
         self._route = route
         self._service = service
         self._sends = fate.Sends()
-        self._avoid: set[ids.UpstreamId] = set()
-        # Seconds until the upstreams that were skipped accept requests again.
-        self._rate_limited: dict[ids.UpstreamId, float] = {}
-        self._paused: dict[ids.UpstreamId, float] = {}
         self._deadline = contexts.answer_deadline(call, route)
+        self._choice = choice.UpstreamChoice(context, call, route, service)
         self._error_response: contexts.CompleteAnswer | None = None
         self._detail = ''
 
     async def run(self) -> contexts.CompleteAnswer | errors.Failure:
         """Return the response for the caller, or why there is none."""
+        try:
+            return await self._run()
+        finally:
+            self._choice.end_grant(plaincalls.SendResult.CANCELLED)
+
+    async def _run(self) -> contexts.CompleteAnswer | errors.Failure:
         self._context.budget.record_request(
             self._service, self._call.arrived_at
         )
         attempts = 0
         while self._may_try(attempts):
-            upstream = await self._choose()
+            upstream = await self._choice.choose()
             if upstream is None:
                 break
             attempts += 1
@@ -108,47 +114,13 @@
             return False
         if not attempts:
             return True
+        if not self._is_repeat_worthwhile():
+            return False
         return self._context.budget.spend(self._service, clock.now())
 
-    async def _choose(self) -> upstreams.Upstream | None:
-        """Return an upstream that accepts a request now, or None."""
-        self._rate_limited.clear()
-        while True:
-            now = clock.now()
-            usable = self._context.directory.registry.usable(
-                self._service, now
-            )
-            self._paused = self._paused_among(usable)
-            chosen = self._context.balancer.choose(
-                usable,
-                self._avoid | self._rate_limited.keys() | self._paused.keys(),
-                now,
-                self._route.is_repeatable,
-            )
-            if chosen is None:
-                break
-            wait = await self._context.rate_limits.acquire(chosen.id)
-            if not wait and self._takes_work(chosen.id):
-                return chosen
-            self._rate_limited[chosen.id] = wait
-        summary = (
-            f'{len(usable)} usable, {len(self._avoid)} tried,'
-            f' {len(self._rate_limited)} limited, {len(self._paused)} paused'
-        )
-        self._detail = f'{summary}; {self._detail}'.rstrip('; ')
-        return None
-
-    def _paused_among(
-        self, usable: collections.abc.Iterable[upstreams.Upstream]
-    ) -> dict[ids.UpstreamId, float]:
-        """Return the upstreams that asked for a pause, and its seconds."""
-        paused = self._context.notices.pauses_left()
-        return {u.id: paused[u.id] for u in usable if u.id in paused}
-
-    def _takes_work(self, upstream: ids.UpstreamId) -> bool:
-        """Return whether an upstream still accepts work."""
-        registry = self._context.directory.registry
-        return registry.accepts_work(upstream, clock.now())
+    def _is_repeat_worthwhile(self) -> bool:
+        """Return whether another send is likely enough to succeed."""
+        return not self._choice.are_full
 
     async def _send(self, upstream: upstreams.Upstream) -> _Attempt:
         time_left = contexts.seconds_until(self._deadline)
@@ -192,6 +164,7 @@
         """Record a send that was cancelled because the caller left."""
         self._sends.end(fate.Fate.UNCERTAIN)
         self._context.balancer.cancel(upstream)
+        self._choice.end_grant(plaincalls.SendResult.CANCELLED, seconds)
         _log.info(
             'Caller disconnected.',
             request=self._call.id,
@@ -225,9 +198,10 @@
         if failure is not None:
             head = failure.head
             self._detail = failure.detail
-        self._avoid.add(attempt.upstream)
+        self._choice.avoid.add(attempt.upstream)
         status = head.status if head is not None else 0
         self._update_balancer(attempt, head, failure)
+        self._report_load(attempt, head, seconds)
         instruments.sends.add(1, {'fate': send_fate.value})
         _log.info(
             'Sent.',
@@ -269,6 +243,27 @@
             ).likely,
         )
 
+    def _report_load(
+        self,
+        attempt: _Attempt,
+        head: calls.ResponseHead | None,
+        seconds: float,
+    ) -> None:
+        """End the grant, and record what the response says about the load."""
+        is_full = _is_full(attempt.failure)
+        if is_full:
+            result = plaincalls.SendResult.REJECTED
+        elif attempt.response is not None:
+            result = plaincalls.SendResult.ANSWERED
+        else:
+            result = plaincalls.SendResult.FAILED
+        load = head.load if head is not None else None
+        self._choice.end_grant(result, seconds, load)
+        contention = self._context.contention
+        contention.observe(self._service, attempt.upstream, load, is_full)
+        if is_full and contention.is_enabled(self._service):
+            self._choice.full_count += 1
+
     def _final_response(
         self, attempt: _Attempt
     ) -> contexts.CompleteAnswer | None:
@@ -292,18 +287,20 @@
         return None
 
     def _failure(self) -> errors.Failure:
+        detail = '; '.join(filter(None, (self._choice.detail, self._detail)))
         if self._sends.cannot_have_run:
-            return self._refusal()
+            return self._choice.refusal(detail)
         if contexts.has_passed(self._deadline):
-            return errors.Failure(errors.DEADLINE, self._detail)
-        return errors.Failure(errors.SEND_INTERRUPTED, self._detail)
+            return errors.Failure(errors.DEADLINE, detail)
+        return errors.Failure(errors.SEND_INTERRUPTED, detail)
 
-    def _refusal(self) -> errors.Failure:
-        """Refuse a request that was not executed, with a retry time."""
-        retry_times = [*self._rate_limited.values(), *self._paused.values()]
-        reason = (
-            errors.RATE_LIMITED if self._rate_limited else errors.NO_ENGINE
-        )
-        return contexts.retryable_failure(
-            reason, self._detail, min(retry_times, default=_RETRY_AFTER_S)
-        )
+
+def _is_full(failure: senders.FailedSend | None) -> bool:
+    """Return whether an upstream rejected a request for lack of room."""
+    return (
+        failure is not None
+        and failure.fate is fate.Fate.REFUSED
+        and failure.head is not None
+        and failure.head.status == _FULL_STATUS
+        and failure.head.leaving is not True
+    )
--- a/galenahatch/test/fleet.py
+++ b/galenahatch/test/fleet.py
@@ -176,6 +176,7 @@
         self.settings_file = folder / f'{self.address}.json'
         self.log = folder / f'{self.address}.log'
         self._process: subprocess.Popen[bytes] | None = None
+        self.module = 'galenahatch.gateway'
         self.write_settings()
 
     def write_settings(self, **changed: typing.Any) -> None:
@@ -200,7 +201,7 @@
         """Start the process."""
         with self.log.open('ab') as log:
             self._process = subprocess.Popen(
-                [sys.executable, '-m', 'galenahatch.gateway'],
+                [sys.executable, '-m', self.module],
                 env={
                     **os.environ,
                     'GALENAHATCH_SETTINGS': str(self.settings_file),
--- a/galenahatch/test/standin/upstreams.py
+++ b/galenahatch/test/standin/upstreams.py
@@ -37,6 +37,8 @@
 
 import msgspec
 
+from galenahatch.test.standin import capacity as capacity_module
+
 _PREFIX: typing.Final = 'x-galenahatch-'
 CRASHES: typing.Final = b'ends what runs it'
 CRASHES_READING: typing.Final = CRASHES + b' or reads it'
@@ -101,6 +103,7 @@
         self.arrived_at: list[float] = []
         self.says: dict[str, str] = {}
         self.on_start: collections.abc.Callable[[], None] = lambda: None
+        self.capacity: capacity_module.Capacity | None = None
         self._port = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -151,7 +154,7 @@
             'address': self.address,
             'zone': self.data_centre,
             'version': 'v1',
-            'slots': 8,
+            'slots': self.capacity.slots if self.capacity else 8,
             'state': state,
             'cold_left_ms': 0,
             'seq_no': 1,
@@ -230,6 +233,23 @@
         if self.stage == 'decode' and source and fault == 'no-handle':
             writer.write(self._refusal(seen, 503))
             return True
+        if self.capacity is None:
+            return await self._run(seen, fault, reader, writer)
+        if not await self.capacity.enter():
+            writer.write(self._refusal(seen, 503))
+            return True
+        try:
+            return await self._run(seen, fault, reader, writer)
+        finally:
+            self.capacity.leave()
+
+    async def _run(
+        self,
+        seen: Seen,
+        fault: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
         seen.ran = True
         if seen.body.startswith(CRASHES) and fault != 'error':
             return await self._end_by(seen, writer)
@@ -374,9 +394,12 @@
             f'HTTP/1.1 {status} Whatever\r\n'
             f'X-Galenahatch-Request-Id: {seen.id}\r\n'
             f'X-Galenahatch-Response-Stamp: stamp-{self.id}\r\n'
-            'X-Galenahatch-Instance-Load: 1,0,8\r\n'
+            f'X-Galenahatch-Instance-Load: {self._load()}\r\n'
         ).encode() + self._said()
 
+    def _load(self) -> str:
+        return self.capacity.load if self.capacity else '1,0,8'
+
     def _framed(self, seen: Seen, status: int, body: bytes) -> bytes:
         length = f'Content-Length: {len(body)}\r\n\r\n'.encode()
         return self._head(seen, status) + length + body
