Fair queue: any item, any number of classes

Cause: the queue knew only the requests of the separate programs, by stream, caller and three fixed classes; the gateway's owner needs the same queue for other requests. Change: an item has key, flow, urgency, share and cost; the constructor takes the weight of a class. Classes and flows are made on first use and dropped once they are empty and the virtual time of the others has reached theirs. The weights of the three classes move to core/jobs. Tests changed by names only.

--- a/galenahatch/core/cell.py
+++ b/galenahatch/core/cell.py
@@ -70,7 +70,7 @@
         self._tickets = tickets.Tickets()
         self._prefix_index = cache.PrefixIndex(CACHE_MAX_AGE_S)
         self._site_engines: dict[ids.SiteName, frozenset[ids.EngineName]] = {}
-        self._queue: fairness.FairQueue[jobs.Job] = fairness.FairQueue()
+        self._queue = fairness.FairQueue[jobs.Job](jobs.class_weight)
         self._start_deadlines: list[tuple[float, ids.StreamId]] = []
         self._reservations = reservations.Reservations(
             self._pools, self._estimator
--- a/galenahatch/core/fairness.py
+++ b/galenahatch/core/fairness.py
@@ -19,52 +19,46 @@
 over the caller's share. The class, and in it the flow, with the lowest
 virtual time is served next. No class starves, and a class or flow gains no
 credit while it is empty, so that it can't hold back the others afterwards.
+
+Classes and flows exist while they have requests, or a virtual time that the
+others have not reached yet.
 """
 
 import collections
+import collections.abc
 import heapq
 import typing
 
-from galenahatch import ids
-from galenahatch import states
-
-CLASS_WEIGHTS: typing.Final = {
-    states.Urgency.URGENT: 64.0,
-    states.Urgency.NORMAL: 8.0,
-    states.Urgency.BULK: 1.0,
-}
-"""Weight of each urgency class."""
-
 
 class Item(typing.Protocol):
     """Protocol of a queued request."""
 
     @property
-    def stream(self) -> ids.StreamId:
-        """Unique ID of the request's attempt."""
+    def key(self) -> collections.abc.Hashable:
+        """Unique ID of the request."""
 
     @property
-    def caller(self) -> ids.CallerName:
-        """Caller, which identifies the flow within the class."""
+    def flow(self) -> str:
+        """Flow within the class."""
 
     @property
-    def urgency(self) -> states.Urgency:
-        """Urgency class."""
+    def urgency(self) -> int:
+        """Urgency class; lower numbers are more urgent."""
 
     @property
     def share(self) -> float:
-        """Weight of the caller within its class."""
+        """Weight of the flow within its class; above 0."""
 
     @property
     def cost(self) -> float:
-        """Cost in seconds of engine time."""
+        """Cost, in one unit for all requests."""
 
 
 _I = typing.TypeVar('_I', bound=Item)
 
 
 class _Flow(typing.Generic[_I]):
-    """Queued requests of one caller in one class."""
+    """Queued requests of one flow in one class."""
 
     def __init__(self) -> None:
         self.items: collections.deque[_I] = collections.deque()
@@ -85,39 +79,61 @@
         # Virtual time of the flow served last; a flow that becomes non-empty
         # starts no earlier.
         self.flow_virtual_time = 0.0
-        self.flows: dict[ids.CallerName, _Flow[_I]] = {}
-        self.flow_heap: list[tuple[float, ids.CallerName]] = []
+        self.flows: dict[str, _Flow[_I]] = {}
+        self.flow_heap: list[tuple[float, str]] = []
+        # Empty flows that are no longer in the heap.
+        self.idle_flows: list[str] = []
         self.cost = 0.0
         self.count = 0
         self.total_share = 0.0
 
+    def drop_idle_flows(self) -> None:
+        """Drop the empty flows whose virtual time has passed."""
+        remaining = []
+        for name in self.idle_flows:
+            flow = self.flows.get(name)
+            if flow is None or flow.in_heap:
+                continue
+            if flow.virtual_time <= self.flow_virtual_time:
+                del self.flows[name]
+            else:
+                remaining.append(name)
+        self.idle_flows = remaining
+
 
 class FairQueue(typing.Generic[_I]):
-    """Fair queue of requests that wait for a pair of engines."""
+    """Fair queue of requests.
 
-    def __init__(self) -> None:
-        self._classes: dict[states.Urgency, _Class[_I]] = {
-            urgency: _Class(weight)
-            for urgency, weight in CLASS_WEIGHTS.items()
-        }
+    Args:
+        class_weight: Returns the weight of an urgency class; above 0.
+    """
+
+    def __init__(
+        self, class_weight: collections.abc.Callable[[int], float]
+    ) -> None:
+        self._class_weight = class_weight
+        self._classes: dict[int, _Class[_I]] = {}
         # Highest virtual time at which a class was served; a class that
         # becomes non-empty starts no earlier.
         self._virtual_time = 0.0
-        self._by_stream: dict[ids.StreamId, _I] = {}
+        self._by_key: dict[collections.abc.Hashable, _I] = {}
 
     def __len__(self) -> int:
-        return len(self._by_stream)
+        return len(self._by_key)
 
     def push(self, item: _I) -> None:
-        """Append a request to the flow of its caller and class."""
-        urgency_class = self._classes[item.urgency]
+        """Append a request to its flow."""
+        urgency_class = self._classes.get(item.urgency)
+        if urgency_class is None:
+            urgency_class = _Class(self._class_weight(item.urgency))
+            self._classes[item.urgency] = urgency_class
         if not urgency_class.count:
             urgency_class.virtual_time = max(
                 urgency_class.virtual_time, self._virtual_time
             )
-        flow = urgency_class.flows.get(item.caller)
+        flow = urgency_class.flows.get(item.flow)
         if flow is None:
-            flow = urgency_class.flows[item.caller] = _Flow()
+            flow = urgency_class.flows[item.flow] = _Flow()
         if not flow.items:
             flow.virtual_time = max(
                 flow.virtual_time, urgency_class.flow_virtual_time
@@ -127,25 +143,24 @@
         if not flow.in_heap:
             flow.in_heap = True
             heapq.heappush(
-                urgency_class.flow_heap, (flow.virtual_time, item.caller)
+                urgency_class.flow_heap, (flow.virtual_time, item.flow)
             )
         flow.items.append(item)
         flow.cost += item.cost
         urgency_class.cost += item.cost
         urgency_class.count += 1
-        self._by_stream[item.stream] = item
+        self._by_key[item.key] = item
 
     def heads(self) -> list[_I]:
         """Return the next request of each class, lowest virtual time first."""
         waiting = [
-            urgency_class
-            for urgency_class in self._classes.values()
+            (urgency_class.virtual_time, urgency)
+            for urgency, urgency_class in self._classes.items()
             if urgency_class.count
         ]
-        waiting.sort(key=lambda urgency_class: urgency_class.virtual_time)
         return [
-            self._next_flow(urgency_class).items[0]
-            for urgency_class in waiting
+            self._next_flow(self._classes[urgency]).items[0]
+            for _, urgency in sorted(waiting)
         ]
 
     def serve(self, item: _I) -> None:
@@ -159,77 +174,94 @@
         urgency_class.flow_virtual_time = flow.virtual_time
         flow.virtual_time += item.cost / item.share
         heapq.heapreplace(
-            urgency_class.flow_heap, (flow.virtual_time, item.caller)
+            urgency_class.flow_heap, (flow.virtual_time, item.flow)
         )
         self._remove_item(item)
+        urgency_class.drop_idle_flows()
+        self._drop_idle_classes()
 
-    def remove(self, stream: ids.StreamId) -> _I | None:
+    def remove(self, key: collections.abc.Hashable) -> _I | None:
         """Remove a request; return it, or None if it is not queued."""
-        item = self._by_stream.get(stream)
+        item = self._by_key.get(key)
         if item is not None:
             self._remove_item(item)
         return item
 
-    def count_waiting(self, caller: ids.CallerName) -> int:
-        """Return the number of queued requests of a caller."""
+    def count_waiting(self, flow: str) -> int:
+        """Return the number of queued requests of a flow in all classes."""
         return sum(
-            len(urgency_class.flows[caller].items)
+            len(urgency_class.flows[flow].items)
             for urgency_class in self._classes.values()
-            if caller in urgency_class.flows
+            if flow in urgency_class.flows
         )
 
     def work_ahead(self, item: _I) -> float:
-        """Estimate the queued work in seconds that is served before a request.
+        """Estimate the cost of the requests that are served before another.
 
         The request is not yet queued. Less urgent classes are ignored.
 
         Returns:
             All work of the more urgent classes, plus the smaller of two
             bounds for the request's own class: all work of the class, and
-            what the class serves, at the callers' shares, while it serves the
-            caller's queued work and the request, less the request itself.
+            what the class serves, at the flows' shares, while it serves the
+            flow's queued work and the request, less the request itself.
         """
-        urgency_class = self._classes[item.urgency]
-        flow = urgency_class.flows.get(item.caller)
+        return self._class_work(item) + self._more_urgent_work(item.urgency)
+
+    def items(self) -> typing.Iterator[_I]:
+        """Iterate over all requests in arbitrary order."""
+        # A copy, so that the caller can remove requests meanwhile.
+        return iter(list(self._by_key.values()))
+
+    def _class_work(self, item: _I) -> float:
+        urgency_class = self._classes.get(item.urgency)
+        if urgency_class is None:
+            return 0.0
+        flow = urgency_class.flows.get(item.flow)
         own_work = flow.cost if flow else 0.0
         other_shares = urgency_class.total_share - (
             flow.share if flow and flow.items else 0.0
         )
-        # Work that the class serves per second of work of the caller.
+        # Work that the class serves per unit of the flow's work.
         class_work_ratio = (other_shares + item.share) / item.share
-        class_work = min(
+        return min(
             urgency_class.cost,
             own_work * class_work_ratio + item.cost * (class_work_ratio - 1),
         )
-        return class_work + self._more_urgent_work(item.urgency)
 
-    def items(self) -> typing.Iterator[_I]:
-        """Iterate over all requests in arbitrary order."""
-        # A copy, so that the caller can remove requests meanwhile.
-        return iter(list(self._by_stream.values()))
-
-    def _more_urgent_work(self, urgency: states.Urgency) -> float:
+    def _more_urgent_work(self, urgency: int) -> float:
         return sum(
             urgency_class.cost
             for other_urgency, urgency_class in self._classes.items()
-            # Lower values are more urgent.
             if other_urgency < urgency
         )
 
     def _next_flow(self, urgency_class: _Class[_I]) -> _Flow[_I]:
         """Return the flow of a non-empty class that is served next."""
         while True:
-            _, caller = urgency_class.flow_heap[0]
-            flow = urgency_class.flows[caller]
+            _, name = urgency_class.flow_heap[0]
+            flow = urgency_class.flows[name]
             if flow.items:
                 return flow
             # An empty flow may still be in the heap.
             heapq.heappop(urgency_class.flow_heap)
             flow.in_heap = False
+            urgency_class.idle_flows.append(name)
+
+    def _drop_idle_classes(self) -> None:
+        """Drop the empty classes whose virtual time has passed."""
+        idle = [
+            urgency
+            for urgency, urgency_class in self._classes.items()
+            if not urgency_class.count
+            and urgency_class.virtual_time <= self._virtual_time
+        ]
+        for urgency in idle:
+            del self._classes[urgency]
 
     def _remove_item(self, item: _I) -> None:
         urgency_class = self._classes[item.urgency]
-        flow = urgency_class.flows[item.caller]
+        flow = urgency_class.flows[item.flow]
         flow.items.remove(item)
         flow.cost -= item.cost
         urgency_class.cost -= item.cost
@@ -241,4 +273,4 @@
         if not urgency_class.count:
             urgency_class.cost = 0.0
             urgency_class.total_share = 0.0
-        del self._by_stream[item.stream]
+        del self._by_key[item.key]
--- a/galenahatch/core/jobs.py
+++ b/galenahatch/core/jobs.py
@@ -19,6 +19,12 @@
 from galenahatch import messages
 from galenahatch import states
 
+CLASS_WEIGHTS: typing.Final = {
+    states.Urgency.URGENT: 64.0,
+    states.Urgency.NORMAL: 8.0,
+    states.Urgency.BULK: 1.0,
+}
+"""Weight of each urgency class."""
 _TICKET_FLOW: typing.Final = ids.CallerName('')
 
 
@@ -39,7 +45,12 @@
         return self.request.stream
 
     @property
-    def caller(self) -> ids.CallerName:
+    def key(self) -> ids.StreamId:
+        """Key in the queue."""
+        return self.request.stream
+
+    @property
+    def flow(self) -> ids.CallerName:
         """Flow in the queue: the caller, or the flow of ticket holders."""
         return _TICKET_FLOW if self.has_ticket else self.request.caller
 
@@ -55,3 +66,8 @@
 
     request: messages.PlaceRequest
     answer: messages.Placed | messages.GivenUp
+
+
+def class_weight(urgency: int) -> float:
+    """Return the weight of an urgency class."""
+    return CLASS_WEIGHTS[states.Urgency(urgency)]
--- a/galenahatch/test/samples.py
+++ b/galenahatch/test/samples.py
@@ -32,8 +32,8 @@
 class Item:
     """Something that waits in a queue."""
 
-    stream: ids.StreamId
-    caller: ids.CallerName
+    key: ids.StreamId
+    flow: ids.CallerName
     urgency: states.Urgency
     share: float
     cost: float
--- a/galenahatch/test/test_fuzz_rules.py
+++ b/galenahatch/test/test_fuzz_rules.py
@@ -19,6 +19,7 @@
 from galenahatch import config
 from galenahatch.core import assembly
 from galenahatch.core import fairness
+from galenahatch.core import jobs
 from galenahatch.core import lease
 from galenahatch.core import leaving
 from galenahatch.core import membership
@@ -205,7 +206,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.queue: fairness.FairQueue[samples.Item] = fairness.FairQueue()
+        self.queue = fairness.FairQueue[samples.Item](jobs.class_weight)
         self.items: dict[ids.StreamId, samples.Item] = {}
         self.count = 0
 
@@ -229,7 +230,7 @@
         )
         assert self.queue.work_ahead(item) >= 0
         self.queue.push(item)
-        self.items[item.stream] = item
+        self.items[item.key] = item
 
     @stateful.precondition(lambda self: self.items)
     @stateful.rule()
@@ -237,13 +238,13 @@
         """The head is served; it is the first of its caller and class."""
         item = self.queue.heads()[0]
         self.queue.serve(item)
-        del self.items[item.stream]
+        del self.items[item.key]
         same = [
             other
             for other in self.items.values()
-            if (other.caller, other.urgency) == (item.caller, item.urgency)
+            if (other.flow, other.urgency) == (item.flow, item.urgency)
         ]
-        assert all(int(o.stream[1:]) > int(item.stream[1:]) for o in same)
+        assert all(int(o.key[1:]) > int(item.key[1:]) for o in same)
 
     @stateful.precondition(lambda self: self.items)
     @stateful.rule(data=strategies.data())
@@ -257,7 +258,7 @@
     def same_content(self) -> None:
         """Queue and oracle hold the same requests."""
         assert len(self.queue) == len(self.items)
-        assert {i.stream for i in self.queue.items()} == set(self.items)
+        assert {i.key for i in self.queue.items()} == set(self.items)
         assert bool(self.queue.heads()) == bool(self.items)
 
 
