Admission of plain calls at the owner: windows, queues, returns

Cause: in a burst of twice the capacity every plain call waits in the upstreams' queues and nearly all are late.

--- /dev/null
+++ b/bench/callfleet.py
@@ -0,0 +1,583 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Virtual time model of a contended plain service before many gateways.
+
+Upstreams have slots and a short FIFO queue and reject what exceeds it. Clients
+return once after a rejection. `bench/admission` compares who decides.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import enum
+import functools
+import heapq
+import itertools
+import random
+import typing
+
+from galenahatch.core import balance
+from galenahatch.core import calladmission
+from galenahatch.core import loadreports
+from galenahatch.core import members
+from galenahatch.core import plaincalls
+from galenahatch.core import upstreams
+from galenahatch import ids
+
+SERVICE: typing.Final = ids.ServiceName('service')
+WORK_S: typing.Final = 0.06
+OBJECTIVE_S: typing.Final = 0.31
+DEADLINE_S: typing.Final = 1.55
+_LINK_S: typing.Final = 0.0014
+_QUEUE: typing.Final = 24
+_MAX_SENDS: typing.Final = 3
+_ACK_TIMEOUT_S: typing.Final = 0.05
+_ALONE_S: typing.Final = 1.0
+"""Seconds for which a gateway asks nobody after a missing acknowledgement."""
+_NOTICE_INTERVAL_S: typing.Final = 0.05
+_CONTENTION_S: typing.Final = 1.0
+_CENTRES: typing.Final = [ids.DataCentre(f'dc{i}') for i in range(3)]
+
+Result = plaincalls.SendResult
+Reply = collections.abc.Callable[[Result, loadreports.LoadReport | None], None]
+
+
+class Method(enum.Enum):
+    """Who decides whether a call is sent.
+
+    Attributes:
+        ALONE: Each gateway sends at once.
+        LIMITED: Each gateway rejects by the delay that it expects itself.
+        LEVELS: The same, by the loads that all gateways share by heartbeats.
+        GRANTS: The owner.
+    """
+
+    ALONE = 'alone'
+    LIMITED = 'limited'
+    LEVELS = 'levels'
+    GRANTS = 'grants'
+
+
+@dataclasses.dataclass(frozen=True)
+class Source:
+    """Calls that arrive at random.
+
+    Attributes:
+        rate: Calls a second.
+        heeds: Whether its clients wait as asked before they return.
+    """
+
+    rate: float
+    start: float
+    end: float
+    customers: tuple[str, ...] = ('',)
+    priority: int = 0
+    gateways: tuple[int, ...] = ()
+    heeds: bool = True
+
+
+@dataclasses.dataclass
+class Request:
+    """A client's request, with all its attempts."""
+
+    id: str
+    source: Source
+    customer: str
+    first_at: float
+    arrived_at: float = 0.0
+    attempts: int = 0
+    sends: int = 0
+    answered_at: float | None = None
+    is_done: bool = False
+    avoid: set[ids.UpstreamId] = dataclasses.field(default_factory=set)
+
+    @property
+    def in_time(self) -> bool:
+        """Whether it was answered within its objective, since its attempt."""
+        answered = self.answered_at
+        return answered is not None and (
+            answered - self.arrived_at <= OBJECTIVE_S
+        )
+
+
+class Engine:
+    """An upstream that executes calls."""
+
+    def __init__(self, fleet: 'Fleet', upstream: upstreams.Upstream) -> None:
+        self._fleet = fleet
+        self.upstream = upstream
+        self.slots = upstream.slots
+        self.slowdown = 1.0
+        self.fails = False
+        self._running = 0
+        self._queue: collections.deque[tuple[float, Reply]] = (
+            collections.deque()
+        )
+
+    def report(self) -> loadreports.LoadReport | None:
+        """Return the load as the fleet's reports state it."""
+        return self._fleet.distort(
+            loadreports.LoadReport(
+                self._running, len(self._queue), self.slots, self.slowdown
+            )
+        )
+
+    def receive(self, deadline: float, reply: Reply) -> None:
+        """Execute a call, queue it or reject it."""
+        if self.fails:
+            reply(Result.FAILED, None)
+        elif len(self._queue) >= _QUEUE:
+            reply(Result.REJECTED, self.report())
+        else:
+            self._queue.append((deadline, reply))
+            self._start()
+
+    def _start(self) -> None:
+        while self._queue and self._running < self.slots:
+            deadline, reply = self._queue.popleft()
+            if deadline <= self._fleet.now:
+                reply(Result.REJECTED, self.report())
+                continue
+            self._running += 1
+            work = WORK_S * self.slowdown
+            work *= self._fleet.random.lognormvariate(-0.03, 0.25)
+            self._fleet.at(work, functools.partial(self._finish, reply))
+
+    def _finish(self, reply: Reply) -> None:
+        self._running -= 1
+        self._start()
+        reply(Result.FAILED if self.fails else Result.ANSWERED, self.report())
+
+
+class Owner:
+    """A gateway that decides for some of the others."""
+
+    def __init__(self, fleet: 'Fleet') -> None:
+        self._fleet = fleet
+        self.admission = calladmission.CallAdmission(fleet.random)
+        self.suspended_until = 0.0
+        self.is_up = True
+        self._told_until = 0.0
+        self._woken_at = float('inf')
+        self.admission.set_upstreams(fleet.listed(), fleet.now)
+
+    def receive(
+        self, handle: collections.abc.Callable[['Owner'], None]
+    ) -> None:
+        """Handle a message once the process runs."""
+        if not self.is_up:
+            return
+        if self._fleet.now < self.suspended_until:
+            delay = self.suspended_until - self._fleet.now
+            self._fleet.at(delay, lambda: self.receive(handle))
+            return
+        handle(self)
+        self.drive()
+
+    def submit(self, gateway: 'Gateway', request: Request) -> None:
+        """Decide on a call or queue it."""
+        call = gateway.call(request)
+        decision = self.admission.submit(call, self._fleet.now)
+        self._fleet.message(
+            lambda: gateway.acknowledge(request, request.attempts)
+        )
+        if decision is not None:
+            self._tell(decision)
+
+    def drive(self) -> None:
+        """Send the decisions that are due."""
+        fleet = self._fleet
+        if not self.is_up or fleet.now < self.suspended_until:
+            return
+        for decision in self.admission.decide(fleet.now):
+            self._tell(decision)
+        if (
+            self.admission.is_contended(fleet.now)
+            and fleet.now > self._told_until - _CONTENTION_S / 2
+        ):
+            self._told_until = fleet.now + _CONTENTION_S
+            for gateway in fleet.gateways_of(self):
+                fleet.message(gateway.hear_contention)
+        at = self.admission.next_decision_at(fleet.now)
+        if at is not None and not fleet.now < self._woken_at <= at:
+            self._woken_at = at
+            fleet.at(max(0.001, at - fleet.now), self.drive)
+
+    def _tell(self, decision: plaincalls.Decision) -> None:
+        gateway = self._fleet.gateways[int(decision.call.key.member)]
+        self._fleet.message(lambda: gateway.hear(self, decision))
+
+
+class Gateway:
+    """A gateway that sends calls."""
+
+    def __init__(self, fleet: 'Fleet', number: int) -> None:
+        self._fleet = fleet
+        self.number = number
+        self._data_centre = _CENTRES[number % 3]
+        self._balancer = balance.Balancer(fleet.random, self._data_centre)
+        self._contended_until = 0.0
+        self._alone_until = 0.0
+        self._noticed_at = 0.0
+        self._numbers = itertools.count()
+        self._asked: dict[int, Request] = {}
+        self._acknowledged: set[tuple[str, int]] = set()
+        self.loads: dict[
+            ids.UpstreamId, tuple[float, loadreports.LoadReport]
+        ] = {}
+        self._in_flight: collections.Counter[ids.UpstreamId] = (
+            collections.Counter()
+        )
+
+    def arrive(self, request: Request) -> None:
+        """Handle an attempt of a client."""
+        request.attempts += 1
+        request.arrived_at = self._fleet.now
+        request.avoid.clear()
+        self._route(request)
+
+    def call(self, request: Request) -> plaincalls.PlainCall:
+        """Return the call that the owner decides on."""
+        number = next(self._numbers)
+        self._asked[number] = request
+        return plaincalls.PlainCall(
+            plaincalls.CallKey(ids.MemberId(str(self.number)), number),
+            ids.CustomerName(request.customer),
+            1.0,
+            request.source.priority,
+            request.arrived_at,
+            request.arrived_at + OBJECTIVE_S,
+            request.first_at + DEADLINE_S,
+            request.id,
+            bool(request.avoid),
+            frozenset(request.avoid),
+            self._data_centre,
+        )
+
+    def hear_contention(self) -> None:
+        """Learn that calls need a grant."""
+        self._contended_until = self._fleet.now + _CONTENTION_S
+
+    def hear(self, owner: Owner, decision: plaincalls.Decision) -> None:
+        """Carry out a decision of the owner."""
+        request = self._asked.pop(decision.call.key.number)
+        self._acknowledged.add((request.id, request.attempts))
+        key = decision.call.key
+        is_stale = request.arrived_at != decision.call.arrived_at
+        if is_stale or request.is_done or request.sends < 0:
+            self._report(owner, key, Result.CANCELLED, 0.0, None, None)
+        elif isinstance(decision, plaincalls.Rejected):
+            self._fleet.reject(request, decision.retry_after)
+        else:
+            self._send(request, decision.upstream, owner, key)
+
+    def acknowledge(self, request: Request, attempt: int) -> None:
+        """Learn that the owner knows a call."""
+        self._acknowledged.add((request.id, attempt))
+
+    def _route(self, request: Request) -> None:
+        fleet = self._fleet
+        method = fleet.method
+        owner = fleet.owner_of(self)
+        if (
+            method is Method.GRANTS
+            and owner is not None
+            and self._alone_until < fleet.now < self._contended_until
+        ):
+            attempt = request.attempts
+            fleet.message(
+                lambda: owner.receive(lambda o: o.submit(self, request))
+            )
+            fleet.at(_ACK_TIMEOUT_S, lambda: self._check_ack(request, attempt))
+            return
+        self._send_alone(request)
+
+    def _check_ack(self, request: Request, attempt: int) -> None:
+        if (request.id, attempt) in self._acknowledged or request.is_done:
+            return
+        self._acknowledged.add((request.id, attempt))
+        self._alone_until = self._fleet.now + _ALONE_S
+        self._send_alone(request)
+
+    def _send_alone(self, request: Request) -> None:
+        fleet = self._fleet
+        chosen = self._balancer.choose(
+            fleet.listed(), request.avoid, fleet.now
+        )
+        if chosen is None or len(request.avoid) >= _MAX_SENDS:
+            fleet.reject(request, 0.1)
+            return
+        is_limited = fleet.method is not Method.ALONE
+        end = fleet.now + self._expected_delay(chosen)
+        if is_limited and end > request.arrived_at + OBJECTIVE_S:
+            fleet.reject(request, 0.1)
+            return
+        self._send(request, chosen.id, None, None)
+
+    def _expected_delay(self, upstream: upstreams.Upstream) -> float:
+        at, report = self.loads.get(upstream.id, (-1e9, None))
+        load = self._in_flight[upstream.id] + 1.0
+        if report is not None and self._fleet.now - at < 1.0:
+            load += report.total
+        return WORK_S * max(1.0, load / upstream.slots)
+
+    def _send(
+        self,
+        request: Request,
+        upstream: ids.UpstreamId,
+        owner: Owner | None,
+        key: plaincalls.CallKey | None,
+    ) -> None:
+        fleet = self._fleet
+        request.sends += 1
+        fleet.sends += 1
+        self._balancer.begin(upstream)
+        self._in_flight[upstream] += 1
+        started_at = fleet.now
+        attempt = request.attempts
+
+        def answered(
+            result: Result, report: loadreports.LoadReport | None
+        ) -> None:
+            self._in_flight[upstream] -= 1
+            self._balancer.end(
+                upstream, result is Result.ANSWERED, fleet.listed(), fleet.now
+            )
+            self._learn(upstream, report)
+            if owner is not None and key is not None:
+                seconds = fleet.now - started_at
+                self._report(owner, key, result, seconds, upstream, report)
+            if request.attempts != attempt or request.is_done:
+                return
+            if result is Result.ANSWERED:
+                fleet.answer(request)
+            else:
+                request.avoid.add(upstream)
+                self._route(request)
+
+        engine = fleet.engines[upstream]
+        deadline = request.first_at + DEADLINE_S
+        fleet.at(
+            _LINK_S,
+            lambda: engine.receive(
+                deadline,
+                lambda *args: fleet.at(_LINK_S, lambda: answered(*args)),
+            ),
+        )
+
+    def _learn(
+        self, upstream: ids.UpstreamId, report: loadreports.LoadReport | None
+    ) -> None:
+        fleet = self._fleet
+        if report is None:
+            return
+        self._balancer.record_load(upstream, max(0, report.total), fleet.now)
+        self.loads[upstream] = (fleet.now, report)
+        owner = fleet.owner_of(self)
+        if (
+            fleet.method is Method.GRANTS
+            and report.waiting > 0
+            and owner is not None
+            and fleet.now >= self._noticed_at + _NOTICE_INTERVAL_S
+        ):
+            self._noticed_at = fleet.now
+            at = fleet.now
+            fleet.message(
+                lambda: owner.receive(
+                    lambda o: o.admission.record_load(upstream, report, at)
+                )
+            )
+
+    def _report(
+        self,
+        owner: Owner,
+        key: plaincalls.CallKey,
+        result: Result,
+        seconds: float,
+        upstream: ids.UpstreamId | None,
+        report: loadreports.LoadReport | None,
+    ) -> None:
+        fleet = self._fleet
+        at = fleet.now
+
+        def handle(receiver: Owner) -> None:
+            if report is not None and upstream is not None:
+                receiver.admission.record_load(upstream, report, at)
+            receiver.admission.end(key, result, seconds, fleet.now)
+
+        fleet.message(lambda: owner.receive(handle))
+
+
+class Fleet:
+    """Gateways, upstreams and clients of one service.
+
+    Args:
+        size: Number of gateways.
+        sources: Sources of calls.
+        method: Who decides.
+        seed: Seed of all random numbers.
+        distort: Returns the report that upstreams make of their load.
+    """
+
+    def __init__(
+        self,
+        size: int,
+        sources: collections.abc.Sequence[Source],
+        method: Method = Method.GRANTS,
+        seed: int = 1,
+        distort: collections.abc.Callable[
+            [loadreports.LoadReport], loadreports.LoadReport | None
+        ] = lambda report: report,
+    ) -> None:
+        self.method = method
+        self.random = random.Random(seed)
+        self.distort = distort
+        self.now = 0.0
+        self.sends = 0
+        self.messages = 0
+        self.requests: list[Request] = []
+        self._events: list[
+            tuple[float, int, collections.abc.Callable[[], object]]
+        ] = []
+        self._order = itertools.count()
+        self.engines: dict[ids.UpstreamId, Engine] = {}
+        self._listed: list[upstreams.Upstream] = []
+        for number in range(3):
+            self.add_engine(f'u{number}', _CENTRES[number])
+        self.gateways = [Gateway(self, number) for number in range(size)]
+        self.owners = [Owner(self)]
+        self.split = False
+        for source in sources:
+            self.at(source.start, functools.partial(self._arrive, source))
+        if method is Method.LEVELS:
+            self._share_levels({})
+
+    def add_engine(self, name: str, centre: ids.DataCentre) -> Engine:
+        """Add an upstream with six slots."""
+        upstream = upstreams.Upstream(
+            ids.UpstreamId(name), SERVICE, f'{name}:1', centre, 6
+        )
+        engine = self.engines[upstream.id] = Engine(self, upstream)
+        self._listed = [*self._listed, upstream]
+        return engine
+
+    def list_engines(self, names: collections.abc.Container[str]) -> None:
+        """List some of the upstreams."""
+        self._listed = [
+            engine.upstream
+            for engine in self.engines.values()
+            if engine.upstream.id in names
+        ]
+        for owner in self.owners:
+            owner.admission.set_upstreams(self._listed, self.now)
+            owner.drive()
+
+    def listed(self) -> list[upstreams.Upstream]:
+        """Return the listed upstreams."""
+        return self._listed
+
+    def at(
+        self, delay: float, action: collections.abc.Callable[[], object]
+    ) -> None:
+        """Run an action later."""
+        heapq.heappush(
+            self._events, (self.now + delay, next(self._order), action)
+        )
+
+    def message(self, action: collections.abc.Callable[[], object]) -> None:
+        """Deliver a message between gateways."""
+        self.messages += 1
+        self.at(_LINK_S, action)
+
+    def run(self, until: float) -> None:
+        """Simulate up to a time in seconds."""
+        while self._events and self._events[0][0] <= until:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+        self.now = until
+
+    def owner_of(self, gateway: Gateway) -> Owner | None:
+        """Return the owner that a gateway knows."""
+        if self.split and len(self.owners) > 1:
+            return self.owners[gateway.number % 2]
+        return self.owners[-1] if self.owners else None
+
+    def gateways_of(self, owner: Owner) -> list[Gateway]:
+        """Return the gateways that an owner decides for."""
+        return [g for g in self.gateways if self.owner_of(g) is owner]
+
+    def add_owner(self) -> None:
+        """Let a new owner, without state, decide."""
+        self.owners.append(Owner(self))
+
+    def answer(self, request: Request) -> None:
+        """Answer a client."""
+        request.answered_at = self.now
+        request.is_done = True
+
+    def reject(self, request: Request, retry_after: float) -> None:
+        """Reject a client; it returns once."""
+        left = request.first_at + DEADLINE_S - self.now
+        if request.attempts > 1 or left <= 0:
+            request.is_done = True
+            return
+        wait = min(retry_after, left / 3) if request.source.heeds else 0.02
+        self.at(wait + _LINK_S, lambda: self._gateway(request).arrive(request))
+
+    def in_time(
+        self,
+        start: float,
+        end: float,
+        accept: collections.abc.Callable[[Request], bool] = lambda _: True,
+    ) -> float:
+        """Return the share in time of the requests of some interval."""
+        chosen = [
+            r for r in self.requests if start <= r.first_at < end and accept(r)
+        ]
+        return sum(r.in_time for r in chosen) / max(1, len(chosen))
+
+    def _gateway(self, request: Request) -> Gateway:
+        numbers = request.source.gateways or range(len(self.gateways))
+        return self.gateways[self.random.choice(numbers)]
+
+    def _arrive(self, source: Source) -> None:
+        if self.now >= source.end or not source.rate:
+            return
+        self.at(
+            self.random.expovariate(source.rate), lambda: self._arrive(source)
+        )
+        customer = self.random.choice(source.customers)
+        name = str(len(self.requests))
+        request = Request(name, source, customer, self.now)
+        self.requests.append(request)
+        self._gateway(request).arrive(request)
+
+    def _share_levels(
+        self,
+        merged: dict[ids.UpstreamId, tuple[float, loadreports.LoadReport]],
+    ) -> None:
+        """Exchange the newest loads with the heartbeats."""
+        slowdown = max(1.0, len(self.gateways) / members.FULL_RATE_MEMBERS)
+        # While the owner is silent, levels grow old at the gateways.
+        if self.owners and self.owners[-1].suspended_until <= self.now:
+            for gateway in self.gateways:
+                for key, load in gateway.loads.items():
+                    merged[key] = max(
+                        merged.get(key, load), load, key=lambda load: load[0]
+                    )
+            for gateway in self.gateways:
+                gateway.loads.update(merged)
+        self.at(
+            members.HEARTBEAT_INTERVAL_S * slowdown,
+            lambda: self._share_levels(merged),
+        )
--- /dev/null
+++ b/galenahatch/core/sendgrants.py
@@ -0,0 +1,231 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Granted sends of one plain service, and the windows of its upstreams."""
+
+import collections.abc
+import dataclasses
+import heapq
+import itertools
+import random
+import typing
+
+from galenahatch.core import loadreports
+from galenahatch.core import plaincalls
+from galenahatch.core import sendwindow
+from galenahatch.core import upstreams
+from galenahatch import ids
+
+_TIE_SHARE: typing.Final = 0.1
+"""Relative difference in load below which the data centre decides."""
+
+
+@dataclasses.dataclass(frozen=True)
+class _Grant:
+    call: plaincalls.PlainCall
+    upstream: ids.UpstreamId
+    granted_at: float
+
+
+class SendGrants:
+    """Sends that the owner granted and whose end is not reported yet.
+
+    Args:
+        random_source: Random source that breaks ties.
+    """
+
+    def __init__(self, random_source: random.Random) -> None:
+        self._random = random_source
+        self._upstreams: dict[ids.UpstreamId, upstreams.Upstream] = {}
+        self._windows: dict[ids.UpstreamId, sendwindow.SendWindow] = {}
+        self._grants: dict[plaincalls.CallKey, _Grant] = {}
+        self._expiries: list[tuple[float, int, _Grant]] = []
+        self._order = itertools.count()
+
+    def __len__(self) -> int:
+        return len(self._grants)
+
+    @property
+    def windows(
+        self,
+    ) -> typing.Mapping[ids.UpstreamId, sendwindow.SendWindow]:
+        """Windows of the usable upstreams."""
+        return self._windows
+
+    def set_upstreams(
+        self, usable: typing.Iterable[upstreams.Upstream]
+    ) -> None:
+        """Set the usable upstreams; known ones keep their windows."""
+        self._upstreams = {u.id: u for u in usable if not u.leaving}
+        previous = self._windows
+        self._windows = {}
+        for upstream in self._upstreams.values():
+            window = previous.get(upstream.id)
+            if window is None:
+                window = sendwindow.SendWindow(upstream.slots)
+            window.set_slots(upstream.slots)
+            self._windows[upstream.id] = window
+
+    def upstream_of(self, key: plaincalls.CallKey) -> ids.UpstreamId | None:
+        """Return the upstream that a call was granted, if any."""
+        grant = self._grants.get(key)
+        return grant.upstream if grant is not None else None
+
+    def is_usable(self, call: plaincalls.PlainCall) -> bool:
+        """Return whether there is an upstream that hasn't failed a call."""
+        return any(key not in call.avoid for key in self._windows)
+
+    def choose(
+        self, call: plaincalls.PlainCall, now: float
+    ) -> ids.UpstreamId | None:
+        """Return the least loaded upstream with room; None if there is none.
+
+        Similar loads are decided by the data centre, then at random. A trial
+        of a suspended upstream comes first: it is rare, and nothing else
+        shows that the upstream has recovered.
+        """
+        costs = {
+            key: (window.trial_at is None, window.cost(now))
+            for key, window in self._windows.items()
+            if key not in call.avoid and window.has_room(now)
+        }
+        if not costs:
+            return None
+        is_regular, lowest = min(costs.values())
+        similar = [
+            key
+            for key, cost in costs.items()
+            if cost <= (is_regular, lowest * (1 + _TIE_SHARE))
+        ]
+        near = [
+            key
+            for key in similar
+            if self._upstreams[key].data_centre == call.data_centre
+        ]
+        return self._random.choice(near or similar)
+
+    def begin(
+        self,
+        call: plaincalls.PlainCall,
+        upstream: ids.UpstreamId,
+        now: float,
+    ) -> None:
+        """Record a granted send."""
+        grant = _Grant(call, upstream, now)
+        self._grants[call.key] = grant
+        heapq.heappush(
+            self._expiries, (call.deadline, next(self._order), grant)
+        )
+        self._windows[upstream].begin(now)
+
+    def end(
+        self,
+        key: plaincalls.CallKey,
+        result: plaincalls.SendResult,
+        seconds: float,
+        now: float,
+    ) -> bool:
+        """Record the end of a send; return whether it was granted."""
+        grant = self._grants.pop(key, None)
+        if grant is None:
+            return False
+        window = self._windows.get(grant.upstream)
+        if window is not None:
+            lowest = min(w.failure_share for w in self._windows.values())
+            window.end(result, seconds, grant.granted_at, lowest, now)
+        return True
+
+    def expire(self, now: float) -> None:
+        """End the grants of which nothing was heard until the deadline."""
+        while self._expiries and self._expiries[0][0] <= now:
+            _, _, grant = heapq.heappop(self._expiries)
+            if self._grants.get(grant.call.key) is grant:
+                self.end(
+                    grant.call.key,
+                    plaincalls.SendResult.CANCELLED,
+                    now - grant.granted_at,
+                    now,
+                )
+
+    def next_expiry(self) -> float | None:
+        """Return the time at which the next grant expires."""
+        while self._expiries:
+            expires_at, _, grant = self._expiries[0]
+            if self._grants.get(grant.call.key) is grant:
+                return expires_at
+            heapq.heappop(self._expiries)
+        return None
+
+    def record_load(
+        self,
+        upstream: ids.UpstreamId,
+        report: loadreports.LoadReport,
+        now: float,
+    ) -> None:
+        """Record the load that an upstream reported."""
+        window = self._windows.get(upstream)
+        if window is not None:
+            window.record_load(report, now)
+
+    def rate(self, now: float) -> float:
+        """Return the calls a second that end while calls wait.
+
+        Upstreams that have not answered yet count like the mean of the others.
+        """
+        rates = [window.rate(now) for window in self._windows.values()]
+        known = [rate for rate in rates if rate]
+        if not known:
+            return 0.0
+        unknown = sum(
+            not window.hold_seconds and window.trial_at is None
+            for window in self._windows.values()
+        )
+        return sum(known) * (1 + unknown / len(known))
+
+    def next_trial_at(self) -> float | None:
+        """Return the time of the next trial of a suspended upstream."""
+        times = [window.trial_at for window in self._windows.values()]
+        return min((at for at in times if at is not None), default=None)
+
+    def is_suspended(self) -> bool:
+        """Return whether all upstreams get trials only."""
+        windows = self._windows.values()
+        return all(window.trial_at is not None for window in windows)
+
+    def hold_seconds(self) -> float:
+        """Return the mean seconds from grant to end; 0 if unknown."""
+        return self._mean(lambda window: window.hold_seconds)
+
+    def deviation(self) -> float:
+        """Return the mean absolute deviation of the hold seconds."""
+        return self._mean(lambda window: window.deviation)
+
+    def _mean(
+        self,
+        value: collections.abc.Callable[[sendwindow.SendWindow], float],
+    ) -> float:
+        known = [w for w in self._windows.values() if w.hold_seconds]
+        if not known:
+            return 0.0
+        # Fast upstreams answer more calls.
+        weights = [window.size / window.hold_seconds for window in known]
+        total = sum(
+            weight * value(window)
+            for weight, window in zip(weights, known, strict=True)
+        )
+        return total / sum(weights)
+
+    def occupancy(self, now: float) -> float:
+        """Return the sends in flight as a share of all slots."""
+        slots = sum(window.slots for window in self._windows.values())
+        loads = [window.in_flight(now) for window in self._windows.values()]
+        return sum(loads) / slots if slots else 0.0
