Send window: a first report holds calls back only while its queue may last

Cause: before the first answer to a granted send, a window knew no time of work, so that what the first report counted was taken as still there until the report was a second old. Nothing was granted meanwhile, so no newer report came. Seen in test_owner_is_disturbed: 160 calls waited at the owner with none in flight and were rejected at their deadlines, 0.8 s after their arrival.

Change: 50 ms of work are assumed until the first answer. Calls that are decided alone have to end in time, since a FIFO queue makes all late. The tests wait until all gateways know the owner.

Measured: test_first_report_of_a_queue fails without the change, passes with it.

--- a/galenahatch/core/sendwindow.py
+++ b/galenahatch/core/sendwindow.py
@@ -76,6 +76,9 @@
 the last call would wait for as many executions."""
 _MAX_SLOTS: typing.Final = 1024
 """Most slots that are believed of an upstream whose entry states none."""
+_INITIAL_WORK_S: typing.Final = 0.05
+"""Seconds of work assumed before the first answer. Nothing else clears what a
+first report counted: without grants there are no further reports."""
 _LATENCY_SMOOTHING: typing.Final = 0.1
 _STALL_INTERVALS: typing.Final = 4.0
 """Mean intervals between answers after which silence lowers the rate."""
@@ -181,11 +184,7 @@
         age = now - self._reported_at
         if age >= _REPORT_MAX_AGE_S:
             return float(self._granted)
-        executed = (
-            age * self._slots / self._work_seconds
-            if self._work_seconds
-            else 0.0
-        )
+        executed = age * self._slots / (self._work_seconds or _INITIAL_WORK_S)
         return self._granted + max(0.0, self._others - executed)
 
     def has_room(self, now: float) -> bool:
--- a/galenahatch/gateway/choice.py
+++ b/galenahatch/gateway/choice.py
@@ -14,8 +14,9 @@
 
 While the service is contended, each send needs a grant of the owner
 (`callgrants`), which also chooses the upstream. Without an owner that decides,
-a request is sent only if the known load lets it end within its deadline.
-Otherwise the balancer chooses.
+a request is sent only if the known load lets it end in time: an upstream's
+queue is FIFO, so one that ends late makes the others late as well. Otherwise
+the balancer chooses.
 """
 
 import collections.abc
@@ -219,7 +220,7 @@
         if chosen is None:
             return None
         delay = self._expected_delay(chosen)
-        time_left = contexts.seconds_until(self._deadline)
+        time_left = contexts.seconds_until(self._latest_end(chosen))
         is_allowed = not self.avoid if delay is None else delay <= time_left
         _log.info(
             'Decided alone.',
@@ -236,15 +237,27 @@
         self._rejected = _no_room(retry_after, f'decided alone, {why}')
         return None
 
+    def _latest_end(self, upstream: upstreams.Upstream) -> float:
+        """Return the time by which a request has to end to be sent alone.
+
+        That is its objective, or its deadline once no idle upstream could
+        meet the objective.
+        """
+        now = clock.now()
+        objective_at = self._call.arrived_at + self._route.latency_objective
+        work = self._context.balancer.delays.work_seconds(
+            upstream.id, [one.id for one in self._usable()], now
+        )
+        return objective_at if now + work < objective_at else self._deadline
+
     def _expected_delay(self, upstream: upstreams.Upstream) -> float | None:
         """Return the seconds until a call ends; None if not known."""
         now = clock.now()
         report = self._context.loads.latest(upstream.id, now)
         if report is None:
             return None
-        siblings = self._context.directory.registry.usable(self._service, now)
         return self._context.balancer.delays.delay(
-            upstream, report.total, [one.id for one in siblings], now
+            upstream, report.total, [one.id for one in self._usable()], now
         )
 
 
--- a/galenahatch/test/fleet.py
+++ b/galenahatch/test/fleet.py
@@ -276,6 +276,8 @@
         vms: gateways.
         members: upstreams as service and stage.
         first: configuration; one without customers if not said.
+        in_order: whether the first gateway is ready before others start, so
+            that it is the owner.
     """
 
     def __init__(
@@ -283,8 +285,10 @@
         vms: int,
         members: typing.Sequence[tuple[str, str]],
         first: dict[str, typing.Any] | None = None,
+        in_order: bool = False,
     ) -> None:
         self.first = first or configuration()
+        self._in_order = in_order
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(
             target=self._loop.run_forever, daemon=True
@@ -324,6 +328,8 @@
         try:
             for vm in self.vms:
                 vm.start()
+                if self._in_order:
+                    eventually(vm.ready, f'{vm.address} is ready', _START)
             for vm in self.vms:
                 eventually(vm.ready, f'{vm.address} is ready', _START)
         except BaseException:
--- a/galenahatch/test/test_call_grants.py
+++ b/galenahatch/test/test_call_grants.py
@@ -19,6 +19,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import dataclasses
 import signal
 import time
@@ -425,6 +426,23 @@
     _run(test)
 
 
+def test_first_report_of_a_queue() -> None:
+    """A queue that others made holds calls back only while it may last."""
+
+    async def test(gateway: _Gateway) -> None:
+        gateway.peers.owners = [_ME]
+        load = callmessages.UpstreamLoad(_UP, 2, 4, 2, 0.0, 0.0)
+        member = ids.MemberId('g')
+        gateway.owner.handle_message(
+            member, callmessages.LoadNotice(member, _DESK, (load,))
+        )
+        gateway.owner.handle_message(member, _request(1))
+        await asyncio.sleep(0.25)
+        assert _to(gateway.peers, callmessages.CallGranted) == [member]
+
+    _run(test)
+
+
 def test_owner_declines_what_waits() -> None:
     """Once another gateway is the owner, or this one stops."""
 
@@ -482,21 +500,43 @@
         return self.status == 200 and self.seconds <= _OBJECTIVE_S
 
 
-def _fleet(gateways: int, **settings: typing.Any) -> fleets.Fleet:
-    """Return a fleet before small upstreams, with objectives of 0.3 s."""
+@contextlib.contextmanager
+def _fleet(
+    gateways: int, old: int | None = None, **settings: typing.Any
+) -> collections.abc.Iterator[fleets.Fleet]:
+    """Start gateways before small upstreams; the first one decides.
+
+    Args:
+        gateways: number of them.
+        old: the one that is of an older build, if any.
+        settings: fields of the settings file.
+    """
     config = fleets.configuration()
     for route in config['routes']:
         if route['service'] == 'desk':
             route['timeout_ms'] = int(_DEADLINE_S * 1000)
             route['target_latency_ms'] = int(_OBJECTIVE_S * 1000)
-    fleet = fleets.Fleet(gateways, [('desk', '')] * _UPSTREAMS, config)
+    members = [('desk', '')] * _UPSTREAMS
+    fleet = fleets.Fleet(gateways, members, config, in_order=True)
     for upstream in fleet.upstreams:
         upstream.capacity = capacity.Capacity(_SLOTS, 4 * _SLOTS)
         upstream.delay = _WORK_S
         fleet.put('servers', upstream.id, upstream.row())
     for vm in fleet.vms:
         vm.write_settings(**settings)
-    return fleet
+    if old is not None:
+        fleet.vms[old].module = 'galenahatch.test.oldgateway'
+        fleet.vms[old].write_settings()
+    first = fleet.vms[0].address
+    with fleet:
+        for vm in fleet.vms:
+            fleets.eventually(
+                lambda vm=vm: any(  # type: ignore[misc]
+                    line.get('owner') == first for line in vm.lines()
+                ),
+                f'{vm.address} knows the owner',
+            )
+        yield fleet
 
 
 _ON: typing.Final = {'contracts': ['base', 'pressure']}
@@ -616,10 +656,7 @@
 @pytest.mark.parametrize('old', [0, 2])
 def test_older_gateway(old: int) -> None:
     """A gateway of an older build, the owner or not, gets no new message."""
-    with_old = _fleet(3, **_ON)
-    with_old.vms[old].module = 'galenahatch.test.oldgateway'
-    with_old.vms[old].write_settings()
-    with with_old as fleet:
+    with _fleet(3, old, **_ON) as fleet:
         calls = _burst(fleet, (0, 1, 2), seconds=1.5)
         assert not _lines(fleet, 'Frame dropped.')
         assert sum(call.is_in_time for call in calls) > 0
