--- a/galenahatch/gateway/callgauges.py
+++ b/galenahatch/gateway/callgauges.py
@@ -46,6 +46,7 @@
         (instruments.CALL_IN_FLIGHT, _in_flight),
         (instruments.CALL_WINDOW, _windows),
         (instruments.CALLS_QUEUED, _queued),
+        (instruments.CALL_RATE, _rates),
         (instruments.CUSTOMER_CALLS_QUEUED, _customers_queued),
         (instruments.SERVICE_CONTENDED, _contended),
     ):
@@ -64,7 +65,7 @@
 
 
 def _in_flight(source: Source) -> dict[str, float]:
-    return {key: state.in_flight for key, state in _upstream_states(source)}
+    return {key: state.granted for key, state in _upstream_states(source)}
 
 
 def _windows(source: Source) -> dict[str, float]:
@@ -89,6 +90,13 @@
     return {**shown, _OTHERS_LABEL: others} if others else shown
 
 
+def _rates(source: Source) -> dict[str, float]:
+    return {
+        service: snapshot.rate
+        for service, snapshot in source.snapshots().items()
+    }
+
+
 def _contended(source: Source) -> dict[str, float]:
     return {
         service: float(service in source.contended)
--- a/galenahatch/gateway/choice.py
+++ b/galenahatch/gateway/choice.py
@@ -129,10 +129,16 @@
         usable = self._context.directory.registry.usable(
             self._service, clock.now()
         )
-        paused = self._context.notices.pauses_left()
-        self._paused = {u.id: paused[u.id] for u in usable if u.id in paused}
+        self._paused = self._paused_among(usable)
         return usable
 
+    def _paused_among(
+        self, usable: collections.abc.Iterable[upstreams.Upstream]
+    ) -> dict[ids.UpstreamId, float]:
+        """Return the upstreams that asked for a pause, and its seconds."""
+        paused = self._context.notices.pauses_left()
+        return {u.id: paused[u.id] for u in usable if u.id in paused}
+
     def _excluded(self) -> frozenset[ids.UpstreamId]:
         return frozenset(
             self.avoid | self._rate_limited.keys() | self._paused.keys()
--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -194,6 +194,12 @@
     'Plain calls that wait for a grant of this owner, by service.',
     'service',
 )
+CALL_RATE: typing.Final = _gauge(
+    'galenahatch_call_rate',
+    '1/s',
+    'Calls a second that end while others wait, by service.',
+    'service',
+)
 CUSTOMER_CALLS_QUEUED: typing.Final = _gauge(
     'galenahatch_customer_calls_queued',
     '1',
--- a/galenahatch/test/oldgateway.py
+++ b/galenahatch/test/oldgateway.py
@@ -30,8 +30,8 @@
         for message in typing.get_args(frames.AnyMessage)
         if message.__module__ != callmessages.__name__
     ]
-    decoder = msgspec.msgpack.Decoder(typing.Union[tuple(known)])  # noqa: UP007
-    frames._DECODER = decoder  # type: ignore[misc]
+    union = typing.Union[tuple(known)]
+    frames._DECODER = msgspec.msgpack.Decoder(union)  # type: ignore[misc]
     from galenahatch.gateway import program
 
     sys.exit(program.main())
--- a/galenahatch/test/test_call_grants.py
+++ b/galenahatch/test/test_call_grants.py
@@ -539,7 +539,7 @@
         yield fleet
 
 
-_ON: typing.Final = {'contracts': ['base', 'pressure']}
+_ON: typing.Final[dict[str, typing.Any]] = {'contracts': ['base', 'pressure']}
 
 
 async def _one(
