Fair queue: ties between flows go by arrival

Cause: flows with equal virtual times were served in the order of their names. Change: the heap breaks ties by the order in which flows enter.

--- a/galenahatch/core/fairness.py
+++ b/galenahatch/core/fairness.py
@@ -27,6 +27,7 @@
 import collections
 import collections.abc
 import heapq
+import itertools
 import typing
 
 
@@ -80,7 +81,9 @@
         # starts no earlier.
         self.flow_virtual_time = 0.0
         self.flows: dict[str, _Flow[_I]] = {}
-        self.flow_heap: list[tuple[float, str]] = []
+        # Virtual time, order and name of each flow. Ties are broken by the
+        # order in which flows entered, so that no name is favoured.
+        self.flow_heap: list[tuple[float, int, str]] = []
         # Empty flows that are no longer in the heap.
         self.idle_flows: list[str] = []
         self.cost = 0.0
@@ -112,6 +115,7 @@
         self, class_weight: collections.abc.Callable[[int], float]
     ) -> None:
         self._class_weight = class_weight
+        self._order = itertools.count()
         self._classes: dict[int, _Class[_I]] = {}
         # Highest virtual time at which a class was served; a class that
         # becomes non-empty starts no earlier.
@@ -143,7 +147,8 @@
         if not flow.in_heap:
             flow.in_heap = True
             heapq.heappush(
-                urgency_class.flow_heap, (flow.virtual_time, item.flow)
+                urgency_class.flow_heap,
+                (flow.virtual_time, next(self._order), item.flow),
             )
         flow.items.append(item)
         flow.cost += item.cost
@@ -174,7 +179,8 @@
         urgency_class.flow_virtual_time = flow.virtual_time
         flow.virtual_time += item.cost / item.share
         heapq.heapreplace(
-            urgency_class.flow_heap, (flow.virtual_time, item.flow)
+            urgency_class.flow_heap,
+            (flow.virtual_time, next(self._order), item.flow),
         )
         self._remove_item(item)
         urgency_class.drop_idle_flows()
@@ -239,7 +245,7 @@
     def _next_flow(self, urgency_class: _Class[_I]) -> _Flow[_I]:
         """Return the flow of a non-empty class that is served next."""
         while True:
-            _, name = urgency_class.flow_heap[0]
+            _, _, name = urgency_class.flow_heap[0]
             flow = urgency_class.flows[name]
             if flow.items:
                 return flow
