Admission: shares of calls that returned, margin on arrival, trials

Calls that returned took all grants of a single flow, as first attempts were judged to be behind all of them; now a third. The margin on arrival is two mean deviations. A window resumes with half of its bound after a trial.

--- a/bench/callfleet.py
+++ b/bench/callfleet.py
@@ -292,7 +292,8 @@
         if (
             method is Method.GRANTS
             and owner is not None
-            and self._alone_until < fleet.now < self._contended_until
+            and self._alone_until < fleet.now
+            and (fleet.always_asks or fleet.now < self._contended_until)
         ):
             attempt = request.attempts
             fleet.message(
@@ -427,6 +428,7 @@
         method: Who decides.
         seed: Seed of all random numbers.
         distort: Returns the report that upstreams make of their load.
+        always_asks: Whether gateways ask the owner without contention.
     """
 
     def __init__(
@@ -438,10 +440,12 @@
         distort: collections.abc.Callable[
             [loadreports.LoadReport], loadreports.LoadReport | None
         ] = lambda report: report,
+        always_asks: bool = False,
     ) -> None:
         self.method = method
         self.random = random.Random(seed)
         self.distort = distort
+        self.always_asks = always_asks
         self.now = 0.0
         self.sends = 0
         self.messages = 0
--- a/galenahatch/core/callestimates.py
+++ b/galenahatch/core/callestimates.py
@@ -25,7 +25,7 @@
 _ARRIVALS_S: typing.Final = 0.25
 """Time constant of the arrival rate: a burst has to be noticed within the
 objective of a call."""
-_TRIAL_INTERVAL_S: typing.Final = 1.0
+_TRIAL_INTERVAL_S: typing.Final = 0.5
 """Seconds between two grants while all upstreams get trials only."""
 
 
--- a/galenahatch/core/callqueue.py
+++ b/galenahatch/core/callqueue.py
@@ -87,8 +87,8 @@
         self._ratio = round(1 / RETURNED_SHARE) - 1
         self._first_served = self._ratio
 
-    def __bool__(self) -> bool:
-        return bool(self._returned or self._first)
+    def __len__(self) -> int:
+        return len(self._returned) + len(self._first)
 
     def __iter__(self) -> typing.Iterator[Waiting]:
         yield from self._returned
@@ -102,10 +102,17 @@
             return self._returned[0]
         return self._first[0]
 
-    @property
-    def last(self) -> Waiting:
-        """The call that takes the last place."""
-        return (self._first or self._returned)[-1]
+    def last(self, has_returned: bool) -> Waiting | None:
+        """Return the last call that returned, or the last first attempt."""
+        calls = self._returned if has_returned else self._first
+        return calls[-1] if calls else None
+
+    def position(self, has_returned: bool) -> float:
+        """Return the calls of the flow before one to be added."""
+        returned, first = len(self._returned), len(self._first)
+        if has_returned:
+            return returned + min(first, (returned + 1) * self._ratio)
+        return first + min(returned, (first + 1) / self._ratio)
 
     def add(self, waiting: Waiting) -> None:
         """Add a call after those of its kind."""
@@ -190,7 +197,9 @@
 
     def ahead(self, waiting: Waiting) -> float:
         """Estimate the calls that are granted before one to be queued."""
-        return self._ahead(self._new_place(waiting))
+        place = self._new_place(waiting)
+        flow = self._flows.get((place.urgency, place.flow), _Flow())
+        return self._ahead(place, flow, waiting.has_returned)
 
     def trim(
         self,
@@ -203,18 +212,12 @@
         """
         removed = []
         for flow in list(self._flows.values()):
-            while flow:
-                last = flow.last
-                place = self._place_of[last.call.key]
-                self._places.remove(place.key)
-                self._count(place.urgency, -1)
-                ahead = self._ahead(place)
-                self._places.push(place)
-                self._count(place.urgency, 1)
-                if not is_hopeless(last, ahead):
-                    break
-                self.remove(last.call.key)
-                removed.append(last)
+            for has_returned in (True, False):
+                while (last := flow.last(has_returned)) is not None:
+                    if not is_hopeless(last, self._ahead_of_last(flow, last)):
+                        break
+                    self.remove(last.call.key)
+                    removed.append(last)
         return removed
 
     def calls(self) -> typing.Iterator[Waiting]:
@@ -237,8 +240,20 @@
         share = max(_MIN_SHARE, call.share)
         return _Place(next(self._order), flow, urgency, share)
 
-    def _ahead(self, place: _Place) -> float:
-        """Estimate the calls ahead of a place that is not in the queue.
+    def _ahead_of_last(self, flow: _Flow, last: Waiting) -> float:
+        """Estimate the calls that are granted before the last of a flow."""
+        place = self._place_of[last.call.key]
+        self._places.remove(place.key)
+        flow.remove(last)
+        self._count(place.urgency, -1)
+        ahead = self._ahead(place, flow, last.has_returned)
+        self._places.push(place)
+        flow.add(last)
+        self._count(place.urgency, 1)
+        return ahead
+
+    def _ahead(self, place: _Place, flow: _Flow, has_returned: bool) -> float:
+        """Estimate the calls ahead of one whose place is not in the queue.
 
         While its class reaches it, every other class gets its weight.
         """
@@ -247,14 +262,20 @@
             for urgency, count in self._class_counts.items()
             if urgency < place.urgency
         )
-        own = self._places.work_ahead(place) - more_urgent
-        rounds = (own + 1) / self._weight(place.urgency)
+        # Calls of its class up to the last place of its flow, scaled to the
+        # place that it takes in the flow.
+        in_class = self._places.work_ahead(place) - more_urgent + 1
+        position = flow.position(has_returned)
+        own = in_class * (position + 1) / (len(flow) + 1)
         others = sum(
-            min(count, rounds * self._weight(urgency))
+            min(
+                count,
+                own * self._weight(urgency) / self._weight(place.urgency),
+            )
             for urgency, count in self._class_counts.items()
             if urgency != place.urgency
         )
-        return own + others
+        return own - 1 + others
 
     def _forget(self, waiting: Waiting, place: _Place) -> None:
         """Drop a call whose flow gave up a place, maybe that of another."""
--- a/galenahatch/core/sendwindow.py
+++ b/galenahatch/core/sendwindow.py
@@ -62,7 +62,7 @@
 _FAILED_SHARE: typing.Final = 0.9
 """Share of failures above which only trials are sent whatever siblings do."""
 _FIRST_BACKOFF_S: typing.Final = 0.1
-_MAX_BACKOFF_S: typing.Final = 1.0
+_MAX_BACKOFF_S: typing.Final = 0.5
 """Each trial may cost a caller its answer, and an upstream that has recovered
 waits this long at most."""
 _REPORT_MAX_AGE_S: typing.Final = 1.0
@@ -71,9 +71,14 @@
 _SLOWDOWN_MAX_AGE_S: typing.Final = 0.5
 """Seconds over which a reported slowdown fades: it changes many times a
 second."""
-_MAX_QUEUE_FACTOR: typing.Final = 64
+_RESUMED_SHARE: typing.Final = 0.5
+"""Share of the bound that a window has after a trial was answered."""
+_MAX_RUNNING_FACTOR: typing.Final = 2
+"""Reported running calls, as a multiple of the slots, above which a report is
+wrong; probes may run beside calls."""
+_MAX_LOAD_FACTOR: typing.Final = 16
 """Reported load, as a multiple of the slots, above which a report is wrong:
-the last call would wait for as many executions."""
+no caller waits for as many executions."""
 _MAX_SLOTS: typing.Final = 1024
 """Most slots that are believed of an upstream whose entry states none."""
 _LATENCY_SMOOTHING: typing.Final = 0.1
@@ -225,7 +230,8 @@
         if (
             now < self._reported_at
             or min(report.running, report.waiting) < 0
-            or report.total > _MAX_QUEUE_FACTOR * slots
+            or report.running > _MAX_RUNNING_FACTOR * slots
+            or report.total > _MAX_LOAD_FACTOR * slots
         ):
             return
         if report.waiting and report.running:
@@ -345,5 +351,6 @@
             self._trial_at = None
             self._failure_share = min(self._failure_share, _SUSPECT_SHARE)
             self._rejection_share = 0.0
+            self._limit = _RESUMED_SHARE * self._bound
         grown = min(self._limit, self._bound) + _GROWTH_SHARE * self._bound
         self._limit = math.inf if grown >= self._bound else grown
--- a/galenahatch/core/waitingcalls.py
+++ b/galenahatch/core/waitingcalls.py
@@ -41,6 +41,9 @@
     1 - callqueue.RETURNED_SHARE
 )
 """Grants to calls that returned for each one to a first attempt."""
+_MARGIN_DEVIATIONS: typing.Final = 2.0
+"""Margin of a call on arrival, in mean deviations of the time that sends take:
+nineteen of twenty take less."""
 _WORSENED: typing.Final = 1.1
 """Factor of the expected wait above which waiting calls are judged again."""
 
@@ -114,7 +117,7 @@
             now: Monotonic time in seconds.
         """
         if band is not Band.LATE:
-            margin = self._estimates.deviation()
+            margin = _MARGIN_DEVIATIONS * self._estimates.deviation()
             ahead = self._ahead(waiting, band)
             if not self._is_in_time(waiting, ahead, margin, now):
                 band = Band.LATE
