--- a/galenahatch/test/oldgateway.py
+++ b/galenahatch/test/oldgateway.py
@@ -15,6 +15,8 @@
 It states level 0 and drops such messages as malformed frames, with a log line.
 """
 
+import functools
+import operator
 import sys
 import typing
 
@@ -30,7 +32,7 @@
         for message in typing.get_args(frames.AnyMessage)
         if message.__module__ != callmessages.__name__
     ]
-    union = typing.Union[tuple(known)]
+    union = functools.reduce(operator.or_, known)
     frames._DECODER = msgspec.msgpack.Decoder(union)  # type: ignore[misc]
     from galenahatch.gateway import program
 
--- a/galenahatch/test/test_call_grants.py
+++ b/galenahatch/test/test_call_grants.py
@@ -25,6 +25,7 @@
 import time
 import types
 import typing
+from urllib import request
 
 import aiohttp
 import pytest
@@ -40,6 +41,7 @@
 from galenahatch.gateway import frames
 from galenahatch.gateway import grants
 from galenahatch.gateway import messages
+from galenahatch.gateway import node
 from galenahatch import ids
 from galenahatch import tasks
 from galenahatch.test import fleet as fleets
@@ -561,6 +563,7 @@
             status = response.status
             retry_after = float(response.headers.get('Retry-After', '0'))
     except (aiohttp.ClientError, OSError):
+        # The gateway was ended, or the caller's patience.
         pass
     return _Call(at, time.monotonic() - began, status, retry_after)
 
@@ -569,22 +572,31 @@
     fleet: fleets.Fleet,
     vms: collections.abc.Sequence[int],
     disturb: collections.abc.Callable[[], None] = lambda: None,
-    factor: float = 2.0,
     seconds: float = _BURST_S,
+    patience: float = 10.0,
 ) -> list[_Call]:
-    """Send a multiple of the capacity; disturb after a third of the time."""
+    """Send twice the capacity; disturb after a third of the time.
+
+    Args:
+        fleet: that serves the calls.
+        vms: gateways that get them in turn.
+        disturb: what happens after a third of the time.
+        seconds: for which calls are sent.
+        patience: seconds after which callers disconnect.
+    """
 
     async def run() -> list[_Call]:
         calls = []
-        count = int(factor * _CAPACITY * seconds)
+        rate = 2 * _CAPACITY
+        count = int(rate * seconds)
         began = time.monotonic()
-        timeout = aiohttp.ClientTimeout(total=10)
+        timeout = aiohttp.ClientTimeout(total=patience)
         connector = aiohttp.TCPConnector(limit=0)
         async with aiohttp.ClientSession(
             timeout=timeout, connector=connector
         ) as session:
             for number in range(count):
-                at = number / (factor * _CAPACITY)
+                at = number / rate
                 await asyncio.sleep(began + at - time.monotonic())
                 if number == count // 3:
                     disturb()
@@ -664,6 +676,34 @@
         assert bool(_lines(fleet, 'Decided alone.')) or old != 0
 
 
+def _gauge(vm: fleets.Vm, name: str) -> float:
+    """Return the sum of a gauge over its labels."""
+    url = f'http://{vm.address}:{node.METRICS_PORT}/metrics'
+    with request.urlopen(url, timeout=5) as response:
+        lines = response.read().decode().splitlines()
+    return sum(
+        float(line.rpartition(' ')[2])
+        for line in lines
+        if line.startswith(f'{name}{{')
+    )
+
+
+def test_callers_disconnect() -> None:
+    """Their grants end and their calls leave the queue; others are served."""
+    with _fleet(2, **_ON) as fleet:
+        calls = _burst(fleet, (0, 1), seconds=1.0, patience=0.1)
+        assert any(not call.status for call in calls)
+        assert _lines(fleet, 'Caller disconnected.')
+        gauges = ('galenahatch_call_in_flight', 'galenahatch_calls_queued')
+        fleets.eventually(
+            lambda: not any(_gauge(fleet.vms[0], name) for name in gauges),
+            'nothing is granted and nothing waits',
+            _DEADLINE_S / 2,
+        )
+        later = _burst(fleet, (0, 1), seconds=1.0)
+        assert sum(call.is_in_time for call in later) >= 0.5 * _CAPACITY
+
+
 def test_switched_off() -> None:
     """Nobody asks, and nothing new is decided."""
     with _fleet(2) as fleet:
