--- a/galenahatch/gateway/callowner.py
+++ b/galenahatch/gateway/callowner.py
@@ -20,6 +20,7 @@
 
 import asyncio
 import collections.abc
+import math
 import typing
 
 from galenahatch import clock
@@ -220,11 +221,13 @@
         now: float,
     ) -> None:
         admission = self._admission(service, now)
-        if admission is not None:
+        if admission is not None and math.isfinite(load.age):
             report = loadreports.LoadReport(
                 load.running, load.waiting, load.slots, load.slowdown or None
             )
-            admission.record_load(load.upstream, report, now - load.age)
+            admission.record_load(
+                load.upstream, report, now - max(0.0, load.age)
+            )
 
     # Decisions.
 
--- a/galenahatch/gateway/choice.py
+++ b/galenahatch/gateway/choice.py
@@ -68,6 +68,7 @@
         self._route = route
         self._service = service
         self._deadline = contexts.answer_deadline(call, route)
+        self._objective_at = call.arrived_at + route.latency_objective
         # Seconds until the upstreams that were skipped accept requests again.
         self._rate_limited: dict[ids.UpstreamId, float] = {}
         self._paused: dict[ids.UpstreamId, float] = {}
@@ -158,6 +159,7 @@
                 self._excluded(),
                 clock.now(),
                 self._route.is_repeatable,
+                contexts.seconds_until(self._objective_at),
             )
             if chosen is None:
                 break
@@ -209,7 +211,7 @@
             customer=call.customer_name,
             priority=contexts.priority(call, route),
             arrived_at=call.arrived_at,
-            objective_at=call.arrived_at + route.latency_objective,
+            objective_at=self._objective_at,
             deadline=self._deadline,
             fingerprint=call.digest,
             is_repeat=bool(self.avoid),
@@ -250,11 +252,12 @@
         meet the objective.
         """
         now = clock.now()
-        objective_at = self._call.arrived_at + self._route.latency_objective
         work = self._context.balancer.delays.work_seconds(
             upstream.id, [one.id for one in self._usable()], now
         )
-        return objective_at if now + work < objective_at else self._deadline
+        if now + work < self._objective_at:
+            return self._objective_at
+        return self._deadline
 
     def _expected_delay(self, upstream: upstreams.Upstream) -> float | None:
         """Return the seconds until a call ends; None if not known."""
--- a/galenahatch/gateway/plain.py
+++ b/galenahatch/gateway/plain.py
@@ -24,6 +24,7 @@
 import typing
 
 from galenahatch import clock
+from galenahatch.core import balance
 from galenahatch.core import fate
 from galenahatch.core import plaincalls
 from galenahatch.core import routes
@@ -200,7 +201,7 @@
             self._detail = failure.detail
         self._choice.avoid.add(attempt.upstream)
         status = head.status if head is not None else 0
-        self._update_balancer(attempt, head, failure)
+        self._update_balancer(attempt, head, failure, seconds)
         self._report_load(attempt, head, seconds)
         instruments.sends.add(1, {'fate': send_fate.value})
         _log.info(
@@ -219,6 +220,7 @@
         attempt: _Attempt,
         head: calls.ResponseHead | None,
         failure: senders.FailedSend | None,
+        seconds: float,
     ) -> None:
         now = clock.now()
         if head is not None and head.load is not None:
@@ -232,6 +234,7 @@
             is_success,
             registry.usable(self._service, now),
             now,
+            balance.Result(seconds, head.load) if head is not None else None,
         )
         if is_ejected is None:
             return
