Load reports reach the balancer and the owner

Cause: nothing fed `Loads` and `ExpectedDelays`.

Change: every response feeds the reports (`gateway/loads.LoadExchange`), and so do the owner's polls of engines, whose heads `Sender.request_small` now returns. Plain calls record their results. Heartbeats carry the changed reports (new last field `Heartbeat.loads`), `Prefilled` and `Started` the slowdown of their engine (new last fields, 0 if not stated); services that state counts only send an empty tuple. `UpstreamLoad` moves to `gateway/records`. Malformed figures are counted and logged once in ten seconds, as are upstreams that turn slow or are distrusted; three gauges by upstream.

--- a/bench/delays.py
+++ b/bench/delays.py
@@ -48,7 +48,7 @@
 _QUEUE: typing.Final = 24
 _OBJECTIVE_S: typing.Final = 0.31
 _SPEEDS: typing.Final = (0.55, 1.2, 1.2)
-_SLOWDOWN: typing.Final = 2.5
+SLOWDOWN: typing.Final = 2.5
 _SPELL_S: typing.Final = 0.6
 _SPELL_SHARE: typing.Final = 0.15
 _DATA_CENTRES: typing.Final = ('a', 'b', 'c')
@@ -106,7 +106,7 @@
             self._spells.append(begin)
         index = bisect.bisect_right(self._spells, at) - 1
         is_slow = index >= 0 and at < self._spells[index] + _SPELL_S
-        return _SLOWDOWN if is_slow else 1.0
+        return SLOWDOWN if is_slow else 1.0
 
     def finish(self, now: float) -> float:
         """Return the time at which a call that starts now ends."""
@@ -192,7 +192,7 @@
                 upstream, speed, random.Random(f'{seed} {number}')
             )
         self.listed = [server.upstream for server in self.servers.values()]
-        mean_slowdown = 1 + (_SLOWDOWN - 1) * _SPELL_SHARE
+        mean_slowdown = 1 + (SLOWDOWN - 1) * _SPELL_SHARE
         capacity = _SLOTS * sum(speeds) / WORK_S / mean_slowdown
         self._rate = load * capacity
         self._gateways = [
--- a/galenahatch/core/balance.py
+++ b/galenahatch/core/balance.py
@@ -223,6 +223,19 @@
         state.reported_at = now
         state.sent_since_report = 0
 
+    def expected_delays(
+        self,
+        siblings: collections.abc.Sequence[upstreams.Upstream],
+        now: float,
+    ) -> dict[ids.UpstreamId, float]:
+        """Return the expected delay in seconds at all upstreams of a service.
+
+        Distance and failures are not included.
+        """
+        names = [sibling.id for sibling in siblings]
+        delays = self._expected_delays(siblings, names, now)
+        return dict(zip(names, delays, strict=True))
+
     def prune(self, present: typing.Container[ids.UpstreamId]) -> None:
         """Drop upstreams that are no longer listed."""
         self.outliers.prune(present)
@@ -257,11 +270,7 @@
             siblings: All upstreams of the service.
             now: Monotonic time in seconds.
         """
-        delays = self.delays.delays(
-            [(c, self._in_flight(c.id, now)) for c in candidates],
-            siblings,
-            now,
-        )
+        delays = self._expected_delays(candidates, siblings, now)
         penalty = weight * self.delays.median(siblings)
         options = []
         for upstream, delay, excess in zip(
@@ -274,6 +283,18 @@
             options.append(_Option(upstream, cost, is_local, fails))
         return options
 
+    def _expected_delays(
+        self,
+        candidates: collections.abc.Sequence[upstreams.Upstream],
+        siblings: collections.abc.Sequence[ids.UpstreamId],
+        now: float,
+    ) -> list[float]:
+        return self.delays.delays(
+            [(c, self._in_flight(c.id, now)) for c in candidates],
+            siblings,
+            now,
+        )
+
     def _in_flight(self, upstream: ids.UpstreamId, now: float) -> int:
         """Return the requests at an upstream, of all VMs as far as known."""
         state = self._state(upstream)
--- a/galenahatch/core/expecteddelay.py
+++ b/galenahatch/core/expecteddelay.py
@@ -43,9 +43,12 @@
 from galenahatch.core import upstreams
 from galenahatch import ids
 
-_WINDOW: typing.Final = 15
+WINDOW: typing.Final = 15
 """Results of which the median is taken: seven misleading ones don't move it
 past the others, and a lasting change of speed shows after eight."""
+_RESULT_INTERVAL_S: typing.Final = loadreports.SLOWDOWN_LIFE_S
+"""Least seconds between two results that count, so that those of one slow
+moment are a minority of the window."""
 _PRIOR_RESULTS: typing.Final = 2.0
 """Weight, in results, of the siblings' median for a new upstream."""
 _UNUSED_HALF_LIFE_S: typing.Final = 10.0
@@ -97,6 +100,8 @@
 
     Attributes:
         results: Calls that did not wait at the upstream.
+        last_result_at: When any call has ended.
+        counted_at: When the latest of `results` has ended.
         full_at: When a response last showed that calls wait. Those that were
             sent before may have waited.
         trust: Share of the stated slowdown that counts, 0 to 1.
@@ -105,9 +110,10 @@
     """
 
     results: collections.deque[_Result] = dataclasses.field(
-        default_factory=lambda: collections.deque(maxlen=_WINDOW)
+        default_factory=lambda: collections.deque(maxlen=WINDOW)
     )
     last_result_at: float = -math.inf
+    counted_at: float = -math.inf
     full_at: float = -math.inf
     trust: float = 1.0
     usual_slowdown: float = 1.0
@@ -127,7 +133,7 @@
         self.usual_slowdown = statistics.median(
             stated + [1.0] * _USUAL_SLOWDOWNS
         )
-        self.usual_seconds = statistics.median(
+        self.usual_seconds = statistics.median_low(
             result.seconds / self.effect(result.slowdown)
             for result in self.results
         )
@@ -178,7 +184,11 @@
             return
         if _is_full(report):
             speed.full_at = now
-        if now - seconds > speed.full_at:
+        if (
+            now - seconds > speed.full_at
+            and now - speed.counted_at >= _RESULT_INTERVAL_S
+        ):
+            speed.counted_at = now
             speed.add(seconds, _plausible(report.slowdown or 1.0))
 
     def usual_seconds(
--- a/galenahatch/gateway/callmessages.py
+++ b/galenahatch/gateway/callmessages.py
@@ -18,32 +18,14 @@
 in place of points in time.
 """
 
-import msgspec
-
 from galenahatch.gateway import messages
+from galenahatch.gateway import records
 from galenahatch import ids
 
 MESSAGE_LEVEL = 1
 """Level that a gateway states if it knows the messages of this module."""
 
 
-class UpstreamLoad(msgspec.Struct, frozen=True, array_like=True):
-    """Load that an upstream stated in the head of a response.
-
-    Attributes:
-        slowdown: Present time of work as a multiple of the usual; 0 if not
-            stated.
-        age: Seconds since the response.
-    """
-
-    upstream: ids.UpstreamId
-    running: int
-    waiting: int
-    slots: int
-    slowdown: float
-    age: float
-
-
 class CallRequest(messages.Message, frozen=True, array_like=True, tag=True):
     """Requests a grant for a plain call.
 
@@ -110,7 +92,7 @@
     upstream: ids.UpstreamId
     result: str
     seconds: float = 0.0
-    load: UpstreamLoad | None = None
+    load: records.UpstreamLoad | None = None
 
 
 class LoadNotice(messages.Message, frozen=True, array_like=True, tag=True):
@@ -118,7 +100,7 @@
 
     member: ids.MemberId
     service: ids.ServiceName
-    loads: tuple[UpstreamLoad, ...]
+    loads: tuple[records.UpstreamLoad, ...]
 
 
 class Contention(messages.Message, frozen=True, array_like=True, tag=True):
--- a/galenahatch/gateway/calls.py
+++ b/galenahatch/gateway/calls.py
@@ -184,3 +184,8 @@
     leaving: bool | errors.Failure = False
     pause: float | None | errors.Failure = None
     load_error: errors.Failure | None = None
+
+    @property
+    def slowdown(self) -> float:
+        """Slowdown that the upstream states; 0 if it states none."""
+        return (self.load.slowdown or 0.0) if self.load is not None else 0.0
--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -351,7 +351,7 @@
         response: senders.Response,
     ) -> prefill.Retry | None:
         self._relay.begin_run()
-        has_begun = False
+        head, has_begun = response.head, False
         while True:
             # Data that has arrived is relayed even after the deadline.
             time_left = max(0.0, contexts.seconds_until(self._deadline))
@@ -372,8 +372,9 @@
             if not has_begun:
                 has_begun = True
                 self._spent.made = self._relay.run_started_at - self._sent_at
-                self._context.owner_client.report_started(stream)
-            await self._relay.forward(response.head, events)
+                client = self._context.owner_client
+                client.report_started(stream, head.slowdown)
+            await self._relay.forward(head, events)
 
     def _on_broken(
         self, engine: upstreams.Upstream, detail: str, is_disconnect: bool
--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -159,6 +159,25 @@
     's',
     'Seconds left of a pause that this gateway was asked for, by upstream.',
 )
+UPSTREAM_SLOWDOWN: typing.Final = _upstream_gauge(
+    'galenahatch_upstream_slowdown',
+    '1',
+    'Time that work takes now, as a multiple of the usual, by upstream.',
+)
+EXPECTED_DELAY: typing.Final = _upstream_gauge(
+    'galenahatch_upstream_expected_delay_seconds',
+    's',
+    'Seconds until a plain call sent now would end, by upstream.',
+)
+SEND_SHARE: typing.Final = _upstream_gauge(
+    'galenahatch_upstream_send_share',
+    '1',
+    'Share of the last responses of its service, by upstream.',
+)
+invalid_loads = _meter.create_counter(
+    'galenahatch_invalid_loads',
+    description='Responses whose load was malformed or implausible.',
+)
 orders = _meter.create_counter(
     'galenahatch_orders', description='Orders sent to engines, by status.'
 )
--- a/galenahatch/gateway/mesh.py
+++ b/galenahatch/gateway/mesh.py
@@ -32,6 +32,7 @@
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import frames
 from galenahatch.gateway import instruments
+from galenahatch.gateway import loads
 from galenahatch.gateway import messages
 from galenahatch.gateway import notices
 from galenahatch.gateway import outcomes
@@ -72,6 +73,7 @@
         accounts: Use of quotas by customers.
         rate_limits: Limits that upstreams announce.
         notices: Other announcements in answers of upstreams.
+        loads: Load that upstreams state.
     """
 
     outcomes: outcomes.OutcomeExchange
@@ -79,6 +81,7 @@
     accounts: accounts.Accounts
     rate_limits: ratelimits.RateLimits
     notices: notices.Notices
+    loads: loads.LoadExchange
 
 
 class Mesh:
@@ -110,7 +113,7 @@
         self._exchange = exchanges.outcomes
         self._guard, self._accounts = exchanges.guard, exchanges.accounts
         self._rate_limits = exchanges.rate_limits
-        self._notices = exchanges.notices
+        self._notices, self._loads = exchanges.notices, exchanges.loads
         self._handler = handler
         self._tasks = background
         self._incarnation = clock.random_incarnation()
@@ -246,12 +249,12 @@
             self._notices.leaving_upstreams(),
             self._directory.upstreams_version.era,
             self._members.rank.era,
+            self._loads.take_changed(self.size),
         )
+        share = 1.0
         if self._members.owner(self.leaving, now) == self.me:
             self._exchange.apply_own_totals()
             share = self._reachable_share(now)
-        else:
-            share = 1.0
         self._accounts.set_owned_share(share)
         self._rate_limits.set_owned_share(share)
         self.tell_owner(message)
@@ -314,6 +317,7 @@
             self._accounts.add_reported(message.used)
             self._rate_limits.merge_reported(message.rate_limits)
             self._notices.merge(message.leaving_upstreams)
+            self._loads.merge(message.loads)
             self._guard.merge(message.suspicions)
             self.reply(
                 message.member,
@@ -370,10 +374,9 @@
         self._members.record_message(
             name, clock.now(), heartbeat.leaving, heartbeat.incarnation, order
         )
-        delivers_changes = (
-            heartbeat.reaches_store and self._updates.is_current(heartbeat)
-        )
-        self._members.set_follows_store(name, delivers_changes)
+        is_current = self._updates.is_current(heartbeat)
+        follows = heartbeat.reaches_store and is_current
+        self._members.set_follows_store(name, follows)
 
     def _record_peer(self, name: ids.MemberId, peer: bus.Peer) -> None:
         """Record the connection on which replies reach a member."""
--- a/galenahatch/gateway/messages.py
+++ b/galenahatch/gateway/messages.py
@@ -111,6 +111,7 @@
         leaving_upstreams: Upstreams whose answers recently announced this.
         era: Era of `upstreams_version`.
         order_era: Era of `order`.
+        loads: Latest load reports, of upstreams that state a slowdown.
     """
 
     member: ids.MemberId
@@ -128,6 +129,7 @@
     leaving_upstreams: tuple[ids.UpstreamId, ...] = ()
     era: int = 0
     order_era: int = 0
+    loads: tuple[records.UpstreamLoad, ...] = ()
 
 
 class HeartbeatReply(Message, frozen=True, array_like=True, tag='BeatBack'):
@@ -249,19 +251,21 @@
 
 
 class Prefilled(Message, frozen=True, array_like=True, tag=True):
-    """Reports the duration of a prefill."""
+    """Reports a prefill: its duration, and the slowdown at its end or 0."""
 
     stream: ids.StreamId
     service: ids.ServiceName
     tokens: int
     seconds: float
+    slowdown: float = 0.0
 
 
 class Started(Message, frozen=True, array_like=True, tag=True):
-    """Reports the first event of a stream."""
+    """Reports the first event of a stream, and its engine's slowdown or 0."""
 
     stream: ids.StreamId
     service: ids.ServiceName
+    slowdown: float = 0.0
 
 
 class Release(Message, frozen=True, array_like=True, tag=True):
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -27,6 +27,7 @@
 
 from galenahatch import clock
 from galenahatch.core import balance
+from galenahatch.core import loadreports
 from galenahatch.core import retrybudget
 from galenahatch import errors
 from galenahatch.gateway import accounts as accounts_module
@@ -37,6 +38,7 @@
 from galenahatch.gateway import frames
 from galenahatch.gateway import frontend
 from galenahatch.gateway import instruments
+from galenahatch.gateway import loads as loads_module
 from galenahatch.gateway import mesh as meshes
 from galenahatch.gateway import messages
 from galenahatch.gateway import notices
@@ -142,7 +144,11 @@
             self._rate_limits.limiter,
             self._notices.pauses_left,
         )
-        self._balancer = balance.Balancer(clock.RANDOM, settings.data_centre)
+        loads = loadreports.Loads()
+        self._balancer = balance.Balancer(
+            clock.RANDOM, settings.data_centre, loads
+        )
+        self._loads = loads_module.LoadExchange(loads, self._balancer)
         self._exchange = outcomes.OutcomeExchange(self._balancer.outliers)
         self._open_mesh()
 
@@ -164,6 +170,7 @@
                 self._accounts,
                 self._rate_limits,
                 self._notices,
+                self._loads,
             ),
             self._handle_message,
             self._background_tasks,
@@ -204,6 +211,7 @@
         """Record what an upstream's answer says about further requests."""
         self._rate_limits.observe_response(upstream, sent_at, head)
         self._notices.record_answer(upstream, sent_at, head)
+        self._loads.record_answer(upstream, head)
 
     def _cancel_waits(self, upstream: ids.UpstreamId) -> None:
         """Cancel calls that wait for the previous process of an upstream."""
@@ -227,6 +235,7 @@
             self._sender,
             self._rate_limits.limiter,
             self._notices,
+            self._loads,
         ).start(self._background_tasks)
         self._orders.run()
         self._background_tasks.run_forever('members', self._refresh)
@@ -271,6 +280,7 @@
             self._exchange.prune(known)
             self._rate_limits.prune(known)
             self._notices.prune(known)
+            self._loads.refresh(known)
             await asyncio.sleep(_REFRESH_INTERVAL_S)
 
     def reload(self) -> None:
--- a/galenahatch/gateway/owner_client.py
+++ b/galenahatch/gateway/owner_client.py
@@ -259,21 +259,40 @@
         service: ids.ServiceName,
         tokens: int,
         seconds: float,
+        slowdown: float = 0.0,
     ) -> None:
-        """Report a completed prefill to the owner."""
+        """Report a completed prefill to the owner.
+
+        Args:
+            stream: Stream that it is part of.
+            service: Service of the stream.
+            tokens: Tokens of the prompt.
+            seconds: Duration of the prefill.
+            slowdown: Slowdown that the engine stated; 0 if it stated none.
+        """
         owner = self._owner_by_stream.get(stream)
         if owner is not None:
-            message = messages.Prefilled(stream, service, tokens, seconds)
+            message = messages.Prefilled(
+                stream, service, tokens, seconds, slowdown
+            )
             self._send(owner, message)
 
-    def report_started(self, stream: ids.StreamId) -> None:
-        """Report the first event of a stream to the owner."""
+    def report_started(
+        self, stream: ids.StreamId, slowdown: float = 0.0
+    ) -> None:
+        """Report the first event of a stream to the owner.
+
+        Args:
+            stream: The stream.
+            slowdown: Slowdown that its engine stated; 0 if it stated none.
+        """
         running = self._running.get(stream)
         owner = self._owner_by_stream.get(stream)
         if running is None or owner is None:
             return
         running.first_event_at = clock.now()
-        self._send(owner, messages.Started(stream, running.generation.service))
+        service = running.generation.service
+        self._send(owner, messages.Started(stream, service, slowdown))
 
     def release(self, release: messages.Release) -> None:
         """Report to the owner that a generation no longer uses its engines."""
--- a/galenahatch/gateway/plain.py
+++ b/galenahatch/gateway/plain.py
@@ -23,6 +23,7 @@
 import typing
 
 from galenahatch import clock
+from galenahatch.core import balance
 from galenahatch.core import fate
 from galenahatch.core import routes
 from galenahatch.core import upstreams
@@ -124,6 +125,9 @@
                 self._avoid | self._rate_limited.keys() | self._paused.keys(),
                 now,
                 self._route.is_repeatable,
+                contexts.seconds_until(
+                    self._call.arrived_at + self._route.latency_objective
+                ),
             )
             if chosen is None:
                 break
@@ -227,7 +231,7 @@
             self._detail = failure.detail
         self._avoid.add(attempt.upstream)
         status = head.status if head is not None else 0
-        self._update_balancer(attempt, head, failure)
+        self._update_balancer(attempt, head, failure, seconds)
         instruments.sends.add(1, {'fate': send_fate.value})
         _log.info(
             'Sent.',
@@ -245,6 +249,7 @@
         attempt: _Attempt,
         head: calls.ResponseHead | None,
         failure: senders.FailedSend | None,
+        seconds: float,
     ) -> None:
         now = clock.now()
         if head is not None and head.load is not None:
@@ -258,6 +263,7 @@
             is_success,
             registry.usable(self._service, now),
             now,
+            balance.Result(seconds, head.load) if head is not None else None,
         )
         if is_ejected is None:
             return
--- a/galenahatch/gateway/prefill.py
+++ b/galenahatch/gateway/prefill.py
@@ -144,7 +144,11 @@
             return Retry(engine.id, result.detail, (engine.id,))
         self._store_handle(engine, result.handle)
         self._context.owner_client.report_prefilled(
-            stream, self._service, self._tokens, clock.now() - started_at
+            stream,
+            self._service,
+            self._tokens,
+            clock.now() - started_at,
+            response.head.slowdown,
         )
         return None
 
--- a/galenahatch/gateway/records.py
+++ b/galenahatch/gateway/records.py
@@ -69,3 +69,20 @@
 
     upstream: ids.UpstreamId
     seconds_left: float
+
+
+class UpstreamLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Load that an upstream stated in the head of a response.
+
+    Attributes:
+        slowdown: Present time of work as a multiple of the usual; 0 if not
+            stated.
+        age: Seconds since the response.
+    """
+
+    upstream: ids.UpstreamId
+    running: int
+    waiting: int
+    slots: int
+    slowdown: float
+    age: float
--- a/galenahatch/gateway/reports.py
+++ b/galenahatch/gateway/reports.py
@@ -21,6 +21,7 @@
 from galenahatch.core import ratelimits
 from galenahatch import errors
 from galenahatch.gateway import directory as directories
+from galenahatch.gateway import loads as loads_module
 from galenahatch.gateway import mesh as meshes
 from galenahatch.gateway import notices as notices_module
 from galenahatch.gateway import owner as owners
@@ -28,6 +29,7 @@
 from galenahatch import ids
 from galenahatch import logs
 from galenahatch.platform import engines
+from galenahatch.platform import wire
 from galenahatch import tasks
 
 _POLL_INTERVAL_S: typing.Final = 1.0
@@ -46,6 +48,7 @@
         sender: Sender for the polls.
         limiter: Rate limiter of upstreams, which count polls as requests.
         notices: Source of upstreams that asked for a pause.
+        loads: Load reports, which the responses to the polls feed.
     """
 
     def __init__(
@@ -56,8 +59,10 @@
         sender: senders.Sender,
         limiter: ratelimits.Limiter,
         notices: notices_module.Notices,
+        loads: loads_module.LoadExchange,
     ) -> None:
         self._notices = notices
+        self._loads = loads
         self._directory = directory
         self._mesh = mesh
         self._owner = owner
@@ -107,7 +112,7 @@
                     detail=reply.detail,
                 )
                 continue
-            report = engines.decode_report(reply[1])
+            report = engines.decode_report(reply.body)
             if isinstance(report, errors.Failure):
                 _log.warning(
                     'Invalid engine report.',
@@ -115,15 +120,24 @@
                     detail=report.detail,
                 )
                 continue
-            self._apply(dispatcher, engine.id, report)
+            current = self._apply(dispatcher, engine.id, report)
+            if current is not None:
+                head = wire.decode_response_head(
+                    reply.status, reply.raw_headers
+                )
+                self._loads.record_answer(current, head)
 
     def _apply(
         self,
         dispatcher: dispatch.Dispatcher,
         engine: ids.UpstreamId,
         report: engines.Report,
-    ) -> None:
-        """Apply a report if it is from the engine's current incarnation."""
+    ) -> ids.UpstreamId | None:
+        """Apply a report if it is from the engine's current incarnation.
+
+        Returns:
+            That incarnation; None if the report is from another.
+        """
         accepted = (
             incarnations.UNKNOWN_START,
             incarnations.started_ms(engine),
@@ -133,7 +147,7 @@
                 engine, report.started_ms, report.stage
             )
             if successor is None:
-                return
+                return None
             engine = successor.id
         dispatcher.engines.record_report(
             engine,
@@ -142,3 +156,4 @@
             report.executing_order,
             clock.now(),
         )
+        return engine
--- a/galenahatch/gateway/sender.py
+++ b/galenahatch/gateway/sender.py
@@ -90,6 +90,14 @@
     is_disconnect: bool = False
 
 
+class SmallResponse(typing.NamedTuple):
+    """Complete response to a request of the gateway itself."""
+
+    status: int
+    body: bytes
+    raw_headers: tuple[tuple[bytes, bytes], ...]
+
+
 class _Protocol(client_proto.ResponseHandler):
     """Protocol that never mistakes a connection reset for a regular EOF.
 
@@ -345,7 +353,7 @@
         timeout: float,
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
-    ) -> tuple[int, bytes] | errors.Failure:
+    ) -> SmallResponse | errors.Failure:
         """Send a request of the gateway itself; the response must be small."""
         if self._pooled_session.closed:
             # The process is exiting; handles at the engines just expire.
@@ -362,7 +370,10 @@
                     skip_auto_headers=_SKIPPED_AUTO_HEADERS,
                 ) as response,
             ):
-                return response.status, await response.read()
+                content = await response.read()
+                return SmallResponse(
+                    response.status, content, response.raw_headers
+                )
         except http.CLIENT_ERRORS as error:
             return errors.Failure(errors.UPSTREAM_UNREACHABLE, repr(error))
 
--- a/galenahatch/test/test_loads.py
+++ b/galenahatch/test/test_loads.py
@@ -12,10 +12,25 @@
 
 """Load reports of upstreams: their age, their slowdown, and what is told."""
 
+import math
+import random
+
+import msgspec
 import pytest
 
+from galenahatch import clock
+from galenahatch.core import balance
 from galenahatch.core import loadreports
+from galenahatch.core import members
+from galenahatch.core import upstreams
+from galenahatch.gateway import calls
+from galenahatch.gateway import frames
+from galenahatch.gateway import instruments
+from galenahatch.gateway import loads as loads_module
+from galenahatch.gateway import messages
+from galenahatch.gateway import records
 from galenahatch import ids
+from galenahatch.platform import wire
 from galenahatch.test import cases
 
 _A, _B = ids.UpstreamId('a'), ids.UpstreamId('b')
@@ -82,3 +97,110 @@
     assert loads.reports_slowdown((_A, _B))
     loads.prune((_A,))
     assert not loads.reports_slowdown((_A, _B))
+
+
+def _head(text: str) -> calls.ResponseHead:
+    raw = [(b'X-Galenahatch-Instance-Load', text.encode())]
+    return wire.decode_response_head(200, raw)
+
+
+def _exchange() -> tuple[loads_module.LoadExchange, loadreports.Loads]:
+    loads = loadreports.Loads()
+    balancer = balance.Balancer(random.Random(1), ids.DataCentre('a'), loads)
+    return loads_module.LoadExchange(loads, balancer), loads
+
+
+def test_owner_is_told() -> None:
+    """What one gateway reads in an answer reaches the owner by a heartbeat."""
+    sender, _ = _exchange()
+    owner, known = _exchange()
+    sender.record_answer(_A, _head('3,1,6,250'))
+    sender.record_answer(_B, _head('3,1,6'))
+    heartbeat = messages.Heartbeat(
+        ids.MemberId('m'), 1, 1, 1, False, loads=sender.take_changed(6)
+    )
+    received = frames.decode(frames.encode(heartbeat))
+    assert isinstance(received, messages.Heartbeat)
+    owner.merge(received.loads)
+    now = clock.now()
+    assert known.slowdown(_A, now) > 2.0
+    report = known.latest(_A, now)
+    assert report is not None and report.total == 4
+    assert known.latest(_B, now) is None, 'it states no slowdown'
+    assert owner.take_changed(6) == (), 'what others observed goes no further'
+
+
+def test_absurd_reports_of_members() -> None:
+    """Ages and slowdowns that are no numbers are ignored."""
+    owner, known = _exchange()
+    owner.merge(
+        (
+            records.UpstreamLoad(_A, 1, 0, 6, math.nan, 0.1),
+            records.UpstreamLoad(_A, 1, 0, 6, 2.5, math.inf),
+            records.UpstreamLoad(_B, 1, 0, 6, 2.5, -1e9),
+        )
+    )
+    now = clock.now()
+    assert known.latest(_A, now) is None
+    assert known.latest(_B, now + 2.0) is None, 'not from the future'
+
+
+@pytest.mark.parametrize('size', (1, 6, 74, 195, 410))
+def test_reports_at_the_owner_are_bounded(size: int) -> None:
+    """All heartbeats together take a bounded part of the owner's link."""
+    sender, _ = _exchange()
+    for number in range(1500):
+        name = ids.UpstreamId(f'engine-{number}@1796000000000')
+        sender.record_answer(name, _head('3,1,6,250'))
+    loads = sender.take_changed(size)
+    interval = members.HEARTBEAT_INTERVAL_S * max(
+        1.0, size / members.FULL_RATE_MEMBERS
+    )
+    data = msgspec.msgpack.encode(loads)
+    assert len(data) * size / interval < 28_000 * 0.6
+    assert loads
+
+
+def test_slow_upstreams_are_logged_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An operator sees which upstream turned slow, and its figures."""
+    lines: list[dict[str, object]] = []
+    monkeypatch.setattr(
+        loads_module._log,
+        'info',
+        lambda text, **fields: lines.append({'text': text, **fields}),
+    )
+    exchange, loads = _exchange()
+    known = {
+        name: upstreams.Upstream(
+            name, ids.ServiceName('s'), '10.0.0.1:80', ids.DataCentre('a'), 6
+        )
+        for name in (_A, _B, ids.UpstreamId('c'))
+    }
+    for name in known:
+        exchange.record_answer(name, _head('1,0,6,100'))
+        seconds = 0.2 if name == _A else 0.06
+        exchange._balancer.delays.record(name, seconds, _report(1.0), 0.0)
+    exchange.refresh(known)
+    exchange.refresh(known)
+    assert [line['upstream'] for line in lines] == [_A]
+    assert 'usual=0.2' in str(lines[0]['detail'])
+    shares = exchange._send_shares()
+    assert sum(shares.values()) == pytest.approx(1.0)
+    assert set(exchange._expected_delays()) == set(known)
+
+
+def test_invalid_loads_are_counted(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Invalid figures are counted, and logged once in a while."""
+    lines: list[str] = []
+    monkeypatch.setattr(
+        loads_module._log, 'warning', lambda text, **fields: lines.append(text)
+    )
+    exchange, loads = _exchange()
+    for _ in range(50):
+        exchange.record_answer(_A, _head('1,0,6,0'))
+    assert len(lines) == 1
+    assert 'galenahatch_invalid_loads_total' in instruments.render()
+    assert loads.slowdown(_A, clock.now()) == 1.0
+    assert not loads.reports_slowdown((_A,))
