--- a/galenahatch/gateway/callgrants.py
+++ b/galenahatch/gateway/callgrants.py
@@ -33,6 +33,7 @@
 from galenahatch.gateway import frames
 from galenahatch.gateway import grants
 from galenahatch.gateway import instruments
+from galenahatch.gateway import records
 from galenahatch import ids
 from galenahatch import logs
 from galenahatch import timeouts
@@ -355,8 +356,8 @@
 
 def _load_record(
     upstream: ids.UpstreamId, report: loadreports.LoadReport
-) -> callmessages.UpstreamLoad:
-    return callmessages.UpstreamLoad(
+) -> records.UpstreamLoad:
+    return records.UpstreamLoad(
         upstream,
         report.running,
         report.waiting,
--- a/galenahatch/gateway/callowner.py
+++ b/galenahatch/gateway/callowner.py
@@ -33,6 +33,7 @@
 from galenahatch.gateway import frames
 from galenahatch.gateway import instruments
 from galenahatch.gateway import messages
+from galenahatch.gateway import records
 from galenahatch import ids
 from galenahatch import logs
 from galenahatch import tasks
@@ -217,7 +218,7 @@
     def _record_load(
         self,
         service: ids.ServiceName,
-        load: callmessages.UpstreamLoad,
+        load: records.UpstreamLoad,
         now: float,
     ) -> None:
         admission = self._admission(service, now)
--- a/galenahatch/gateway/choice.py
+++ b/galenahatch/gateway/choice.py
@@ -262,12 +262,10 @@
     def _expected_delay(self, upstream: upstreams.Upstream) -> float | None:
         """Return the seconds until a call ends; None if not known."""
         now = clock.now()
-        report = self._context.loads.latest(upstream.id, now)
-        if report is None:
+        if self._context.loads.latest(upstream.id, now) is None:
             return None
-        return self._context.balancer.delays.delay(
-            upstream, report.total, [one.id for one in self._usable()], now
-        )
+        delays = self._context.balancer.expected_delays(self._usable(), now)
+        return delays.get(upstream.id)
 
 
 def _no_room(retry_after: float, why: str) -> grants.Rejected:
--- a/galenahatch/gateway/messages.py
+++ b/galenahatch/gateway/messages.py
@@ -112,6 +112,7 @@
         era: Era of `upstreams_version`.
         order_era: Era of `order`.
         message_level: Level of messages that the sender knows.
+        loads: Latest load reports, of upstreams that state a slowdown.
     """
 
     member: ids.MemberId
@@ -130,6 +131,7 @@
     era: int = 0
     order_era: int = 0
     message_level: int = 0
+    loads: tuple[records.UpstreamLoad, ...] = ()
 
 
 class HeartbeatReply(Message, frozen=True, array_like=True, tag='BeatBack'):
@@ -252,19 +254,21 @@
 
 
 class Prefilled(Message, frozen=True, array_like=True, tag=True):
-    """Reports the duration of a prefill."""
+    """Reports a prefill: its duration, and the slowdown at its end or 0."""
 
     stream: ids.StreamId
     service: ids.ServiceName
     tokens: int
     seconds: float
+    slowdown: float = 0.0
 
 
 class Started(Message, frozen=True, array_like=True, tag=True):
-    """Reports the first event of a stream."""
+    """Reports the first event of a stream, and its engine's slowdown or 0."""
 
     stream: ids.StreamId
     service: ids.ServiceName
+    slowdown: float = 0.0
 
 
 class Release(Message, frozen=True, array_like=True, tag=True):
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -42,6 +42,7 @@
 from galenahatch.gateway import frames
 from galenahatch.gateway import frontend
 from galenahatch.gateway import instruments
+from galenahatch.gateway import loads as loads_module
 from galenahatch.gateway import mesh as meshes
 from galenahatch.gateway import messages
 from galenahatch.gateway import notices
@@ -147,20 +148,23 @@
             self._rate_limits.limiter,
             self._notices.pauses_left,
         )
-        self._loads = loadreports.Loads()
-        self._balancer = balance.Balancer(
-            clock.RANDOM, settings.data_centre, self._loads
-        )
-        self._exchange = outcomes.OutcomeExchange(self._balancer.outliers)
-        self._open_admission()
+        self._open_plain_calls()
         self._open_mesh()
 
-    def _open_admission(self) -> None:
-        """Create the components that admit plain calls."""
+    def _open_plain_calls(self) -> None:
+        """Create the components that admit and balance plain calls."""
         settings = self._settings
+        self._load_reports = loadreports.Loads()
+        self._balancer = balance.Balancer(
+            clock.RANDOM, settings.data_centre, self._load_reports
+        )
+        self._loads = loads_module.LoadExchange(
+            self._load_reports, self._balancer
+        )
+        self._exchange = outcomes.OutcomeExchange(self._balancer.outliers)
         self._contention = contention.Contention(
             self._directory,
-            self._loads,
+            self._load_reports,
             settings.features.admission_control,
         )
         self._call_owner = callowner.CallOwner(self._directory)
@@ -189,6 +193,7 @@
                 self._accounts,
                 self._rate_limits,
                 self._notices,
+                self._loads,
             ),
             self._handle_message,
             self._background_tasks,
@@ -234,9 +239,8 @@
     ) -> None:
         """Record what an upstream's answer says about further requests."""
         self._rate_limits.observe_response(upstream, sent_at, head)
-        if head.load is not None:
-            self._loads.record(upstream, head.load, clock.now())
         self._notices.record_answer(upstream, sent_at, head)
+        self._loads.record_answer(upstream, head)
 
     def _cancel_waits(self, upstream: ids.UpstreamId) -> None:
         """Cancel calls that wait for the previous process of an upstream."""
@@ -262,6 +266,7 @@
             self._sender,
             self._rate_limits.limiter,
             self._notices,
+            self._loads,
         ).start(self._background_tasks)
         self._orders.run()
         self._background_tasks.run_forever('members', self._refresh)
@@ -280,7 +285,7 @@
                 rate_limits=self._rate_limits,
                 notices=self._notices,
                 tasks=self._background_tasks,
-                loads=self._loads,
+                loads=self._load_reports,
                 contention=self._contention,
                 call_grants=self._call_grants,
             )
@@ -309,6 +314,7 @@
             self._exchange.prune(known)
             self._rate_limits.prune(known)
             self._notices.prune(known)
+            self._loads.refresh(known)
             await asyncio.sleep(_REFRESH_INTERVAL_S)
 
     def reload(self) -> None:
--- a/galenahatch/test/test_call_grants.py
+++ b/galenahatch/test/test_call_grants.py
@@ -43,6 +43,7 @@
 from galenahatch.gateway import grants
 from galenahatch.gateway import messages
 from galenahatch.gateway import node
+from galenahatch.gateway import records
 from galenahatch import ids
 from galenahatch import tasks
 from galenahatch.test import fleet as fleets
@@ -434,7 +435,7 @@
 
     async def test(gateway: _Gateway) -> None:
         gateway.peers.owners = [_ME]
-        load = callmessages.UpstreamLoad(_UP, 2, 4, 2, 0.0, 0.0)
+        load = records.UpstreamLoad(_UP, 2, 4, 2, 0.0, 0.0)
         member = ids.MemberId('g')
         gateway.owner.handle_message(
             member, callmessages.LoadNotice(member, _DESK, (load,))
