--- a/bench/callfleet.py
+++ b/bench/callfleet.py
@@ -209,9 +209,10 @@
             for gateway in fleet.gateways_of(self):
                 fleet.message(gateway.hear_contention)
         at = self.admission.next_decision_at(fleet.now)
+        assert at is None or at > fleet.now
         if at is not None and not fleet.now < self._woken_at <= at:
             self._woken_at = at
-            fleet.at(max(0.001, at - fleet.now), self.drive)
+            fleet.at(at - fleet.now, self.drive)
 
     def _tell(self, decision: plaincalls.Decision) -> None:
         gateway = self._fleet.gateways[int(decision.call.key.member)]
--- a/galenahatch/core/calladmission.py
+++ b/galenahatch/core/calladmission.py
@@ -210,14 +210,16 @@
         return decisions
 
     def next_decision_at(self, now: float) -> float | None:
-        """Return when `decide` has to be called next; None if not at all."""
+        """Return when `decide` has to be called next; None if not at all.
+
+        After `decide` was called at a time, it is later than this time.
+        """
         times = [self._grants.next_expiry()]
         if len(self._waiting):
             times.append(now + waitingcalls.REVIEW_INTERVAL_S)
-            times.append(self._grants.next_trial_at())
+            times.append(self._grants.next_trial_at(now))
             times.append(self._waiting.next_check_at())
-        due = (max(at, now) for at in times if at is not None)
-        return min(due, default=None)
+        return min((at for at in times if at is not None), default=None)
 
     def is_contended(self, now: float) -> bool:
         """Return whether calls need a grant."""
--- a/galenahatch/core/callestimates.py
+++ b/galenahatch/core/callestimates.py
@@ -105,5 +105,6 @@
     def _delay_without_rate(self, ahead: float, now: float) -> float:
         if not self._grants.is_suspended():
             return 0.0
-        trial_at = self._grants.next_trial_at() or now
-        return max(0.0, trial_at - now) + ahead * _TRIAL_INTERVAL_S
+        trial_at = self._grants.next_trial_at(now)
+        delay = trial_at - now if trial_at is not None else 0.0
+        return delay + ahead * _TRIAL_INTERVAL_S
--- a/galenahatch/core/sendgrants.py
+++ b/galenahatch/core/sendgrants.py
@@ -12,10 +12,10 @@
 
 """Granted sends of one plain service, and the windows of its upstreams."""
 
-import collections.abc
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 import typing
 
@@ -50,6 +50,10 @@
         self._grants: dict[plaincalls.CallKey, _Grant] = {}
         self._expiries: list[tuple[float, int, _Grant]] = []
         self._order = itertools.count()
+        self._rate = 0.0
+        self._rate_at = -math.inf
+        self._hold_seconds = 0.0
+        self._deviation = 0.0
 
     def __len__(self) -> int:
         return len(self._grants)
@@ -71,9 +75,20 @@
         for upstream in self._upstreams.values():
             window = previous.get(upstream.id)
             if window is None:
-                window = sendwindow.SendWindow(upstream.slots)
+                window = self._new_window(upstream)
             window.set_slots(upstream.slots)
             self._windows[upstream.id] = window
+        self._update_means()
+
+    def _new_window(
+        self, upstream: upstreams.Upstream
+    ) -> sendwindow.SendWindow:
+        """Return a window with the grants from before the upstream lapsed."""
+        window = sendwindow.SendWindow(upstream.slots)
+        for grant in self._grants.values():
+            if grant.upstream == upstream.id:
+                window.begin(grant.granted_at)
+        return window
 
     def upstream_of(self, key: plaincalls.CallKey) -> ids.UpstreamId | None:
         """Return the upstream that a call was granted, if any."""
@@ -142,6 +157,7 @@
         if window is not None:
             lowest = min(w.failure_share for w in self._windows.values())
             window.end(result, seconds, grant.granted_at, lowest, now)
+            self._update_means()
         return True
 
     def expire(self, now: float) -> None:
@@ -175,12 +191,19 @@
         window = self._windows.get(upstream)
         if window is not None:
             window.record_load(report, now)
+            self._update_means()
 
     def rate(self, now: float) -> float:
         """Return the calls a second that end while calls wait.
 
         Upstreams that have not answered yet count like the mean of the others.
         """
+        if now != self._rate_at:
+            self._rate_at = now
+            self._rate = self._compute_rate(now)
+        return self._rate
+
+    def _compute_rate(self, now: float) -> float:
         rates = [window.rate(now) for window in self._windows.values()]
         known = [rate for rate in rates if rate]
         if not known:
@@ -191,10 +214,12 @@
         )
         return sum(known) * (1 + unknown / len(known))
 
-    def next_trial_at(self) -> float | None:
+    def next_trial_at(self, now: float) -> float | None:
         """Return the time of the next trial of a suspended upstream."""
         times = [window.trial_at for window in self._windows.values()]
-        return min((at for at in times if at is not None), default=None)
+        return min(
+            (at for at in times if at is not None and at > now), default=None
+        )
 
     def is_suspended(self) -> bool:
         """Return whether all upstreams get trials only."""
@@ -203,26 +228,30 @@
 
     def hold_seconds(self) -> float:
         """Return the mean seconds from grant to end; 0 if unknown."""
-        return self._mean(lambda window: window.hold_seconds)
+        return self._hold_seconds
 
     def deviation(self) -> float:
         """Return the mean absolute deviation of the hold seconds."""
-        return self._mean(lambda window: window.deviation)
+        return self._deviation
 
-    def _mean(
-        self,
-        value: collections.abc.Callable[[sendwindow.SendWindow], float],
-    ) -> float:
+    def _update_means(self) -> None:
+        """Update the means over all upstreams after any of them changed."""
+        self._rate_at = -math.inf
         known = [w for w in self._windows.values() if w.hold_seconds]
-        if not known:
-            return 0.0
         # Fast upstreams answer more calls.
         weights = [window.size / window.hold_seconds for window in known]
-        total = sum(
-            weight * value(window)
-            for weight, window in zip(weights, known, strict=True)
+        total = sum(weights)
+        if not total:
+            self._hold_seconds = self._deviation = 0.0
+            return
+        self._hold_seconds = sum(window.size for window in known) / total
+        self._deviation = (
+            sum(
+                weight * window.deviation
+                for weight, window in zip(weights, known, strict=True)
+            )
+            / total
         )
-        return total / sum(weights)
 
     def occupancy(self, now: float) -> float:
         """Return the sends in flight as a share of all slots."""
--- a/galenahatch/core/sendwindow.py
+++ b/galenahatch/core/sendwindow.py
@@ -132,6 +132,7 @@
         self._others = 0.0
         self._reported_at = -math.inf
         self._slowdown = 1.0
+        self._update_size()
 
     @property
     def slots(self) -> int:
@@ -141,7 +142,7 @@
     @property
     def size(self) -> int:
         """Sends that may be in flight; at least 1."""
-        return max(1, int(min(self._limit, self._bound)))
+        return self._size
 
     @property
     def failure_share(self) -> float:
@@ -163,19 +164,12 @@
         """Time of the next trial; None if the upstream is not suspended."""
         return self._trial_at
 
-    @property
-    def _bound(self) -> int:
-        excess = 0.0
-        if self._work_seconds:
-            excess = 2 * self._message_seconds / self._work_seconds
-        excess = min(excess, _MAX_EXCESS_SHARE)
-        return self._slots + max(1, math.ceil(excess * self._slots))
-
     def set_slots(self, slots: int) -> None:
         """Set the slots that the upstream's entry states."""
         if slots != self._stated_slots:
             self._stated_slots = slots
             self._slots = max(1, slots)
+            self._update_size()
 
     def in_flight(self, now: float) -> float:
         """Return the sends in flight, with those of others as reported.
@@ -238,7 +232,9 @@
             # It executes fewer than it has slots for. A response may be
             # counted out before the next call is counted in.
             slots = min(slots, report.running + 1)
-        self._slots = slots
+        if slots != self._slots:
+            self._slots = slots
+            self._update_size()
         # The report may still count the call that it answers.
         self._others = max(0.0, report.total - self._granted - 1.0)
         self._reported_at = now
@@ -300,10 +296,7 @@
         elif now >= self._shrunk_at + self._work_seconds:
             self._shrunk_at = now
             self._shrink(_REJECTION_FACTOR)
-        if (
-            max(excess, self._rejection_share) > _SUSPECT_SHARE
-            or self._failure_share > _FAILED_SHARE
-        ):
+        if self._is_suspect(excess):
             self._suspend(is_trial, now)
 
     def state(self, now: float) -> WindowState:
@@ -316,8 +309,24 @@
             self._trial_at is not None,
         )
 
+    def _is_suspect(self, excess: float) -> bool:
+        """Return whether the upstream fails or rejects nearly everything."""
+        return (
+            max(excess, self._rejection_share) > _SUSPECT_SHARE
+            or self._failure_share > _FAILED_SHARE
+        )
+
+    def _update_size(self) -> None:
+        excess = 0.0
+        if self._work_seconds:
+            excess = 2 * self._message_seconds / self._work_seconds
+        excess = min(excess, _MAX_EXCESS_SHARE)
+        self._bound = self._slots + max(1, math.ceil(excess * self._slots))
+        self._size = max(1, int(min(self._limit, self._bound)))
+
     def _shrink(self, factor: float) -> None:
         self._limit = max(1.0, min(self._limit, self._bound) * factor)
+        self._update_size()
 
     def _suspend(self, is_trial: bool, now: float) -> None:
         if self._trial_at is None:
@@ -328,6 +337,7 @@
             # Sent before the upstream was suspended.
             return
         self._limit = 1.0
+        self._update_size()
         self._trial_at = now + self._backoff
 
     def _record_answer(
@@ -354,3 +364,4 @@
             self._limit = _RESUMED_SHARE * self._bound
         grown = min(self._limit, self._bound) + _GROWTH_SHARE * self._bound
         self._limit = math.inf if grown >= self._bound else grown
+        self._update_size()
