--- a/galenahatch/core/calladmission.py
+++ b/galenahatch/core/calladmission.py
@@ -44,6 +44,9 @@
 MAX_WAITING: typing.Final = 4096
 """Most calls that wait: what arrives in the usual deadline of 1.5 s at 2,900
 requests a second; about 4 MB. No call waits longer than its deadline."""
+_POLL_INTERVAL_S: typing.Final = 0.02
+"""Seconds between two decisions while calls wait and nothing happens: room may
+appear because calls of others end."""
 _CONTENDED_OCCUPANCY: typing.Final = 0.8
 """Share of all slots taken above which calls begin to queue at some upstream
 although others have room, since gateways choose by figures of the past."""
@@ -216,18 +219,17 @@
         """
         times = [self._grants.next_expiry()]
         if len(self._waiting):
-            times.append(now + waitingcalls.REVIEW_INTERVAL_S)
+            times.append(now + _POLL_INTERVAL_S)
             times.append(self._grants.next_trial_at(now))
             times.append(self._waiting.next_check_at())
         return min((at for at in times if at is not None), default=None)
 
     def is_contended(self, now: float) -> bool:
         """Return whether calls need a grant."""
-        occupancy = self._grants.occupancy(now)
         threshold = (
             _CALM_OCCUPANCY if self._is_contended else _CONTENDED_OCCUPANCY
         )
-        if len(self._waiting) or occupancy >= threshold:
+        if len(self._waiting) or self._grants.occupancy(now) >= threshold:
             self._is_contended = True
             self._contended_until = now + _CALM_S
         elif now >= self._contended_until:
@@ -269,6 +271,8 @@
 
     def _decide_next(self, now: float) -> plaincalls.Decision | None:
         """Grant the next call for which there is room, if any."""
+        if not len(self._waiting) or not self._grants.has_room(now):
+            return None
         for band, waiting in self._waiting.heads():
             call = waiting.call
             upstream = self._grants.choose(call, now)
--- a/galenahatch/core/callqueue.py
+++ b/galenahatch/core/callqueue.py
@@ -144,6 +144,7 @@
 
     def __init__(self, weight: collections.abc.Callable[[int], float]) -> None:
         self._priority_weight = weight
+        self._weights: dict[int, float] = {}
         self._places = fairness.FairQueue[_Place](self._weight)
         self._flows: dict[_FlowKey, _Flow] = {}
         self._place_of: dict[plaincalls.CallKey, _Place] = {}
@@ -226,10 +227,13 @@
             yield from flow
 
     def _weight(self, urgency: int) -> float:
-        weight = self._priority_weight(urgency // 2)
-        is_returned = urgency % 2 == 0
-        ratio = RETURNED_SHARE / (1 - RETURNED_SHARE)
-        return weight * ratio if is_returned else weight
+        weight = self._weights.get(urgency)
+        if weight is None:
+            weight = self._priority_weight(urgency // 2)
+            if urgency % 2 == 0:
+                weight *= RETURNED_SHARE / (1 - RETURNED_SHARE)
+            self._weights[urgency] = weight
+        return weight
 
     def _new_place(self, waiting: Waiting) -> _Place:
         call = waiting.call
--- a/galenahatch/core/sendgrants.py
+++ b/galenahatch/core/sendgrants.py
@@ -99,6 +99,10 @@
         """Return whether there is an upstream that hasn't failed a call."""
         return any(key not in call.avoid for key in self._windows)
 
+    def has_room(self, now: float) -> bool:
+        """Return whether some upstream has room."""
+        return any(window.has_room(now) for window in self._windows.values())
+
     def choose(
         self, call: plaincalls.PlainCall, now: float
     ) -> ids.UpstreamId | None:
--- a/galenahatch/core/waitingcalls.py
+++ b/galenahatch/core/waitingcalls.py
@@ -34,7 +34,7 @@
 from galenahatch.core import plaincalls
 from galenahatch import ids
 
-REVIEW_INTERVAL_S: typing.Final = 0.02
+_REVIEW_INTERVAL_S: typing.Final = 0.05
 """Seconds between two reviews of the waiting calls; a small part of the time
 in which a rejected caller can still be served in time by another attempt."""
 _RETURNED_RATIO: typing.Final = callqueue.RETURNED_SHARE / (
@@ -80,6 +80,7 @@
         self._estimates = estimates
         self._returns = returns
         self._queues = {band: callqueue.CallQueue(weight) for band in Band}
+        self._band_of: dict[plaincalls.CallKey, Band] = {}
         # Times at which calls are judged again.
         self._checks: list[tuple[float, int, callqueue.Waiting]] = []
         self._order = itertools.count()
@@ -87,10 +88,10 @@
         self._reviewed_delay = 0.0
 
     def __len__(self) -> int:
-        return sum(len(queue) for queue in self._queues.values())
+        return len(self._band_of)
 
     def __contains__(self, key: plaincalls.CallKey) -> bool:
-        return self._band_of(key) is not None
+        return key in self._band_of
 
     def counts(self) -> dict[Band, int]:
         """Return the number of calls in each queue."""
@@ -126,17 +127,19 @@
             if self._is_too_late(waiting, ahead, now):
                 return False
         self._queues[band].push(waiting)
+        self._band_of[waiting.call.key] = band
         self._schedule_check(waiting, band)
         return True
 
     def remove(self, key: plaincalls.CallKey) -> bool:
         """Remove a call; return whether it was queued."""
-        band = self._band_of(key)
+        band = self._band_of.pop(key, None)
         return band is not None and bool(self._queues[band].remove(key))
 
     def serve(self, waiting: callqueue.Waiting, band: Band) -> None:
         """Remove the next call of a class, and charge its customer."""
         self._queues[band].serve(waiting)
+        del self._band_of[waiting.call.key]
 
     def heads(self) -> typing.Iterator[tuple[Band, callqueue.Waiting]]:
         """Iterate over the next calls of all classes, the first one first.
@@ -155,13 +158,13 @@
         Returns:
             False if it would be served too late and is no longer queued.
         """
-        self._queues[band].remove(waiting.call.key)
+        self.remove(waiting.call.key)
         return band is not Band.LATE and self.add(waiting, Band.LATE, now)
 
     def take_hopeless(self, now: float) -> list[callqueue.Waiting]:
         """Remove and return the calls that would be served too late."""
         hopeless = self._take_overdue(now)
-        if len(self) and now >= self._reviewed_at + REVIEW_INTERVAL_S:
+        if len(self) and now >= self._reviewed_at + _REVIEW_INTERVAL_S:
             self._reviewed_at = now
             delay = self._estimates.start_delay(len(self), now)
             if delay > self._reviewed_delay * _WORSENED:
@@ -176,17 +179,18 @@
         """Return when the next call is judged again."""
         while self._checks:
             at, _, waiting = self._checks[0]
-            if self._band_of(waiting.call.key) is not None:
+            if waiting.call.key in self._band_of:
                 return at
             heapq.heappop(self._checks)
         return None
 
-    def _band_of(self, key: plaincalls.CallKey) -> Band | None:
-        return next((b for b in Band if key in self._queues[b]), None)
-
     def _waiting_before(self, band: Band) -> int:
-        earlier = itertools.takewhile(lambda other: other is not band, Band)
-        return sum(len(self._queues[other]) for other in earlier)
+        count = 0
+        for other, queue in self._queues.items():
+            if other is band:
+                break
+            count += len(queue)
+        return count
 
     def _ahead(self, waiting: callqueue.Waiting, band: Band) -> float:
         """Estimate the calls that are granted before one to be queued."""
@@ -233,7 +237,7 @@
         hopeless = []
         while self._checks and self._checks[0][0] <= now:
             _, _, waiting = heapq.heappop(self._checks)
-            band = self._band_of(waiting.call.key)
+            band = self._band_of.get(waiting.call.key)
             if band is None:
                 continue
             if self._latest_start(waiting, band) > now:
@@ -255,12 +259,15 @@
                 return not self._is_in_time(waiting, total, 0.0, now)
 
             for waiting in self._queues[band].trim(is_late):
+                del self._band_of[waiting.call.key]
                 if not self.add(waiting, Band.LATE, now):
                     hopeless.append(waiting)
         before = self._waiting_before(Band.LATE)
-        hopeless += self._queues[Band.LATE].trim(
+        too_late = self._queues[Band.LATE].trim(
             lambda waiting, ahead: self._is_too_late(
                 waiting, ahead + before, now
             )
         )
-        return hopeless
+        for waiting in too_late:
+            del self._band_of[waiting.call.key]
+        return hopeless + too_late
