--- a/galenahatch/core/waitingcalls.py
+++ b/galenahatch/core/waitingcalls.py
@@ -122,10 +122,12 @@
             ahead = self._ahead(waiting, band)
             if not self._is_in_time(waiting, ahead, margin, now):
                 band = Band.LATE
-        if band is Band.LATE:
-            ahead = self._ahead(waiting, band)
-            if self._is_too_late(waiting, ahead, now):
-                return False
+        if band is Band.LATE and (
+            # Most calls are rejected without a look at the queue.
+            self._is_too_late(waiting, 0.0, now)
+            or self._is_too_late(waiting, self._ahead(waiting, band), now)
+        ):
+            return False
         self._queues[band].push(waiting)
         self._band_of[waiting.call.key] = band
         self._schedule_check(waiting, band)
