Fair shares of engines among customers and priorities

Cause: the owner's queue of streams ordered by group, priority and deadline; whose request it was had no effect, and priorities were strict. Predicted waits count the requests that may overtake; retries are scheduled by rank. Without customers the former order is used.

--- a/galenahatch/core/admission.py
+++ b/galenahatch/core/admission.py
@@ -89,9 +89,13 @@
 
     def is_limited(self, job: Job, now: float) -> bool:
         """Return whether engine limits delay a job past its start time."""
-        wait = self._engine_limit_wait(job, self._retries.due_count(now), now)
+        wait = self._engine_limit_wait(job, self.due_retries(job, now), now)
         return wait > 0 and now + wait > job.start_deadline
 
+    def due_retries(self, job: Job, now: float) -> int:
+        """Return the number of expected retries that go before a request."""
+        return self._retries.due_count(now, self._queue.retry_rank(job))
+
     def queue_or_refuse(
         self, job: Job, now: float
     ) -> generations.Refused | None:
@@ -117,7 +121,7 @@
         """
         if self.is_limited(job, now):
             return self.refuse(job, 'engines_hold_back', now)
-        promised = 1 + self._retries.due_count(now)
+        promised = 1 + self.due_retries(job, now)
         late_wait = self._forecast.predict_late_wait(job, promised, now)
         is_too_late = now + late_wait > job.abandon_at
         if is_too_late and not self._queue.take_probe(job, now):
@@ -130,8 +134,7 @@
     def refuse(self, job: Job, reason: str, now: float) -> generations.Refused:
         """Refuse a request and tell its caller when to retry."""
         self._rebalancer.record_refusal(now)
-        service_rate = self._forecast.service_rate()
-        queue_wait = len(self._queue) / service_rate if service_rate else 0.0
+        queue_wait = self._forecast.predict_queue_wait(job, now)
         # Callers told to retry after their own deadline do not retry.
         limit_wait = max(
             self._engine_limit_wait(job, 0, now),
@@ -150,5 +153,6 @@
             job.deadline - now,
             job.arrived_at,
             now,
+            self._queue.retry_rank(job),
         )
         return generations.Refused(job, max(wait, limit_wait), reason)
--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -27,12 +27,12 @@
 Times are monotonic seconds, passed in; this module does no I/O.
 """
 
-import dataclasses
 import random
 import typing
 
 from galenahatch.core import admission
 from galenahatch.core import decodeprefill
+from galenahatch.core import fairshares
 from galenahatch.core import figures
 from galenahatch.core import forecast
 from galenahatch.core import generations
@@ -77,7 +77,8 @@
         self._pool = pool.Pool(capacity, slots, limiter)
         self._estimator = figures.Estimator()
         self._retries = retryafter.RetrySchedule()
-        self._queue = waitqueue.WaitQueue(self._estimator)
+        self._shares = fairshares.create(self._pool, self._estimator)
+        self._queue = waitqueue.WaitQueue(self._estimator, self._shares)
         self._forecast = forecast.Forecast(
             self._pool, self._estimator, self._queue
         )
@@ -109,6 +110,11 @@
         """Engines of the service."""
         return self._pool
 
+    @property
+    def shares(self) -> fairshares.FairShares:
+        """Shares of the customers."""
+        return self._shares
+
     @property
     def rebalancer(self) -> rebalancing.Rebalancer:
         """Planner of the engines' stages."""
@@ -160,20 +166,9 @@
     def submit(self, job: Job, now: float) -> generations.Decision | None:
         """Queue a request; return a decision if it is refused at once."""
         first_at = self._retries.record_arrival(job.fingerprint)
-        is_retry = first_at is not None
-        output = self._estimator.lengths.predict(
-            job.output_hint, job.max_output
-        )
-        job = dataclasses.replace(
-            job, predicted_output=output, is_retry=is_retry
-        )
-        if first_at is not None:
-            job = dataclasses.replace(
-                job,
-                start_deadline=job.start_deadline - job.arrived_at + first_at,
-            )
+        job = job.prepared(self._estimator.lengths, first_at)
         self._estimator.record_size(job.prompt_tokens, job.predicted_output)
-        if not is_retry:
+        if not job.is_retry:
             self._estimator.record_arrival(now)
         self._remove_run(job.stream, now)
         if not self._pool.decodes:
@@ -181,7 +176,7 @@
         if not job.is_continuation:
             if self._admission.is_limited(job, now):
                 return self._admission.refuse(job, 'engines_hold_back', now)
-            reserved = 1 + self._retries.due_count(now)
+            reserved = 1 + self._admission.due_retries(job, now)
             wait = self._forecast.predict_wait(job, reserved, now)
             if now + wait > waitqueue.first_event_limit(job):
                 return self._admission.queue_late(job, wait, now)
@@ -280,6 +275,7 @@
             seconds: Seconds that they took.
             now: Monotonic time in seconds.
         """
+        self._shares.settle(stream, tokens)
         placement = self._placements.get(stream)
         if placement is not None and tokens:
             self._estimator.lengths.add_sample(placement.output_hint, tokens)
@@ -404,9 +400,12 @@
         why = (
             f'load={decode.memory.load(now):.2f} '
             f'runs={len(decode.memory.runs)} '
-            f'waited={now - job.arrived_at:.3f} queue={len(self._queue)}'
+            f'{self._queue.describe(job, now)}'
+        )
+        cost = self._queue.charge(job, now)
+        return generations.Placed(
+            job, prefill_id, decode.upstream.id, why, cost
         )
-        return generations.Placed(job, prefill_id, decode.upstream.id, why)
 
     # Runs.
 
--- a/galenahatch/core/forecast.py
+++ b/galenahatch/core/forecast.py
@@ -117,6 +117,7 @@
             f' pace={self._pool.mean_pace(current.pace):.5f}'
             f' prefills={len(self._pool.prefills)}'
             f' decodes={len(self._pool.decodes)}'
+            f'{self._queue.describe_share(job)}'
         )
 
     def predict_wait(self, job: Job, reserved: int, now: float) -> float:
@@ -137,9 +138,22 @@
         )
         queued = work / self._parallel_prefills(rate)
         wait = max(queued, self._pool.seconds_to_next_trial(now))
-        if not rate or self._has_room(job, ahead, now):
-            return own_seconds + wait
-        return own_seconds + max(wait, (len(ahead) + reserved) / rate)
+        if rate and not self._has_room(job, ahead, now):
+            wait = max(wait, (len(ahead) + reserved) / rate)
+        return own_seconds + self._queue.overtaken_wait(
+            job, wait, ahead, self.service_rate, now
+        )
+
+    def predict_queue_wait(self, job: Job, now: float) -> float:
+        """Return the seconds until all that wait, and overtake, are served."""
+        rate = self.service_rate()
+        if not rate:
+            return 0.0
+        wait = len(self._queue) / rate
+        ahead = self._queue.jobs_ahead(job, now)
+        return self._queue.overtaken_wait(
+            job, wait, ahead, self.service_rate, now
+        )
 
     def predict_late_wait(self, job: Job, reserved: int, now: float) -> float:
         """Return the predicted seconds until a late request's first event.
--- a/galenahatch/core/generations.py
+++ b/galenahatch/core/generations.py
@@ -19,6 +19,7 @@
 import enum
 import typing
 
+from galenahatch.core import lengths
 from galenahatch.core import memory
 from galenahatch import ids
 
@@ -86,6 +87,27 @@
         """Return whether an engine accepts nothing from this job's VM."""
         return self.paused_until.get(engine, 0.0) > now
 
+    def prepared(
+        self, predicted: lengths.Lengths, first_at: float | None
+    ) -> typing.Self:
+        """Return it as it is queued.
+
+        Args:
+            predicted: Predictor of the tokens of answers.
+            first_at: Time of its first attempt; None if this is the first.
+        """
+        start_deadline = self.start_deadline
+        if first_at is not None:
+            start_deadline = start_deadline - self.arrived_at + first_at
+        return dataclasses.replace(
+            self,
+            predicted_output=predicted.predict(
+                self.output_hint, self.max_output
+            ),
+            is_retry=first_at is not None,
+            start_deadline=start_deadline,
+        )
+
     def make_run(self, starts_at: float) -> memory.Run:
         """Return its run at a decode engine.
 
@@ -109,12 +131,14 @@
     Attributes:
         prefill: Prefill engine; None if the decode engine reads the prompt.
         why: Inputs of the decision, for the log.
+        cost: Cost charged to its customer, in seconds of an engine.
     """
 
     job: Job
     prefill: ids.UpstreamId | None
     decode: ids.UpstreamId
     why: str
+    cost: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/galenahatch/core/retryafter.py
+++ b/galenahatch/core/retryafter.py
@@ -15,11 +15,18 @@
 Retries are spaced by the rate that regular traffic leaves, so that they find
 room; all at once they would be refused again. A retry is recognized by the
 part of its prompt that only its caller sends.
+
+Retries are scheduled in the order in which requests are served: those that
+come from customers beyond their shares, or are less urgent, don't delay the
+others.
 """
 
 import dataclasses
+import sys
 import typing
 
+from galenahatch.core import fairshares
+
 _MIN_WAIT_S: typing.Final = 0.3
 """Least seconds after which a refused caller is asked to retry."""
 _HEEDED_FRACTION: typing.Final = 1 / 3
@@ -32,6 +39,7 @@
 second or two."""
 _ARRIVAL_WINDOW_S: typing.Final = 0.5
 """Seconds around the scheduled time in which a retry is expected."""
+_LOWEST_RANK: typing.Final = fairshares.RetryRank(sys.maxsize, True)
 
 
 @dataclasses.dataclass
@@ -41,11 +49,13 @@
     Attributes:
         first_at: Time of its first attempt.
         deadline: Time after which it needs no answer.
+        rank: Rank among the retries.
         due_at: Time at which its retry is expected; None once it has arrived.
     """
 
     first_at: float
     deadline: float
+    rank: fairshares.RetryRank
     due_at: float | None = None
 
 
@@ -71,11 +81,13 @@
         """Record that a request was placed."""
         self._callers.pop(fingerprint, None)
 
-    def due_count(self, now: float) -> int:
-        """Return the number of retries expected now."""
+    def due_count(
+        self, now: float, rank: fairshares.RetryRank = _LOWEST_RANK
+    ) -> int:
+        """Return the number of retries expected now up to a rank."""
         return sum(
             abs(due_at - now) < _ARRIVAL_WINDOW_S
-            for due_at in self._due_times()
+            for due_at in self._due_times(rank)
         )
 
     @property
@@ -83,10 +95,13 @@
         """Number of scheduled retries that have not arrived."""
         return len(self._due_times())
 
-    def _due_times(self) -> list[float]:
-        callers = self._callers.values()
+    def _due_times(
+        self, rank: fairshares.RetryRank = _LOWEST_RANK
+    ) -> list[float]:
         return [
-            caller.due_at for caller in callers if caller.due_at is not None
+            caller.due_at
+            for caller in self._callers.values()
+            if caller.due_at is not None and caller.rank <= rank
         ]
 
     def schedule(
@@ -97,6 +112,7 @@
         remaining: float,
         arrived_at: float,
         now: float,
+        rank: fairshares.RetryRank = fairshares.RetryRank(),
     ) -> float:
         """Return the seconds after which a caller should retry.
 
@@ -107,15 +123,18 @@
             remaining: Seconds until the caller's deadline.
             arrived_at: Time at which the request arrived.
             now: Monotonic time in seconds.
+            rank: Rank among the retries.
         """
         self._drop_expired(now)
         spacing = 1 / spare_rate if spare_rate > 0 else _MIN_WAIT_S
-        last = max(self._due_times(), default=now)
+        last = max(self._due_times(rank), default=now)
         wait = max(_MIN_WAIT_S, last + spacing - now, queued)
         wait = min(wait, self._max_wait(remaining))
         if fingerprint:
-            new = _RefusedCaller(arrived_at, now + remaining)
-            self._callers.setdefault(fingerprint, new).due_at = now + wait
+            new = _RefusedCaller(arrived_at, now + remaining, rank)
+            caller = self._callers.setdefault(fingerprint, new)
+            caller.due_at = now + wait
+            caller.rank = rank
         return wait
 
     def _max_wait(self, remaining: float) -> float:
--- a/galenahatch/core/waitqueue.py
+++ b/galenahatch/core/waitqueue.py
@@ -19,6 +19,15 @@
 further attempt, come first, each group by the time at which its caller gives
 up.
 
+Where the configuration lists customers and requests of several customers or
+priorities wait, they share the service (`core/fairshares`). Continuations
+still come first: callers can't cause them. All others that can start in time
+come next and late ones last, each in the order of their shares; the order
+above then holds among requests within their customers' shares. A committed
+request keeps no rank against more urgent ones or customers within their
+shares, since a customer that floods the queue would otherwise hold them back
+by what was committed before they arrived.
+
 Times are monotonic seconds.
 """
 
@@ -26,6 +35,7 @@
 import dataclasses
 import typing
 
+from galenahatch.core import fairshares
 from galenahatch.core import figures
 from galenahatch.core import generations
 from galenahatch import ids
@@ -42,6 +52,9 @@
 Job = generations.Job
 Rank = tuple[int, int, float]
 
+_SECTIONS: typing.Final = ((0,), (1, 2, 3), (4, 5))
+"""Groups of requests that share the service among each other."""
+
 
 def first_event_limit(job: Job) -> float:
     """Return the latest time at which a first event may be expected.
@@ -80,10 +93,14 @@
 
     Args:
         estimator: Predicts the time from placement to the first event.
+        shares: Shares of the customers.
     """
 
-    def __init__(self, estimator: figures.Estimator) -> None:
+    def __init__(
+        self, estimator: figures.Estimator, shares: fairshares.FairShares
+    ) -> None:
         self._estimator = estimator
+        self._shares = shares
         self._jobs: dict[ids.StreamId, Job] = {}
         self._probed_at = -1e9
 
@@ -106,14 +123,100 @@
 
     def in_order(self, now: float) -> list[Job]:
         """Return the requests in the order in which they are placed."""
-        return sorted(self._jobs.values(), key=self._rank_function(now))
+        return self._order(self._jobs.values(), now)
 
     def jobs_ahead(self, job: Job, now: float) -> list[Job]:
         """Return the requests that are placed before another."""
+        jobs = self._jobs.values()
+        if not self._shares.applies_to((*jobs, job)):
+            rank = self._rank_function(now)
+            return [other for other in jobs if rank(other) < rank(job)]
+        others = (other for other in jobs if other.stream != job.stream)
+        ahead = []
+        for other in self._order((*others, job), now):
+            if other is job:
+                break
+            ahead.append(other)
+        return ahead
+
+    def _order(
+        self, jobs: collections.abc.Iterable[Job], now: float
+    ) -> list[Job]:
         rank = self._rank_function(now)
-        return [
-            other for other in self._jobs.values() if rank(other) < rank(job)
+        ranked = sorted(((rank(job), job) for job in jobs), key=_first)
+        ordered = [job for _, job in ranked]
+        if not self._shares.applies_to(ordered):
+            return ordered
+        sections = [
+            [job for (group, _, _), job in ranked if group in groups]
+            for groups in _SECTIONS
         ]
+        return sections[0] + self._shares.order(sections[1:])
+
+    # Shares of customers.
+
+    def charge(self, job: Job, now: float) -> float:
+        """Charge a placement to its customer; return the cost.
+
+        Late requests do not count as waiting for those that are in time.
+        """
+        if not self._shares.is_enabled:
+            return 0.0
+        # The job as it was queued avoids no more engines than have failed it.
+        job = self._jobs.get(job.stream, job)
+        rank = self._rank_function(now)
+        last = max(s[-1] for s in _SECTIONS if rank(job)[0] in s)
+        waiting = [o for o in self._jobs.values() if rank(o)[0] <= last]
+        return self._shares.charge(job, waiting, now)
+
+    def overtaken_wait(
+        self,
+        job: Job,
+        wait: float,
+        ahead: collections.abc.Sequence[Job],
+        service_rate: collections.abc.Callable[[], float],
+        now: float,
+    ) -> float:
+        """Return a predicted wait with the requests that overtake meanwhile.
+
+        Args:
+            job: Request that waits.
+            wait: Predicted seconds until those ahead of it are served.
+            ahead: Requests ahead of it now.
+            service_rate: Returns the requests that are served a second.
+            now: Monotonic time in seconds.
+        """
+        jobs = self._jobs.values()
+        if not self._shares.applies_to((*jobs, job)):
+            return wait
+        current = self._estimator.figures
+        capacity = service_rate() * self._shares.predict_cost(
+            round(current.prompt), round(current.output)
+        )
+        return self._shares.overtaken_wait(
+            job, wait, ahead, jobs, capacity, now
+        )
+
+    def retry_rank(self, job: Job) -> fairshares.RetryRank:
+        """Return the rank of a request among those that retry."""
+        if not self._shares.is_enabled:
+            return fairshares.RetryRank()
+        _, is_beyond = self._shares.lag(job, self._jobs.values())
+        return fairshares.RetryRank(job.priority, is_beyond)
+
+    def describe(self, job: Job, now: float) -> str:
+        """Return the queue and a request's share, for the log."""
+        return (
+            f'waited={now - job.arrived_at:.3f} queue={len(self._jobs)}'
+            f'{self.describe_share(job)}'
+        )
+
+    def describe_share(self, job: Job) -> str:
+        """Return a request's share as inputs of a decision, for the log."""
+        if not self._shares.is_enabled:
+            return ''
+        lag, is_beyond = self._shares.lag(job, self._jobs.values())
+        return f' lag={lag:.3f} beyond_share={is_beyond}'
 
     def take_probe(self, job: Job, now: float) -> bool:
         """Return whether to commit a request against the forecast.
@@ -156,3 +259,7 @@
             return 2 if job.is_retry else 3, job.priority, job.start_deadline
 
         return rank
+
+
+def _first(entry: tuple[Rank, Job]) -> Rank:
+    return entry[0]
