--- a/bench/dispatching.py
+++ b/bench/dispatching.py
@@ -387,6 +387,11 @@
                 self._apply_decision(decision, now)
         return self._result()
 
+    @property
+    def owner(self) -> dispatch.Dispatcher:
+        """The owner that decides."""
+        return self._owner
+
     @property
     def measured_figures(self) -> figures.Figures:
         """The figures that the owner has measured."""
@@ -528,9 +533,9 @@
         self._callers.append(caller)
         self._submit(caller, now)
 
-    def _submit(self, caller: _Caller, now: float) -> None:
-        caller.arrived_at = now
-        job = generations.Job(
+    def make_job(self, caller: _Caller, now: float) -> generations.Job:
+        """Return the job of a caller's next attempt."""
+        return generations.Job(
             stream=caller.stream,
             entry=_GATEWAY,
             prompt_tokens=caller.prompt,
@@ -544,6 +549,10 @@
             fingerprint=str(caller.number),
             data_centre=_DATA_CENTRE,
         )
+
+    def _submit(self, caller: _Caller, now: float) -> None:
+        caller.arrived_at = now
+        job = self.make_job(caller, now)
         self._waiting[caller.stream] = caller
         decision = self._owner.submit(job, now)
         if decision is not None:
--- a/galenahatch/core/admission.py
+++ b/galenahatch/core/admission.py
@@ -23,6 +23,7 @@
 from galenahatch.core import ratelimits
 from galenahatch.core import rebalancing
 from galenahatch.core import retryafter
+from galenahatch.core import sharetimes
 from galenahatch.core import waitqueue
 
 _WAIT_SAFETY_FACTOR: typing.Final = 1.3
@@ -89,12 +90,13 @@
 
     def is_limited(self, job: Job, now: float) -> bool:
         """Return whether engine limits delay a job past its start time."""
-        wait = self._engine_limit_wait(job, self.due_retries(job, now), now)
+        wait = self._engine_limit_wait(job, self._retries.due_count(now), now)
         return wait > 0 and now + wait > job.start_deadline
 
     def due_retries(self, job: Job, now: float) -> int:
         """Return the number of expected retries that go before a request."""
-        return self._retries.due_count(now, self._queue.retry_rank(job))
+        due = self._retries.due_counts(now)
+        return self._queue.count_retries_before(job, due, now)
 
     def queue_or_refuse(
         self, job: Job, now: float
@@ -126,7 +128,7 @@
         is_too_late = now + late_wait > job.abandon_at
         if is_too_late and not self._queue.take_probe(job, now):
             return self.refuse(
-                job, self._forecast.describe_refusal(job, wait), now
+                job, self._forecast.describe_refusal(job, wait, now), now
             )
         self._queue.commit(job, is_late=True)
         return None
@@ -153,6 +155,9 @@
             job.deadline - now,
             job.arrived_at,
             now,
-            self._queue.retry_rank(job),
+            self._queue.retry_rank(job, now),
+            sharetimes.flow_key(job),
         )
-        return generations.Refused(job, max(wait, limit_wait), reason)
+        wait = max(wait, limit_wait)
+        self._queue.record_refusal(job, wait, now)
+        return generations.Refused(job, wait, reason)
--- a/galenahatch/core/customers.py
+++ b/galenahatch/core/customers.py
@@ -22,6 +22,7 @@
 import re
 import typing
 
+from galenahatch.core import sharetimes
 from galenahatch import errors
 from galenahatch import ids
 
@@ -60,6 +61,8 @@
         keys: Digests of the customer's keys.
         priority: Priority that overrides that of a route; None for no
             override.
+        weight: Share of contested capacity among customers of the same
+            priority; above 0.
         quota: Quota, or None for no limit.
         default_tokens: Tokens counted for a request that states no sizes.
     """
@@ -70,6 +73,7 @@
     unit: Unit = Unit.REQUESTS
     quota: Quota | None = None
     default_tokens: float = 0.0
+    weight: float = sharetimes.DEFAULT_WEIGHT
 
     def cost(self, tokens: int | None) -> float:
         """Return the quota units that a request uses.
@@ -92,6 +96,9 @@
 
     def __init__(self, customers: typing.Iterable[Customer]) -> None:
         self._by_name = {customer.name: customer for customer in customers}
+        self._weights = {
+            name: customer.weight for name, customer in self._by_name.items()
+        }
         self._by_key = {
             key: customer
             for customer in self._by_name.values()
@@ -103,6 +110,11 @@
         """All customers by name."""
         return self._by_name
 
+    @property
+    def weights(self) -> typing.Mapping[ids.CustomerName, float]:
+        """Weights of all customers by name."""
+        return self._weights
+
     @property
     def key_count(self) -> int:
         """Number of keys."""
--- a/galenahatch/core/fairshares.py
+++ b/galenahatch/core/fairshares.py
@@ -44,18 +44,19 @@
 
 from galenahatch.core import figures
 from galenahatch.core import generations
+from galenahatch.core import overtaking as overtakings
 from galenahatch.core import pool as pools
 from galenahatch.core import sharetimes
 from galenahatch import ids
 
-_MAX_OVERTAKING_FRACTION: typing.Final = 0.95
-"""Largest fraction of the service assumed to be taken by those that overtake a
-request, which avoids a division by zero."""
 _SWEEP_INTERVAL_S: typing.Final = 10.0
 """Interval at which idle flows are dropped: twice the window of mean use."""
 _MAX_VIRTUAL_TIME: typing.Final = 1e6
 """Virtual time from which it is counted from zero again, so that small costs
 stay precise over weeks."""
+_MAX_REFUSED_S: typing.Final = 2.0
+"""Longest time for which a flow counts as waiting after a refusal: as long as
+a burst."""
 _MIN_COST: typing.Final = 1e-6
 """Least cost of a request, in seconds of an engine."""
 
@@ -132,6 +133,8 @@
         self._is_enabled = False
         self._times = sharetimes.Times()
         self._charges: dict[ids.StreamId, _Charge] = {}
+        # Until when a flow whose request was refused counts as waiting.
+        self._refused_until: dict[sharetimes.FlowKey, float] = {}
         self._swept_at = -math.inf
 
     @property
@@ -155,6 +158,7 @@
         if weights is None:
             self._times = sharetimes.Times()
             self._charges.clear()
+            self._refused_until.clear()
         else:
             self._times.weights = weights
 
@@ -173,14 +177,17 @@
     def order(
         self,
         sections: collections.abc.Collection[collections.abc.Sequence[Job]],
+        now: float,
     ) -> list[Job]:
         """Return waiting requests in the order in which they are served.
 
         Args:
             sections: Requests in the order that they have without shares; all
                 of a section are served before those of the next.
+            now: Monotonic time in seconds.
         """
-        state = self._snapshot(job for jobs in sections for job in jobs)
+        waiting = (job for jobs in sections for job in jobs)
+        state = self._snapshot(waiting, now)
         return [job for jobs in sections for job in state.order(jobs)]
 
     def charge(
@@ -198,7 +205,7 @@
         """
         if not self._is_enabled or job.is_continuation or job.avoid:
             return 0.0
-        state = self._snapshot((*waiting, job))
+        state = self._snapshot((*waiting, job), now)
         cost = self.cost(job)
         times = self._times
         class_time = times.class_time(job.priority)
@@ -220,6 +227,17 @@
         self._sweep(now)
         return cost
 
+    def record_refusal(self, job: Job, retry_after: float, now: float) -> None:
+        """Record a refusal; its flow counts as waiting until the retry.
+
+        Without this, nobody would wait while all are refused on arrival, and
+        service would go to whoever arrives most often.
+        """
+        if self._is_enabled:
+            self._refused_until[sharetimes.flow_key(job)] = now + min(
+                retry_after, _MAX_REFUSED_S
+            )
+
     def settle(self, stream: ids.StreamId, tokens: int) -> None:
         """Correct the charge of a request that ended.
 
@@ -240,23 +258,67 @@
             flow.virtual_time += (actual - charge.cost) / weight
 
     def lag(
-        self, job: Job, waiting: collections.abc.Iterable[Job]
+        self, job: Job, waiting: collections.abc.Iterable[Job], now: float
     ) -> tuple[float, bool]:
         """Return how far a request is beyond what others were served.
 
         Args:
             job: Request that arrives, behind those of its flow.
             waiting: All waiting requests, with or without this one.
+            now: Monotonic time in seconds.
 
         Returns:
             Cost per weight that others may be served before it, and whether it
             is beyond its customer's share.
         """
         others = [other for other in waiting if other.stream != job.stream]
-        state = self._snapshot((*others, job))
-        lag = state.lag(job, _same_flow(job, others))
+        state = self._snapshot((*others, job), now)
+        lag = state.lag(job, sharetimes.same_flow(job, others))
         return lag, lag > state.allowances[job.priority]
 
+    def count_retries_before(
+        self,
+        job: Job,
+        due: collections.abc.Mapping[sharetimes.FlowKey, int],
+        waiting: collections.abc.Iterable[Job],
+        mean_cost: float,
+        now: float,
+    ) -> int:
+        """Return how many expected retries are served before a request.
+
+        A retry is taken for a request of mean cost behind those of its flow
+        that wait. So a customer that retries often reserves room from its own
+        share.
+
+        Args:
+            job: Request that arrives, behind those of its flow.
+            due: Number of retries that are expected now, by flow.
+            waiting: All waiting requests, with or without this one.
+            mean_cost: Mean cost of a request.
+            now: Monotonic time in seconds.
+        """
+        others = [other for other in waiting if other.stream != job.stream]
+        state = self._snapshot((*others, job), now)
+        ends = {key: self._times.flow_time(key) for key in due}
+        for other in others:
+            key = sharetimes.flow_key(other)
+            if key in ends:
+                weight = self._times.weight(other.customer)
+                ends[key] += self.cost(other) / weight
+        own = sharetimes.flow_key(job)
+        count = due.get(own, 0)
+        floor = state.floors[job.priority]
+        start = floor + state.lag(job, sharetimes.same_flow(job, others))
+        start += count * mean_cost / self._times.weight(job.customer)
+        for (priority, customer), number in due.items():
+            if priority < job.priority:
+                count += number
+            elif priority == job.priority and customer != job.customer:
+                end = max(floor, ends[priority, customer])
+                work = (start - end) * self._times.weight(customer)
+                count += min(number, max(0, math.ceil(work / mean_cost)))
+        return count
+
     def overtaken_wait(
         self,
         job: Job,
@@ -283,72 +345,19 @@
         """
         if not self._is_enabled or wait <= 0 or capacity <= 0:
             return wait
-        state = self._snapshot((*waiting, job))
-        flow_work, flow_use = self._overtaking_flows(job, ahead, state, now)
-        class_work, class_use = self._overtaking_classes(
-            job, ahead, state, now
-        )
-        own = sharetimes.flow_key(job)
-        counted = sum(
-            self.cost(other)
-            for other in ahead
-            if sharetimes.flow_key(other) != own
-        )
-        work = max(0.0, flow_work + class_work - counted)
-        fraction = min(
-            _MAX_OVERTAKING_FRACTION, (flow_use + class_use) / capacity
-        )
-        return min(wait + work / capacity, wait / (1 - fraction))
-
-    def _overtaking_flows(
-        self,
-        job: Job,
-        ahead: collections.abc.Iterable[Job],
-        state: sharetimes.Snapshot,
-        now: float,
-    ) -> tuple[float, float]:
-        """Return what other flows may be served first, and their use."""
-        floor = state.floors[job.priority]
-        start = floor + state.lag(job, _same_flow(job, ahead))
-        urgency_class = self._times.classes.get(job.priority)
-        work = use = 0.0
-        for name, flow in urgency_class.flows.items() if urgency_class else ():
-            behind = start - max(floor, flow.virtual_time)
-            if name != job.customer and behind > 0:
-                work += self._times.weight(name) * behind
-                use += flow.use.rate(now)
-        return work, use
-
-    def _overtaking_classes(
-        self,
-        job: Job,
-        ahead: collections.abc.Iterable[Job],
-        state: sharetimes.Snapshot,
-        now: float,
-    ) -> tuple[float, float]:
-        """Return what more urgent classes may be served first; their use."""
-        classes = self._times.classes
-        weights = sharetimes.class_weights({*classes, *state.class_weights})
-        own_cost = self.cost(job) + sum(
-            self.cost(other)
-            for other in ahead
-            if other.priority == job.priority
-        )
-        finish = self._times.class_time(job.priority)
-        finish += own_cost / weights[job.priority]
-        work = use = 0.0
-        for priority, urgency_class in classes.items():
-            if priority < job.priority:
-                behind = finish - self._times.class_time(priority)
-                work += weights[priority] * max(0.0, behind)
-                use += urgency_class.use.rate(now)
-        return work, use
+        state = self._snapshot((*waiting, job), now)
+        overtaking = overtakings.Overtaking(self._times, state, self.cost)
+        return overtaking.delay(job, wait, ahead, capacity, now)
 
     def _snapshot(
-        self, jobs: collections.abc.Iterable[Job]
+        self, waiting: collections.abc.Iterable[Job], now: float
     ) -> sharetimes.Snapshot:
+        flows = sharetimes.flow_keys(waiting)
+        flows.update(
+            key for key, until in self._refused_until.items() if until > now
+        )
         return sharetimes.Snapshot(
-            self._times, jobs, self.cost, self._capacity()
+            self._times, flows, self.cost, self._capacity()
         )
 
     def _sweep(self, now: float) -> None:
@@ -367,10 +376,8 @@
             has_passed = urgency_class.virtual_time <= self._times.virtual_time
             if not urgency_class.flows and has_passed:
                 del self._times.classes[priority]
+        for key, until in list(self._refused_until.items()):
+            if until < now:
+                del self._refused_until[key]
         if self._times.virtual_time > _MAX_VIRTUAL_TIME:
             self._times.rebase()
-
-
-def _same_flow(job: Job, others: collections.abc.Iterable[Job]) -> list[Job]:
-    key = sharetimes.flow_key(job)
-    return [other for other in others if sharetimes.flow_key(other) == key]
--- a/galenahatch/core/forecast.py
+++ b/galenahatch/core/forecast.py
@@ -106,7 +106,7 @@
             for prefill_seconds in self._estimator.prefill_busy_range()
         ]
 
-    def describe_refusal(self, job: Job, wait: float) -> str:
+    def describe_refusal(self, job: Job, wait: float, now: float) -> str:
         """Return the inputs of a refusal, estimates included, for the log."""
         current = self._estimator.figures
         return (
@@ -117,7 +117,7 @@
             f' pace={self._pool.mean_pace(current.pace):.5f}'
             f' prefills={len(self._pool.prefills)}'
             f' decodes={len(self._pool.decodes)}'
-            f'{self._queue.describe_share(job)}'
+            f'{self._queue.describe_share(job, now)}'
         )
 
     def predict_wait(self, job: Job, reserved: int, now: float) -> float:
@@ -138,11 +138,9 @@
         )
         queued = work / self._parallel_prefills(rate)
         wait = max(queued, self._pool.seconds_to_next_trial(now))
-        if rate and not self._has_room(job, ahead, now):
-            wait = max(wait, (len(ahead) + reserved) / rate)
-        return own_seconds + self._queue.overtaken_wait(
-            job, wait, ahead, self.service_rate, now
-        )
+        if not rate or self._has_room(job, ahead, now):
+            return own_seconds + wait
+        return own_seconds + max(wait, (len(ahead) + reserved) / rate)
 
     def predict_queue_wait(self, job: Job, now: float) -> float:
         """Return the seconds until all that wait, and overtake, are served."""
@@ -150,10 +148,7 @@
         if not rate:
             return 0.0
         wait = len(self._queue) / rate
-        ahead = self._queue.jobs_ahead(job, now)
-        return self._queue.overtaken_wait(
-            job, wait, ahead, self.service_rate, now
-        )
+        return self._queue.overtaken_wait(job, wait, rate, now)
 
     def predict_late_wait(self, job: Job, reserved: int, now: float) -> float:
         """Return the predicted seconds until a late request's first event.
--- a/galenahatch/core/retryafter.py
+++ b/galenahatch/core/retryafter.py
@@ -21,11 +21,14 @@
 others.
 """
 
+import collections
 import dataclasses
 import sys
 import typing
 
 from galenahatch.core import fairshares
+from galenahatch.core import sharetimes
+from galenahatch import ids
 
 _MIN_WAIT_S: typing.Final = 0.3
 """Least seconds after which a refused caller is asked to retry."""
@@ -39,6 +42,7 @@
 second or two."""
 _ARRIVAL_WINDOW_S: typing.Final = 0.5
 """Seconds around the scheduled time in which a retry is expected."""
+_NO_FLOW: typing.Final = (0, ids.CustomerName(''))
 _LOWEST_RANK: typing.Final = fairshares.RetryRank(sys.maxsize, True)
 
 
@@ -50,12 +54,14 @@
         first_at: Time of its first attempt.
         deadline: Time after which it needs no answer.
         rank: Rank among the retries.
+        flow: Flow of its requests.
         due_at: Time at which its retry is expected; None once it has arrived.
     """
 
     first_at: float
     deadline: float
     rank: fairshares.RetryRank
+    flow: sharetimes.FlowKey
     due_at: float | None = None
 
 
@@ -81,13 +87,19 @@
         """Record that a request was placed."""
         self._callers.pop(fingerprint, None)
 
-    def due_count(
-        self, now: float, rank: fairshares.RetryRank = _LOWEST_RANK
-    ) -> int:
-        """Return the number of retries expected now up to a rank."""
-        return sum(
-            abs(due_at - now) < _ARRIVAL_WINDOW_S
-            for due_at in self._due_times(rank)
+    def due_count(self, now: float) -> int:
+        """Return the number of retries expected now."""
+        return self.due_counts(now).total()
+
+    def due_counts(
+        self, now: float
+    ) -> collections.Counter[sharetimes.FlowKey]:
+        """Return the number of retries expected now, by flow."""
+        return collections.Counter(
+            caller.flow
+            for caller in self._callers.values()
+            if caller.due_at is not None
+            and abs(caller.due_at - now) < _ARRIVAL_WINDOW_S
         )
 
     @property
@@ -113,6 +125,7 @@
         arrived_at: float,
         now: float,
         rank: fairshares.RetryRank = fairshares.RetryRank(),
+        flow: sharetimes.FlowKey = _NO_FLOW,
     ) -> float:
         """Return the seconds after which a caller should retry.
 
@@ -124,6 +137,7 @@
             arrived_at: Time at which the request arrived.
             now: Monotonic time in seconds.
             rank: Rank among the retries.
+            flow: Flow of the request.
         """
         self._drop_expired(now)
         spacing = 1 / spare_rate if spare_rate > 0 else _MIN_WAIT_S
@@ -131,7 +145,7 @@
         wait = max(_MIN_WAIT_S, last + spacing - now, queued)
         wait = min(wait, self._max_wait(remaining))
         if fingerprint:
-            new = _RefusedCaller(arrived_at, now + remaining, rank)
+            new = _RefusedCaller(arrived_at, now + remaining, rank, flow)
             caller = self._callers.setdefault(fingerprint, new)
             caller.due_at = now + wait
             caller.rank = rank
--- a/galenahatch/core/routes.py
+++ b/galenahatch/core/routes.py
@@ -137,6 +137,13 @@
     limits: Limits
     customers: customers_module.Customers | None = None
 
+    @property
+    def customer_weights(
+        self,
+    ) -> typing.Mapping[ids.CustomerName, float] | None:
+        """Weights of the customers; None if callers need no key."""
+        return None if self.customers is None else self.customers.weights
+
 
 class RouteTable:
     """Lookup table for the route of a request.
--- a/galenahatch/core/sharetimes.py
+++ b/galenahatch/core/sharetimes.py
@@ -148,6 +148,12 @@
     return set(map(flow_key, jobs))
 
 
+def same_flow(job: Job, others: collections.abc.Iterable[Job]) -> list[Job]:
+    """Return those of other requests that are of a request's flow."""
+    key = flow_key(job)
+    return [other for other in others if flow_key(other) == key]
+
+
 def class_weights(
     priorities: collections.abc.Iterable[int],
 ) -> dict[int, float]:
@@ -159,33 +165,33 @@
 
 
 class Snapshot:
-    """Virtual times while certain requests wait.
+    """Virtual times while certain flows have demand.
 
     Args:
         times: Virtual times; not changed.
-        jobs: All waiting requests.
+        flows: Flows with demand.
         cost: Returns the predicted cost of a request.
         capacity: Cost that is served a second.
 
     Attributes:
-        class_weights: Weights of the classes that wait.
-        floors: Least virtual time of a waiting flow, by priority.
+        class_weights: Weights of the classes with demand.
+        floors: Least virtual time of a flow with demand, by priority.
         allowances: Lag up to which a request is within its customer's share,
             by priority.
-        virtual_time: Least virtual time of a waiting class.
+        virtual_time: Least virtual time of a class with demand.
     """
 
     def __init__(
         self,
         times: Times,
-        jobs: collections.abc.Iterable[Job],
+        flows: collections.abc.Iterable[FlowKey],
         cost: collections.abc.Callable[[Job], float],
         capacity: float,
     ) -> None:
         self._times = times
         self._cost = cost
         # Tags of the next request of each flow and class.
-        self._starts = {key: times.flow_time(key) for key in flow_keys(jobs)}
+        self._starts = {key: times.flow_time(key) for key in flows}
         self.floors: dict[int, float] = {}
         shares: dict[int, float] = {}
         for (priority, customer), start in self._starts.items():
--- a/galenahatch/core/waitqueue.py
+++ b/galenahatch/core/waitqueue.py
@@ -38,6 +38,7 @@
 from galenahatch.core import fairshares
 from galenahatch.core import figures
 from galenahatch.core import generations
+from galenahatch.core import sharetimes
 from galenahatch import ids
 
 _MAX_UNDECIDED_FRACTION: typing.Final = 0.12
@@ -151,7 +152,7 @@
             [job for (group, _, _), job in ranked if group in groups]
             for groups in _SECTIONS
         ]
-        return sections[0] + self._shares.order(sections[1:])
+        return sections[0] + self._shares.order(sections[1:], now)
 
     # Shares of customers.
 
@@ -169,53 +170,84 @@
         waiting = [o for o in self._jobs.values() if rank(o)[0] <= last]
         return self._shares.charge(job, waiting, now)
 
+    def record_refusal(self, job: Job, retry_after: float, now: float) -> None:
+        """Record that a request was refused.
+
+        Args:
+            job: Refused request.
+            retry_after: Seconds after which it may come back.
+            now: Monotonic time in seconds.
+        """
+        self._shares.record_refusal(job, retry_after, now)
+
     def overtaken_wait(
         self,
         job: Job,
         wait: float,
-        ahead: collections.abc.Sequence[Job],
-        service_rate: collections.abc.Callable[[], float],
+        service_rate: float,
         now: float,
     ) -> float:
         """Return a predicted wait with the requests that overtake meanwhile.
 
         Args:
             job: Request that waits.
-            wait: Predicted seconds until those ahead of it are served.
-            ahead: Requests ahead of it now.
-            service_rate: Returns the requests that are served a second.
+            wait: Predicted seconds until those that wait are served.
+            service_rate: Requests that are served a second.
             now: Monotonic time in seconds.
         """
         jobs = self._jobs.values()
         if not self._shares.applies_to((*jobs, job)):
             return wait
-        current = self._estimator.figures
-        capacity = service_rate() * self._shares.predict_cost(
-            round(current.prompt), round(current.output)
-        )
+        capacity = service_rate * self._mean_cost()
+        ahead = self.jobs_ahead(job, now)
         return self._shares.overtaken_wait(
             job, wait, ahead, jobs, capacity, now
         )
 
-    def retry_rank(self, job: Job) -> fairshares.RetryRank:
+    def count_retries_before(
+        self,
+        job: Job,
+        due: collections.abc.Mapping[sharetimes.FlowKey, int],
+        now: float,
+    ) -> int:
+        """Return how many of the expected retries go before a request.
+
+        Args:
+            job: Request that arrives.
+            due: Number of retries that are expected now, by flow.
+            now: Monotonic time in seconds.
+        """
+        if not self._shares.is_enabled:
+            return sum(due.values())
+        return self._shares.count_retries_before(
+            job, due, self._jobs.values(), self._mean_cost(), now
+        )
+
+    def _mean_cost(self) -> float:
+        current = self._estimator.figures
+        return self._shares.predict_cost(
+            round(current.prompt), round(current.output)
+        )
+
+    def retry_rank(self, job: Job, now: float) -> fairshares.RetryRank:
         """Return the rank of a request among those that retry."""
         if not self._shares.is_enabled:
             return fairshares.RetryRank()
-        _, is_beyond = self._shares.lag(job, self._jobs.values())
+        _, is_beyond = self._shares.lag(job, self._jobs.values(), now)
         return fairshares.RetryRank(job.priority, is_beyond)
 
     def describe(self, job: Job, now: float) -> str:
         """Return the queue and a request's share, for the log."""
         return (
             f'waited={now - job.arrived_at:.3f} queue={len(self._jobs)}'
-            f'{self.describe_share(job)}'
+            f'{self.describe_share(job, now)}'
         )
 
-    def describe_share(self, job: Job) -> str:
+    def describe_share(self, job: Job, now: float) -> str:
         """Return a request's share as inputs of a decision, for the log."""
         if not self._shares.is_enabled:
             return ''
-        lag, is_beyond = self._shares.lag(job, self._jobs.values())
+        lag, is_beyond = self._shares.lag(job, self._jobs.values(), now)
         return f' lag={lag:.3f} beyond_share={is_beyond}'
 
     def take_probe(self, job: Job, now: float) -> bool:
--- a/galenahatch/gateway/accounts.py
+++ b/galenahatch/gateway/accounts.py
@@ -22,6 +22,7 @@
 import typing
 
 from galenahatch import clock
+from galenahatch.core import generations
 from galenahatch.core import quotas
 from galenahatch import errors
 from galenahatch.gateway import calls
@@ -134,11 +135,7 @@
         denied: quotas.Denied | None,
     ) -> None:
         """Record a decision under its customer's label, or a shared one."""
-        if len(self._labels) < _MAX_CUSTOMER_LABELS:
-            self._labels.add(customer)
-        label = {
-            'customer': customer if customer in self._labels else _OTHERS_LABEL
-        }
+        label = self._label(customer)
         if denied is None:
             instruments.customer_units.add(units, label)
             return
@@ -150,6 +147,34 @@
             config=self._config_version,
         )
 
+    def _label(self, customer: ids.CustomerName) -> dict[str, str]:
+        if len(self._labels) < _MAX_CUSTOMER_LABELS:
+            self._labels.add(customer)
+        return {
+            'customer': customer if customer in self._labels else _OTHERS_LABEL
+        }
+
+    def record_service(
+        self, job: generations.Job, engine_seconds: float
+    ) -> None:
+        """Record, as the owner, a generation that was placed.
+
+        Args:
+            job: Placed generation.
+            engine_seconds: Seconds of engines charged for it.
+        """
+        if job.customer:
+            wait = max(0.0, clock.now() - job.arrived_at)
+            label = self._label(job.customer)
+            instruments.customer_placed.add(1, label)
+            instruments.customer_engine_seconds.add(engine_seconds, label)
+            instruments.customer_wait_seconds.add(wait, label)
+
+    def record_no_room(self, customer: ids.CustomerName) -> None:
+        """Record, as the owner, a generation refused for want of room."""
+        if customer:
+            instruments.customer_no_room.add(1, self._label(customer))
+
     def refund_generation(
         self, customer: ids.CustomerName, units: float
     ) -> None:
--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -113,6 +113,22 @@
     CUSTOMER_REFUSED,
     description='Requests refused for a quota here, by customer.',
 )
+customer_engine_seconds = _meter.create_counter(
+    'galenahatch_customer_engine_seconds',
+    description='Seconds of engines charged here, by customer.',
+)
+customer_wait_seconds = _meter.create_counter(
+    'galenahatch_customer_wait_seconds',
+    description='Seconds that placed generations waited here, by customer.',
+)
+customer_placed = _meter.create_counter(
+    'galenahatch_customer_placed',
+    description='Generations placed here, by customer.',
+)
+customer_no_room = _meter.create_counter(
+    'galenahatch_customer_no_room',
+    description='Generations refused here for want of room, by customer.',
+)
 CONFIG_VERSION: typing.Final = 'galenahatch_config_version'
 config_version = _meter.create_gauge(
     CONFIG_VERSION, description='Version of the configuration in force.'
--- a/galenahatch/gateway/owner.py
+++ b/galenahatch/gateway/owner.py
@@ -283,6 +283,9 @@
     def _update_engines(
         self, service: ids.ServiceName, dispatcher: dispatch.Dispatcher
     ) -> None:
+        config = self._directory.config
+        if config is not None:
+            dispatcher.shares.configure(config.customer_weights)
         registry = self._directory.registry
         now = clock.now()
         leaving = {
@@ -337,6 +340,7 @@
                 decode=decision.decode,
                 why=decision.why,
             )
+            self._accounts.record_service(job, decision.cost)
         else:
             message = messages.PlacementRefused(
                 job.stream, decision.retry_after, decision.why
@@ -350,6 +354,7 @@
                 why=decision.why,
             )
             self._accounts.refund_generation(job.customer, job.units)
+            self._accounts.record_no_room(job.customer)
         if reply is not None:
             reply(message)
 
--- a/galenahatch/gatewayctl.py
+++ b/galenahatch/gatewayctl.py
@@ -83,6 +83,7 @@
     'customer',
     'keys',
     'priority',
+    'weight',
     'unit',
     'rate',
     'burst',
@@ -217,7 +218,7 @@
                 return console.report(result)
         assert isinstance(config, routes.Configuration)
         assert isinstance(member_rows, stores.Rows)
-        samples = await _scrape_all(client, member_rows)
+        samples = await scrapes.scrape_all(client, member_rows)
         by_name = config.customers.by_name if config.customers else {}
         rows = [_customer_row(c, samples) for c in by_name.values()]
         console.print_table(_CUSTOMER_COLUMNS, rows, json)
@@ -234,6 +235,7 @@
         customer.name,
         ' '.join(sorted(customer.keys)),
         '' if customer.priority is None else customer.priority,
+        customer.weight,
         customer.unit.value,
         customer.quota.rate if customer.quota else '',
         customer.quota.burst if customer.quota else '',
@@ -254,7 +256,7 @@
         member_rows = await tables.rows(roster.MEMBER_TABLE)
         if isinstance(member_rows, errors.Failure):
             return console.report(member_rows)
-        scraped = await _scrape_all(client, member_rows)
+        scraped = await scrapes.scrape_all(client, member_rows)
         console.print_table(_LIMIT_COLUMNS, _limit_rows(scraped), json)
         return console.SUCCESS
 
@@ -357,15 +359,6 @@
     return _run_command(store, work)
 
 
-async def _scrape_all(
-    client: aiohttp.ClientSession, member_rows: stores.Rows
-) -> list[scrapes.Samples]:
-    """Return the metrics of each gateway that answers."""
-    members = filter(roster.is_member, member_rows.rows)
-    reads = [scrapes.scrape(client, member.key) for member in members]
-    return [s for s in await asyncio.gather(*reads) if s is not None]
-
-
 async def _configuration(
     tables: stores.Store,
 ) -> routes.Configuration | errors.Failure:
--- a/galenahatch/platform/documents.py
+++ b/galenahatch/platform/documents.py
@@ -26,6 +26,7 @@
 from galenahatch.core import customers
 from galenahatch.core import incarnations
 from galenahatch.core import routes
+from galenahatch.core import sharetimes
 from galenahatch.core import upstreams
 from galenahatch import errors
 from galenahatch import ids
@@ -46,6 +47,10 @@
 _MAX_QUOTA_UNITS: typing.Final = 1e12
 """Units above which a quota is rejected as invalid."""
 _MAX_PRIORITY: typing.Final = 100
+_MIN_WEIGHT: typing.Final = 1e-3
+_MAX_WEIGHT: typing.Final = 1e3
+"""Bounds of a customer's weight. Beyond them, one request of the one customer
+would count like a day's requests of the other."""
 
 
 class _Target(msgspec.Struct, frozen=True):
@@ -100,6 +105,8 @@
     priority: int | None = None
     unit: str = customers.Unit.REQUESTS.value
     plain_tokens: float = 0.0
+    # Share of contested capacity among customers of the same priority.
+    weight: float = sharetimes.DEFAULT_WEIGHT
     # In units of the quota; a rate of 0 means no limit.
     rate_per_s: float = 0.0
     burst: float = 0.0
@@ -290,6 +297,8 @@
             raise ValueError(f'tenant {raw.name}: {field}: {value}')
     if raw.priority is not None and not 0 <= raw.priority <= _MAX_PRIORITY:
         raise ValueError(f'tenant {raw.name}: priority: {raw.priority}')
+    if not _MIN_WEIGHT <= raw.weight <= _MAX_WEIGHT:
+        raise ValueError(f'tenant {raw.name}: weight: {raw.weight}')
     if not all(raw.api_keys):
         raise ValueError(f'tenant {raw.name}: api_keys: empty key')
     keys = frozenset(customers.key_digest(key) for key in raw.api_keys)
@@ -302,6 +311,7 @@
         name=ids.CustomerName(raw.name),
         keys=keys,
         priority=raw.priority,
+        weight=raw.weight,
         unit=_parse_unit(raw),
         quota=quota,
         default_tokens=raw.plain_tokens,
--- a/galenahatch/scrapes.py
+++ b/galenahatch/scrapes.py
@@ -20,6 +20,8 @@
 
 from galenahatch.gateway import instruments
 from galenahatch.gateway import node
+from galenahatch.gateway import roster
+from galenahatch.platform import store as stores
 
 _SCRAPE_TIMEOUT_S: typing.Final = 1.0
 """Timeout for the scrape of one gateway, which takes a few ms."""
@@ -73,6 +75,15 @@
     return int(samples.get((instruments.STORE_ERA, ''), 0))
 
 
+async def scrape_all(
+    client: aiohttp.ClientSession, member_rows: stores.Rows
+) -> list[Samples]:
+    """Return the metrics of each gateway that answers."""
+    members = filter(roster.is_member, member_rows.rows)
+    reads = [scrape(client, member.key) for member in members]
+    return [s for s in await asyncio.gather(*reads) if s is not None]
+
+
 def customer_usage(samples: Samples, name: str) -> tuple[float, float]:
     """Return a customer's used units and refused requests at a gateway."""
     return (
--- a/galenahatch/test/test_gatewayctl.py
+++ b/galenahatch/test/test_gatewayctl.py
@@ -120,6 +120,7 @@
             'api_keys': ['my-key'],
             'unit': 'tokens',
             'plain_tokens': 200,
+            'weight': 4,
             'rate_per_s': 1200,
             'burst': 1200,
         },
@@ -141,13 +142,14 @@
         'customer': 'shop',
         'keys': '5e78863ed1ffb9fc',
         'priority': '',
+        'weight': 4.0,
         'unit': 'tokens',
         'rate': 1200,
         'burst': 1200,
         'used': 1100,
         'refused': 3,
     }
-    assert (free['keys'], free['rate']) == ('', '')
+    assert (free['keys'], free['rate'], free['weight']) == ('', '', 1.0)
 
 
 def test_limits(
