--- a/galenahatch/gateway/callowner.py
+++ b/galenahatch/gateway/callowner.py
@@ -27,6 +27,7 @@
 from galenahatch.core import calladmission
 from galenahatch.core import loadreports
 from galenahatch.core import plaincalls
+from galenahatch.core import sharetimes
 from galenahatch.gateway import callgauges
 from galenahatch.gateway import callmessages
 from galenahatch.gateway import directory as directories
@@ -195,7 +196,9 @@
 
     def _share(self, customer: ids.CustomerName) -> float:
         """Return the weight of a customer among those of its priority."""
-        return 1.0
+        config = self._directory.config
+        weights = config.customer_weights if config is not None else None
+        return (weights or {}).get(customer, sharetimes.DEFAULT_WEIGHT)
 
     def _handle_end(
         self, member: ids.MemberId, ended: callmessages.CallEnded, now: float
--- a/galenahatch/test/test_call_grants.py
+++ b/galenahatch/test/test_call_grants.py
@@ -29,8 +29,10 @@
 from urllib import request
 
 import aiohttp
+import msgspec
 import pytest
 
+from galenahatch.core import calladmission
 from galenahatch.core import loadreports
 from galenahatch.core import plaincalls
 from galenahatch.core import upstreams as core_upstreams
@@ -134,7 +136,7 @@
     """Both sides of one gateway, before fake peers."""
 
     def __init__(self, always: bool = True) -> None:
-        directory = _directory()
+        self.directory = directory = _directory()
         self.peers = _Peers()
         self.loads = loadreports.Loads()
         self.contention = contentions.Contention(directory, self.loads, always)
@@ -463,6 +465,35 @@
     _run(test)
 
 
+def test_customers_have_their_shares(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The weights of the configuration reach the decision."""
+    shares: list[float] = []
+    submit = calladmission.CallAdmission.submit
+
+    def record(
+        self: calladmission.CallAdmission,
+        call: plaincalls.PlainCall,
+        now: float,
+    ) -> plaincalls.Decision | None:
+        shares.append(call.share)
+        return submit(self, call, now)
+
+    async def test(gateway: _Gateway) -> None:
+        weights = {'big': 3.0}
+        gateway.directory.config = typing.cast(
+            typing.Any, types.SimpleNamespace(customer_weights=weights)
+        )
+        for number, name in enumerate(('big', 'other')):
+            message = msgspec.structs.replace(
+                _request(number), customer=ids.CustomerName(name)
+            )
+            gateway.owner.handle_message(_FIRST, message)
+
+    monkeypatch.setattr(calladmission.CallAdmission, 'submit', record)
+    _run(test)
+    assert shares == [3.0, 1.0]
+
+
 def test_unknown_service_is_declined() -> None:
     """An owner without the gateway's configuration doesn't decide."""
 
