--- a/galenahatch/test/test_expected_delay.py
+++ b/galenahatch/test/test_expected_delay.py
@@ -231,6 +231,20 @@
     assert service.delay(_IDS[0]) == pytest.approx(_WORK_S)
 
 
+def test_busy_upstream_in_a_slow_moment() -> None:
+    """More results than the window holds end within one slow moment."""
+    service = _Service((1.0, 1.0, 1.0))
+    for _ in range(8):
+        service.answer(_IDS[0], _WORK_S)
+        service.now += 0.5
+    delays = service.balancer.delays
+    for _ in range(60):
+        service.now += 0.01
+        delays.record(_IDS[0], 2.5 * _WORK_S, _report(2.5), service.now)
+    usual = delays.usual_seconds(_IDS[0], _IDS, service.now)
+    assert usual == pytest.approx(_WORK_S)
+
+
 def test_new_upstream_is_like_its_siblings() -> None:
     """It gets work at once, and its first result decides little."""
     service = _Service((1.0, 1.0, 1.0))
