Expected delay: the bound of learnt work holds from eight results on again

Cause: the property test had its upper bound widened to 2.5 times for 8 to 14 results, because most of a few results can begin in a slow moment and end after it.

Change: seven of the results may mislead, however few there are. Until the window is full the siblings' median is kept as far as it lies in the range that the others leave possible. An upstream is reported as slow by the low end of the range.

--- a/galenahatch/core/expecteddelay.py
+++ b/galenahatch/core/expecteddelay.py
@@ -26,7 +26,9 @@
 
 The usual time is a median, since a minority of results is misleading: of calls
 that waited although the queue was empty when they ended, and of those during
-which the slowdown changed.
+which the slowdown changed. Of a few results, misleading ones may be the most.
+Until the window is full, the siblings' median is therefore kept as far as it
+lies between the times that the results leave possible.
 
 Times are monotonic seconds; this module does no I/O.
 """
@@ -46,6 +48,8 @@
 WINDOW: typing.Final = 15
 """Results of which the median is taken: seven misleading ones don't move it
 past the others, and a lasting change of speed shows after eight."""
+_MISLEADING: typing.Final = WINDOW // 2
+"""Results that may be misleading, however few there are besides."""
 _RESULT_INTERVAL_S: typing.Final = loadreports.SLOWDOWN_LIFE_S
 """Least seconds between two results that count, so that those of one slow
 moment are a minority of the window."""
@@ -107,6 +111,9 @@
         trust: Share of the stated slowdown that counts, 0 to 1.
         usual_slowdown: Slowdown that the upstream usually states.
         usual_seconds: Seconds of a call without queue and slowdown.
+        least_seconds: Least seconds that `usual_seconds` may be in truth, if
+            `_MISLEADING` results are too long.
+        most_seconds: Most seconds, if as many are too short.
     """
 
     results: collections.deque[_Result] = dataclasses.field(
@@ -118,6 +125,8 @@
     trust: float = 1.0
     usual_slowdown: float = 1.0
     usual_seconds: float = 0.0
+    least_seconds: float = 0.0
+    most_seconds: float = math.inf
     standing: Standing = Standing.NORMAL
 
     def effect(self, slowdown: float) -> float:
@@ -133,10 +142,13 @@
         self.usual_slowdown = statistics.median(
             stated + [1.0] * _USUAL_SLOWDOWNS
         )
-        self.usual_seconds = statistics.median_low(
+        works = sorted(
             result.seconds / self.effect(result.slowdown)
             for result in self.results
         )
+        self.usual_seconds = statistics.median_low(works)
+        self.least_seconds = works[max(0, len(works) - 1 - _MISLEADING)]
+        self.most_seconds = works[min(len(works) - 1, _MISLEADING)]
 
     def _judge(self, seconds: float, slowdown: float) -> None:
         """Compare a result with what the stated slowdown lets expect.
@@ -227,7 +239,8 @@
         weight = len(speed.results) * math.pow(
             0.5, unused / _UNUSED_HALF_LIFE_S
         )
-        return (weight * speed.usual_seconds + _PRIOR_RESULTS * median) / (
+        own = min(speed.most_seconds, max(speed.least_seconds, median))
+        return (weight * own + _PRIOR_RESULTS * median) / (
             weight + _PRIOR_RESULTS
         )
 
@@ -313,7 +326,7 @@
         standing = Standing.NORMAL
         if speed.trust < _DISTRUSTED:
             standing = Standing.DISTRUSTED
-        elif speed.usual_seconds > _SLOW_RATIO * self.median(siblings):
+        elif speed.least_seconds > _SLOW_RATIO * self.median(siblings):
             standing = Standing.SLOW
         if standing is speed.standing:
             return None
--- a/galenahatch/test/test_expected_delay.py
+++ b/galenahatch/test/test_expected_delay.py
@@ -386,6 +386,8 @@
     load=strategies.floats(0.2, 1.3),
     seed=strategies.integers(0, 1000),
 )
+@hypothesis.example(speeds=[0.30, 0.33, 0.30], load=0.33, seed=925)
+@hypothesis.example(speeds=[0.3, 0.3, 0.3], load=0.359608450097822, seed=809)
 def test_learnt_work_is_that_of_a_real_upstream(
     speeds: list[float], load: float, seed: int
 ) -> None:
@@ -401,8 +403,4 @@
         for upstream in siblings:
             usual = balancer.delays.usual_seconds(upstream, siblings, _RUN_S)
             results = balancer.delays.result_count(upstream)
-            # Most of a few calls may have begun in a slow moment and ended
-            # after it; in a full window they are a minority.
-            is_full = results == expecteddelay.WINDOW
-            assert least <= usual or results < 8
-            assert usual <= most * (1.0 if is_full else simulations.SLOWDOWN)
+            assert results < 8 or least <= usual <= most
