Load reports of members with an age that is no number are ignored

Cause: max(0.0, nan) is 0.0, so such a report counted as a fresh one.

Change: the age is checked as it came.

Measured: test_absurd_reports_of_members fails with the former code, and passes now.

--- a/galenahatch/gateway/loads.py
+++ b/galenahatch/gateway/loads.py
@@ -133,8 +133,7 @@
         """Add the reports that another gateway passed on."""
         now = clock.now()
         for load in reported[:MAX_REPORTS]:
-            age = max(0.0, load.age)
-            if not math.isfinite(age) or not math.isfinite(load.slowdown):
+            if not math.isfinite(load.age + load.slowdown):
                 continue
             report = loadreports.LoadReport(
                 load.running,
@@ -142,7 +141,7 @@
                 load.slots,
                 load.slowdown if load.slowdown > 0 else None,
             )
-            self._loads.merge(load.upstream, report, now - age)
+            self._loads.merge(load.upstream, report, now - max(0.0, load.age))
 
     def refresh(
         self,
--- a/galenahatch/test/test_loads.py
+++ b/galenahatch/test/test_loads.py
@@ -137,6 +137,7 @@
         (
             records.UpstreamLoad(_A, 1, 0, 6, math.nan, 0.1),
             records.UpstreamLoad(_A, 1, 0, 6, 2.5, math.inf),
+            records.UpstreamLoad(_A, 1, 0, 6, 2.5, math.nan),
             records.UpstreamLoad(_B, 1, 0, 6, 2.5, -1e9),
         )
     )
