Expected delay: errors say nothing about the speed of an upstream

Cause: answers with a status of 300 to 499 counted as results, so an upstream that rejects calls at once seemed to be the fastest and drew more of them.

Change: only answers below 300 are results.

--- a/galenahatch/gateway/plain.py
+++ b/galenahatch/gateway/plain.py
@@ -263,7 +263,7 @@
             is_success,
             registry.usable(self._service, now),
             now,
-            balance.Result(seconds, head.load) if head is not None else None,
+            _executed_result(head, seconds),
         )
         if is_ejected is None:
             return
@@ -313,3 +313,15 @@
         return contexts.retryable_failure(
             reason, self._detail, min(retry_times, default=_RETRY_AFTER_S)
         )
+
+
+def _executed_result(
+    head: calls.ResponseHead | None, seconds: float
+) -> balance.Result | None:
+    """Return the result of a call that the upstream executed.
+
+    An error takes less time than the work, whatever the speed.
+    """
+    if head is None or head.status >= 300:
+        return None
+    return balance.Result(seconds, head.load)
--- a/galenahatch/test/test_loads.py
+++ b/galenahatch/test/test_loads.py
@@ -28,6 +28,7 @@
 from galenahatch.gateway import instruments
 from galenahatch.gateway import loads as loads_module
 from galenahatch.gateway import messages
+from galenahatch.gateway import plain
 from galenahatch.gateway import records
 from galenahatch import ids
 from galenahatch.platform import wire
@@ -99,9 +100,16 @@
     assert not loads.reports_slowdown((_A, _B))
 
 
-def _head(text: str) -> calls.ResponseHead:
+def _head(text: str, status: int = 200) -> calls.ResponseHead:
     raw = [(b'X-Galenahatch-Instance-Load', text.encode())]
-    return wire.decode_response_head(200, raw)
+    return wire.decode_response_head(status, raw)
+
+
+@pytest.mark.parametrize('status', (200, 204, 302, 404, 429, 503))
+def test_errors_say_nothing_about_speed(status: int) -> None:
+    """An upstream that quickly answers with errors doesn't seem fast."""
+    result = plain._executed_result(_head('1,0,6,100', status), 0.001)
+    assert (result is not None) == (status < 300)
 
 
 def _exchange() -> tuple[loads_module.LoadExchange, loadreports.Loads]:
