--- a/galenahatch/core/expecteddelay.py
+++ b/galenahatch/core/expecteddelay.py
@@ -21,7 +21,7 @@
 - the present slowdown that the upstream states (`core/loadreports`), relative
   to what it usually states. It counts as far as past results confirmed it.
 
-An upstream that claims to be idle but is slow is found out by its usual time,
+An upstream that claims to be idle but is slow is detected by its usual time,
 and one whose slowdown has no effect on results by the trust in its slowdown.
 
 The usual time is a median, since a minority of results is misleading: of calls
@@ -45,10 +45,10 @@
 from galenahatch.core import upstreams
 from galenahatch import ids
 
-WINDOW: typing.Final = 15
+_WINDOW: typing.Final = 15
 """Results of which the median is taken: seven misleading ones don't move it
 past the others, and a lasting change of speed shows after eight."""
-_MISLEADING: typing.Final = WINDOW // 2
+_MAX_MISLEADING: typing.Final = _WINDOW // 2
 """Results that may be misleading, however few there are besides."""
 _RESULT_INTERVAL_S: typing.Final = loadreports.SLOWDOWN_LIFE_S
 """Least seconds between two results that count, so that those of one slow
@@ -61,14 +61,14 @@
 _INITIAL_WORK_S: typing.Final = 0.05
 """Seconds of work assumed while nothing is known of a service; all its
 upstreams compare alike then."""
-_USUAL_SLOWDOWNS: typing.Final = 3
+_INITIAL_SLOWDOWNS: typing.Final = 3
 """Results without a slowdown that are assumed for a new upstream, so that one
-that begins within a slow moment isn't thought to be always like that."""
+that starts within a slow moment isn't assumed to be slow always."""
 _SLOWDOWN_RANGE: typing.Final = (0.5, 20.0)
 """Slowdowns that are believed. A VM without other work is hardly more than
 twice as fast as usual, which bounds what an upstream that states less
 attracts; work that takes longer than the other end is late anyway."""
-_TELLING_RATIO: typing.Final = 1.5
+_SIGNIFICANT_RATIO: typing.Final = 1.5
 """Relative slowdown, or its inverse, from which a result confirms or
 contradicts it; smaller ones are within the spread of the work itself."""
 _TRUST_SMOOTHING: typing.Final = 0.2
@@ -112,12 +112,12 @@
         usual_slowdown: Slowdown that the upstream usually states.
         usual_seconds: Seconds of a call without queue and slowdown.
         least_seconds: Least seconds that `usual_seconds` may be in truth, if
-            `_MISLEADING` results are too long.
+            `_MAX_MISLEADING` results are too long.
         most_seconds: Most seconds, if as many are too short.
     """
 
     results: collections.deque[_Result] = dataclasses.field(
-        default_factory=lambda: collections.deque(maxlen=WINDOW)
+        default_factory=lambda: collections.deque(maxlen=_WINDOW)
     )
     last_result_at: float = -math.inf
     counted_at: float = -math.inf
@@ -140,15 +140,15 @@
         self.results.append(_Result(seconds, slowdown))
         stated = [result.slowdown for result in self.results]
         self.usual_slowdown = statistics.median(
-            stated + [1.0] * _USUAL_SLOWDOWNS
+            stated + [1.0] * _INITIAL_SLOWDOWNS
         )
         works = sorted(
             result.seconds / self.effect(result.slowdown)
             for result in self.results
         )
         self.usual_seconds = statistics.median_low(works)
-        self.least_seconds = works[max(0, len(works) - 1 - _MISLEADING)]
-        self.most_seconds = works[min(len(works) - 1, _MISLEADING)]
+        self.least_seconds = works[max(0, len(works) - 1 - _MAX_MISLEADING)]
+        self.most_seconds = works[min(len(works) - 1, _MAX_MISLEADING)]
 
     def _judge(self, seconds: float, slowdown: float) -> None:
         """Compare a result with what the stated slowdown lets expect.
@@ -157,7 +157,7 @@
         not at all if it took the usual time.
         """
         stated = math.log(slowdown / self.usual_slowdown)
-        if not self.results or abs(stated) < math.log(_TELLING_RATIO):
+        if not self.results or abs(stated) < math.log(_SIGNIFICANT_RATIO):
             return
         measured = math.log(seconds / self.usual_seconds)
         agreement = min(1.0, max(0.0, measured / stated))
--- a/galenahatch/core/loadreports.py
+++ b/galenahatch/core/loadreports.py
@@ -14,8 +14,8 @@
 
 An upstream states the requests that it executes and that wait, and possibly
 how long work takes at this moment. The latter changes many times a second, so
-it fades with its age: a report that is half as old as a spell lasts counts
-half. Reports of other VMs are merged by age, since clocks can't be compared.
+it fades with its age: half of it counts after half of `SLOWDOWN_LIFE_S`.
+Reports of other VMs are merged by age, since clocks can't be compared.
 
 Times are monotonic seconds; this module does no I/O.
 """
@@ -88,8 +88,8 @@
 
     def __init__(self) -> None:
         self._latest: dict[ids.UpstreamId, ObservedReport] = {}
-        self._untold: dict[ids.UpstreamId, ObservedReport] = {}
-        self._told: dict[ids.UpstreamId, ObservedReport] = {}
+        self._pending: dict[ids.UpstreamId, ObservedReport] = {}
+        self._sent: dict[ids.UpstreamId, ObservedReport] = {}
         self._reports_slowdown: set[ids.UpstreamId] = set()
 
     def record(
@@ -102,8 +102,8 @@
         if not self._store(upstream, report, observed_at):
             return
         if report.slowdown is not None:
-            self._untold.pop(upstream, None)
-            self._untold[upstream] = ObservedReport(report, observed_at)
+            self._pending.pop(upstream, None)
+            self._pending[upstream] = ObservedReport(report, observed_at)
 
     def merge(
         self,
@@ -175,23 +175,23 @@
             Upstream, report and age in seconds of each.
         """
         changed: list[tuple[ids.UpstreamId, LoadReport, float]] = []
-        for upstream, observed in reversed(self._untold.items()):
+        for upstream, observed in reversed(self._pending.items()):
             if len(changed) == limit:
                 break
             age = now - observed.at
             if age < SLOWDOWN_LIFE_S and self._is_news(upstream, observed):
-                self._told[upstream] = observed
+                self._sent[upstream] = observed
                 changed.append((upstream, observed.report, max(0.0, age)))
-        self._untold.clear()
+        self._pending.clear()
         return changed
 
     def _is_news(
         self, upstream: ids.UpstreamId, observed: ObservedReport
     ) -> bool:
-        told = self._told.get(upstream)
-        if told is None or observed.at - told.at > _REPEAT_S:
+        sent = self._sent.get(upstream)
+        if sent is None or observed.at - sent.at > _REPEAT_S:
             return True
-        assumed = faded_slowdown(told.report.slowdown, observed.at - told.at)
+        assumed = faded_slowdown(sent.report.slowdown, observed.at - sent.at)
         slowdown = observed.report.slowdown or assumed
         return abs(slowdown - assumed) > _MIN_CHANGE * assumed
 
@@ -199,7 +199,7 @@
         self, present: collections.abc.Container[ids.UpstreamId]
     ) -> None:
         """Drop upstreams that are no longer listed."""
-        for known in (self._latest, self._untold, self._told):
+        for known in (self._latest, self._pending, self._sent):
             for upstream in [key for key in known if key not in present]:
                 del known[upstream]
         self._reports_slowdown = {
--- a/galenahatch/gateway/loads.py
+++ b/galenahatch/gateway/loads.py
@@ -173,7 +173,7 @@
         ):
             return
         sentences = {
-            expecteddelay.Standing.NORMAL: 'Upstream is as its siblings.',
+            expecteddelay.Standing.NORMAL: 'Upstream is as fast as siblings.',
             expecteddelay.Standing.SLOW: 'Upstream is slower than siblings.',
             expecteddelay.Standing.DISTRUSTED: (
                 'Results contradict the slowdown that an upstream states.'
--- a/galenahatch/test/test_loads.py
+++ b/galenahatch/test/test_loads.py
@@ -88,8 +88,8 @@
     assert loads.take_changed(16, 0.21 + loadreports.SLOWDOWN_LIFE_S) == []
 
 
-def test_services_without_a_slowdown_travel_not() -> None:
-    """Counts alone are neither told nor do they change the balancing."""
+def test_counts_alone_are_not_passed_on() -> None:
+    """Counts alone are neither sent on nor do they change the balancing."""
     loads = loadreports.Loads()
     loads.record(_A, _report(None, 3), 0.0)
     assert not loads.reports_slowdown((_A, _B))
