Expected delay: the check of counts only also covers requests in flight

Cause: the check ended every request at once (a condition that always held), so choices beside requests in flight weren't compared.

--- a/galenahatch/test/test_expected_delay.py
+++ b/galenahatch/test/test_expected_delay.py
@@ -349,11 +349,11 @@
         chosen = one.choose(members, (), now, repeatable, left)
         expected = _former_choice(other, members, now, repeatable)
         assert chosen is expected
-        succeeded = source.random() < 0.8
+        succeeded, has_ended = source.random() < 0.8, source.random() < 0.7
+        result = balance.Result(source.random(), report)
         for balancer in (one, other):
             balancer.begin(expected.id)
-            if source.random() < 2:
-                result = balance.Result(source.random(), report)
+            if has_ended:
                 balancer.end(expected.id, succeeded, members, now, result)
 
 
