Expected delay: requests that ended without a report are not in flight

Cause: the sends since the last report counted on top of it until the next report to this balancer. Calls that were cancelled or brought no report were never taken off, while reports that came another way kept the count in use.

Change: at most the requests in flight are added.

Measured: test_ended_requests_are_not_in_flight fails with the former code (its mutation) and passes now; test_expected_delay, test_balance, test_loads pass.

--- a/galenahatch/core/balance.py
+++ b/galenahatch/core/balance.py
@@ -301,7 +301,8 @@
         report = self._loads.latest(upstream, now)
         if report is None:
             return state.in_flight
-        return max(state.in_flight, report.total + state.sent_since_report)
+        unreported = min(state.in_flight, state.sent_since_report)
+        return max(state.in_flight, report.total + unreported)
 
     def _choose_by_delay(
         self,
--- a/galenahatch/test/test_expected_delay.py
+++ b/galenahatch/test/test_expected_delay.py
@@ -133,6 +133,18 @@
     assert service.shares()[_IDS[0]] > 0.5
 
 
+def test_ended_requests_are_not_in_flight() -> None:
+    """Requests that ended without a report no longer count."""
+    service = _Service((1.0, 1.0, 1.0))
+    for upstream in _IDS:
+        service.state(upstream)
+    before = service.balancer.expected_delays(_MEMBERS, service.now)
+    for _ in range(30):
+        service.balancer.begin(_IDS[0])
+        service.balancer.cancel(_IDS[0])
+    assert service.balancer.expected_delays(_MEMBERS, service.now) == before
+
+
 def test_all_slow_alike() -> None:
     """Nobody is avoided if all are slow."""
     service = _Service((2.5, 2.5, 2.5))
