--- a/galenahatch/gateway/plain.py
+++ b/galenahatch/gateway/plain.py
@@ -234,7 +234,7 @@
             is_success,
             registry.usable(self._service, now),
             now,
-            balance.Result(seconds, head.load) if head is not None else None,
+            _executed_result(head, seconds),
         )
         if is_ejected is None:
             return
@@ -307,3 +307,15 @@
         and failure.head.status == _FULL_STATUS
         and failure.head.leaving is not True
     )
+
+
+def _executed_result(
+    head: calls.ResponseHead | None, seconds: float
+) -> balance.Result | None:
+    """Return the result of a call that the upstream executed.
+
+    An error takes less time than the work, whatever the speed.
+    """
+    if head is None or head.status >= 300:
+        return None
+    return balance.Result(seconds, head.load)
--- a/galenahatch/test/test_expected_delay.py
+++ b/galenahatch/test/test_expected_delay.py
@@ -133,6 +133,18 @@
     assert service.shares()[_IDS[0]] > 0.5
 
 
+def test_ended_requests_are_not_in_flight() -> None:
+    """Requests that ended without a report no longer count."""
+    service = _Service((1.0, 1.0, 1.0))
+    for upstream in _IDS:
+        service.state(upstream)
+    before = service.balancer.expected_delays(_MEMBERS, service.now)
+    for _ in range(30):
+        service.balancer.begin(_IDS[0])
+        service.balancer.cancel(_IDS[0])
+    assert service.balancer.expected_delays(_MEMBERS, service.now) == before
+
+
 def test_all_slow_alike() -> None:
     """Nobody is avoided if all are slow."""
     service = _Service((2.5, 2.5, 2.5))
@@ -231,6 +243,20 @@
     assert service.delay(_IDS[0]) == pytest.approx(_WORK_S)
 
 
+def test_busy_upstream_in_a_slow_moment() -> None:
+    """More results than the window holds end within one slow moment."""
+    service = _Service((1.0, 1.0, 1.0))
+    for _ in range(8):
+        service.answer(_IDS[0], _WORK_S)
+        service.now += 0.5
+    delays = service.balancer.delays
+    for _ in range(60):
+        service.now += 0.01
+        delays.record(_IDS[0], 2.5 * _WORK_S, _report(2.5), service.now)
+    usual = delays.usual_seconds(_IDS[0], _IDS, service.now)
+    assert usual == pytest.approx(_WORK_S)
+
+
 def test_new_upstream_is_like_its_siblings() -> None:
     """It gets work at once, and its first result decides little."""
     service = _Service((1.0, 1.0, 1.0))
@@ -335,11 +361,11 @@
         chosen = one.choose(members, (), now, repeatable, left)
         expected = _former_choice(other, members, now, repeatable)
         assert chosen is expected
-        succeeded = source.random() < 0.8
+        succeeded, has_ended = source.random() < 0.8, source.random() < 0.7
+        result = balance.Result(source.random(), report)
         for balancer in (one, other):
             balancer.begin(expected.id)
-            if source.random() < 2:
-                result = balance.Result(source.random(), report)
+            if has_ended:
                 balancer.end(expected.id, succeeded, members, now, result)
 
 
@@ -372,6 +398,8 @@
     load=strategies.floats(0.2, 1.3),
     seed=strategies.integers(0, 1000),
 )
+@hypothesis.example(speeds=[0.30, 0.33, 0.30], load=0.33, seed=925)
+@hypothesis.example(speeds=[0.3, 0.3, 0.3], load=0.359608450097822, seed=809)
 def test_learnt_work_is_that_of_a_real_upstream(
     speeds: list[float], load: float, seed: int
 ) -> None:
@@ -387,8 +415,4 @@
         for upstream in siblings:
             usual = balancer.delays.usual_seconds(upstream, siblings, _RUN_S)
             results = balancer.delays.result_count(upstream)
-            # Most of a few calls may have begun in a slow moment and ended
-            # after it; in a full window they are a minority.
-            is_full = results == expecteddelay.WINDOW
-            assert least <= usual or results < 8
-            assert usual <= most * (1.0 if is_full else simulations.SLOWDOWN)
+            assert results < 8 or least <= usual <= most
--- a/galenahatch/test/test_loads.py
+++ b/galenahatch/test/test_loads.py
@@ -28,6 +28,7 @@
 from galenahatch.gateway import instruments
 from galenahatch.gateway import loads as loads_module
 from galenahatch.gateway import messages
+from galenahatch.gateway import plain
 from galenahatch.gateway import records
 from galenahatch import ids
 from galenahatch.platform import wire
@@ -87,8 +88,8 @@
     assert loads.take_changed(16, 0.21 + loadreports.SLOWDOWN_LIFE_S) == []
 
 
-def test_services_without_a_slowdown_travel_not() -> None:
-    """Counts alone are neither told nor do they change the balancing."""
+def test_counts_alone_are_not_passed_on() -> None:
+    """Counts alone are neither sent on nor do they change the balancing."""
     loads = loadreports.Loads()
     loads.record(_A, _report(None, 3), 0.0)
     assert not loads.reports_slowdown((_A, _B))
@@ -99,9 +100,16 @@
     assert not loads.reports_slowdown((_A, _B))
 
 
-def _head(text: str) -> calls.ResponseHead:
+def _head(text: str, status: int = 200) -> calls.ResponseHead:
     raw = [(b'X-Galenahatch-Instance-Load', text.encode())]
-    return wire.decode_response_head(200, raw)
+    return wire.decode_response_head(status, raw)
+
+
+@pytest.mark.parametrize('status', (200, 204, 302, 404, 429, 503))
+def test_errors_say_nothing_about_speed(status: int) -> None:
+    """An upstream that quickly answers with errors doesn't seem fast."""
+    result = plain._executed_result(_head('1,0,6,100', status), 0.001)
+    assert (result is not None) == (status < 300)
 
 
 def _exchange() -> tuple[loads_module.LoadExchange, loadreports.Loads]:
@@ -137,6 +145,7 @@
         (
             records.UpstreamLoad(_A, 1, 0, 6, math.nan, 0.1),
             records.UpstreamLoad(_A, 1, 0, 6, 2.5, math.inf),
+            records.UpstreamLoad(_A, 1, 0, 6, 2.5, math.nan),
             records.UpstreamLoad(_B, 1, 0, 6, 2.5, -1e9),
         )
     )
