Admission tests: a decision time that stands still fails the test

If a call is never found late, next_decision_at returned the same time for ever and the test looped with it. It now fails: seen with _take_overdue removed on a scratch copy, which ran into a timeout of 60 s before.

--- a/galenahatch/test/test_call_admission.py
+++ b/galenahatch/test/test_call_admission.py
@@ -481,10 +481,11 @@
     assert admission.submit(_call(1), 0.0) is None
     at = admission.next_decision_at(0.0)
     while admission.snapshot(0.0).waiting[waitingcalls.Band.LATE] == 0:
-        # Or the loop would never end.
         assert at is not None and at < 1.55
         assert admission.decide(at) == []
-        at = admission.next_decision_at(at)
+        previous, at = at, admission.next_decision_at(at)
+        # Otherwise the loop might never end.
+        assert at is not None and at > previous
     rejected = admission.decide(1.56)
     assert [type(decision) for decision in rejected] == [plaincalls.Rejected]
     assert isinstance(admission.submit(_call(2), 1.6), plaincalls.Rejected)
