--- a/bench/callfleet.py
+++ b/bench/callfleet.py
@@ -119,6 +119,7 @@
         self.slots = upstream.slots
         self.slowdown = 1.0
         self.fails = False
+        self.received = 0
         self._running = 0
         self._queue: collections.deque[tuple[float, Reply]] = (
             collections.deque()
@@ -134,6 +135,7 @@
 
     def receive(self, deadline: float, reply: Reply) -> None:
         """Execute a call, queue it or reject it."""
+        self.received += 1
         if self.fails:
             reply(Result.FAILED, None)
         elif len(self._queue) >= _QUEUE:
@@ -169,6 +171,9 @@
         self.is_up = True
         self._told_until = 0.0
         self._woken_at = float('inf')
+        self.loads: dict[
+            ids.UpstreamId, tuple[float, loadreports.LoadReport]
+        ] = {}
         self.admission.set_upstreams(fleet.listed(), fleet.now)
 
     def receive(
@@ -465,7 +470,7 @@
         for source in sources:
             self.at(source.start, functools.partial(self._arrive, source))
         if method is Method.LEVELS:
-            self._share_levels({})
+            self._share_levels()
 
     def add_engine(self, name: str, centre: ids.DataCentre) -> Engine:
         """Add an upstream with six slots."""
@@ -567,22 +572,20 @@
         self.requests.append(request)
         self._gateway(request).arrive(request)
 
-    def _share_levels(
-        self,
-        merged: dict[ids.UpstreamId, tuple[float, loadreports.LoadReport]],
-    ) -> None:
-        """Exchange the newest loads with the heartbeats."""
+    def _share_levels(self) -> None:
+        """Exchange the newest loads with the heartbeats.
+
+        While an owner is silent, loads grow old at its gateways.
+        """
         slowdown = max(1.0, len(self.gateways) / members.FULL_RATE_MEMBERS)
-        # While the owner is silent, levels grow old at the gateways.
-        if self.owners and self.owners[-1].suspended_until <= self.now:
-            for gateway in self.gateways:
+        for owner in self.owners:
+            if not owner.is_up or owner.suspended_until > self.now:
+                continue
+            gateways = self.gateways_of(owner)
+            for gateway in gateways:
                 for key, load in gateway.loads.items():
-                    merged[key] = max(
-                        merged.get(key, load), load, key=lambda load: load[0]
-                    )
-            for gateway in self.gateways:
-                gateway.loads.update(merged)
-        self.at(
-            members.HEARTBEAT_INTERVAL_S * slowdown,
-            lambda: self._share_levels(merged),
-        )
+                    known = owner.loads.get(key, load)
+                    owner.loads[key] = max(known, load, key=lambda v: v[0])
+            for gateway in gateways:
+                gateway.loads.update(owner.loads)
+        self.at(members.HEARTBEAT_INTERVAL_S * slowdown, self._share_levels)
--- a/galenahatch/test/test_call_admission.py
+++ b/galenahatch/test/test_call_admission.py
@@ -160,9 +160,17 @@
     """Pattern: an upstream that fails at once and so always looks idle."""
     fleet = callfleet.Fleet(74, _burst(), seed=seed)
     broken = fleet.engines[ids.UpstreamId('u1')]
-    fleet.at(3.0, lambda: setattr(broken, 'fails', True))
+
+    def fail() -> None:
+        broken.fails = True
+        broken.received = 0
+
+    fleet.at(3.0, fail)
     fleet.run(5.0)
     _assert_served(fleet, 3.0, 5.0, share=2 / 3)
+    # A window on its way, one granted meanwhile, and trials after 0.1, 0.2,
+    # 0.4 and then each 0.5 s.
+    assert broken.received <= 7 + 7 + 3 + 3
 
 
 _WRONG_LOADS = {
@@ -447,6 +455,23 @@
     assert _granted(admission.decide(now)) == [1]
 
 
+def test_no_room_for_late_calls() -> None:
+    """Pattern: more calls in time than can be served; late ones go at once."""
+    admission = _admission()
+    now = 0.0
+    for number in range(40):
+        now += 0.02
+        admission.submit(_call(number, 99.0, 99.0), now)
+        for decision in admission.decide(now):
+            assert isinstance(decision, plaincalls.Granted)
+        if number % 5 == 4:
+            key = plaincalls.CallKey(_MEMBER, number // 5)
+            admission.end(key, _Result.ANSWERED, 0.1, now)
+    rejected = admission.submit(_call(99, 0.31, 2.0), now)
+    assert isinstance(rejected, plaincalls.Rejected)
+    assert rejected.reason is _Reason.NO_ROOM
+
+
 def test_hopeless_calls_are_rejected_at_once() -> None:
     """A call past its deadline is rejected, and one whose time runs out."""
     admission = _admission()
