--- a/galenahatch/core/forecast.py
+++ b/galenahatch/core/forecast.py
@@ -106,7 +106,7 @@
             for prefill_seconds in self._estimator.prefill_busy_range()
         ]
 
-    def describe_refusal(self, job: Job, wait: float) -> str:
+    def describe_refusal(self, job: Job, wait: float, now: float) -> str:
         """Return the inputs of a refusal, estimates included, for the log."""
         current = self._estimator.figures
         return (
@@ -117,6 +117,7 @@
             f' pace={self._pool.mean_pace(current.pace):.5f}'
             f' prefills={len(self._pool.prefills)}'
             f' decodes={len(self._pool.decodes)}'
+            f'{self._queue.describe_share(job, now)}'
         )
 
     def predict_wait(self, job: Job, reserved: int, now: float) -> float:
@@ -141,6 +142,14 @@
             return own_seconds + wait
         return own_seconds + max(wait, (len(ahead) + reserved) / rate)
 
+    def predict_queue_wait(self, job: Job, now: float) -> float:
+        """Return the seconds until all that wait, and overtake, are served."""
+        rate = self.service_rate()
+        if not rate:
+            return 0.0
+        wait = len(self._queue) / rate
+        return self._queue.overtaken_wait(job, wait, rate, now)
+
     def predict_late_wait(self, job: Job, reserved: int, now: float) -> float:
         """Return the predicted seconds until a late request's first event.
 
--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -113,6 +113,22 @@
     CUSTOMER_REFUSED,
     description='Requests refused for a quota here, by customer.',
 )
+customer_engine_seconds = _meter.create_counter(
+    'galenahatch_customer_engine_seconds',
+    description='Seconds of engines charged here, by customer.',
+)
+customer_wait_seconds = _meter.create_counter(
+    'galenahatch_customer_wait_seconds',
+    description='Seconds that placed generations waited here, by customer.',
+)
+customer_placed = _meter.create_counter(
+    'galenahatch_customer_placed',
+    description='Generations placed here, by customer.',
+)
+customer_no_room = _meter.create_counter(
+    'galenahatch_customer_no_room',
+    description='Generations refused here for want of room, by customer.',
+)
 CONFIG_VERSION: typing.Final = 'galenahatch_config_version'
 config_version = _meter.create_gauge(
     CONFIG_VERSION, description='Version of the configuration in force.'
@@ -122,50 +138,122 @@
     HELD_BACK,
     description='Times that a plain call found no room, by upstream.',
 )
+call_grants = _meter.create_counter(
+    'galenahatch_call_grants',
+    description='Sends to plain services granted as owner, by service.',
+)
+call_rejections = _meter.create_counter(
+    'galenahatch_call_rejections',
+    description='Plain calls rejected as owner, by service and reason.',
+)
+call_outcomes = _meter.create_counter(
+    'galenahatch_call_outcomes',
+    description='What came of the grants that this gateway asked for.',
+)
+call_wait_seconds = _meter.create_histogram(
+    'galenahatch_call_wait_seconds',
+    unit='s',
+    description='From the arrival of a plain call to its grant, by service.',
+)
 GaugeCallback = typing.Callable[[], typing.Mapping[str, float]]
-"""Returns the values of a gauge by upstream."""
+"""Returns the values of a gauge by upstream, or by its other label."""
 _gauge_callbacks: dict[str, GaugeCallback] = {}
 
 
-def _upstream_gauge(name: str, unit: str, description: str) -> str:
+def _gauge(
+    name: str, unit: str, description: str, label: str = 'upstream'
+) -> str:
     def observe(
         options: api.CallbackOptions,
     ) -> typing.Iterable[api.Observation]:
         values = _gauge_callbacks[name]() if name in _gauge_callbacks else {}
-        for upstream, value in values.items():
-            yield api.Observation(value, {'upstream': upstream})
+        for key, value in values.items():
+            yield api.Observation(value, {label: key})
 
     _meter.create_observable_gauge(name, [observe], unit, description)
     return name
 
 
-RATE_LIMIT: typing.Final = _upstream_gauge(
+RATE_LIMIT: typing.Final = _gauge(
     'galenahatch_upstream_rate_limit',
     '1/s',
     'Requests a second that an upstream takes, by upstream.',
 )
-LIMITED_SECONDS: typing.Final = _upstream_gauge(
+LIMITED_SECONDS: typing.Final = _gauge(
     'galenahatch_upstream_limited_seconds',
     's',
     'Seconds since an upstream began to name a limit, by upstream.',
 )
-LEAVING_SECONDS: typing.Final = _upstream_gauge(
+LEAVING_SECONDS: typing.Final = _gauge(
     'galenahatch_upstream_leaving_seconds',
     's',
     'Seconds since an upstream said that it leaves, by upstream.',
 )
-PAUSED_SECONDS: typing.Final = _upstream_gauge(
+PAUSED_SECONDS: typing.Final = _gauge(
     'galenahatch_upstream_paused_seconds',
     's',
     'Seconds left of a pause that this gateway was asked for, by upstream.',
 )
+CALL_IN_FLIGHT: typing.Final = _gauge(
+    'galenahatch_call_in_flight',
+    '1',
+    'Granted sends in flight as the owner counts them, by upstream.',
+)
+CALL_WINDOW: typing.Final = _gauge(
+    'galenahatch_call_window',
+    '1',
+    'Sends that the owner allows at the same time, by upstream.',
+)
+CALLS_QUEUED: typing.Final = _gauge(
+    'galenahatch_calls_queued',
+    '1',
+    'Plain calls that wait for a grant of this owner, by service.',
+    'service',
+)
+CALL_RATE: typing.Final = _gauge(
+    'galenahatch_call_rate',
+    '1/s',
+    'Calls a second that end while others wait, by service.',
+    'service',
+)
+CUSTOMER_CALLS_QUEUED: typing.Final = _gauge(
+    'galenahatch_customer_calls_queued',
+    '1',
+    'Plain calls that wait for a grant of this owner, by customer.',
+    'customer',
+)
+SERVICE_CONTENDED: typing.Final = _gauge(
+    'galenahatch_service_contended',
+    '1',
+    'Whether calls to a service need a grant of this owner, by service.',
+    'service',
+)
+UPSTREAM_SLOWDOWN: typing.Final = _gauge(
+    'galenahatch_upstream_slowdown',
+    '1',
+    'Time that work takes now, as a multiple of the usual, by upstream.',
+)
+EXPECTED_DELAY: typing.Final = _gauge(
+    'galenahatch_upstream_expected_delay_seconds',
+    's',
+    'Seconds until a plain call sent now would end, by upstream.',
+)
+SEND_SHARE: typing.Final = _gauge(
+    'galenahatch_upstream_send_share',
+    '1',
+    'Share of the last responses of its service, by upstream.',
+)
+invalid_loads = _meter.create_counter(
+    'galenahatch_invalid_loads',
+    description='Responses whose load was malformed or implausible.',
+)
 orders = _meter.create_counter(
     'galenahatch_orders', description='Orders sent to engines, by status.'
 )
 
 
 def register_gauge(name: str, callback: GaugeCallback) -> None:
-    """Set the function that returns the values of a gauge by upstream."""
+    """Set the function that returns the values of a gauge by its label."""
     _gauge_callbacks[name] = callback
 
 
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -27,16 +27,22 @@
 
 from galenahatch import clock
 from galenahatch.core import balance
+from galenahatch.core import loadreports
 from galenahatch.core import retrybudget
 from galenahatch import errors
 from galenahatch.gateway import accounts as accounts_module
+from galenahatch.gateway import callgrants
+from galenahatch.gateway import callmessages
+from galenahatch.gateway import callowner
 from galenahatch.gateway import calls
 from galenahatch.gateway import connections
+from galenahatch.gateway import contention
 from galenahatch.gateway import context as contexts
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import frames
 from galenahatch.gateway import frontend
 from galenahatch.gateway import instruments
+from galenahatch.gateway import loads as loads_module
 from galenahatch.gateway import mesh as meshes
 from galenahatch.gateway import messages
 from galenahatch.gateway import notices
@@ -142,10 +148,33 @@
             self._rate_limits.limiter,
             self._notices.pauses_left,
         )
-        self._balancer = balance.Balancer(clock.RANDOM, settings.data_centre)
-        self._exchange = outcomes.OutcomeExchange(self._balancer.outliers)
+        self._open_plain_calls()
         self._open_mesh()
 
+    def _open_plain_calls(self) -> None:
+        """Create the components that admit and balance plain calls."""
+        settings = self._settings
+        self._load_reports = loadreports.Loads()
+        self._balancer = balance.Balancer(
+            clock.RANDOM, settings.data_centre, self._load_reports
+        )
+        self._loads = loads_module.LoadExchange(
+            self._load_reports, self._balancer
+        )
+        self._exchange = outcomes.OutcomeExchange(self._balancer.outliers)
+        self._contention = contention.Contention(
+            self._directory,
+            self._load_reports,
+            settings.features.admission_control,
+        )
+        self._call_owner = callowner.CallOwner(self._directory)
+        self._call_grants = callgrants.CallGrants(
+            self._directory,
+            self._contention,
+            self._call_owner,
+            settings.data_centre,
+        )
+
     def _open_mesh(self) -> None:
         """Create the components that communicate with other gateways."""
         settings = self._settings
@@ -164,6 +193,7 @@
                 self._accounts,
                 self._rate_limits,
                 self._notices,
+                self._loads,
             ),
             self._handle_message,
             self._background_tasks,
@@ -192,7 +222,13 @@
             message, messages.PermitRequest | messages.PermitReply
         ):
             self._rate_limits.handle_message(member, message)
+        elif isinstance(message, callmessages.OwnerRequest):
+            self._call_owner.handle_message(member, message)
+        elif isinstance(message, callmessages.AnyCallMessage):
+            self._call_grants.handle_message(member, message)
         else:
+            if isinstance(message, messages.Heartbeat):
+                self._call_owner.handle_message(member, message)
             self._owner_client.handle_message(member, message)
 
     def _record_answer(
@@ -204,6 +240,7 @@
         """Record what an upstream's answer says about further requests."""
         self._rate_limits.observe_response(upstream, sent_at, head)
         self._notices.record_answer(upstream, sent_at, head)
+        self._loads.record_answer(upstream, head)
 
     def _cancel_waits(self, upstream: ids.UpstreamId) -> None:
         """Cancel calls that wait for the previous process of an upstream."""
@@ -220,6 +257,8 @@
         self._directory.run()
         self._mesh.run()
         self._owner_client.start(self._mesh, self._background_tasks)
+        self._call_owner.start(self._mesh, self._background_tasks)
+        self._call_grants.set_peers(self._mesh)
         reports.ReportPoller(
             self._directory,
             self._mesh,
@@ -227,6 +266,7 @@
             self._sender,
             self._rate_limits.limiter,
             self._notices,
+            self._loads,
         ).start(self._background_tasks)
         self._orders.run()
         self._background_tasks.run_forever('members', self._refresh)
@@ -245,6 +285,9 @@
                 rate_limits=self._rate_limits,
                 notices=self._notices,
                 tasks=self._background_tasks,
+                loads=self._load_reports,
+                contention=self._contention,
+                call_grants=self._call_grants,
             )
         )
         limits = self._frontend.limits
@@ -271,6 +314,7 @@
             self._exchange.prune(known)
             self._rate_limits.prune(known)
             self._notices.prune(known)
+            self._loads.refresh(known)
             await asyncio.sleep(_REFRESH_INTERVAL_S)
 
     def reload(self) -> None:
@@ -314,6 +358,7 @@
         self._frontend.drain(began_at + _BALANCER_DRAIN_S, exit_at)
         self._mesh.leaving = True
         self._owner_client.owner.decline_all()
+        self._call_owner.decline_all()
         _log.info('Stopping.', in_flight=self._frontend.in_flight)
         await self._wait_for_balancer(exit_at)
         while clock.now() < exit_at:
--- a/galenahatch/test/test_gatewayctl.py
+++ b/galenahatch/test/test_gatewayctl.py
@@ -50,6 +50,7 @@
         for row in json.loads(capsys.readouterr().out)
     }
     assert shown['store'] == fleet.vms[0].store
+    assert shown['features.admission_control'] == 'off'
     wrong = tmp_path / 'wrong.json'
     text = fleet.vms[0].settings_file.read_text()
     wrong.write_text(text.replace('[7660,7675]', '[7675,7660]'))
@@ -120,6 +121,7 @@
             'api_keys': ['my-key'],
             'unit': 'tokens',
             'plain_tokens': 200,
+            'weight': 4,
             'rate_per_s': 1200,
             'burst': 1200,
         },
@@ -141,13 +143,14 @@
         'customer': 'shop',
         'keys': '5e78863ed1ffb9fc',
         'priority': '',
+        'weight': 4.0,
         'unit': 'tokens',
         'rate': 1200,
         'burst': 1200,
         'used': 1100,
         'refused': 3,
     }
-    assert (free['keys'], free['rate']) == ('', '')
+    assert (free['keys'], free['rate'], free['weight']) == ('', '', 1.0)
 
 
 def test_limits(
--- a/galenahatch/test/test_platform.py
+++ b/galenahatch/test/test_platform.py
@@ -14,6 +14,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import pathlib
 
 import aiohttp
@@ -47,6 +48,31 @@
     assert expected in found.detail
 
 
+@pytest.mark.parametrize(
+    ('fields', 'expected'),
+    [
+        ('', settings.Features()),
+        ('"contracts": ["base", "drain"]', settings.Features()),
+        ('"contracts": ["base", "pressure"]', settings.Features(True, True)),
+        (
+            '"contracts": ["pressure"], "features": {"flow_control": false}',
+            settings.Features(True, False),
+        ),
+        (
+            '"features": {"admission_control": true, "new": 1}',
+            settings.Features(True, False),
+        ),
+    ],
+)
+def test_features(fields: str, expected: settings.Features) -> None:
+    """A contract turns features on; features that are named go first."""
+    least = cases.read('settings.txt')[0].values[0].rstrip('}\n')
+    document = f'{least}}}, {fields}}}' if fields else f'{least}}}}}'
+    found = deployment.decode(document.encode())
+    assert isinstance(found, settings.Settings), found
+    assert found.features == expected
+
+
 @pytest.mark.parametrize(('document', 'expected'), cases.read('documents.txt'))
 def test_documents(document: str, expected: str) -> None:
     """A bad configuration is a failure that says which field is wrong."""
@@ -127,10 +153,20 @@
         (500, [], False),
     ):
         assert wire.decode_response_head(status, raw).not_executed is expected
-    load = [(b'X-Galenahatch-Instance-Load', b'3,2,8')]
-    assert wire.decode_response_head(200, load).load == 5
-    load = [(b'X-Galenahatch-Instance-Load', b'lots')]
-    assert wire.decode_response_head(200, load).load is None
+
+
+@pytest.mark.parametrize(('text', 'expected'), cases.read('loads.txt'))
+def test_load_headers(text: str, expected: str) -> None:
+    """Implausible figures of an upstream's load are ignored and reported."""
+    raw = [(b'X-Galenahatch-Instance-Load', text.strip().encode())]
+    head = wire.decode_response_head(200, raw if text.strip() else [])
+    found = 'none'
+    if head.load is not None:
+        figures = dataclasses.astuple(head.load)
+        found = ' '.join(str(figure) for figure in figures)
+    if head.load_error is not None:
+        found += ' invalid'
+    assert found == expected
 
 
 def test_engine_documents() -> None:
