--- a/galenahatch/test/test_call_admission.py
+++ b/galenahatch/test/test_call_admission.py
@@ -131,6 +131,20 @@
     _assert_served(fleet, 3.0, 5.0, share=1 / 3)
 
 
+@_SEEDS
+def test_queue_follows_capacity(seed: int) -> None:
+    """Pattern: two of three upstreams leave while the queue is full.
+
+    Who can't be in time any longer knows it within a tenth of a second.
+    """
+    fleet = callfleet.Fleet(74, _burst(), seed=seed)
+    fleet.at(3.0, lambda: _lose_upstreams(fleet))
+    fleet.run(3.1)
+    snapshot = fleet.owners[0].admission.snapshot(fleet.now)
+    waiting = snapshot.waiting[waitingcalls.Band.IN_TIME]
+    assert waiting <= _CAPACITY / 3 * callfleet.OBJECTIVE_S
+
+
 def _fail_all(fleet: callfleet.Fleet, fails: bool) -> None:
     for engine in fleet.engines.values():
         engine.fails = fails
@@ -477,11 +491,9 @@
     admission = _admission()
     _fill(admission, 2)
     assert admission.submit(_call(1), 0.0) is None
-    at = admission.next_decision_at(0.0)
-    while admission.snapshot(0.0).waiting[waitingcalls.Band.LATE] == 0:
-        assert at is not None
-        assert admission.decide(at) == []
-        at = admission.next_decision_at(at)
+    # It can't be in time any longer, and waits on as a late one.
+    assert admission.decide(0.32) == []
+    assert admission.snapshot(0.32).waiting[waitingcalls.Band.LATE] == 1
     rejected = admission.decide(1.56)
     assert [type(decision) for decision in rejected] == [plaincalls.Rejected]
     assert isinstance(admission.submit(_call(2), 1.6), plaincalls.Rejected)
