--- a/galenahatch/test/test_call_admission.py
+++ b/galenahatch/test/test_call_admission.py
@@ -158,6 +158,20 @@
     _assert_served(fleet, 3.0, 5.0, share=1 / 3)
 
 
+@_SEEDS
+def test_queue_follows_capacity(seed: int) -> None:
+    """Pattern: two of three upstreams leave while the queue is full.
+
+    Who can't be in time any longer knows it within a tenth of a second.
+    """
+    fleet = callfleet.Fleet(74, _burst(), seed=seed)
+    fleet.at(3.0, lambda: _lose_upstreams(fleet))
+    fleet.run(3.1)
+    snapshot = fleet.owners[0].admission.snapshot(fleet.now)
+    waiting = snapshot.waiting[waitingcalls.Band.IN_TIME]
+    assert waiting <= _CAPACITY / 3 * callfleet.OBJECTIVE_S
+
+
 def _fail_all(fleet: callfleet.Fleet, fails: bool) -> None:
     for engine in fleet.engines.values():
         engine.fails = fails
