--- a/bench/dispatching.py
+++ b/bench/dispatching.py
@@ -663,12 +663,13 @@
                 caller.is_over = True
 
     def _result(self) -> Result:
+        mean_size = self._mean_size
         owed_credit = sum(
-            0.3 * self._mean_size + 0.7 * c.size for c in self._callers
+            0.3 * mean_size + 0.7 * c.size for c in self._callers
         )
         credit = prices = in_time = 0.0
         for caller in self._callers:
-            size = 0.3 * self._mean_size + 0.7 * caller.size
+            size = 0.3 * mean_size + 0.7 * caller.size
             credit += caller.credit * size
             in_time += (caller.credit == 1.0) / len(self._callers)
             if caller.credit:
--- a/galenahatch/core/retryafter.py
+++ b/galenahatch/core/retryafter.py
@@ -89,7 +89,10 @@
 
     def due_count(self, now: float) -> int:
         """Return the number of retries expected now."""
-        return self.due_counts(now).total()
+        return sum(
+            abs(due_at - now) < _ARRIVAL_WINDOW_S
+            for due_at in self._due_times()
+        )
 
     def due_counts(
         self, now: float
--- a/galenahatch/core/waitqueue.py
+++ b/galenahatch/core/waitqueue.py
@@ -165,9 +165,11 @@
             return 0.0
         # The job as it was queued avoids no more engines than have failed it.
         job = self._jobs.get(job.stream, job)
-        rank = self._rank_function(now)
-        last = max(s[-1] for s in _SECTIONS if rank(job)[0] in s)
-        waiting = [o for o in self._jobs.values() if rank(o)[0] <= last]
+        waiting = (
+            other
+            for other in self._jobs.values()
+            if job.is_late or not other.is_late
+        )
         return self._shares.charge(job, waiting, now)
 
     def record_refusal(self, job: Job, retry_after: float, now: float) -> None:
