Fair shares: credit of refused flows is bounded; charges of lost runs dropped

Cause: a priority that is refused for a minute was owed an unbounded part of the service and would have held back more urgent requests afterwards; charges of runs that their VM never ended were kept for ever. Change: a flow or class is at most two seconds of its share, or the largest waiting request, ahead of those with demand; removing a run drops its charge.

--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -421,6 +421,7 @@
             placement.confirmed_at = now
 
     def _remove_run(self, stream: ids.StreamId, now: float) -> None:
+        self._shares.settle(stream, 0)
         placement = self._placements.pop(stream, None)
         if placement is not None and placement.prefill is not None:
             self._pool.cancel_prefill(placement.prefill, stream)
--- a/galenahatch/core/fairshares.py
+++ b/galenahatch/core/fairshares.py
@@ -31,10 +31,11 @@
 the service whatever the numbers of the priorities are.
 
 A request is charged its predicted cost when it is placed, corrected once the
-tokens of its answer are known. Virtual times advance with service only, not
-with the clock: an owner that was suspended continues with the same shares. A
-new owner starts with equal virtual times, which is at most one request per
-flow from right.
+tokens of its answer are known. A customer that is refused, or waits for
+engines that are not free, is owed what others are served meanwhile, up to a
+bound. Virtual times advance with service only, not with the clock: an owner
+that was suspended continues with the same shares. A new owner starts with
+equal virtual times, which is at most one request per flow from right.
 """
 
 import collections.abc
@@ -205,20 +206,19 @@
         """
         if not self._is_enabled or job.is_continuation or job.avoid:
             return 0.0
-        state = self._snapshot((*waiting, job), now)
+        jobs = [*waiting, job]
+        state = self._snapshot(jobs, now)
         cost = self.cost(job)
+        largest = max(map(self.cost, jobs))
         times = self._times
-        class_time = times.class_time(job.priority)
-        flow_time = times.flow_time(sharetimes.flow_key(job))
         times.virtual_time = state.virtual_time
         urgency_class = times.classes.setdefault(
             job.priority, sharetimes.UrgencyClass()
         )
         urgency_class.flow_virtual_time = state.floors[job.priority]
-        class_weight = state.class_weights[job.priority]
-        urgency_class.virtual_time = class_time + cost / class_weight
+        urgency_class.virtual_time = state.charged_class_time(job, largest)
         flow = urgency_class.flows.setdefault(job.customer, sharetimes.Flow())
-        flow.virtual_time = flow_time + cost / times.weight(job.customer)
+        flow.virtual_time = state.charged_flow_time(job, largest)
         flow.use.add(cost, now)
         urgency_class.use.add(cost, now)
         self._charges[job.stream] = _Charge(
--- a/galenahatch/core/sharetimes.py
+++ b/galenahatch/core/sharetimes.py
@@ -32,6 +32,10 @@
 REORDERING_S: typing.Final = 0.1
 """Seconds of service within which requests keep their order by deadline
 whoever sent them: callers don't notice a wait as short as that."""
+_MAX_CREDIT_S: typing.Final = 2.0
+"""Seconds of its share of the service that a flow may be owed at most. It can
+be owed more than a request while its requests are refused; as much as a burst
+lasts must not hold back the others afterwards."""
 _USE_WINDOW_S: typing.Final = 5.0
 """Time constant of the mean use, longer than a burst."""
 
@@ -190,6 +194,7 @@
     ) -> None:
         self._times = times
         self._cost = cost
+        self._capacity = capacity
         # Tags of the next request of each flow and class.
         self._starts = {key: times.flow_time(key) for key in flows}
         self.floors: dict[int, float] = {}
@@ -199,6 +204,7 @@
             self.floors[priority] = min(floor, start)
             share = shares.get(priority, 0.0) + times.weight(customer)
             shares[priority] = share
+        self._shares = shares
         self.class_weights = class_weights(self.floors)
         self.allowances = {
             priority: REORDERING_S * capacity / share
@@ -225,6 +231,34 @@
         start = self._starts[key] + ahead / self._times.weight(job.customer)
         return start - self.floors[job.priority]
 
+    def charged_flow_time(self, job: Job, largest: float) -> float:
+        """Return the virtual time of a request's flow once it is charged.
+
+        Args:
+            job: Request that is placed.
+            largest: Largest cost of the requests that wait.
+        """
+        weight = self._times.weight(job.customer)
+        credit = _MAX_CREDIT_S * self._capacity / self._shares[job.priority]
+        limit = self.floors[job.priority] + max(largest / weight, credit)
+        start = min(self._starts[flow_key(job)], limit)
+        return start + self._cost(job) / weight
+
+    def charged_class_time(self, job: Job, largest: float) -> float:
+        """Return the virtual time of a request's class once it is charged.
+
+        Args:
+            job: Request that is placed.
+            largest: Largest cost of the requests that wait.
+        """
+        weights = self.class_weights
+        credit = _MAX_CREDIT_S * self._capacity / sum(weights.values())
+        # Classes are served by finish tag: all may be ahead of one whose
+        # request is large by that request.
+        most = max(largest / min(weights.values()), credit)
+        start = min(self._class_starts[job.priority], self.virtual_time + most)
+        return start + self._cost(job) / weights[job.priority]
+
     def order(self, jobs: collections.abc.Iterable[Job]) -> list[Job]:
         """Return requests in the order in which they are served.
 
