Fair queuing takes effect only where settings or weights ask for it

Cause: shares and classes took effect as soon as a configuration listed customers, so a deployment with customers and quotas was served in another order than before. Change: feature `fair_queuing` in the settings, turned on by the contract that turns on admission control and overridable; a weight that the configuration states for a customer turns it on as well. A customer's weight is None unless stated.

--- a/galenahatch/core/customers.py
+++ b/galenahatch/core/customers.py
@@ -62,7 +62,7 @@
         priority: Priority that overrides that of a route; None for no
             override.
         weight: Share of contested capacity among customers of the same
-            priority; above 0.
+            priority; above 0, or None for the default.
         quota: Quota, or None for no limit.
         default_tokens: Tokens counted for a request that states no sizes.
     """
@@ -73,7 +73,7 @@
     unit: Unit = Unit.REQUESTS
     quota: Quota | None = None
     default_tokens: float = 0.0
-    weight: float = sharetimes.DEFAULT_WEIGHT
+    weight: float | None = None
 
     def cost(self, tokens: int | None) -> float:
         """Return the quota units that a request uses.
@@ -97,7 +97,10 @@
     def __init__(self, customers: typing.Iterable[Customer]) -> None:
         self._by_name = {customer.name: customer for customer in customers}
         self._weights = {
-            name: customer.weight for name, customer in self._by_name.items()
+            name: sharetimes.DEFAULT_WEIGHT
+            if customer.weight is None
+            else customer.weight
+            for name, customer in self._by_name.items()
         }
         self._by_key = {
             key: customer
@@ -115,6 +118,13 @@
         """Weights of all customers by name."""
         return self._weights
 
+    @property
+    def has_explicit_weights(self) -> bool:
+        """Whether the configuration states the weight of any customer."""
+        return any(
+            customer.weight is not None for customer in self._by_name.values()
+        )
+
     @property
     def key_count(self) -> int:
         """Number of keys."""
--- a/galenahatch/core/fairshares.py
+++ b/galenahatch/core/fairshares.py
@@ -140,7 +140,7 @@
 
     @property
     def is_enabled(self) -> bool:
-        """Whether the configuration lists customers."""
+        """Whether customers and priorities share the service."""
         return self._is_enabled
 
     @property
@@ -149,7 +149,7 @@
         return self._times
 
     def configure(self, weights: sharetimes.Weights | None) -> None:
-        """Set the customers' weights; None if there are no customers.
+        """Set the customers' weights; None if requests keep their order.
 
         Requests of a customer that is no longer listed keep their tags and
         count with the default weight. One under a new name starts like a
--- a/galenahatch/core/routes.py
+++ b/galenahatch/core/routes.py
@@ -144,6 +144,24 @@
         """Weights of the customers; None if callers need no key."""
         return None if self.customers is None else self.customers.weights
 
+    def fair_queuing_weights(
+        self, is_enabled: bool
+    ) -> typing.Mapping[ids.CustomerName, float] | None:
+        """Return the weights by which customers share engines.
+
+        Args:
+            is_enabled: Whether they share also without explicit weights.
+
+        Returns:
+            Weights of the customers; None if requests keep their order.
+        """
+        customers = self.customers
+        if customers is None:
+            return None
+        if not is_enabled and not customers.has_explicit_weights:
+            return None
+        return customers.weights
+
 
 class RouteTable:
     """Lookup table for the route of a request.
--- a/galenahatch/core/waitqueue.py
+++ b/galenahatch/core/waitqueue.py
@@ -19,8 +19,8 @@
 further attempt, come first, each group by the time at which its caller gives
 up.
 
-Where the configuration lists customers and requests of several customers or
-priorities wait, they share the service (`core/fairshares`). Continuations
+Where fair queuing is on and requests of several customers or priorities
+wait, they share the service (`core/fairshares`). Continuations
 still come first: callers can't cause them. All others that can start in time
 come next and late ones last, each in the order of their shares; the order
 above then holds among requests within their customers' shares. A committed
--- a/galenahatch/gateway/directory.py
+++ b/galenahatch/gateway/directory.py
@@ -54,6 +54,8 @@
         drain: Seconds after the removal of an upstream within which requests
             to it must stop.
         heartbeat: Seconds between two writes of an upstream's entry.
+        fair_queuing: Whether customers share engines also without explicit
+            weights.
     """
 
     def __init__(
@@ -62,7 +64,9 @@
         background: tasks.Tasks,
         drain: float,
         heartbeat: float = entries_module.HEARTBEAT_INTERVAL_S,
+        fair_queuing: bool = False,
     ) -> None:
+        self._fair_queuing = fair_queuing
         self._tasks = background
         self._change_listeners: list[collections.abc.Callable[[], None]] = []
         self._document = b''
@@ -167,6 +171,15 @@
         self._notify_change()
         return True
 
+    @property
+    def fair_queuing_weights(
+        self,
+    ) -> typing.Mapping[ids.CustomerName, float] | None:
+        """Weights by which customers share engines; None if they don't."""
+        if self.config is None:
+            return None
+        return self.config.fair_queuing_weights(self._fair_queuing)
+
     def service(self, name: ids.ServiceName) -> routes.Service | None:
         """Return a service of the configuration in force."""
         if self.config is None:
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -124,6 +124,7 @@
             self._background_tasks,
             settings.bounds.drain,
             settings.heartbeat,
+            settings.features.fair_queuing,
         )
         self._sender = senders.Sender()
         self._rate_limits = ratelimits.RateLimits()
--- a/galenahatch/gateway/owner.py
+++ b/galenahatch/gateway/owner.py
@@ -283,9 +283,7 @@
     def _update_engines(
         self, service: ids.ServiceName, dispatcher: dispatch.Dispatcher
     ) -> None:
-        config = self._directory.config
-        if config is not None:
-            dispatcher.shares.configure(config.customer_weights)
+        dispatcher.shares.configure(self._directory.fair_queuing_weights)
         registry = self._directory.registry
         now = clock.now()
         leaving = {
--- a/galenahatch/gateway/settings.py
+++ b/galenahatch/gateway/settings.py
@@ -68,10 +68,13 @@
             capacity need a grant of the owner.
         flow_control: Whether the bytes held for slow callers and upstreams
             are limited.
+        fair_queuing: Whether customers and priorities share contested engines
+            also where no customer's weight is configured.
     """
 
     admission_control: bool = False
     flow_control: bool = False
+    fair_queuing: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/galenahatch/gatewayctl.py
+++ b/galenahatch/gatewayctl.py
@@ -215,8 +215,11 @@
         assert isinstance(config, routes.Configuration)
         assert isinstance(member_rows, stores.Rows)
         samples = await scrapes.scrape_all(client, member_rows)
-        by_name = config.customers.by_name if config.customers else {}
-        rows = [_customer_row(c, samples) for c in by_name.values()]
+        customers = config.customers or customers_module.Customers(())
+        rows = [
+            _customer_row(customer, customers.weights[name], samples)
+            for name, customer in customers.by_name.items()
+        ]
         console.print_table(_CUSTOMER_COLUMNS, rows, json)
         return console.SUCCESS
 
@@ -224,14 +227,16 @@
 
 
 def _customer_row(
-    customer: customers_module.Customer, scraped: list[scrapes.Samples]
+    customer: customers_module.Customer,
+    weight: float,
+    scraped: list[scrapes.Samples],
 ) -> console.Row:
     counts = [scrapes.customer_usage(s, customer.name) for s in scraped]
     return (
         customer.name,
         ' '.join(sorted(customer.keys)),
         '' if customer.priority is None else customer.priority,
-        customer.weight,
+        weight,
         customer.unit.value,
         customer.quota.rate if customer.quota else '',
         customer.quota.burst if customer.quota else '',
--- a/galenahatch/platform/documents.py
+++ b/galenahatch/platform/documents.py
@@ -26,7 +26,6 @@
 from galenahatch.core import customers
 from galenahatch.core import incarnations
 from galenahatch.core import routes
-from galenahatch.core import sharetimes
 from galenahatch.core import upstreams
 from galenahatch import errors
 from galenahatch import ids
@@ -106,7 +105,7 @@
     unit: str = customers.Unit.REQUESTS.value
     plain_tokens: float = 0.0
     # Share of contested capacity among customers of the same priority.
-    weight: float = sharetimes.DEFAULT_WEIGHT
+    weight: float | None = None
     # In units of the quota; a rate of 0 means no limit.
     rate_per_s: float = 0.0
     burst: float = 0.0
@@ -297,8 +296,9 @@
             raise ValueError(f'tenant {raw.name}: {field}: {value}')
     if raw.priority is not None and not 0 <= raw.priority <= _MAX_PRIORITY:
         raise ValueError(f'tenant {raw.name}: priority: {raw.priority}')
-    if not _MIN_WEIGHT <= raw.weight <= _MAX_WEIGHT:
-        raise ValueError(f'tenant {raw.name}: weight: {raw.weight}')
+    weight = raw.weight
+    if weight is not None and not _MIN_WEIGHT <= weight <= _MAX_WEIGHT:
+        raise ValueError(f'tenant {raw.name}: weight: {weight}')
     if not all(raw.api_keys):
         raise ValueError(f'tenant {raw.name}: api_keys: empty key')
     keys = frozenset(customers.key_digest(key) for key in raw.api_keys)
@@ -311,7 +311,7 @@
         name=ids.CustomerName(raw.name),
         keys=keys,
         priority=raw.priority,
-        weight=raw.weight,
+        weight=weight,
         unit=_parse_unit(raw),
         quota=quota,
         default_tokens=raw.plain_tokens,
--- a/galenahatch/test/test_gatewayctl.py
+++ b/galenahatch/test/test_gatewayctl.py
@@ -51,6 +51,7 @@
     }
     assert shown['store'] == fleet.vms[0].store
     assert shown['features.admission_control'] == 'off'
+    assert shown['features.fair_queuing'] == 'off'
     wrong = tmp_path / 'wrong.json'
     text = fleet.vms[0].settings_file.read_text()
     wrong.write_text(text.replace('[7660,7675]', '[7675,7660]'))
--- a/galenahatch/test/test_platform.py
+++ b/galenahatch/test/test_platform.py
@@ -53,10 +53,21 @@
     [
         ('', settings.Features()),
         ('"contracts": ["base", "drain"]', settings.Features()),
-        ('"contracts": ["base", "pressure"]', settings.Features(True, True)),
+        (
+            '"contracts": ["base", "pressure"]',
+            settings.Features(True, True, True),
+        ),
         (
             '"contracts": ["pressure"], "features": {"flow_control": false}',
-            settings.Features(True, False),
+            settings.Features(True, False, True),
+        ),
+        (
+            '"contracts": ["pressure"], "features": {"fair_queuing": false}',
+            settings.Features(True, True, False),
+        ),
+        (
+            '"features": {"fair_queuing": true}',
+            settings.Features(False, False, True),
         ),
         (
             '"features": {"admission_control": true, "new": 1}',
