--- a/galenahatch/core/waitqueue.py
+++ b/galenahatch/core/waitqueue.py
@@ -19,8 +19,8 @@
 further attempt, come first, each group by the time at which its caller gives
 up.
 
-Where the configuration lists customers and requests of several customers or
-priorities wait, they share the service (`core/fairshares`). Continuations
+Where fair queuing is on and requests of several customers or priorities
+wait, they share the service (`core/fairshares`). Continuations
 still come first: callers can't cause them. All others that can start in time
 come next and late ones last, each in the order of their shares; the order
 above then holds among requests within their customers' shares. A committed
@@ -165,9 +165,11 @@
             return 0.0
         # The job as it was queued avoids no more engines than have failed it.
         job = self._jobs.get(job.stream, job)
-        rank = self._rank_function(now)
-        last = max(s[-1] for s in _SECTIONS if rank(job)[0] in s)
-        waiting = [o for o in self._jobs.values() if rank(o)[0] <= last]
+        waiting = (
+            other
+            for other in self._jobs.values()
+            if job.is_late or not other.is_late
+        )
         return self._shares.charge(job, waiting, now)
 
     def record_refusal(self, job: Job, retry_after: float, now: float) -> None:
