--- a/galenahatch/gateway/messages.py
+++ b/galenahatch/gateway/messages.py
@@ -111,6 +111,7 @@
         leaving_upstreams: Upstreams whose answers recently announced this.
         era: Era of `upstreams_version`.
         order_era: Era of `order`.
+        message_level: Level of messages that the sender knows.
         loads: Latest load reports, of upstreams that state a slowdown.
     """
 
@@ -129,6 +130,7 @@
     leaving_upstreams: tuple[ids.UpstreamId, ...] = ()
     era: int = 0
     order_era: int = 0
+    message_level: int = 0
     loads: tuple[records.UpstreamLoad, ...] = ()
 
 
@@ -158,6 +160,7 @@
     leaving_upstreams: tuple[ids.UpstreamId, ...] = ()
     era: int = 0
     order_era: int = 0
+    message_level: int = 0
 
 
 class PlacementRequest(Message, frozen=True, array_like=True, tag='Place'):
