Flow control: bytes held for slow callers and upstreams are budgeted

Until now a slow caller stopped the gateway from reading its engine, which cuts off a response that stays unread, and nothing bounded the bytes of all bodies, events and answers together; a gateway over its VM's memory is killed with all of its requests.

--- a/galenahatch/errors.py
+++ b/galenahatch/errors.py
@@ -221,6 +221,13 @@
     'This entry is stopping.',
     'Send the request to another entry.',
 )
+SHORT_OF_MEMORY = _register(
+    'short_of_memory',
+    503,
+    _NOT_RUN,
+    'The bodies in progress leave no memory for this one.',
+    'Come back after Retry-After; see the runbook if it lasts.',
+)
 CLAIM_UNCONFIRMED = _register(
     'claim_unconfirmed',
     503,
--- a/galenahatch/gateway/connections.py
+++ b/galenahatch/gateway/connections.py
@@ -22,6 +22,7 @@
 import asyncio
 import collections.abc
 import select
+import socket
 import typing
 
 from aiohttp import web
@@ -31,9 +32,12 @@
 from galenahatch import timeouts
 
 _LISTEN_BACKLOG: typing.Final = 1024
+_SOCKET_BUFFER_BYTES: typing.Final = 32 * 1024
+"""Limits what the kernel holds for each caller, as that counts toward the
+memory of the process. It suffices for some MB/s within a region."""
 
 
-class _Connection(web.RequestHandler):
+class CallerConnection(web.RequestHandler):
     """The server side of one caller's connection."""
 
     __slots__ = ('_head_begun',)
@@ -66,6 +70,43 @@
             return False
         return _is_readable(transport.get_extra_info('socket'))
 
+    @property
+    def is_write_paused(self) -> bool:
+        """Whether bytes wait because the caller reads slowly.
+
+        Only meaningful for connections with limited buffers.
+        """
+        return self.writing_paused
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of bytes that the kernel has not taken yet."""
+        transport = self.transport
+        return transport.get_write_buffer_size() if transport else 0
+
+    def limit_buffers(self) -> None:
+        """Limit the buffers, so that held bytes can be counted."""
+        assert self.transport is not None
+        self.transport.set_write_buffer_limits(high=0)
+        connection = self.transport.get_extra_info('socket')
+        for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+            connection.setsockopt(
+                socket.SOL_SOCKET, option, _SOCKET_BUFFER_BYTES
+            )
+
+    async def drain(self) -> None:
+        """Wait until the kernel has taken all bytes.
+
+        Raises:
+            ConnectionError: The connection is closed.
+        """
+        await self._drain_helper()
+
+    def abort(self) -> None:
+        """Close the connection at once, which cancels its request."""
+        if self.transport is not None:
+            self.transport.abort()
+
     def data_received(self, data: bytes) -> None:
         """Process received data and record whether a head is incomplete."""
         # Otherwise the data is a body or follows a request in progress.
@@ -81,6 +122,7 @@
     Args:
         handler: Function that answers a request.
         limits: Function that returns the limits of a new connection.
+        limits_buffers: Whether to limit the buffers of connections.
     """
 
     def __init__(
@@ -89,15 +131,25 @@
             [web.BaseRequest], collections.abc.Awaitable[web.StreamResponse]
         ],
         limits: collections.abc.Callable[[], routes.Limits],
+        limits_buffers: bool = False,
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
         self._limits = limits
+        self._limits_buffers = limits_buffers
         self._listener: asyncio.Server | None = None
 
-    def __call__(self) -> _Connection:
+    def connection_made(
+        self, handler: web.RequestHandler, transport: asyncio.Transport
+    ) -> None:
+        """Register a new connection."""
+        super().connection_made(handler, transport)
+        if self._limits_buffers and isinstance(handler, CallerConnection):
+            handler.limit_buffers()
+
+    def __call__(self) -> CallerConnection:
         """Create the protocol of a new connection."""
         limits = self._limits()
-        return _Connection(
+        return CallerConnection(
             self,
             loop=self._loop,
             keepalive_timeout=limits.idle_timeout,
@@ -156,7 +208,7 @@
 
     def _close_idle(self) -> None:
         for connection in self.connections:
-            if isinstance(connection, _Connection) and connection.idle:
+            if isinstance(connection, CallerConnection) and connection.idle:
                 connection.force_close()
 
 
--- a/galenahatch/gateway/context.py
+++ b/galenahatch/gateway/context.py
@@ -26,6 +26,7 @@
 from galenahatch.gateway import calls
 from galenahatch.gateway import contention as contention_module
 from galenahatch.gateway import directory as directories
+from galenahatch.gateway import flowcontrol
 from galenahatch.gateway import notices as notices_module
 from galenahatch.gateway import owner_client
 from galenahatch.gateway import quarantine
@@ -64,6 +65,7 @@
     loads: loadreports.Loads
     contention: contention_module.Contention
     call_grants: callgrants.CallGrants
+    flow: flowcontrol.FlowControl | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/galenahatch/gateway/flowcontrol.py
@@ -0,0 +1,178 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Flow control: applies the memory budget to the transfers of this gateway.
+
+Each transfer opens a holding here and reports the bytes that it holds. If the
+budget is exceeded, the transfers that `core/memorybudget` names are aborted
+at once, since a process that exceeds the memory of its VM is killed together
+with all of its requests.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import typing
+
+from galenahatch import clock
+from galenahatch.core import memorybudget
+from galenahatch import errors
+from galenahatch.gateway import instruments
+from galenahatch import logs
+
+_MAX_PAUSE_S: typing.Final = 2.0
+"""Seconds for which an upstream isn't read. Engines cut off a response that
+remains unread for some seconds, so a longer pause ends the stream anyway."""
+_POLL_INTERVAL_S: typing.Final = 0.1
+"""Seconds between two looks at a transfer that waits for room. What frees it
+is a caller's read, which raises no event until a socket buffer is empty."""
+_RETRY_AFTER_S: typing.Final = 0.5
+"""Seconds after which a rejected body may be sent again: bodies are held for
+as long as their requests, most of which end within this time."""
+_LOG_INTERVAL_S: typing.Final = 1.0
+"""Seconds between two log lines on rejected bodies."""
+_log = logs.Log('flow')
+
+
+class FlowControl:
+    """Transfers of one gateway.
+
+    Args:
+        memory_bytes: Memory of the VM; 0 if unknown.
+    """
+
+    def __init__(self, memory_bytes: int) -> None:
+        self.budget = memorybudget.MemoryBudget(memory_bytes)
+        self._rejected = 0
+        self._logged_at = 0.0
+        instruments.register_gauge(instruments.HELD_BYTES, self._held_bytes)
+
+    def _held_bytes(self) -> dict[str, float]:
+        held = self.budget.held_for
+        return {
+            direction.value: float(held(direction))
+            for direction in memorybudget.Direction
+        }
+
+    @contextlib.contextmanager
+    def hold(
+        self,
+        direction: memorybudget.Direction,
+        size: int = 0,
+        customer: str = '',
+        abort: collections.abc.Callable[[], None] | None = None,
+    ) -> collections.abc.Iterator[memorybudget.Holding]:
+        """Hold bytes for one transfer while the context is entered."""
+        now = clock.now()
+        holding = self.budget.open(direction, now, customer, abort)
+        try:
+            self.grow(holding, size)
+            yield holding
+        finally:
+            self.budget.close(holding)
+
+    def grow(self, holding: memorybudget.Holding, size: int) -> None:
+        """Record bytes held, and abort transfers if that is too much."""
+        now = clock.now()
+        self.budget.grow(holding, size, now)
+        while True:
+            chosen = self.budget.overload(now)
+            if chosen is None:
+                return
+            self.abort(chosen, 'memory')
+
+    def abort(self, holding: memorybudget.Holding, reason: str) -> None:
+        """Abort a transfer and give back its bytes.
+
+        Args:
+            holding: Transfer that has a function for it.
+            reason: Reason for logs and metrics.
+        """
+        now = clock.now()
+        assert holding.abort is not None
+        instruments.transfers_aborted.add(1, {'reason': reason})
+        _log.warning(
+            'Transfer to a slow caller aborted.',
+            reason=reason,
+            direction=holding.direction.value,
+            customer=holding.customer,
+            held=holding.held,
+            rate=holding.rate,
+            idle=now - holding.taken_at,
+            seconds=now - holding.opened_at,
+            total=self.budget.held,
+            limit=self.budget.total,
+        )
+        self.budget.close(holding)
+        holding.abort()
+
+    def admit_body(
+        self, holding: memorybudget.Holding, size: int
+    ) -> errors.Failure | None:
+        """Record bytes of a body; return a failure if they don't fit."""
+        if not size:
+            return None
+        if holding.held + size > self.budget.max_body:
+            detail = f'over {self.budget.max_body} bytes'
+            return errors.Failure(errors.BODY_TOO_LARGE, detail)
+        if self.budget.admits_body(holding, size):
+            self.grow(holding, size)
+            return None
+        self._rejected += 1
+        instruments.bodies_rejected.add(1)
+        now = clock.now()
+        if now - self._logged_at > _LOG_INTERVAL_S:
+            _log.warning(
+                'Request body rejected.',
+                size=size,
+                bodies=self.budget.held_for(memorybudget.Direction.BODIES),
+                total=self.budget.held,
+                limit=self.budget.total,
+                rejected=self._rejected,
+            )
+            self._logged_at, self._rejected = now, 0
+        detail = f'{size} more bytes do not fit'
+        return errors.Failure(errors.SHORT_OF_MEMORY, detail, _RETRY_AFTER_S)
+
+    async def wait_for_room(
+        self,
+        holding: memorybudget.Holding,
+        update: collections.abc.Callable[[], None] = lambda: None,
+    ) -> bool:
+        """Wait until more may be read; return False if that takes too long.
+
+        Args:
+            update: Records what the caller has taken meanwhile.
+        """
+        paused_at = clock.now()
+        while not self.budget.may_read(holding):
+            if clock.now() - paused_at > _MAX_PAUSE_S:
+                return False
+            await asyncio.sleep(_POLL_INTERVAL_S)
+            update()
+        return True
+
+    async def take(self, holding: memorybudget.Holding, size: int) -> bool:
+        """Record bytes read; return whether more may be read in time."""
+        self.grow(holding, size)
+        return await self.wait_for_room(holding)
+
+
+def hold(
+    flow: FlowControl | None,
+    direction: memorybudget.Direction,
+    size: int = 0,
+) -> contextlib.AbstractContextManager[memorybudget.Holding | None]:
+    """Hold bytes for one transfer, if flow control is on."""
+    if flow is None:
+        return contextlib.nullcontext()
+    return flow.hold(direction, size)
--- a/galenahatch/gateway/frontend.py
+++ b/galenahatch/gateway/frontend.py
@@ -18,7 +18,6 @@
 close their connections; none is closed while a request on it is in progress.
 """
 
-import asyncio
 import collections
 import collections.abc
 import typing
@@ -30,18 +29,18 @@
 from galenahatch.core import customers
 from galenahatch.core import routes
 from galenahatch import errors
+from galenahatch.gateway import answers
+from galenahatch.gateway import bodies
 from galenahatch.gateway import calls
 from galenahatch.gateway import context as contexts
 from galenahatch.gateway import generation
 from galenahatch.gateway import instruments
 from galenahatch.gateway import plain
+from galenahatch.gateway import streambuffer
 from galenahatch import ids
 from galenahatch import logs
 from galenahatch.platform import wire
-from galenahatch import timeouts
 
-_BODY_TIMEOUT_S: typing.Final = 10.0
-"""A caller that takes longer to send a body has given up."""
 _RETRY_AFTER_S: typing.Final = 0.5
 _DRAINING_RETRY_AFTER_S: typing.Final = 0.05
 """Retry delay of a caller that is sent to another gateway."""
@@ -86,6 +85,9 @@
         assert self._response is not None
         await self._response.write(data)
 
+    async def finish(self) -> None:
+        """Do nothing; all events have been sent."""
+
 
 class HttpFrontend:
     """Serves callers.
@@ -175,36 +177,37 @@
         """Handle one request of a caller."""
         arrived_at = clock.now()
         self._in_flight += 1
+        max_bytes = self.limits().max_body_bytes
+        body = bodies.Body(request, max_bytes, self._context.flow)
         try:
-            body = await self._read_body(request)
-            if isinstance(body, errors.Failure):
-                return self._error_response(body, '')
+            data = await body.read()
+            if isinstance(data, errors.Failure):
+                return self._reject_body(request, data)
             call = wire.decode_call(
                 request.method,
                 request.raw_path,
                 request.raw_headers,
-                body,
+                data,
                 arrived_at,
             )
             return await self._route_request(request, call)
         finally:
+            body.release()
             self._in_flight -= 1
 
-    async def _read_body(
-        self, request: web.BaseRequest
-    ) -> bytes | errors.Failure:
-        max_bytes = self.limits().max_body_bytes
-        data = bytearray()
-        try:
-            async with timeouts.limit(_BODY_TIMEOUT_S):
-                async for chunk in request.content.iter_any():
-                    data += chunk
-                    if len(data) > max_bytes:
-                        detail = f'over {max_bytes} bytes'
-                        return errors.Failure(errors.BODY_TOO_LARGE, detail)
-        except asyncio.TimeoutError:
-            return errors.Failure(errors.BODY_TIMEOUT)
-        return bytes(data)
+    def _reject_body(
+        self, request: web.BaseRequest, failure: errors.Failure
+    ) -> web.StreamResponse:
+        if failure.reason is not errors.SHORT_OF_MEMORY:
+            return self._error_response(failure, '')
+        call = wire.decode_call(
+            request.method, request.raw_path, request.raw_headers, b'', 0.0
+        )
+        instruments.answers.add(1, {'reason': failure.reason.name})
+        response = self._error_response(failure, call.id)
+        # The rest of the body is not worth another request's memory.
+        response.force_close()
+        return response
 
     async def _route_request(
         self, request: web.BaseRequest, call: calls.Call
@@ -262,9 +265,13 @@
                 errors.LEAVING, '', _DRAINING_RETRY_AFTER_S
             )
             return self._respond(call, route, failure)
-        return self._respond(
-            call, route, await self._run_plain_call(call, route, name)
-        )
+        result = await self._run_plain_call(call, route, name)
+        response = self._respond(call, route, result)
+        if self._context.flow is not None:
+            return await answers.send(
+                request, response, self._context.flow, call.customer_name
+            )
+        return response
 
     async def _run_plain_call(
         self, call: calls.Call, route: routes.Route, service: ids.ServiceName
@@ -295,13 +302,35 @@
                 errors.LEAVING, '', _DRAINING_RETRY_AFTER_S
             )
             return self._respond(call, route, failure)
-        sink = _StreamSink(request, self)
+        if self._context.flow is None:
+            sink = _StreamSink(request, self)
+            return await self._relay(request, call, route, service, sink)
+        buffered = streambuffer.BufferedSink(
+            request,
+            self.close_if_draining,
+            self._context.flow,
+            call.customer_name,
+        )
+        try:
+            return await self._relay(request, call, route, service, buffered)
+        finally:
+            buffered.close()
+
+    async def _relay(
+        self,
+        request: web.BaseRequest,
+        call: calls.Call,
+        route: routes.Route,
+        service: routes.Service,
+        sink: '_StreamSink | streambuffer.BufferedSink',
+    ) -> web.StreamResponse:
         handler = generation.RequestHandler(
             self._context, call, route, service, sink
         )
         try:
             result = await handler.run()
-        except generation.StreamBroken as error:
+            await sink.finish()
+        except (generation.StreamBroken, streambuffer.CallerTooSlow) as error:
             return self._abort_stream(request, call, sink, str(error))
         if result is not None:
             return self._respond(call, route, result)
@@ -317,7 +346,7 @@
         self,
         request: web.BaseRequest,
         call: calls.Call,
-        sink: _StreamSink,
+        sink: '_StreamSink | streambuffer.BufferedSink',
         detail: str,
     ) -> web.StreamResponse:
         """Abort the connection, so that the stream can't appear complete."""
--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -155,6 +155,14 @@
     unit='s',
     description='From the arrival of a plain call to its grant, by service.',
 )
+transfers_aborted = _meter.create_counter(
+    'galenahatch_transfers_aborted',
+    description='Transfers to slow callers that were aborted, by reason.',
+)
+bodies_rejected = _meter.create_counter(
+    'galenahatch_bodies_rejected',
+    description='Request bodies rejected for want of memory.',
+)
 GaugeCallback = typing.Callable[[], typing.Mapping[str, float]]
 """Returns the values of a gauge by upstream, or by its other label."""
 _gauge_callbacks: dict[str, GaugeCallback] = {}
@@ -194,6 +202,12 @@
     's',
     'Seconds left of a pause that this gateway was asked for, by upstream.',
 )
+HELD_BYTES: typing.Final = _gauge(
+    'galenahatch_held_bytes',
+    'By',
+    'Bytes held for callers and upstreams, by direction.',
+    'direction',
+)
 CALL_IN_FLIGHT: typing.Final = _gauge(
     'galenahatch_call_in_flight',
     '1',
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -39,6 +39,7 @@
 from galenahatch.gateway import contention
 from galenahatch.gateway import context as contexts
 from galenahatch.gateway import directory as directories
+from galenahatch.gateway import flowcontrol
 from galenahatch.gateway import frames
 from galenahatch.gateway import frontend
 from galenahatch.gateway import instruments
@@ -54,6 +55,7 @@
 from galenahatch.gateway import reports
 from galenahatch.gateway import roster
 from galenahatch.gateway import sender as senders
+from galenahatch.gateway import sessions
 from galenahatch.gateway import settings as settings_module
 from galenahatch import ids
 from galenahatch import logs
@@ -114,7 +116,7 @@
         settings = self._settings
         self._client = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
-                limit=0, socket_factory=senders.create_socket
+                limit=0, socket_factory=sessions.create_socket
             )
         )
         self._store = stores.Store(self._client, str(settings.store))
@@ -125,7 +127,12 @@
             settings.bounds.drain,
             settings.heartbeat,
         )
-        self._sender = senders.Sender()
+        self._flow = (
+            flowcontrol.FlowControl(settings.memory_bytes)
+            if settings.features.flow_control
+            else None
+        )
+        self._sender = senders.Sender(self._flow)
         self._rate_limits = ratelimits.RateLimits()
         self._notices = notices.Notices(self._directory)
         self._sender.on_response_head = self._record_answer
@@ -288,10 +295,13 @@
                 loads=self._load_reports,
                 contention=self._contention,
                 call_grants=self._call_grants,
+                flow=self._flow,
             )
         )
         limits = self._frontend.limits
-        self._callers = connections.Server(self._frontend.handle, limits)
+        self._callers = connections.Server(
+            self._frontend.handle, limits, self._flow is not None
+        )
         probes = connections.Server(self._frontend.ready, limits)
         metrics = connections.Server(self._frontend.metrics, limits)
         metrics_address = settings_module.Address(
--- a/galenahatch/gateway/sender.py
+++ b/galenahatch/gateway/sender.py
@@ -24,40 +24,32 @@
 """
 
 import asyncio
-import collections
 import dataclasses
-import socket
 import typing
 
 import aiohttp
-from aiohttp import client_proto
-from aiohttp import connector as connectors
 import multidict
 import yarl
 
 from galenahatch import clock
 from galenahatch.core import fate
+from galenahatch.core import memorybudget
 from galenahatch.core import upstreams
 from galenahatch import errors
 from galenahatch.gateway import calls
+from galenahatch.gateway import flowcontrol
 from galenahatch.gateway import inflight
+from galenahatch.gateway import sessions
 from galenahatch import ids
 from galenahatch import timeouts
 from galenahatch.upstream import http
 
-KEEP_ALIVE_S: typing.Final = 4.0
-"""Idle timeout of pooled connections, shorter than that of upstreams: closing
-early costs a handshake, closing late a failed send."""
 MAX_RESPONSE_BYTES: typing.Final = 16 * 1024 * 1024
 """Size limit of a response that is buffered in memory."""
-_TCP_USER_TIMEOUT_MS: typing.Final = 2000
-"""Connections are dropped if the peer acknowledges nothing for this long; a VM
-that lost power never closes its connections."""
 _SOCKET_CLOSE_GRACE_S: typing.Final = 0.005
 """Time in which an exiting process closes its sockets one by one."""
 _PROBE_TIMEOUT_S: typing.Final = 0.1
 """Timeout of a connection that only checks whether the port is open."""
-_MAX_HEADER_BYTES: typing.Final = 32768
 _MISDIRECTED_STATUS: typing.Final = 421
 """Status of a request that was addressed to another upstream or stage."""
 _SKIPPED_AUTO_HEADERS: typing.Final = (
@@ -68,6 +60,8 @@
 )
 """Headers that the client library would add by default."""
 
+_REQUESTS: typing.Final = memorybudget.Direction.REQUESTS
+
 Headers = multidict.CIMultiDict[str]
 ResponseHeadListener = typing.Callable[
     [ids.UpstreamId, float, calls.ResponseHead], None
@@ -98,85 +92,6 @@
     raw_headers: tuple[tuple[bytes, bytes], ...]
 
 
-class _Protocol(client_proto.ResponseHandler):
-    """Protocol that never mistakes a connection reset for a regular EOF.
-
-    When the last bytes and a reset arrive together, the event loop reports
-    EOF instead of the reset. The socket still has the pending error, which is
-    checked at each EOF.
-    """
-
-    def eof_received(self) -> None:
-        """Fail the body if the EOF is in fact a reset."""
-        pending_error = 0
-        sock = self.transport and self.transport.get_extra_info('socket')
-        if sock:
-            pending_error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if pending_error:
-            self._fail_body(
-                ConnectionResetError(pending_error, 'reset at the end')
-            )
-        super().eof_received()
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail a body of unknown length that is ended by a reset."""
-        if exc is not None:
-            self._fail_body(exc)
-        super().connection_lost(exc)
-
-    def _fail_body(self, exc: BaseException) -> None:
-        payload = self._payload
-        if payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError(repr(exc)))
-            self._payload = None
-            self._parser = None
-
-
-class _Connector(http.Connector):
-    """Connector that closes pooled connections with unsolicited bytes."""
-
-    def __init__(self, pooled: bool) -> None:
-        if pooled:
-            super().__init__(
-                limit=0,
-                keepalive_timeout=KEEP_ALIVE_S,
-                socket_factory=create_socket,
-            )
-        else:
-            super().__init__(
-                limit=0, force_close=True, socket_factory=create_socket
-            )
-        loop = self._loop
-        self._factory = lambda: _Protocol(loop=loop)  # type: ignore
-
-    async def _get(
-        self,
-        key: typing.Any,
-        traces: list[typing.Any],
-    ) -> connectors.Connection | None:
-        pooled = self._conns.get(key)
-        if pooled is not None:
-            reusable = [pair for pair in pooled if not pair[0].should_close]
-            for protocol, _ in pooled:
-                if protocol.should_close:
-                    protocol.close()
-            self._conns[key] = collections.deque(reusable)
-            if not reusable:
-                del self._conns[key]
-        return await super()._get(key, traces)
-
-
-def create_socket(address: typing.Any) -> socket.socket:
-    """Return a TCP socket that detects a peer that has lost power."""
-    family, kind, protocol, _, _ = address
-    sock = socket.socket(family, kind, protocol)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS
-    )
-    return sock
-
-
 class Response:
     """A response whose head has been received.
 
@@ -185,6 +100,7 @@
         head: Decoded status and headers.
         upstream: Upstream that sent the response.
         waits: Waits of this process, which limit each read.
+        flow: Flow control of this process; None if it is off.
     """
 
     def __init__(
@@ -193,8 +109,10 @@
         head: calls.ResponseHead,
         upstream: ids.UpstreamId,
         waits: inflight.Waits,
+        flow: flowcontrol.FlowControl | None,
     ) -> None:
         self.head = head
+        self._flow = flow
         self._response = response
         self._upstream = upstream
         self._waits = waits
@@ -203,16 +121,25 @@
         """Return the body; None if it is incomplete or too large."""
         try:
             async with self._waits.limit(self._upstream, None):
-                return await self._read_body()
+                direction = memorybudget.Direction.ANSWERS
+                with flowcontrol.hold(self._flow, direction) as holding:
+                    return await self._read_body(holding)
         except asyncio.TimeoutError:
             return None
 
-    async def _read_body(self) -> bytes | None:
+    async def _read_body(
+        self, holding: memorybudget.Holding | None
+    ) -> bytes | None:
         data = bytearray()
         try:
             async for chunk in self._response.content.iter_any():
                 data += chunk
-                if len(data) > MAX_RESPONSE_BYTES:
+                has_room = (
+                    self._flow is None
+                    or holding is None
+                    or await self._flow.take(holding, len(chunk))
+                )
+                if len(data) > MAX_RESPONSE_BYTES or not has_room:
                     self.close()
                     return None
         except http.CLIENT_ERRORS:
@@ -246,19 +173,23 @@
 class Sender:
     """Sends requests to all upstreams of one process.
 
+    Args:
+        flow: Flow control of this process; None if it is off.
+
     Attributes:
         waits: Waits for upstreams that are in progress.
         on_response_head: Called with the upstream, the time of the send
             (monotonic seconds) and the head of each response to that send.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, flow: flowcontrol.FlowControl | None = None) -> None:
+        self._flow = flow
         self.waits = inflight.Waits()
         self.on_response_head: ResponseHeadListener = (
             lambda upstream, sent_at, head: None
         )
-        self._pooled_session = _create_session(pooled=True)
-        self._unpooled_session = _create_session(pooled=False)
+        self._pooled_session = sessions.create(True, False)
+        self._unpooled_session = sessions.create(False, flow is not None)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -288,15 +219,12 @@
         sent_at = clock.now()
         try:
             async with self.waits.limit(upstream.id, timeout):
-                response = await self._session_for(use_pool).request(
-                    request.method,
-                    _url(upstream.address, request.target),
-                    data=request.body or None,
-                    headers=headers,
-                    skip_auto_headers=_SKIPPED_AUTO_HEADERS,
-                    allow_redirects=False,
-                    timeout=limit,
-                )
+                with flowcontrol.hold(
+                    self._flow, _REQUESTS, len(request.body)
+                ):
+                    response = await self._request(
+                        upstream, request, headers, limit, use_pool
+                    )
         except http.NOT_CONNECTED as error:
             return FailedSend(fate.Fate.NOT_SENT, repr(error))
         except asyncio.TimeoutError:
@@ -306,13 +234,29 @@
                 fate.Fate.UNCERTAIN, repr(error), is_disconnect=True
             )
         head = decode(response.status, response.raw_headers)
-        result = Response(response, head, upstream.id, self.waits)
+        result = Response(response, head, upstream.id, self.waits, self._flow)
         if _is_about_upstream(head, request):
             self.on_response_head(upstream.id, sent_at, head)
         return await self._check_response(request, result)
 
-    def _session_for(self, use_pool: bool) -> aiohttp.ClientSession:
-        return self._pooled_session if use_pool else self._unpooled_session
+    async def _request(
+        self,
+        upstream: upstreams.Upstream,
+        request: calls.Call,
+        headers: Headers,
+        timeout: aiohttp.ClientTimeout,
+        use_pool: bool,
+    ) -> aiohttp.ClientResponse:
+        session = self._pooled_session if use_pool else self._unpooled_session
+        return await session.request(
+            request.method,
+            _url(upstream.address, request.target),
+            data=request.body or None,
+            headers=headers,
+            skip_auto_headers=_SKIPPED_AUTO_HEADERS,
+            allow_redirects=False,
+            timeout=timeout,
+        )
 
     async def _check_response(
         self, request: calls.Call, response: Response
@@ -388,18 +332,6 @@
     return not is_other_request and head.status != _MISDIRECTED_STATUS
 
 
-def _create_session(pooled: bool) -> aiohttp.ClientSession:
-    return aiohttp.ClientSession(
-        connector=_Connector(pooled),
-        timeout=http.NO_TIMEOUT,
-        auto_decompress=False,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        middlewares=(http.send_once,),
-        max_line_size=_MAX_HEADER_BYTES,
-        max_field_size=_MAX_HEADER_BYTES,
-    )
-
-
 def _url(address: str, target: str) -> yarl.URL:
     """Return a URL whose path and query are sent byte for byte."""
     host, _, port = address.rpartition(':')
--- /dev/null
+++ b/galenahatch/gateway/sessions.py
@@ -0,0 +1,143 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Client sessions for connections to upstreams.
+
+The client library never retries by itself. A pooled connection that received
+unsolicited bytes is closed, and a reset is never mistaken for a regular EOF.
+"""
+
+import collections
+import socket
+import typing
+
+import aiohttp
+from aiohttp import client_proto
+from aiohttp import connector as connectors
+
+from galenahatch.upstream import http
+
+KEEP_ALIVE_S: typing.Final = 4.0
+"""Idle timeout of pooled connections, shorter than that of upstreams: closing
+early costs a handshake, closing late a failed send."""
+_TCP_USER_TIMEOUT_MS: typing.Final = 2000
+"""Connections are dropped if the peer acknowledges nothing for this long; a VM
+that lost power never closes its connections."""
+_MAX_HEADER_BYTES: typing.Final = 32768
+_READ_BYTES: typing.Final = 16 * 1024
+"""Bytes of a stream that the kernel and the client library each hold while it
+isn't read, if buffers are limited."""
+_DEFAULT_READ_BYTES: typing.Final = 64 * 1024
+
+
+class _Protocol(client_proto.ResponseHandler):
+    """Protocol that never mistakes a connection reset for a regular EOF.
+
+    When the last bytes and a reset arrive together, the event loop reports
+    EOF instead of the reset. The socket still has the pending error, which is
+    checked at each EOF.
+    """
+
+    def eof_received(self) -> None:
+        """Fail the body if the EOF is in fact a reset."""
+        pending_error = 0
+        sock = self.transport and self.transport.get_extra_info('socket')
+        if sock:
+            pending_error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if pending_error:
+            self._fail_body(
+                ConnectionResetError(pending_error, 'reset at the end')
+            )
+        super().eof_received()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail a body of unknown length that is ended by a reset."""
+        if exc is not None:
+            self._fail_body(exc)
+        super().connection_lost(exc)
+
+    def _fail_body(self, exc: BaseException) -> None:
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(repr(exc)))
+            self._payload = None
+            self._parser = None
+
+
+class _Connector(http.Connector):
+    """Connector that closes pooled connections with unsolicited bytes."""
+
+    def __init__(self, pooled: bool, limits_buffers: bool) -> None:
+        if pooled:
+            super().__init__(
+                limit=0,
+                keepalive_timeout=KEEP_ALIVE_S,
+                socket_factory=create_socket,
+            )
+        else:
+            factory = _create_small_socket if limits_buffers else create_socket
+            super().__init__(limit=0, force_close=True, socket_factory=factory)
+        loop = self._loop
+        self._factory = lambda: _Protocol(loop=loop)  # type: ignore
+
+    async def _get(
+        self,
+        key: typing.Any,
+        traces: list[typing.Any],
+    ) -> connectors.Connection | None:
+        pooled = self._conns.get(key)
+        if pooled is not None:
+            reusable = [pair for pair in pooled if not pair[0].should_close]
+            for protocol, _ in pooled:
+                if protocol.should_close:
+                    protocol.close()
+            self._conns[key] = collections.deque(reusable)
+            if not reusable:
+                del self._conns[key]
+        return await super()._get(key, traces)
+
+
+def create_socket(address: typing.Any) -> socket.socket:
+    """Return a TCP socket that detects a peer that has lost power."""
+    family, kind, protocol, _, _ = address
+    sock = socket.socket(family, kind, protocol)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS
+    )
+    return sock
+
+
+def _create_small_socket(address: typing.Any) -> socket.socket:
+    """Return a socket that receives little ahead of what is read."""
+    sock = create_socket(address)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _READ_BYTES)
+    return sock
+
+
+def create(pooled: bool, limits_buffers: bool) -> aiohttp.ClientSession:
+    """Return a client session.
+
+    Args:
+        pooled: Whether connections are kept open for further requests.
+        limits_buffers: Whether to limit what is received ahead of reads.
+    """
+    return aiohttp.ClientSession(
+        connector=_Connector(pooled, limits_buffers),
+        read_bufsize=_READ_BYTES if limits_buffers else _DEFAULT_READ_BYTES,
+        timeout=http.NO_TIMEOUT,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        middlewares=(http.send_once,),
+        max_line_size=_MAX_HEADER_BYTES,
+        max_field_size=_MAX_HEADER_BYTES,
+    )
--- a/galenahatch/gateway/settings.py
+++ b/galenahatch/gateway/settings.py
@@ -89,6 +89,7 @@
         bounds: Limits that the deployment guarantees.
         heartbeat: Time between two writes of an upstream's entry to the store.
         features: Features that the deployment asks for.
+        memory_bytes: Memory of the VM for this process; 0 if not stated.
     """
 
     name: str
@@ -101,6 +102,7 @@
     bounds: Bounds
     heartbeat: float
     features: Features = Features()
+    memory_bytes: int = 0
 
     def summary(self) -> list[tuple[str, str]]:
         """Return the settings that operators check, with their values."""
--- a/galenahatch/platform/deployment.py
+++ b/galenahatch/platform/deployment.py
@@ -30,6 +30,7 @@
 from galenahatch import ids
 
 PATH_VARIABLE: typing.Final = 'GALENAHATCH_SETTINGS'
+_BYTES_PER_MB: typing.Final = 1_000_000
 _PRESSURE_CONTRACT: typing.Final = 'pressure'
 """Contract that turns on all features unless `features` says otherwise."""
 
@@ -66,6 +67,7 @@
     heartbeat_ms: float = 1200.0
     contracts: object = ()
     features: object = None
+    limits: object = None
 
 
 def settings_path() -> str:
@@ -110,6 +112,9 @@
     features = _parse_features(raw.contracts, raw.features)
     if isinstance(features, errors.Failure):
         return features
+    memory_bytes = _parse_memory(raw.limits)
+    if isinstance(memory_bytes, errors.Failure):
+        return memory_bytes
     return settings.Settings(
         name=raw.node_name,
         address=raw.ip,
@@ -121,6 +126,7 @@
         bounds=_convert_bounds(raw.bounds),
         heartbeat=raw.heartbeat_ms / 1000,
         features=features,
+        memory_bytes=memory_bytes,
     )
 
 
@@ -165,6 +171,21 @@
     return settings.Features(**enabled)
 
 
+def _parse_memory(limits: object) -> int | errors.Failure:
+    """Return the memory of the VM in bytes; 0 if it isn't stated."""
+    if limits is None:
+        return 0
+    if not isinstance(limits, dict):
+        return _invalid_field('limits', limits, 'an object')
+    memory = limits.get('memory_mb', 0)
+    is_number = isinstance(memory, int | float) and memory is not True
+    if not is_number or not 0 <= memory < math.inf:
+        return _invalid_field(
+            'limits.memory_mb', memory, 'a finite number of at least 0'
+        )
+    return int(memory * _BYTES_PER_MB)
+
+
 def _parse_address(field: str, text: str) -> settings.Address | errors.Failure:
     host, _, port = text.rpartition(':')
     if not host or not port.isdigit() or not 0 < int(port) < 65536:
--- a/galenahatch/test/fleet.py
+++ b/galenahatch/test/fleet.py
@@ -46,7 +46,7 @@
 _VMS: typing.Final = itertools.count()
 _BLOCK: typing.Final = 250
 """VMs of one process that have addresses of their own."""
-_IDS: typing.Final = itertools.count(0x1000)
+IDS: typing.Final = itertools.count(0x1000)
 T = typing.TypeVar('T')
 
 
@@ -210,6 +210,12 @@
                 stderr=subprocess.STDOUT,
             )
 
+    @property
+    def pid(self) -> int:
+        """Process id; only once started."""
+        assert self._process is not None
+        return self._process.pid
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal."""
         assert self._process is not None
@@ -476,7 +482,7 @@
         **headers: str,
     ) -> str:
         """Send a request and return its id."""
-        request = f'{next(_IDS):016x}'
+        request = f'{next(IDS):016x}'
         sent = {
             'Host': host,
             'X-Galenahatch-Request-Id': request,
--- a/galenahatch/test/standin/upstreams.py
+++ b/galenahatch/test/standin/upstreams.py
@@ -18,8 +18,9 @@
 a reset), `cut-unframed` (the same without a length), `no-answer` (runs, then
 a reset), `extra` (a second answer behind the first), `foreign` (the answer
 to another request), `silent` (runs and says nothing), `early` (answers
-before the body is in). For model engines also `no-handle` (the result of a
-prefill is gone) and `mute` (silent in the middle of a stream).
+before the body is in), `unread` (never reads the body). For model engines
+also `no-handle` (the result of a prefill is gone) and `mute` (silent in the
+middle of a stream).
 
 A request whose body begins with `CRASHES` ends the upstream that begins to run
 it, and one that begins with `CRASHES_READING` also the engine that reads its
@@ -95,6 +96,8 @@
         self.delay = 0.0
         self.events = 8
         self.pause = 0.005
+        self.padding = 0
+        self.unread_limit: float | None = None
         self.orders: list[dict[str, typing.Any]] = []
         self.freed: list[str] = []
         self.handles: set[str] = set()
@@ -201,6 +204,9 @@
             writer.write(self._framed(seen, 200, b'early'))
             await reader.readexactly(length)
             return True
+        if self.faults and self.faults[0] == 'unread':
+            self.faults.popleft()
+            await asyncio.sleep(60)
         body = await reader.readexactly(length)
         seen = Seen(method, target, headers, body)
         return await self._answer(seen, reader, writer)
@@ -320,7 +326,8 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         await self._work(seen, reader, self.delay)
-        whole = self._framed(seen, 200, b'answer to ' + seen.id.encode())
+        said = b'answer to ' + seen.id.encode() + b'.' * self.padding
+        whole = self._framed(seen, 200, said)
         if fault == 'error':
             whole = self._framed(seen, 500, b'failed')
         elif fault == 'cut':
@@ -366,6 +373,7 @@
     ) -> bool:
         last = seen.headers.get('last-event-id', '')
         first = int(last) + 1 if last else 1
+        self._limit_buffers(writer)
         writer.write(
             self._head(seen, 200)
             + b'Content-Type: text/event-stream\r\n'
@@ -373,7 +381,8 @@
         )
         for number in range(first, self.events + 1):
             await self._work(seen, reader, self.pause)
-            event = f'id: {number}\ndata: piece {number}\n\n'.encode()
+            data = f'piece {number}' + '.' * self.padding
+            event = f'id: {number}\ndata: {data}\n\n'.encode()
             halfway = number == self.events // 2
             if halfway and fault in ('cut', 'mute'):
                 writer.write(_chunk(event[:7]))
@@ -382,11 +391,31 @@
                     return await _reset(writer)
                 await self._work(seen, reader, 60)
             writer.write(_chunk(event))
-            await writer.drain()
+            if not await self._is_read(seen, writer):
+                return False
         writer.write(b'0\r\n\r\n')
         seen.ended = 'answered'
         return True
 
+    def _limit_buffers(self, writer: asyncio.StreamWriter) -> None:
+        """Buffer little, so that it shows whether a stream is read."""
+        if self.unread_limit is None:
+            return
+        writer.transport.set_write_buffer_limits(high=0)
+        connection = writer.get_extra_info('socket')
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+
+    async def _is_read(self, seen: Seen, writer: asyncio.StreamWriter) -> bool:
+        """Cut a stream off, and return False, if it stays unread."""
+        try:
+            async with asyncio.timeout(self.unread_limit):
+                await writer.drain()
+        except asyncio.TimeoutError:
+            seen.ended = 'unread'
+            _abort(writer)
+            return False
+        return True
+
     # Answers.
 
     def _head(self, seen: Seen, status: int) -> bytes:
