--- a/galenahatch/errors.py
+++ b/galenahatch/errors.py
@@ -17,60 +17,13 @@
 of a value. Exceptions are reserved for programming errors.
 """
 
-import dataclasses
-import enum
 import typing
 
+from galenahatch import failures
 
-class Outcome(enum.Enum):
-    """Outcome that is reported to the caller; UNKNOWN unless it is certain."""
-
-    ANSWERED = 'answered'
-    NOT_RUN = 'not_run'
-    FAILED = 'failed'
-    UNKNOWN = 'unknown'
-
-
-@dataclasses.dataclass(frozen=True)
-class Reason:
-    """Reason for a failure.
-
-    Attributes:
-        name: Stable identifier for programs.
-        status: HTTP status.
-        outcome: Known outcome of the request.
-        message: One sentence for people.
-        advice: Recommended action for an operator or caller.
-    """
-
-    name: str
-    status: int
-    outcome: Outcome
-    message: str
-    advice: str
-
-
-@dataclasses.dataclass(frozen=True)
-class Failure:
-    """Result of a function that failed for an expected reason.
-
-    Attributes:
-        reason: Entry of the registry.
-        detail: Details of the failure for people.
-        retry_after: Seconds after which to retry; None if unknown.
-        ticket: Ticket to send with the retry; empty for none.
-    """
-
-    reason: Reason
-    detail: str = ''
-    retry_after: float | None = None
-    ticket: str = ''
-
-    @property
-    def outcome(self) -> Outcome:
-        """Known outcome of the request."""
-        return self.reason.outcome
-
+Outcome = failures.Outcome
+Reason = failures.Reason
+Failure = failures.Failure
 
 REASONS: typing.Final[dict[str, Reason]] = {}
 
@@ -221,6 +174,13 @@
     'This entry is stopping.',
     'Send the request to another entry.',
 )
+SHORT_OF_MEMORY = _register(
+    'short_of_memory',
+    503,
+    _NOT_RUN,
+    'The bodies in progress leave no memory for this one.',
+    'Come back after Retry-After; see the runbook if it lasts.',
+)
 CLAIM_UNCONFIRMED = _register(
     'claim_unconfirmed',
     503,
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -39,6 +39,7 @@
 from galenahatch.gateway import contention
 from galenahatch.gateway import context as contexts
 from galenahatch.gateway import directory as directories
+from galenahatch.gateway import flowcontrol
 from galenahatch.gateway import frames
 from galenahatch.gateway import frontend
 from galenahatch.gateway import instruments
@@ -54,6 +55,7 @@
 from galenahatch.gateway import reports
 from galenahatch.gateway import roster
 from galenahatch.gateway import sender as senders
+from galenahatch.gateway import sessions
 from galenahatch.gateway import settings as settings_module
 from galenahatch import ids
 from galenahatch import logs
@@ -114,7 +116,7 @@
         settings = self._settings
         self._client = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
-                limit=0, socket_factory=senders.create_socket
+                limit=0, socket_factory=sessions.create_socket
             )
         )
         self._store = stores.Store(self._client, str(settings.store))
@@ -126,7 +128,8 @@
             settings.heartbeat,
             settings.features.fair_queuing,
         )
-        self._sender = senders.Sender()
+        self._flow = _create_flow_control(settings)
+        self._sender = senders.Sender(self._flow)
         self._rate_limits = ratelimits.RateLimits()
         self._notices = notices.Notices(self._directory)
         self._sender.on_response_head = self._record_answer
@@ -289,10 +292,13 @@
                 loads=self._load_reports,
                 contention=self._contention,
                 call_grants=self._call_grants,
+                flow=self._flow,
             )
         )
         limits = self._frontend.limits
-        self._callers = connections.Server(self._frontend.handle, limits)
+        self._callers = connections.Server(
+            self._frontend.handle, limits, self._flow is not None
+        )
         probes = connections.Server(self._frontend.ready, limits)
         metrics = connections.Server(self._frontend.metrics, limits)
         metrics_address = settings_module.Address(
@@ -384,6 +390,15 @@
         self._mesh.close()
 
 
+def _create_flow_control(
+    settings: settings_module.Settings,
+) -> flowcontrol.FlowControl | None:
+    """Return the limits on held bytes, or None if the feature is off."""
+    if not settings.features.flow_control:
+        return None
+    return flowcontrol.FlowControl(settings.memory_bytes)
+
+
 def _record_era(before: int | None, after: int) -> None:
     """Record the store's era, which rises when an older copy is restored."""
     instruments.store_era.set(after)
