Useful retries: repeats that are in vain are withheld

Cause: calls that fail wherever they run were repeated at a second upstream each time, also while calls that would succeed were rejected. Change: each gateway keeps the share of repeats that succeeded, by service, route and reason of the failure, and tells failures of the upstream from those of the call by the failure shares of its siblings. Only with admission control.

--- a/galenahatch/gateway/context.py
+++ b/galenahatch/gateway/context.py
@@ -19,6 +19,7 @@
 from galenahatch.core import balance
 from galenahatch.core import loadreports
 from galenahatch.core import retrybudget
+from galenahatch.core import retryvalue
 from galenahatch.core import routes
 from galenahatch import errors
 from galenahatch.gateway import accounts as accounts_module
@@ -64,6 +65,9 @@
     loads: loadreports.Loads
     contention: contention_module.Contention
     call_grants: callgrants.CallGrants
+    retry_value: retryvalue.RetryValue = dataclasses.field(
+        default_factory=retryvalue.RetryValue
+    )
 
 
 @dataclasses.dataclass(frozen=True)
--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -150,6 +150,10 @@
     'galenahatch_call_outcomes',
     description='What came of the grants that this gateway asked for.',
 )
+retries_withheld = _meter.create_counter(
+    'galenahatch_retries_withheld',
+    description='Repeats of plain calls not sent, by service and reason.',
+)
 call_wait_seconds = _meter.create_histogram(
     'galenahatch_call_wait_seconds',
     unit='s',
--- a/galenahatch/gateway/plain.py
+++ b/galenahatch/gateway/plain.py
@@ -15,7 +15,8 @@
 A request that may be executed only once is retried only while it is certain
 that no upstream has started it. A repeatable request is sent to a second
 upstream after an error, or if the first one is silent for too long, provided
-that the shared retry budget allows it.
+that the shared retry budget allows it and, with admission control, that
+repeats after such a failure are useful (`core/retryvalue`).
 
 Which upstream gets a send, and whether any does, is decided in `choice`.
 """
@@ -27,6 +28,7 @@
 from galenahatch.core import balance
 from galenahatch.core import fate
 from galenahatch.core import plaincalls
+from galenahatch.core import retryvalue
 from galenahatch.core import routes
 from galenahatch.core import upstreams
 from galenahatch import errors
@@ -34,6 +36,7 @@
 from galenahatch.gateway import choice
 from galenahatch.gateway import context as contexts
 from galenahatch.gateway import instruments
+from galenahatch.gateway import repeats
 from galenahatch.gateway import sender as senders
 from galenahatch import ids
 from galenahatch import logs
@@ -76,6 +79,7 @@
         self._sends = fate.Sends()
         self._deadline = contexts.answer_deadline(call, route)
         self._choice = choice.UpstreamChoice(context, call, route, service)
+        self._repeats = repeats.Repeats(context, call, route, service)
         self._error_response: contexts.CompleteAnswer | None = None
         self._detail = ''
 
@@ -117,16 +121,22 @@
             return True
         if not self._is_repeat_worthwhile():
             return False
-        return self._context.budget.spend(self._service, clock.now())
+        if not self._context.budget.spend(self._service, clock.now()):
+            return False
+        self._repeats.record_send()
+        return True
 
     def _is_repeat_worthwhile(self) -> bool:
         """Return whether another send is likely enough to succeed."""
-        return not self._choice.are_full
+        return not self._choice.are_full and self._repeats.is_worthwhile()
 
     async def _send(self, upstream: upstreams.Upstream) -> _Attempt:
         time_left = contexts.seconds_until(self._deadline)
         only_once = not self._route.is_repeatable
-        may_retry = self._route.max_attempts > self._sends.ran + 1
+        may_retry = (
+            self._route.max_attempts > self._sends.ran + 1
+            and self._repeats.would_repeat_silent(upstream.id)
+        )
         timeout_share = (
             _FIRST_TIMEOUT_SHARE if may_retry and not only_once else 1.0
         )
@@ -203,6 +213,7 @@
         status = head.status if head is not None else 0
         self._update_balancer(attempt, head, failure, seconds)
         self._report_load(attempt, head, seconds)
+        self._repeats.record(attempt.upstream, _failure_reason(attempt))
         instruments.sends.add(1, {'fate': send_fate.value})
         _log.info(
             'Sent.',
@@ -309,6 +320,25 @@
     )
 
 
+def _failure_reason(attempt: _Attempt) -> retryvalue.Reason | None:
+    """Return why a send failed; None if the call succeeded."""
+    if attempt.response is not None:
+        status = attempt.response.head.status
+        if status < 500 and status not in _NOT_EXECUTED_STATUSES:
+            return None
+        return retryvalue.Reason.ERROR
+    failure = attempt.failure
+    if _is_full(failure):
+        return retryvalue.Reason.FULL
+    if failure is None or failure.is_disconnect:
+        return retryvalue.Reason.CONNECTION
+    if failure.fate is fate.Fate.NOT_SENT:
+        return retryvalue.Reason.CONNECTION
+    if failure.head is not None:
+        return retryvalue.Reason.OTHER
+    return retryvalue.Reason.SILENT
+
+
 def _executed_result(
     head: calls.ResponseHead | None, seconds: float
 ) -> balance.Result | None:
