Useful retries: results are exchanged through the owner

Cause: one gateway sees a failure of one kind in several seconds, so on its own it learns too late that repeats are in vain. Change: results travel as the last field of heartbeats, two kinds at the most; the owner replies with the totals of these kinds.

--- a/galenahatch/core/retryvalue.py
+++ b/galenahatch/core/retryvalue.py
@@ -27,6 +27,9 @@
 succeeds. A withheld kind of repeat is tried now and then; if that succeeds,
 most of the evidence against it is dropped.
 
+Gateways report their results to the owner, which replies with the totals: one
+gateway sees too few failures of a kind in the time for which a cause lasts.
+
 Times are monotonic seconds; this module does no I/O.
 """
 
@@ -34,6 +37,7 @@
 import collections.abc
 import dataclasses
 import enum
+import itertools
 import math
 import statistics
 import typing
@@ -42,8 +46,8 @@
 from galenahatch import ids
 
 _DECAY_S: typing.Final = 60.0
-"""Seconds in which a result's weight decays to a third. One gateway sees a
-failure of one kind in several seconds; trials tell of changes."""
+"""Seconds in which a result's weight decays to a third. A gateway alone sees
+one failure of a kind in several seconds; trials tell of changes."""
 _PRIOR_REPEATS: typing.Final = 1.0
 """Repeats assumed to have succeeded, so that they are sent until at least two
 were in vain."""
@@ -87,6 +91,18 @@
     reason: Reason
 
 
+class Results(typing.NamedTuple):
+    """Results of repeats.
+
+    Attributes:
+        age: Seconds since the last repeat.
+    """
+
+    successes: float
+    failures: float
+    age: float = 0.0
+
+
 @dataclasses.dataclass
 class _Evidence:
     """Decayed results of repeats.
@@ -101,20 +117,33 @@
     at: float = -math.inf
     sent_at: float = -math.inf
 
-    def decay(self, now: float) -> None:
+    def decayed(self, now: float) -> Results:
+        """Return the results as of now."""
         factor = math.exp(-max(0.0, now - self.at) / _DECAY_S)
-        self.successes *= factor
-        self.failures *= factor
-        self.at = max(self.at, now)
+        age = max(0.0, now - self.sent_at)
+        return Results(self.successes * factor, self.failures * factor, age)
 
     def chance(self, now: float) -> float:
-        factor = math.exp(-max(0.0, now - self.at) / _DECAY_S)
-        successes = _PRIOR_REPEATS + self.successes * factor
-        return successes / (successes + self.failures * factor)
+        """Return the share of repeats that succeeded, with the prior."""
+        current = self.decayed(now)
+        successes = _PRIOR_REPEATS + current.successes
+        return successes / (successes + current.failures)
+
+    def add(self, results: Results, now: float) -> None:
+        """Add results."""
+        chance = self.chance(now)
+        successes, failures, _ = self.decayed(now)
+        if results.successes and chance < _CONTENDED_CHANCE:
+            # The cause has changed.
+            failures *= 1.0 - min(1.0, results.successes) * (1.0 - chance)
+        self.successes = successes + results.successes
+        self.failures = failures + results.failures
+        self.at = max(self.at, now)
+        self.sent_at = max(self.sent_at, now - results.age)
 
 
-class RetryValue:
-    """Results of the repeats of one gateway."""
+class Tally:
+    """Results of repeats by kind; bounded."""
 
     def __init__(self) -> None:
         self._evidence: collections.OrderedDict[Kind, _Evidence] = (
@@ -124,6 +153,40 @@
     def __len__(self) -> int:
         return len(self._evidence)
 
+    def get(self, kind: Kind) -> _Evidence | None:
+        """Return the results of a kind."""
+        return self._evidence.get(kind)
+
+    def add(self, kind: Kind, results: Results, now: float) -> None:
+        """Add results of a kind."""
+        evidence = self._evidence.setdefault(kind, _Evidence())
+        self._evidence.move_to_end(kind)
+        evidence.add(results, now)
+        if len(self._evidence) > _MAX_KINDS:
+            self._evidence.popitem(last=False)
+
+    def replace(self, kind: Kind, results: Results, now: float) -> None:
+        """Replace the results of a kind by better known ones."""
+        known = self._evidence.pop(kind, _Evidence())
+        self.add(kind, results._replace(age=math.inf), now)
+        sent_at = max(known.sent_at, now - results.age)
+        self._evidence[kind].sent_at = sent_at
+
+
+class RetryValue:
+    """Results of repeats as known to one gateway.
+
+    The owner adds up what gateways report, and they replace theirs by its
+    totals. Without an owner each goes on with what it knows.
+    """
+
+    def __init__(self) -> None:
+        self._tally = Tally()
+        self._unreported: dict[Kind, Results] = {}
+
+    def __len__(self) -> int:
+        return len(self._tally)
+
     def record(
         self, kind: Kind, succeeded: bool, now: float, fault: float = 0.0
     ) -> None:
@@ -136,25 +199,56 @@
             fault: Probability from 0 to 1 that the upstream was the cause of
                 the failure, which then tells nothing about the call.
         """
-        evidence = self._get(kind)
-        evidence.decay(now)
         weight = 1.0 - fault
-        if not succeeded:
-            evidence.failures += weight
-            return
-        chance = evidence.chance(now)
-        if chance < _CONTENDED_CHANCE:
-            # The cause has changed.
-            evidence.failures *= 1.0 - weight * (1.0 - chance)
-        evidence.successes += weight
+        self._add(
+            kind,
+            Results(weight * succeeded, weight * (not succeeded)),
+            now,
+        )
 
     def record_send(self, kind: Kind, now: float) -> None:
         """Record that a repeat is sent."""
-        self._get(kind).sent_at = now
+        self._add(kind, Results(0.0, 0.0), now)
+
+    def record_withheld(self, kind: Kind, now: float) -> None:
+        """Record that a repeat is withheld, which asks for the totals."""
+        self._add(kind, Results(0.0, 0.0, math.inf), now)
+
+    def _add(self, kind: Kind, results: Results, now: float) -> None:
+        self._tally.add(kind, results, now)
+        if kind in self._unreported or len(self._unreported) < _MAX_KINDS:
+            old = self._unreported.get(kind, Results(0.0, 0.0, math.inf))
+            self._unreported[kind] = Results(
+                old.successes + results.successes,
+                old.failures + results.failures,
+                min(old.age, results.age),
+            )
+
+    def take_unreported(self, limit: int) -> dict[Kind, Results]:
+        """Return results since the last call, to be reported.
+
+        Their age is 0, or infinite if no repeat was sent.
+        """
+        taken = dict(itertools.islice(self._unreported.items(), limit))
+        for kind in taken:
+            del self._unreported[kind]
+        return taken
+
+    def add_reported(self, kind: Kind, results: Results, now: float) -> None:
+        """Add results that another gateway reported."""
+        self._tally.add(kind, results, now)
+
+    def total(self, kind: Kind, now: float) -> Results:
+        """Return all results of a kind that are known here."""
+        return (self._tally.get(kind) or _Evidence()).decayed(now)
+
+    def set_total(self, kind: Kind, results: Results, now: float) -> None:
+        """Replace the results of a kind by the owner's."""
+        self._tally.replace(kind, results, now)
 
     def chance(self, kind: Kind, now: float, fault: float = 0.0) -> float:
         """Return the probability that a repeat succeeds, from 0 to 1."""
-        evidence = self._evidence.get(kind)
+        evidence = self._tally.get(kind)
         chance = evidence.chance(now) if evidence is not None else 1.0
         return fault + (1.0 - fault) * chance
 
@@ -169,19 +263,12 @@
             now: Monotonic time in seconds.
             fault: Probability that the upstream was the cause.
         """
-        evidence = self._evidence.get(kind)
+        evidence = self._tally.get(kind)
         if evidence is None or now - evidence.sent_at >= _TRIAL_INTERVAL_S:
             return True
         least = _CONTENDED_CHANCE if is_contended else _CALM_CHANCE
         return self.chance(kind, now, fault) >= least
 
-    def _get(self, kind: Kind) -> _Evidence:
-        evidence = self._evidence.setdefault(kind, _Evidence())
-        self._evidence.move_to_end(kind)
-        if len(self._evidence) > _MAX_KINDS:
-            self._evidence.popitem(last=False)
-        return evidence
-
 
 def upstream_fault(
     failed: outliers.Share, siblings: collections.abc.Sequence[outliers.Share]
--- a/galenahatch/gateway/context.py
+++ b/galenahatch/gateway/context.py
@@ -65,9 +65,7 @@
     loads: loadreports.Loads
     contention: contention_module.Contention
     call_grants: callgrants.CallGrants
-    retry_value: retryvalue.RetryValue = dataclasses.field(
-        default_factory=retryvalue.RetryValue
-    )
+    retry_value: retryvalue.RetryValue
 
 
 @dataclasses.dataclass(frozen=True)
--- a/galenahatch/gateway/mesh.py
+++ b/galenahatch/gateway/mesh.py
@@ -41,6 +41,7 @@
 from galenahatch.gateway import quarantine
 from galenahatch.gateway import ratelimits
 from galenahatch.gateway import records
+from galenahatch.gateway import repeatresults
 from galenahatch.gateway import roster as rosters
 from galenahatch.gateway import updates
 from galenahatch import ids
@@ -73,6 +74,7 @@
         rate_limits: Limits that upstreams announce.
         notices: Other announcements in answers of upstreams.
         loads: Load that upstreams state.
+        repeats: Results of repeated plain calls.
     """
 
     outcomes: outcomes.OutcomeExchange
@@ -81,6 +83,7 @@
     rate_limits: ratelimits.RateLimits
     notices: notices.Notices
     loads: loads.LoadExchange
+    repeats: repeatresults.RepeatExchange
 
 
 class Mesh:
@@ -111,8 +114,8 @@
         self._directory = directory
         self._exchange = exchanges.outcomes
         self._guard, self._accounts = exchanges.guard, exchanges.accounts
-        self._rate_limits = exchanges.rate_limits
-        self._notices, self._loads = exchanges.notices, exchanges.loads
+        self._rate_limits, self._loads = exchanges.rate_limits, exchanges.loads
+        self._notices, self._repeats = exchanges.notices, exchanges.repeats
         self._handler = handler
         self._tasks = background
         self._incarnation = clock.random_incarnation()
@@ -259,6 +262,7 @@
             self._members.rank.era,
             callmessages.MESSAGE_LEVEL,
             self._loads.take_changed(self.size),
+            self._repeats.take_unreported(),
         )
         share = 1.0
         if self._members.owner(self.leaving, now) == self.me:
@@ -331,6 +335,7 @@
                     self._directory.upstreams_version.era,
                     self._members.rank.era,
                     callmessages.MESSAGE_LEVEL,
+                    self._repeats.add_reported(message.repeats),
                 ),
             )
             self._request_update(message)
@@ -348,6 +353,7 @@
             self._members.set_reported_size(message.member_count)
             if name == self._members.owner(self.leaving, clock.now()):
                 self._exchange.apply_owner_totals(message.outcomes)
+                self._repeats.apply_totals(message.repeats)
             self._accounts.apply_remaining(message.low_quotas)
             self._rate_limits.merge_reported(message.rate_limits)
             self._notices.merge(message.leaving_upstreams)
--- a/galenahatch/gateway/messages.py
+++ b/galenahatch/gateway/messages.py
@@ -113,6 +113,7 @@
         order_era: Era of `order`.
         message_level: Level of messages that the sender knows.
         loads: Latest load reports, of upstreams that state a slowdown.
+        repeats: Results of repeated plain calls since the last heartbeat.
     """
 
     member: ids.MemberId
@@ -132,6 +133,7 @@
     order_era: int = 0
     message_level: int = 0
     loads: tuple[records.UpstreamLoad, ...] = ()
+    repeats: tuple[records.Repeats, ...] = ()
 
 
 class HeartbeatReply(Message, frozen=True, array_like=True, tag='BeatBack'):
@@ -161,6 +163,7 @@
     era: int = 0
     order_era: int = 0
     message_level: int = 0
+    repeats: tuple[records.Repeats, ...] = ()
 
 
 class PlacementRequest(Message, frozen=True, array_like=True, tag='Place'):
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -29,6 +29,7 @@
 from galenahatch.core import balance
 from galenahatch.core import loadreports
 from galenahatch.core import retrybudget
+from galenahatch.core import retryvalue
 from galenahatch import errors
 from galenahatch.gateway import accounts as accounts_module
 from galenahatch.gateway import callgrants
@@ -51,6 +52,7 @@
 from galenahatch.gateway import owner_client
 from galenahatch.gateway import quarantine
 from galenahatch.gateway import ratelimits
+from galenahatch.gateway import repeatresults
 from galenahatch.gateway import reports
 from galenahatch.gateway import roster
 from galenahatch.gateway import sender as senders
@@ -162,6 +164,7 @@
             self._load_reports, self._balancer
         )
         self._exchange = outcomes.OutcomeExchange(self._balancer.outliers)
+        self._retry_value = retryvalue.RetryValue()
         self._contention = contention.Contention(
             self._directory,
             self._load_reports,
@@ -194,6 +197,7 @@
                 self._rate_limits,
                 self._notices,
                 self._loads,
+                repeatresults.RepeatExchange(self._retry_value),
             ),
             self._handle_message,
             self._background_tasks,
@@ -288,6 +292,7 @@
                 loads=self._load_reports,
                 contention=self._contention,
                 call_grants=self._call_grants,
+                retry_value=self._retry_value,
             )
         )
         limits = self._frontend.limits
--- a/galenahatch/gateway/records.py
+++ b/galenahatch/gateway/records.py
@@ -86,3 +86,22 @@
     slots: int
     slowdown: float
     age: float
+
+
+class Repeats(msgspec.Struct, frozen=True, array_like=True):
+    """Results of repeated plain calls (`core/retryvalue`).
+
+    Attributes:
+        route: Name of the route.
+        reason: Reason of the failures that were followed by the repeats.
+        successes: Repeats that succeeded, in hundredths.
+        failures: The others, in hundredths.
+        age_ms: Milliseconds since the last one; -1 if there was none.
+    """
+
+    service: ids.ServiceName
+    route: str
+    reason: str
+    successes: int
+    failures: int
+    age_ms: int
--- a/galenahatch/gateway/repeats.py
+++ b/galenahatch/gateway/repeats.py
@@ -68,6 +68,7 @@
         is_contended = self._context.contention.is_contended(self._service)
         if value.is_worthwhile(failure.kind, is_contended, now, failure.fault):
             return True
+        value.record_withheld(failure.kind, now)
         reason = failure.kind.reason.value
         instruments.retries_withheld.add(
             1, {'service': self._service, 'reason': reason}
--- a/galenahatch/test/test_retry_value.py
+++ b/galenahatch/test/test_retry_value.py
@@ -24,6 +24,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 import multidict
 import pytest
 
@@ -39,6 +40,8 @@
 from galenahatch.gateway import calls
 from galenahatch.gateway import context as contexts
 from galenahatch.gateway import plain
+from galenahatch.gateway import records
+from galenahatch.gateway import repeatresults
 from galenahatch.gateway import sender as senders
 from galenahatch import ids
 
@@ -223,6 +226,76 @@
     assert len(value) == 1024
 
 
+def _exchange(
+    owner: retryvalue.RetryValue, gateway: retryvalue.RetryValue
+) -> None:
+    """Exchange a heartbeat and its reply."""
+    sent = repeatresults.RepeatExchange(gateway).take_unreported()
+    totals = repeatresults.RepeatExchange(owner).add_reported(sent)
+    repeatresults.RepeatExchange(gateway).apply_totals(totals)
+
+
+def test_gateways_learn_from_each_other() -> None:
+    """Forty gateways see one failure each that is repeated in vain.
+
+    The next failure of each isn't repeated; one trial that succeeds reaches
+    all of them with their next heartbeats.
+    """
+    owner = retryvalue.RetryValue()
+    fleet = [retryvalue.RetryValue() for _ in range(40)]
+    for gateway in fleet:
+        gateway.record_send(_KIND, clock.now())
+        gateway.record(_KIND, False, clock.now())
+    for _ in range(2):
+        for gateway in fleet:
+            gateway.record_withheld(_KIND, clock.now())
+            _exchange(owner, gateway)
+    now = clock.now()
+    assert not any(g.is_worthwhile(_KIND, True, now) for g in fleet)
+    assert all(g.is_worthwhile(_KIND, True, now + 5.1) for g in fleet)
+    fleet[0].record(_KIND, True, now)
+    for gateway in fleet:
+        gateway.record_withheld(_KIND, now)
+        _exchange(owner, gateway)
+    assert all(g.is_worthwhile(_KIND, True, now) for g in fleet)
+
+
+def test_trial_of_one_gateway_is_enough() -> None:
+    """What one gateway has just tried isn't tried by others."""
+    owner, first, second = (retryvalue.RetryValue() for _ in range(3))
+    now = clock.now()
+    for _ in range(4):
+        second.record(_KIND, False, now - 20)
+    assert second.is_worthwhile(_KIND, True, now)
+    first.record_send(_KIND, now)
+    first.record(_KIND, False, now)
+    for gateway in (first, second):
+        _exchange(owner, gateway)
+    assert not second.is_worthwhile(_KIND, True, clock.now())
+
+
+@pytest.mark.parametrize(
+    'fields', [('newer', 1, 0), ('error', -1, 0), ('error', 0, 10**12)]
+)
+def test_absurd_reports_are_ignored(fields: tuple[str, int, int]) -> None:
+    """Reasons of a newer build and absurd counts change nothing."""
+    owner = retryvalue.RetryValue()
+    record = records.Repeats(_DESK, 'status', *fields, 0)
+    assert repeatresults.RepeatExchange(owner).add_reported((record,)) == ()
+    assert not len(owner)
+
+
+def test_traffic_is_bounded() -> None:
+    """Each heartbeat has some kinds; the others follow. 35 bytes each."""
+    value = retryvalue.RetryValue()
+    for number in range(5):
+        value.record(_KIND._replace(route=f'r-{number}'), False, 0.0)
+    exchange = repeatresults.RepeatExchange(value)
+    taken = [exchange.take_unreported() for _ in range(4)]
+    assert [len(some) for some in taken] == [2, 2, 1, 0]
+    assert len(msgspec.msgpack.encode(taken[0])) <= 2 * 35 + 1
+
+
 class _Sender:
     """Upstreams that answer with a server error of their own."""
 
@@ -281,6 +354,7 @@
             observe=lambda *args: None,
         ),
         'loads': loads,
+        'retry_value': retryvalue.RetryValue(),
     }
     for name in ('owner_client', 'accounts', 'tasks', 'call_grants'):
         fake[name] = None
