Fair shares: a refused flow no longer starves one of two others

Cause: a customer whose requests are refused continuously holds the least virtual time of its class. The virtual times of the others were lowered to a bound above it at each charge, so they lost their order among each other, and the one with the larger requests or the lower weight was not served at all. The same held for priorities. Change: flows and classes that lag by more than their credit are raised; the charged one keeps its virtual time. Result: test_refused_flow_does_not_starve_others failed in all four cases before (of 200 places, the flow with requests of 300 got three) and passes; all 26 tests of test_fair_queuing pass.

--- a/galenahatch/core/fairshares.py
+++ b/galenahatch/core/fairshares.py
@@ -211,14 +211,16 @@
         cost = self.cost(job)
         largest = max(map(self.cost, jobs))
         times = self._times
-        times.virtual_time = state.virtual_time
         urgency_class = times.classes.setdefault(
             job.priority, sharetimes.UrgencyClass()
         )
-        urgency_class.flow_virtual_time = state.floors[job.priority]
-        urgency_class.virtual_time = state.charged_class_time(job, largest)
+        urgency_class.virtual_time, times.virtual_time = (
+            state.charged_class_times(job, largest)
+        )
         flow = urgency_class.flows.setdefault(job.customer, sharetimes.Flow())
-        flow.virtual_time = state.charged_flow_time(job, largest)
+        flow.virtual_time, urgency_class.flow_virtual_time = (
+            state.charged_flow_times(job, largest)
+        )
         flow.use.add(cost, now)
         urgency_class.use.add(cost, now)
         self._charges[job.stream] = _Charge(
--- a/galenahatch/core/sharetimes.py
+++ b/galenahatch/core/sharetimes.py
@@ -231,33 +231,50 @@
         start = self._starts[key] + ahead / self._times.weight(job.customer)
         return start - self.floors[job.priority]
 
-    def charged_flow_time(self, job: Job, largest: float) -> float:
-        """Return the virtual time of a request's flow once it is charged.
+    def charged_flow_times(
+        self, job: Job, largest: float
+    ) -> tuple[float, float]:
+        """Return virtual times once a request is charged.
+
+        Flows that lag by more than their credit are raised. The charged flow
+        is not lowered instead: those that are served would all end at the same
+        time, and lose their order among each other.
 
         Args:
             job: Request that is placed.
             largest: Largest cost of the requests that wait.
+
+        Returns:
+            Virtual time of the request's flow, and the least of its class.
         """
         weight = self._times.weight(job.customer)
         credit = _MAX_CREDIT_S * self._capacity / self._shares[job.priority]
-        limit = self.floors[job.priority] + max(largest / weight, credit)
-        start = min(self._starts[flow_key(job)], limit)
-        return start + self._cost(job) / weight
+        start = self._starts[flow_key(job)]
+        floor = max(
+            self.floors[job.priority], start - max(largest / weight, credit)
+        )
+        return start + self._cost(job) / weight, floor
 
-    def charged_class_time(self, job: Job, largest: float) -> float:
-        """Return the virtual time of a request's class once it is charged.
+    def charged_class_times(
+        self, job: Job, largest: float
+    ) -> tuple[float, float]:
+        """Return virtual times once a request is charged.
 
         Args:
             job: Request that is placed.
             largest: Largest cost of the requests that wait.
+
+        Returns:
+            Virtual time of the request's class, and the least of a class.
         """
         weights = self.class_weights
         credit = _MAX_CREDIT_S * self._capacity / sum(weights.values())
         # Classes are served by finish tag: all may be ahead of one whose
         # request is large by that request.
         most = max(largest / min(weights.values()), credit)
-        start = min(self._class_starts[job.priority], self.virtual_time + most)
-        return start + self._cost(job) / weights[job.priority]
+        start = self._class_starts[job.priority]
+        floor = max(self.virtual_time, start - most)
+        return start + self._cost(job) / weights[job.priority], floor
 
     def order(self, jobs: collections.abc.Iterable[Job]) -> list[Job]:
         """Return requests in the order in which they are served.
--- a/galenahatch/test/test_fair_queuing.py
+++ b/galenahatch/test/test_fair_queuing.py
@@ -315,6 +315,43 @@
     assert 2 <= sum(job.priority == 5 for job in served) <= 5
 
 
+@pytest.mark.parametrize(
+    ('first', 'second'),
+    [
+        ({'cost': 100}, {'cost': 300}),
+        ({'cost': 300}, {'cost': 100}),
+        ({'cost': 100, 'customer': 'heavy'}, {'cost': 100}),
+        ({'cost': 100, 'priority': 1}, {'cost': 100, 'priority': 2}),
+    ],
+)
+def test_refused_flow_does_not_starve_others(
+    first: dict[str, typing.Any], second: dict[str, typing.Any]
+) -> None:
+    """One flow is refused for a minute while two others have a backlog.
+
+    The two still share by weight, to one request each.
+    """
+    shares = _shares(_weights(a=1.0, b=1.0, c=1.0, heavy=4.0), capacity=1000.0)
+    flows = [{'customer': 'b', **first}, {'customer': 'c', **second}]
+    waiting = [_job(n, **flows[n % 2]) for n in range(800)]
+    weights = [shares.times.weight(flow['customer']) for flow in flows]
+    if 'priority' in first:
+        # The flow that is refused is the most urgent one.
+        weights = list(sharetimes.CLASS_WEIGHTS[1:])
+    served = [0.0, 0.0]
+    for number in range(200):
+        now = 0.3 * number
+        shares.record_refusal(_job(9999, 'a'), 1.0, now)
+        (job,) = _serve(shares, waiting, 1, now)
+        index = int(str(job.stream)[1:]) % 2
+        served[index] += job.prompt_tokens / weights[index]
+    largest = max(
+        flow['cost'] / weight
+        for flow, weight in zip(flows, weights, strict=True)
+    )
+    assert abs(served[0] - served[1]) <= 2 * largest
+
+
 # Urgency.
 
 
