--- a/galenahatch/errors.py
+++ b/galenahatch/errors.py
@@ -215,18 +215,10 @@
     'Bring the table or a peer back, or apply a first configuration.',
 )
 LEAVING = _register(
-    'leaving',
-    503,
-    _NOT_RUN,
-    'This entry is stopping.',
-    'Send the request to another entry.',
+    'leaving', 503, _NOT_RUN, 'This entry is stopping.', 'Use another entry.'
 )
 SHORT_OF_MEMORY = _register(
-    'short_of_memory',
-    503,
-    _NOT_RUN,
-    'The bodies in progress leave no memory for this one.',
-    'Come back after Retry-After; see the runbook if it lasts.',
+    'short_of_memory', 503, _NOT_RUN, 'No memory for the body.', 'Wait.'
 )
 CLAIM_UNCONFIRMED = _register(
     'claim_unconfirmed',
