Admission: objectives count from the caller's first attempt

A call whose caller had returned was given a whole objective again, and went before first attempts with a third of the grants, although most of its time was gone.

The owner remembers the first attempt with the time that it told the caller. A caller that can't be in time any more isn't told to return to the grants that are kept for returning callers: it came back after 0.05 s into the same burst. It is told the rate that regular calls leave, or staggered if none.

--- a/galenahatch/core/calladmission.py
+++ b/galenahatch/core/calladmission.py
@@ -151,6 +151,7 @@
         granted = self._grants.upstream_of(call.key)
         if granted is not None:
             return plaincalls.Granted(call, granted, 'submitted again')
+        call = self._returns.since_first_attempt(call, now)
         attempt = self._returns.record_arrival(call.fingerprint, now)
         if not self._grants.is_usable(call):
             return self._reject(
@@ -271,7 +272,7 @@
 
     def _latest_start(self, call: plaincalls.PlainCall) -> float:
         """Return the time until which a grant lets a call be in time."""
-        limit = call.objective_at - call.arrived_at
+        limit = call.objective_at - call.arrived_at + call.seconds_before
         return call.objective_at - self._estimates.reserved_seconds(limit)
 
     def _decide_next(self, now: float) -> plaincalls.Decision | None:
@@ -338,7 +339,11 @@
         self._rejections[reason] += 1
         rate = self._estimates.rate(now)
         retry_after = self._returns.schedule(
-            call, rate, self._estimates.spare_rate(now), now
+            call,
+            rate,
+            self._estimates.spare_rate(now),
+            self._latest_start(call),
+            now,
         )
         why = (
             f'{len(self._waiting)} waiting, {rate:.1f} a second,'
--- a/galenahatch/core/callreturns.py
+++ b/galenahatch/core/callreturns.py
@@ -14,11 +14,11 @@
 
 Callers wait as asked for up to a third of their remaining time. The returns
 are spaced by the rate at which room appears for them: what regular calls leave
-or, while these leave less, the share of grants that `core/callqueue` gives to
-returning callers. If that reaches beyond the time that a caller accepts, the
-return is staggered over the last part of this time, as in `core/retryafter`:
-the contention may be over then, and calls that were rejected together don't
-return together.
+or, while these leave less and the caller can still be in time, the share of
+grants that `core/callqueue` gives to returning callers. If that reaches beyond
+the time that a caller accepts, the return is staggered over the last part of
+this time, as in `core/retryafter`: the contention may be over then, and calls
+that were rejected together don't return together.
 
 A caller that returns as asked goes ahead of first attempts. One that returns
 earlier ranks behind them and is told the same time again, so that it gains
@@ -68,7 +68,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Told:
-    due_at: float
+    """A rejected caller.
+
+    Attributes:
+        first_at: Arrival of its first attempt.
+        due_at: When it was asked to return; None once it has returned.
+    """
+
+    first_at: float
+    due_at: float | None
     deadline: float
 
 
@@ -96,13 +104,31 @@
         """Record the arrival of a call; return how it relates to others."""
         self._drop_expired(now)
         told = self._told.get(fingerprint)
-        if told is None or told.deadline < now:
+        if told is None or told.due_at is None or told.deadline < now:
             return Attempt.FIRST
         if now < told.due_at - _EARLY_TOLERANCE_S:
             return Attempt.EARLY
-        self._forget(fingerprint, is_kept=True)
+        self._end_wait(told.due_at, is_kept=True)
+        self._told[fingerprint] = dataclasses.replace(told, due_at=None)
         return Attempt.RETURNED
 
+    def since_first_attempt(
+        self, call: plaincalls.PlainCall, now: float
+    ) -> plaincalls.PlainCall:
+        """Return a call with the times of its caller's first attempt.
+
+        The objective counts from there, also if that attempt was rejected.
+        """
+        told = self._told.get(call.fingerprint)
+        if told is None or told.deadline < now:
+            return call
+        spent = max(0.0, call.arrived_at - told.first_at)
+        return dataclasses.replace(
+            call,
+            objective_at=call.objective_at - spent,
+            seconds_before=spent,
+        )
+
     def expected(self, until: float, now: float) -> float:
         """Return the number of returns expected up to a time."""
         start = bisect.bisect_left(self._due_times, now - _ARRIVAL_WINDOW_S)
@@ -114,6 +140,7 @@
         call: plaincalls.PlainCall,
         rate: float,
         spare_rate: float,
+        latest_start: float,
         now: float,
     ) -> float:
         """Return the seconds after which a rejected caller should return.
@@ -122,14 +149,17 @@
             call: The rejected call.
             rate: Calls a second that are granted.
             spare_rate: Calls a second that regular calls leave.
+            latest_start: Time until which a grant lets the call be in time.
             now: Monotonic time in seconds.
         """
         told = self._told.get(call.fingerprint)
-        if told is not None and told.due_at > now:
+        if told is not None and told.due_at is not None and told.due_at > now:
             return told.due_at - now
         longest = _HEEDED_FRACTION * max(0.0, call.deadline - now)
-        room_rate = max(spare_rate, callqueue.RETURNED_SHARE * rate)
         due_at = now + min(_MIN_WAIT_S, longest)
+        room_rate = spare_rate
+        if max(due_at, self._last_due_at) <= latest_start:
+            room_rate = max(spare_rate, callqueue.RETURNED_SHARE * rate)
         if room_rate > 0:
             due_at = max(due_at, self._last_due_at + 1 / room_rate)
         if room_rate > 0 and due_at <= now + longest:
@@ -146,17 +176,21 @@
         if not call.fingerprint:
             return
         self._drop_expired(now)
+        first_at = call.arrived_at - call.seconds_before
         if call.fingerprint in self._told:
             self._forget(call.fingerprint, is_kept=True)
         elif len(self._told) >= _MAX_CALLERS:
             return
-        self._told[call.fingerprint] = _Told(due_at, call.deadline)
+        self._told[call.fingerprint] = _Told(first_at, due_at, call.deadline)
         bisect.insort(self._due_times, due_at)
 
     def _forget(self, fingerprint: str, is_kept: bool) -> None:
         told = self._told.pop(fingerprint)
-        index = bisect.bisect_left(self._due_times, told.due_at)
-        del self._due_times[index]
+        if told.due_at is not None:
+            self._end_wait(told.due_at, is_kept)
+
+    def _end_wait(self, due_at: float, is_kept: bool) -> None:
+        del self._due_times[bisect.bisect_left(self._due_times, due_at)]
         self._kept_share += _KEPT_SMOOTHING * (is_kept - self._kept_share)
 
     def _drop_expired(self, now: float) -> None:
--- a/galenahatch/core/plaincalls.py
+++ b/galenahatch/core/plaincalls.py
@@ -76,6 +76,7 @@
         is_repeat: Whether its gateway has already sent it to an upstream.
         avoid: Upstreams that have already failed it.
         data_centre: Data centre of its gateway.
+        seconds_before: Seconds from its caller's first attempt to this one.
     """
 
     key: CallKey
@@ -89,6 +90,7 @@
     is_repeat: bool
     avoid: frozenset[ids.UpstreamId]
     data_centre: ids.DataCentre
+    seconds_before: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/galenahatch/core/waitingcalls.py
+++ b/galenahatch/core/waitingcalls.py
@@ -218,7 +218,7 @@
     def _latest_start(self, waiting: callqueue.Waiting, band: Band) -> float:
         call = waiting.call
         end = call.deadline if band is Band.LATE else call.objective_at
-        limit = end - call.arrived_at
+        limit = end - call.arrived_at + call.seconds_before
         return end - self._estimates.reserved_seconds(limit)
 
     def _schedule_check(self, waiting: callqueue.Waiting, band: Band) -> None:
--- a/galenahatch/test/test_call_admission.py
+++ b/galenahatch/test/test_call_admission.py
@@ -17,6 +17,7 @@
 """
 
 import collections.abc
+import dataclasses
 import random
 
 import hypothesis
@@ -25,6 +26,7 @@
 
 from bench import callfleet
 from galenahatch.core import calladmission
+from galenahatch.core import callreturns
 from galenahatch.core import loadreports
 from galenahatch.core import plaincalls
 from galenahatch.core import sendwindow
@@ -131,6 +133,21 @@
         assert sum(answered) >= self._ADMITTED_IN_TIME * len(answered)
         assert fleet.in_time(7.0, 9.0) >= 0.95
 
+    @_SEEDS
+    def test_objective_since_first_attempt(self, seed: int) -> None:
+        """Pattern: rejected callers return, with most of their time gone."""
+        fleet = callfleet.Fleet(
+            74, _burst(), seed=seed, spread=0.47, outliers=0.01
+        )
+        fleet.run(5.0)
+        answered = [
+            r.answered_at - r.first_at <= callfleet.OBJECTIVE_S
+            for r in fleet.requests
+            if r.answered_at is not None and 2.5 <= r.answered_at < 5.0
+        ]
+        assert sum(answered) >= _IN_TIME * self._CAPACITY * 2.5
+        assert sum(answered) >= self._ADMITTED_IN_TIME * len(answered)
+
 
 def _lose_slots(fleet: callfleet.Fleet) -> None:
     for engine in fleet.engines.values():
@@ -497,6 +514,8 @@
     rejected = admission.submit(_call(99, 0.31, 2.0), now)
     assert isinstance(rejected, plaincalls.Rejected)
     assert rejected.reason is _Reason.NO_ROOM
+    # It is late, so there is no room before the contention ends.
+    assert rejected.retry_after >= 0.6 * (2.0 - now) / 3
 
 
 def test_hopeless_calls_are_rejected_at_once() -> None:
@@ -548,6 +567,21 @@
     assert len(_granted(admission.decide(3.01))) == 1
 
 
+def test_objective_after_several_rejections() -> None:
+    """Pattern: a caller returns twice; its first attempt counts."""
+    returns = callreturns.CallReturns(random.Random(1))
+    call = _call(1, fingerprint='caller')
+    for now in (0.0, 0.1, 0.2):
+        call = dataclasses.replace(
+            call, arrived_at=now, objective_at=now + 0.31, seconds_before=0.0
+        )
+        call = returns.since_first_attempt(call, now)
+        returns.record_arrival('caller', now)
+        assert call.objective_at == pytest.approx(0.31)
+        told = returns.schedule(call, 300.0, 0.0, 9.0, now)
+        assert told == pytest.approx(0.05)
+
+
 def test_upstream_choice() -> None:
     """The near one of two equal upstreams, never one that failed the call."""
     for number in range(9):
