Core: speeds of single engines, peak of demand, plan for the peak

Engines of one service that differ in speed and have slow moments were described by one line, and stages were planned for the mean of the last seconds. Each engine now has speeds of its own once its upstreams report a slowdown; the plan holds capacity by speed for the peak of recent demand.

--- a/bench/dispatching.py
+++ b/bench/dispatching.py
@@ -78,6 +78,8 @@
 _OBJECTIVE_S: typing.Final = 0.9
 _PATIENCE_S: typing.Final = 3.6
 _DEADLINE_S: typing.Final = 14.0
+_REPORT_MAX_AGE_S: typing.Final = 0.6
+"""Seconds for which a reported slowdown counts."""
 _MAX_PAUSE_S: typing.Final = 0.3
 _MAX_RETRY_WAIT_SHARE: typing.Final = 1 / 3
 """Share of the remaining time that a caller waits at most before a retry."""
@@ -148,6 +150,11 @@
         engines: kind of the engines.
         slow: number of engines of each stage that slow down, the start and
             the duration in seconds, and the factor.
+        speeds: speeds of the engines in turn, relative to their kind.
+        spells: share of the time in which an engine is slow at random, the
+            duration in seconds of a spell, and the factor.
+        wave: swing of the rate, as a share of it, and period in seconds.
+        is_reported: whether responses report the present slowdown.
     """
 
     name: str
@@ -158,12 +165,29 @@
     lost: int = 0
     engines: EngineKind = EngineKind()
     slow: tuple[int, float, float, float] = (0, 0.0, 0.0, 1.0)
+    speeds: tuple[float, ...] = (1.0,)
+    spells: tuple[float, float, float] = (0.0, 1.0, 1.0)
+    wave: tuple[float, float] = (0.15, 11.0)
+    is_reported: bool = False
 
     def slowdown(self, engine: str, now: float) -> float:
         """Return the factor by which an engine is slower at a time."""
         count, start, length, factor = self.slow
         is_slow = int(engine[1:]) < count and start <= now < start + length
-        return factor if is_slow else 1.0
+        share, seconds, spell_factor = self.spells
+        if not share:
+            return factor if is_slow else 1.0
+        spell = random.Random(f'{engine} {int(now / seconds)}').random()
+        return (factor if is_slow else 1.0) * (
+            spell_factor if spell < share else 1.0
+        )
+
+    def speed(self, engine: str) -> float:
+        """Return the speed of an engine, relative to its kind."""
+        number = int(engine[1:]) + (
+            self.prefills if engine[0] == 'd' else 0
+        )
+        return self.speeds[number % len(self.speeds)]
 
 
 _BURSTS: typing.Final = ((6.0, 5.0, 1.7), (17.0, 4.0, 2.1), (27.0, 4.0, 1.8))
@@ -352,8 +376,13 @@
         self._random = random.Random(f'{day.name} {seed}')
         self._kind = day.engines
         self._owner = dispatch.Dispatcher(
-            self._kind.capacity, self._kind.slots
+            self._kind.capacity,
+            self._kind.slots,
+            switch_time=self._kind.switch,
         )
+        self._reported: dict[str, tuple[float, float]] = {}
+        if day.is_reported:
+            self._owner.set_slowdowns(self._reported_slowdown)
         self._decodes = {
             f'd{n}': _DecodeEngine(self._kind) for n in range(day.decodes)
         }
@@ -458,6 +487,7 @@
         self, name: str, stage: upstreams.Stage, now: float
     ) -> None:
         """Report the stage of an engine to the owner."""
+        self._report_slowdown(name, now)
         decode = self._decodes.get(name)
         used = int(decode.used) if decode is not None else 0
         self._owner.engines.record_report(
@@ -501,7 +531,8 @@
         for start, length, factor in self._day.bursts:
             if start <= now < start + length:
                 rate *= factor
-        return rate * (1 + 0.15 * math.sin(now * 2 * math.pi / 11))
+        swing, period = self._day.wave
+        return rate * (1 + swing * math.sin(now * 2 * math.pi / period))
 
     def _generate_arrival(self, now: float) -> None:
         if self._random.random() >= self._demand_rate(now) * _TICK_S:
@@ -560,7 +591,7 @@
         ready = now
         if decision.prefill is not None:
             prefill_start = max(now, self._prefill_idle_at[decision.prefill])
-            slowdown = self._day.slowdown(decision.prefill, prefill_start)
+            slowdown = self._time_factor(decision.prefill, prefill_start)
             prefill_idle_at = (
                 prefill_start + slowdown * caller.prompt / self._kind.read_rate
             )
@@ -569,7 +600,12 @@
                 prefill_idle_at = ready
             self._prefill_idle_at[decision.prefill] = prefill_idle_at
             self._scheduled.append(
-                (ready, self._prefill_callback(caller, ready - now))
+                (
+                    ready,
+                    self._prefill_callback(
+                        caller, decision.prefill, ready - now
+                    ),
+                )
             )
         name = decision.decode
 
@@ -587,11 +623,12 @@
         self._scheduled.append((ready + _KV_FETCH_S, start))
 
     def _prefill_callback(
-        self, caller: _Caller, seconds: float
+        self, caller: _Caller, engine: str, seconds: float
     ) -> collections.abc.Callable[[float], None]:
         """Return a callback that reports a completed prefill to the owner."""
 
         def report_prefill(now: float) -> None:
+            self._report_slowdown(engine, now)
             self._owner.record_prefill(
                 caller.stream, caller.prompt, seconds, now
             )
@@ -624,7 +661,7 @@
     def _step_engines(self, now: float) -> None:
         for name, engine in self._decodes.items():
             awaiting_first_event = [c for c in engine.runs if not c.events]
-            slowdown = self._day.slowdown(name, now)
+            slowdown = self._time_factor(name, now)
             for caller in engine.step(now, slowdown):
                 self._owner.release(
                     caller.stream,
@@ -635,8 +672,20 @@
                 self._settle(caller)
             for caller in awaiting_first_event:
                 if caller.events:
+                    self._report_slowdown(name, now)
                     self._owner.record_first_event(caller.stream, now)
 
+    def _time_factor(self, engine: str, now: float) -> float:
+        return self._day.slowdown(engine, now) / self._day.speed(engine)
+
+    def _report_slowdown(self, engine: str, now: float) -> None:
+        """Report an engine's slowdown in the head of a response."""
+        self._reported[engine] = self._day.slowdown(engine, now), now
+
+    def _reported_slowdown(self, engine: ids.UpstreamId, now: float) -> float:
+        factor, at = self._reported.get(engine, (1.0, now))
+        return factor if now - at <= _REPORT_MAX_AGE_S else 1.0
+
     def _settle(self, caller: _Caller) -> None:
         caller.is_over = True
         in_time = (
--- a/galenahatch/core/decodeprefill.py
+++ b/galenahatch/core/decodeprefill.py
@@ -69,12 +69,12 @@
 
 
 def is_prefill_bound(
-    prefills: int, completion_rate: float, estimator: figures.Estimator
+    prefills: float, completion_rate: float, estimator: figures.Estimator
 ) -> bool:
     """Return whether prefill engines, and not memory, are the bottleneck.
 
     Args:
-        prefills: Number of prefill engines.
+        prefills: Number of prefill engines, in median engines.
         completion_rate: Runs a second that the decode engines can complete.
         estimator: Measurements of the service's requests.
     """
@@ -86,7 +86,7 @@
 def is_prefill_late(
     job: generations.Job,
     waiting: int,
-    prefills: int,
+    prefills: float,
     estimator: figures.Estimator,
 ) -> bool:
     """Return whether prefill engines would be too late for a request.
@@ -94,7 +94,7 @@
     Args:
         job: Waiting request.
         waiting: Number of waiting requests.
-        prefills: Number of prefill engines.
+        prefills: Number of prefill engines, in median engines.
         estimator: Measurements of the service's requests.
     """
     seconds_each = estimator.prefill_busy_seconds(estimator.figures.prompt)
--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -33,13 +33,16 @@
 
 from galenahatch.core import admission
 from galenahatch.core import decodeprefill
+from galenahatch.core import enginespeeds
 from galenahatch.core import figures
 from galenahatch.core import forecast
 from galenahatch.core import generations
+from galenahatch.core import handover
 from galenahatch.core import memory
 from galenahatch.core import modelengines
 from galenahatch.core import placements
 from galenahatch.core import pool
+from galenahatch.core import prefillresults
 from galenahatch.core import ratelimits
 from galenahatch.core import rebalancing
 from galenahatch.core import retryafter
@@ -63,6 +66,7 @@
         capacity: Tokens of KV cache of each engine.
         slots: Largest batch size of each engine.
         limiter: Rate limiter of the engines; a new one by default.
+        switch_time: Seconds for which an engine is away for a stage change.
     """
 
     def __init__(
@@ -70,6 +74,7 @@
         capacity: int,
         slots: int,
         limiter: ratelimits.Limiter | None = None,
+        switch_time: float = 0.0,
     ) -> None:
         if limiter is None:
             limiter = ratelimits.Limiter(random.Random())
@@ -82,7 +87,7 @@
             self._pool, self._estimator, self._queue
         )
         self._rebalancer = rebalancing.Rebalancer(
-            self._pool, self._estimator, self._forecast
+            self._pool, self._estimator, self._forecast, switch_time
         )
         self._admission = admission.Admission(
             self._pool,
@@ -117,13 +122,16 @@
     @property
     def measured_figures(self) -> figures.Figures:
         """Measurements so far."""
-        self._estimator.record_pace(
-            self._pool.mean_pace(self._estimator.figures.pace)
+        return handover.measured_figures(
+            self._estimator, self._pool, self._rebalancer.demand
         )
-        return self._estimator.figures
 
     # Changes of engines.
 
+    def set_slowdowns(self, slowdown: enginespeeds.SlowdownFunction) -> None:
+        """Count engines by their speeds, as their upstreams report them."""
+        self._pool.speeds.set_slowdowns(slowdown)
+
     def set_engines(
         self,
         engines: typing.Iterable[upstreams.Upstream],
@@ -143,11 +151,8 @@
 
     def adopt_figures(self, reported: figures.Figures) -> None:
         """Adopt another owner's measurements if they cover more requests."""
-        if not self._estimator.adopt(reported):
-            return
-        for engine in self._pool.decodes.values():
-            if not engine.memory.runs:
-                engine.memory.pace = reported.pace
+        demand = self._rebalancer.demand
+        handover.adopt(reported, self._estimator, self._pool, demand)
 
     def plan_stage_changes(
         self, now: float
@@ -175,6 +180,7 @@
         self._estimator.record_size(job.prompt_tokens, job.predicted_output)
         if not is_retry:
             self._estimator.record_arrival(now)
+            self._rebalancer.record_arrival(job, now)
         self._remove_run(job.stream, now)
         if not self._pool.decodes:
             return self._admission.refuse(job, 'no_engine', now)
@@ -238,22 +244,16 @@
         """Record that a prompt was read, and how long it took."""
         self._confirm(stream, now)
         placement = self._placements.get(stream)
-        if placement is None or placement.prefill is None:
-            return
-        if placement.had_idle_prefill:
-            self._estimator.record_prefill(tokens, seconds)
-        placement.prefilled_at = now
-        self._pool.record_result(placement.prefill, stream, seconds, now)
-        alone = self._pool.record_overlap(
-            placement.prefill,
-            placement.placed_at,
-            tokens,
-            self._estimator.prefill_line,
-            self._estimator.figures.alone,
-            now,
-        )
-        if alone is not None:
-            self._estimator.record_overlap(alone)
+        if placement is not None:
+            prefillresults.record(
+                placement,
+                stream,
+                tokens,
+                seconds,
+                self._pool,
+                self._estimator,
+                now,
+            )
 
     def record_first_event(self, stream: ids.StreamId, now: float) -> None:
         """Record the first event of a stream."""
@@ -340,7 +340,7 @@
         separated = placements.separate_suspects(job, runs, *engines, now)
         if separated is None:
             return generations.Lack.TRIAL
-        job, prefill = separated, None
+        job, prefill, prefill_seconds = separated, None, 0.0
         if not job.is_prefilled:
             explore = not self._estimator.has_overlap_estimate
             prefill_seconds = self._estimator.prefill_seconds(
@@ -356,6 +356,9 @@
         ready_at = now + self._estimator.seconds_to_first_event(job)
         if prefill is None and not job.is_prefilled:
             ready_at += decodeprefill.prefill_seconds(job, self._estimator)
+        if prefill is not None:
+            factor = self._pool.prefill_factor(prefill, now)
+            ready_at += (factor - 1.0) * prefill_seconds
         decode = self._pool.choose_decode(job, prefill, ready_at, now)
         if decode is None:
             if prefill is None and not job.is_prefilled:
@@ -391,11 +394,14 @@
         self._placements[job.stream] = placement
         if prefill is not None:
             placement.had_idle_prefill = not prefill.pending
+            factor = self._pool.prefill_factor(prefill, now)
             prefill.assign(
                 job.stream,
-                self._estimator.prefill_seconds(job.prompt_tokens),
-                self._estimator.prefill_busy_seconds(job.prompt_tokens),
+                factor * self._estimator.prefill_seconds(job.prompt_tokens),
+                factor
+                * self._estimator.prefill_busy_seconds(job.prompt_tokens),
                 now,
+                self._pool.speeds.slowdown(prefill.upstream.id, now),
             )
         elif not job.is_prefilled:
             decode.prefilling_until = now + decodeprefill.busy_seconds(
--- a/galenahatch/core/figures.py
+++ b/galenahatch/core/figures.py
@@ -72,6 +72,11 @@
         slack: Seconds from the end of a prefill to the first event.
         pairs: Prompts that showed whether the engine had read during the
             delay.
+        is_uneven: Whether engines count by their own speeds.
+        peak_requests: Requests a second in the peak of recent demand.
+        peak_tokens: Prompt tokens a second in it.
+        mean_speed: Mean speed of the engines, relative to the median one.
+        slowdown: Mean slowdown of the engines.
     """
 
     rate: float = INITIAL_PREFILL_RATE
@@ -84,6 +89,11 @@
     reads: int = 0
     slack: float = INITIAL_SLACK_S
     pairs: int = 0
+    is_uneven: bool = False
+    peak_requests: float = 0.0
+    peak_tokens: float = 0.0
+    mean_speed: float = 1.0
+    slowdown: float = 1.0
 
 
 class _SlidingWindow:
@@ -184,11 +194,22 @@
         settled = self._arrivals.count(now) - self._recent_arrivals.count(now)
         return self._placements.count(now) < _MIN_PLACED_FRACTION * settled
 
-    def record_prefill(self, tokens: int, seconds: float) -> None:
-        """Record the time of a prefill at an engine that had no other."""
+    def record_prefill(
+        self, tokens: int, seconds: float, is_uneven: bool = False
+    ) -> None:
+        """Record the time of a prefill at an engine that had no other.
+
+        Args:
+            tokens: Tokens of the prompt.
+            seconds: Seconds that it took; those of the median engine if
+                engines are uneven.
+            is_uneven: Whether engines count by their own speeds.
+        """
         if tokens <= 0 or seconds <= 0:
             return
-        line = self._latency.add_sample(tokens, seconds, self.prefill_line)
+        line = self._latency.add_sample(
+            tokens, seconds, self.prefill_line, is_uneven
+        )
         self.figures = self.figures._replace(reads=self.figures.reads + 1)
         if self._adopted_reads and not self._latency.has_slope:
             # Keep the adopted figures until there are enough samples: the
--- a/galenahatch/core/forecast.py
+++ b/galenahatch/core/forecast.py
@@ -30,6 +30,7 @@
 from galenahatch.core import pool as pools
 from galenahatch.core import stages
 from galenahatch.core import waitqueue
+from galenahatch import ids
 
 _MIN_SPARE_FRACTION: typing.Final = 0.02
 """Least fraction of the service rate assumed to be left for late requests and
@@ -198,22 +199,26 @@
             prefills, self._completion_rate(), self._estimator
         )
 
-    def _completion_rate(self) -> float:
-        """Return the runs a second that the decode engines can complete."""
+    def completion_rates(self) -> dict[ids.UpstreamId, float]:
+        """Return the runs a second that each decode engine can complete."""
         current = self._estimator.figures
         read = self._estimator.prefill_seconds(round(current.prompt))
-        return self._pool.throughput(
+        return self._pool.completion_rates(
             self._estimator.mean_held_tokens, current.output, read
         )
 
+    def _completion_rate(self) -> float:
+        """Return the runs a second that the decode engines can complete."""
+        return sum(self.completion_rates().values())
+
     def _parallel_prefills(self, completion_rate: float) -> float:
-        """Return how many prompts are read at the same time.
+        """Return how many prompts median engines would read at a time.
 
         Args:
             completion_rate: Runs a second that the decode engines can
                 complete.
         """
-        prefills = len(self._pool.prefills)
+        prefills = self._pool.prefill_equivalents
         if not prefills:
             # Decode engines read all prompts, each one at a time.
             mean = self._estimator.figures.prompt
--- a/galenahatch/core/latency.py
+++ b/galenahatch/core/latency.py
@@ -21,6 +21,10 @@
 by tokens, are split in three, and the line goes through the medians of the
 outer thirds. Outliers, such as prompts that the engine has cached or that
 waited in its queue, shift a median little but distort a least-squares fit.
+
+Among engines of unequal speed and moments that are slow, a line can show a
+delay that no engine has, and a rate above that of the fastest. There it is
+used only if it explains the samples clearly better than a rate alone.
 """
 
 import collections
@@ -44,6 +48,9 @@
 _MAX_RATE_RATIO: typing.Final = 4.0
 """Upper bound on the rate, as a multiple of tokens over total time: so few
 samples can't show a delay of more than three times the reading time."""
+_MAX_UNEXPLAINED_RATIO: typing.Final = 0.7
+"""Largest ratio of what a line leaves unexplained to what a rate alone does,
+where a line needs proof: a delay of a fifth of the time halves it."""
 _MIN_SIZE_RATIO: typing.Final = 1.5
 """Least ratio of large to small prompts that allows a slope: below it, an
 error of 10% in a time becomes one of 50% in the slope."""
@@ -78,13 +85,21 @@
         """Whether there are enough prefills for a slope."""
         return len(self._samples) >= _MIN_SLOPE_SAMPLES
 
-    def add_sample(self, tokens: int, seconds: float, prior: Line) -> Line:
+    def add_sample(
+        self,
+        tokens: int,
+        seconds: float,
+        prior: Line,
+        needs_proof: bool = False,
+    ) -> Line:
         """Add a prefill; return the line fitted to the newest ones.
 
         Args:
             tokens: Tokens of the prompt.
             seconds: Seconds that the prefill took.
             prior: Line whose slope is kept if the samples show none.
+            needs_proof: Whether a delay counts only if it explains the
+                samples clearly better than a rate alone.
         """
         self._samples.append((tokens, seconds))
         if len(self._samples) < _MIN_RATE_SAMPLES:
@@ -96,12 +111,23 @@
             delay = statistics.median(
                 time - size / rate for size, time in self._samples
             )
-            if delay > 0:
-                return Line(delay, rate)
+            line = Line(delay, rate)
+            if delay > 0 and (not needs_proof or self._is_proven(line)):
+                return line
         # Without evidence of a delay, the whole time counts as work.
-        return Line(
-            0.0, statistics.median(size / time for size, time in self._samples)
-        )
+        return Line(0.0, self._median_rate())
+
+    def _median_rate(self) -> float:
+        return statistics.median(size / time for size, time in self._samples)
+
+    def _is_proven(self, line: Line) -> bool:
+        """Return whether a line explains much more than a rate alone."""
+        rate = self._median_rate()
+        unexplained = unexplained_by_rate = 0.0
+        for size, time in self._samples:
+            unexplained += abs(time - line.seconds(size))
+            unexplained_by_rate += abs(time - size / rate)
+        return unexplained < _MAX_UNEXPLAINED_RATIO * unexplained_by_rate
 
     def _slope(self) -> float | None:
         """Return tokens a second between small and large prompts."""
@@ -115,10 +141,7 @@
         if not is_rising or large < _MIN_SIZE_RATIO * small:
             return None
         rate = (large - small) / (large_seconds - small_seconds)
-        median_rate = statistics.median(
-            size / time for size, time in self._samples
-        )
-        return min(rate, _MAX_RATE_RATIO * median_rate)
+        return min(rate, _MAX_RATE_RATIO * self._median_rate())
 
 
 def _medians(
--- a/galenahatch/core/memory.py
+++ b/galenahatch/core/memory.py
@@ -20,6 +20,7 @@
 that runs out of memory preempts a run and reads its prompt again.
 """
 
+import collections.abc
 import dataclasses
 import math
 import typing
@@ -46,6 +47,21 @@
 engines are up to a second old."""
 
 
+PaceAdjustment = collections.abc.Callable[
+    [int, int, float, float], tuple[float, float]
+]
+"""Maps a batch size, generated tokens, their seconds and the present time to
+the seconds that they take at usual moments, at this engine and at the median
+one of the service."""
+
+
+def _keep_pace(
+    runs: int, tokens: int, seconds: float, now: float
+) -> tuple[float, float]:
+    del runs, tokens, now
+    return seconds, seconds
+
+
 @dataclasses.dataclass
 class Run:
     """One request at a decode engine.
@@ -91,6 +107,9 @@
         capacity: Tokens of KV cache.
         slots: Largest batch size.
         pace: Pace by batch size of all engines of the service.
+
+    Attributes:
+        adjust_pace: Adjusts samples of the pace by the engine's speed.
     """
 
     def __init__(
@@ -103,6 +122,7 @@
         self.pace = INITIAL_PACE
         self.paced_tokens = 0
         self.spread = 0.0
+        self.adjust_pace: PaceAdjustment = _keep_pace
         self.unknown_tokens = 0.0
         self._runs: dict[ids.StreamId, Run] = {}
         self._ended_runs: list[tuple[float, float]] = []
@@ -139,7 +159,9 @@
         if tokens <= run.generated:
             return
         if run.generated:
-            self._sample_pace(tokens - run.generated, at - run.generated_at)
+            self._sample_pace(
+                tokens - run.generated, at - run.generated_at, at
+            )
         run.generated = tokens
         run.generated_at = at
 
@@ -158,19 +180,20 @@
         if run is not None and run.generated:
             self.record_progress(stream, tokens, now)
         else:
-            self._sample_pace(tokens, seconds)
+            self._sample_pace(tokens, seconds, now)
 
-    def _sample_pace(self, tokens: int, seconds: float) -> None:
+    def _sample_pace(self, tokens: int, seconds: float, now: float) -> None:
         if tokens <= 0 or seconds <= 0:
             return
         self.paced_tokens += tokens
         weight = min(
             1.0, max(tokens / _PACE_WINDOW_TOKENS, tokens / self.paced_tokens)
         )
-        self.pace += weight * (seconds / tokens - self.pace)
         runs = max(1, len(self._runs))
+        own, median = self.adjust_pace(runs, tokens, seconds, now)
+        self.pace += weight * (own / tokens - self.pace)
         self._mean_batch += weight * (runs - self._mean_batch)
-        self._service_pace.add_sample(runs, tokens, seconds)
+        self._service_pace.add_sample(runs, tokens, median)
 
     def pace_at_batch(self, runs: float) -> float:
         """Return the seconds for a token at a batch size."""
--- a/galenahatch/core/modelengines.py
+++ b/galenahatch/core/modelengines.py
@@ -115,10 +115,12 @@
     Attributes:
         assigned_at: Time at which it was given to the engine.
         expected: Seconds until the result at a healthy engine.
+        slowdown: Slowdown that the engine had reported then.
     """
 
     assigned_at: float
     expected: float
+    slowdown: float = 1.0
 
 
 class PrefillEngine:
@@ -148,6 +150,7 @@
         expected: float,
         busy: float,
         now: float,
+        slowdown: float = 1.0,
     ) -> None:
         """Record a prompt that is sent to it.
 
@@ -156,10 +159,11 @@
             expected: Seconds until the result at a healthy, idle engine.
             busy: Seconds for which such an engine reads nothing else.
             now: Monotonic time in seconds.
+            slowdown: Slowdown that it reports, part of both times.
         """
         begins_at = max(now, self.idle_at)
         self.pending[stream] = _PendingPrompt(
-            now, max(1e-3, begins_at - now + expected)
+            now, max(1e-3, begins_at - now + expected), slowdown
         )
         self.idle_at = begins_at + busy * self._observed_slowness(now)
         self.health.record_run(now)
@@ -186,7 +190,11 @@
         return slowness if slowness > _SLOW_FACTOR else 1.0
 
     def record_result(
-        self, stream: ids.StreamId, seconds: float, now: float
+        self,
+        stream: ids.StreamId,
+        seconds: float,
+        now: float,
+        slowdown: float = 1.0,
     ) -> None:
         """Record that it has read the prompt of a stream.
 
@@ -196,11 +204,14 @@
                 between VMs are excluded: a slow VM would make all engines look
                 slow.
             now: Monotonic time in seconds.
+            slowdown: Slowdown that it reports now; what it explains is no
+                fault of the engine.
         """
         prompt = self.pending.pop(stream, None)
         if prompt is None:
             return
-        slowness = max(1.0, seconds / prompt.expected)
+        explained = max(1.0, slowdown / prompt.slowdown)
+        slowness = max(1.0, seconds / explained / prompt.expected)
         self._slowness += _SLOWNESS_SMOOTHING * (slowness - self._slowness)
         self._slowness_at = now
 
--- a/galenahatch/core/pool.py
+++ b/galenahatch/core/pool.py
@@ -12,15 +12,17 @@
 
 """The engines of one service as seen by their owner.
 
-An engine's stage is the one that it reported recently, since its entry in the
-store is out of date while the store is unavailable. An engine that changes its
-stage accepts no work meanwhile. One that failed is suspended for a while.
+An engine's stage is the one that it reported recently, and one that changes
+its stage accepts no work meanwhile (`core/stagereports`). One that failed is
+suspended for a while. Engines of unequal speed count by it, once they report
+how long work takes (`core/enginespeeds`).
 """
 
-import dataclasses
+import functools
 import math
 import typing
 
+from galenahatch.core import enginespeeds
 from galenahatch.core import generations
 from galenahatch.core import latency
 from galenahatch.core import lengths
@@ -28,12 +30,10 @@
 from galenahatch.core import modelengines
 from galenahatch.core import pace as paces
 from galenahatch.core import ratelimits
+from galenahatch.core import stagereports
 from galenahatch.core import upstreams
 from galenahatch import ids
 
-_REPORT_MAX_AGE_S: typing.Final = 3.0
-"""Seconds for which the stage in an engine's report overrides its entry;
-reports are read once a second."""
 _RETAIN_S: typing.Final = 30.0
 """Seconds beyond its suspension for which the health of an unlisted engine is
 kept; entries of live engines are back within seconds."""
@@ -42,13 +42,6 @@
 centres, which takes twice as long and is charged for."""
 
 
-@dataclasses.dataclass(frozen=True)
-class _StageReport:
-    stage: upstreams.Stage | None
-    busy: bool
-    at: float
-
-
 class Pool:
     """The engines of one service.
 
@@ -56,6 +49,9 @@
         capacity: Tokens of KV cache of each engine.
         slots: Largest batch size of each engine.
         limiter: Limiter of the engines that state a rate limit.
+
+    Attributes:
+        speeds: Speeds of the single engines.
     """
 
     def __init__(
@@ -68,11 +64,9 @@
         self.decodes: dict[ids.UpstreamId, modelengines.DecodeEngine] = {}
         self.spread = lengths.INITIAL_SPREAD
         self._pace = paces.Pace()
-        self._reports: dict[ids.UpstreamId, _StageReport] = {}
+        self._stages = stagereports.StageReports()
         self._healths: dict[ids.UpstreamId, modelengines.Health] = {}
-        self._changing: dict[
-            ids.UpstreamId, tuple[upstreams.Stage, float]
-        ] = {}
+        self.speeds = enginespeeds.EngineSpeeds()
 
     def set_spread(self, spread: float) -> None:
         """Set the relative deviation of answer lengths from predictions."""
@@ -83,23 +77,12 @@
     @property
     def is_changing(self) -> bool:
         """Whether an engine is changing its stage."""
-        return bool(self._changing)
+        return self._stages.is_changing
 
     def is_settled(self, now: float) -> bool:
-        """Return whether all engines reported their stages, and none changes.
-
-        A new owner does not know its predecessor's orders: it counted an
-        engine that was changing as a prefill engine, and took a second one.
-        """
-        latest = self._reports
-        keys = (*self.prefills, *self.decodes)
-        if any(k not in latest or self._is_old(latest[k], now) for k in keys):
-            return False
-        busy = (t for t in latest.values() if t.busy)
-        return not self._changing and all(self._is_old(t, now) for t in busy)
-
-    def _is_old(self, report: _StageReport, now: float) -> bool:
-        return now - report.at > _REPORT_MAX_AGE_S
+        """Return whether all engines reported their stages; none changes."""
+        engines = (*self.prefills, *self.decodes)
+        return self._stages.is_settled(engines, now)
 
     def set_engines(
         self,
@@ -114,22 +97,7 @@
             pace: Seconds for a token assumed for a new engine.
             now: Monotonic time in seconds.
         """
-        present = list(engines)
-        listed = {engine.id for engine in present}
-        current = {
-            engine.id: self._with_reported_stage(engine, now)
-            for engine in present
-            if not self._is_busy(engine.id, now)
-        }
-        for engine, (stage, until) in list(self._changing.items()):
-            entry = current.get(engine)
-            is_done = entry is not None and entry.stage is stage
-            # An unlisted engine ended before it changed; waiting for it would
-            # block all further changes.
-            if is_done or until < now or engine not in listed:
-                del self._changing[engine]
-            else:
-                current.pop(engine, None)
+        current = self._stages.present(engines, now)
         for key in [key for key in self.prefills if key not in current]:
             self._healths[key] = self.prefills.pop(key).health
         for key in [key for key in self.decodes if key not in current]:
@@ -137,6 +105,7 @@
         for upstream in current.values():
             self._add_engine(upstream, pace)
         self._restore_health(now)
+        self.speeds.set_engines(current, now)
 
     def _restore_health(self, now: float) -> None:
         """Give engines that are listed again their former health.
@@ -151,22 +120,6 @@
             if engine is not None or health.suspended_until + _RETAIN_S < now:
                 del self._healths[key]
 
-    def _with_reported_stage(
-        self, engine: upstreams.Upstream, now: float
-    ) -> upstreams.Upstream:
-        report = self._reports.get(engine.id)
-        if report is None or self._is_old(report, now):
-            return engine
-        return dataclasses.replace(engine, stage=report.stage)
-
-    def _is_busy(self, engine: ids.UpstreamId, now: float) -> bool:
-        report = self._reports.get(engine)
-        return (
-            report is not None
-            and report.busy
-            and now - report.at < _REPORT_MAX_AGE_S
-        )
-
     def _add_engine(self, engine: upstreams.Upstream, pace: float) -> None:
         if engine.stage is upstreams.Stage.PREFILL:
             self.decodes.pop(engine.id, None)
@@ -179,7 +132,10 @@
             decode = modelengines.DecodeEngine(
                 engine, self.capacity, self.slots, self._pace
             )
-            decode.memory.pace = pace
+            decode.memory.pace = pace / self.speeds.decode_speed(engine.id)
+            decode.memory.adjust_pace = functools.partial(
+                self._adjust_pace, engine.id
+            )
             decode.memory.spread = self.spread
             self.decodes[engine.id] = decode
 
@@ -200,7 +156,7 @@
             busy: Whether it carries out an order; it accepts no work then.
             now: Monotonic time in seconds.
         """
-        self._reports[engine] = _StageReport(stage, busy, now)
+        self._stages.record(engine, stage, busy, now)
         decode = self.decodes.get(engine)
         if decode is not None:
             decode.memory.record_usage(used, now)
@@ -212,13 +168,13 @@
 
         It accepts no work until it reports the new stage, at most `until`.
         """
-        self._changing[engine] = stage, until
+        self._stages.record_order(engine, stage, until)
         self.prefills.pop(engine, None)
         self.decodes.pop(engine, None)
 
     def is_awaited(self, engine: ids.UpstreamId) -> bool:
         """Return whether an engine was ordered to change its stage."""
-        return engine in self._changing
+        return self._stages.is_awaited(engine)
 
     def record_failure(
         self, engine: ids.UpstreamId, now: float, unreachable: bool = False
@@ -252,12 +208,20 @@
         values = [e.memory.pace_at_batch(runs) for e in self.decodes.values()]
         return sum(values) / len(values) if values else default
 
-    def available_prefills(self, now: float) -> int:
-        """Return the number of prefill engines that are not suspended."""
+    def available_prefills(self, now: float) -> float:
+        """Return the equivalents of the prefill engines not suspended."""
         return sum(
-            e.health.suspended_until <= now for e in self.prefills.values()
+            self.speeds.relative_prefills(key)
+            for key, engine in self.prefills.items()
+            if engine.health.suspended_until <= now
         )
 
+    @property
+    def prefill_equivalents(self) -> float:
+        """Number of median engines that read as fast as the prefill engines.
+        """
+        return sum(self.speeds.relative_prefills(e) for e in self.prefills)
+
     def record_result(
         self,
         engine: ids.UpstreamId,
@@ -268,7 +232,10 @@
         """Record how long a prefill engine took to read a prompt."""
         state = self.prefills.get(engine)
         if state is not None:
-            state.record_result(stream, seconds, now)
+            slowdown = self.speeds.slowdown(engine, now)
+            state.record_result(stream, seconds, now, slowdown)
+            if self.speeds.is_uneven and not state.pending:
+                state.idle_at = min(state.idle_at, now)
 
     def cancel_prefill(
         self, engine: ids.UpstreamId, stream: ids.StreamId
@@ -291,7 +258,26 @@
         state = self.prefills.get(engine)
         if state is None:
             return None
-        return state.record_overlap(placed_at, tokens, line, alone, now)
+        factor = self.speeds.prefill_factor(engine, now)
+        own_line = latency.Line(line.delay * factor, line.rate / factor)
+        return state.record_overlap(placed_at, tokens, own_line, alone, now)
+
+    def _adjust_pace(
+        self,
+        engine: ids.UpstreamId,
+        runs: int,
+        tokens: int,
+        seconds: float,
+        now: float,
+    ) -> tuple[float, float]:
+        """Return what tokens take at usual moments, here and at the median."""
+        if not self.speeds.is_uneven:
+            return seconds, seconds
+        usual = seconds / self.speeds.slowdown(engine, now)
+        batch_factor = self._pace.slowdown(1.0, runs)
+        self.speeds.record_tokens(engine, tokens, usual, batch_factor)
+        mean = usual * self.speeds.mean_slowdown
+        return mean, mean * self.speeds.decode_speed(engine)
 
     @property
     def paced_tokens(self) -> int:
@@ -304,6 +290,12 @@
 
     # Choices.
 
+    def prefill_factor(
+        self, engine: modelengines.PrefillEngine, now: float
+    ) -> float:
+        """Return the time of a prefill now, relative to the median engine."""
+        return self.speeds.prefill_factor(engine.upstream.id, now)
+
     def choose_prefill(
         self,
         job: generations.Job,
@@ -315,7 +307,7 @@
 
         Args:
             job: Request that needs one.
-            expected: Seconds for its prompt at a healthy engine.
+            expected: Seconds for its prompt at a healthy median engine.
             explore: Whether to prefer an engine with a pending prompt, which
                 shows how prefills overlap.
             now: Monotonic time in seconds.
@@ -332,7 +324,8 @@
         def key(e: modelengines.PrefillEngine) -> tuple[float, bool, bool]:
             is_near = e.upstream.data_centre == job.data_centre
             is_informative = explore and bool(e.pending)
-            delay = expected * (e.slowness(now) - 1.0)
+            factor = self.prefill_factor(e, now)
+            delay = expected * (factor * e.slowness(now) - 1.0)
             idle_at = max(now, e.idle_at)
             return idle_at + delay, not is_informative, not is_near
 
@@ -359,7 +352,7 @@
             engine
             for engine in self.usable_decodes(job, now)
             if engine.fits(run, now)
-            and not (reads_prompt and engine.prefilling_until > now)
+            and not (reads_prompt and not self._may_read(engine, now))
             and self._limiter.can_acquire(engine.upstream.id, now)
         ]
 
@@ -371,6 +364,16 @@
 
         return min(candidates, key=key, default=None)
 
+    def _may_read(
+        self, engine: modelengines.DecodeEngine, now: float
+    ) -> bool:
+        """Return whether a decode engine may read a prompt now.
+
+        The pause that its runs make is planned for the median engine.
+        """
+        factor = self.speeds.prefill_factor(engine.upstream.id, now)
+        return engine.prefilling_until <= now and factor <= 1.0
+
     def usable_decodes(
         self, job: generations.Job, now: float
     ) -> list[modelengines.DecodeEngine]:
@@ -413,8 +416,10 @@
         )
         return max(1.0, min(self.slots, (self.capacity - margin) / held))
 
-    def throughput(self, held: float, output: float, delay: float) -> float:
-        """Return the runs a second that the decode engines complete.
+    def completion_rates(
+        self, held: float, output: float, delay: float
+    ) -> dict[ids.UpstreamId, float]:
+        """Return the runs a second that each decode engine completes.
 
         Args:
             held: Mean tokens that a run holds over its life.
@@ -422,9 +427,10 @@
             delay: Mean seconds for which a slot is kept before a run.
         """
         if held <= 0:
-            return 0.0
+            return {}
         runs = self.concurrent_runs(held, output)
-        return sum(
-            runs / (max(0.1, output * e.memory.pace_at_batch(runs)) + delay)
-            for e in self.decodes.values()
-        )
+        return {
+            key: runs
+            / (max(0.1, output * e.memory.pace_at_batch(runs)) + delay)
+            for key, e in self.decodes.items()
+        }
--- /dev/null
+++ b/galenahatch/core/prefillresults.py
@@ -0,0 +1,63 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""What the result of a prefill shows about its engine and the service."""
+
+from galenahatch.core import figures
+from galenahatch.core import placements
+from galenahatch.core import pool
+from galenahatch import ids
+
+
+def record(
+    placement: placements.Placement,
+    stream: ids.StreamId,
+    tokens: int,
+    seconds: float,
+    engines: pool.Pool,
+    estimator: figures.Estimator,
+    now: float,
+) -> None:
+    """Record that a prompt was read.
+
+    Args:
+        placement: Engines of the run.
+        stream: Stream that the prompt belongs to.
+        tokens: Tokens of the prompt.
+        seconds: Seconds that its VM waited for the result.
+        engines: Engines of the service.
+        estimator: Measurements of the service's requests.
+        now: Monotonic time in seconds.
+    """
+    engine = placement.prefill
+    if engine is None:
+        return
+    if placement.had_idle_prefill:
+        line = estimator.prefill_line
+        median_seconds = engines.speeds.record_prefill(
+            engine, tokens + line.delay * line.rate, seconds, now
+        )
+        estimator.record_prefill(
+            tokens, median_seconds, engines.speeds.is_uneven
+        )
+    placement.prefilled_at = now
+    engines.record_result(engine, stream, seconds, now)
+    alone = engines.record_overlap(
+        engine,
+        placement.placed_at,
+        tokens,
+        estimator.prefill_line,
+        estimator.figures.alone,
+        now,
+    )
+    if alone is not None:
+        estimator.record_overlap(alone)
--- a/galenahatch/core/rebalancing.py
+++ b/galenahatch/core/rebalancing.py
@@ -14,13 +14,19 @@
 
 The cost of a request is derived from measurements alone (`core/forecast`);
 `core/stages` computes the best division and the cost of a change. This module
-checks that the measurements suffice, and which engines are missed now.
+checks that the measurements suffice, and which engines are missed now. Where
+engines are uneven, `core/peakplan` plans for the peak of recent demand.
 """
 
+import statistics
 import typing
 
+from galenahatch.core import demand
 from galenahatch.core import figures
 from galenahatch.core import forecast
+from galenahatch.core import generations
+from galenahatch.core import modelengines
+from galenahatch.core import peakplan
 from galenahatch.core import pool
 from galenahatch.core import stages
 from galenahatch.core import upstreams
@@ -46,6 +52,11 @@
         engines: Engines of the service.
         estimator: Measurements of the service's requests.
         predictions: Source of the cost of a request.
+        switch_time: Seconds for which an engine is away for a change.
+
+    Attributes:
+        demand: Recent demand.
+        peak_plan: Latest plan for the peak of demand; None before the first.
     """
 
     def __init__(
@@ -53,7 +64,11 @@
         engines: pool.Pool,
         estimator: figures.Estimator,
         predictions: forecast.Forecast,
+        switch_time: float,
     ) -> None:
+        self._switch_time = switch_time
+        self.demand = demand.Demand()
+        self.peak_plan: peakplan.Plan | None = None
         self._pool = engines
         self._estimator = estimator
         self._forecast = predictions
@@ -70,6 +85,12 @@
         """Set the engines present, and those that announced they leave."""
         self._planner.set_engines(engines, leaving, now)
 
+    def record_arrival(self, job: generations.Job, now: float) -> None:
+        """Record a request that was not refused before."""
+        self.demand.record(
+            job.fingerprint, job.prompt_tokens, job.deadline, now
+        )
+
     def record_refusal(self, now: float) -> None:
         """Record that a request was refused."""
         self._refused_at = now
@@ -103,6 +124,8 @@
             self._pool.decodes.values(),
             key=lambda engine: engine.memory.load(now),
         )
+        if self._pool.speeds.is_uneven:
+            return self._plan_for_peak(prefills, decodes, now)
         is_calm = not is_waiting and now - self._refused_at > _CALM_S
         return self._planner.plan(
             self._forecast.request_costs(),
@@ -113,6 +136,56 @@
             now,
         )
 
+    def _plan_for_peak(
+        self,
+        prefills: list[modelengines.PrefillEngine],
+        decodes: list[modelengines.DecodeEngine],
+        now: float,
+    ) -> list[tuple[upstreams.Upstream, upstreams.Stage]]:
+        """Return the changes for the peak of recent demand."""
+        if not self.demand.is_known or not self._planner.is_due(now):
+            return []
+        self.peak_plan = peakplan.make_plan(
+            self._capacities([e.upstream for e in prefills], True),
+            self._capacities([e.upstream for e in decodes], False),
+            self.demand.windows(now),
+            self.demand.peak(now),
+            self._estimator.figures.prompt,
+            self._switch_time,
+        )
+        if self.peak_plan.changes:
+            self._planner.record_plan(now)
+        return list(self.peak_plan.changes)
+
+    def _capacities(
+        self, engines: list[upstreams.Upstream], are_prefills: bool
+    ) -> list[peakplan.EngineCapacity]:
+        """Return what engines can do in either stage.
+
+        While the time of a prefill is not fully known, present prefill
+        engines count by the longer and decode engines by the shorter one, so
+        that a change has to pay off for both.
+        """
+        speeds = self._pool.speeds
+        shortest, longest = self._estimator.prefill_busy_range()
+        seconds = longest if are_prefills else shortest
+        rates = self._forecast.completion_rates()
+        median_rate = statistics.median(
+            rate / speeds.decode_speed(key) for key, rate in rates.items()
+        )
+        return [
+            peakplan.EngineCapacity(
+                engine,
+                stages.PREFILL_UTILIZATION
+                * speeds.relative_prefills(engine.id)
+                / seconds,
+                rates.get(
+                    engine.id, median_rate * speeds.decode_speed(engine.id)
+                ),
+            )
+            for engine in engines
+        ]
+
     def _has_evidence(self) -> bool:
         """Return whether there are enough measurements for a plan."""
         estimator = self._estimator
--- a/galenahatch/core/stages.py
+++ b/galenahatch/core/stages.py
@@ -45,7 +45,7 @@
 _MAX_DECODE_PREFILL_SHARE: typing.Final = 0.3
 """Largest fraction of the prompts that decode engines may read; about half of
 all prompts are short enough."""
-_PREFILL_UTILIZATION: typing.Final = 0.85
+PREFILL_UTILIZATION: typing.Final = 0.85
 """Planned utilization of prefill engines, which keeps queueing low."""
 
 
@@ -73,7 +73,7 @@
     pause that their runs may make. Decode time is then split between decoding
     and prefill.
     """
-    prefill_rate = _PREFILL_UTILIZATION * prefills / cost.prefill_seconds
+    prefill_rate = PREFILL_UTILIZATION * prefills / cost.prefill_seconds
     decode_rate = decodes / cost.decode_seconds
     if decode_rate <= prefill_rate:
         return decode_rate
@@ -131,6 +131,14 @@
         """Forget the last plan: it was not carried out."""
         self._planned_at = -1e9
 
+    def is_due(self, now: float) -> bool:
+        """Return whether engines have settled since they last changed."""
+        return now - max(self._vanished_at, self._planned_at) >= _SETTLE_S
+
+    def record_plan(self, now: float) -> None:
+        """Record that stage changes were planned."""
+        self._planned_at = now
+
     def plan(
         self,
         costs: typing.Sequence[RequestCost],
@@ -154,8 +162,7 @@
             now: Monotonic time in seconds.
         """
         total = len(prefills) + len(decodes)
-        unsettled_at = max(self._vanished_at, self._planned_at)
-        if total < 2 or now - unsettled_at < _SETTLE_S:
+        if total < 2 or not self.is_due(now):
             return []
         surplus = _smallest_common(
             [len(prefills) - best_prefill_count(cost, total) for cost in costs]
