--- a/galenahatch/core/demand.py
+++ b/galenahatch/core/demand.py
@@ -51,11 +51,13 @@
         weight: Weight in means and quantiles.
         requests: Requests a second.
         tokens: Prompt tokens a second.
+        outputs: Predicted tokens of answers a second.
     """
 
     weight: float
     requests: float
     tokens: float
+    outputs: float = 0.0
 
 
 class Demand:
@@ -63,10 +65,9 @@
 
     def __init__(self) -> None:
         self._begun_at: float | None = None
-        self._requests = 0
-        self._tokens = 0
-        self._windows: collections.deque[tuple[int, int]] = collections.deque(
-            maxlen=_HORIZON_WINDOWS
+        self._counts = (0, 0, 0)
+        self._windows: collections.deque[tuple[int, int, int]] = (
+            collections.deque(maxlen=_HORIZON_WINDOWS)
         )
         self._seen: dict[str, float] = {}
         self._adopted = Window(0.0, 0.0, 0.0)
@@ -84,13 +85,19 @@
         return self.peak(self._latest_at)
 
     def record(
-        self, fingerprint: str, tokens: int, deadline: float, now: float
+        self,
+        fingerprint: str,
+        tokens: int,
+        output: int,
+        deadline: float,
+        now: float,
     ) -> None:
         """Record a request that was not refused before.
 
         Args:
             fingerprint: Identifies its repetitions; empty if unknown.
             tokens: Tokens of its prompt.
+            output: Predicted tokens of its answer.
             deadline: Time until which its caller may repeat it.
             now: Monotonic time in seconds.
         """
@@ -102,8 +109,8 @@
             if len(self._seen) > _MAX_FINGERPRINTS:
                 del self._seen[next(iter(self._seen))]
         self._advance(now)
-        self._requests += 1
-        self._tokens += tokens
+        requests, prompts, outputs = self._counts
+        self._counts = requests + 1, prompts + tokens, outputs + output
 
     def adopt(self, requests: float, tokens: float) -> None:
         """Adopt the peak that another owner has seen.
@@ -124,13 +131,27 @@
         self._advance(now)
         decay = 0.5 ** (WINDOW_S / _HALF_LIFE_S)
         counts = list(reversed(self._windows))
-        if counts and self._requests > counts[0][0]:
-            counts.insert(0, (self._requests, self._tokens))
+        if counts and self._counts[0] > counts[0][0]:
+            counts.insert(0, self._counts)
         return [
-            Window(decay**age, requests / WINDOW_S, tokens / WINDOW_S)
-            for age, (requests, tokens) in enumerate(counts)
+            Window(decay**age, *(count / WINDOW_S for count in window))
+            for age, window in enumerate(counts)
         ]
 
+    def mean_size(self, now: float) -> tuple[float, float] | None:
+        """Return the mean tokens of a prompt and of an answer.
+
+        They are means over all windows: with those of the last seconds, the
+        capacity of a stage swings by a tenth. None without requests.
+        """
+        windows = self.windows(now)
+        requests = sum(w.weight * w.requests for w in windows)
+        if not requests:
+            return None
+        tokens = sum(w.weight * w.tokens for w in windows)
+        outputs = sum(w.weight * w.outputs for w in windows)
+        return tokens / requests, outputs / requests
+
     def peak(self, now: float) -> Window:
         """Return the peak; of two kinds of windows, the larger of each.
 
@@ -160,8 +181,8 @@
             self._begun_at = now
         ended = int((now - self._begun_at) / WINDOW_S)
         for _ in range(min(ended, _HORIZON_WINDOWS)):
-            self._windows.append((self._requests, self._tokens))
-            self._requests = self._tokens = 0
+            self._windows.append(self._counts)
+            self._counts = 0, 0, 0
         if ended > 0:
             self._begun_at += ended * WINDOW_S
 
--- a/galenahatch/core/figures.py
+++ b/galenahatch/core/figures.py
@@ -250,15 +250,15 @@
         current = self.figures
         return tokens / current.rate + current.alone * current.delay
 
-    def prefill_busy_range(self) -> tuple[float, float]:
-        """Return bounds on the seconds that a mean prompt takes an engine."""
+    def prefill_busy_range(self, prompt: float) -> tuple[float, float]:
+        """Return bounds on the seconds that a prompt takes an engine."""
         current = self.figures
-        total = self.prefill_seconds(round(current.prompt))
+        total = self.prefill_seconds(round(prompt))
         if current.reads < latency.MIN_SAMPLES:
             return _MIN_WORK_FRACTION * total, total
         if not self.has_overlap_estimate:
-            return current.prompt / current.rate, total
-        busy = self.prefill_busy_seconds(current.prompt)
+            return prompt / current.rate, total
+        busy = self.prefill_busy_seconds(prompt)
         return busy, busy
 
     @property
--- a/galenahatch/core/forecast.py
+++ b/galenahatch/core/forecast.py
@@ -104,7 +104,9 @@
             stages.RequestCost(
                 prefill_seconds, lifetime / runs, decode_prefill_seconds
             )
-            for prefill_seconds in self._estimator.prefill_busy_range()
+            for prefill_seconds in self._estimator.prefill_busy_range(
+                current.prompt
+            )
         ]
 
     def describe_refusal(self, job: Job, wait: float) -> str:
@@ -199,17 +201,23 @@
             prefills, self._completion_rate(), self._estimator
         )
 
-    def completion_rates(self) -> dict[ids.UpstreamId, float]:
-        """Return the runs a second that each decode engine can complete."""
-        current = self._estimator.figures
-        read = self._estimator.prefill_seconds(round(current.prompt))
-        return self._pool.completion_rates(
-            self._estimator.mean_held_tokens, current.output, read
-        )
+    def completion_rates(
+        self, prompt: float, output: float
+    ) -> dict[ids.UpstreamId, float]:
+        """Return the runs a second that each decode engine can complete.
+
+        Args:
+            prompt: Mean tokens of a prompt.
+            output: Mean tokens of an answer.
+        """
+        read = self._estimator.prefill_seconds(round(prompt))
+        return self._pool.completion_rates(prompt + output / 2, output, read)
 
     def _completion_rate(self) -> float:
         """Return the runs a second that the decode engines can complete."""
-        return sum(self.completion_rates().values())
+        current = self._estimator.figures
+        rates = self.completion_rates(current.prompt, current.output)
+        return sum(rates.values())
 
     def _parallel_prefills(self, completion_rate: float) -> float:
         """Return how many prompts median engines would read at a time.
--- a/galenahatch/core/rebalancing.py
+++ b/galenahatch/core/rebalancing.py
@@ -88,7 +88,11 @@
     def record_arrival(self, job: generations.Job, now: float) -> None:
         """Record a request that was not refused before."""
         self.demand.record(
-            job.fingerprint, job.prompt_tokens, job.deadline, now
+            job.fingerprint,
+            job.prompt_tokens,
+            job.predicted_output,
+            job.deadline,
+            now,
         )
 
     def record_refusal(self, now: float) -> None:
@@ -143,14 +147,17 @@
         now: float,
     ) -> list[tuple[upstreams.Upstream, upstreams.Stage]]:
         """Return the changes for the peak of recent demand."""
-        if not self.demand.is_known or not self._planner.is_due(now):
+        size = self.demand.mean_size(now)
+        if not size or not self.demand.is_known:
+            return []
+        if not self._planner.is_due(now):
             return []
         self.peak_plan = peakplan.make_plan(
-            self._capacities([e.upstream for e in prefills], True),
-            self._capacities([e.upstream for e in decodes], False),
+            self._capacities([e.upstream for e in prefills], True, *size),
+            self._capacities([e.upstream for e in decodes], False, *size),
             self.demand.windows(now),
             self.demand.peak(now),
-            self._estimator.figures.prompt,
+            size[0],
             self._switch_time,
         )
         if self.peak_plan.changes:
@@ -158,28 +165,39 @@
         return list(self.peak_plan.changes)
 
     def _capacities(
-        self, engines: list[upstreams.Upstream], are_prefills: bool
+        self,
+        engines: list[upstreams.Upstream],
+        are_prefills: bool,
+        prompt: float,
+        output: float,
     ) -> list[peakplan.EngineCapacity]:
         """Return what engines can do in either stage.
 
         While the time of a prefill is not fully known, present prefill
         engines count by the longer and decode engines by the shorter one, so
         that a change has to pay off for both.
+
+        Args:
+            engines: Engines of one stage.
+            are_prefills: Whether that is the prefill stage.
+            prompt: Mean tokens of a prompt.
+            output: Mean tokens of an answer.
         """
         speeds = self._pool.speeds
-        shortest, longest = self._estimator.prefill_busy_range()
+        shortest, longest = self._estimator.prefill_busy_range(prompt)
         seconds = longest if are_prefills else shortest
-        rates = self._forecast.completion_rates()
+        rates = self._forecast.completion_rates(prompt, output)
         median_rate = statistics.median(
             rate / speeds.decode_speed(key) for key, rate in rates.items()
         )
         return [
             peakplan.EngineCapacity(
                 engine,
-                stages.PREFILL_UTILIZATION
+                stages.UTILIZATION
                 * speeds.relative_prefills(engine.id)
                 / seconds,
-                rates.get(
+                stages.UTILIZATION
+                * rates.get(
                     engine.id, median_rate * speeds.decode_speed(engine.id)
                 ),
             )
--- a/galenahatch/core/stages.py
+++ b/galenahatch/core/stages.py
@@ -45,8 +45,8 @@
 _MAX_DECODE_PREFILL_SHARE: typing.Final = 0.3
 """Largest fraction of the prompts that decode engines may read; about half of
 all prompts are short enough."""
-PREFILL_UTILIZATION: typing.Final = 0.85
-"""Planned utilization of prefill engines, which keeps queueing low."""
+UTILIZATION: typing.Final = 0.85
+"""Planned utilization of engines, which keeps queueing low."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -73,7 +73,7 @@
     pause that their runs may make. Decode time is then split between decoding
     and prefill.
     """
-    prefill_rate = PREFILL_UTILIZATION * prefills / cost.prefill_seconds
+    prefill_rate = UTILIZATION * prefills / cost.prefill_seconds
     decode_rate = decodes / cost.decode_seconds
     if decode_rate <= prefill_rate:
         return decode_rate
