--- a/galenahatch/core/enginespeeds.py
+++ b/galenahatch/core/enginespeeds.py
@@ -49,7 +49,7 @@
 _SAMPLE_TOKENS: typing.Final = 1000
 """Generated tokens in one result of a decode engine: two seconds of one run.
 The tokens of a single report are off by an event at both ends."""
-_SLOWDOWN_SMOOTHING_S: typing.Final = 15.0
+_SMOOTHING_S: typing.Final = 15.0
 """Seconds over which the mean slowdown is taken: some tens of slow moments of
 half a second at twenty engines."""
 _MAX_KNOWN_RATIO: typing.Final = 2
@@ -127,7 +127,8 @@
         self._prefill = StageSpeeds()
         self._decode = StageSpeeds()
         self._tokens: dict[ids.UpstreamId, tuple[int, float]] = {}
-        self._averaged_at: float | None = None
+        self._averaged = 0
+        self._averaged_at = 0.0
         self._adopted_speed = 1.0
 
     def set_slowdowns(self, slowdown: SlowdownFunction) -> None:
@@ -143,7 +144,7 @@
         """
         self.is_uneven = True
         self._adopted_speed = mean_speed
-        if self._averaged_at is None:
+        if not self._averaged:
             self.mean_slowdown = mean_slowdown
 
     def mean_speed(
@@ -161,18 +162,20 @@
     def set_engines(
         self, engines: collections.abc.Collection[ids.UpstreamId], now: float
     ) -> None:
-        """Set the engines in use, and update their mean slowdown."""
+        """Set the engines in use, and update their mean slowdown.
+
+        It is to be called once or more in a second.
+        """
         if not self.is_uneven or not engines:
             return
         self._prefill.retain(engines)
         self._decode.retain(engines)
         for engine in [e for e in self._tokens if e not in engines]:
             del self._tokens[engine]
-        if self._averaged_at is None:
-            self._averaged_at = now
+        self._averaged += 1
         elapsed = now - self._averaged_at
         self._averaged_at = now
-        weight = elapsed / (elapsed + _SLOWDOWN_SMOOTHING_S)
+        weight = max(1 / self._averaged, min(1.0, elapsed / _SMOOTHING_S))
         present = statistics.fmean(self._slowdown(e, now) for e in engines)
         self.mean_slowdown += weight * (present - self.mean_slowdown)
 
--- a/galenahatch/core/forecast.py
+++ b/galenahatch/core/forecast.py
@@ -30,7 +30,6 @@
 from galenahatch.core import pool as pools
 from galenahatch.core import stages
 from galenahatch.core import waitqueue
-from galenahatch import ids
 
 _MIN_SPARE_FRACTION: typing.Final = 0.02
 """Least fraction of the service rate assumed to be left for late requests and
@@ -201,23 +200,13 @@
             prefills, self._completion_rate(), self._estimator
         )
 
-    def completion_rates(
-        self, prompt: float, output: float
-    ) -> dict[ids.UpstreamId, float]:
-        """Return the runs a second that each decode engine can complete.
-
-        Args:
-            prompt: Mean tokens of a prompt.
-            output: Mean tokens of an answer.
-        """
-        read = self._estimator.prefill_seconds(round(prompt))
-        return self._pool.completion_rates(prompt + output / 2, output, read)
-
     def _completion_rate(self) -> float:
         """Return the runs a second that the decode engines can complete."""
         current = self._estimator.figures
-        rates = self.completion_rates(current.prompt, current.output)
-        return sum(rates.values())
+        read = self._estimator.prefill_seconds(round(current.prompt))
+        return self._pool.throughput(
+            self._estimator.mean_held_tokens, current.output, read
+        )
 
     def _parallel_prefills(self, completion_rate: float) -> float:
         """Return how many prompts median engines would read at a time.
--- a/galenahatch/core/memory.py
+++ b/galenahatch/core/memory.py
@@ -48,18 +48,17 @@
 
 
 PaceAdjustment = collections.abc.Callable[
-    [int, int, float, float], tuple[float, float]
+    [int, int, float, float], float
 ]
 """Maps a batch size, generated tokens, their seconds and the present time to
-the seconds that they take at usual moments, at this engine and at the median
-one of the service."""
+the seconds that the median engine of the service takes on average."""
 
 
 def _keep_pace(
     runs: int, tokens: int, seconds: float, now: float
-) -> tuple[float, float]:
+) -> float:
     del runs, tokens, now
-    return seconds, seconds
+    return seconds
 
 
 @dataclasses.dataclass
@@ -109,7 +108,7 @@
         pace: Pace by batch size of all engines of the service.
 
     Attributes:
-        adjust_pace: Adjusts samples of the pace by the engine's speed.
+        adjust_pace: Adjusts samples for the pace of all engines.
     """
 
     def __init__(
@@ -189,11 +188,11 @@
         weight = min(
             1.0, max(tokens / _PACE_WINDOW_TOKENS, tokens / self.paced_tokens)
         )
+        self.pace += weight * (seconds / tokens - self.pace)
         runs = max(1, len(self._runs))
-        own, median = self.adjust_pace(runs, tokens, seconds, now)
-        self.pace += weight * (own / tokens - self.pace)
         self._mean_batch += weight * (runs - self._mean_batch)
-        self._service_pace.add_sample(runs, tokens, median)
+        adjusted = self.adjust_pace(runs, tokens, seconds, now)
+        self._service_pace.add_sample(runs, tokens, adjusted)
 
     def pace_at_batch(self, runs: float) -> float:
         """Return the seconds for a token at a batch size."""
--- a/galenahatch/core/pace.py
+++ b/galenahatch/core/pace.py
@@ -27,6 +27,10 @@
 _DECAY_TOKENS: typing.Final = 20_000.0
 """Tokens over which samples decay: about 40 answers of 500 tokens, so that the
 slope outlasts a lull and follows a change of engines within a minute."""
+LASTING_DECAY_TOKENS: typing.Final = 2_000_000.0
+"""The same where slow moments and the speeds of engines are taken out of the
+samples: what remains changes with the engines only, and a plan needs it for
+batches that the last seconds did not see."""
 _VARIANCE_PRIOR: typing.Final = 1.0
 """Variance of the batch size at which the slope counts by half: sizes that
 differ by one reveal no more than the granularity of events hides."""
@@ -35,12 +39,16 @@
 class Pace:
     """Regression of the time per token on the batch size, for one service.
 
+    Args:
+        decay: Tokens over which samples decay.
+
     Attributes:
         sampled_tokens: Tokens sampled so far, including those of engines that
             are gone.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, decay: float = _DECAY_TOKENS) -> None:
+        self._decay = decay
         self.sampled_tokens = 0
         self._weight = 0.0
         self._mean_runs = 0.0
@@ -57,7 +65,7 @@
             seconds: Seconds that they took.
         """
         self.sampled_tokens += tokens
-        keep = max(0.0, 1 - tokens / _DECAY_TOKENS)
+        keep = max(0.0, 1 - tokens / self._decay)
         self._weight = self._weight * keep + tokens
         share = tokens / self._weight
         runs_error = runs - self._mean_runs
@@ -79,10 +87,11 @@
             before: Present batch size.
             after: Batch size to compare with.
         """
-        current = self._pace_at(before)
-        return self._pace_at(after) / current if current > 0 else 1.0
+        current = self.seconds_at(before)
+        return self.seconds_at(after) / current if current > 0 else 1.0
 
-    def _pace_at(self, runs: float) -> float:
+    def seconds_at(self, runs: float) -> float:
+        """Return the seconds for a token in a batch; 0 without samples."""
         variance = self._runs_variance + _VARIANCE_PRIOR
         slope = max(0.0, self._covariance / variance)
         floor = self._mean_seconds / 4
--- a/galenahatch/core/pool.py
+++ b/galenahatch/core/pool.py
@@ -64,6 +64,7 @@
         self.decodes: dict[ids.UpstreamId, modelengines.DecodeEngine] = {}
         self.spread = lengths.INITIAL_SPREAD
         self._pace = paces.Pace()
+        self._lasting_pace = paces.Pace(paces.LASTING_DECAY_TOKENS)
         self._stages = stagereports.StageReports()
         self._healths: dict[ids.UpstreamId, modelengines.Health] = {}
         self.speeds = enginespeeds.EngineSpeeds()
@@ -105,7 +106,6 @@
         for upstream in current.values():
             self._add_engine(upstream, pace)
         self._restore_health(now)
-        self.speeds.set_engines(current, now)
 
     def _restore_health(self, now: float) -> None:
         """Give engines that are listed again their former health.
@@ -269,15 +269,16 @@
         tokens: int,
         seconds: float,
         now: float,
-    ) -> tuple[float, float]:
-        """Return what tokens take at usual moments, here and at the median."""
+    ) -> float:
+        """Return what tokens take the median engine on average."""
         if not self.speeds.is_uneven:
-            return seconds, seconds
+            return seconds
         usual = seconds / self.speeds.slowdown(engine, now)
-        batch_factor = self._pace.slowdown(1.0, runs)
+        batch_factor = self._lasting_pace.slowdown(1.0, runs)
         self.speeds.record_tokens(engine, tokens, usual, batch_factor)
-        mean = usual * self.speeds.mean_slowdown
-        return mean, mean * self.speeds.decode_speed(engine)
+        median = usual * self.speeds.decode_speed(engine)
+        self._lasting_pace.add_sample(runs, tokens, median)
+        return median * self.speeds.mean_slowdown
 
     @property
     def paced_tokens(self) -> int:
@@ -360,7 +361,12 @@
             is_remote = prefill is not None and (
                 engine.upstream.data_centre != prefill.upstream.data_centre
             )
-            return engine.memory.load(now) + _REMOTE_WEIGHT * is_remote
+            load = engine.memory.load(now)
+            if self.speeds.is_uneven:
+                # Fast engines are free again sooner.
+                load += job.prompt_tokens / self.capacity
+                load /= self.speeds.decode_speed(engine.upstream.id)
+            return load + _REMOTE_WEIGHT * is_remote
 
         return min(candidates, key=key, default=None)
 
@@ -416,10 +422,8 @@
         )
         return max(1.0, min(self.slots, (self.capacity - margin) / held))
 
-    def completion_rates(
-        self, held: float, output: float, delay: float
-    ) -> dict[ids.UpstreamId, float]:
-        """Return the runs a second that each decode engine completes.
+    def throughput(self, held: float, output: float, delay: float) -> float:
+        """Return the runs a second that the decode engines complete.
 
         Args:
             held: Mean tokens that a run holds over its life.
@@ -427,10 +431,29 @@
             delay: Mean seconds for which a slot is kept before a run.
         """
         if held <= 0:
-            return {}
+            return 0.0
+        runs = self.concurrent_runs(held, output)
+        return sum(
+            runs / (max(0.1, output * e.memory.pace_at_batch(runs)) + delay)
+            for e in self.decodes.values()
+        )
+
+    def planned_completion_rate(
+        self,
+        engine: ids.UpstreamId,
+        held: float,
+        output: float,
+        delay: float,
+    ) -> float:
+        """Return the runs a second that an engine would complete over time.
+
+        Args:
+            engine: Engine of either stage.
+            held: Mean tokens that a run holds over its life.
+            output: Mean tokens of an answer.
+            delay: Mean seconds for which a slot is kept before a run.
+        """
         runs = self.concurrent_runs(held, output)
-        return {
-            key: runs
-            / (max(0.1, output * e.memory.pace_at_batch(runs)) + delay)
-            for key, e in self.decodes.items()
-        }
+        pace = self._lasting_pace.seconds_at(runs)
+        pace *= self.speeds.mean_slowdown / self.speeds.decode_speed(engine)
+        return runs / (max(0.1, output * pace) + delay)
--- a/galenahatch/core/rebalancing.py
+++ b/galenahatch/core/rebalancing.py
@@ -18,7 +18,6 @@
 engines are uneven, `core/peakplan` plans for the peak of recent demand.
 """
 
-import statistics
 import typing
 
 from galenahatch.core import demand
@@ -116,6 +115,8 @@
             is_waiting: Whether requests wait for engines.
             now: Monotonic time in seconds.
         """
+        engines = (*self._pool.prefills, *self._pool.decodes)
+        self._pool.speeds.set_engines(engines, now)
         if not self._pool.is_settled(now) or not self._has_evidence():
             return []
         # Slow engines change first. Sorted by idleness alone, a slow engine
@@ -186,10 +187,7 @@
         speeds = self._pool.speeds
         shortest, longest = self._estimator.prefill_busy_range(prompt)
         seconds = longest if are_prefills else shortest
-        rates = self._forecast.completion_rates(prompt, output)
-        median_rate = statistics.median(
-            rate / speeds.decode_speed(key) for key, rate in rates.items()
-        )
+        read = self._estimator.prefill_seconds(round(prompt))
         return [
             peakplan.EngineCapacity(
                 engine,
@@ -197,8 +195,8 @@
                 * speeds.relative_prefills(engine.id)
                 / seconds,
                 stages.UTILIZATION
-                * rates.get(
-                    engine.id, median_rate * speeds.decode_speed(engine.id)
+                * self._pool.planned_completion_rate(
+                    engine.id, prompt + output / 2, output, read
                 ),
             )
             for engine in engines
