--- a/bench/dispatching.py
+++ b/bench/dispatching.py
@@ -184,9 +184,7 @@
 
     def speed(self, engine: str) -> float:
         """Return the speed of an engine, relative to its kind."""
-        number = int(engine[1:]) + (
-            self.prefills if engine[0] == 'd' else 0
-        )
+        number = int(engine[1:]) + (self.prefills if engine[0] == 'd' else 0)
         return self.speeds[number % len(self.speeds)]
 
 
--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -42,7 +42,7 @@
 from galenahatch.core import modelengines
 from galenahatch.core import placements
 from galenahatch.core import pool
-from galenahatch.core import prefillresults
+from galenahatch.core import prefillwork
 from galenahatch.core import ratelimits
 from galenahatch.core import rebalancing
 from galenahatch.core import retryafter
@@ -245,7 +245,7 @@
         self._confirm(stream, now)
         placement = self._placements.get(stream)
         if placement is not None:
-            prefillresults.record(
+            prefillwork.record(
                 placement,
                 stream,
                 tokens,
@@ -340,7 +340,7 @@
         separated = placements.separate_suspects(job, runs, *engines, now)
         if separated is None:
             return generations.Lack.TRIAL
-        job, prefill, prefill_seconds = separated, None, 0.0
+        job, prefill = separated, None
         if not job.is_prefilled:
             explore = not self._estimator.has_overlap_estimate
             prefill_seconds = self._estimator.prefill_seconds(
@@ -356,9 +356,9 @@
         ready_at = now + self._estimator.seconds_to_first_event(job)
         if prefill is None and not job.is_prefilled:
             ready_at += decodeprefill.prefill_seconds(job, self._estimator)
-        if prefill is not None:
-            factor = self._pool.prefill_factor(prefill, now)
-            ready_at += (factor - 1.0) * prefill_seconds
+        ready_at += prefillwork.extra_seconds(
+            job, prefill, self._pool, self._estimator, now
+        )
         decode = self._pool.choose_decode(job, prefill, ready_at, now)
         if decode is None:
             if prefill is None and not job.is_prefilled:
@@ -394,15 +394,7 @@
         self._placements[job.stream] = placement
         if prefill is not None:
             placement.had_idle_prefill = not prefill.pending
-            factor = self._pool.prefill_factor(prefill, now)
-            prefill.assign(
-                job.stream,
-                factor * self._estimator.prefill_seconds(job.prompt_tokens),
-                factor
-                * self._estimator.prefill_busy_seconds(job.prompt_tokens),
-                now,
-                self._pool.speeds.slowdown(prefill.upstream.id, now),
-            )
+            prefillwork.assign(job, prefill, self._pool, self._estimator, now)
         elif not job.is_prefilled:
             decode.prefilling_until = now + decodeprefill.busy_seconds(
                 job, self._estimator
--- a/galenahatch/core/forecast.py
+++ b/galenahatch/core/forecast.py
@@ -89,7 +89,7 @@
         There are several while the prefill time is not fully known.
         """
         current = self._estimator.figures
-        runs = self._pool.concurrent_runs(
+        runs = self._pool.decode_capacity.concurrent_runs(
             self._estimator.mean_held_tokens, current.output
         )
         lifetime = current.output * self._pool.mean_pace_at_batch(
--- a/galenahatch/core/memory.py
+++ b/galenahatch/core/memory.py
@@ -47,16 +47,12 @@
 engines are up to a second old."""
 
 
-PaceAdjustment = collections.abc.Callable[
-    [int, int, float, float], float
-]
+PaceAdjustment = collections.abc.Callable[[int, int, float, float], float]
 """Maps a batch size, generated tokens, their seconds and the present time to
 the seconds that the median engine of the service takes on average."""
 
 
-def _keep_pace(
-    runs: int, tokens: int, seconds: float, now: float
-) -> float:
+def _keep_pace(runs: int, tokens: int, seconds: float, now: float) -> float:
     del runs, tokens, now
     return seconds
 
--- a/galenahatch/core/peakplan.py
+++ b/galenahatch/core/peakplan.py
@@ -126,9 +126,7 @@
         sum(e.prefill for e in prefills), sum(e.decode for e in decodes)
     )
     prompts = peak.tokens / prompt
-    unchanged = Plan(
-        Reason.SUFFICIENT, peak.requests, prompts, *now, *now
-    )
+    unchanged = Plan(Reason.SUFFICIENT, peak.requests, prompts, *now, *now)
     prefill_cover = now.prefill / prompts if prompts else 1.0
     decode_cover = now.decode / peak.requests if peak.requests else 1.0
     if min(prefill_cover, decode_cover) >= 1.0:
@@ -150,10 +148,14 @@
             break
         if after.served(peak, prompt) < _MIN_GAIN * now.served(peak, prompt):
             continue
-        gain = _HORIZON_S * sum(
-            w.weight * (after.served(w, prompt) - now.served(w, prompt))
-            for w in windows
-        ) / total_weight
+        gain = (
+            _HORIZON_S
+            * sum(
+                w.weight * (after.served(w, prompt) - now.served(w, prompt))
+                for w in windows
+            )
+            / total_weight
+        )
         missed = now.served(peak, prompt) - during.served(peak, prompt)
         cost = switch_time * missed + count * _ORDER_COST
         plan = dataclasses.replace(
@@ -196,9 +198,7 @@
     return during._replace(prefill=now.prefill + prefill), during
 
 
-def _reads_peak(
-    after: _Capacity, peak: demand.Window, prompts: float
-) -> bool:
+def _reads_peak(after: _Capacity, peak: demand.Window, prompts: float) -> bool:
     """Return whether prefill engines suffice for what can be completed."""
     share = min(1.0, after.decode / peak.requests) if peak.requests else 1.0
     return after.prefill >= share * prompts
--- a/galenahatch/core/pool.py
+++ b/galenahatch/core/pool.py
@@ -19,16 +19,14 @@
 """
 
 import functools
-import math
 import typing
 
+from galenahatch.core import capacity as capacities
 from galenahatch.core import enginespeeds
 from galenahatch.core import generations
 from galenahatch.core import latency
 from galenahatch.core import lengths
-from galenahatch.core import memory
 from galenahatch.core import modelengines
-from galenahatch.core import pace as paces
 from galenahatch.core import ratelimits
 from galenahatch.core import stagereports
 from galenahatch.core import upstreams
@@ -52,6 +50,7 @@
 
     Attributes:
         speeds: Speeds of the single engines.
+        decode_capacity: Capacity model of the decode engines.
     """
 
     def __init__(
@@ -62,16 +61,17 @@
         self.slots = slots
         self.prefills: dict[ids.UpstreamId, modelengines.PrefillEngine] = {}
         self.decodes: dict[ids.UpstreamId, modelengines.DecodeEngine] = {}
-        self.spread = lengths.INITIAL_SPREAD
-        self._pace = paces.Pace()
-        self._lasting_pace = paces.Pace(paces.LASTING_DECAY_TOKENS)
         self._stages = stagereports.StageReports()
         self._healths: dict[ids.UpstreamId, modelengines.Health] = {}
         self.speeds = enginespeeds.EngineSpeeds()
+        self.decode_capacity = capacities.Capacity(
+            capacity, slots, self.speeds
+        )
+        self.decode_capacity.spread = lengths.INITIAL_SPREAD
 
     def set_spread(self, spread: float) -> None:
         """Set the relative deviation of answer lengths from predictions."""
-        self.spread = spread
+        self.decode_capacity.spread = spread
         for engine in self.decodes.values():
             engine.memory.spread = spread
 
@@ -130,13 +130,13 @@
         self.prefills.pop(engine.id, None)
         if engine.id not in self.decodes:
             decode = modelengines.DecodeEngine(
-                engine, self.capacity, self.slots, self._pace
+                engine, self.capacity, self.slots, self.decode_capacity.pace
             )
             decode.memory.pace = pace / self.speeds.decode_speed(engine.id)
             decode.memory.adjust_pace = functools.partial(
-                self._adjust_pace, engine.id
+                self.decode_capacity.adjust_pace, engine.id
             )
-            decode.memory.spread = self.spread
+            decode.memory.spread = self.decode_capacity.spread
             self.decodes[engine.id] = decode
 
     def record_report(
@@ -218,8 +218,7 @@
 
     @property
     def prefill_equivalents(self) -> float:
-        """Number of median engines that read as fast as the prefill engines.
-        """
+        """Number of median engines that read as fast as the prefill engines."""
         return sum(self.speeds.relative_prefills(e) for e in self.prefills)
 
     def record_result(
@@ -262,24 +261,6 @@
         own_line = latency.Line(line.delay * factor, line.rate / factor)
         return state.record_overlap(placed_at, tokens, own_line, alone, now)
 
-    def _adjust_pace(
-        self,
-        engine: ids.UpstreamId,
-        runs: int,
-        tokens: int,
-        seconds: float,
-        now: float,
-    ) -> float:
-        """Return what tokens take the median engine on average."""
-        if not self.speeds.is_uneven:
-            return seconds
-        usual = seconds / self.speeds.slowdown(engine, now)
-        batch_factor = self._lasting_pace.slowdown(1.0, runs)
-        self.speeds.record_tokens(engine, tokens, usual, batch_factor)
-        median = usual * self.speeds.decode_speed(engine)
-        self._lasting_pace.add_sample(runs, tokens, median)
-        return median * self.speeds.mean_slowdown
-
     @property
     def paced_tokens(self) -> int:
         """Tokens behind the measured pace.
@@ -287,7 +268,7 @@
         Those of engines whose entries have lapsed since count as well: they
         are back within seconds, and no order is given until then.
         """
-        return self._pace.sampled_tokens
+        return self.decode_capacity.pace.sampled_tokens
 
     # Choices.
 
@@ -370,9 +351,7 @@
 
         return min(candidates, key=key, default=None)
 
-    def _may_read(
-        self, engine: modelengines.DecodeEngine, now: float
-    ) -> bool:
+    def _may_read(self, engine: modelengines.DecodeEngine, now: float) -> bool:
         """Return whether a decode engine may read a prompt now.
 
         The pause that its runs make is planned for the median engine.
@@ -407,21 +386,6 @@
         )
         return max(0.0, min(waits, default=0.0))
 
-    def concurrent_runs(self, held: float, output: float) -> float:
-        """Return the mean batch size of a full decode engine.
-
-        Args:
-            held: Mean tokens that a run holds over its life.
-            output: Mean tokens of an answer.
-        """
-        if held <= 0:
-            return self.slots
-        runs = self.capacity / held
-        margin = (
-            memory.MARGIN_DEVIATIONS * self.spread * output * math.sqrt(runs)
-        )
-        return max(1.0, min(self.slots, (self.capacity - margin) / held))
-
     def throughput(self, held: float, output: float, delay: float) -> float:
         """Return the runs a second that the decode engines complete.
 
@@ -432,28 +396,10 @@
         """
         if held <= 0:
             return 0.0
-        runs = self.concurrent_runs(held, output)
+        runs = self.decode_capacity.concurrent_runs(held, output)
         return sum(
-            runs / (max(0.1, output * e.memory.pace_at_batch(runs)) + delay)
+            self.decode_capacity.completion_rate(
+                runs, output, e.memory.pace_at_batch(runs), delay
+            )
             for e in self.decodes.values()
         )
-
-    def planned_completion_rate(
-        self,
-        engine: ids.UpstreamId,
-        held: float,
-        output: float,
-        delay: float,
-    ) -> float:
-        """Return the runs a second that an engine would complete over time.
-
-        Args:
-            engine: Engine of either stage.
-            held: Mean tokens that a run holds over its life.
-            output: Mean tokens of an answer.
-            delay: Mean seconds for which a slot is kept before a run.
-        """
-        runs = self.concurrent_runs(held, output)
-        pace = self._lasting_pace.seconds_at(runs)
-        pace *= self.speeds.mean_slowdown / self.speeds.decode_speed(engine)
-        return runs / (max(0.1, output * pace) + delay)
--- a/galenahatch/core/prefillresults.py
+++ b/galenahatch/core/prefillwork.py
@@ -10,14 +10,48 @@
 # License for the specific language governing permissions and limitations
 # under the License.
 
-"""What the result of a prefill shows about its engine and the service."""
+"""Prefills of single engines: what they will take, and what they took."""
 
 from galenahatch.core import figures
+from galenahatch.core import generations
+from galenahatch.core import modelengines
 from galenahatch.core import placements
 from galenahatch.core import pool
 from galenahatch import ids
 
 
+def extra_seconds(
+    job: generations.Job,
+    prefill: modelengines.PrefillEngine | None,
+    engines: pool.Pool,
+    estimator: figures.Estimator,
+    now: float,
+) -> float:
+    """Return how much longer a prefill takes than at the median engine."""
+    if prefill is None:
+        return 0.0
+    factor = engines.prefill_factor(prefill, now)
+    return (factor - 1.0) * estimator.prefill_seconds(job.prompt_tokens)
+
+
+def assign(
+    job: generations.Job,
+    prefill: modelengines.PrefillEngine,
+    engines: pool.Pool,
+    estimator: figures.Estimator,
+    now: float,
+) -> None:
+    """Record that a prompt is sent to an engine."""
+    factor = engines.prefill_factor(prefill, now)
+    prefill.assign(
+        job.stream,
+        factor * estimator.prefill_seconds(job.prompt_tokens),
+        factor * estimator.prefill_busy_seconds(job.prompt_tokens),
+        now,
+        engines.speeds.slowdown(prefill.upstream.id, now),
+    )
+
+
 def record(
     placement: placements.Placement,
     stream: ids.StreamId,
--- a/galenahatch/core/rebalancing.py
+++ b/galenahatch/core/rebalancing.py
@@ -195,8 +195,8 @@
                 * speeds.relative_prefills(engine.id)
                 / seconds,
                 stages.UTILIZATION
-                * self._pool.planned_completion_rate(
-                    engine.id, prompt + output / 2, output, read
+                * self._pool.decode_capacity.planned_completion_rate(
+                    engine.id, prompt, output, read
                 ),
             )
             for engine in engines
--- a/galenahatch/core/stagereports.py
+++ b/galenahatch/core/stagereports.py
@@ -128,7 +128,5 @@
     def _is_busy(self, engine: ids.UpstreamId, now: float) -> bool:
         report = self._reports.get(engine)
         return (
-            report is not None
-            and report.busy
-            and now - report.at < _MAX_AGE_S
+            report is not None and report.busy and now - report.at < _MAX_AGE_S
         )
--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -123,49 +123,70 @@
     description='Times that a plain call found no room, by upstream.',
 )
 GaugeCallback = typing.Callable[[], typing.Mapping[str, float]]
-"""Returns the values of a gauge by upstream."""
+"""Returns the values of a gauge by the value of its label."""
 _gauge_callbacks: dict[str, GaugeCallback] = {}
 
 
-def _upstream_gauge(name: str, unit: str, description: str) -> str:
+def _labelled_gauge(
+    name: str, unit: str, description: str, label: str = 'upstream'
+) -> str:
     def observe(
         options: api.CallbackOptions,
     ) -> typing.Iterable[api.Observation]:
         values = _gauge_callbacks[name]() if name in _gauge_callbacks else {}
-        for upstream, value in values.items():
-            yield api.Observation(value, {'upstream': upstream})
+        for key, value in values.items():
+            yield api.Observation(value, {label: key})
 
     _meter.create_observable_gauge(name, [observe], unit, description)
     return name
 
 
-RATE_LIMIT: typing.Final = _upstream_gauge(
+RATE_LIMIT: typing.Final = _labelled_gauge(
     'galenahatch_upstream_rate_limit',
     '1/s',
     'Requests a second that an upstream takes, by upstream.',
 )
-LIMITED_SECONDS: typing.Final = _upstream_gauge(
+LIMITED_SECONDS: typing.Final = _labelled_gauge(
     'galenahatch_upstream_limited_seconds',
     's',
     'Seconds since an upstream began to name a limit, by upstream.',
 )
-LEAVING_SECONDS: typing.Final = _upstream_gauge(
+LEAVING_SECONDS: typing.Final = _labelled_gauge(
     'galenahatch_upstream_leaving_seconds',
     's',
     'Seconds since an upstream said that it leaves, by upstream.',
 )
-PAUSED_SECONDS: typing.Final = _upstream_gauge(
+PAUSED_SECONDS: typing.Final = _labelled_gauge(
     'galenahatch_upstream_paused_seconds',
     's',
     'Seconds left of a pause that this gateway was asked for, by upstream.',
 )
+ENGINE_SPEED: typing.Final = _labelled_gauge(
+    'galenahatch_engine_speed',
+    '1',
+    'Speed of an engine in its stage, relative to the median one; of many'
+    ' engines the slowest and the fastest.',
+)
+STAGE_CAPACITY: typing.Final = _labelled_gauge(
+    'galenahatch_stage_capacity',
+    '1/s',
+    'Requests a second that a stage of a service completes by the latest'
+    ' plan, at present and as planned.',
+    'stage',
+)
+PEAK_DEMAND: typing.Final = _labelled_gauge(
+    'galenahatch_peak_demand',
+    '1/s',
+    'Requests a second in the peak of recent demand, by service.',
+    'service',
+)
 orders = _meter.create_counter(
     'galenahatch_orders', description='Orders sent to engines, by status.'
 )
 
 
 def register_gauge(name: str, callback: GaugeCallback) -> None:
-    """Set the function that returns the values of a gauge by upstream."""
+    """Set the function that returns the values of a gauge by its label."""
     _gauge_callbacks[name] = callback
 
 
--- a/galenahatch/gateway/orders.py
+++ b/galenahatch/gateway/orders.py
@@ -39,6 +39,7 @@
 from galenahatch.gateway import notices as notices_module
 from galenahatch.gateway import owner as owners
 from galenahatch.gateway import sender as senders
+from galenahatch.gateway import stageplans
 from galenahatch import ids
 from galenahatch import logs
 from galenahatch.platform import engines
@@ -93,6 +94,7 @@
         self._tasks = background
         self._retry_at = 0.0
         self._lease_era = 0
+        self._plans = stageplans.StagePlans(owner)
 
     def run(self) -> None:
         """Start sending orders whenever this gateway is the owner."""
@@ -106,7 +108,9 @@
                 continue
             await self._begin_lease_era()
             for service, dispatcher in list(self._owner.dispatchers.items()):
-                for engine, stage in dispatcher.plan_stage_changes(now):
+                changes = dispatcher.plan_stage_changes(now)
+                self._plans.record(service)
+                for engine, stage in changes:
                     _log.info(
                         'Change wanted.',
                         engine=engine.id,
--- a/galenahatch/gateway/owner.py
+++ b/galenahatch/gateway/owner.py
@@ -21,6 +21,8 @@
 import collections.abc
 import typing
 
+import msgspec
+
 from galenahatch import clock
 from galenahatch.core import dispatch
 from galenahatch.core import figures
@@ -145,20 +147,11 @@
         for reported in beat_reply.figures:
             dispatcher = self._dispatcher(reported.service)
             if dispatcher is not None:
-                dispatcher.adopt_figures(
-                    figures.Figures(
-                        reported.rate,
-                        reported.prompt,
-                        reported.output,
-                        reported.pace,
-                        reported.seen,
-                        reported.delay,
-                        reported.alone,
-                        reported.reads,
-                        reported.slack or figures.INITIAL_SLACK_S,
-                        reported.pairs,
-                    )
+                measured = figures.Figures(
+                    *msgspec.structs.astuple(reported)[1:]
                 )
+                slack = measured.slack or figures.INITIAL_SLACK_S
+                dispatcher.adopt_figures(measured._replace(slack=slack))
 
     def decline_all(self) -> None:
         """Decline all queued requests, so that they go to the next owner."""
@@ -266,6 +259,7 @@
                 service_config.engine.kv_tokens,
                 service_config.engine.slots,
                 self._limiter,
+                service_config.engine.switch_time,
             )
             self._dispatchers[service] = dispatcher
             self._update_engines(service, dispatcher)
--- a/galenahatch/gateway/records.py
+++ b/galenahatch/gateway/records.py
@@ -45,6 +45,11 @@
         slack: Seconds from the end of a prefill to the first event.
         pairs: Number of prompts that showed whether the engine had processed
             another one within the delay.
+        is_uneven: Whether engines count by their own speeds.
+        peak_requests: Requests per second in the peak of recent demand.
+        peak_tokens: Prompt tokens per second in the peak.
+        mean_speed: Mean speed of the prefill engines, relative to the median.
+        slowdown: Mean slowdown of the engines.
     """
 
     service: ids.ServiceName
@@ -58,6 +63,11 @@
     reads: int = 0
     slack: float = 0.0
     pairs: int = 0
+    is_uneven: bool = False
+    peak_requests: float = 0.0
+    peak_tokens: float = 0.0
+    mean_speed: float = 1.0
+    slowdown: float = 1.0
 
 
 class Paused(msgspec.Struct, frozen=True, array_like=True):
