--- a/bench/dispatching.py
+++ b/bench/dispatching.py
@@ -155,6 +155,8 @@
             duration in seconds of a spell, and the factor.
         wave: swing of the rate, as a share of it, and period in seconds.
         is_reported: whether responses report the present slowdown.
+        added: number of decode engines that are added after half of the day.
+        new_owner_at: seconds after which another owner takes over.
     """
 
     name: str
@@ -169,6 +171,8 @@
     spells: tuple[float, float, float] = (0.0, 1.0, 1.0)
     wave: tuple[float, float] = (0.15, 11.0)
     is_reported: bool = False
+    added: int = 0
+    new_owner_at: float = math.inf
 
     def slowdown(self, engine: str, now: float) -> float:
         """Return the factor by which an engine is slower at a time."""
@@ -207,6 +211,33 @@
     (27.0, 4.0, 1.8),
 )
 """Bursts of all kinds of requests, and overlapping bursts of one kind."""
+UNEVEN: typing.Final = Day(
+    'uneven',
+    9,
+    14,
+    19.5,
+    (
+        (6.0, 5.0, 1.8),
+        (16.9, 5.0, 2.0),
+        (17.0, 4.0, 1.9),
+        (27.0, 4.0, 1.8),
+        (38.0, 4.0, 1.9),
+    ),
+    engines=EngineKind(
+        capacity=68_394,
+        slots=12,
+        step=0.000588,
+        step_per_run=0.0000045,
+        delay=0.0034,
+        stride=73,
+        output=4500,
+    ),
+    speeds=(0.55, 1.2, 1.2, 1.2),
+    spells=(0.15, 0.6, 2.5),
+    wave=(0.55, 15.0),
+    is_reported=True,
+)
+"""Engines of unequal speed with slow moments, a wave and bursts on top."""
 DAYS: typing.Final = (
     Day('delayed', 2, 4, 6.5, _PEAKS, engines=DELAYED),
     Day('delayed, undivided', 3, 3, 6.5, _PEAKS, engines=DELAYED),
@@ -373,14 +404,8 @@
         self._day = day
         self._random = random.Random(f'{day.name} {seed}')
         self._kind = day.engines
-        self._owner = dispatch.Dispatcher(
-            self._kind.capacity,
-            self._kind.slots,
-            switch_time=self._kind.switch,
-        )
         self._reported: dict[str, tuple[float, float]] = {}
-        if day.is_reported:
-            self._owner.set_slowdowns(self._reported_slowdown)
+        self._owner = self._create_owner()
         self._decodes = {
             f'd{n}': _DecodeEngine(self._kind) for n in range(day.decodes)
         }
@@ -394,6 +419,26 @@
         self._numbers = itertools.count()
         self._set_engines(0.0)
 
+    def _create_owner(self) -> dispatch.Dispatcher:
+        owner = dispatch.Dispatcher(
+            self._kind.capacity,
+            self._kind.slots,
+            switch_time=self._kind.switch,
+        )
+        if self._day.is_reported:
+            owner.set_slowdowns(self._reported_slowdown)
+        return owner
+
+    def _change_owner(self, now: float) -> None:
+        """Give all decisions to another owner; waiting callers ask it."""
+        successor = self._create_owner()
+        successor.adopt_figures(self._owner.measured_figures)
+        self._owner = successor
+        self._set_engines(now)
+        self._report_runs(now)
+        for caller in list(self._waiting.values()):
+            self._submit(caller, now)
+
     def run(self) -> Result:
         """Simulate the day."""
         tick_count = int((_DEMAND_S + _DEADLINE_S) / _TICK_S)
@@ -401,6 +446,10 @@
             now = tick * _TICK_S
             if abs(now - _DEMAND_S / 3) < _TICK_S / 2:
                 self._lose_engines(now)
+            if abs(now - _DEMAND_S / 2) < _TICK_S / 2:
+                self._add_engines(now)
+            if abs(now - self._day.new_owner_at) < _TICK_S / 2:
+                self._change_owner(now)
             if now < _DEMAND_S:
                 self._generate_arrival(now)
             self._run_due(now)
@@ -414,6 +463,21 @@
                 self._apply_decision(decision, now)
         return self._result()
 
+    @property
+    def owner(self) -> dispatch.Dispatcher:
+        """The present owner."""
+        return self._owner
+
+    @property
+    def prefills(self) -> list[str]:
+        """Engines that read prompts now."""
+        return list(self._prefill_idle_at)
+
+    @property
+    def decodes(self) -> list[str]:
+        """Engines that generate answers now."""
+        return list(self._decodes)
+
     @property
     def measured_figures(self) -> figures.Figures:
         """The figures that the owner has measured."""
@@ -524,6 +588,12 @@
                 caller.is_over = True
         self._set_engines(now)
 
+    def _add_engines(self, now: float) -> None:
+        first = self._day.decodes
+        for number in range(first, first + self._day.added):
+            self._decodes[f'd{number}'] = _DecodeEngine(self._kind)
+        self._set_engines(now)
+
     def _demand_rate(self, now: float) -> float:
         rate = self._day.rate
         for start, length, factor in self._day.bursts:
--- a/galenahatch/core/enginespeeds.py
+++ b/galenahatch/core/enginespeeds.py
@@ -75,6 +75,11 @@
         self._reference = 0.0
         self._unseen = 0
 
+    @property
+    def engines(self) -> set[ids.UpstreamId]:
+        """Engines of which results are kept."""
+        return set(self._samples)
+
     @property
     def reference(self) -> float:
         """Speed of the median engine; 0 without results."""
@@ -85,6 +90,8 @@
         previous = self._samples.get(engine, ())
         samples = (*previous[1 - _WINDOW_SIZE :], speed)
         self._samples[engine] = samples
+        if len(samples) < _MIN_SAMPLES:
+            return
         self._speeds[engine] = statistics.median(samples)
         self._unseen += 1
         if self._unseen * _REFRESH_FRACTION >= len(self._speeds):
@@ -96,9 +103,8 @@
 
         None if it has too few results.
         """
-        if len(self._samples.get(engine, ())) < _MIN_SAMPLES:
-            return None
-        return self._speeds[engine] / self._reference
+        own = self._speeds.get(engine)
+        return own / self._reference if own is not None else None
 
     def retain(
         self, engines: collections.abc.Collection[ids.UpstreamId]
@@ -108,7 +114,7 @@
             return
         for engine in [e for e in self._samples if e not in engines]:
             del self._samples[engine]
-            del self._speeds[engine]
+            self._speeds.pop(engine, None)
 
 
 class EngineSpeeds:
@@ -131,6 +137,11 @@
         self._averaged_at = 0.0
         self._adopted_speed = 1.0
 
+    @property
+    def known_engines(self) -> set[ids.UpstreamId]:
+        """Engines of which results are kept."""
+        return self._prefill.engines | self._decode.engines
+
     def set_slowdowns(self, slowdown: SlowdownFunction) -> None:
         """Count engines by their speeds, and by the slowdowns they report."""
         self._slowdown = slowdown
@@ -179,6 +190,11 @@
         present = statistics.fmean(self._slowdown(e, now) for e in engines)
         self.mean_slowdown += weight * (present - self.mean_slowdown)
 
+    @property
+    def prefill_rate(self) -> float:
+        """Tokens a second that the median engine reads; 0 if unknown."""
+        return self._prefill.reference
+
     def record_prefill(
         self,
         engine: ids.UpstreamId,
--- a/galenahatch/core/figures.py
+++ b/galenahatch/core/figures.py
@@ -195,7 +195,7 @@
         return self._placements.count(now) < _MIN_PLACED_FRACTION * settled
 
     def record_prefill(
-        self, tokens: int, seconds: float, is_uneven: bool = False
+        self, tokens: int, seconds: float, median_rate: float | None = None
     ) -> None:
         """Record the time of a prefill at an engine that had no other.
 
@@ -203,19 +203,22 @@
             tokens: Tokens of the prompt.
             seconds: Seconds that it took; those of the median engine if
                 engines are uneven.
-            is_uneven: Whether engines count by their own speeds.
+            median_rate: Tokens a second of the median engine if engines are
+                uneven, 0 if it is not known yet; None if they are not.
         """
         if tokens <= 0 or seconds <= 0:
             return
         line = self._latency.add_sample(
-            tokens, seconds, self.prefill_line, is_uneven
+            tokens, seconds, self.prefill_line, median_rate is not None
         )
         self.figures = self.figures._replace(reads=self.figures.reads + 1)
         if self._adopted_reads and not self._latency.has_slope:
             # Keep the adopted figures until there are enough samples: the
             # first prompts may have waited behind those of the previous owner.
             return
-        self.figures = self.figures._replace(rate=line.rate, delay=line.delay)
+        # The line lags behind the median engine while more become known.
+        rate = median_rate or line.rate
+        self.figures = self.figures._replace(rate=rate, delay=line.delay)
 
     def record_overlap(self, alone: float) -> None:
         """Record the fraction of the delay in which nothing else was read."""
--- a/galenahatch/core/peakplan.py
+++ b/galenahatch/core/peakplan.py
@@ -19,10 +19,12 @@
 
 Both stages are to suffice for the peak. Where they do, nothing is changed.
 Otherwise the engines change that lose least in their old stage for what they
-gain in the new one, as many as serve the recent demand best. What the change
+gain in the new one, as many as serve the recent demand best. Their old stage
+keeps what the peak needs, so a right change costs nothing meanwhile. What it
 gains over the demand of the recent windows is weighed against what a wrong
 change costs: the engines are missed in a burst for as long as they change, and
-each order moves an engine that drops what it has cached. Prefill engines are
+each order moves an engine that drops what it has cached. A change back is
+weighed in the same way, so it is made where it pays. Prefill engines are
 given up only beyond what the peak, as far as decode engines can complete it,
 needs.
 """
@@ -41,6 +43,10 @@
 _HORIZON_S: typing.Final = 60.0
 """Seconds for which a change is assumed to pay: demand of a minute ago is
 still the best guess."""
+_WRONG_FRACTION: typing.Final = 0.2
+"""Fraction of changes assumed to be wrong: bursts of one kind of request need
+another division than the mean of a minute, and estimates are off by a tenth.
+Then the engines are missed in their old stage for the time of a change."""
 _ORDER_COST: typing.Final = 1.0
 """Requests that an order counts as: a changed engine has nothing cached."""
 
@@ -132,16 +138,16 @@
     if min(prefill_cover, decode_cover) >= 1.0:
         return unchanged
     if decode_cover < prefill_cover:
-        engines = sorted(prefills, key=lambda e: _loss(e.prefill, e.decode))
         stage = upstreams.Stage.DECODE
+        engines = sorted(prefills, key=lambda e: _loss(e.prefill, e.decode))
     else:
-        engines = sorted(decodes, key=lambda e: _loss(e.decode, e.prefill))
         stage = upstreams.Stage.PREFILL
+        engines = sorted(decodes, key=lambda e: _loss(e.decode, e.prefill))
     best = dataclasses.replace(unchanged, reason=Reason.NO_GAIN)
     total_weight = sum(window.weight for window in windows) or 1.0
     for count in range(1, len(engines)):
         changed = engines[:count]
-        after, during = _change(now, changed, stage)
+        after = _change(now, changed, stage)
         if stage is upstreams.Stage.DECODE and not _reads_peak(
             after, peak, prompts
         ):
@@ -156,8 +162,11 @@
             )
             / total_weight
         )
-        missed = now.served(peak, prompt) - during.served(peak, prompt)
-        cost = switch_time * missed + count * _ORDER_COST
+        missed = sum(
+            e.prefill if stage is upstreams.Stage.DECODE else e.decode
+            for e in changed
+        )
+        cost = _WRONG_FRACTION * switch_time * missed + count * _ORDER_COST
         plan = dataclasses.replace(
             best,
             planned_prefill_capacity=after.prefill,
@@ -187,15 +196,13 @@
     now: _Capacity,
     changed: collections.abc.Sequence[EngineCapacity],
     stage: upstreams.Stage,
-) -> tuple[_Capacity, _Capacity]:
-    """Return the capacities after and during a change of engines."""
-    prefill = sum(e.prefill for e in changed)
-    decode = sum(e.decode for e in changed)
-    if stage is upstreams.Stage.DECODE:
-        during = now._replace(prefill=now.prefill - prefill)
-        return during._replace(decode=now.decode + decode), during
-    during = now._replace(decode=now.decode - decode)
-    return during._replace(prefill=now.prefill + prefill), during
+) -> _Capacity:
+    """Return the capacities after a change of engines."""
+    sign = 1 if stage is upstreams.Stage.DECODE else -1
+    return _Capacity(
+        now.prefill - sign * sum(e.prefill for e in changed),
+        now.decode + sign * sum(e.decode for e in changed),
+    )
 
 
 def _reads_peak(after: _Capacity, peak: demand.Window, prompts: float) -> bool:
--- a/galenahatch/core/pool.py
+++ b/galenahatch/core/pool.py
@@ -218,7 +218,7 @@
 
     @property
     def prefill_equivalents(self) -> float:
-        """Number of median engines that read as fast as the prefill engines."""
+        """Number of median engines that read as much as those of prefill."""
         return sum(self.speeds.relative_prefills(e) for e in self.prefills)
 
     def record_result(
--- a/galenahatch/core/prefillwork.py
+++ b/galenahatch/core/prefillwork.py
@@ -76,13 +76,12 @@
     if engine is None:
         return
     if placement.had_idle_prefill:
-        line = estimator.prefill_line
-        median_seconds = engines.speeds.record_prefill(
+        line, speeds = estimator.prefill_line, engines.speeds
+        median_seconds = speeds.record_prefill(
             engine, tokens + line.delay * line.rate, seconds, now
         )
-        estimator.record_prefill(
-            tokens, median_seconds, engines.speeds.is_uneven
-        )
+        median_rate = speeds.prefill_rate if speeds.is_uneven else None
+        estimator.record_prefill(tokens, median_seconds, median_rate)
     placement.prefilled_at = now
     engines.record_result(engine, stream, seconds, now)
     alone = engines.record_overlap(
