--- a/galenahatch/core/capacity.py
+++ b/galenahatch/core/capacity.py
@@ -101,22 +101,9 @@
         """
         return runs / (max(_MIN_LIFETIME_S, output * pace) + delay)
 
-    def planned_completion_rate(
-        self,
-        engine: ids.UpstreamId,
-        prompt: float,
-        output: float,
-        delay: float,
-    ) -> float:
-        """Return the runs a second that an engine would complete over time.
+    def lasting_seconds(self, runs: float) -> float:
+        """Return the mean seconds for a token at the median engine.
 
-        Args:
-            engine: Engine of either stage.
-            prompt: Mean tokens of a prompt.
-            output: Mean tokens of an answer.
-            delay: Mean seconds for which a slot is kept before a run.
+        They are averaged for longer than the present pace, for plans.
         """
-        runs = self.concurrent_runs(prompt + output / 2, output)
-        pace = self._lasting_pace.seconds_at(runs)
-        pace *= self._speeds.mean_slowdown / self._speeds.decode_speed(engine)
-        return self.completion_rate(runs, output, pace, delay)
+        return self._lasting_pace.seconds_at(runs) * self._speeds.mean_slowdown
--- a/galenahatch/core/enginespeeds.py
+++ b/galenahatch/core/enginespeeds.py
@@ -67,13 +67,18 @@
 
 
 class StageSpeeds:
-    """Speeds of engines in one stage, in tokens a second."""
+    """Speeds of engines in one stage, in tokens a second.
+
+    Attributes:
+        revision: Number of times that engines were compared.
+    """
 
     def __init__(self) -> None:
         self._samples: dict[ids.UpstreamId, tuple[float, ...]] = {}
         self._speeds: dict[ids.UpstreamId, float] = {}
         self._reference = 0.0
         self._unseen = 0
+        self.revision = 0
 
     @property
     def engines(self) -> set[ids.UpstreamId]:
@@ -96,6 +101,7 @@
         self._unseen += 1
         if self._unseen * _REFRESH_FRACTION >= len(self._speeds):
             self._unseen = 0
+            self.revision += 1
             self._reference = statistics.median(self._speeds.values())
 
     def speed(self, engine: ids.UpstreamId) -> float | None:
@@ -134,9 +140,15 @@
         self._decode = StageSpeeds()
         self._tokens: dict[ids.UpstreamId, tuple[int, float]] = {}
         self._averaged = 0
+        self._revision = 0
         self._averaged_at = 0.0
         self._adopted_speed = 1.0
 
+    @property
+    def revision(self) -> int:
+        """Number of times that speeds were compared anew."""
+        return self._revision + self._prefill.revision + self._decode.revision
+
     @property
     def known_engines(self) -> set[ids.UpstreamId]:
         """Engines of which results are kept."""
@@ -154,6 +166,7 @@
         all of them is what matters until they have some.
         """
         self.is_uneven = True
+        self._revision += 1
         self._adopted_speed = mean_speed
         if not self._averaged:
             self.mean_slowdown = mean_slowdown
@@ -184,6 +197,7 @@
         for engine in [e for e in self._tokens if e not in engines]:
             del self._tokens[engine]
         self._averaged += 1
+        self._revision += 1
         elapsed = now - self._averaged_at
         self._averaged_at = now
         weight = max(1 / self._averaged, min(1.0, elapsed / _SMOOTHING_S))
@@ -261,6 +275,14 @@
         """Return how much an engine reads over time, in median engines."""
         return self.prefill_speed(engine) / self.mean_slowdown
 
+    def equivalents(
+        self, engines: collections.abc.Collection[ids.UpstreamId]
+    ) -> float:
+        """Return how many median engines read as much as some engines."""
+        if not self.is_uneven:
+            return len(engines)
+        return sum(map(self.relative_prefills, engines))
+
     def prefill_factor(self, engine: ids.UpstreamId, now: float) -> float:
         """Return the time of a prefill now, relative to the median engine."""
         if not self.is_uneven:
--- a/galenahatch/core/peakplan.py
+++ b/galenahatch/core/peakplan.py
@@ -40,6 +40,9 @@
 _MIN_GAIN: typing.Final = 1.1
 """Least ratio of what is served in the peak after and before a change;
 capacities are estimates that are off by some percent."""
+_LAST_BURST_WINDOWS: typing.Final = 15
+"""Newest windows whose largest demand prefill engines keep being able to read:
+half a minute holds the last burst of any that recur."""
 _HORIZON_S: typing.Final = 60.0
 """Seconds for which a change is assumed to pay: demand of a minute ago is
 still the best guess."""
@@ -60,8 +63,7 @@
     CHANGE = 'the change pays'
 
 
-@dataclasses.dataclass(frozen=True)
-class EngineCapacity:
+class EngineCapacity(typing.NamedTuple):
     """What one engine can do in either stage, in requests a second."""
 
     upstream: upstreams.Upstream
@@ -109,6 +111,23 @@
         share = min(1.0, self.prefill / prompts, self.decode / window.requests)
         return share * window.requests
 
+    def reads(self, window: demand.Window, prompt: float) -> bool:
+        """Return whether prompts are read as fast as they are completed."""
+        if window.requests <= 0:
+            return True
+        share = min(1.0, self.decode / window.requests)
+        return self.prefill >= share * window.tokens / prompt
+
+    def moved(
+        self, engine: EngineCapacity, stage: upstreams.Stage
+    ) -> '_Capacity':
+        """Return the capacity once an engine has changed its stage."""
+        sign = 1 if stage is upstreams.Stage.DECODE else -1
+        return _Capacity(
+            self.prefill - sign * engine.prefill,
+            self.decode + sign * engine.decode,
+        )
+
 
 def make_plan(
     prefills: collections.abc.Sequence[EngineCapacity],
@@ -144,68 +163,70 @@
         stage = upstreams.Stage.PREFILL
         engines = sorted(decodes, key=lambda e: _loss(e.decode, e.prefill))
     best = dataclasses.replace(unchanged, reason=Reason.NO_GAIN)
-    total_weight = sum(window.weight for window in windows) or 1.0
-    for count in range(1, len(engines)):
-        changed = engines[:count]
-        after = _change(now, changed, stage)
-        if stage is upstreams.Stage.DECODE and not _reads_peak(
-            after, peak, prompts
-        ):
+    at_peak = now.served(peak, prompt)
+    best_at_peak = _MIN_GAIN * at_peak
+    burst = _largest([peak, *windows[:_LAST_BURST_WINDOWS]])
+    after = now
+    for count, engine in enumerate(engines[:-1], 1):
+        after = after.moved(engine, stage)
+        if stage is upstreams.Stage.DECODE and not after.reads(burst, prompt):
             break
-        if after.served(peak, prompt) < _MIN_GAIN * now.served(peak, prompt):
+        served = after.served(peak, prompt)
+        if served < at_peak:
+            break
+        at_peak = served
+        if served < best_at_peak:
             continue
-        gain = (
-            _HORIZON_S
-            * sum(
-                w.weight * (after.served(w, prompt) - now.served(w, prompt))
-                for w in windows
-            )
-            / total_weight
-        )
-        missed = sum(
-            e.prefill if stage is upstreams.Stage.DECODE else e.decode
-            for e in changed
+        gain = _HORIZON_S * _mean_gain(now, after, windows, prompt)
+        missed = abs(
+            now.prefill - after.prefill
+            if stage is upstreams.Stage.DECODE
+            else now.decode - after.decode
         )
         cost = _WRONG_FRACTION * switch_time * missed + count * _ORDER_COST
-        plan = dataclasses.replace(
-            best,
-            planned_prefill_capacity=after.prefill,
-            planned_decode_capacity=after.decode,
-            gain=gain,
-            cost=cost,
-            changes=tuple((e.upstream, stage) for e in changed),
-        )
         if gain > cost and gain - cost > best.gain - best.cost:
-            best = dataclasses.replace(plan, reason=Reason.CHANGE)
-        elif best.reason is Reason.NO_GAIN:
             best = dataclasses.replace(
-                best, reason=Reason.TOO_DEAR, gain=0.0, cost=0.0
+                unchanged,
+                reason=Reason.CHANGE,
+                planned_prefill_capacity=after.prefill,
+                planned_decode_capacity=after.decode,
+                gain=gain,
+                cost=cost,
+                changes=tuple((e.upstream, stage) for e in engines[:count]),
             )
+        elif best.reason is Reason.NO_GAIN:
+            best = dataclasses.replace(best, reason=Reason.TOO_DEAR)
     return best
 
 
+def _largest(
+    windows: collections.abc.Iterable[demand.Window],
+) -> demand.Window:
+    """Return the largest requests and tokens of some windows."""
+    listed = list(windows)
+    return demand.Window(
+        1.0, max(w.requests for w in listed), max(w.tokens for w in listed)
+    )
+
+
+def _mean_gain(
+    before: _Capacity,
+    after: _Capacity,
+    windows: collections.abc.Iterable[demand.Window],
+    prompt: float,
+) -> float:
+    """Return the requests a second that are served in addition."""
+    gain = weight = 0.0
+    for window in windows:
+        served = after.served(window, prompt) - before.served(window, prompt)
+        gain += window.weight * served
+        weight += window.weight
+    return gain / weight if weight else 0.0
+
+
 def _loss(old: float, new: float) -> float:
     """Return what an engine loses in one stage for what it gains.
 
     Rounded, so that engines that differ by little keep their order.
     """
     return round(old / max(new, 1e-9), 1)
-
-
-def _change(
-    now: _Capacity,
-    changed: collections.abc.Sequence[EngineCapacity],
-    stage: upstreams.Stage,
-) -> _Capacity:
-    """Return the capacities after a change of engines."""
-    sign = 1 if stage is upstreams.Stage.DECODE else -1
-    return _Capacity(
-        now.prefill - sign * sum(e.prefill for e in changed),
-        now.decode + sign * sum(e.decode for e in changed),
-    )
-
-
-def _reads_peak(after: _Capacity, peak: demand.Window, prompts: float) -> bool:
-    """Return whether prefill engines suffice for what can be completed."""
-    share = min(1.0, after.decode / peak.requests) if peak.requests else 1.0
-    return after.prefill >= share * prompts
--- a/galenahatch/core/pool.py
+++ b/galenahatch/core/pool.py
@@ -68,6 +68,8 @@
             capacity, slots, self.speeds
         )
         self.decode_capacity.spread = lengths.INITIAL_SPREAD
+        self._equivalents = 0.0
+        self._equivalents_key = (-1, -1)
 
     def set_spread(self, spread: float) -> None:
         """Set the relative deviation of answer lengths from predictions."""
@@ -210,16 +212,25 @@
 
     def available_prefills(self, now: float) -> float:
         """Return the equivalents of the prefill engines not suspended."""
-        return sum(
-            self.speeds.relative_prefills(key)
+        available = [
+            key
             for key, engine in self.prefills.items()
             if engine.health.suspended_until <= now
-        )
+        ]
+        return self.speeds.equivalents(available)
 
     @property
     def prefill_equivalents(self) -> float:
         """Number of median engines that read as much as those of prefill."""
-        return sum(self.speeds.relative_prefills(e) for e in self.prefills)
+        if not self.speeds.is_uneven:
+            return len(self.prefills)
+        # Each waiting request asks for it, while it changes a few times a
+        # second.
+        key = self.speeds.revision, len(self.prefills)
+        if key != self._equivalents_key:
+            self._equivalents_key = key
+            self._equivalents = self.speeds.equivalents(self.prefills)
+        return self._equivalents
 
     def record_result(
         self,
--- a/galenahatch/core/rebalancing.py
+++ b/galenahatch/core/rebalancing.py
@@ -39,6 +39,8 @@
 _MIN_PACED_TOKENS: typing.Final = 1000
 """Tokens behind the measured pace before it is used for planning: 100 events
 or more of any engine, whose times spread by a fifth."""
+_PEAK_PLAN_INTERVAL_S: typing.Final = demand.WINDOW_S
+"""Seconds between two plans for the peak, which changes with each window."""
 _CALM_S: typing.Final = 3.0
 """Seconds without a refusal before engines change their stage: they are away
 for some seconds, which costs most when there are too few."""
@@ -68,6 +70,7 @@
         self._switch_time = switch_time
         self.demand = demand.Demand()
         self.peak_plan: peakplan.Plan | None = None
+        self._peak_planned_at = -1e9
         self._pool = engines
         self._estimator = estimator
         self._forecast = predictions
@@ -115,12 +118,29 @@
             is_waiting: Whether requests wait for engines.
             now: Monotonic time in seconds.
         """
-        engines = (*self._pool.prefills, *self._pool.decodes)
-        self._pool.speeds.set_engines(engines, now)
+        if self._pool.speeds.is_uneven:
+            return self._plan_for_peak(now)
         if not self._pool.is_settled(now) or not self._has_evidence():
             return []
-        # Slow engines change first. Sorted by idleness alone, a slow engine
-        # would stay, as it is never idle, and all prompts would wait for it.
+        prefills, decodes = self._engines_to_change(now)
+        is_calm = not is_waiting and now - self._refused_at > _CALM_S
+        return self._planner.plan(
+            self._forecast.request_costs(),
+            prefills,
+            decodes,
+            is_calm,
+            now - self._prefill_waited_at < _CALM_S,
+            now,
+        )
+
+    def _engines_to_change(
+        self, now: float
+    ) -> tuple[list[upstreams.Upstream], list[upstreams.Upstream]]:
+        """Return prefill and decode engines, those to change first in front.
+
+        Slow engines change first. Sorted by idleness alone, a slow engine
+        would stay, as it is never idle, and all prompts would wait for it.
+        """
         prefills = sorted(
             self._pool.prefills.values(),
             key=lambda engine: (-engine.slowness(now), engine.idle_at),
@@ -129,33 +149,27 @@
             self._pool.decodes.values(),
             key=lambda engine: engine.memory.load(now),
         )
-        if self._pool.speeds.is_uneven:
-            return self._plan_for_peak(prefills, decodes, now)
-        is_calm = not is_waiting and now - self._refused_at > _CALM_S
-        return self._planner.plan(
-            self._forecast.request_costs(),
-            [engine.upstream for engine in prefills],
-            [engine.upstream for engine in decodes],
-            is_calm,
-            now - self._prefill_waited_at < _CALM_S,
-            now,
-        )
+        return [e.upstream for e in prefills], [e.upstream for e in decodes]
 
     def _plan_for_peak(
-        self,
-        prefills: list[modelengines.PrefillEngine],
-        decodes: list[modelengines.DecodeEngine],
-        now: float,
+        self, now: float
     ) -> list[tuple[upstreams.Upstream, upstreams.Stage]]:
         """Return the changes for the peak of recent demand."""
+        engines = (*self._pool.prefills, *self._pool.decodes)
+        self._pool.speeds.set_engines(engines, now)
+        is_due = now - self._peak_planned_at >= _PEAK_PLAN_INTERVAL_S
+        if not is_due or not self._planner.is_due(now):
+            return []
+        if not self._pool.is_settled(now) or not self._has_evidence():
+            return []
         size = self.demand.mean_size(now)
         if not size or not self.demand.is_known:
             return []
-        if not self._planner.is_due(now):
-            return []
+        self._peak_planned_at = now
+        prefills, decodes = self._engines_to_change(now)
         self.peak_plan = peakplan.make_plan(
-            self._capacities([e.upstream for e in prefills], True, *size),
-            self._capacities([e.upstream for e in decodes], False, *size),
+            self._capacities(prefills, True, *size),
+            self._capacities(decodes, False, *size),
             self.demand.windows(now),
             self.demand.peak(now),
             size[0],
@@ -188,6 +202,9 @@
         shortest, longest = self._estimator.prefill_busy_range(prompt)
         seconds = longest if are_prefills else shortest
         read = self._estimator.prefill_seconds(round(prompt))
+        capacity = self._pool.decode_capacity
+        runs = capacity.concurrent_runs(prompt + output / 2, output)
+        pace = capacity.lasting_seconds(runs)
         return [
             peakplan.EngineCapacity(
                 engine,
@@ -195,8 +212,11 @@
                 * speeds.relative_prefills(engine.id)
                 / seconds,
                 stages.UTILIZATION
-                * self._pool.decode_capacity.planned_completion_rate(
-                    engine.id, prompt, output, read
+                * capacity.completion_rate(
+                    runs,
+                    output,
+                    pace / speeds.decode_speed(engine.id),
+                    read,
                 ),
             )
             for engine in engines
