--- a/galenahatch/core/enginespeeds.py
+++ b/galenahatch/core/enginespeeds.py
@@ -112,9 +112,7 @@
         own = self._speeds.get(engine)
         return own / self._reference if own is not None else None
 
-    def retain(
-        self, engines: collections.abc.Collection[ids.UpstreamId]
-    ) -> None:
+    def retain(self, engines: collections.abc.Set[ids.UpstreamId]) -> None:
         """Forget all other engines once they outnumber these."""
         if len(self._samples) <= _MAX_KNOWN_RATIO * len(engines):
             return
@@ -184,7 +182,7 @@
         return self._slowdown(engine, now) if self.is_uneven else 1.0
 
     def set_engines(
-        self, engines: collections.abc.Collection[ids.UpstreamId], now: float
+        self, engines: collections.abc.Set[ids.UpstreamId], now: float
     ) -> None:
         """Set the engines in use, and update their mean slowdown.
 
--- a/galenahatch/core/rebalancing.py
+++ b/galenahatch/core/rebalancing.py
@@ -155,7 +155,7 @@
         self, now: float
     ) -> list[tuple[upstreams.Upstream, upstreams.Stage]]:
         """Return the changes for the peak of recent demand."""
-        engines = (*self._pool.prefills, *self._pool.decodes)
+        engines = {*self._pool.prefills, *self._pool.decodes}
         self._pool.speeds.set_engines(engines, now)
         is_due = now - self._peak_planned_at >= _PEAK_PLAN_INTERVAL_S
         if not is_due or not self._planner.is_due(now):
--- a/galenahatch/test/test_engine_speeds.py
+++ b/galenahatch/test/test_engine_speeds.py
@@ -228,11 +228,11 @@
             seconds = 0.1 * (number + 1)
             speeds.record_prefill(live[number], 5000, seconds, 0.0)
     known = speeds.prefill_speed(live[0])
-    speeds.set_engines(live[1:], 1.0)
+    speeds.set_engines(set(live[1:]), 1.0)
     assert speeds.prefill_speed(live[0]) == known
     for number in range(1000):
         speeds.record_prefill(ids.UpstreamId(f'old{number}'), 5000, 0.1, 0.0)
-        speeds.set_engines(live, 2.0 + number)
+        speeds.set_engines(set(live), 2.0 + number)
     assert len(speeds.known_engines) <= 2 * len(live)
 
 
@@ -310,7 +310,7 @@
     engines = [ids.UpstreamId(str(n)) for n in range(23)]
     seen = []
     for step in range(60):
-        speeds.set_engines(engines, 0.5 * step)
+        speeds.set_engines(set(engines), 0.5 * step)
         seen.append(speeds.mean_slowdown)
     assert statistics.fmean(seen) == pytest.approx(1.225, rel=0.1)
     assert speeds.relative_prefills(engines[0]) == pytest.approx(
