--- a/bench/dispatching.py
+++ b/bench/dispatching.py
@@ -78,6 +78,8 @@
 _OBJECTIVE_S: typing.Final = 0.9
 _PATIENCE_S: typing.Final = 3.6
 _DEADLINE_S: typing.Final = 14.0
+_REPORT_MAX_AGE_S: typing.Final = 0.6
+"""Seconds for which a reported slowdown counts."""
 _MAX_PAUSE_S: typing.Final = 0.3
 _MAX_RETRY_WAIT_SHARE: typing.Final = 1 / 3
 """Share of the remaining time that a caller waits at most before a retry."""
@@ -148,6 +150,13 @@
         engines: kind of the engines.
         slow: number of engines of each stage that slow down, the start and
             the duration in seconds, and the factor.
+        speeds: speeds of the engines in turn, relative to their kind.
+        spells: share of the time in which an engine is slow at random, the
+            duration in seconds of a spell, and the factor.
+        wave: swing of the rate, as a share of it, and period in seconds.
+        is_reported: whether responses report the present slowdown.
+        added: number of decode engines that are added after half of the day.
+        new_owner_at: seconds after which another owner takes over.
     """
 
     name: str
@@ -158,12 +167,29 @@
     lost: int = 0
     engines: EngineKind = EngineKind()
     slow: tuple[int, float, float, float] = (0, 0.0, 0.0, 1.0)
+    speeds: tuple[float, ...] = (1.0,)
+    spells: tuple[float, float, float] = (0.0, 1.0, 1.0)
+    wave: tuple[float, float] = (0.15, 11.0)
+    is_reported: bool = False
+    added: int = 0
+    new_owner_at: float = math.inf
 
     def slowdown(self, engine: str, now: float) -> float:
         """Return the factor by which an engine is slower at a time."""
         count, start, length, factor = self.slow
         is_slow = int(engine[1:]) < count and start <= now < start + length
-        return factor if is_slow else 1.0
+        share, seconds, spell_factor = self.spells
+        if not share:
+            return factor if is_slow else 1.0
+        spell = random.Random(f'{engine} {int(now / seconds)}').random()
+        return (factor if is_slow else 1.0) * (
+            spell_factor if spell < share else 1.0
+        )
+
+    def speed(self, engine: str) -> float:
+        """Return the speed of an engine, relative to its kind."""
+        number = int(engine[1:]) + (self.prefills if engine[0] == 'd' else 0)
+        return self.speeds[number % len(self.speeds)]
 
 
 _BURSTS: typing.Final = ((6.0, 5.0, 1.7), (17.0, 4.0, 2.1), (27.0, 4.0, 1.8))
@@ -185,6 +211,33 @@
     (27.0, 4.0, 1.8),
 )
 """Bursts of all kinds of requests, and overlapping bursts of one kind."""
+UNEVEN: typing.Final = Day(
+    'uneven',
+    9,
+    14,
+    19.5,
+    (
+        (6.0, 5.0, 1.8),
+        (16.9, 5.0, 2.0),
+        (17.0, 4.0, 1.9),
+        (27.0, 4.0, 1.8),
+        (38.0, 4.0, 1.9),
+    ),
+    engines=EngineKind(
+        capacity=68_394,
+        slots=12,
+        step=0.000588,
+        step_per_run=0.0000045,
+        delay=0.0034,
+        stride=73,
+        output=4500,
+    ),
+    speeds=(0.55, 1.2, 1.2, 1.2),
+    spells=(0.15, 0.6, 2.5),
+    wave=(0.55, 15.0),
+    is_reported=True,
+)
+"""Engines of unequal speed with slow moments, a wave and bursts on top."""
 DAYS: typing.Final = (
     Day('delayed', 2, 4, 6.5, _PEAKS, engines=DELAYED),
     Day('delayed, undivided', 3, 3, 6.5, _PEAKS, engines=DELAYED),
@@ -351,9 +404,8 @@
         self._day = day
         self._random = random.Random(f'{day.name} {seed}')
         self._kind = day.engines
-        self._owner = dispatch.Dispatcher(
-            self._kind.capacity, self._kind.slots
-        )
+        self._reported: dict[str, tuple[float, float]] = {}
+        self._owner = self._create_owner()
         self._decodes = {
             f'd{n}': _DecodeEngine(self._kind) for n in range(day.decodes)
         }
@@ -367,6 +419,26 @@
         self._numbers = itertools.count()
         self._set_engines(0.0)
 
+    def _create_owner(self) -> dispatch.Dispatcher:
+        owner = dispatch.Dispatcher(
+            self._kind.capacity,
+            self._kind.slots,
+            switch_time=self._kind.switch,
+        )
+        if self._day.is_reported:
+            owner.set_slowdowns(self._reported_slowdown)
+        return owner
+
+    def _change_owner(self, now: float) -> None:
+        """Give all decisions to another owner; waiting callers ask it."""
+        successor = self._create_owner()
+        successor.adopt_figures(self._owner.measured_figures)
+        self._owner = successor
+        self._set_engines(now)
+        self._report_runs(now)
+        for caller in list(self._waiting.values()):
+            self._submit(caller, now)
+
     def run(self) -> Result:
         """Simulate the day."""
         tick_count = int((_DEMAND_S + _DEADLINE_S) / _TICK_S)
@@ -374,6 +446,10 @@
             now = tick * _TICK_S
             if abs(now - _DEMAND_S / 3) < _TICK_S / 2:
                 self._lose_engines(now)
+            if abs(now - _DEMAND_S / 2) < _TICK_S / 2:
+                self._add_engines(now)
+            if abs(now - self._day.new_owner_at) < _TICK_S / 2:
+                self._change_owner(now)
             if now < _DEMAND_S:
                 self._generate_arrival(now)
             self._run_due(now)
@@ -389,9 +465,19 @@
 
     @property
     def owner(self) -> dispatch.Dispatcher:
-        """The owner that decides."""
+        """The present owner."""
         return self._owner
 
+    @property
+    def prefills(self) -> list[str]:
+        """Engines that read prompts now."""
+        return list(self._prefill_idle_at)
+
+    @property
+    def decodes(self) -> list[str]:
+        """Engines that generate answers now."""
+        return list(self._decodes)
+
     @property
     def measured_figures(self) -> figures.Figures:
         """The figures that the owner has measured."""
@@ -463,6 +549,7 @@
         self, name: str, stage: upstreams.Stage, now: float
     ) -> None:
         """Report the stage of an engine to the owner."""
+        self._report_slowdown(name, now)
         decode = self._decodes.get(name)
         used = int(decode.used) if decode is not None else 0
         self._owner.engines.record_report(
@@ -501,12 +588,19 @@
                 caller.is_over = True
         self._set_engines(now)
 
+    def _add_engines(self, now: float) -> None:
+        first = self._day.decodes
+        for number in range(first, first + self._day.added):
+            self._decodes[f'd{number}'] = _DecodeEngine(self._kind)
+        self._set_engines(now)
+
     def _demand_rate(self, now: float) -> float:
         rate = self._day.rate
         for start, length, factor in self._day.bursts:
             if start <= now < start + length:
                 rate *= factor
-        return rate * (1 + 0.15 * math.sin(now * 2 * math.pi / 11))
+        swing, period = self._day.wave
+        return rate * (1 + swing * math.sin(now * 2 * math.pi / period))
 
     def _generate_arrival(self, now: float) -> None:
         if self._random.random() >= self._demand_rate(now) * _TICK_S:
@@ -569,7 +663,7 @@
         ready = now
         if decision.prefill is not None:
             prefill_start = max(now, self._prefill_idle_at[decision.prefill])
-            slowdown = self._day.slowdown(decision.prefill, prefill_start)
+            slowdown = self._time_factor(decision.prefill, prefill_start)
             prefill_idle_at = (
                 prefill_start + slowdown * caller.prompt / self._kind.read_rate
             )
@@ -578,7 +672,12 @@
                 prefill_idle_at = ready
             self._prefill_idle_at[decision.prefill] = prefill_idle_at
             self._scheduled.append(
-                (ready, self._prefill_callback(caller, ready - now))
+                (
+                    ready,
+                    self._prefill_callback(
+                        caller, decision.prefill, ready - now
+                    ),
+                )
             )
         name = decision.decode
 
@@ -596,11 +695,12 @@
         self._scheduled.append((ready + _KV_FETCH_S, start))
 
     def _prefill_callback(
-        self, caller: _Caller, seconds: float
+        self, caller: _Caller, engine: str, seconds: float
     ) -> collections.abc.Callable[[float], None]:
         """Return a callback that reports a completed prefill to the owner."""
 
         def report_prefill(now: float) -> None:
+            self._report_slowdown(engine, now)
             self._owner.record_prefill(
                 caller.stream, caller.prompt, seconds, now
             )
@@ -633,7 +733,7 @@
     def _step_engines(self, now: float) -> None:
         for name, engine in self._decodes.items():
             awaiting_first_event = [c for c in engine.runs if not c.events]
-            slowdown = self._day.slowdown(name, now)
+            slowdown = self._time_factor(name, now)
             for caller in engine.step(now, slowdown):
                 self._owner.release(
                     caller.stream,
@@ -644,8 +744,20 @@
                 self._settle(caller)
             for caller in awaiting_first_event:
                 if caller.events:
+                    self._report_slowdown(name, now)
                     self._owner.record_first_event(caller.stream, now)
 
+    def _time_factor(self, engine: str, now: float) -> float:
+        return self._day.slowdown(engine, now) / self._day.speed(engine)
+
+    def _report_slowdown(self, engine: str, now: float) -> None:
+        """Report an engine's slowdown in the head of a response."""
+        self._reported[engine] = self._day.slowdown(engine, now), now
+
+    def _reported_slowdown(self, engine: ids.UpstreamId, now: float) -> float:
+        factor, at = self._reported.get(engine, (1.0, now))
+        return factor if now - at <= _REPORT_MAX_AGE_S else 1.0
+
     def _settle(self, caller: _Caller) -> None:
         caller.is_over = True
         in_time = (
--- a/galenahatch/core/figures.py
+++ b/galenahatch/core/figures.py
@@ -72,6 +72,11 @@
         slack: Seconds from the end of a prefill to the first event.
         pairs: Prompts that showed whether the engine had read during the
             delay.
+        is_uneven: Whether engines count by their own speeds.
+        peak_requests: Requests a second in the peak of recent demand.
+        peak_tokens: Prompt tokens a second in it.
+        mean_speed: Mean speed of the engines, relative to the median one.
+        slowdown: Mean slowdown of the engines.
     """
 
     rate: float = INITIAL_PREFILL_RATE
@@ -84,6 +89,11 @@
     reads: int = 0
     slack: float = INITIAL_SLACK_S
     pairs: int = 0
+    is_uneven: bool = False
+    peak_requests: float = 0.0
+    peak_tokens: float = 0.0
+    mean_speed: float = 1.0
+    slowdown: float = 1.0
 
 
 class _SlidingWindow:
@@ -184,17 +194,31 @@
         settled = self._arrivals.count(now) - self._recent_arrivals.count(now)
         return self._placements.count(now) < _MIN_PLACED_FRACTION * settled
 
-    def record_prefill(self, tokens: int, seconds: float) -> None:
-        """Record the time of a prefill at an engine that had no other."""
+    def record_prefill(
+        self, tokens: int, seconds: float, median_rate: float | None = None
+    ) -> None:
+        """Record the time of a prefill at an engine that had no other.
+
+        Args:
+            tokens: Tokens of the prompt.
+            seconds: Seconds that it took; those of the median engine if
+                engines are uneven.
+            median_rate: Tokens a second of the median engine if engines are
+                uneven, 0 if it is not known yet; None if they are not.
+        """
         if tokens <= 0 or seconds <= 0:
             return
-        line = self._latency.add_sample(tokens, seconds, self.prefill_line)
+        line = self._latency.add_sample(
+            tokens, seconds, self.prefill_line, median_rate is not None
+        )
         self.figures = self.figures._replace(reads=self.figures.reads + 1)
         if self._adopted_reads and not self._latency.has_slope:
             # Keep the adopted figures until there are enough samples: the
             # first prompts may have waited behind those of the previous owner.
             return
-        self.figures = self.figures._replace(rate=line.rate, delay=line.delay)
+        # The line lags behind the median engine while more become known.
+        rate = median_rate or line.rate
+        self.figures = self.figures._replace(rate=rate, delay=line.delay)
 
     def record_overlap(self, alone: float) -> None:
         """Record the fraction of the delay in which nothing else was read."""
@@ -229,15 +253,15 @@
         current = self.figures
         return tokens / current.rate + current.alone * current.delay
 
-    def prefill_busy_range(self) -> tuple[float, float]:
-        """Return bounds on the seconds that a mean prompt takes an engine."""
+    def prefill_busy_range(self, prompt: float) -> tuple[float, float]:
+        """Return bounds on the seconds that a prompt takes an engine."""
         current = self.figures
-        total = self.prefill_seconds(round(current.prompt))
+        total = self.prefill_seconds(round(prompt))
         if current.reads < latency.MIN_SAMPLES:
             return _MIN_WORK_FRACTION * total, total
         if not self.has_overlap_estimate:
-            return current.prompt / current.rate, total
-        busy = self.prefill_busy_seconds(current.prompt)
+            return prompt / current.rate, total
+        busy = self.prefill_busy_seconds(prompt)
         return busy, busy
 
     @property
--- a/galenahatch/core/forecast.py
+++ b/galenahatch/core/forecast.py
@@ -89,7 +89,7 @@
         There are several while the prefill time is not fully known.
         """
         current = self._estimator.figures
-        runs = self._pool.concurrent_runs(
+        runs = self._pool.decode_capacity.concurrent_runs(
             self._estimator.mean_held_tokens, current.output
         )
         lifetime = current.output * self._pool.mean_pace_at_batch(
@@ -103,7 +103,9 @@
             stages.RequestCost(
                 prefill_seconds, lifetime / runs, decode_prefill_seconds
             )
-            for prefill_seconds in self._estimator.prefill_busy_range()
+            for prefill_seconds in self._estimator.prefill_busy_range(
+                current.prompt
+            )
         ]
 
     def describe_refusal(self, job: Job, wait: float, now: float) -> str:
@@ -216,13 +218,13 @@
         )
 
     def _parallel_prefills(self, completion_rate: float) -> float:
-        """Return how many prompts are read at the same time.
+        """Return how many prompts median engines would read at a time.
 
         Args:
             completion_rate: Runs a second that the decode engines can
                 complete.
         """
-        prefills = len(self._pool.prefills)
+        prefills = self._pool.prefill_equivalents
         if not prefills:
             # Decode engines read all prompts, each one at a time.
             mean = self._estimator.figures.prompt
--- a/galenahatch/core/pool.py
+++ b/galenahatch/core/pool.py
@@ -12,28 +12,26 @@
 
 """The engines of one service as seen by their owner.
 
-An engine's stage is the one that it reported recently, since its entry in the
-store is out of date while the store is unavailable. An engine that changes its
-stage accepts no work meanwhile. One that failed is suspended for a while.
+An engine's stage is the one that it reported recently, and one that changes
+its stage accepts no work meanwhile (`core/stagereports`). One that failed is
+suspended for a while. Engines of unequal speed count by it, once they report
+how long work takes (`core/enginespeeds`).
 """
 
-import dataclasses
-import math
+import functools
 import typing
 
+from galenahatch.core import capacity as capacities
+from galenahatch.core import enginespeeds
 from galenahatch.core import generations
 from galenahatch.core import latency
 from galenahatch.core import lengths
-from galenahatch.core import memory
 from galenahatch.core import modelengines
-from galenahatch.core import pace as paces
 from galenahatch.core import ratelimits
+from galenahatch.core import stagereports
 from galenahatch.core import upstreams
 from galenahatch import ids
 
-_REPORT_MAX_AGE_S: typing.Final = 3.0
-"""Seconds for which the stage in an engine's report overrides its entry;
-reports are read once a second."""
 _RETAIN_S: typing.Final = 30.0
 """Seconds beyond its suspension for which the health of an unlisted engine is
 kept; entries of live engines are back within seconds."""
@@ -42,13 +40,6 @@
 centres, which takes twice as long and is charged for."""
 
 
-@dataclasses.dataclass(frozen=True)
-class _StageReport:
-    stage: upstreams.Stage | None
-    busy: bool
-    at: float
-
-
 class Pool:
     """The engines of one service.
 
@@ -56,6 +47,10 @@
         capacity: Tokens of KV cache of each engine.
         slots: Largest batch size of each engine.
         limiter: Limiter of the engines that state a rate limit.
+
+    Attributes:
+        speeds: Speeds of the single engines.
+        decode_capacity: Capacity model of the decode engines.
     """
 
     def __init__(
@@ -66,40 +61,31 @@
         self.slots = slots
         self.prefills: dict[ids.UpstreamId, modelengines.PrefillEngine] = {}
         self.decodes: dict[ids.UpstreamId, modelengines.DecodeEngine] = {}
-        self.spread = lengths.INITIAL_SPREAD
-        self._pace = paces.Pace()
-        self._reports: dict[ids.UpstreamId, _StageReport] = {}
+        self._stages = stagereports.StageReports()
         self._healths: dict[ids.UpstreamId, modelengines.Health] = {}
-        self._changing: dict[
-            ids.UpstreamId, tuple[upstreams.Stage, float]
-        ] = {}
+        self.speeds = enginespeeds.EngineSpeeds()
+        self.decode_capacity = capacities.Capacity(
+            capacity, slots, self.speeds
+        )
+        self.decode_capacity.spread = lengths.INITIAL_SPREAD
+        self._equivalents = 0.0
+        self._equivalents_key = (-1, -1)
 
     def set_spread(self, spread: float) -> None:
         """Set the relative deviation of answer lengths from predictions."""
-        self.spread = spread
+        self.decode_capacity.spread = spread
         for engine in self.decodes.values():
             engine.memory.spread = spread
 
     @property
     def is_changing(self) -> bool:
         """Whether an engine is changing its stage."""
-        return bool(self._changing)
+        return self._stages.is_changing
 
     def is_settled(self, now: float) -> bool:
-        """Return whether all engines reported their stages, and none changes.
-
-        A new owner does not know its predecessor's orders: it counted an
-        engine that was changing as a prefill engine, and took a second one.
-        """
-        latest = self._reports
-        keys = (*self.prefills, *self.decodes)
-        if any(k not in latest or self._is_old(latest[k], now) for k in keys):
-            return False
-        busy = (t for t in latest.values() if t.busy)
-        return not self._changing and all(self._is_old(t, now) for t in busy)
-
-    def _is_old(self, report: _StageReport, now: float) -> bool:
-        return now - report.at > _REPORT_MAX_AGE_S
+        """Return whether all engines reported their stages; none changes."""
+        engines = (*self.prefills, *self.decodes)
+        return self._stages.is_settled(engines, now)
 
     def set_engines(
         self,
@@ -114,22 +100,7 @@
             pace: Seconds for a token assumed for a new engine.
             now: Monotonic time in seconds.
         """
-        present = list(engines)
-        listed = {engine.id for engine in present}
-        current = {
-            engine.id: self._with_reported_stage(engine, now)
-            for engine in present
-            if not self._is_busy(engine.id, now)
-        }
-        for engine, (stage, until) in list(self._changing.items()):
-            entry = current.get(engine)
-            is_done = entry is not None and entry.stage is stage
-            # An unlisted engine ended before it changed; waiting for it would
-            # block all further changes.
-            if is_done or until < now or engine not in listed:
-                del self._changing[engine]
-            else:
-                current.pop(engine, None)
+        current = self._stages.present(engines, now)
         for key in [key for key in self.prefills if key not in current]:
             self._healths[key] = self.prefills.pop(key).health
         for key in [key for key in self.decodes if key not in current]:
@@ -151,22 +122,6 @@
             if engine is not None or health.suspended_until + _RETAIN_S < now:
                 del self._healths[key]
 
-    def _with_reported_stage(
-        self, engine: upstreams.Upstream, now: float
-    ) -> upstreams.Upstream:
-        report = self._reports.get(engine.id)
-        if report is None or self._is_old(report, now):
-            return engine
-        return dataclasses.replace(engine, stage=report.stage)
-
-    def _is_busy(self, engine: ids.UpstreamId, now: float) -> bool:
-        report = self._reports.get(engine)
-        return (
-            report is not None
-            and report.busy
-            and now - report.at < _REPORT_MAX_AGE_S
-        )
-
     def _add_engine(self, engine: upstreams.Upstream, pace: float) -> None:
         if engine.stage is upstreams.Stage.PREFILL:
             self.decodes.pop(engine.id, None)
@@ -177,10 +132,13 @@
         self.prefills.pop(engine.id, None)
         if engine.id not in self.decodes:
             decode = modelengines.DecodeEngine(
-                engine, self.capacity, self.slots, self._pace
+                engine, self.capacity, self.slots, self.decode_capacity.pace
+            )
+            decode.memory.pace = pace / self.speeds.decode_speed(engine.id)
+            decode.memory.adjust_pace = functools.partial(
+                self.decode_capacity.adjust_pace, engine.id
             )
-            decode.memory.pace = pace
-            decode.memory.spread = self.spread
+            decode.memory.spread = self.decode_capacity.spread
             self.decodes[engine.id] = decode
 
     def record_report(
@@ -200,7 +158,7 @@
             busy: Whether it carries out an order; it accepts no work then.
             now: Monotonic time in seconds.
         """
-        self._reports[engine] = _StageReport(stage, busy, now)
+        self._stages.record(engine, stage, busy, now)
         decode = self.decodes.get(engine)
         if decode is not None:
             decode.memory.record_usage(used, now)
@@ -212,13 +170,13 @@
 
         It accepts no work until it reports the new stage, at most `until`.
         """
-        self._changing[engine] = stage, until
+        self._stages.record_order(engine, stage, until)
         self.prefills.pop(engine, None)
         self.decodes.pop(engine, None)
 
     def is_awaited(self, engine: ids.UpstreamId) -> bool:
         """Return whether an engine was ordered to change its stage."""
-        return engine in self._changing
+        return self._stages.is_awaited(engine)
 
     def record_failure(
         self, engine: ids.UpstreamId, now: float, unreachable: bool = False
@@ -252,11 +210,27 @@
         values = [e.memory.pace_at_batch(runs) for e in self.decodes.values()]
         return sum(values) / len(values) if values else default
 
-    def available_prefills(self, now: float) -> int:
-        """Return the number of prefill engines that are not suspended."""
-        return sum(
-            e.health.suspended_until <= now for e in self.prefills.values()
-        )
+    def available_prefills(self, now: float) -> float:
+        """Return the equivalents of the prefill engines not suspended."""
+        available = [
+            key
+            for key, engine in self.prefills.items()
+            if engine.health.suspended_until <= now
+        ]
+        return self.speeds.equivalents(available)
+
+    @property
+    def prefill_equivalents(self) -> float:
+        """Number of median engines that read as much as those of prefill."""
+        if not self.speeds.is_uneven:
+            return len(self.prefills)
+        # Each waiting request asks for it, while it changes a few times a
+        # second.
+        key = self.speeds.revision, len(self.prefills)
+        if key != self._equivalents_key:
+            self._equivalents_key = key
+            self._equivalents = self.speeds.equivalents(self.prefills)
+        return self._equivalents
 
     def record_result(
         self,
@@ -268,7 +242,10 @@
         """Record how long a prefill engine took to read a prompt."""
         state = self.prefills.get(engine)
         if state is not None:
-            state.record_result(stream, seconds, now)
+            slowdown = self.speeds.slowdown(engine, now)
+            state.record_result(stream, seconds, now, slowdown)
+            if self.speeds.is_uneven and not state.pending:
+                state.idle_at = min(state.idle_at, now)
 
     def cancel_prefill(
         self, engine: ids.UpstreamId, stream: ids.StreamId
@@ -291,7 +268,9 @@
         state = self.prefills.get(engine)
         if state is None:
             return None
-        return state.record_overlap(placed_at, tokens, line, alone, now)
+        factor = self.speeds.prefill_factor(engine, now)
+        own_line = latency.Line(line.delay * factor, line.rate / factor)
+        return state.record_overlap(placed_at, tokens, own_line, alone, now)
 
     @property
     def paced_tokens(self) -> int:
@@ -300,10 +279,16 @@
         Those of engines whose entries have lapsed since count as well: they
         are back within seconds, and no order is given until then.
         """
-        return self._pace.sampled_tokens
+        return self.decode_capacity.pace.sampled_tokens
 
     # Choices.
 
+    def prefill_factor(
+        self, engine: modelengines.PrefillEngine, now: float
+    ) -> float:
+        """Return the time of a prefill now, relative to the median engine."""
+        return self.speeds.prefill_factor(engine.upstream.id, now)
+
     def choose_prefill(
         self,
         job: generations.Job,
@@ -315,7 +300,7 @@
 
         Args:
             job: Request that needs one.
-            expected: Seconds for its prompt at a healthy engine.
+            expected: Seconds for its prompt at a healthy median engine.
             explore: Whether to prefer an engine with a pending prompt, which
                 shows how prefills overlap.
             now: Monotonic time in seconds.
@@ -332,7 +317,8 @@
         def key(e: modelengines.PrefillEngine) -> tuple[float, bool, bool]:
             is_near = e.upstream.data_centre == job.data_centre
             is_informative = explore and bool(e.pending)
-            delay = expected * (e.slowness(now) - 1.0)
+            factor = self.prefill_factor(e, now)
+            delay = expected * (factor * e.slowness(now) - 1.0)
             idle_at = max(now, e.idle_at)
             return idle_at + delay, not is_informative, not is_near
 
@@ -359,7 +345,7 @@
             engine
             for engine in self.usable_decodes(job, now)
             if engine.fits(run, now)
-            and not (reads_prompt and engine.prefilling_until > now)
+            and not (reads_prompt and not self._may_read(engine, now))
             and self._limiter.can_acquire(engine.upstream.id, now)
         ]
 
@@ -367,10 +353,23 @@
             is_remote = prefill is not None and (
                 engine.upstream.data_centre != prefill.upstream.data_centre
             )
-            return engine.memory.load(now) + _REMOTE_WEIGHT * is_remote
+            load = engine.memory.load(now)
+            if self.speeds.is_uneven:
+                # Fast engines are free again sooner.
+                load += job.prompt_tokens / self.capacity
+                load /= self.speeds.decode_speed(engine.upstream.id)
+            return load + _REMOTE_WEIGHT * is_remote
 
         return min(candidates, key=key, default=None)
 
+    def _may_read(self, engine: modelengines.DecodeEngine, now: float) -> bool:
+        """Return whether a decode engine may read a prompt now.
+
+        The pause that its runs make is planned for the median engine.
+        """
+        factor = self.speeds.prefill_factor(engine.upstream.id, now)
+        return engine.prefilling_until <= now and factor <= 1.0
+
     def usable_decodes(
         self, job: generations.Job, now: float
     ) -> list[modelengines.DecodeEngine]:
@@ -398,21 +397,6 @@
         )
         return max(0.0, min(waits, default=0.0))
 
-    def concurrent_runs(self, held: float, output: float) -> float:
-        """Return the mean batch size of a full decode engine.
-
-        Args:
-            held: Mean tokens that a run holds over its life.
-            output: Mean tokens of an answer.
-        """
-        if held <= 0:
-            return self.slots
-        runs = self.capacity / held
-        margin = (
-            memory.MARGIN_DEVIATIONS * self.spread * output * math.sqrt(runs)
-        )
-        return max(1.0, min(self.slots, (self.capacity - margin) / held))
-
     def throughput(self, held: float, output: float, delay: float) -> float:
         """Return the runs a second that the decode engines complete.
 
@@ -423,8 +407,10 @@
         """
         if held <= 0:
             return 0.0
-        runs = self.concurrent_runs(held, output)
+        runs = self.decode_capacity.concurrent_runs(held, output)
         return sum(
-            runs / (max(0.1, output * e.memory.pace_at_batch(runs)) + delay)
+            self.decode_capacity.completion_rate(
+                runs, output, e.memory.pace_at_batch(runs), delay
+            )
             for e in self.decodes.values()
         )
--- /dev/null
+++ b/galenahatch/core/prefillwork.py
@@ -0,0 +1,96 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Prefills of single engines: what they will take, and what they took."""
+
+from galenahatch.core import figures
+from galenahatch.core import generations
+from galenahatch.core import modelengines
+from galenahatch.core import placements
+from galenahatch.core import pool
+from galenahatch import ids
+
+
+def extra_seconds(
+    job: generations.Job,
+    prefill: modelengines.PrefillEngine | None,
+    engines: pool.Pool,
+    estimator: figures.Estimator,
+    now: float,
+) -> float:
+    """Return how much longer a prefill takes than at the median engine."""
+    if prefill is None:
+        return 0.0
+    factor = engines.prefill_factor(prefill, now)
+    return (factor - 1.0) * estimator.prefill_seconds(job.prompt_tokens)
+
+
+def assign(
+    job: generations.Job,
+    prefill: modelengines.PrefillEngine,
+    engines: pool.Pool,
+    estimator: figures.Estimator,
+    now: float,
+) -> None:
+    """Record that a prompt is sent to an engine."""
+    factor = engines.prefill_factor(prefill, now)
+    prefill.assign(
+        job.stream,
+        factor * estimator.prefill_seconds(job.prompt_tokens),
+        factor * estimator.prefill_busy_seconds(job.prompt_tokens),
+        now,
+        engines.speeds.slowdown(prefill.upstream.id, now),
+    )
+
+
+def record(
+    placement: placements.Placement,
+    stream: ids.StreamId,
+    tokens: int,
+    seconds: float,
+    engines: pool.Pool,
+    estimator: figures.Estimator,
+    now: float,
+) -> None:
+    """Record that a prompt was read.
+
+    Args:
+        placement: Engines of the run.
+        stream: Stream that the prompt belongs to.
+        tokens: Tokens of the prompt.
+        seconds: Seconds that its VM waited for the result.
+        engines: Engines of the service.
+        estimator: Measurements of the service's requests.
+        now: Monotonic time in seconds.
+    """
+    engine = placement.prefill
+    if engine is None:
+        return
+    if placement.had_idle_prefill:
+        line, speeds = estimator.prefill_line, engines.speeds
+        median_seconds = speeds.record_prefill(
+            engine, tokens + line.delay * line.rate, seconds, now
+        )
+        median_rate = speeds.prefill_rate if speeds.is_uneven else None
+        estimator.record_prefill(tokens, median_seconds, median_rate)
+    placement.prefilled_at = now
+    engines.record_result(engine, stream, seconds, now)
+    alone = engines.record_overlap(
+        engine,
+        placement.placed_at,
+        tokens,
+        estimator.prefill_line,
+        estimator.figures.alone,
+        now,
+    )
+    if alone is not None:
+        estimator.record_overlap(alone)
--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -168,7 +168,7 @@
     description='Request bodies rejected for want of memory.',
 )
 GaugeCallback = typing.Callable[[], typing.Mapping[str, float]]
-"""Returns the values of a gauge by upstream, or by its other label."""
+"""Returns the values of a gauge by the value of its label."""
 _gauge_callbacks: dict[str, GaugeCallback] = {}
 
 
@@ -265,6 +265,25 @@
     'galenahatch_invalid_loads',
     description='Responses whose load was malformed or implausible.',
 )
+ENGINE_SPEED: typing.Final = _gauge(
+    'galenahatch_engine_speed',
+    '1',
+    'Speed of an engine in its stage, relative to the median one; of many'
+    ' engines the slowest and the fastest.',
+)
+STAGE_CAPACITY: typing.Final = _gauge(
+    'galenahatch_stage_capacity',
+    '1/s',
+    'Requests a second that a stage of a service completes by the latest'
+    ' plan, at present and as planned.',
+    'stage',
+)
+PEAK_DEMAND: typing.Final = _gauge(
+    'galenahatch_peak_demand',
+    '1/s',
+    'Requests a second in the peak of recent demand, by service.',
+    'service',
+)
 orders = _meter.create_counter(
     'galenahatch_orders', description='Orders sent to engines, by status.'
 )
