Owner: engines' slowdowns come from the load reports

The dispatcher of a service counts engines by their speeds once its engines report how long work takes; the reports reach the owner with heartbeats and its own polls. The plan is split in two functions.

--- a/galenahatch/core/peakplan.py
+++ b/galenahatch/core/peakplan.py
@@ -128,6 +128,12 @@
             self.decode + sign * engine.decode,
         )
 
+    def given_up(self, after: '_Capacity', stage: upstreams.Stage) -> float:
+        """Return the capacity that engines give up for another stage."""
+        if stage is upstreams.Stage.DECODE:
+            return abs(self.prefill - after.prefill)
+        return abs(self.decode - after.decode)
+
 
 def make_plan(
     prefills: collections.abc.Sequence[EngineCapacity],
@@ -162,6 +168,22 @@
     else:
         stage = upstreams.Stage.PREFILL
         engines = sorted(decodes, key=lambda e: _loss(e.decode, e.prefill))
+    return _best_change(
+        now, engines, stage, unchanged, windows, peak, prompt, switch_time
+    )
+
+
+def _best_change(
+    now: _Capacity,
+    engines: collections.abc.Sequence[EngineCapacity],
+    stage: upstreams.Stage,
+    unchanged: Plan,
+    windows: collections.abc.Sequence[demand.Window],
+    peak: demand.Window,
+    prompt: float,
+    switch_time: float,
+) -> Plan:
+    """Return the best change of the first engines, or why there is none."""
     best = dataclasses.replace(unchanged, reason=Reason.NO_GAIN)
     at_peak = now.served(peak, prompt)
     best_at_peak = _MIN_GAIN * at_peak
@@ -178,11 +200,7 @@
         if served < best_at_peak:
             continue
         gain = _HORIZON_S * _mean_gain(now, after, windows, prompt)
-        missed = abs(
-            now.prefill - after.prefill
-            if stage is upstreams.Stage.DECODE
-            else now.decode - after.decode
-        )
+        missed = now.given_up(after, stage)
         cost = _WRONG_FRACTION * switch_time * missed + count * _ORDER_COST
         if gain > cost and gain - cost > best.gain - best.cost:
             best = dataclasses.replace(
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -132,6 +132,7 @@
         )
         self._flow = _create_flow_control(settings)
         self._sender = senders.Sender(self._flow)
+        self._load_reports = loadreports.Loads()
         self._rate_limits = ratelimits.RateLimits()
         self._notices = notices.Notices(self._directory)
         self._sender.on_response_head = self._record_answer
@@ -153,6 +154,7 @@
             self._accounts,
             self._rate_limits.limiter,
             self._notices.pauses_left,
+            self._load_reports,
         )
         self._open_plain_calls()
         self._open_mesh()
@@ -160,7 +162,6 @@
     def _open_plain_calls(self) -> None:
         """Create the components that admit and balance plain calls."""
         settings = self._settings
-        self._load_reports = loadreports.Loads()
         self._balancer = balance.Balancer(
             clock.RANDOM, settings.data_centre, self._load_reports
         )
--- a/galenahatch/gateway/owner.py
+++ b/galenahatch/gateway/owner.py
@@ -27,6 +27,7 @@
 from galenahatch.core import dispatch
 from galenahatch.core import figures
 from galenahatch.core import generations
+from galenahatch.core import loadreports
 from galenahatch.core import memory
 from galenahatch.core import quotas
 from galenahatch.core import ratelimits
@@ -68,6 +69,7 @@
         accounts: Quota accounts of customers, for all gateways that ask.
         limiter: Rate limiter of upstreams, for all gateways that ask.
         deliver: Sends a reply to a member.
+        loads: Load reports of the engines.
     """
 
     def __init__(
@@ -77,12 +79,14 @@
         accounts: accounts_module.Accounts,
         limiter: ratelimits.Limiter,
         deliver: DeliverFunction,
+        loads: loadreports.Loads | None = None,
     ) -> None:
         self._directory = directory
         self._budget = budget
         self._accounts = accounts
         self._limiter = limiter
         self._deliver = deliver
+        self._loads = loads or loadreports.Loads()
         self._dispatchers: dict[ids.ServiceName, dispatch.Dispatcher] = {}
         self._reply_functions: dict[ids.StreamId, ReplyFunction] = {}
         self._wake = asyncio.Event()
@@ -285,7 +289,10 @@
             for key, upstream in registry.upstreams.items()
             if upstream.leaving
         }
-        dispatcher.set_engines(registry.usable(service, now), leaving, now)
+        usable = registry.usable(service, now)
+        if self._loads.reports_slowdown(engine.id for engine in usable):
+            dispatcher.set_slowdowns(self._loads.slowdown)
+        dispatcher.set_engines(usable, leaving, now)
 
     async def _decide_forever(self) -> None:
         while True:
--- a/galenahatch/gateway/owner_client.py
+++ b/galenahatch/gateway/owner_client.py
@@ -27,6 +27,7 @@
 import msgspec
 
 from galenahatch import clock
+from galenahatch.core import loadreports
 from galenahatch.core import ratelimits
 from galenahatch.core import retrybudget
 from galenahatch.gateway import accounts as accounts_module
@@ -106,6 +107,7 @@
         limiter: Rate limiter, for when this gateway is the owner.
         paused_engines: Returns the engines that asked this gateway for a
             pause, with the remaining seconds.
+        loads: Load reports, for when this gateway is the owner.
     """
 
     def __init__(
@@ -118,6 +120,7 @@
         paused_engines: collections.abc.Callable[
             [], dict[ids.UpstreamId, float]
         ],
+        loads: loadreports.Loads | None = None,
     ) -> None:
         self._paused_engines = paused_engines
         self._data_centre = data_centre
@@ -128,7 +131,7 @@
         self._running: dict[ids.StreamId, _Running] = {}
         self._owner_by_stream: dict[ids.StreamId, ids.MemberId] = {}
         self.owner = owners.Owner(
-            directory, budget, accounts, limiter, self._deliver
+            directory, budget, accounts, limiter, self._deliver, loads
         )
 
     def start(self, mesh: meshes.Mesh, background: tasks.Tasks) -> None:
--- a/galenahatch/test/test_stage_plan.py
+++ b/galenahatch/test/test_stage_plan.py
@@ -236,14 +236,7 @@
     if not plan.changes:
         return
     assert plan.gain > plan.cost
-    before, after = (
-        min(1.0, read / prompts, done / peak.requests)
-        for read, done in (
-            (plan.prefill_capacity, plan.decode_capacity),
-            (plan.planned_prefill_capacity, plan.planned_decode_capacity),
-        )
-    )
-    assert after > before
+    assert _serves_more(plan, peak.requests, prompts)
     stages = {stage for _, stage in plan.changes}
     assert len(stages) == 1
     if stages == {upstreams.Stage.DECODE}:
@@ -252,6 +245,18 @@
         assert len(plan.changes) < len(prefills)
 
 
+def _serves_more(plan: peakplan.Plan, requests: float, prompts: float) -> bool:
+    """Return whether a plan serves more of the peak than before."""
+    before, after = (
+        min(1.0, read / prompts, done / requests)
+        for read, done in (
+            (plan.prefill_capacity, plan.decode_capacity),
+            (plan.planned_prefill_capacity, plan.planned_decode_capacity),
+        )
+    )
+    return after > before
+
+
 def test_engine_changes_that_loses_least() -> None:
     """A slow reader that generates well goes to decode, and the reverse."""
     prefills = _capacities('p', [(8.0, 2.0), (3.0, 2.5), (8.0, 1.0)])
