Flow control: a body over the budget is retryable

A body that the configuration allows, but that exceeds the budget of the VM, was rejected with 413, as if the caller were at fault. With 4 MB of budget that already concerns bodies below the default limit of 4 MB. It is rejected with 503 and a Retry-After, as other bodies that don't fit.

test_body_larger_than_the_budget_is_retryable failed before.

--- a/galenahatch/gateway/flowcontrol.py
+++ b/galenahatch/gateway/flowcontrol.py
@@ -141,9 +141,6 @@
         """Record bytes of a body; return a failure if they don't fit."""
         if not size:
             return None
-        if holding.held + size > self.budget.max_body:
-            detail = f'over {self.budget.max_body} bytes'
-            return errors.Failure(errors.BODY_TOO_LARGE, detail)
         if self.budget.admits_body(holding, size):
             self.grow(holding, size)
             return None
--- a/galenahatch/test/test_memory_budget.py
+++ b/galenahatch/test/test_memory_budget.py
@@ -21,6 +21,8 @@
 import pytest
 
 from galenahatch.core import memorybudget
+from galenahatch import errors
+from galenahatch.gateway import flowcontrol
 
 _MB: typing.Final = 1_000_000
 _SMALL_VM: typing.Final = 88 * _MB
@@ -186,6 +188,17 @@
     assert not budget.admits_body(second, budget.max_body + 1)
 
 
+def test_body_larger_than_the_budget_is_retryable() -> None:
+    """The configuration allows it, so it is not the caller's error."""
+    flow = flowcontrol.FlowControl(0)
+    body = flow.open(memorybudget.Direction.BODIES)
+    failure = flow.admit_body(body, flow.budget.max_body + 1)
+    assert failure is not None
+    assert failure.reason is errors.SHORT_OF_MEMORY
+    assert failure.retry_after is not None
+    assert not flow.budget.held
+
+
 @pytest.mark.parametrize('seed', range(20))
 def test_all_bytes_are_given_back(seed: int) -> None:
     """Random transfers: sums agree, the budget holds, none stays behind."""
