Flow control: a half-closed caller releases its engine

At EOF the event loop closes a connection only once its buffer is sent. A caller that doesn't read but has closed its side kept its engine at work. While an engine is being read, the connection is now aborted at EOF; a stream whose engine is done is not affected.

test_caller_half_closes_while_data_is_buffered failed before ('not within 0.5 s'). test_stop_delivers_what_is_buffered passed before as well.

--- a/galenahatch/gateway/connections.py
+++ b/galenahatch/gateway/connections.py
@@ -38,13 +38,19 @@
 
 
 class CallerConnection(web.RequestHandler):
-    """The server side of one caller's connection."""
+    """The server side of one caller's connection.
 
-    __slots__ = ('_head_begun',)
+    Attributes:
+        aborts_at_eof: Whether to drop unsent bytes if the caller disconnects.
+            Otherwise its request is cancelled only once they are sent.
+    """
+
+    __slots__ = ('_head_begun', 'aborts_at_eof')
 
     def __init__(self, *args: typing.Any, **options: typing.Any) -> None:
         super().__init__(*args, **options)
         self._head_begun = False
+        self.aborts_at_eof = False
 
     @property
     def idle(self) -> bool:
@@ -107,6 +113,12 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def eof_received(self) -> None:
+        """Cancel the request if the caller disconnects."""
+        super().eof_received()
+        if self.aborts_at_eof:
+            self.abort()
+
     def data_received(self, data: bytes) -> None:
         """Process received data and record whether a head is incomplete."""
         # Otherwise the data is a body or follows a request in progress.
--- a/galenahatch/gateway/streambuffer.py
+++ b/galenahatch/gateway/streambuffer.py
@@ -75,6 +75,7 @@
         self._holding = flow.open(
             memorybudget.Direction.EVENTS, call, self._connection.abort
         )
+        self._connection.aborts_at_eof = True
 
     @property
     def is_head_sent(self) -> bool:
@@ -125,6 +126,8 @@
             CallerTooSlow: The caller has taken nothing for too long.
             ConnectionError: The connection is closed.
         """
+        # No engine works on the request any more.
+        self._connection.aborts_at_eof = False
         while self._writer is not None and not self._writer.done():
             await asyncio.wait((self._writer,), timeout=_STALLED_S / 2)
             self._count_sent()
@@ -134,6 +137,7 @@
 
     def close(self) -> None:
         """End with the request; bytes not sent yet are dropped."""
+        self._connection.aborts_at_eof = False
         if self._writer is not None:
             self._writer.cancel()
         self._pending.clear()
--- a/galenahatch/test/test_slow_callers.py
+++ b/galenahatch/test/test_slow_callers.py
@@ -20,6 +20,7 @@
 import contextlib
 import json
 import pathlib
+import signal
 import socket
 import statistics
 import threading
@@ -273,6 +274,42 @@
     fleets.eventually(lambda: not _held(fleet), 'nothing is held')
 
 
+def test_caller_half_closes_while_data_is_buffered(
+    fleet: fleets.Fleet,
+) -> None:
+    """The engine is released although the buffer can't be written."""
+    decoder = fleet.of('model', 'decode')[0]
+    decoder.events, decoder.padding, decoder.pause = 10_000, 1000, 0.02
+    caller = _SlowCaller(fleet, '/say/x')
+    fleets.eventually(lambda: _held(fleet), 'events are held')
+    caller.socket.shutdown(socket.SHUT_WR)
+    fleets.eventually(
+        lambda: decoder.seen[-1].ended == 'dropped', 'engine is free', _GONE
+    )
+    assert not caller.read_all().endswith(b'0\r\n\r\n')
+    caller.close()
+    fleets.eventually(lambda: not _held(fleet), 'nothing is held')
+
+
+def test_stop_delivers_what_is_buffered(fleet: fleets.Fleet) -> None:
+    """A stream that ended at its engine is delivered after SIGTERM."""
+    decoder = fleet.of('model', 'decode')[0]
+    decoder.events, decoder.padding, decoder.pause = 150, 1000, 0.001
+    caller = _SlowCaller(fleet, '/say/x')
+    fleets.eventually(
+        lambda: decoder.seen and decoder.seen[-1].ended == 'answered',
+        'the engine is done',
+    )
+    assert _held(fleet, memorybudget.Direction.EVENTS) > 0
+    fleet.vms[0].signal(signal.SIGTERM)
+    time.sleep(_STEP)
+    caller.socket.settimeout(2)
+    received = caller.read_all().decode()
+    caller.close()
+    assert received.count('id: ') == decoder.events
+    assert received.endswith('0\r\n\r\n')
+
+
 def test_stopped_caller_of_a_plain_answer(fleet: fleets.Fleet) -> None:
     """The answer counts until it is taken; others are served meanwhile."""
     desk = fleet.of('desk')[0]
