--- a/galenahatch/gateway/answers.py
+++ b/galenahatch/gateway/answers.py
@@ -59,6 +59,7 @@
                 await response.write_eof()
                 return response
             response = _without_body(response, len(data))
+            connection.completes_at_eof = True
             await response.prepare(request)
             for begin in range(0, len(data), _PIECE_BYTES):
                 piece = data[begin : begin + _PIECE_BYTES]
@@ -66,6 +67,7 @@
                 await connection.drain()
                 flow.budget.record_taken(holding, len(piece), clock.now())
             await response.write_eof()
+    connection.completes_at_eof = False
     return response
 
 
--- a/galenahatch/gateway/connections.py
+++ b/galenahatch/gateway/connections.py
@@ -43,14 +43,17 @@
     Attributes:
         aborts_at_eof: Whether to drop unsent bytes if the caller disconnects.
             Otherwise its request is cancelled only once they are sent.
+        completes_at_eof: Whether an answer is still written to a caller that
+            has closed its sending side; the connection is closed after it.
     """
 
-    __slots__ = ('_head_begun', 'aborts_at_eof')
+    __slots__ = ('_head_begun', 'aborts_at_eof', 'completes_at_eof')
 
     def __init__(self, *args: typing.Any, **options: typing.Any) -> None:
         super().__init__(*args, **options)
         self._head_begun = False
         self.aborts_at_eof = False
+        self.completes_at_eof = False
 
     @property
     def idle(self) -> bool:
@@ -113,11 +116,20 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def eof_received(self) -> None:
-        """Cancel the request if the caller disconnects."""
+    def eof_received(self) -> bool:  # type: ignore[override]
+        """Cancel the request if the caller disconnects.
+
+        Returns:
+            Whether the connection stays open for the rest of an answer.
+        """
         super().eof_received()
         if self.aborts_at_eof:
             self.abort()
+        elif self.completes_at_eof:
+            # No further request can arrive.
+            self.close()
+            return True
+        return False
 
     def data_received(self, data: bytes) -> None:
         """Process received data and record whether a head is incomplete."""
--- a/galenahatch/test/test_slow_callers.py
+++ b/galenahatch/test/test_slow_callers.py
@@ -291,6 +291,24 @@
     fleets.eventually(lambda: not _held(fleet), 'nothing is held')
 
 
+def test_half_closed_caller_gets_its_whole_plain_answer(
+    fleet: fleets.Fleet,
+) -> None:
+    """An answer that is written in pieces doesn't end at the caller's EOF."""
+    desk = fleet.of('desk')[0]
+    desk.padding = 1_000_000
+    caller = _SlowCaller(fleet, '/often/x')
+    answers = memorybudget.Direction.ANSWERS
+    fleets.eventually(lambda: _held(fleet, answers), 'the answer is held')
+    caller.socket.shutdown(socket.SHUT_WR)
+    time.sleep(_STEP)
+    caller.socket.settimeout(2)
+    received = caller.read_all()
+    caller.close()
+    assert len(received) >= desk.padding
+    fleets.eventually(lambda: not _held(fleet, answers), 'nothing is held')
+
+
 def test_stop_delivers_what_is_buffered(fleet: fleets.Fleet) -> None:
     """A stream that ended at its engine is delivered after SIGTERM."""
     decoder = fleet.of('model', 'decode')[0]
