Demand: keep the adopted peak until the first request

Figures are passed on with heartbeats, before the first request as well. The peak was then taken at time 0, so that the adopted one had faded wholly by the first request, and 45 empty windows counted as known demand.

--- a/galenahatch/core/demand.py
+++ b/galenahatch/core/demand.py
@@ -82,6 +82,8 @@
     @property
     def latest_peak(self) -> Window:
         """Peak at the time of the last call."""
+        if self._begun_at is None:
+            return self._adopted
         return self.peak(self._latest_at)
 
     def record(
