Owner: divide a prefill's time by the slowdown stated with its result

The latest report known to the owner may be older than the result, and comes by another path. The slowdown that a VM passes on with the result now counts for it; the report counts if the engine stated none. Results reach the dispatcher as one value, which is shorter on both sides.

test_engine_speeds.py passed; without the stated slowdown its new case failed.

--- a/bench/dispatching.py
+++ b/bench/dispatching.py
@@ -44,6 +44,7 @@
 from galenahatch.core import generations
 from galenahatch.core import memory
 from galenahatch.core import upstreams
+from galenahatch.gateway import messages
 from galenahatch import ids
 
 _TICK_S: typing.Final = 0.01
@@ -701,9 +702,10 @@
 
         def report_prefill(now: float) -> None:
             self._report_slowdown(engine, now)
-            self._owner.record_prefill(
-                caller.stream, caller.prompt, seconds, now
+            result = messages.Prefilled(
+                caller.stream, _SERVICE, caller.prompt, seconds
             )
+            self._owner.record_prefill(result, now)
 
         return report_prefill
 
--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -233,21 +233,13 @@
         """Return when to call `decide` again; None if idle."""
         return now + _RECHECK_INTERVAL_S if len(self._queue) else None
 
-    def record_prefill(
-        self, stream: ids.StreamId, tokens: int, seconds: float, now: float
-    ) -> None:
+    def record_prefill(self, result: prefillwork.Result, now: float) -> None:
         """Record that a prompt was read, and how long it took."""
-        self._confirm(stream, now)
-        placement = self._placements.get(stream)
+        self._confirm(result.stream, now)
+        placement = self._placements.get(result.stream)
         if placement is not None:
             prefillwork.record(
-                placement,
-                stream,
-                tokens,
-                seconds,
-                self._pool,
-                self._estimator,
-                now,
+                placement, result, self._pool, self._estimator, now
             )
 
     def record_first_event(self, stream: ids.StreamId, now: float) -> None:
--- a/galenahatch/core/enginespeeds.py
+++ b/galenahatch/core/enginespeeds.py
@@ -177,9 +177,19 @@
             return self._adopted_speed
         return statistics.fmean(self.prefill_speed(e) for e in engines)
 
-    def slowdown(self, engine: ids.UpstreamId, now: float) -> float:
-        """Return the present slowdown of an engine."""
-        return self._slowdown(engine, now) if self.is_uneven else 1.0
+    def slowdown(
+        self, engine: ids.UpstreamId, now: float, stated: float = 0.0
+    ) -> float:
+        """Return the present slowdown of an engine.
+
+        Args:
+            engine: The engine.
+            now: Monotonic time in seconds.
+            stated: Slowdown that it stated with a result; 0 if none.
+        """
+        if not self.is_uneven:
+            return 1.0
+        return stated or self._slowdown(engine, now)
 
     def set_engines(
         self, engines: collections.abc.Set[ids.UpstreamId], now: float
@@ -213,6 +223,7 @@
         tokens: float,
         seconds: float,
         now: float,
+        stated: float = 0.0,
     ) -> float:
         """Record the time of a prefill at an engine that had no other.
 
@@ -222,13 +233,14 @@
                 reads within the delay of a prefill.
             seconds: Seconds that it took.
             now: Monotonic time in seconds.
+            stated: Slowdown that the engine stated with it; 0 if none.
 
         Returns:
             Seconds that the median engine would have taken.
         """
         if not self.is_uneven or tokens <= 0 or seconds <= 0:
             return seconds
-        usual = seconds / self._slowdown(engine, now)
+        usual = seconds / self.slowdown(engine, now, stated)
         self._prefill.add_sample(engine, tokens / usual)
         return usual * (self._prefill.speed(engine) or 1.0)
 
--- a/galenahatch/core/pool.py
+++ b/galenahatch/core/pool.py
@@ -238,11 +238,12 @@
         stream: ids.StreamId,
         seconds: float,
         now: float,
+        stated_slowdown: float = 0.0,
     ) -> None:
         """Record how long a prefill engine took to read a prompt."""
         state = self.prefills.get(engine)
         if state is not None:
-            slowdown = self.speeds.slowdown(engine, now)
+            slowdown = self.speeds.slowdown(engine, now, stated_slowdown)
             state.record_result(stream, seconds, now, slowdown)
             if self.speeds.is_uneven and not state.pending:
                 state.idle_at = min(state.idle_at, now)
--- a/galenahatch/core/prefillwork.py
+++ b/galenahatch/core/prefillwork.py
@@ -12,6 +12,8 @@
 
 """Prefills of single engines: what they will take, and what they took."""
 
+import typing
+
 from galenahatch.core import figures
 from galenahatch.core import generations
 from galenahatch.core import modelengines
@@ -20,6 +22,26 @@
 from galenahatch import ids
 
 
+class Result(typing.Protocol):
+    """Result of a prefill, as its VM reports it."""
+
+    @property
+    def stream(self) -> ids.StreamId:
+        """Stream that the prompt belongs to."""
+
+    @property
+    def tokens(self) -> int:
+        """Tokens of the prompt."""
+
+    @property
+    def seconds(self) -> float:
+        """Seconds that its VM waited for the result."""
+
+    @property
+    def slowdown(self) -> float:
+        """Slowdown that the engine stated with it; 0 if none."""
+
+
 def extra_seconds(
     job: generations.Job,
     prefill: modelengines.PrefillEngine | None,
@@ -54,9 +76,7 @@
 
 def record(
     placement: placements.Placement,
-    stream: ids.StreamId,
-    tokens: int,
-    seconds: float,
+    result: Result,
     engines: pool.Pool,
     estimator: figures.Estimator,
     now: float,
@@ -65,9 +85,7 @@
 
     Args:
         placement: Engines of the run.
-        stream: Stream that the prompt belongs to.
-        tokens: Tokens of the prompt.
-        seconds: Seconds that its VM waited for the result.
+        result: Result of the prefill.
         engines: Engines of the service.
         estimator: Measurements of the service's requests.
         now: Monotonic time in seconds.
@@ -78,16 +96,22 @@
     if placement.had_idle_prefill:
         line, speeds = estimator.prefill_line, engines.speeds
         median_seconds = speeds.record_prefill(
-            engine, tokens + line.delay * line.rate, seconds, now
+            engine,
+            result.tokens + line.delay * line.rate,
+            result.seconds,
+            now,
+            result.slowdown,
         )
         median_rate = speeds.prefill_rate if speeds.is_uneven else None
-        estimator.record_prefill(tokens, median_seconds, median_rate)
+        estimator.record_prefill(result.tokens, median_seconds, median_rate)
     placement.prefilled_at = now
-    engines.record_result(engine, stream, seconds, now)
+    engines.record_result(
+        engine, result.stream, result.seconds, now, result.slowdown
+    )
     alone = engines.record_overlap(
         engine,
         placement.placed_at,
-        tokens,
+        result.tokens,
         estimator.prefill_line,
         estimator.figures.alone,
         now,
--- a/galenahatch/gateway/owner.py
+++ b/galenahatch/gateway/owner.py
@@ -235,9 +235,7 @@
         if dispatcher is None:
             return
         if isinstance(message, messages.Prefilled):
-            dispatcher.record_prefill(
-                message.stream, message.tokens, message.seconds, now
-            )
+            dispatcher.record_prefill(message, now)
         elif isinstance(message, messages.Started):
             dispatcher.record_first_event(message.stream, now)
         else:
--- a/galenahatch/test/test_engine_speeds.py
+++ b/galenahatch/test/test_engine_speeds.py
@@ -32,6 +32,7 @@
 from galenahatch.core import prefillwork
 from galenahatch.core import ratelimits
 from galenahatch.core import upstreams
+from galenahatch.gateway import messages
 from galenahatch import ids
 
 _RATE = 50_000.0
@@ -83,9 +84,12 @@
         self._count += 1
         prefillwork.record(
             placement,
-            ids.StreamId(str(self._count)),
-            tokens,
-            seconds,
+            messages.Prefilled(
+                ids.StreamId(str(self._count)),
+                ids.ServiceName('lm'),
+                tokens,
+                seconds,
+            ),
             self.pool,
             self.estimator,
             float(self._count),
@@ -297,11 +301,37 @@
         assert owner.decide(now)
         factors['p0'] = 4.0
         stream = ids.StreamId(str(number))
-        owner.record_prefill(stream, 5000, 0.5, now + 0.5)
+        result = messages.Prefilled(stream, ids.ServiceName('s'), 5000, 0.5)
+        owner.record_prefill(result, now + 0.5)
         assert engine.slowness(now + 0.6) == 1.0
         factors['p0'] = 1.0
 
 
+@pytest.mark.parametrize(('stated', 'usual'), [(4.0, 0.1), (0.0, 0.2)])
+def test_slowdown_stated_with_a_result(stated: float, usual: float) -> None:
+    """It counts for that result, rather than an earlier report."""
+    owner = dispatch.Dispatcher(10**6, 64)
+    owner.set_engines(_engines(1), (), 0.0)
+    owner.set_slowdowns(lambda e, now: 2.0)
+    for number in range(4):
+        now = float(number)
+        owner.submit(_job(number, now), now)
+        assert owner.decide(now)
+        result = messages.Prefilled(
+            ids.StreamId(str(number)),
+            ids.ServiceName('s'),
+            5000,
+            0.4,
+            slowdown=stated,
+        )
+        owner.record_prefill(result, now + 0.4)
+    line = owner.measured_figures
+    speeds = owner.engines.speeds
+    assert speeds.prefill_rate * usual == pytest.approx(
+        5000 + line.delay * line.rate, rel=0.05
+    )
+
+
 def test_mean_slowdown_is_that_of_the_engines() -> None:
     """What engines read over time is less than at their usual moments."""
     speeds = enginespeeds.EngineSpeeds()
--- a/galenahatch/test/test_load.py
+++ b/galenahatch/test/test_load.py
@@ -36,6 +36,7 @@
 from galenahatch.core import modelengines
 from galenahatch.core import pace
 from galenahatch.core import upstreams
+from galenahatch.gateway import messages
 from galenahatch import ids
 
 
@@ -284,7 +285,10 @@
     for number in range(8):
         seconds = 0.19 + 0.1 * number
         stream = ids.StreamId(str(number))
-        owner.record_prefill(stream, 5000, seconds, 0.14 * number + seconds)
+        result = messages.Prefilled(
+            stream, ids.ServiceName('s'), 5000, seconds
+        )
+        owner.record_prefill(result, 0.14 * number + seconds)
     assert owner.measured_figures.rate > 20_000
 
 
