Engine speeds: keep an adopted mean slowdown for more than a moment

The first average of a new owner replaced the adopted mean wholly, often before it had any report. The adopted one now counts as the averages of the smoothing time. Prompts without tokens make no plan, rather than a division by zero.

The new case of test_engine_speeds.py failed before and passes now; that file, test_stage_plan and test_owner_slowdowns passed.

--- a/galenahatch/core/enginespeeds.py
+++ b/galenahatch/core/enginespeeds.py
@@ -52,6 +52,8 @@
 _SMOOTHING_S: typing.Final = 15.0
 """Seconds over which the mean slowdown is taken: some tens of slow moments of
 half a second at twenty engines."""
+_ADOPTED_AVERAGES: typing.Final = 15
+"""Averages that an adopted mean counts as: one a second in `_SMOOTHING_S`."""
 _MAX_KNOWN_RATIO: typing.Final = 2
 """Engines remembered, as a multiple of those in use: entries of live engines
 lapse for seconds, while replaced ones never come back."""
@@ -139,7 +141,7 @@
         self._tokens: dict[ids.UpstreamId, tuple[int, float]] = {}
         self._averaged = 0
         self._revision = 0
-        self._averaged_at = 0.0
+        self._averaged_at: float | None = None
         self._adopted_speed = 1.0
 
     @property
@@ -166,8 +168,9 @@
         self.is_uneven = True
         self._revision += 1
         self._adopted_speed = mean_speed
-        if not self._averaged:
+        if self._averaged_at is None:
             self.mean_slowdown = mean_slowdown
+            self._averaged = _ADOPTED_AVERAGES
 
     def mean_speed(
         self, engines: collections.abc.Collection[ids.UpstreamId]
@@ -206,7 +209,9 @@
             del self._tokens[engine]
         self._averaged += 1
         self._revision += 1
-        elapsed = now - self._averaged_at
+        elapsed = now - (
+            now if self._averaged_at is None else self._averaged_at
+        )
         self._averaged_at = now
         weight = max(1 / self._averaged, min(1.0, elapsed / _SMOOTHING_S))
         present = statistics.fmean(self._slowdown(e, now) for e in engines)
--- a/galenahatch/core/rebalancing.py
+++ b/galenahatch/core/rebalancing.py
@@ -162,7 +162,7 @@
         if not self._pool.is_settled(now) or not self._has_evidence():
             return []
         size = self.demand.mean_size(now)
-        if not size or not self.demand.is_known:
+        if not size or size[0] <= 0 or not self.demand.is_known:
             return []
         self._peak_planned_at = now
         prefills, decodes = self._engines_to_change(now)
--- a/galenahatch/test/test_engine_speeds.py
+++ b/galenahatch/test/test_engine_speeds.py
@@ -332,6 +332,18 @@
     )
 
 
+def test_adopted_slowdown_is_kept() -> None:
+    """One moment of the engines does not replace what another owner saw."""
+    speeds = enginespeeds.EngineSpeeds()
+    speeds.adopt(mean_speed=1.0, mean_slowdown=1.5)
+    speeds.set_slowdowns(enginespeeds.no_slowdown)
+    speeds.set_engines({ids.UpstreamId('p0')}, 50_000.0)
+    assert speeds.mean_slowdown == pytest.approx(1.5, rel=0.05)
+    for second in range(1, 200):
+        speeds.set_engines({ids.UpstreamId('p0')}, 50_000.0 + second)
+    assert speeds.mean_slowdown == pytest.approx(1.0, rel=0.05)
+
+
 def test_mean_slowdown_is_that_of_the_engines() -> None:
     """What engines read over time is less than at their usual moments."""
     speeds = enginespeeds.EngineSpeeds()
