--- a/galenahatch/core/demand.py
+++ b/galenahatch/core/demand.py
@@ -37,8 +37,14 @@
 _PEAK_QUANTILE: typing.Final = 0.9
 """Fraction of the time for which capacity is to suffice; bursts of four
 seconds every ten leave more than a tenth above it."""
-_MIN_WINDOWS: typing.Final = 4
-"""Complete windows before the demand counts as known."""
+_RECURRENCE_WINDOWS: typing.Final = 8
+"""Windows within which a burst shows, since bursts recur about every ten
+seconds. Before, one is expected."""
+_EXPECTED_BURST_FACTOR: typing.Final = 2.0
+"""Expected demand of a burst that has not been seen, as a multiple of the
+mean: callers come in bursts of about twice the usual demand."""
+_EXPECTED_BURST_WEIGHT: typing.Final = 0.25
+"""Weight of that burst, relative to all windows: four seconds in twenty."""
 _MAX_FINGERPRINTS: typing.Final = 8192
 """Requests that are recognized if they come again: the streams of a large
 service within ten seconds, 1 MB."""
@@ -76,8 +82,8 @@
 
     @property
     def is_known(self) -> bool:
-        """Whether there are enough windows to plan with."""
-        return len(self._windows) >= _MIN_WINDOWS
+        """Whether a window has ended."""
+        return bool(self._windows)
 
     @property
     def latest_peak(self) -> Window:
@@ -126,17 +132,21 @@
         """Return the windows, the newest first.
 
         That which has not ended counts as well once it exceeds the one before
-        it: a burst shows in its first second.
+        it: a burst shows in its first second. A burst that could not be seen
+        yet is expected.
         """
         self._advance(now)
         decay = 0.5 ** (WINDOW_S / _HALF_LIFE_S)
         counts = list(reversed(self._windows))
         if counts and self._counts[0] > counts[0][0]:
             counts.insert(0, self._counts)
-        return [
+        windows = [
             Window(decay**age, *(count / WINDOW_S for count in window))
             for age, window in enumerate(counts)
         ]
+        if windows and len(self._windows) < _RECURRENCE_WINDOWS:
+            windows.append(_expected_burst(windows))
+        return windows
 
     def mean_size(self, now: float) -> tuple[float, float] | None:
         """Return the mean tokens of a prompt and of an answer.
@@ -187,6 +197,18 @@
             self._begun_at += ended * WINDOW_S
 
 
+def _expected_burst(windows: list[Window]) -> Window:
+    """Return a window of a burst that the present ones don't show."""
+    weight = sum(w.weight for w in windows)
+    factor = _EXPECTED_BURST_FACTOR / weight
+    return Window(
+        _EXPECTED_BURST_WEIGHT * weight,
+        factor * sum(w.weight * w.requests for w in windows),
+        factor * sum(w.weight * w.tokens for w in windows),
+        factor * sum(w.weight * w.outputs for w in windows),
+    )
+
+
 def _quantile(values: list[tuple[float, float]]) -> float:
     """Return the weighted quantile of values; 0 if there are none."""
     values.sort(reverse=True)
