--- a/bench/dispatching.py
+++ b/bench/dispatching.py
@@ -627,9 +627,9 @@
         self._callers.append(caller)
         self._submit(caller, now)
 
-    def _submit(self, caller: _Caller, now: float) -> None:
-        caller.arrived_at = now
-        job = generations.Job(
+    def make_job(self, caller: _Caller, now: float) -> generations.Job:
+        """Return the job of a caller's next attempt."""
+        return generations.Job(
             stream=caller.stream,
             entry=_GATEWAY,
             prompt_tokens=caller.prompt,
@@ -643,6 +643,10 @@
             fingerprint=str(caller.number),
             data_centre=_DATA_CENTRE,
         )
+
+    def _submit(self, caller: _Caller, now: float) -> None:
+        caller.arrived_at = now
+        job = self.make_job(caller, now)
         self._waiting[caller.stream] = caller
         decision = self._owner.submit(job, now)
         if decision is not None:
@@ -771,12 +775,13 @@
                 caller.is_over = True
 
     def _result(self) -> Result:
+        mean_size = self._mean_size
         owed_credit = sum(
-            0.3 * self._mean_size + 0.7 * c.size for c in self._callers
+            0.3 * mean_size + 0.7 * c.size for c in self._callers
         )
         credit = prices = in_time = 0.0
         for caller in self._callers:
-            size = 0.3 * self._mean_size + 0.7 * caller.size
+            size = 0.3 * mean_size + 0.7 * caller.size
             credit += caller.credit * size
             in_time += (caller.credit == 1.0) / len(self._callers)
             if caller.credit:
--- a/galenahatch/core/admission.py
+++ b/galenahatch/core/admission.py
@@ -23,6 +23,7 @@
 from galenahatch.core import ratelimits
 from galenahatch.core import rebalancing
 from galenahatch.core import retryafter
+from galenahatch.core import sharetimes
 from galenahatch.core import waitqueue
 
 _WAIT_SAFETY_FACTOR: typing.Final = 1.3
@@ -92,6 +93,11 @@
         wait = self._engine_limit_wait(job, self._retries.due_count(now), now)
         return wait > 0 and now + wait > job.start_deadline
 
+    def due_retries(self, job: Job, now: float) -> int:
+        """Return the number of expected retries that go before a request."""
+        due = self._retries.due_counts(now)
+        return self._queue.count_retries_before(job, due, now)
+
     def queue_or_refuse(
         self, job: Job, now: float
     ) -> generations.Refused | None:
@@ -117,12 +123,12 @@
         """
         if self.is_limited(job, now):
             return self.refuse(job, 'engines_hold_back', now)
-        promised = 1 + self._retries.due_count(now)
+        promised = 1 + self.due_retries(job, now)
         late_wait = self._forecast.predict_late_wait(job, promised, now)
         is_too_late = now + late_wait > job.abandon_at
         if is_too_late and not self._queue.take_probe(job, now):
             return self.refuse(
-                job, self._forecast.describe_refusal(job, wait), now
+                job, self._forecast.describe_refusal(job, wait, now), now
             )
         self._queue.commit(job, is_late=True)
         return None
@@ -130,8 +136,7 @@
     def refuse(self, job: Job, reason: str, now: float) -> generations.Refused:
         """Refuse a request and tell its caller when to retry."""
         self._rebalancer.record_refusal(now)
-        service_rate = self._forecast.service_rate()
-        queue_wait = len(self._queue) / service_rate if service_rate else 0.0
+        queue_wait = self._forecast.predict_queue_wait(job, now)
         # Callers told to retry after their own deadline do not retry.
         limit_wait = max(
             self._engine_limit_wait(job, 0, now),
@@ -150,5 +155,9 @@
             job.deadline - now,
             job.arrived_at,
             now,
+            self._queue.retry_rank(job, now),
+            sharetimes.flow_key(job),
         )
-        return generations.Refused(job, max(wait, limit_wait), reason)
+        wait = max(wait, limit_wait)
+        self._queue.record_refusal(job, wait, now)
+        return generations.Refused(job, wait, reason)
--- a/galenahatch/core/rebalancing.py
+++ b/galenahatch/core/rebalancing.py
@@ -24,7 +24,6 @@
 from galenahatch.core import figures
 from galenahatch.core import forecast
 from galenahatch.core import generations
-from galenahatch.core import modelengines
 from galenahatch.core import peakplan
 from galenahatch.core import pool
 from galenahatch.core import stages
--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -113,6 +113,22 @@
     CUSTOMER_REFUSED,
     description='Requests refused for a quota here, by customer.',
 )
+customer_engine_seconds = _meter.create_counter(
+    'galenahatch_customer_engine_seconds',
+    description='Seconds of engines charged here, by customer.',
+)
+customer_wait_seconds = _meter.create_counter(
+    'galenahatch_customer_wait_seconds',
+    description='Seconds that placed generations waited here, by customer.',
+)
+customer_placed = _meter.create_counter(
+    'galenahatch_customer_placed',
+    description='Generations placed here, by customer.',
+)
+customer_no_room = _meter.create_counter(
+    'galenahatch_customer_no_room',
+    description='Generations refused here for want of room, by customer.',
+)
 CONFIG_VERSION: typing.Final = 'galenahatch_config_version'
 config_version = _meter.create_gauge(
     CONFIG_VERSION, description='Version of the configuration in force.'
@@ -122,12 +138,41 @@
     HELD_BACK,
     description='Times that a plain call found no room, by upstream.',
 )
+call_grants = _meter.create_counter(
+    'galenahatch_call_grants',
+    description='Sends to plain services granted as owner, by service.',
+)
+call_rejections = _meter.create_counter(
+    'galenahatch_call_rejections',
+    description='Plain calls rejected as owner, by service and reason.',
+)
+call_outcomes = _meter.create_counter(
+    'galenahatch_call_outcomes',
+    description='What came of the grants that this gateway asked for.',
+)
+retries_withheld = _meter.create_counter(
+    'galenahatch_retries_withheld',
+    description='Repeats of plain calls not sent, by service and reason.',
+)
+call_wait_seconds = _meter.create_histogram(
+    'galenahatch_call_wait_seconds',
+    unit='s',
+    description='From the arrival of a plain call to its grant, by service.',
+)
+transfers_aborted = _meter.create_counter(
+    'galenahatch_transfers_aborted',
+    description='Transfers to slow callers that were aborted, by reason.',
+)
+bodies_rejected = _meter.create_counter(
+    'galenahatch_bodies_rejected',
+    description='Request bodies rejected for want of memory.',
+)
 GaugeCallback = typing.Callable[[], typing.Mapping[str, float]]
 """Returns the values of a gauge by the value of its label."""
 _gauge_callbacks: dict[str, GaugeCallback] = {}
 
 
-def _labelled_gauge(
+def _gauge(
     name: str, unit: str, description: str, label: str = 'upstream'
 ) -> str:
     def observe(
@@ -141,40 +186,99 @@
     return name
 
 
-RATE_LIMIT: typing.Final = _labelled_gauge(
+RATE_LIMIT: typing.Final = _gauge(
     'galenahatch_upstream_rate_limit',
     '1/s',
     'Requests a second that an upstream takes, by upstream.',
 )
-LIMITED_SECONDS: typing.Final = _labelled_gauge(
+LIMITED_SECONDS: typing.Final = _gauge(
     'galenahatch_upstream_limited_seconds',
     's',
     'Seconds since an upstream began to name a limit, by upstream.',
 )
-LEAVING_SECONDS: typing.Final = _labelled_gauge(
+LEAVING_SECONDS: typing.Final = _gauge(
     'galenahatch_upstream_leaving_seconds',
     's',
     'Seconds since an upstream said that it leaves, by upstream.',
 )
-PAUSED_SECONDS: typing.Final = _labelled_gauge(
+PAUSED_SECONDS: typing.Final = _gauge(
     'galenahatch_upstream_paused_seconds',
     's',
     'Seconds left of a pause that this gateway was asked for, by upstream.',
 )
-ENGINE_SPEED: typing.Final = _labelled_gauge(
+HELD_BYTES: typing.Final = _gauge(
+    'galenahatch_held_bytes',
+    'By',
+    'Bytes held for callers and upstreams, by direction.',
+    'direction',
+)
+CALL_IN_FLIGHT: typing.Final = _gauge(
+    'galenahatch_call_in_flight',
+    '1',
+    'Granted sends in flight as the owner counts them, by upstream.',
+)
+CALL_WINDOW: typing.Final = _gauge(
+    'galenahatch_call_window',
+    '1',
+    'Sends that the owner allows at the same time, by upstream.',
+)
+CALLS_QUEUED: typing.Final = _gauge(
+    'galenahatch_calls_queued',
+    '1',
+    'Plain calls that wait for a grant of this owner, by service.',
+    'service',
+)
+CALL_RATE: typing.Final = _gauge(
+    'galenahatch_call_rate',
+    '1/s',
+    'Calls a second that end while others wait, by service.',
+    'service',
+)
+CUSTOMER_CALLS_QUEUED: typing.Final = _gauge(
+    'galenahatch_customer_calls_queued',
+    '1',
+    'Plain calls that wait for a grant of this owner, by customer.',
+    'customer',
+)
+SERVICE_CONTENDED: typing.Final = _gauge(
+    'galenahatch_service_contended',
+    '1',
+    'Whether calls to a service need a grant of this owner, by service.',
+    'service',
+)
+UPSTREAM_SLOWDOWN: typing.Final = _gauge(
+    'galenahatch_upstream_slowdown',
+    '1',
+    'Time that work takes now, as a multiple of the usual, by upstream.',
+)
+EXPECTED_DELAY: typing.Final = _gauge(
+    'galenahatch_upstream_expected_delay_seconds',
+    's',
+    'Seconds until a plain call sent now would end, by upstream.',
+)
+SEND_SHARE: typing.Final = _gauge(
+    'galenahatch_upstream_send_share',
+    '1',
+    'Share of the last responses of its service, by upstream.',
+)
+invalid_loads = _meter.create_counter(
+    'galenahatch_invalid_loads',
+    description='Responses whose load was malformed or implausible.',
+)
+ENGINE_SPEED: typing.Final = _gauge(
     'galenahatch_engine_speed',
     '1',
     'Speed of an engine in its stage, relative to the median one; of many'
     ' engines the slowest and the fastest.',
 )
-STAGE_CAPACITY: typing.Final = _labelled_gauge(
+STAGE_CAPACITY: typing.Final = _gauge(
     'galenahatch_stage_capacity',
     '1/s',
     'Requests a second that a stage of a service completes by the latest'
     ' plan, at present and as planned.',
     'stage',
 )
-PEAK_DEMAND: typing.Final = _labelled_gauge(
+PEAK_DEMAND: typing.Final = _gauge(
     'galenahatch_peak_demand',
     '1/s',
     'Requests a second in the peak of recent demand, by service.',
--- a/galenahatch/gateway/messages.py
+++ b/galenahatch/gateway/messages.py
@@ -111,6 +111,9 @@
         leaving_upstreams: Upstreams whose answers recently announced this.
         era: Era of `upstreams_version`.
         order_era: Era of `order`.
+        message_level: Level of messages that the sender knows.
+        loads: Latest load reports, of upstreams that state a slowdown.
+        repeats: Results of repeated plain calls since the last heartbeat.
     """
 
     member: ids.MemberId
@@ -128,6 +131,9 @@
     leaving_upstreams: tuple[ids.UpstreamId, ...] = ()
     era: int = 0
     order_era: int = 0
+    message_level: int = 0
+    loads: tuple[records.UpstreamLoad, ...] = ()
+    repeats: tuple[records.Repeats, ...] = ()
 
 
 class HeartbeatReply(Message, frozen=True, array_like=True, tag='BeatBack'):
@@ -156,6 +162,8 @@
     leaving_upstreams: tuple[ids.UpstreamId, ...] = ()
     era: int = 0
     order_era: int = 0
+    message_level: int = 0
+    repeats: tuple[records.Repeats, ...] = ()
 
 
 class PlacementRequest(Message, frozen=True, array_like=True, tag='Place'):
@@ -249,19 +257,21 @@
 
 
 class Prefilled(Message, frozen=True, array_like=True, tag=True):
-    """Reports the duration of a prefill."""
+    """Reports a prefill: its duration, and the slowdown at its end or 0."""
 
     stream: ids.StreamId
     service: ids.ServiceName
     tokens: int
     seconds: float
+    slowdown: float = 0.0
 
 
 class Started(Message, frozen=True, array_like=True, tag=True):
-    """Reports the first event of a stream."""
+    """Reports the first event of a stream, and its engine's slowdown or 0."""
 
     stream: ids.StreamId
     service: ids.ServiceName
+    slowdown: float = 0.0
 
 
 class Release(Message, frozen=True, array_like=True, tag=True):
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -27,16 +27,24 @@
 
 from galenahatch import clock
 from galenahatch.core import balance
+from galenahatch.core import loadreports
 from galenahatch.core import retrybudget
+from galenahatch.core import retryvalue
 from galenahatch import errors
 from galenahatch.gateway import accounts as accounts_module
+from galenahatch.gateway import callgrants
+from galenahatch.gateway import callmessages
+from galenahatch.gateway import callowner
 from galenahatch.gateway import calls
 from galenahatch.gateway import connections
+from galenahatch.gateway import contention
 from galenahatch.gateway import context as contexts
 from galenahatch.gateway import directory as directories
+from galenahatch.gateway import flowcontrol
 from galenahatch.gateway import frames
 from galenahatch.gateway import frontend
 from galenahatch.gateway import instruments
+from galenahatch.gateway import loads as loads_module
 from galenahatch.gateway import mesh as meshes
 from galenahatch.gateway import messages
 from galenahatch.gateway import notices
@@ -45,9 +53,11 @@
 from galenahatch.gateway import owner_client
 from galenahatch.gateway import quarantine
 from galenahatch.gateway import ratelimits
+from galenahatch.gateway import repeatresults
 from galenahatch.gateway import reports
 from galenahatch.gateway import roster
 from galenahatch.gateway import sender as senders
+from galenahatch.gateway import sessions
 from galenahatch.gateway import settings as settings_module
 from galenahatch import ids
 from galenahatch import logs
@@ -108,7 +118,7 @@
         settings = self._settings
         self._client = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
-                limit=0, socket_factory=senders.create_socket
+                limit=0, socket_factory=sessions.create_socket
             )
         )
         self._store = stores.Store(self._client, str(settings.store))
@@ -118,8 +128,11 @@
             self._background_tasks,
             settings.bounds.drain,
             settings.heartbeat,
+            settings.features.fair_queuing,
         )
-        self._sender = senders.Sender()
+        self._flow = _create_flow_control(settings)
+        self._sender = senders.Sender(self._flow)
+        self._load_reports = loadreports.Loads()
         self._rate_limits = ratelimits.RateLimits()
         self._notices = notices.Notices(self._directory)
         self._sender.on_response_head = self._record_answer
@@ -141,11 +154,35 @@
             self._accounts,
             self._rate_limits.limiter,
             self._notices.pauses_left,
+            self._load_reports,
         )
-        self._balancer = balance.Balancer(clock.RANDOM, settings.data_centre)
-        self._exchange = outcomes.OutcomeExchange(self._balancer.outliers)
+        self._open_plain_calls()
         self._open_mesh()
 
+    def _open_plain_calls(self) -> None:
+        """Create the components that admit and balance plain calls."""
+        settings = self._settings
+        self._balancer = balance.Balancer(
+            clock.RANDOM, settings.data_centre, self._load_reports
+        )
+        self._loads = loads_module.LoadExchange(
+            self._load_reports, self._balancer
+        )
+        self._exchange = outcomes.OutcomeExchange(self._balancer.outliers)
+        self._retry_value = retryvalue.RetryValue()
+        self._contention = contention.Contention(
+            self._directory,
+            self._load_reports,
+            settings.features.admission_control,
+        )
+        self._call_owner = callowner.CallOwner(self._directory)
+        self._call_grants = callgrants.CallGrants(
+            self._directory,
+            self._contention,
+            self._call_owner,
+            settings.data_centre,
+        )
+
     def _open_mesh(self) -> None:
         """Create the components that communicate with other gateways."""
         settings = self._settings
@@ -164,6 +201,8 @@
                 self._accounts,
                 self._rate_limits,
                 self._notices,
+                self._loads,
+                repeatresults.RepeatExchange(self._retry_value),
             ),
             self._handle_message,
             self._background_tasks,
@@ -192,7 +231,13 @@
             message, messages.PermitRequest | messages.PermitReply
         ):
             self._rate_limits.handle_message(member, message)
+        elif isinstance(message, callmessages.OwnerRequest):
+            self._call_owner.handle_message(member, message)
+        elif isinstance(message, callmessages.AnyCallMessage):
+            self._call_grants.handle_message(member, message)
         else:
+            if isinstance(message, messages.Heartbeat):
+                self._call_owner.handle_message(member, message)
             self._owner_client.handle_message(member, message)
 
     def _record_answer(
@@ -204,6 +249,7 @@
         """Record what an upstream's answer says about further requests."""
         self._rate_limits.observe_response(upstream, sent_at, head)
         self._notices.record_answer(upstream, sent_at, head)
+        self._loads.record_answer(upstream, head)
 
     def _cancel_waits(self, upstream: ids.UpstreamId) -> None:
         """Cancel calls that wait for the previous process of an upstream."""
@@ -220,6 +266,8 @@
         self._directory.run()
         self._mesh.run()
         self._owner_client.start(self._mesh, self._background_tasks)
+        self._call_owner.start(self._mesh, self._background_tasks)
+        self._call_grants.set_peers(self._mesh)
         reports.ReportPoller(
             self._directory,
             self._mesh,
@@ -227,6 +275,7 @@
             self._sender,
             self._rate_limits.limiter,
             self._notices,
+            self._loads,
         ).start(self._background_tasks)
         self._orders.run()
         self._background_tasks.run_forever('members', self._refresh)
@@ -245,10 +294,17 @@
                 rate_limits=self._rate_limits,
                 notices=self._notices,
                 tasks=self._background_tasks,
+                loads=self._load_reports,
+                contention=self._contention,
+                call_grants=self._call_grants,
+                flow=self._flow,
+                retry_value=self._retry_value,
             )
         )
         limits = self._frontend.limits
-        self._callers = connections.Server(self._frontend.handle, limits)
+        self._callers = connections.Server(
+            self._frontend.handle, limits, self._flow is not None
+        )
         probes = connections.Server(self._frontend.ready, limits)
         metrics = connections.Server(self._frontend.metrics, limits)
         metrics_address = settings_module.Address(
@@ -271,6 +327,7 @@
             self._exchange.prune(known)
             self._rate_limits.prune(known)
             self._notices.prune(known)
+            self._loads.refresh(known)
             await asyncio.sleep(_REFRESH_INTERVAL_S)
 
     def reload(self) -> None:
@@ -314,6 +371,7 @@
         self._frontend.drain(began_at + _BALANCER_DRAIN_S, exit_at)
         self._mesh.leaving = True
         self._owner_client.owner.decline_all()
+        self._call_owner.decline_all()
         _log.info('Stopping.', in_flight=self._frontend.in_flight)
         await self._wait_for_balancer(exit_at)
         while clock.now() < exit_at:
@@ -338,6 +396,15 @@
         self._mesh.close()
 
 
+def _create_flow_control(
+    settings: settings_module.Settings,
+) -> flowcontrol.FlowControl | None:
+    """Return the limits on held bytes, or None if the feature is off."""
+    if not settings.features.flow_control:
+        return None
+    return flowcontrol.FlowControl(settings.memory_bytes)
+
+
 def _record_era(before: int | None, after: int) -> None:
     """Record the store's era, which rises when an older copy is restored."""
     instruments.store_era.set(after)
--- a/galenahatch/gateway/plain.py
+++ b/galenahatch/gateway/plain.py
@@ -15,21 +15,28 @@
 A request that may be executed only once is retried only while it is certain
 that no upstream has started it. A repeatable request is sent to a second
 upstream after an error, or if the first one is silent for too long, provided
-that the shared retry budget allows it.
+that the shared retry budget allows it and, with admission control, that
+repeats after such a failure are useful (`core/retryvalue`).
+
+Which upstream gets a send, and whether any does, is decided in `choice`.
 """
 
-import collections.abc
 import dataclasses
 import typing
 
 from galenahatch import clock
+from galenahatch.core import balance
 from galenahatch.core import fate
+from galenahatch.core import plaincalls
+from galenahatch.core import retryvalue
 from galenahatch.core import routes
 from galenahatch.core import upstreams
 from galenahatch import errors
 from galenahatch.gateway import calls
+from galenahatch.gateway import choice
 from galenahatch.gateway import context as contexts
 from galenahatch.gateway import instruments
+from galenahatch.gateway import repeats
 from galenahatch.gateway import sender as senders
 from galenahatch import ids
 from galenahatch import logs
@@ -40,9 +47,9 @@
 its first upstream is silent; the second attempt needs the rest."""
 _CONNECT_TIMEOUT_S: typing.Final = 0.25
 """Connections take a few ms within a region."""
-_RETRY_AFTER_S: typing.Final = 0.1
 _NOT_EXECUTED_STATUSES: typing.Final = frozenset((408, 421, 429, 503))
 """Statuses that tell a caller that its request was not executed."""
+_FULL_STATUS: typing.Final = 503
 _log = logs.Log('plain')
 
 
@@ -70,22 +77,26 @@
         self._route = route
         self._service = service
         self._sends = fate.Sends()
-        self._avoid: set[ids.UpstreamId] = set()
-        # Seconds until the upstreams that were skipped accept requests again.
-        self._rate_limited: dict[ids.UpstreamId, float] = {}
-        self._paused: dict[ids.UpstreamId, float] = {}
         self._deadline = contexts.answer_deadline(call, route)
+        self._choice = choice.UpstreamChoice(context, call, route, service)
+        self._repeats = repeats.Repeats(context, call, route, service)
         self._error_response: contexts.CompleteAnswer | None = None
         self._detail = ''
 
     async def run(self) -> contexts.CompleteAnswer | errors.Failure:
         """Return the response for the caller, or why there is none."""
+        try:
+            return await self._run()
+        finally:
+            self._choice.end_grant(plaincalls.SendResult.CANCELLED)
+
+    async def _run(self) -> contexts.CompleteAnswer | errors.Failure:
         self._context.budget.record_request(
             self._service, self._call.arrived_at
         )
         attempts = 0
         while self._may_try(attempts):
-            upstream = await self._choose()
+            upstream = await self._choice.choose()
             if upstream is None:
                 break
             attempts += 1
@@ -108,52 +119,24 @@
             return False
         if not attempts:
             return True
-        return self._context.budget.spend(self._service, clock.now())
-
-    async def _choose(self) -> upstreams.Upstream | None:
-        """Return an upstream that accepts a request now, or None."""
-        self._rate_limited.clear()
-        while True:
-            now = clock.now()
-            usable = self._context.directory.registry.usable(
-                self._service, now
-            )
-            self._paused = self._paused_among(usable)
-            chosen = self._context.balancer.choose(
-                usable,
-                self._avoid | self._rate_limited.keys() | self._paused.keys(),
-                now,
-                self._route.is_repeatable,
-            )
-            if chosen is None:
-                break
-            wait = await self._context.rate_limits.acquire(chosen.id)
-            if not wait and self._takes_work(chosen.id):
-                return chosen
-            self._rate_limited[chosen.id] = wait
-        summary = (
-            f'{len(usable)} usable, {len(self._avoid)} tried,'
-            f' {len(self._rate_limited)} limited, {len(self._paused)} paused'
-        )
-        self._detail = f'{summary}; {self._detail}'.rstrip('; ')
-        return None
-
-    def _paused_among(
-        self, usable: collections.abc.Iterable[upstreams.Upstream]
-    ) -> dict[ids.UpstreamId, float]:
-        """Return the upstreams that asked for a pause, and its seconds."""
-        paused = self._context.notices.pauses_left()
-        return {u.id: paused[u.id] for u in usable if u.id in paused}
+        if not self._is_repeat_worthwhile():
+            return False
+        if not self._context.budget.spend(self._service, clock.now()):
+            return False
+        self._repeats.record_send()
+        return True
 
-    def _takes_work(self, upstream: ids.UpstreamId) -> bool:
-        """Return whether an upstream still accepts work."""
-        registry = self._context.directory.registry
-        return registry.accepts_work(upstream, clock.now())
+    def _is_repeat_worthwhile(self) -> bool:
+        """Return whether another send is likely enough to succeed."""
+        return not self._choice.are_full and self._repeats.is_worthwhile()
 
     async def _send(self, upstream: upstreams.Upstream) -> _Attempt:
         time_left = contexts.seconds_until(self._deadline)
         only_once = not self._route.is_repeatable
-        may_retry = self._route.max_attempts > self._sends.ran + 1
+        may_retry = (
+            self._route.max_attempts > self._sends.ran + 1
+            and self._repeats.would_repeat_silent(upstream.id)
+        )
         timeout_share = (
             _FIRST_TIMEOUT_SHARE if may_retry and not only_once else 1.0
         )
@@ -192,6 +175,7 @@
         """Record a send that was cancelled because the caller left."""
         self._sends.end(fate.Fate.UNCERTAIN)
         self._context.balancer.cancel(upstream)
+        self._choice.end_grant(plaincalls.SendResult.CANCELLED, seconds)
         _log.info(
             'Caller disconnected.',
             request=self._call.id,
@@ -225,9 +209,11 @@
         if failure is not None:
             head = failure.head
             self._detail = failure.detail
-        self._avoid.add(attempt.upstream)
+        self._choice.avoid.add(attempt.upstream)
         status = head.status if head is not None else 0
-        self._update_balancer(attempt, head, failure)
+        self._update_balancer(attempt, head, failure, seconds)
+        self._report_load(attempt, head, seconds)
+        self._repeats.record(attempt.upstream, _failure_reason(attempt))
         instruments.sends.add(1, {'fate': send_fate.value})
         _log.info(
             'Sent.',
@@ -245,11 +231,12 @@
         attempt: _Attempt,
         head: calls.ResponseHead | None,
         failure: senders.FailedSend | None,
+        seconds: float,
     ) -> None:
         now = clock.now()
         if head is not None and head.load is not None:
             self._context.balancer.record_load(
-                attempt.upstream, head.load, now
+                attempt.upstream, head.load.total, now
             )
         is_success = failure is None and head is not None and head.status < 500
         registry = self._context.directory.registry
@@ -258,6 +245,7 @@
             is_success,
             registry.usable(self._service, now),
             now,
+            _executed_result(head, seconds),
         )
         if is_ejected is None:
             return
@@ -269,6 +257,27 @@
             ).likely,
         )
 
+    def _report_load(
+        self,
+        attempt: _Attempt,
+        head: calls.ResponseHead | None,
+        seconds: float,
+    ) -> None:
+        """End the grant, and record what the response says about the load."""
+        is_full = _is_full(attempt.failure)
+        if is_full:
+            result = plaincalls.SendResult.REJECTED
+        elif attempt.response is not None:
+            result = plaincalls.SendResult.ANSWERED
+        else:
+            result = plaincalls.SendResult.FAILED
+        load = head.load if head is not None else None
+        self._choice.end_grant(result, seconds, load)
+        contention = self._context.contention
+        contention.observe(self._service, attempt.upstream, load, is_full)
+        if is_full and contention.is_enabled(self._service):
+            self._choice.full_count += 1
+
     def _final_response(
         self, attempt: _Attempt
     ) -> contexts.CompleteAnswer | None:
@@ -292,18 +301,51 @@
         return None
 
     def _failure(self) -> errors.Failure:
+        detail = '; '.join(filter(None, (self._choice.detail, self._detail)))
         if self._sends.cannot_have_run:
-            return self._refusal()
+            return self._choice.refusal(detail)
         if contexts.has_passed(self._deadline):
-            return errors.Failure(errors.DEADLINE, self._detail)
-        return errors.Failure(errors.SEND_INTERRUPTED, self._detail)
-
-    def _refusal(self) -> errors.Failure:
-        """Refuse a request that was not executed, with a retry time."""
-        retry_times = [*self._rate_limited.values(), *self._paused.values()]
-        reason = (
-            errors.RATE_LIMITED if self._rate_limited else errors.NO_ENGINE
-        )
-        return contexts.retryable_failure(
-            reason, self._detail, min(retry_times, default=_RETRY_AFTER_S)
-        )
+            return errors.Failure(errors.DEADLINE, detail)
+        return errors.Failure(errors.SEND_INTERRUPTED, detail)
+
+
+def _is_full(failure: senders.FailedSend | None) -> bool:
+    """Return whether an upstream rejected a request for lack of room."""
+    return (
+        failure is not None
+        and failure.fate is fate.Fate.REFUSED
+        and failure.head is not None
+        and failure.head.status == _FULL_STATUS
+        and failure.head.leaving is not True
+    )
+
+
+def _failure_reason(attempt: _Attempt) -> retryvalue.Reason | None:
+    """Return why a send failed; None if the call succeeded."""
+    if attempt.response is not None:
+        status = attempt.response.head.status
+        if status < 500 and status not in _NOT_EXECUTED_STATUSES:
+            return None
+        return retryvalue.Reason.ERROR
+    failure = attempt.failure
+    if _is_full(failure):
+        return retryvalue.Reason.FULL
+    if failure is None or failure.is_disconnect:
+        return retryvalue.Reason.CONNECTION
+    if failure.fate is fate.Fate.NOT_SENT:
+        return retryvalue.Reason.CONNECTION
+    if failure.head is not None:
+        return retryvalue.Reason.OTHER
+    return retryvalue.Reason.SILENT
+
+
+def _executed_result(
+    head: calls.ResponseHead | None, seconds: float
+) -> balance.Result | None:
+    """Return the result of a call that the upstream executed.
+
+    An error takes less time than the work, whatever the speed.
+    """
+    if head is None or head.status >= 300:
+        return None
+    return balance.Result(seconds, head.load)
--- a/galenahatch/gateway/records.py
+++ b/galenahatch/gateway/records.py
@@ -79,3 +79,39 @@
 
     upstream: ids.UpstreamId
     seconds_left: float
+
+
+class UpstreamLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Load that an upstream stated in the head of a response.
+
+    Attributes:
+        slowdown: Present time of work as a multiple of the usual; 0 if not
+            stated.
+        age: Seconds since the response.
+    """
+
+    upstream: ids.UpstreamId
+    running: int
+    waiting: int
+    slots: int
+    slowdown: float
+    age: float
+
+
+class Repeats(msgspec.Struct, frozen=True, array_like=True):
+    """Results of repeated plain calls (`core/retryvalue`).
+
+    Attributes:
+        route: Name of the route.
+        reason: Reason of the failures that were followed by the repeats.
+        successes: Repeats that succeeded, in hundredths.
+        failures: The others, in hundredths.
+        age_ms: Milliseconds since the last one; -1 if there was none.
+    """
+
+    service: ids.ServiceName
+    route: str
+    reason: str
+    successes: int
+    failures: int
+    age_ms: int
--- a/galenahatch/gateway/settings.py
+++ b/galenahatch/gateway/settings.py
@@ -59,6 +59,24 @@
     quota: quotas.Bound = quotas.Bound()
 
 
+@dataclasses.dataclass(frozen=True)
+class Features:
+    """Features that a deployment asks for.
+
+    Attributes:
+        admission_control: Whether plain calls to a service that lacks
+            capacity need a grant of the owner.
+        flow_control: Whether the bytes held for slow callers and upstreams
+            are limited.
+        fair_queuing: Whether customers and priorities share contested engines
+            also where no customer's weight is configured.
+    """
+
+    admission_control: bool = False
+    flow_control: bool = False
+    fair_queuing: bool = False
+
+
 @dataclasses.dataclass(frozen=True)
 class Settings:
     """Settings of one gateway process.
@@ -73,6 +91,8 @@
         store: Address of the platform's store.
         bounds: Limits that the deployment guarantees.
         heartbeat: Time between two writes of an upstream's entry to the store.
+        features: Features that the deployment asks for.
+        memory_bytes: Memory of the VM for this process; 0 if not stated.
     """
 
     name: str
@@ -84,3 +104,18 @@
     store: Address
     bounds: Bounds
     heartbeat: float
+    features: Features = Features()
+    memory_bytes: int = 0
+
+    def summary(self) -> list[tuple[str, str]]:
+        """Return the settings that operators check, with their values."""
+        rows = [
+            (name, str(getattr(self, name)))
+            for name in ('name', 'data_centre', 'front', 'readiness', 'store')
+        ]
+        features = dataclasses.asdict(self.features)
+        rows += [
+            (f'features.{name}', 'on' if is_on else 'off')
+            for name, is_on in features.items()
+        ]
+        return rows
--- a/galenahatch/test/fleet.py
+++ b/galenahatch/test/fleet.py
@@ -46,7 +46,7 @@
 _VMS: typing.Final = itertools.count()
 _BLOCK: typing.Final = 250
 """VMs of one process that have addresses of their own."""
-_IDS: typing.Final = itertools.count(0x1000)
+IDS: typing.Final = itertools.count(0x1000)
 T = typing.TypeVar('T')
 
 
@@ -176,6 +176,7 @@
         self.settings_file = folder / f'{self.address}.json'
         self.log = folder / f'{self.address}.log'
         self._process: subprocess.Popen[bytes] | None = None
+        self.module = 'galenahatch.gateway'
         self.write_settings()
 
     def write_settings(self, **changed: typing.Any) -> None:
@@ -200,7 +201,7 @@
         """Start the process."""
         with self.log.open('ab') as log:
             self._process = subprocess.Popen(
-                [sys.executable, '-m', 'galenahatch.gateway'],
+                [sys.executable, '-m', self.module],
                 env={
                     **os.environ,
                     'GALENAHATCH_SETTINGS': str(self.settings_file),
@@ -209,6 +210,12 @@
                 stderr=subprocess.STDOUT,
             )
 
+    @property
+    def pid(self) -> int:
+        """Process id; only once started."""
+        assert self._process is not None
+        return self._process.pid
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal."""
         assert self._process is not None
@@ -275,6 +282,8 @@
         vms: gateways.
         members: upstreams as service and stage.
         first: configuration; one without customers if not said.
+        in_order: whether the first gateway is ready before others start, so
+            that it is the owner.
     """
 
     def __init__(
@@ -282,8 +291,10 @@
         vms: int,
         members: typing.Sequence[tuple[str, str]],
         first: dict[str, typing.Any] | None = None,
+        in_order: bool = False,
     ) -> None:
         self.first = first or configuration()
+        self._in_order = in_order
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(
             target=self._loop.run_forever, daemon=True
@@ -323,6 +334,8 @@
         try:
             for vm in self.vms:
                 vm.start()
+                if self._in_order:
+                    eventually(vm.ready, f'{vm.address} is ready', _START)
             for vm in self.vms:
                 eventually(vm.ready, f'{vm.address} is ready', _START)
         except BaseException:
@@ -469,7 +482,7 @@
         **headers: str,
     ) -> str:
         """Send a request and return its id."""
-        request = f'{next(_IDS):016x}'
+        request = f'{next(IDS):016x}'
         sent = {
             'Host': host,
             'X-Galenahatch-Request-Id': request,
--- a/galenahatch/test/standin/upstreams.py
+++ b/galenahatch/test/standin/upstreams.py
@@ -18,8 +18,9 @@
 a reset), `cut-unframed` (the same without a length), `no-answer` (runs, then
 a reset), `extra` (a second answer behind the first), `foreign` (the answer
 to another request), `silent` (runs and says nothing), `early` (answers
-before the body is in). For model engines also `no-handle` (the result of a
-prefill is gone) and `mute` (silent in the middle of a stream).
+before the body is in), `unread` (never reads the body). For model engines
+also `no-handle` (the result of a prefill is gone) and `mute` (silent in the
+middle of a stream).
 
 A request whose body begins with `CRASHES` ends the upstream that begins to run
 it, and one that begins with `CRASHES_READING` also the engine that reads its
@@ -37,6 +38,8 @@
 
 import msgspec
 
+from galenahatch.test.standin import capacity as capacity_module
+
 _PREFIX: typing.Final = 'x-galenahatch-'
 CRASHES: typing.Final = b'ends what runs it'
 CRASHES_READING: typing.Final = CRASHES + b' or reads it'
@@ -93,6 +96,8 @@
         self.delay = 0.0
         self.events = 8
         self.pause = 0.005
+        self.padding = 0
+        self.unread_limit: float | None = None
         self.orders: list[dict[str, typing.Any]] = []
         self.freed: list[str] = []
         self.handles: set[str] = set()
@@ -101,6 +106,7 @@
         self.arrived_at: list[float] = []
         self.says: dict[str, str] = {}
         self.on_start: collections.abc.Callable[[], None] = lambda: None
+        self.capacity: capacity_module.Capacity | None = None
         self._port = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -151,7 +157,7 @@
             'address': self.address,
             'zone': self.data_centre,
             'version': 'v1',
-            'slots': 8,
+            'slots': self.capacity.slots if self.capacity else 8,
             'state': state,
             'cold_left_ms': 0,
             'seq_no': 1,
@@ -198,6 +204,9 @@
             writer.write(self._framed(seen, 200, b'early'))
             await reader.readexactly(length)
             return True
+        if self.faults and self.faults[0] == 'unread':
+            self.faults.popleft()
+            await asyncio.sleep(60)
         body = await reader.readexactly(length)
         seen = Seen(method, target, headers, body)
         return await self._answer(seen, reader, writer)
@@ -230,6 +239,23 @@
         if self.stage == 'decode' and source and fault == 'no-handle':
             writer.write(self._refusal(seen, 503))
             return True
+        if self.capacity is None:
+            return await self._run(seen, fault, reader, writer)
+        if not await self.capacity.enter():
+            writer.write(self._refusal(seen, 503))
+            return True
+        try:
+            return await self._run(seen, fault, reader, writer)
+        finally:
+            self.capacity.leave()
+
+    async def _run(
+        self,
+        seen: Seen,
+        fault: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
         seen.ran = True
         if seen.body.startswith(CRASHES) and fault != 'error':
             return await self._end_by(seen, writer)
@@ -300,7 +326,8 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         await self._work(seen, reader, self.delay)
-        whole = self._framed(seen, 200, b'answer to ' + seen.id.encode())
+        said = b'answer to ' + seen.id.encode() + b'.' * self.padding
+        whole = self._framed(seen, 200, said)
         if fault == 'error':
             whole = self._framed(seen, 500, b'failed')
         elif fault == 'cut':
@@ -346,6 +373,7 @@
     ) -> bool:
         last = seen.headers.get('last-event-id', '')
         first = int(last) + 1 if last else 1
+        self._limit_buffers(writer)
         writer.write(
             self._head(seen, 200)
             + b'Content-Type: text/event-stream\r\n'
@@ -353,7 +381,8 @@
         )
         for number in range(first, self.events + 1):
             await self._work(seen, reader, self.pause)
-            event = f'id: {number}\ndata: piece {number}\n\n'.encode()
+            data = f'piece {number}' + '.' * self.padding
+            event = f'id: {number}\ndata: {data}\n\n'.encode()
             halfway = number == self.events // 2
             if halfway and fault in ('cut', 'mute'):
                 writer.write(_chunk(event[:7]))
@@ -362,11 +391,31 @@
                     return await _reset(writer)
                 await self._work(seen, reader, 60)
             writer.write(_chunk(event))
-            await writer.drain()
+            if not await self._is_read(seen, writer):
+                return False
         writer.write(b'0\r\n\r\n')
         seen.ended = 'answered'
         return True
 
+    def _limit_buffers(self, writer: asyncio.StreamWriter) -> None:
+        """Buffer little, so that it shows whether a stream is read."""
+        if self.unread_limit is None:
+            return
+        writer.transport.set_write_buffer_limits(high=0)
+        connection = writer.get_extra_info('socket')
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+
+    async def _is_read(self, seen: Seen, writer: asyncio.StreamWriter) -> bool:
+        """Cut a stream off, and return False, if it stays unread."""
+        try:
+            async with asyncio.timeout(self.unread_limit):
+                await writer.drain()
+        except asyncio.TimeoutError:
+            seen.ended = 'unread'
+            _abort(writer)
+            return False
+        return True
+
     # Answers.
 
     def _head(self, seen: Seen, status: int) -> bytes:
@@ -374,9 +423,12 @@
             f'HTTP/1.1 {status} Whatever\r\n'
             f'X-Galenahatch-Request-Id: {seen.id}\r\n'
             f'X-Galenahatch-Response-Stamp: stamp-{self.id}\r\n'
-            'X-Galenahatch-Instance-Load: 1,0,8\r\n'
+            f'X-Galenahatch-Instance-Load: {self._load()}\r\n'
         ).encode() + self._said()
 
+    def _load(self) -> str:
+        return self.capacity.load if self.capacity else '1,0,8'
+
     def _framed(self, seen: Seen, status: int, body: bytes) -> bytes:
         length = f'Content-Length: {len(body)}\r\n\r\n'.encode()
         return self._head(seen, status) + length + body
