--- a/galenahatch/core/pool.py
+++ b/galenahatch/core/pool.py
@@ -354,12 +354,7 @@
             is_remote = prefill is not None and (
                 engine.upstream.data_centre != prefill.upstream.data_centre
             )
-            load = engine.memory.load(now)
-            if self.speeds.is_uneven:
-                # Fast engines are free again sooner.
-                load += job.prompt_tokens / self.capacity
-                load /= self.speeds.decode_speed(engine.upstream.id)
-            return load + _REMOTE_WEIGHT * is_remote
+            return engine.memory.load(now) + _REMOTE_WEIGHT * is_remote
 
         return min(candidates, key=key, default=None)
 
