Read-through: what stood twice in tests, a model in two, a function that nobody used

The half-closed caller's test now asks that no direction holds bytes, in place of answers alone. Behaviour is unchanged.

--- a/bench/admission.py
+++ b/bench/admission.py
@@ -34,6 +34,7 @@
 import typing
 
 from bench import callfleet
+from bench import callservice
 
 _CAPACITY: typing.Final = 300.0
 _START_S: typing.Final = 2.0
@@ -125,9 +126,9 @@
 ) -> Row:
     """Return the result of a burst."""
     sources = [
-        callfleet.Source(0.5 * _CAPACITY, 0.0, _START_S),
-        callfleet.Source(factor * _CAPACITY, _START_S, _END_S),
-        callfleet.Source(0.5 * _CAPACITY, _END_S, _RUN_S - 2),
+        callservice.Source(0.5 * _CAPACITY, 0.0, _START_S),
+        callservice.Source(factor * _CAPACITY, _START_S, _END_S),
+        callservice.Source(0.5 * _CAPACITY, _END_S, _RUN_S - 2),
     ]
     fleet = callfleet.Fleet(size, sources, method, seed)
     fault(fleet)
--- a/bench/callfleet.py
+++ b/bench/callfleet.py
@@ -18,7 +18,6 @@
 
 import collections
 import collections.abc
-import dataclasses
 import enum
 import functools
 import heapq
@@ -26,6 +25,7 @@
 import random
 import typing
 
+from bench import callservice
 from galenahatch.core import balance
 from galenahatch.core import calladmission
 from galenahatch.core import loadreports
@@ -35,11 +35,8 @@
 from galenahatch import ids
 
 SERVICE: typing.Final = ids.ServiceName('service')
-WORK_S: typing.Final = 0.06
-OBJECTIVE_S: typing.Final = 0.31
 DEADLINE_S: typing.Final = 1.55
 _LINK_S: typing.Final = 0.0014
-_QUEUE: typing.Final = 24
 _MAX_SENDS: typing.Final = 3
 _ACK_TIMEOUT_S: typing.Final = 0.05
 _ALONE_S: typing.Final = 1.0
@@ -50,7 +47,6 @@
 _CENTRES: typing.Final = [ids.DataCentre(f'dc{i}') for i in range(3)]
 
 Result = plaincalls.SendResult
-Reply = collections.abc.Callable[[Result, loadreports.LoadReport | None], None]
 
 
 class Method(enum.Enum):
@@ -69,98 +65,6 @@
     GRANTS = 'grants'
 
 
-@dataclasses.dataclass(frozen=True)
-class Source:
-    """Calls that arrive at random.
-
-    Attributes:
-        rate: Calls a second.
-        heeds: Whether its clients wait as asked before they return.
-    """
-
-    rate: float
-    start: float
-    end: float
-    customers: tuple[str, ...] = ('',)
-    priority: int = 0
-    gateways: tuple[int, ...] = ()
-    heeds: bool = True
-
-
-@dataclasses.dataclass
-class Request:
-    """A client's request, with all its attempts."""
-
-    id: str
-    source: Source
-    customer: str
-    first_at: float
-    arrived_at: float = 0.0
-    attempts: int = 0
-    sends: int = 0
-    answered_at: float | None = None
-    is_done: bool = False
-    avoid: set[ids.UpstreamId] = dataclasses.field(default_factory=set)
-
-    @property
-    def in_time(self) -> bool:
-        """Whether it was answered within its objective, since its attempt."""
-        answered = self.answered_at
-        return answered is not None and (
-            answered - self.arrived_at <= OBJECTIVE_S
-        )
-
-
-class Engine:
-    """An upstream that executes calls."""
-
-    def __init__(self, fleet: 'Fleet', upstream: upstreams.Upstream) -> None:
-        self._fleet = fleet
-        self.upstream = upstream
-        self.slots = upstream.slots
-        self.slowdown = 1.0
-        self.fails = False
-        self.received = 0
-        self._running = 0
-        self._queue: collections.deque[tuple[float, Reply]] = (
-            collections.deque()
-        )
-
-    def report(self) -> loadreports.LoadReport | None:
-        """Return the load as the fleet's reports state it."""
-        return self._fleet.distort(
-            loadreports.LoadReport(
-                self._running, len(self._queue), self.slots, self.slowdown
-            )
-        )
-
-    def receive(self, deadline: float, reply: Reply) -> None:
-        """Execute a call, queue it or reject it."""
-        self.received += 1
-        if self.fails:
-            reply(Result.FAILED, None)
-        elif len(self._queue) >= _QUEUE:
-            reply(Result.REJECTED, self.report())
-        else:
-            self._queue.append((deadline, reply))
-            self._start()
-
-    def _start(self) -> None:
-        while self._queue and self._running < self.slots:
-            deadline, reply = self._queue.popleft()
-            if deadline <= self._fleet.now:
-                reply(Result.REJECTED, self.report())
-                continue
-            self._running += 1
-            work = WORK_S * self.slowdown * self._fleet.work_factor()
-            self._fleet.at(work, functools.partial(self._finish, reply))
-
-    def _finish(self, reply: Reply) -> None:
-        self._running -= 1
-        self._start()
-        reply(Result.FAILED if self.fails else Result.ANSWERED, self.report())
-
-
 class Owner:
     """A gateway that decides for some of the others."""
 
@@ -189,7 +93,7 @@
         handle(self)
         self.drive()
 
-    def submit(self, gateway: 'Gateway', request: Request) -> None:
+    def submit(self, gateway: 'Gateway', request: callservice.Request) -> None:
         """Decide on a call or queue it."""
         call = gateway.call(request)
         decision = self.admission.submit(call, self._fleet.now)
@@ -236,7 +140,7 @@
         self._alone_until = 0.0
         self._noticed_at = 0.0
         self._numbers = itertools.count()
-        self._asked: dict[int, Request] = {}
+        self._asked: dict[int, callservice.Request] = {}
         self._acknowledged: set[tuple[str, int]] = set()
         self.loads: dict[
             ids.UpstreamId, tuple[float, loadreports.LoadReport]
@@ -245,14 +149,14 @@
             collections.Counter()
         )
 
-    def arrive(self, request: Request) -> None:
+    def arrive(self, request: callservice.Request) -> None:
         """Handle an attempt of a client."""
         request.attempts += 1
         request.arrived_at = self._fleet.now
         request.avoid.clear()
         self._route(request)
 
-    def call(self, request: Request) -> plaincalls.PlainCall:
+    def call(self, request: callservice.Request) -> plaincalls.PlainCall:
         """Return the call that the owner decides on."""
         number = next(self._numbers)
         self._asked[number] = request
@@ -262,7 +166,7 @@
             1.0,
             request.source.priority,
             request.arrived_at,
-            request.arrived_at + OBJECTIVE_S,
+            request.arrived_at + callservice.OBJECTIVE_S,
             request.first_at + DEADLINE_S,
             request.id,
             bool(request.avoid),
@@ -287,11 +191,11 @@
         else:
             self._send(request, decision.upstream, owner, key)
 
-    def acknowledge(self, request: Request, attempt: int) -> None:
+    def acknowledge(self, request: callservice.Request, attempt: int) -> None:
         """Learn that the owner knows a call."""
         self._acknowledged.add((request.id, attempt))
 
-    def _route(self, request: Request) -> None:
+    def _route(self, request: callservice.Request) -> None:
         fleet = self._fleet
         method = fleet.method
         owner = fleet.owner_of(self)
@@ -309,14 +213,14 @@
             return
         self._send_alone(request)
 
-    def _check_ack(self, request: Request, attempt: int) -> None:
+    def _check_ack(self, request: callservice.Request, attempt: int) -> None:
         if (request.id, attempt) in self._acknowledged or request.is_done:
             return
         self._acknowledged.add((request.id, attempt))
         self._alone_until = self._fleet.now + _ALONE_S
         self._send_alone(request)
 
-    def _send_alone(self, request: Request) -> None:
+    def _send_alone(self, request: callservice.Request) -> None:
         fleet = self._fleet
         chosen = self._balancer.choose(
             fleet.listed(), request.avoid, fleet.now
@@ -326,7 +230,7 @@
             return
         is_limited = fleet.method is not Method.ALONE
         end = fleet.now + self._expected_delay(chosen)
-        if is_limited and end > request.arrived_at + OBJECTIVE_S:
+        if is_limited and end > request.arrived_at + callservice.OBJECTIVE_S:
             fleet.reject(request, 0.1)
             return
         self._send(request, chosen.id, None, None)
@@ -336,11 +240,11 @@
         load = self._in_flight[upstream.id] + 1.0
         if report is not None and self._fleet.now - at < 1.0:
             load += report.total
-        return WORK_S * max(1.0, load / upstream.slots)
+        return callservice.WORK_S * max(1.0, load / upstream.slots)
 
     def _send(
         self,
-        request: Request,
+        request: callservice.Request,
         upstream: ids.UpstreamId,
         owner: Owner | None,
         key: plaincalls.CallKey | None,
@@ -442,7 +346,7 @@
     def __init__(
         self,
         size: int,
-        sources: collections.abc.Sequence[Source],
+        sources: collections.abc.Sequence[callservice.Source],
         method: Method = Method.GRANTS,
         seed: int = 1,
         distort: collections.abc.Callable[
@@ -461,12 +365,12 @@
         self.now = 0.0
         self.sends = 0
         self.messages = 0
-        self.requests: list[Request] = []
+        self.requests: list[callservice.Request] = []
         self._events: list[
             tuple[float, int, collections.abc.Callable[[], object]]
         ] = []
         self._order = itertools.count()
-        self.engines: dict[ids.UpstreamId, Engine] = {}
+        self.engines: dict[ids.UpstreamId, callservice.Engine] = {}
         self._listed: list[upstreams.Upstream] = []
         for number in range(3):
             self.add_engine(f'u{number}', _CENTRES[number])
@@ -478,12 +382,14 @@
         if method is Method.LEVELS:
             self._share_levels()
 
-    def add_engine(self, name: str, centre: ids.DataCentre) -> Engine:
+    def add_engine(
+        self, name: str, centre: ids.DataCentre
+    ) -> callservice.Engine:
         """Add an upstream with six slots."""
         upstream = upstreams.Upstream(
             ids.UpstreamId(name), SERVICE, f'{name}:1', centre, 6
         )
-        engine = self.engines[upstream.id] = Engine(self, upstream)
+        engine = self.engines[upstream.id] = callservice.Engine(self, upstream)
         self._listed = [*self._listed, upstream]
         return engine
 
@@ -544,12 +450,12 @@
             factor *= _OUTLIER_FACTOR
         return factor
 
-    def answer(self, request: Request) -> None:
+    def answer(self, request: callservice.Request) -> None:
         """Answer a client."""
         request.answered_at = self.now
         request.is_done = True
 
-    def reject(self, request: Request, retry_after: float) -> None:
+    def reject(self, request: callservice.Request, retry_after: float) -> None:
         """Reject a client; it returns once."""
         left = request.first_at + DEADLINE_S - self.now
         if request.attempts > 1 or left <= 0:
@@ -562,7 +468,9 @@
         self,
         start: float,
         end: float,
-        accept: collections.abc.Callable[[Request], bool] = lambda _: True,
+        accept: collections.abc.Callable[
+            [callservice.Request], bool
+        ] = lambda _: True,
     ) -> float:
         """Return the share in time of the requests of some interval."""
         chosen = [
@@ -570,11 +478,11 @@
         ]
         return sum(r.in_time for r in chosen) / max(1, len(chosen))
 
-    def _gateway(self, request: Request) -> Gateway:
+    def _gateway(self, request: callservice.Request) -> Gateway:
         numbers = request.source.gateways or range(len(self.gateways))
         return self.gateways[self.random.choice(numbers)]
 
-    def _arrive(self, source: Source) -> None:
+    def _arrive(self, source: callservice.Source) -> None:
         if self.now >= source.end or not source.rate:
             return
         self.at(
@@ -582,7 +490,7 @@
         )
         customer = self.random.choice(source.customers)
         name = str(len(self.requests))
-        request = Request(name, source, customer, self.now)
+        request = callservice.Request(name, source, customer, self.now)
         self.requests.append(request)
         self._gateway(request).arrive(request)
 
--- a/galenahatch/core/expecteddelay.py
+++ b/galenahatch/core/expecteddelay.py
@@ -269,23 +269,6 @@
             upstream, now
         )
 
-    def delay(
-        self,
-        upstream: upstreams.Upstream,
-        in_flight: int,
-        siblings: collections.abc.Iterable[ids.UpstreamId],
-        now: float,
-    ) -> float:
-        """Return the expected seconds until a call sent now has ended.
-
-        Args:
-            upstream: Upstream that executes the call.
-            in_flight: Calls that are executed or wait there.
-            siblings: All upstreams of its service.
-            now: Monotonic time in seconds.
-        """
-        return self.delays([(upstream, in_flight)], siblings, now)[0]
-
     def delays(
         self,
         calls: collections.abc.Iterable[tuple[upstreams.Upstream, int]],
--- a/galenahatch/test/samples.py
+++ b/galenahatch/test/samples.py
@@ -14,6 +14,7 @@
 
 import dataclasses
 
+from galenahatch.core import generations
 from galenahatch.core import revision
 from galenahatch import ids
 from galenahatch import messages
@@ -72,3 +73,22 @@
         standing,
         ids.Revision(1),
     )
+
+
+def generation(
+    stream: str, now: float, fingerprint: str = ''
+) -> generations.Job:
+    """Return a generation of usual size that arrives now."""
+    return generations.Job(
+        stream=ids.StreamId(stream),
+        entry=ids.MemberId('m'),
+        prompt_tokens=5000,
+        output_hint=400,
+        max_output=1200,
+        arrived_at=now,
+        start_deadline=now + 0.9,
+        abandon_at=now + 3.6,
+        deadline=now + 14,
+        fingerprint=fingerprint or stream,
+        data_centre=ids.DataCentre('a'),
+    )
--- a/galenahatch/test/test_call_admission.py
+++ b/galenahatch/test/test_call_admission.py
@@ -25,6 +25,7 @@
 import pytest
 
 from bench import callfleet
+from bench import callservice
 from galenahatch.core import calladmission
 from galenahatch.core import callreturns
 from galenahatch.core import loadreports
@@ -56,13 +57,13 @@
     priority: int = 0,
     gateways: tuple[int, ...] = (),
     heeds: bool = True,
-) -> callfleet.Source:
-    return callfleet.Source(
+) -> callservice.Source:
+    return callservice.Source(
         factor * _CAPACITY, start, end, customers, priority, gateways, heeds
     )
 
 
-def _burst(factor: float = 2.0) -> list[callfleet.Source]:
+def _burst(factor: float = 2.0) -> list[callservice.Source]:
     """A burst from 2 to 5 s, half of the capacity before and after it."""
     return [_source(0.5, 0, 2), _source(factor, 2, 5), _source(0.5, 5, 9)]
 
@@ -83,7 +84,7 @@
     fleet: callfleet.Fleet,
     start: float,
     end: float,
-    group: collections.abc.Callable[[callfleet.Request], object],
+    group: collections.abc.Callable[[callservice.Request], object],
 ) -> dict[object, float]:
     """Return the share in time of each group of requests."""
     groups = {group(request) for request in fleet.requests}
@@ -141,7 +142,7 @@
         )
         fleet.run(5.0)
         answered = [
-            r.answered_at - r.first_at <= callfleet.OBJECTIVE_S
+            r.answered_at - r.first_at <= callservice.OBJECTIVE_S
             for r in fleet.requests
             if r.answered_at is not None and 2.5 <= r.answered_at < 5.0
         ]
@@ -186,7 +187,7 @@
     fleet.run(3.1)
     snapshot = fleet.owners[0].admission.snapshot(fleet.now)
     waiting = snapshot.waiting[waitingcalls.Band.IN_TIME]
-    assert waiting <= _CAPACITY / 3 * callfleet.OBJECTIVE_S
+    assert waiting <= _CAPACITY / 3 * callservice.OBJECTIVE_S
 
 
 def _fail_all(fleet: callfleet.Fleet, fails: bool) -> None:
@@ -210,7 +211,7 @@
     fleet.at(3.5, lambda: change(fleet, False))
     fleet.run(5.0)
     # The longest back-off, and the time of a call.
-    _assert_served(fleet, 3.5 + 0.5 + callfleet.OBJECTIVE_S, 5.0)
+    _assert_served(fleet, 3.5 + 0.5 + callservice.OBJECTIVE_S, 5.0)
 
 
 @_SEEDS
--- a/galenahatch/test/test_engine_speeds.py
+++ b/galenahatch/test/test_engine_speeds.py
@@ -34,6 +34,7 @@
 from galenahatch.core import upstreams
 from galenahatch.gateway import messages
 from galenahatch import ids
+from galenahatch.test import samples
 
 _RATE = 50_000.0
 
@@ -240,22 +241,6 @@
     assert len(speeds.known_engines) <= 2 * len(live)
 
 
-def _job(number: int, now: float) -> generations.Job:
-    return generations.Job(
-        stream=ids.StreamId(str(number)),
-        entry=ids.MemberId('m'),
-        prompt_tokens=5000,
-        output_hint=400,
-        max_output=1200,
-        arrived_at=now,
-        start_deadline=now + 0.9,
-        abandon_at=now + 3.6,
-        deadline=now + 14,
-        fingerprint=str(number),
-        data_centre=ids.DataCentre('a'),
-    )
-
-
 def _chosen(
     reported: dict[str, float], idle: bool = True, is_uneven: bool = True
 ) -> str | None:
@@ -273,7 +258,7 @@
     present.update(reported)
     if not idle:
         owner.engines.prefills[ids.UpstreamId('p1')].idle_at = 1.15
-    owner.submit(_job(1, 1.0), 1.0)
+    owner.submit(samples.generation('1', 1.0), 1.0)
     (decision,) = owner.decide(1.0)
     assert isinstance(decision, generations.Placed)
     return decision.prefill
@@ -297,7 +282,7 @@
     engine = owner.engines.prefills[ids.UpstreamId('p0')]
     for number in range(4):
         now = float(number)
-        owner.submit(_job(number, now), now)
+        owner.submit(samples.generation(str(number), now), now)
         assert owner.decide(now)
         factors['p0'] = 4.0
         stream = ids.StreamId(str(number))
@@ -315,7 +300,7 @@
     owner.set_slowdowns(lambda e, now: 2.0)
     for number in range(4):
         now = float(number)
-        owner.submit(_job(number, now), now)
+        owner.submit(samples.generation(str(number), now), now)
         assert owner.decide(now)
         result = messages.Prefilled(
             ids.StreamId(str(number)),
--- a/galenahatch/test/test_expected_delay.py
+++ b/galenahatch/test/test_expected_delay.py
@@ -100,7 +100,8 @@
     def delay(self, upstream: ids.UpstreamId, in_flight: int = 0) -> float:
         """Return the expected delay at an upstream."""
         member = _MEMBERS[_IDS.index(upstream)]
-        return self.balancer.delays.delay(member, in_flight, _IDS, self.now)
+        calls = [(member, in_flight)]
+        return self.balancer.delays.delays(calls, _IDS, self.now)[0]
 
 
 def test_wait_and_work() -> None:
--- a/galenahatch/test/test_load.py
+++ b/galenahatch/test/test_load.py
@@ -30,7 +30,6 @@
 from bench import dispatching
 from galenahatch.core import dispatch
 from galenahatch.core import figures
-from galenahatch.core import generations
 from galenahatch.core import latency
 from galenahatch.core import memory
 from galenahatch.core import modelengines
@@ -38,6 +37,7 @@
 from galenahatch.core import upstreams
 from galenahatch.gateway import messages
 from galenahatch import ids
+from galenahatch.test import samples
 
 
 _DATA = pathlib.Path(__file__).parents[2] / 'test-data' / 'engines.toml'
@@ -254,22 +254,6 @@
     return owner
 
 
-def _asked(number: int, now: float) -> generations.Job:
-    return generations.Job(
-        stream=ids.StreamId(str(number)),
-        entry=ids.MemberId('m'),
-        prompt_tokens=5000,
-        output_hint=400,
-        max_output=1200,
-        arrived_at=now,
-        start_deadline=now + 0.9,
-        abandon_at=now + 3.6,
-        deadline=now + 14,
-        fingerprint=str(number),
-        data_centre=ids.DataCentre('a'),
-    )
-
-
 def test_crowded_restart_is_not_taken_for_slow_engines() -> None:
     """A new owner learns nothing from prompts that queue at an engine.
 
@@ -280,7 +264,7 @@
     owner = _new_owner()
     for number in range(8):
         now = 0.14 * number
-        owner.submit(_asked(number, now), now)
+        owner.submit(samples.generation(str(number), now), now)
         assert owner.decide(now)
     for number in range(8):
         seconds = 0.19 + 0.1 * number
--- a/galenahatch/test/test_slow_callers.py
+++ b/galenahatch/test/test_slow_callers.py
@@ -34,6 +34,7 @@
 from galenahatch.gateway import instruments
 from galenahatch.gateway import node
 from galenahatch.test import fleet as fleets
+from galenahatch.test.standin import upstreams
 
 _VM_BYTES: typing.Final = 88_000_000
 _GATEWAY_BYTES: typing.Final = 61 * 1024 * 1024
@@ -214,8 +215,10 @@
     fleets.eventually(lambda: not _held(fleet), 'nothing is held')
 
 
-def test_events_arrive_in_order_and_whole(fleet: fleets.Fleet) -> None:
-    """A caller that pauses and goes on gets every event once, and the end."""
+def _buffered_stream(
+    fleet: fleets.Fleet,
+) -> tuple[upstreams.Upstream, _SlowCaller]:
+    """Return an engine that has ended a stream, and its caller."""
     decoder = fleet.of('model', 'decode')[0]
     decoder.events, decoder.padding, decoder.pause = 150, 1000, 0.001
     caller = _SlowCaller(fleet, '/say/x')
@@ -224,6 +227,24 @@
         'the engine is done',
     )
     assert _held(fleet, memorybudget.Direction.EVENTS) > 0
+    return decoder, caller
+
+
+def _buffered_answer(
+    fleet: fleets.Fleet,
+) -> tuple[upstreams.Upstream, _SlowCaller]:
+    """Return an upstream, and the caller for whom its answer is held."""
+    desk = fleet.of('desk')[0]
+    desk.padding = 1_000_000
+    caller = _SlowCaller(fleet, '/often/x')
+    answers = memorybudget.Direction.ANSWERS
+    fleets.eventually(lambda: _held(fleet, answers), 'the answer is held')
+    return desk, caller
+
+
+def test_events_arrive_in_order_and_whole(fleet: fleets.Fleet) -> None:
+    """A caller that pauses and goes on gets every event once, and the end."""
+    decoder, caller = _buffered_stream(fleet)
     caller.socket.settimeout(2)
     received = caller.read_all().decode()
     caller.close()
@@ -295,30 +316,19 @@
     fleet: fleets.Fleet,
 ) -> None:
     """An answer that is written in pieces doesn't end at the caller's EOF."""
-    desk = fleet.of('desk')[0]
-    desk.padding = 1_000_000
-    caller = _SlowCaller(fleet, '/often/x')
-    answers = memorybudget.Direction.ANSWERS
-    fleets.eventually(lambda: _held(fleet, answers), 'the answer is held')
+    desk, caller = _buffered_answer(fleet)
     caller.socket.shutdown(socket.SHUT_WR)
     time.sleep(_STEP)
     caller.socket.settimeout(2)
     received = caller.read_all()
     caller.close()
     assert len(received) >= desk.padding
-    fleets.eventually(lambda: not _held(fleet, answers), 'nothing is held')
+    fleets.eventually(lambda: not _held(fleet), 'nothing is held')
 
 
 def test_stop_delivers_what_is_buffered(fleet: fleets.Fleet) -> None:
     """A stream that ended at its engine is delivered after SIGTERM."""
-    decoder = fleet.of('model', 'decode')[0]
-    decoder.events, decoder.padding, decoder.pause = 150, 1000, 0.001
-    caller = _SlowCaller(fleet, '/say/x')
-    fleets.eventually(
-        lambda: decoder.seen and decoder.seen[-1].ended == 'answered',
-        'the engine is done',
-    )
-    assert _held(fleet, memorybudget.Direction.EVENTS) > 0
+    decoder, caller = _buffered_stream(fleet)
     fleet.vms[0].signal(signal.SIGTERM)
     time.sleep(_STEP)
     caller.socket.settimeout(2)
@@ -330,11 +340,7 @@
 
 def test_stopped_caller_of_a_plain_answer(fleet: fleets.Fleet) -> None:
     """The answer counts until it is taken; others are served meanwhile."""
-    desk = fleet.of('desk')[0]
-    desk.padding = 1_000_000
-    caller = _SlowCaller(fleet, '/often/x')
-    answers = memorybudget.Direction.ANSWERS
-    fleets.eventually(lambda: _held(fleet, answers), 'the answer is held')
+    desk, caller = _buffered_answer(fleet)
     desk.padding = 0
     assert fleet.ask('/often/x').served
     caller.socket.settimeout(2)
--- a/galenahatch/test/test_stage_plan.py
+++ b/galenahatch/test/test_stage_plan.py
@@ -34,6 +34,7 @@
 from galenahatch.core import peakplan
 from galenahatch.core import upstreams
 from galenahatch import ids
+from galenahatch.test import samples
 
 _DATA = pathlib.Path(__file__).parents[2] / 'test-data' / 'decisions.txt'
 _ORDERS_PER_DAY = 6
@@ -157,27 +158,11 @@
     """A request that was refused and comes back is not more to serve."""
     owner = dispatch.Dispatcher(10**5, 8)
     for attempt, now in enumerate((0.0, 1.0, 2.5)):
-        owner.submit(_job(f's.{attempt}', 's', now), now)
+        owner.submit(samples.generation(f's.{attempt}', now, 's'), now)
     windows = owner.rebalancer.demand.windows(20.0)
     assert sum(w.requests for w in windows) * demand.WINDOW_S == 1
 
 
-def _job(stream: str, fingerprint: str, now: float) -> generations.Job:
-    return generations.Job(
-        stream=ids.StreamId(stream),
-        entry=ids.MemberId('m'),
-        prompt_tokens=5000,
-        output_hint=400,
-        max_output=1200,
-        arrived_at=now,
-        start_deadline=now + 0.9,
-        abandon_at=now + 3.6,
-        deadline=now + 14,
-        fingerprint=fingerprint,
-        data_centre=ids.DataCentre('a'),
-    )
-
-
 # Plans.
 
 
