Failing test: gateways that lose all upstreams don't serve their callers

cutgateway is the gateway program with connections that bear its own address and that a test can cut; stand-in upstreams silence or reset those of one gateway.

--- a/galenahatch/test/fleet.py
+++ b/galenahatch/test/fleet.py
@@ -36,6 +36,7 @@
 from aiohttp import web
 import msgspec
 
+from galenahatch.test import cutgateway
 from galenahatch.test import ports
 from galenahatch.test.standin import rows
 from galenahatch.test.standin import upstreams
@@ -232,6 +233,17 @@
             self._process.kill()
             self._process.wait()
 
+    def cut(self, mode: str) -> None:
+        """Cut new connections to upstreams, or heal them if empty.
+
+        Takes effect only in `galenahatch.test.cutgateway`.
+        """
+        file = self.settings_file.with_suffix(cutgateway.SUFFIX)
+        if mode:
+            file.write_text(mode)
+        else:
+            file.unlink(missing_ok=True)
+
     def runs_our_code(self) -> bool:
         """Return whether the interpreter has come to our first lines."""
         assert self._process is not None
--- a/galenahatch/test/standin/upstreams.py
+++ b/galenahatch/test/standin/upstreams.py
@@ -150,6 +150,24 @@
         if self._server is not None:
             self._server.close()
 
+    def reset(self, gateway: str) -> None:
+        """Reset the open connections of a gateway."""
+        for writer in list(self._of(gateway)):
+            _abort(writer)
+
+    def silence(self, gateway: str) -> None:
+        """Let nothing pass on the open connections of a gateway."""
+        for writer in self._of(gateway):
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
+            writer.write = lambda data: None  # type: ignore
+
+    def _of(self, gateway: str) -> list[asyncio.StreamWriter]:
+        return [
+            writer
+            for writer in self._writers
+            if writer.get_extra_info('peername')[0] == gateway
+        ]
+
     def row(self, state: str = 'ready') -> dict[str, typing.Any]:
         """Return the entry that it writes into the store."""
         row: dict[str, typing.Any] = {
