Proxies: leave out by upstream, offers at constant cost

A proxy that declines for one upstream (path lost, leaving, paused, unknown) was left out for all of them for a second; the verdict not_here leaves it out for that one. A query tells the owner of a partition at once. 'Sent through a proxy.' names the proxy.

--- a/galenahatch/core/proxies.py
+++ b/galenahatch/core/proxies.py
@@ -20,6 +20,7 @@
 import collections
 import collections.abc
 import dataclasses
+import math
 import random
 import typing
 import zlib
@@ -28,11 +29,16 @@
 
 _OFFERED: typing.Final = 3
 """Members in an offer: a few, so that one that fails costs no new query."""
-_OFFER_AGE_S: typing.Final = 3.0
-"""Time for which an offer is used. It is renewed about once a second."""
-QUERY_INTERVAL_S: typing.Final = 1.0
+_MIN_QUERY_INTERVAL_S: typing.Final = 1.0
+_QUERY_INTERVAL_S: typing.Final = 0.25
+"""Interval of queries per slowdown of heartbeats, so that the owner's cost
+stays constant if many gateways ask."""
+_OFFER_INTERVALS: typing.Final = 3.0
+"""Intervals of queries for which an offer is used."""
 _LEFT_OUT_S: typing.Final = 1.0
 """Time for which a proxy that declined or broke is not used."""
+_ANY: typing.Final = ids.UpstreamId('')
+"""Stands for all upstreams."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -51,22 +57,30 @@
 ) -> list[Proxy]:
     """Return the proxies that the owner offers to a gateway.
 
-    Those in its data centre come first. The hash gives different gateways
-    different proxies, and each the same ones as long as they are there.
+    Those in its data centre come first. Each list is entered at a place that
+    depends on the gateway, so that the load is spread.
 
     Args:
         candidates: Members that can proxy now.
         asker: Gateway that gets the offer.
         data_centre: Data centre of that gateway.
     """
-
-    def key(proxy: Proxy) -> tuple[bool, int]:
-        pair = f'{asker} {proxy.member}'.encode()
-        return proxy.data_centre != data_centre, zlib.crc32(pair)
-
-    return sorted((p for p in candidates if p.member != asker), key=key)[
-        :_OFFERED
-    ]
+    near: list[Proxy] = []
+    remote: list[Proxy] = []
+    for proxy in candidates:
+        if proxy.member != asker:
+            is_near = proxy.data_centre == data_centre
+            (near if is_near else remote).append(proxy)
+    place = zlib.crc32(asker.encode())
+    return [*_rotated(near, place), *_rotated(remote, place)][:_OFFERED]
+
+
+def _rotated(
+    proxies: collections.abc.Sequence[Proxy], place: int
+) -> list[Proxy]:
+    """Return the first proxies from a place on, around the end."""
+    count = min(_OFFERED, len(proxies))
+    return [proxies[(place + n) % len(proxies)] for n in range(count)]
 
 
 class Proxies:
@@ -79,18 +93,29 @@
     def __init__(self, random_source: random.Random) -> None:
         self._random = random_source
         self._offered: collections.abc.Sequence[Proxy] = ()
-        self._offered_at = -_OFFER_AGE_S
-        self._queried_at = -QUERY_INTERVAL_S
-        self._left_out_until: dict[ids.MemberId, float] = {}
+        self._offered_until = -math.inf
+        self._query_at = -math.inf
+        self._interval = _MIN_QUERY_INTERVAL_S
+        self._left_out_until: dict[
+            tuple[ids.MemberId, ids.UpstreamId], float
+        ] = {}
         self._in_flight: collections.Counter[ids.MemberId] = (
             collections.Counter()
         )
 
-    def should_query(self, now: float) -> bool:
-        """Return whether to ask the owner now, and record the query."""
-        if now - self._queried_at < QUERY_INTERVAL_S:
+    def should_query(self, now: float, slowdown: float = 1.0) -> bool:
+        """Return whether to ask the owner now, and record the query.
+
+        Args:
+            now: Time of the query.
+            slowdown: Factor by which heartbeats are slowed down.
+        """
+        if now < self._query_at:
             return False
-        self._queried_at = now
+        self._interval = max(
+            _MIN_QUERY_INTERVAL_S, _QUERY_INTERVAL_S * slowdown
+        )
+        self._query_at = now + self._interval
         return True
 
     def record_offer(
@@ -98,28 +123,29 @@
     ) -> None:
         """Record an offer of the owner."""
         self._offered = offered
-        self._offered_at = now
+        self._offered_until = now + _OFFER_INTERVALS * self._interval
 
     def choose(
         self,
-        known: collections.abc.Iterable[collections.abc.Iterable[Proxy]],
+        known: collections.abc.Callable[[], collections.abc.Iterable[Proxy]],
+        upstream: ids.UpstreamId,
         tried: collections.abc.Container[ids.MemberId],
         now: float,
     ) -> Proxy | None:
         """Return the offered proxy with the fewest requests from here.
 
         Args:
-            known: Groups of members that might proxy, if no offered one is
-                left; the first group with a usable one counts.
+            known: Returns the members that might proxy, if no offered one is
+                left.
+            upstream: Upstream that the request is for.
             tried: Members that the request was sent to.
             now: Time of the choice.
         """
-        is_fresh = now - self._offered_at < _OFFER_AGE_S
-        for group in (self._offered if is_fresh else (), *known):
-            usable = self._usable(group, tried, now)
-            if usable:
-                return min(usable, key=self._load)
-        return None
+        usable: list[Proxy] = []
+        if now < self._offered_until:
+            usable = self._usable(self._offered, upstream, tried, now)
+        usable = usable or self._usable(known(), upstream, tried, now)
+        return min(usable, key=self._load, default=None)
 
     def _load(self, proxy: Proxy) -> tuple[int, float]:
         return self._in_flight[proxy.member], self._random.random()
@@ -127,6 +153,7 @@
     def _usable(
         self,
         proxies: collections.abc.Iterable[Proxy],
+        upstream: ids.UpstreamId,
         tried: collections.abc.Container[ids.MemberId],
         now: float,
     ) -> list[Proxy]:
@@ -134,9 +161,15 @@
             proxy
             for proxy in proxies
             if proxy.member not in tried
-            and self._left_out_until.get(proxy.member, now) <= now
+            and not self._is_left_out(proxy.member, _ANY, now)
+            and not self._is_left_out(proxy.member, upstream, now)
         ]
 
+    def _is_left_out(
+        self, member: ids.MemberId, upstream: ids.UpstreamId, now: float
+    ) -> bool:
+        return self._left_out_until.get((member, upstream), now) > now
+
     def begin(self, member: ids.MemberId) -> None:
         """Record that a request is sent to a proxy."""
         self._in_flight[member] += 1
@@ -147,11 +180,22 @@
         if self._in_flight[member] <= 0:
             del self._in_flight[member]
 
-    def leave_out(self, member: ids.MemberId, now: float) -> None:
-        """Record that a proxy declined, broke or can't be reached."""
+    def leave_out(
+        self,
+        member: ids.MemberId,
+        now: float,
+        upstream: ids.UpstreamId = _ANY,
+    ) -> None:
+        """Record that a proxy declined, broke or can't be reached.
+
+        Args:
+            member: The proxy.
+            now: Time at which it failed.
+            upstream: The only upstream for which that counts, if there is one.
+        """
         self._left_out_until = {
             key: until
             for key, until in self._left_out_until.items()
             if until > now
         }
-        self._left_out_until[member] = now + _LEFT_OUT_S
+        self._left_out_until[member, upstream] = now + _LEFT_OUT_S
--- a/galenahatch/gateway/failover.py
+++ b/galenahatch/gateway/failover.py
@@ -160,7 +160,9 @@
         if self._paths.is_unreachable(upstream.id, clock.now()):
             return failed
         deadline = began_at + timeout - _MIN_TIME_LEFT_S
-        return await self._send_by_proxy(upstream, failed, deadline, send_by)
+        return await self._send_by_proxy(
+            request, upstream, failed, deadline, send_by
+        )
 
     def _is_unconnected(
         self, upstream: upstreams.Upstream, result: _SendResult
@@ -176,6 +178,7 @@
 
     async def _send_by_proxy(
         self,
+        request: calls.Call,
         upstream: upstreams.Upstream,
         failed: sendresults.FailedSend,
         deadline: float,
@@ -193,13 +196,13 @@
         tried: set[ids.MemberId] = set()
         verdicts = 0
         while len(tried) < _MAX_PROXIES and clock.now() < deadline:
-            proxy = self._offers.choose(tried)
+            proxy = self._offers.choose(upstream.id, tried)
             if proxy is None or verdicts == _MAX_VERDICTS:
                 break
             tried.add(proxy.member)
             with self._offers.in_flight(proxy):
                 result = await send_by(hops.Hop(proxy.address, upstream.id))
-            self._record_proxied(upstream, proxy, result)
+            self._record_proxied(request, upstream, proxy, result)
             if (
                 not isinstance(result, sendresults.FailedSend)
                 or result.fate is not fate.Fate.NOT_SENT
@@ -213,16 +216,28 @@
 
     def _record_proxied(
         self,
+        request: calls.Call,
         upstream: upstreams.Upstream,
         proxy: proxies_module.Proxy,
         result: _SendResult,
     ) -> None:
         """Record what the result of a proxied send proves."""
-        instruments.proxied_sends.add(1, {'result': _result_name(result)})
+        name = _result_name(result)
+        instruments.proxied_sends.add(1, {'result': name})
+        _log.info(
+            'Sent through a proxy.',
+            request=request.id,
+            upstream=upstream.id,
+            member=proxy.member,
+            result=name,
+        )
         if isinstance(result, sendresults.FailedSend):
             if result.cause is sendresults.Cause.PROXY:
                 self._offers.leave_out(proxy, result.detail)
                 return
+            if result.cause is sendresults.Cause.PROXY_PATH:
+                self._offers.leave_out(proxy, result.detail, upstream.id)
+                return
             if result.fate is fate.Fate.NOT_SENT:
                 return
         self._record_lost(upstream, proxy.member)
@@ -247,7 +262,7 @@
             else:
                 self._paths.record_answer(clock.now())
             return reply
-        proxy = self._offers.choose(())
+        proxy = self._offers.choose(upstream.id)
         if proxy is None:
             return errors.Failure(errors.UPSTREAM_UNREACHABLE, 'path lost')
         hop = hops.Hop(proxy.address, upstream.id, hops.Purpose.OWN)
@@ -316,7 +331,7 @@
         self, upstream: upstreams.Upstream
     ) -> hops.Verdict | None:
         """Return whether a proxy connects to an upstream; None if unknown."""
-        proxy = self._offers.choose(())
+        proxy = self._offers.choose(upstream.id)
         if proxy is None:
             return None
         hop = hops.Hop(proxy.address, upstream.id, hops.Purpose.CHECK)
@@ -333,8 +348,8 @@
         verdict = hops.verdict(reply.raw_headers)
         if verdict is hops.Verdict.ANSWERED:
             self._record_lost(upstream, proxy.member)
-        elif verdict is hops.Verdict.DECLINED:
-            self._offers.leave_out(proxy, 'declined a check')
+        elif verdict is hops.Verdict.NOT_HERE:
+            self._offers.leave_out(proxy, 'check', upstream.id)
             return None
         return verdict
 
--- a/galenahatch/gateway/hops.py
+++ b/galenahatch/gateway/hops.py
@@ -59,7 +59,8 @@
         ANSWERED: The upstream's response follows; a check connected.
         UNREACHABLE: No connection to the upstream; nothing was sent.
         REFUSED: The same; the upstream's address refuses connections.
-        DECLINED: The proxy doesn't take the request; nothing was sent.
+        DECLINED: The proxy takes no requests; nothing was sent.
+        NOT_HERE: The proxy takes none for this upstream; nothing was sent.
         INTERRUPTED: The connection to the upstream broke.
         SILENT: The upstream did not answer in time.
     """
@@ -68,6 +69,7 @@
     UNREACHABLE = 'unreachable'
     REFUSED = 'refused'
     DECLINED = 'declined'
+    NOT_HERE = 'not_here'
     INTERRUPTED = 'interrupted'
     SILENT = 'silent'
 
--- a/galenahatch/gateway/proxying.py
+++ b/galenahatch/gateway/proxying.py
@@ -72,6 +72,7 @@
     ) -> None:
         """Connect to the other components and listen."""
         self.offers.start(mesh)
+        self.offers.on_partition = owner.record_partition
         self.sender.known = lambda: directory.registry.upstreams
         mesh.is_partitioned = lambda: self.sender.is_partitioned
         self.sender.on_partition = lambda is_partitioned: (
--- a/galenahatch/gateway/proxyserver.py
+++ b/galenahatch/gateway/proxyserver.py
@@ -103,35 +103,33 @@
         if asked is None or not self._is_member(request.remote or ''):
             return self._state(hops.Verdict.DECLINED)
         upstream = self._directory.registry.find(asked.upstream)
-        why = self._why_declined(asked, upstream)
+        why = self._why_none_here(asked, upstream)
         if upstream is None or why:
-            self._log(request, asked, hops.Verdict.DECLINED, began_at, why)
-            return self._state(hops.Verdict.DECLINED)
+            return self._decline(request, asked, hops.Verdict.NOT_HERE, why)
         if asked.purpose is hops.Purpose.CHECK:
             reach = await self._sender.check_port(upstream.address)
             return self._state(_VERDICTS[reach])
+        if self.is_draining or self._in_flight >= self._max_in_flight:
+            why = 'stopping' if self.is_draining else 'busy'
+            return self._decline(request, asked, hops.Verdict.DECLINED, why)
         self._in_flight += 1
         try:
             return await self._proxy(request, asked, upstream, began_at)
         finally:
             self._in_flight -= 1
 
-    def _why_declined(
+    def _why_none_here(
         self,
         asked: hops.Instructions,
         upstream: upstreams.Upstream | None,
     ) -> str:
-        """Return why a request isn't taken, or an empty string."""
+        """Return why an upstream gets nothing from here, or nothing."""
         if upstream is None:
             return 'unknown upstream'
         if self._paths.is_lost(upstream.id):
             return 'path lost'
         if asked.purpose is hops.Purpose.CHECK:
             return ''
-        if self.is_draining:
-            return 'stopping'
-        if self._in_flight >= self._max_in_flight:
-            return 'busy'
         if self._notices.pause_seconds_left(upstream.id):
             return 'paused'
         registry = self._directory.registry
@@ -141,6 +139,16 @@
             return 'leaving'
         return ''
 
+    def _decline(
+        self,
+        request: web.BaseRequest,
+        asked: hops.Instructions,
+        verdict: hops.Verdict,
+        why: str,
+    ) -> web.StreamResponse:
+        self._log(request, asked, verdict, clock.now(), why)
+        return self._state(verdict)
+
     async def _proxy(
         self,
         request: web.BaseRequest,
@@ -156,9 +164,9 @@
         try:
             data = await body.read()
             if isinstance(data, errors.Failure):
-                why = data.reason.name
-                self._log(request, asked, hops.Verdict.DECLINED, began_at, why)
-                return self._state(hops.Verdict.DECLINED)
+                return self._decline(
+                    request, asked, hops.Verdict.DECLINED, data.reason.name
+                )
             return await self._forward(
                 request, asked, upstream, data, began_at
             )
--- a/galenahatch/gateway/sender.py
+++ b/galenahatch/gateway/sender.py
@@ -62,6 +62,10 @@
 
 _ANSWERED: typing.Final = sendresults.Cause.UPSTREAM
 """Cause of a failure that the upstream states itself."""
+_DECLINED: typing.Final = {
+    hops.Verdict.DECLINED: sendresults.Cause.PROXY,
+    hops.Verdict.NOT_HERE: sendresults.Cause.PROXY_PATH,
+}
 _REQUESTS: typing.Final = memorybudget.Direction.REQUESTS
 
 Headers = multidict.CIMultiDict[str]
@@ -360,9 +364,11 @@
             f'proxy: {verdict.value}',
             cause=sendresults.Cause.UPSTREAM,
         )
-    if verdict is hops.Verdict.DECLINED:
+    if verdict in _DECLINED:
         return sendresults.FailedSend(
-            fate.Fate.NOT_SENT, 'proxy declined', cause=sendresults.Cause.PROXY
+            fate.Fate.NOT_SENT,
+            f'proxy: {verdict.value}',
+            cause=_DECLINED[verdict],
         )
     return sendresults.FailedSend(
         fate.Fate.UNCERTAIN,
--- a/galenahatch/gateway/sendresults.py
+++ b/galenahatch/gateway/sendresults.py
@@ -39,12 +39,14 @@
         UPSTREAM: The upstream, as a proxy has seen.
         PATH: The path from here, as a proxy has seen.
         PROXY: The gateway that proxied the request.
+        PROXY_PATH: The same, for this upstream only.
     """
 
     UNKNOWN = 'unknown'
     UPSTREAM = 'upstream'
     PATH = 'path'
     PROXY = 'proxy'
+    PROXY_PATH = 'proxy_path'
 
 
 @dataclasses.dataclass(frozen=True)
