--- a/galenahatch/test/test_partitions.py
+++ b/galenahatch/test/test_partitions.py
@@ -34,6 +34,7 @@
 _CONTACT_S: typing.Final = 3.0
 """Seconds after a cut from which on callers have to be served."""
 _COUNTED_S: typing.Final = 2.5
+_KEY: typing.Final = 'key-of-the-shop'
 _DEADLINE_S: typing.Final = 2.5
 """Deadline that callers of the stand-in state."""
 
@@ -54,8 +55,8 @@
     yield
     for vm in fleet.vms:
         vm.cut('')
-    for vm in fleet.vms:
-        fleets.eventually(functools.partial(_has_all_paths, vm), 'healed')
+    for gateway in fleet.vms:
+        fleets.eventually(functools.partial(_has_all_paths, gateway), 'healed')
 
 
 def _has_all_paths(vm: fleets.Vm) -> bool:
@@ -264,3 +265,48 @@
             if line.get('message') == 'Proxied.'
         ]
         assert not proxied
+
+
+# Guards against quotas that are counted twice, or by nobody, on the way
+# through another gateway.
+def test_quota_holds_through_a_proxy() -> None:
+    """Gateways that proxy for others count nothing, and charge nobody."""
+    shop = {
+        'api_keys': [_KEY],
+        'unit': 'tokens',
+        'plain_tokens': 200,
+        'rate_per_s': 800.0,
+        'burst': 800.0,
+    }
+    first = fleets.with_customers(1, {'shop': shop})
+    started = fleets.Fleet(3, _MEMBERS, first, in_order=True)
+    for vm in started.vms:
+        vm.module = 'galenahatch.test.cutgateway'
+    with started as fleet:
+        _cut(fleet, 0, 'reset')
+        _cut(fleet, 1, 'reset')
+        headers: dict[str, typing.Any] = {'Authorization': f'Bearer {_KEY}'}
+        fleets.eventually(
+            lambda: fleet.ask('/once/x', vm=1, **headers).served, 'served'
+        )
+        time.sleep(2.0)
+        began = time.monotonic()
+        answers = [
+            fleet.ask('/once/x', vm=n % 3, **headers) for n in range(40)
+        ]
+        took = time.monotonic() - began
+        served = [answer for answer in answers if answer.served]
+        limit = 800 * took + 800 + 0.1 * (10 * 800 + 800)
+        assert 4 <= len(served) <= limit / 200 + len(fleet.vms)
+        refused = [answer for answer in answers if not answer.served]
+        assert {answer.status for answer in refused} == {429}
+        assert not any(fleet.runs(answer.id) for answer in refused)
+        # The way of a request is told by the lines that name it.
+        lines = [line for vm in fleet.vms for line in vm.lines()]
+        told = {
+            line['message']
+            for line in lines
+            if line.get('request') == served[1].id
+        }
+        assert told >= {'Sent.', 'Sent through a proxy.', 'Proxied.'}
+        assert not any(_KEY in str(line) for line in lines)
