Paths: check only when several upstreams leave sends unanswered

A single engine that is silent for a second would have got a connection from each gateway a second, beside those that it accepts. A path is now checked after sends without an answer only if another upstream left one unanswered too and none was answered in between (test_silent_upstream_alone_is_not_checked).

--- a/galenahatch/core/reachability.py
+++ b/galenahatch/core/reachability.py
@@ -38,10 +38,10 @@
 """A path lost again within this time of its return is probed less often."""
 _UNREACHABLE_S: typing.Final = 1.0
 """Time for which no other gateway is asked about an unreachable upstream."""
-_SUSPECT_INTERVAL_S: typing.Final = 1.0
+_CHECK_INTERVAL_S: typing.Final = 1.0
 """Minimum interval between two checks of a path that was not lost."""
 _PARTITION_PATHS: typing.Final = 2
-"""Lost paths that count as a partition."""
+"""Upstreams whose silence or lost paths point to a partition."""
 _MAX_PROBES: typing.Final = 4
 """Paths that are probed at the same time."""
 
@@ -54,7 +54,7 @@
         lost_at: Time at which it was lost; None if it is not lost.
         restored_at: Time of the last successful connection.
         unreachable_until: Time until which no gateway reaches the upstream.
-        checked_at: Time of the last check without a failed connection.
+        checked_at: Time of the last check after sends without an answer.
         probe_at: Time of the next probe.
         interval: Seconds until the probe after that.
     """
@@ -81,6 +81,7 @@
     def __init__(self) -> None:
         self._paths: dict[ids.UpstreamId, _Path] = {}
         self._answered_at = -math.inf
+        self._unanswered: set[ids.UpstreamId] = set()
         self._probed: collections.abc.Sequence[ids.UpstreamId] = ()
         self._probe_at = 0.0
         self.is_partitioned = False
@@ -111,13 +112,19 @@
         path = self._paths.get(upstream)
         return path is not None and now < path.unreachable_until
 
-    def may_check(self, upstream: ids.UpstreamId, now: float) -> bool:
-        """Return whether to check a path after a send without an answer.
+    def record_unanswered(self, upstream: ids.UpstreamId, now: float) -> bool:
+        """Record a direct send without an answer; it may have arrived.
 
-        Records the check, as a busy upstream may leave many sends unanswered.
+        Returns:
+            Whether to check the path: other upstreams did not answer either,
+            and no send was answered in between. A single upstream that is
+            silent would get a connection from each gateway.
         """
+        self._unanswered.add(upstream)
+        if len(self._unanswered) < _PARTITION_PATHS:
+            return False
         path = self._path(upstream)
-        if now - path.checked_at < _SUSPECT_INTERVAL_S:
+        if now - path.checked_at < _CHECK_INTERVAL_S:
             return False
         path.checked_at = now
         return path.lost_at is None and now >= path.unreachable_until
@@ -125,6 +132,8 @@
     def record_answer(self, now: float) -> None:
         """Record an answer to a direct send."""
         self._answered_at = now
+        if self._unanswered:
+            self._unanswered.clear()
 
     def record_lost(self, upstream: ids.UpstreamId, now: float) -> bool:
         """Record that another gateway reached an upstream and this one not.
@@ -165,7 +174,7 @@
             self.is_partitioned = False
             for path in self._paths.values():
                 path.probe_at = min(path.probe_at, now)
-        self._answered_at = now
+        self.record_answer(now)
         known = self._paths.get(upstream)
         if known is None or known.lost_at is None:
             return None
@@ -217,6 +226,7 @@
         """Drop upstreams that are no longer listed."""
         for key in [key for key in self._paths if key not in known]:
             del self._paths[key]
+        self._unanswered.clear()
         if not self._paths:
             self.is_partitioned = False
 
--- a/galenahatch/gateway/failover.py
+++ b/galenahatch/gateway/failover.py
@@ -173,7 +173,7 @@
             return False
         if result.fate is fate.Fate.NOT_SENT:
             return True
-        self._check_path(upstream)
+        self._record_unanswered(upstream)
         return False
 
     async def _send_by_proxy(
@@ -258,7 +258,7 @@
                 method, upstream.address, path, timeout
             )
             if isinstance(reply, errors.Failure):
-                self._check_path(upstream)
+                self._record_unanswered(upstream)
             else:
                 self._paths.record_answer(clock.now())
             return reply
@@ -315,9 +315,12 @@
 
     # Checks and probes of paths.
 
-    def _check_path(self, upstream: upstreams.Upstream) -> None:
-        """Check a path in the background, unless that was done just now."""
-        if self._paths.may_check(upstream.id, clock.now()):
+    def _record_unanswered(self, upstream: upstreams.Upstream) -> None:
+        """Record a send without an answer; check the path if it is doubtful.
+
+        The check runs in the background, as the send can't be repeated here.
+        """
+        if self._paths.record_unanswered(upstream.id, clock.now()):
             self._tasks.run_once(self._check(upstream))
 
     async def _check(self, upstream: upstreams.Upstream) -> None:
--- a/galenahatch/test/test_partitions.py
+++ b/galenahatch/test/test_partitions.py
@@ -183,6 +183,32 @@
     return any(seen.ended == 'dropped' for seen in fleet.seen(request))
 
 
+# Guards against requests that reach upstreams changed by the way.
+@pytest.mark.parametrize('path', _PATHS)
+def test_request_arrives_as_sent_directly(
+    fleet: fleets.Fleet, path: str
+) -> None:
+    """With the same headers, body, deadline at most, and priority."""
+    body = b'body of the request'
+    direct = fleet.ask(path, vm=2, body=body)
+    _settle(fleet, 2, 'reset')
+    proxied = fleet.ask(path, vm=2, body=body)
+    assert direct.served and proxied.served
+    pairs = zip(fleet.seen(direct.id), fleet.seen(proxied.id), strict=True)
+    varying = ('host', 'galenahatch-request-id', 'deadline', 'expect', 'kv-')
+    for before, after in pairs:
+        assert (before.method, before.target, before.body) == (
+            after.method,
+            after.target,
+            after.body,
+        )
+        assert before.headers.keys() == after.headers.keys()
+        for name, value in before.headers.items():
+            if not any(part in name for part in (*varying, 'prompt-prefix')):
+                assert after.headers[name] == value, name
+        assert 0 < int(after.told('deadline-ms')) <= 2500
+
+
 # Guards against streams that a cut breaks half-way.
 @pytest.mark.parametrize('mode', ['hang', 'reset'])
 def test_stream_goes_on_through_a_proxy(
--- a/galenahatch/test/test_reachability.py
+++ b/galenahatch/test/test_reachability.py
@@ -64,6 +64,19 @@
     assert answered.lost == _NAMES[:2]
 
 
+# Guards against a connection from each gateway to an engine that is silent
+# for a second, which may exceed those that it accepts.
+def test_silent_upstream_alone_is_not_checked() -> None:
+    """Two that don't answer are, unless another one answers in between."""
+    paths = reachability.Reachability()
+    assert not any(paths.record_unanswered(_NAMES[0], 1.0) for _ in range(9))
+    paths.record_answer(1.1)
+    assert not paths.record_unanswered(_NAMES[1], 1.2)
+    assert paths.record_unanswered(_NAMES[0], 1.3)
+    assert not paths.record_unanswered(_NAMES[0], 1.4)
+    assert paths.record_unanswered(_NAMES[0], 2.4)
+
+
 # Guards against a gateway that goes on proxying after its paths are back, and
 # against probes of all upstreams at once.
 def test_partition_is_refuted_by_one_probe() -> None:
