--- a/galenahatch/test/test_stage_orders.py
+++ b/galenahatch/test/test_stage_orders.py
@@ -12,6 +12,7 @@
 
 """Orders to engines by gateways."""
 
+import functools
 import time
 import typing
 
@@ -70,3 +71,21 @@
         _ask_for_long_answers(fleet, other)
         fleets.eventually(lambda: _orders(fleet), 'ordered', 15.0)
         assert set(_orders(fleet)) == {fleet.vms[other].address}
+
+
+# Guards against orders that reach no engine, and against two holders, while
+# the owner has lost its paths to them.
+def test_partitioned_owner_has_orders_given() -> None:
+    """Who reaches the engines orders; no order is proxied."""
+    started = fleets.Fleet(2, _MEMBERS, in_order=True)
+    started.vms[0].module = 'galenahatch.test.cutgateway'
+    with started as fleet:
+        time.sleep(_ACQUAINTED)
+        fleet.vms[0].cut('refuse')
+        for engine in fleet.upstreams:
+            fleet.run(functools.partial(engine.reset, fleet.vms[0].address))
+        for _ in range(3):
+            fleet.ask('/say/x', vm=0)
+        _ask_for_long_answers(fleet, 1)
+        fleets.eventually(lambda: _orders(fleet), 'ordered', 15.0)
+        assert set(_orders(fleet)) == {fleet.vms[1].address}
