Proxy: record only answers that are about the upstream; wording

A late response to another request and a misdirected one say nothing about the upstream, also when they are read by a gateway that proxies. Headers of the hop are removed in one function.

--- a/galenahatch/gateway/hops.py
+++ b/galenahatch/gateway/hops.py
@@ -163,14 +163,7 @@
     return None
 
 
-def strip(raw: RawHeaders, hop: Hop | None) -> RawHeaders:
-    """Return headers without those of the hop, if there is one."""
-    if hop is None:
-        return raw
-    return end_to_end(raw)
-
-
-def end_to_end(raw: RawHeaders) -> list[tuple[bytes, bytes]]:
-    """Return headers without those of a hop."""
+def remove_headers(raw: RawHeaders) -> list[tuple[bytes, bytes]]:
+    """Return headers without those of the hop."""
     prefix = PREFIX.lower().encode()
     return [item for item in raw if not item[0].lower().startswith(prefix)]
--- a/galenahatch/gateway/proxyserver.py
+++ b/galenahatch/gateway/proxyserver.py
@@ -181,7 +181,9 @@
         body: bytes,
         began_at: float,
     ) -> web.StreamResponse:
-        headers = wire.end_to_end_headers(hops.end_to_end(request.raw_headers))
+        headers = wire.end_to_end_headers(
+            hops.remove_headers(request.raw_headers)
+        )
         response = await self._sender.forward(
             upstream,
             senders.Outgoing(
@@ -199,12 +201,7 @@
             verdict = _verdict(response)
             self._log(request, asked, verdict, began_at, response.detail)
             return self._state(verdict)
-        self._paths.record_answer(clock.now())
-        if asked.purpose is hops.Purpose.WORK:
-            head = wire.decode_response_head(
-                response.status, response.raw_headers
-            )
-            self._sender.on_response_head(upstream.id, began_at, head)
+        self._record_answer(asked, response, began_at)
         try:
             return await self._relay(request, response, upstream.id)
         finally:
@@ -218,6 +215,17 @@
                 status=response.status,
             )
 
+    def _record_answer(
+        self, asked: hops.Instructions, response: typing.Any, sent_at: float
+    ) -> None:
+        """Record what an answer says, as that to a direct send."""
+        self._paths.record_answer(clock.now())
+        if asked.purpose is not hops.Purpose.WORK:
+            return
+        head = wire.decode_response_head(response.status, response.raw_headers)
+        if senders.is_about_upstream(head, asked.request):
+            self._sender.on_response_head(asked.upstream, sent_at, head)
+
     async def _relay(
         self,
         request: web.BaseRequest,
@@ -226,7 +234,7 @@
     ) -> web.StreamResponse:
         """Relay a response; abort it if it breaks off."""
         headers = wire.end_to_end_headers(
-            hops.end_to_end(response.raw_headers)
+            hops.remove_headers(response.raw_headers)
         )
         headers.update(hops.verdict_headers(hops.Verdict.ANSWERED))
         relayed = web.StreamResponse(status=response.status, headers=headers)
--- a/galenahatch/gateway/sender.py
+++ b/galenahatch/gateway/sender.py
@@ -182,11 +182,11 @@
             response = await self.forward(upstream, outgoing, hop)
         if isinstance(response, sendresults.FailedSend):
             return response
-        head = decode(response.status, hops.strip(response.raw_headers, hop))
+        head = decode(response.status, _upstream_headers(response, hop))
         result = sendresults.Response(
             response, head, upstream.id, self.waits, self._flow, _cause(hop)
         )
-        if _is_about_upstream(head, request):
+        if is_about_upstream(head, request.id):
             self.on_response_head(upstream.id, sent_at, head)
         return await self._check_response(request, result)
 
@@ -341,6 +341,15 @@
             return errors.Failure(errors.UPSTREAM_UNREACHABLE, repr(error))
 
 
+def _upstream_headers(
+    response: aiohttp.ClientResponse, hop: hops.Hop | None
+) -> hops.RawHeaders:
+    """Return the headers that the upstream set."""
+    if hop is None:
+        return response.raw_headers
+    return hops.remove_headers(response.raw_headers)
+
+
 def _cause(hop: hops.Hop | None) -> sendresults.Cause:
     """Return what a send without a verdict failed at."""
     # A proxy that fails proves nothing about the upstream.
@@ -380,13 +389,17 @@
     )
 
 
-def _is_about_upstream(head: calls.ResponseHead, request: calls.Call) -> bool:
+def is_about_upstream(head: calls.ResponseHead, request: str) -> bool:
     """Return whether a head describes the current state of the upstream.
 
     A late response to another request describes an earlier state, and a
     misdirected request was answered by another upstream.
+
+    Args:
+        head: Head of the response.
+        request: Id of the request that was sent.
     """
-    is_other_request = bool(head.request_id) and head.request_id != request.id
+    is_other_request = bool(head.request_id) and head.request_id != request
     return not is_other_request and head.status != _MISDIRECTED_STATUS
 
 
