--- a/galenahatch/core/reachability.py
+++ b/galenahatch/core/reachability.py
@@ -223,7 +223,10 @@
         return [chosen]
 
     def prune(self, known: collections.abc.Container[ids.UpstreamId]) -> None:
-        """Drop upstreams that are no longer listed."""
+        """Drop upstreams that are no longer listed, and old silence.
+
+        Called about once a second, within which a partition shows.
+        """
         for key in [key for key in self._paths if key not in known]:
             del self._paths[key]
         self._unanswered.clear()
--- a/galenahatch/gateway/failover.py
+++ b/galenahatch/gateway/failover.py
@@ -69,6 +69,7 @@
         background: Runner of background tasks.
 
     Attributes:
+        known: Returns all upstreams, which are probed in a partition.
         on_partition: Called with whether this gateway is partitioned from all
             upstreams, after each change.
     """
