Versions of software and resumed streams in the log; failures of a generation in a module

`Upstream changed.` names the version; `Stream continues.` is logged each time that a stream is about to go on at an engine, with the request that it resumes, the event and the version.

--- a/galenahatch/core/upstreams.py
+++ b/galenahatch/core/upstreams.py
@@ -66,6 +66,7 @@
         slots: Maximum number of concurrent requests.
         leaving: Whether it announced that it accepts no new work.
         stage: Stage that a model engine runs; None for other upstreams.
+        version: Version of its software; empty if not known.
     """
 
     id: ids.UpstreamId
@@ -75,6 +76,7 @@
     slots: int
     leaving: bool = False
     stage: Stage | None = None
+    version: ids.SoftwareVersion = ids.SoftwareVersion('')
 
 
 class Registry:
--- a/galenahatch/gateway/calls.py
+++ b/galenahatch/gateway/calls.py
@@ -64,6 +64,8 @@
         credentials_checked: Whether the credentials were checked and are
             therefore not forwarded.
         customer: Customer of the caller; None if the caller needs no key.
+        resumes: Id of the request that brought the first event of the stream
+            that this one resumes, or empty.
     """
 
     id: str
@@ -80,6 +82,7 @@
     credentials: tuple[str, ...] = ()
     credentials_checked: bool = False
     customer: customers.Customer | None = None
+    resumes: str = ''
 
     @property
     def caller_id(self) -> str:
--- a/galenahatch/gateway/entries.py
+++ b/galenahatch/gateway/entries.py
@@ -253,6 +253,7 @@
             address=entry.address,
             leaving=entry.leaving,
             stage=entry.stage.value if entry.stage else '',
+            version=entry.version,
             ver=row.ver,
         )
 
--- a/galenahatch/gateway/frontend.py
+++ b/galenahatch/gateway/frontend.py
@@ -34,6 +34,7 @@
 from galenahatch.gateway import calls
 from galenahatch.gateway import context as contexts
 from galenahatch.gateway import generation
+from galenahatch.gateway import generationfailures
 from galenahatch.gateway import instruments
 from galenahatch.gateway import plain
 from galenahatch.gateway import streambuffer
@@ -322,7 +323,10 @@
         try:
             result = await handler.run()
             await sink.finish()
-        except (generation.StreamBroken, streambuffer.CallerTooSlow) as error:
+        except (
+            generationfailures.StreamBroken,
+            streambuffer.CallerTooSlow,
+        ) as error:
             return self._abort_stream(request, call, sink, str(error))
         if result is not None:
             return self._respond(call, route, result)
--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -32,9 +32,9 @@
 from galenahatch.core import routes
 from galenahatch.core import upstreams
 from galenahatch import errors
-from galenahatch.gateway import accounts
 from galenahatch.gateway import calls
 from galenahatch.gateway import context as contexts
+from galenahatch.gateway import generationfailures
 from galenahatch.gateway import messages
 from galenahatch.gateway import owner_client
 from galenahatch.gateway import prefill
@@ -50,14 +50,9 @@
 """A resumable stream that is silent for this multiple of its route's longest
 pause moves to another engine. Callers disconnect after eight such pauses."""
 _MAX_PLACEMENTS: typing.Final = 6
-_RETRY_AFTER_S: typing.Final = 0.3
 _log = logs.Log('generation')
 
 
-class StreamBroken(Exception):
-    """A stream failed after a part of it had reached the caller."""
-
-
 class RequestHandler:
     """Handles one request to a model service; the stream goes to `sink`."""
 
@@ -89,12 +84,16 @@
         self._ran_past_start = False
         self._was_placed = False
         self._prefill = prefill.Prefill(context, call, service)
+        self._failures = generationfailures.Failures(
+            self._relay, self._sends, self._deadline
+        )
 
     async def run(self) -> contexts.CompleteAnswer | errors.Failure | None:
         """Serve the request; return None if its stream was relayed completely.
 
         Raises:
-            StreamBroken: The stream failed after a part of it was relayed.
+            generationfailures.StreamBroken: The stream failed after a part of
+                it was relayed.
         """
         try:
             result = await self._run()
@@ -131,7 +130,7 @@
             placement = await self._context.owner_client.place(request)
             self._spent.waited += clock.now() - started_at
             if isinstance(placement, messages.PlacementRefused):
-                return self._rejected(placement)
+                return self._failures.refused(placement)
             self._was_placed = True
             result = await self._attempt(stream, placement)
             if not isinstance(result, prefill.Retry):
@@ -143,11 +142,12 @@
                     self._call, result.disconnected
                 )
             if self._context.guard.is_blocked(self._call):
-                return self._quarantined()
+                failure = self._context.guard.failure(self._call)
+                return self._failures.failed(failure)
             limit = self._route.max_attempts
             if not self._sends.may_send(self._route.is_repeatable, limit):
                 break
-        return self._failure()
+        return self._failures.gave_up(self._detail)
 
     def _placement_request(
         self, stream: ids.StreamId, attempt: int
@@ -265,13 +265,7 @@
         )
         self._context.owner_client.track_running(running, self._output_tokens)
         time_left = contexts.seconds_until(self._deadline)
-        options = calls.ForwardingOptions(
-            engine.id,
-            time_left,
-            kv_source=self._prefill.kv_source(),
-            last_event_id=self._relay.last_event_id,
-            priority=self._call.priority,
-        )
+        options = self._decode_options(engine, time_left)
         self._sends.begin()
         self._sent_at = clock.now()
         send_fate = fate.Fate.UNCERTAIN
@@ -296,6 +290,20 @@
             # A send that did not reach the engine costs no retry budget.
             self._decode_sends += send_fate is not fate.Fate.NOT_SENT
 
+    def _decode_options(
+        self, engine: upstreams.Upstream, time_left: float
+    ) -> calls.ForwardingOptions:
+        last_event_id = self._relay.last_event_id
+        if last_event_id:
+            stream_log.log_continuation(self._call, engine, last_event_id)
+        return calls.ForwardingOptions(
+            engine.id,
+            time_left,
+            kv_source=self._prefill.kv_source(),
+            last_event_id=last_event_id,
+            priority=self._call.priority,
+        )
+
     def _output_tokens(self) -> int:
         """Return the number of tokens generated in the current run."""
         return self._relay.run_event_count * self._spec.event_tokens
@@ -354,7 +362,7 @@
             data = await response.read(self._read_timeout(time_left))
             if isinstance(data, sendresults.FailedSend):
                 if contexts.has_passed(self._deadline):
-                    raise StreamBroken('deadline')
+                    raise generationfailures.StreamBroken('deadline')
                 self._log_failure('Stream interrupted.', engine, data)
                 return self._on_broken(engine, data)
             if not data:
@@ -383,34 +391,6 @@
             self._ran_past_start = True
         return prefill.retry_after(self._context.sender, engine, failure)
 
-    def _quarantined(self) -> errors.Failure:
-        failure = self._context.guard.failure(self._call)
-        if self._relay.has_reached_caller:
-            raise StreamBroken(failure.detail)
-        return failure
-
-    def _rejected(self, refusal: messages.PlacementRefused) -> errors.Failure:
-        if self._relay.has_reached_caller:
-            raise StreamBroken(refusal.reason)
-        if not self._sends.cannot_have_run:
-            return errors.Failure(errors.SEND_INTERRUPTED, refusal.reason)
-        if refusal.is_over_quota:
-            return accounts.quota_failure(refusal.reason, refusal.retry_after)
-        return contexts.retryable_failure(
-            errors.NO_TIME, refusal.reason, refusal.retry_after
-        )
-
-    def _failure(self) -> errors.Failure:
-        if self._relay.has_reached_caller:
-            raise StreamBroken(self._detail)
-        if self._sends.cannot_have_run:
-            return contexts.retryable_failure(
-                errors.NO_ENGINE, self._detail, _RETRY_AFTER_S
-            )
-        if contexts.has_passed(self._deadline):
-            return errors.Failure(errors.DEADLINE, self._detail)
-        return errors.Failure(errors.SEND_INTERRUPTED, self._detail)
-
     def _log_failure(
         self,
         text: str,
--- a/galenahatch/gateway/stream_log.py
+++ b/galenahatch/gateway/stream_log.py
@@ -15,6 +15,7 @@
 import dataclasses
 
 from galenahatch import clock
+from galenahatch.core import upstreams
 from galenahatch.gateway import calls
 from galenahatch.gateway import instruments
 from galenahatch.gateway import relay as relays
@@ -68,6 +69,26 @@
     )
 
 
+def log_continuation(
+    call: calls.Call, engine: upstreams.Upstream, last_event_id: str
+) -> None:
+    """Log that a stream is about to go on at an engine.
+
+    Args:
+        call: Request of the caller.
+        engine: Decode engine.
+        last_event_id: Id of the last event that the caller has.
+    """
+    _log.info(
+        'Stream continues.',
+        request=call.id,
+        resumes=call.resumes,
+        event=last_event_id,
+        engine=engine.id,
+        version=engine.version,
+    )
+
+
 def log_completed_stream(
     call: calls.Call,
     relay: relays.Relay,
--- a/galenahatch/ids.py
+++ b/galenahatch/ids.py
@@ -56,6 +56,9 @@
 UpstreamId = typing.NewType('UpstreamId', str)
 """Id of one incarnation of an upstream, see `core/incarnations`."""
 
+SoftwareVersion = typing.NewType('SoftwareVersion', str)
+"""Version of an upstream's software; versions are equal or not, unordered."""
+
 MemberId = typing.NewType('MemberId', str)
 """`role/ip:port` of a daemon; a restart at the same address keeps it."""
 
--- a/galenahatch/platform/documents.py
+++ b/galenahatch/platform/documents.py
@@ -179,6 +179,7 @@
             slots=_checked_slots(raw.slots),
             leaving=_is_draining(raw.state),
             stage=upstreams.Stage(raw.stage) if raw.stage else None,
+            version=ids.SoftwareVersion(raw.version),
         )
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         return errors.Failure(errors.BAD_UPSTREAM, f'{key}: {error}')
--- a/galenahatch/platform/wire.py
+++ b/galenahatch/platform/wire.py
@@ -37,6 +37,7 @@
 _PROMPT_PREFIX: typing.Final = _PREFIX + 'Prompt-Prefix'
 _LENGTH_HINT: typing.Final = _PREFIX + 'Length-Hint'
 _LAST_EVENT: typing.Final = 'Last-Event-Id'
+_RESUMES: typing.Final = 'Resumes'
 _CREDENTIALS: typing.Final = 'Authorization'
 _CUSTOMER: typing.Final = _PREFIX + 'Tenant'
 
@@ -134,6 +135,7 @@
         last_event_id=headers.get(_LAST_EVENT, ''),
         tokens=_total_tokens(headers),
         credentials=tuple(headers.getall(_CREDENTIALS, ())),
+        resumes=headers.get(_RESUMES, ''),
     )
 
 
