--- a/galenahatch/test/standin/upstreams.py
+++ b/galenahatch/test/standin/upstreams.py
@@ -91,6 +91,7 @@
         self.service = service
         self.stage = stage
         self.data_centre = data_centre
+        self.version = 'v1'
         self.seen: list[Seen] = []
         self.faults: collections.deque[str] = collections.deque()
         self.delay = 0.0
@@ -174,7 +175,7 @@
             'service': self.service,
             'address': self.address,
             'zone': self.data_centre,
-            'version': 'v1',
+            'version': self.version,
             'slots': self.capacity.slots if self.capacity else 8,
             'state': state,
             'cold_left_ms': 0,
