Version affinity: streams continue only at the version that began them

Cause: no decision knew the version of an engine, and nothing knew that of a stream; a retry within an answer and a caller's return went wherever there was room. The class: a continuation was placed like a new request, though it is bound to state that others wrote.

The owner places a bound stream at its version only, reads its prompt there, keeps a decode engine of each version, and refuses at once, with a reason, what can't continue. A new owner waits 0.6 s at most for what others tell. Owners of older builds are told to avoid other versions, and the gateway checks every placement. Nothing is sent, and nothing waits, while one version serves.

--- a/galenahatch/core/admission.py
+++ b/galenahatch/core/admission.py
@@ -15,6 +15,7 @@
 A refusal carries the time of expected capacity; `core/dispatch` explains why.
 """
 
+import dataclasses
 import typing
 
 from galenahatch.core import forecast as forecasts
@@ -24,6 +25,7 @@
 from galenahatch.core import rebalancing
 from galenahatch.core import retryafter
 from galenahatch.core import sharetimes
+from galenahatch.core import versionaffinity
 from galenahatch.core import waitqueue
 
 _WAIT_SAFETY_FACTOR: typing.Final = 1.3
@@ -133,6 +135,17 @@
         self._queue.commit(job, is_late=True)
         return None
 
+    def refuse_version(self, job: Job, now: float) -> generations.Refused:
+        """Refuse a stream whose software version has no decode engine.
+
+        It may be back soon: an engine that crashed starts again.
+        """
+        self._rebalancer.record_missing_version(job.version, now)
+        return dataclasses.replace(
+            self.refuse(job, f'version {job.version} not served', now),
+            version_problem=versionaffinity.Problem.NOT_SERVED,
+        )
+
     def refuse(self, job: Job, reason: str, now: float) -> generations.Refused:
         """Refuse a request and tell its caller when to retry."""
         self._rebalancer.record_refusal(now)
--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -47,6 +47,7 @@
 from galenahatch.core import rebalancing
 from galenahatch.core import retryafter
 from galenahatch.core import upstreams
+from galenahatch.core import versionchoice
 from galenahatch.core import waitqueue
 from galenahatch import ids
 
@@ -179,6 +180,8 @@
         self._remove_run(job.stream, now)
         if not self._pool.decodes:
             return self._admission.refuse(job, 'no_engine', now)
+        if not versionchoice.is_served(job, self._pool.decodes):
+            return self._admission.refuse_version(job, now)
         if not job.is_continuation:
             if self._admission.is_limited(job, now):
                 return self._admission.refuse(job, 'engines_hold_back', now)
@@ -197,10 +200,13 @@
         """Place the requests that fit now; refuse those that are too late."""
         decisions: list[generations.Decision] = []
         blocked = 0
+        self._pool.wanted_versions = self._queue.versions
         for job in self._queue.in_order(now):
             decision: generations.Decision | None = None
             if self._queue.cannot_finish(job, now):
                 decision = self._admission.refuse(job, 'no_time_left', now)
+            elif not versionchoice.is_served(job, self._pool.decodes):
+                decision = self._admission.refuse_version(job, now)
             elif blocked < forecast.MAX_JOBS_CHECKED:
                 result = self._place(job, now)
                 if isinstance(result, generations.Placed):
@@ -221,7 +227,7 @@
         self, lack: generations.Lack, job: Job, now: float
     ) -> int:
         """Return how many of the requests behind need not be tried."""
-        if lack is generations.Lack.MEMORY:
+        if lack is generations.Lack.MEMORY and not job.version:
             return forecast.MAX_JOBS_CHECKED
         if lack is generations.Lack.PREFILL and waitqueue.is_wait_noticeable(
             job, now
@@ -323,9 +329,13 @@
     def _place(
         self, job: Job, now: float
     ) -> generations.Placed | generations.Lack:
-        engines = self._pool.decodes, self._pool.prefills
-        runs = self._placements.values()
-        separated = placements.separate_suspects(job, runs, *engines, now)
+        separated = placements.separate_suspects(
+            job,
+            self._placements.values(),
+            versionchoice.names(job, self._pool.decodes.values()),
+            versionchoice.names(job, self._pool.prefills.values()),
+            now,
+        )
         if separated is None:
             return generations.Lack.TRIAL
         job, prefill = separated, None
--- a/galenahatch/core/generations.py
+++ b/galenahatch/core/generations.py
@@ -21,6 +21,8 @@
 
 from galenahatch.core import lengths
 from galenahatch.core import memory
+from galenahatch.core import upstreams
+from galenahatch.core import versionaffinity
 from galenahatch import ids
 
 
@@ -54,6 +56,7 @@
             or last once it is late; set by the dispatcher.
         is_late: Whether it is to be served though it can't start in time; set
             by the dispatcher.
+        version: The only software version at which it may run; empty for any.
     """
 
     stream: ids.StreamId
@@ -82,11 +85,16 @@
     )
     is_committed: bool = False
     is_late: bool = False
+    version: ids.SoftwareVersion = ids.SoftwareVersion('')
 
     def is_paused(self, engine: ids.UpstreamId, now: float) -> bool:
         """Return whether an engine accepts nothing from this job's VM."""
         return self.paused_until.get(engine, 0.0) > now
 
+    def may_run_at(self, engine: upstreams.Upstream) -> bool:
+        """Return whether an engine runs a version that it may run at."""
+        return not self.version or self.version == engine.version
+
     def prepared(
         self, predicted: lengths.Lengths, first_at: float | None
     ) -> typing.Self:
@@ -148,11 +156,14 @@
     Attributes:
         retry_after: Seconds after which there is room for it.
         why: Inputs of the decision, for the log.
+        version_problem: Why it can't continue at its software version; None
+            for other reasons.
     """
 
     job: Job
     retry_after: float
     why: str
+    version_problem: versionaffinity.Problem | None = None
 
 
 Decision = Placed | Refused
--- a/galenahatch/core/pool.py
+++ b/galenahatch/core/pool.py
@@ -30,14 +30,12 @@
 from galenahatch.core import ratelimits
 from galenahatch.core import stagereports
 from galenahatch.core import upstreams
+from galenahatch.core import versionchoice
 from galenahatch import ids
 
 _RETAIN_S: typing.Final = 30.0
 """Seconds beyond its suspension for which the health of an unlisted engine is
 kept; entries of live engines are back within seconds."""
-_REMOTE_WEIGHT: typing.Final = 0.1
-"""Load, as a fraction of an engine's memory, added for a transfer between data
-centres, which takes twice as long and is charged for."""
 
 
 class Pool:
@@ -51,6 +49,7 @@
     Attributes:
         speeds: Speeds of the single engines.
         decode_capacity: Capacity model of the decode engines.
+        wanted_versions: Versions for which bound streams wait.
     """
 
     def __init__(
@@ -68,6 +67,7 @@
             capacity, slots, self.speeds
         )
         self.decode_capacity.spread = lengths.INITIAL_SPREAD
+        self.wanted_versions: frozenset[ids.SoftwareVersion] = frozenset()
         self._equivalents = 0.0
         self._equivalents_key = (-1, -1)
 
@@ -321,7 +321,7 @@
         """
         candidates = [
             engine
-            for engine in self.prefills.values()
+            for engine in versionchoice.allowed(job, self.prefills.values())
             if engine.health.suspended_until <= now
             and engine.upstream.id not in job.avoid
             and not job.is_paused(engine.upstream.id, now)
@@ -364,10 +364,9 @@
         ]
 
         def key(engine: modelengines.DecodeEngine) -> float:
-            is_remote = prefill is not None and (
-                engine.upstream.data_centre != prefill.upstream.data_centre
+            return versionchoice.decode_cost(
+                job, engine, prefill, self.wanted_versions, now
             )
-            return engine.memory.load(now) + _REMOTE_WEIGHT * is_remote
 
         return min(candidates, key=key, default=None)
 
@@ -389,7 +388,7 @@
         """
         unpaused = [
             engine
-            for engine in self.decodes.values()
+            for engine in versionchoice.allowed(job, self.decodes.values())
             if not job.is_paused(engine.upstream.id, now)
         ]
         usable = [
--- a/galenahatch/core/rebalancing.py
+++ b/galenahatch/core/rebalancing.py
@@ -28,6 +28,8 @@
 from galenahatch.core import pool
 from galenahatch.core import stages
 from galenahatch.core import upstreams
+from galenahatch.core import versionstages
+from galenahatch import ids
 
 _MIN_SIZES: typing.Final = 12
 _MIN_PREFILLS: typing.Final = 8
@@ -74,6 +76,7 @@
         self._estimator = estimator
         self._forecast = predictions
         self._planner = stages.Planner()
+        self._versions = versionstages.VersionStages()
         self._refused_at = -1e9
         self._prefill_waited_at = -1e9
 
@@ -100,6 +103,12 @@
         """Record that a request was refused."""
         self._refused_at = now
 
+    def record_missing_version(
+        self, version: ids.SoftwareVersion, now: float
+    ) -> None:
+        """Record a stream that found no decode engine of its version."""
+        self._versions.record_missing(version, now)
+
     def record_prefill_wait(self, now: float) -> None:
         """Record that a request has waited for prefill engines."""
         self._prefill_waited_at = now
@@ -117,6 +126,18 @@
             is_waiting: Whether requests wait for engines.
             now: Monotonic time in seconds.
         """
+        prefills, decodes = self._engines_to_change(now)
+        if not self._pool.is_changing:
+            missing = self._versions.plan(prefills, decodes, now)
+            if missing:
+                return missing
+        changes = self._plan_division(is_waiting, now)
+        return versionstages.keep_decodes(changes, prefills, decodes)
+
+    def _plan_division(
+        self, is_waiting: bool, now: float
+    ) -> list[tuple[upstreams.Upstream, upstreams.Stage]]:
+        """Return the changes that divide engines best among the stages."""
         if self._pool.speeds.is_uneven:
             return self._plan_for_peak(now)
         if not self._pool.is_settled(now) or not self._has_evidence():
--- /dev/null
+++ b/galenahatch/core/versionaffinity.py
@@ -0,0 +1,166 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Which software version began which stream.
+
+What engines of two software versions write doesn't fit together, so a stream
+continues only at the version that wrote its first event. A stream is known by
+keys: the id of the request that brought that event, and a digest by which a
+caller that names no id is recognised. Two streams may share a digest; if they
+began at different versions, it stands for neither.
+
+The versions in service are remembered for a while after their last engine:
+as long as only one has been there, every stream is of that version.
+
+Times are monotonic seconds; this module does no I/O.
+"""
+
+import collections.abc
+import dataclasses
+import enum
+import typing
+
+from galenahatch import ids
+
+VERSION_RETENTION_S: typing.Final = 60.0
+"""Seconds after its last engine for which streams of a version may return; the
+longest streams are shorter."""
+MAX_RECORDS: typing.Final = 65536
+"""Streams remembered; 14 s of 2,900 streams a second."""
+SETTLE_S: typing.Final = 0.6
+"""Seconds for which a gateway that has just become the owner waits for what
+others know of a stream; they tell it within a heartbeat."""
+RECENT_OWNER_S: typing.Final = 2.0
+"""Seconds for which an owner counts as new."""
+
+Key = ids.StreamKey
+Version = ids.SoftwareVersion
+ANY_VERSION: typing.Final = Version('')
+"""No restriction to a version."""
+
+
+class Problem(enum.Enum):
+    """Reason why a stream can't continue at its version.
+
+    Attributes:
+        UNKNOWN: It is not known which of several versions began it.
+        NOT_SERVED: No decode engine runs the version that began it.
+    """
+
+    UNKNOWN = 'unknown'
+    NOT_SERVED = 'not_served'
+
+
+@dataclasses.dataclass(frozen=True)
+class Origin:
+    """Version that began a stream.
+
+    Attributes:
+        version: The version; empty if several streams share the key.
+        expires_at: Time after which the caller doesn't return.
+    """
+
+    version: Version
+    expires_at: float
+
+
+class Origins:
+    """Origins of streams, by key."""
+
+    def __init__(self) -> None:
+        self._origins: dict[Key, Origin] = {}
+
+    def __len__(self) -> int:
+        return len(self._origins)
+
+    def find(
+        self, keys: collections.abc.Iterable[Key], now: float
+    ) -> Version | None:
+        """Return the version of the first key that is known, or None."""
+        for key in keys:
+            origin = self._origins.get(key)
+            if origin is None or origin.expires_at < now:
+                continue
+            if origin.version:
+                return origin.version
+        return None
+
+    def record(
+        self, key: Key, version: Version, expires_at: float, now: float
+    ) -> None:
+        """Record the version that began a stream, or that it continues at."""
+        known = self._origins.pop(key, None)
+        if known is not None and known.expires_at >= now:
+            if known.version != version:
+                version = ANY_VERSION
+            expires_at = max(expires_at, known.expires_at)
+        # The latest is at the end, so the front expires about first.
+        self._origins[key] = Origin(version, expires_at)
+        if len(self._origins) > MAX_RECORDS:
+            del self._origins[next(iter(self._origins))]
+
+    def get(self, key: Key) -> Origin | None:
+        """Return what is known of a key."""
+        return self._origins.get(key)
+
+    def keys(self) -> list[Key]:
+        """Return all keys, those recorded last in front."""
+        return list(reversed(self._origins))
+
+    def prune(self, now: float) -> None:
+        """Forget streams whose callers don't return any more."""
+        expired = [
+            key
+            for key, origin in self._origins.items()
+            if origin.expires_at < now
+        ]
+        for key in expired:
+            del self._origins[key]
+
+
+class ServedVersions:
+    """Versions in service, or recently, by service."""
+
+    def __init__(self) -> None:
+        self._present: dict[ids.ServiceName, frozenset[Version]] = {}
+        self._left_at: dict[tuple[ids.ServiceName, Version], float] = {}
+
+    def update(
+        self,
+        present: collections.abc.Mapping[ids.ServiceName, frozenset[Version]],
+        now: float,
+    ) -> None:
+        """Set the versions of all engines that are listed."""
+        for service, versions in self._present.items():
+            for version in versions - present.get(service, frozenset()):
+                self._left_at[service, version] = now
+        self._present = dict(present)
+
+    def several(self, now: float) -> bool:
+        """Return whether any service has several versions, or had."""
+        self._prune(now)
+        services = {*self._present, *(service for service, _ in self._left_at)}
+        return any(len(self._versions(service)) > 1 for service in services)
+
+    def is_single(self, service: ids.ServiceName, now: float) -> bool:
+        """Return whether all streams of a service are of one version."""
+        self._prune(now)
+        return len(self._versions(service)) <= 1
+
+    def _versions(self, service: ids.ServiceName) -> set[Version]:
+        left = {v for name, v in self._left_at if name == service}
+        return left | self._present.get(service, frozenset())
+
+    def _prune(self, now: float) -> None:
+        for key, left_at in list(self._left_at.items()):
+            if now - left_at > VERSION_RETENTION_S:
+                del self._left_at[key]
--- a/galenahatch/core/waitqueue.py
+++ b/galenahatch/core/waitqueue.py
@@ -108,6 +108,11 @@
     def __len__(self) -> int:
         return len(self._jobs)
 
+    @property
+    def versions(self) -> frozenset[ids.SoftwareVersion]:
+        """Software versions that waiting streams are bound to."""
+        return frozenset(job.version for job in self._jobs.values()) - {''}
+
     def add(self, job: Job) -> None:
         """Add a request."""
         self._jobs[job.stream] = job
--- a/galenahatch/errors.py
+++ b/galenahatch/errors.py
@@ -275,6 +275,20 @@
     'Engines end when they begin this request; it is not sent again.',
     'Change the request; see the logs of the engines that ended.',
 )
+VERSION_UNKNOWN = _register(
+    'version_unknown',
+    503,
+    _NOT_RUN,
+    'It is not known which software version began the stream.',
+    'Begin the stream anew.',
+)
+VERSION_NOT_SERVED = _register(
+    'version_not_served',
+    503,
+    _NOT_RUN,
+    'No engine runs the software version that began the stream.',
+    'Retry after the stated time, or begin the stream anew.',
+)
 STREAM_BROKEN = _register(
     'stream_broken',
     502,
--- a/galenahatch/gateway/context.py
+++ b/galenahatch/gateway/context.py
@@ -23,6 +23,7 @@
 from galenahatch.core import routes
 from galenahatch import errors
 from galenahatch.gateway import accounts as accounts_module
+from galenahatch.gateway import affinity
 from galenahatch.gateway import callgrants
 from galenahatch.gateway import calls
 from galenahatch.gateway import contention as contention_module
@@ -58,6 +59,7 @@
     balancer: balance.Balancer
     budget: retrybudget.LocalBudget
     owner_client: owner_client.OwnerClient
+    affinity: affinity.VersionAffinity
     guard: quarantine.Guard
     accounts: accounts_module.Accounts
     rate_limits: ratelimits.RateLimits
@@ -103,6 +105,11 @@
     return call.arrived_at + patience
 
 
+def last_return(call: calls.Call, route: routes.Route) -> float:
+    """Return the time until which a caller may take its stream up again."""
+    return call.arrived_at + max(call.caller_timeout or 0.0, route.timeout)
+
+
 def abandonment_time(call: calls.Call, route: routes.Route) -> float:
     """Return the time at which a caller without a first event gives up."""
     patience = max(
--- a/galenahatch/gateway/entries.py
+++ b/galenahatch/gateway/entries.py
@@ -30,6 +30,7 @@
 from galenahatch.core import versions
 from galenahatch import errors
 from galenahatch.gateway import messages
+from galenahatch.gateway import messageversions
 from galenahatch import ids
 from galenahatch import logs
 from galenahatch.platform import documents
@@ -107,7 +108,7 @@
             config: Compressed configuration to include; empty if the peer
                 has it.
         """
-        peer_version = messages.upstreams_version(request)
+        peer_version = messageversions.upstreams_version(request)
         if not config and self._version <= peer_version:
             return None
         is_complete = peer_version < self._complete_since
@@ -130,7 +131,7 @@
 
     def apply_update(self, update: messages.Update) -> None:
         """Apply an update from a peer if it is newer."""
-        version = messages.upstreams_version(update)
+        version = messageversions.upstreams_version(update)
         if version <= self._version:
             return
         rows = [
--- a/galenahatch/gateway/frames.py
+++ b/galenahatch/gateway/frames.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from galenahatch import errors
+from galenahatch.gateway import affinitymessages
 from galenahatch.gateway import callmessages
 from galenahatch.gateway import messages
 from galenahatch.gateway import proxymessages
@@ -55,6 +56,7 @@
     | messages.Update
     | callmessages.AnyCallMessage
     | proxymessages.AnyProxyMessage
+    | affinitymessages.AnyAffinityMessage
 )
 """Every message that one gateway can send to another."""
 
--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -32,6 +32,7 @@
 from galenahatch.core import routes
 from galenahatch.core import upstreams
 from galenahatch import errors
+from galenahatch.gateway import affinity
 from galenahatch.gateway import calls
 from galenahatch.gateway import context as contexts
 from galenahatch.gateway import generationfailures
@@ -82,6 +83,9 @@
         self._stage = 'waiting'
         self._decode_engine = ids.UpstreamId('')
         self._ran_past_start = False
+        self._affinity = affinity.StreamAffinity(
+            context.affinity, call, service.name
+        )
         self._was_placed = False
         self._prefill = prefill.Prefill(context, call, service)
         self._failures = generationfailures.Failures(
@@ -129,6 +133,7 @@
             request = self._placement_request(stream, attempt)
             placement = await self._context.owner_client.place(request)
             self._spent.waited += clock.now() - started_at
+            self._affinity.record_decision(placement)
             if isinstance(placement, messages.PlacementRefused):
                 return self._failures.refused(placement)
             self._was_placed = True
@@ -175,6 +180,8 @@
             customer=self._call.customer_name,
             quota_units=self._call.quota_units if attempt == 1 else 0.0,
             priority=contexts.priority(self._call, self._route),
+            version=self._affinity.version,
+            resumes=self._affinity.unresolved_keys(),
         )
 
     def _token_counts(self) -> tuple[int, int]:
@@ -193,6 +200,8 @@
             decoder = find(placement.decode)
             if decoder is None or not self._takes_work(decoder):
                 return prefill.Retry(placement.decode, 'decode engine gone')
+            if not self._affinity.allows(decoder):
+                return prefill.Retry(placement.decode, 'other version')
             if engine is not None:
                 self._stage = 'prefill'
                 started_at = clock.now()
@@ -375,6 +384,9 @@
                 continue
             if not has_begun:
                 has_begun = True
+                self._affinity.record_start(
+                    engine, contexts.last_return(self._call, self._route)
+                )
                 self._spent.made = self._relay.run_started_at - self._sent_at
                 client = self._context.owner_client
                 client.report_started(stream, head.slowdown)
--- a/galenahatch/gateway/generationfailures.py
+++ b/galenahatch/gateway/generationfailures.py
@@ -19,6 +19,7 @@
 import typing
 
 from galenahatch.core import fate
+from galenahatch.core import versionaffinity
 from galenahatch import errors
 from galenahatch.gateway import accounts
 from galenahatch.gateway import context as contexts
@@ -62,6 +63,12 @@
         """Return the failure of a request that the owner refused."""
         if not self._sends.cannot_have_run:
             failure = errors.Failure(errors.SEND_INTERRUPTED, refusal.reason)
+        elif refusal.version_problem is versionaffinity.Problem.UNKNOWN:
+            failure = errors.Failure(errors.VERSION_UNKNOWN, refusal.reason)
+        elif refusal.version_problem is not None:
+            failure = contexts.retryable_failure(
+                errors.VERSION_NOT_SERVED, refusal.reason, refusal.retry_after
+            )
         elif refusal.is_over_quota:
             failure = accounts.quota_failure(
                 refusal.reason, refusal.retry_after
--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -302,6 +302,15 @@
     'Upstreams that other gateways reach and this one does not.',
     'state',
 )
+STREAM_ORIGINS: typing.Final = _gauge(
+    'galenahatch_stream_origins',
+    '1',
+    'Keys of streams whose software version is known here.',
+)
+continued_streams = _meter.create_counter(
+    'galenahatch_continued_streams',
+    description='Streams taken up again by callers, by what came of them.',
+)
 orders = _meter.create_counter(
     'galenahatch_orders', description='Orders sent to engines, by status.'
 )
--- a/galenahatch/gateway/mesh.py
+++ b/galenahatch/gateway/mesh.py
@@ -22,26 +22,20 @@
 
 import asyncio
 import collections.abc
-import dataclasses
 import typing
 
 from galenahatch import bus
 from galenahatch import clock
 from galenahatch.core import members
-from galenahatch.gateway import accounts
+from galenahatch.gateway import affinitymessages
 from galenahatch.gateway import directory as directories
+from galenahatch.gateway import exchanges as exchanges_module
 from galenahatch.gateway import frames
 from galenahatch.gateway import instruments
 from galenahatch.gateway import links
-from galenahatch.gateway import loads
 from galenahatch.gateway import messages
-from galenahatch.gateway import notices
-from galenahatch.gateway import outcomes
-from galenahatch.gateway import proxymessages
-from galenahatch.gateway import quarantine
-from galenahatch.gateway import ratelimits
+from galenahatch.gateway import messageversions
 from galenahatch.gateway import records
-from galenahatch.gateway import repeatresults
 from galenahatch.gateway import roster as rosters
 from galenahatch.gateway import updates
 from galenahatch import ids
@@ -63,29 +57,6 @@
 Handler = collections.abc.Callable[[ids.MemberId, frames.AnyMessage], None]
 
 
-@dataclasses.dataclass(frozen=True)
-class Exchanges:
-    """Components whose state gateways exchange in heartbeats.
-
-    Attributes:
-        outcomes: Results of sends to plain upstreams.
-        guard: Requests that may end upstreams.
-        accounts: Use of quotas by customers.
-        rate_limits: Limits that upstreams announce.
-        notices: Other announcements in answers of upstreams.
-        loads: Load that upstreams state.
-        repeats: Results of repeated plain calls.
-    """
-
-    outcomes: outcomes.OutcomeExchange
-    guard: quarantine.Guard
-    accounts: accounts.Accounts
-    rate_limits: ratelimits.RateLimits
-    notices: notices.Notices
-    loads: loads.LoadExchange
-    repeats: repeatresults.RepeatExchange
-
-
 class Mesh:
     """The members, and connections to the owner and its candidates.
 
@@ -105,7 +76,7 @@
         address: str,
         row: rosters.MemberRow,
         directory: directories.Directory,
-        exchanges: Exchanges,
+        exchanges: exchanges_module.Exchanges,
         handler: Handler,
         background: tasks.Tasks,
     ) -> None:
@@ -129,7 +100,7 @@
         self.members = self._members = self._roster.members
         self._updates = updates.UpdateRequester(directory)
         self._started_at = clock.now()
-        self._owner = ids.MemberId('')
+        self._owner, self._owner_changed_at = ids.MemberId(''), 0.0
         self.me = ids.MemberId(address)
         self.leaving = False
         self.running_generations: collections.abc.Callable[
@@ -180,6 +151,12 @@
         """Return the first member that answers, or else this one."""
         return self._set_owner(self._members.owner(self.leaving, clock.now()))
 
+    def owned_seconds(self) -> float | None:
+        """Return for how long this gateway is the owner; None if it isn't."""
+        if self._owner != self.me:
+            return None
+        return clock.now() - self._owner_changed_at
+
     def is_live(self, name: ids.MemberId) -> bool:
         """Return whether a member answers."""
         return name == self.me or self._members.is_live(name, clock.now())
@@ -224,6 +201,7 @@
             instruments.owner_changes.add(1)
             _log.info('Owner changed.', owner=name, before=self._owner)
             self._owner = name
+            self._owner_changed_at = clock.now()
         return name
 
     async def _watch_event_loop(self) -> None:
@@ -265,7 +243,7 @@
             self._notices.leaving_upstreams(),
             self._directory.upstreams_version.era,
             self._members.rank.era,
-            proxymessages.MESSAGE_LEVEL,
+            affinitymessages.MESSAGE_LEVEL,
             self._loads.take_changed(self.size),
             self._repeats.take_unreported(),
             self.is_partitioned(),
@@ -290,14 +268,21 @@
 
     def tell_owner(self, message: frames.AnyMessage) -> None:
         """Send a message to the owner and the candidates to succeed it."""
+        for name in self.candidates():
+            self._links.send(name, message)
+
+    def candidates(self) -> tuple[ids.MemberId, ...]:
+        """Return the other members that are the owner or may succeed it."""
         now = clock.now()
         live_count = 0
+        found = []
         for name in self._members.by_rank():
             if live_count >= rosters.OWNER_CANDIDATES:
                 break
             live_count += name == self.me or self._members.is_live(name, now)
             if name != self.me:
-                self._links.send(name, message)
+                found.append(name)
+        return tuple(found)
 
     def _announce(self, new: tuple[messages.Suspicion, ...]) -> None:
         """Send suspicions to the owner, which sends them to all members."""
@@ -337,7 +322,7 @@
                     self._notices.leaving_upstreams(),
                     self._directory.upstreams_version.era,
                     self._members.rank.era,
-                    proxymessages.MESSAGE_LEVEL,
+                    affinitymessages.MESSAGE_LEVEL,
                     self._repeats.add_reported(message.repeats),
                     self.is_partitioned(),
                 ),
@@ -374,8 +359,10 @@
     ) -> None:
         self._links.record_level(name, heartbeat.message_level)
         self._members.record_partition(name, heartbeat.is_partitioned)
-        order = messages.order_version(heartbeat)
-        self._roster.add_versions(order, messages.upstreams_version(heartbeat))
+        order = messageversions.order_version(heartbeat)
+        self._roster.add_versions(
+            order, messageversions.upstreams_version(heartbeat)
+        )
         self._members.record_message(
             name, clock.now(), heartbeat.leaving, heartbeat.incarnation, order
         )
--- a/galenahatch/gateway/messages.py
+++ b/galenahatch/gateway/messages.py
@@ -23,7 +23,7 @@
 import msgspec
 
 from galenahatch.core import upstreams
-from galenahatch.core import versions
+from galenahatch.core import versionaffinity
 from galenahatch.gateway import records
 from galenahatch import ids
 
@@ -185,6 +185,9 @@
         units: Units of the quota that are charged.
         priority: Priority of the request; 0 is the most urgent.
         pauses: Pauses that engines have requested from the sender.
+        version: The only software version at which it may run; empty for any.
+        resumes: Keys of the stream that it takes up at a version that the
+            sender doesn't know; empty for any other.
     """
 
     stream: ids.StreamId
@@ -209,6 +212,8 @@
     units: float = 0.0
     priority: int = 0
     pauses: tuple[records.Paused, ...] = ()
+    version: ids.SoftwareVersion = ids.SoftwareVersion('')
+    resumes: tuple[ids.StreamKey, ...] = ()
 
 
 class Queued(Message, frozen=True, array_like=True, tag=True):
@@ -223,6 +228,7 @@
     Attributes:
         prefill: Prefill engine; empty if the decode engine does the prefill.
         expected_tokens: Predicted tokens of the answer.
+        version: The only software version at which it may run; empty for any.
     """
 
     stream: ids.StreamId
@@ -230,6 +236,7 @@
     decode: ids.UpstreamId
     reason: str
     expected_tokens: int = 0
+    version: ids.SoftwareVersion = ids.SoftwareVersion('')
 
 
 class PlacementRefused(Message, frozen=True, array_like=True, tag='GivenUp'):
@@ -238,12 +245,15 @@
     Attributes:
         retry_after: Seconds after which the caller may retry.
         is_over_quota: Whether the customer's quota is used up.
+        version_problem: Why the stream can't continue at the software version
+            that began it; None for other reasons.
     """
 
     stream: ids.StreamId
     retry_after: float
     reason: str
     is_over_quota: bool = False
+    version_problem: versionaffinity.Problem | None = None
 
 
 class Declined(Message, frozen=True, array_like=True, tag=True):
@@ -416,15 +426,3 @@
     rows: tuple[UpdateRow, ...]
     is_complete: bool = False
     era: int = 0
-
-
-def order_version(message: Heartbeat | HeartbeatReply) -> versions.Version:
-    """Return the version of the sender's row, which orders the members."""
-    return versions.Version(message.order_era, message.order)
-
-
-def upstreams_version(
-    message: Heartbeat | HeartbeatReply | UpdateRequest | Update,
-) -> versions.Version:
-    """Return the version as of which the sender knows upstreams."""
-    return versions.Version(message.era, message.upstreams_version)
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -32,6 +32,8 @@
 from galenahatch.core import retryvalue
 from galenahatch import errors
 from galenahatch.gateway import accounts as accounts_module
+from galenahatch.gateway import affinity
+from galenahatch.gateway import affinitymessages
 from galenahatch.gateway import callgrants
 from galenahatch.gateway import callmessages
 from galenahatch.gateway import callowner
@@ -40,6 +42,8 @@
 from galenahatch.gateway import contention
 from galenahatch.gateway import context as contexts
 from galenahatch.gateway import directory as directories
+from galenahatch.gateway import draining
+from galenahatch.gateway import exchanges
 from galenahatch.gateway import flowcontrol
 from galenahatch.gateway import frames
 from galenahatch.gateway import frontend
@@ -69,23 +73,10 @@
 
 METRICS_PORT: typing.Final = 9464
 """Port of the metrics; the deployment file names the same port."""
-_BALANCER_DRAIN_S: typing.Final = 2.6
-"""Minimum seconds for which a stopping gateway accepts new connections, unless
-it must exit sooner, and the seconds after which it rejects all new streams.
-The load balancer checks readiness once a second and stops using a gateway
-after two negative answers; the rest is a margin."""
 _EXIT_MARGIN_S: typing.Final = 0.4
 """Seconds before the end of the grace period at which the process exits."""
-_NO_NEW_CALLERS_S: typing.Final = 1.0
-"""Seconds before the exit from which new connections are refused. Requests
-already received are answered, or rejected if they would take too long."""
 _ABORT_TIMEOUT_S: typing.Final = 0.05
 """Seconds for requests still in flight at the end to handle their abort."""
-_IDLE_CHECK_INTERVAL_S: typing.Final = 0.05
-"""Seconds between two checks whether the gateway may exit."""
-_MAX_COUNTED_CHECK_S: typing.Final = 2 * _IDLE_CHECK_INTERVAL_S
-"""Upper limit on the seconds counted for one check interval. Time beyond it is
-taken as time in which the process was suspended."""
 _REFRESH_INTERVAL_S: typing.Final = 1.0
 """Seconds between two updates of the members and known upstreams."""
 _log = logs.Log('gateway')
@@ -146,6 +137,7 @@
         self._accounts = accounts_module.Accounts(
             self._directory, bounds.quota
         )
+        self._affinity = affinity.VersionAffinity(self._directory)
         self._owner_client = owner_client.OwnerClient(
             self._directory,
             settings.data_centre,
@@ -154,6 +146,7 @@
             self._rate_limits.limiter,
             self._notices.pauses_left,
             self._load_reports,
+            self._affinity.resolve,
         )
         self._open_plain_calls()
         self._open_mesh()
@@ -209,7 +202,7 @@
                 settings.peer_port, settings.data_centre, settings.proxy_port
             ),
             self._directory,
-            meshes.Exchanges(
+            exchanges.Exchanges(
                 self._exchange,
                 self._guard,
                 self._accounts,
@@ -248,6 +241,8 @@
             self._rate_limits.handle_message(member, message)
         elif isinstance(message, proxymessages.AnyProxyMessage):
             self._proxying.offers.handle_message(member, message)
+        elif isinstance(message, affinitymessages.StreamOrigins):
+            self._affinity.merge(message)
         elif isinstance(message, callmessages.OwnerRequest):
             self._call_owner.handle_message(member, message)
         elif isinstance(message, callmessages.AnyCallMessage):
@@ -283,6 +278,7 @@
         self._directory.run()
         self._mesh.run()
         self._owner_client.start(self._mesh, self._background_tasks)
+        self._affinity.start(self._mesh, self._background_tasks)
         self._call_owner.start(self._mesh, self._background_tasks)
         self._call_grants.set_peers(self._mesh)
         reports.ReportPoller(
@@ -306,6 +302,7 @@
                 balancer=self._balancer,
                 budget=self._local_retry_budget,
                 owner_client=self._owner_client,
+                affinity=self._affinity,
                 guard=self._guard,
                 accounts=self._accounts,
                 rate_limits=self._rate_limits,
@@ -374,40 +371,26 @@
         self._is_stopping = True
         asyncio.get_running_loop().stop()
 
-    async def _wait_for_balancer(self, exit_at: float) -> None:
-        """Accept callers until the load balancer has stopped sending them.
-
-        Time in which the process was suspended is not counted, since the
-        balancer's readiness checks were not answered then. New streams are
-        nevertheless rejected from a fixed time on (`HttpFrontend.drain`),
-        since the rejection sends their callers to another gateway.
-        """
-        remaining = _BALANCER_DRAIN_S
-        while remaining > 0 and clock.now() < exit_at - _NO_NEW_CALLERS_S:
-            checked_at = clock.now()
-            await asyncio.sleep(_IDLE_CHECK_INTERVAL_S)
-            remaining -= min(clock.now() - checked_at, _MAX_COUNTED_CHECK_S)
-
     async def stop(self, exception: Exception | None = None) -> None:
         """Finish requests in flight, then close."""
         began_at = clock.now()
         exit_at = began_at + self._settings.bounds.grace - _EXIT_MARGIN_S
-        self._frontend.drain(began_at + _BALANCER_DRAIN_S, exit_at)
+        self._frontend.drain(began_at + draining.BALANCER_DRAIN_S, exit_at)
         self._mesh.leaving = True
         self._proxying.drain()
         self._owner_client.owner.decline_all()
         self._call_owner.decline_all()
         _log.info('Stopping.', in_flight=self._frontend.in_flight)
-        await self._wait_for_balancer(exit_at)
+        await draining.wait_for_balancer(exit_at)
         while clock.now() < exit_at:
-            refuse_new = clock.now() > exit_at - _NO_NEW_CALLERS_S
+            refuse_new = clock.now() > exit_at - draining.NO_NEW_CALLERS_S
             if (
                 await self._callers.drain(refuse_new)
                 and not self._frontend.in_flight
                 and not self._proxying.in_flight
             ):
                 break
-            await asyncio.sleep(_IDLE_CHECK_INTERVAL_S)
+            await asyncio.sleep(draining.IDLE_CHECK_INTERVAL_S)
         self._callers.stop_listening()
         _log.info(
             'Stopped.',
--- a/galenahatch/gateway/owner.py
+++ b/galenahatch/gateway/owner.py
@@ -29,9 +29,9 @@
 from galenahatch.core import generations
 from galenahatch.core import loadreports
 from galenahatch.core import memory
-from galenahatch.core import quotas
 from galenahatch.core import ratelimits
 from galenahatch.core import retrybudget
+from galenahatch.core import versionaffinity
 from galenahatch.gateway import accounts as accounts_module
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import frames
@@ -39,6 +39,7 @@
 from galenahatch.gateway import messages
 from galenahatch.gateway import placementjobs
 from galenahatch.gateway import records
+from galenahatch.gateway import refusals
 from galenahatch import ids
 from galenahatch import logs
 from galenahatch import tasks
@@ -46,9 +47,8 @@
 _ROUND_INTERVAL_S: typing.Final = 0.003
 """Interval between scheduling rounds; requests that arrive in between are
 decided together in one round."""
-_REFUSAL_RETRY_AFTER_S: typing.Final = 0.3
-"""Retry delay of a request that was not executed and was refused because no
-retry budget is left; it comes back as a new request."""
+_UNRESOLVED_INTERVAL_S: typing.Final = 0.05
+"""Interval of checks whether the version of a stream has become known."""
 _log = logs.Log('owner')
 
 OwnerReply = (
@@ -59,6 +59,27 @@
 )
 ReplyFunction = collections.abc.Callable[[OwnerReply], None]
 DeliverFunction = collections.abc.Callable[[ids.MemberId, OwnerReply], None]
+ResolveFunction = collections.abc.Callable[
+    [ids.ServiceName, collections.abc.Iterable[ids.StreamKey], float],
+    ids.SoftwareVersion | versionaffinity.Problem | None,
+]
+
+
+def resolve_any(
+    service: ids.ServiceName,
+    keys: collections.abc.Iterable[ids.StreamKey],
+    arrived_at: float,
+) -> ids.SoftwareVersion:
+    """Bind no stream to a version."""
+    return versionaffinity.ANY_VERSION
+
+
+class _Asked(typing.NamedTuple):
+    """A placement request, and when it arrived; monotonic seconds."""
+
+    member: ids.MemberId
+    request: messages.PlacementRequest
+    arrived_at: float
 
 
 class Owner:
@@ -71,6 +92,8 @@
         limiter: Rate limiter of upstreams, for all gateways that ask.
         deliver: Sends a reply to a member.
         loads: Load reports of the engines.
+        resolve: Returns the version at which a stream continues; see
+            `affinity.VersionAffinity.resolve`.
     """
 
     def __init__(
@@ -81,8 +104,12 @@
         limiter: ratelimits.Limiter,
         deliver: DeliverFunction,
         loads: loadreports.Loads | None = None,
+        resolve: ResolveFunction = resolve_any,
     ) -> None:
         self._directory = directory
+        self._resolve = resolve
+        # Streams whose version others may still tell.
+        self._unresolved: dict[ids.StreamId, _Asked] = {}
         self._budget = budget
         self._accounts = accounts
         self._limiter = limiter
@@ -116,7 +143,7 @@
         """Handle a message from a gateway, which may be this one."""
         now = clock.now()
         if isinstance(message, messages.PlacementRequest):
-            self._handle_request(member, message, now)
+            self._handle_request(_Asked(member, message, now))
         elif isinstance(message, messages.Heartbeat):
             self._budget.record_heartbeat(member, now)
             self.record_partition(member, message.is_partitioned)
@@ -150,6 +177,7 @@
 
     def _withdraw(self, stream: ids.StreamId, now: float) -> None:
         self._reply_functions.pop(stream, None)
+        self._unresolved.pop(stream, None)
         for dispatcher in self._dispatchers.values():
             withdrawn = dispatcher.withdraw(stream)
             if withdrawn is not None:
@@ -178,18 +206,42 @@
 
     def decline_all(self) -> None:
         """Decline all queued requests, so that they go to the next owner."""
+        for stream, asked in list(self._unresolved.items()):
+            self._deliver(asked.member, messages.Declined(stream))
+        self._unresolved.clear()
         for stream, reply in list(self._reply_functions.items()):
             reply(messages.Declined(stream))
             for dispatcher in self._dispatchers.values():
                 dispatcher.withdraw(stream)
         self._reply_functions.clear()
 
-    def _handle_request(
-        self,
-        member: ids.MemberId,
-        request: messages.PlacementRequest,
-        now: float,
-    ) -> None:
+    def _handle_request(self, asked: _Asked) -> None:
+        """Decide on a request, or let it wait for its stream's version."""
+        member, request, arrived_at = asked
+        self._unresolved.pop(request.stream, None)
+        version: ids.SoftwareVersion | versionaffinity.Problem | None
+        version = request.version
+        if request.resumes and not version:
+            keys = request.resumes
+            version = self._resolve(request.service, keys, arrived_at)
+        if version is None:
+            self._unresolved[request.stream] = asked
+            self._deliver(member, messages.Queued(request.stream))
+        elif isinstance(version, versionaffinity.Problem):
+            refused = refusals.version_unknown(
+                member, request.stream, request.resumes
+            )
+            self._deliver(member, refused)
+        else:
+            self._submit(asked, version)
+
+    def _retry_unresolved(self) -> None:
+        for asked in list(self._unresolved.values()):
+            self._handle_request(asked)
+
+    def _submit(self, asked: _Asked, version: ids.SoftwareVersion) -> None:
+        member, request, arrived_at = asked
+        now = clock.now()
 
         def reply(message: OwnerReply) -> None:
             self._deliver(member, message)
@@ -200,14 +252,14 @@
             return
         denied = self._accounts.grant(request.customer, request.units)
         if denied is not None:
-            reply(_refuse_over_quota(member, request, denied))
+            reply(refusals.over_quota(member, request, denied))
             return
         if request.attempt == 1:
             self._budget.record_request(request.service, now)
         if not self._budget.grant(request.service, request.extra_sends, now):
-            reply(_refuse_without_budget(member, request))
+            reply(refusals.without_budget(member, request))
             return
-        job = placementjobs.create(member, request, now)
+        job = placementjobs.create(member, request, version, arrived_at)
         self._reply_functions[request.stream] = reply
         decision = dispatcher.submit(job, now)
         if decision is not None:
@@ -224,21 +276,7 @@
             ids.ServiceName, list[tuple[ids.UpstreamId, memory.Run]]
         ] = {name: [] for name in self._dispatchers}
         for generation in beat.running:
-            starts_at = (
-                now - generation.first_event_age
-                if generation.first_event_age >= 0
-                else now
-            )
-            run = memory.Run(
-                generation.stream,
-                beat.member,
-                generation.prompt_tokens,
-                generation.expected_tokens,
-                generation.max_tokens,
-                starts_at,
-                generation.tokens_generated,
-                now,
-            )
+            run = placementjobs.run_of(generation, beat.member, now)
             if self._dispatcher(generation.service) is not None:
                 runs = runs_by_service.setdefault(generation.service, [])
                 runs.append((generation.decode, run))
@@ -325,8 +363,9 @@
     async def _decide_forever(self) -> None:
         while True:
             self._wake.clear()
+            self._retry_unresolved()
             now = clock.now()
-            delays = []
+            delays = [_UNRESOLVED_INTERVAL_S] if self._unresolved else []
             for dispatcher in self._dispatchers.values():
                 for decision in dispatcher.decide(now):
                     self._send_decision(decision)
@@ -357,6 +396,7 @@
                 decision.decode,
                 decision.why,
                 job.predicted_output,
+                job.version,
             )
             instruments.decisions.add(1, {'outcome': 'placed'})
             _log.info(
@@ -365,12 +405,16 @@
                 member=job.entry,
                 prefill=decision.prefill or '',
                 decode=decision.decode,
+                version=job.version,
                 why=decision.why,
             )
             self._accounts.record_service(job, decision.cost)
         else:
             message = messages.PlacementRefused(
-                job.stream, decision.retry_after, decision.why
+                job.stream,
+                decision.retry_after,
+                decision.why,
+                version_problem=decision.version_problem,
             )
             instruments.decisions.add(1, {'outcome': 'refused'})
             _log.info(
@@ -384,43 +428,3 @@
             self._accounts.record_no_room(job.customer)
         if reply is not None:
             reply(message)
-
-
-def _refuse_without_budget(
-    member: ids.MemberId, request: messages.PlacementRequest
-) -> messages.PlacementRefused:
-    """Refuse a retry before any prefill is done for it."""
-    why = 'retry budget spent'
-    instruments.decisions.add(1, {'outcome': 'refused'})
-    _log.info(
-        'Refused.',
-        stream=request.stream,
-        member=member,
-        retry_after=_REFUSAL_RETRY_AFTER_S,
-        why=why,
-        sends=request.extra_sends,
-    )
-    return messages.PlacementRefused(
-        request.stream, _REFUSAL_RETRY_AFTER_S, why
-    )
-
-
-def _refuse_over_quota(
-    member: ids.MemberId,
-    request: messages.PlacementRequest,
-    denied: quotas.Denied,
-) -> messages.PlacementRefused:
-    """Refuse a request whose customer is over quota."""
-    retry_after = denied.retry_after or _REFUSAL_RETRY_AFTER_S
-    instruments.decisions.add(1, {'outcome': 'over_quota'})
-    _log.info(
-        'Refused.',
-        stream=request.stream,
-        member=member,
-        customer=request.customer,
-        retry_after=retry_after,
-        why=denied.why,
-    )
-    return messages.PlacementRefused(
-        request.stream, retry_after, denied.why, True
-    )
--- a/galenahatch/gateway/owner_client.py
+++ b/galenahatch/gateway/owner_client.py
@@ -31,12 +31,14 @@
 from galenahatch.core import ratelimits
 from galenahatch.core import retrybudget
 from galenahatch.gateway import accounts as accounts_module
+from galenahatch.gateway import affinitymessages
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import frames
 from galenahatch.gateway import mesh as meshes
 from galenahatch.gateway import messages
 from galenahatch.gateway import owner as owners
 from galenahatch.gateway import records
+from galenahatch.gateway import refusals
 from galenahatch import ids
 from galenahatch import tasks
 from galenahatch import timeouts
@@ -80,6 +82,8 @@
     customer: ids.CustomerName = ids.CustomerName('')
     quota_units: float = 0.0
     priority: int = 0
+    version: ids.SoftwareVersion = ids.SoftwareVersion('')
+    resumes: tuple[ids.StreamKey, ...] = ()
 
 
 @dataclasses.dataclass
@@ -108,6 +112,8 @@
         paused_engines: Returns the engines that asked this gateway for a
             pause, with the remaining seconds.
         loads: Load reports, for when this gateway is the owner.
+        resolve: Returns the version at which a stream continues, for when
+            this gateway is the owner.
     """
 
     def __init__(
@@ -121,7 +127,9 @@
             [], dict[ids.UpstreamId, float]
         ],
         loads: loadreports.Loads | None = None,
+        resolve: owners.ResolveFunction = owners.resolve_any,
     ) -> None:
+        self._directory = directory
         self._paused_engines = paused_engines
         self._data_centre = data_centre
         self._mesh: meshes.Mesh | None = None
@@ -131,7 +139,13 @@
         self._running: dict[ids.StreamId, _Running] = {}
         self._owner_by_stream: dict[ids.StreamId, ids.MemberId] = {}
         self.owner = owners.Owner(
-            directory, budget, accounts, limiter, self._deliver, loads
+            directory,
+            budget,
+            accounts,
+            limiter,
+            self._deliver,
+            loads,
+            resolve,
         )
 
     def start(self, mesh: meshes.Mesh, background: tasks.Tasks) -> None:
@@ -168,6 +182,10 @@
         try:
             while True:
                 owner = self._mesh.owner()
+                if request.resumes and not self._knows_versions(owner):
+                    return refusals.version_unknown(
+                        self._mesh.me, request.stream, request.resumes
+                    )
                 self._submit(owner, request)
                 reply = await self._await_first_reply(owner, replies)
                 if isinstance(reply, messages.Queued):
@@ -197,7 +215,7 @@
             end_within=request.deadline - now,
             subject=request.last_block_id,
             data_centre=self._data_centre,
-            avoid=request.avoid,
+            avoid=self._engines_to_avoid(owner, request),
             is_continuation=request.is_resumed,
             is_prefilled=request.is_prefilled,
             abandon_within=request.abandon_at - now,
@@ -212,9 +230,29 @@
                 records.Paused(*item)
                 for item in self._paused_engines().items()
             ),
+            version=request.version,
+            resumes=request.resumes,
         )
         self._send(owner, message)
 
+    def _knows_versions(self, owner: ids.MemberId) -> bool:
+        """Return whether an owner's build binds streams to versions."""
+        assert self._mesh is not None
+        return self._mesh.knows(owner, affinitymessages.MESSAGE_LEVEL)
+
+    def _engines_to_avoid(
+        self, owner: ids.MemberId, request: PlacementRequest
+    ) -> tuple[ids.UpstreamId, ...]:
+        """Return the engines that an owner must not choose.
+
+        To one that doesn't know versions, all engines of others are named.
+        """
+        if not request.version or self._knows_versions(owner):
+            return request.avoid
+        usable = self._directory.registry.usable(request.service, clock.now())
+        others = [e.id for e in usable if e.version != request.version]
+        return (*request.avoid, *others)
+
     async def _await_first_reply(
         self, owner: ids.MemberId, replies: 'asyncio.Queue[owners.OwnerReply]'
     ) -> owners.OwnerReply | None:
--- a/galenahatch/gateway/placementjobs.py
+++ b/galenahatch/gateway/placementjobs.py
@@ -10,27 +10,36 @@
 # License for the specific language governing permissions and limitations
 # under the License.
 
-"""Turns placement requests into jobs of the owner."""
+"""Turns placement requests and reported generations into the owner's."""
 
 from galenahatch.core import generations
+from galenahatch.core import memory
 from galenahatch.gateway import messages
 from galenahatch import ids
 
 
 def create(
-    member: ids.MemberId, request: messages.PlacementRequest, now: float
+    member: ids.MemberId,
+    request: messages.PlacementRequest,
+    version: ids.SoftwareVersion,
+    arrived_at: float,
 ) -> generations.Job:
-    """Return the job for a placement request, in the owner's clock time."""
+    """Return the job for a placement request, in the owner's clock time.
+
+    Args:
+        version: The only software version at which it may run; empty for any.
+        arrived_at: Time at which the owner was asked.
+    """
     return generations.Job(
         stream=request.stream,
         entry=member,
         prompt_tokens=request.prompt_tokens,
         output_hint=request.length_hint,
         max_output=request.max_tokens,
-        arrived_at=now,
-        start_deadline=now + request.first_event_within,
-        abandon_at=now + request.abandon_within,
-        deadline=now + request.end_within,
+        arrived_at=arrived_at,
+        start_deadline=arrived_at + request.first_event_within,
+        abandon_at=arrived_at + request.abandon_within,
+        deadline=arrived_at + request.end_within,
         fingerprint=request.subject,
         data_centre=request.data_centre,
         avoid=frozenset(request.avoid),
@@ -41,8 +50,32 @@
         customer=request.customer,
         units=request.units,
         priority=request.priority,
+        version=version,
         paused_until={
-            pause.upstream: now + pause.seconds_left
+            pause.upstream: arrived_at + pause.seconds_left
             for pause in request.pauses
         },
     )
+
+
+def run_of(
+    generation: messages.RunningGeneration, member: ids.MemberId, now: float
+) -> memory.Run:
+    """Return the run of a generation that a gateway reports.
+
+    Args:
+        generation: The generation.
+        member: Gateway that reports it.
+        now: Monotonic time in seconds.
+    """
+    starts_at = now - max(0.0, generation.first_event_age)
+    return memory.Run(
+        generation.stream,
+        member,
+        generation.prompt_tokens,
+        generation.expected_tokens,
+        generation.max_tokens,
+        starts_at,
+        generation.tokens_generated,
+        now,
+    )
--- a/galenahatch/gateway/updates.py
+++ b/galenahatch/gateway/updates.py
@@ -17,6 +17,7 @@
 from galenahatch import clock
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import messages
+from galenahatch.gateway import messageversions
 
 _REQUEST_INTERVAL_S: typing.Final = 0.6
 """Minimum number of seconds between two requests. Sending a configuration of
@@ -42,7 +43,7 @@
         """Return the request to send if a member has newer data, else None."""
         config = self._directory.config_version
         version = self._directory.upstreams_version
-        peer_version = messages.upstreams_version(heartbeat)
+        peer_version = messageversions.upstreams_version(heartbeat)
         if heartbeat.config_version <= config and peer_version <= version:
             return None
         if clock.now() - self._requested_at < _REQUEST_INTERVAL_S:
--- a/galenahatch/ids.py
+++ b/galenahatch/ids.py
@@ -59,6 +59,10 @@
 SoftwareVersion = typing.NewType('SoftwareVersion', str)
 """Version of an upstream's software; versions are equal or not, unordered."""
 
+StreamKey = typing.NewType('StreamKey', str)
+"""Identifies a stream that its caller takes up again: the id of the request
+that began it, or a digest of its request."""
+
 MemberId = typing.NewType('MemberId', str)
 """`role/ip:port` of a daemon; a restart at the same address keeps it."""
 
--- a/galenahatch/platform/wire.py
+++ b/galenahatch/platform/wire.py
@@ -135,7 +135,7 @@
         last_event_id=headers.get(_LAST_EVENT, ''),
         tokens=_total_tokens(headers),
         credentials=tuple(headers.getall(_CREDENTIALS, ())),
-        resumes=headers.get(_RESUMES, ''),
+        resumes=headers.get(_RESUMES, headers.get(_PREFIX + _RESUMES, '')),
     )
 
 
