Streams: after silence, read the prompt on a new connection

Traced: the test's stream had 60 ms left of its route's 3 s. A cut silences all open connections; the stream noticed it after 0.7 s, and its second prefill was sent on another connection that was silent too, which took its whole timeout of 1.2 s.

Change: once a connection has gone silent, the request's further prefills use new connections, which fail within 0.3 s and then go through a proxy. The new test failed on the former code (`Prefill request failed.` in its lines) and passes.

--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -396,6 +396,8 @@
         self, engine: upstreams.Upstream, failure: sendresults.FailedSend
     ) -> prefill.Retry:
         relay = self._relay
+        if failure.is_silence:
+            self._prefill.record_silence()
         if (
             relay.run_event_count
             and clock.now() - relay.run_started_at > placements.STARTUP_S
--- a/galenahatch/gateway/prefill.py
+++ b/galenahatch/gateway/prefill.py
@@ -106,6 +106,7 @@
         self._ttl = service.engine.handle_ttl
         self._tokens = call.prompt.tokens
         self._attempts = 0
+        self._use_pool = True
         self._kv_source = ''
         self._fetch_by = 0.0
         self.engine = ids.UpstreamId('')
@@ -126,6 +127,14 @@
         """
         return self._kv_source if clock.now() < self._fetch_by else ''
 
+    def record_silence(self) -> None:
+        """Use new connections from now on: an open one has gone silent.
+
+        Others that are open to the same engines may have gone with it, and
+        only a timeout would show that.
+        """
+        self._use_pool = False
+
     def mark_fetched(self) -> None:
         """Record that a decode engine has fetched the result."""
         self._kv_source = ''
@@ -174,6 +183,8 @@
         self, engine: upstreams.Upstream, failure: sendresults.FailedSend
     ) -> Retry:
         self._attempts += failure.fate is not fate.Fate.NOT_SENT
+        if failure.is_silence:
+            self.record_silence()
         _log.warning(
             'Prefill request failed.',
             request=self._call.id,
@@ -202,7 +213,7 @@
             wire.decode_response_head,
             timeout=min(time_left, _PREFILL_TIMEOUT_S),
             connect_timeout=_CONNECT_TIMEOUT_S,
-            use_pool=True,
+            use_pool=self._use_pool,
         )
 
     def _store_handle(self, engine: upstreams.Upstream, handle: str) -> None:
--- a/galenahatch/gateway/sendresults.py
+++ b/galenahatch/gateway/sendresults.py
@@ -66,6 +66,15 @@
     is_disconnect: bool = False
     cause: Cause = Cause.UNKNOWN
 
+    @property
+    def is_silence(self) -> bool:
+        """Whether nothing came any more over a connection that stays open."""
+        return (
+            self.fate is fate.Fate.UNCERTAIN
+            and not self.is_disconnect
+            and self.head is None
+        )
+
 
 class Response:
     """A response whose head has been received.
--- a/galenahatch/test/test_partitions.py
+++ b/galenahatch/test/test_partitions.py
@@ -233,6 +233,29 @@
     assert ids == [f'id: {n}'.encode() for n in range(1, 21)]
 
 
+# Guards against streams that end by their deadline, since the next prompt is
+# sent on a connection that has gone silent with the first one.
+def test_silence_is_not_waited_for_twice(fleet: fleets.Fleet) -> None:
+    """The second prefill is sent through a proxy, not after a timeout."""
+    engines = fleet.of('model', 'decode')
+    for engine in engines:
+        engine.events, engine.pause = 20, 0.05
+    try:
+        with fleets.Caller(fleet.vms[2]) as caller:
+            request = caller.begin('/tell/x', X_Galenahatch_Deadline_Ms='9000')
+            fleets.eventually(lambda: fleet.runs(request), 'it runs')
+            _cut(fleet, 2, 'hang')
+            answer = caller.end()
+    finally:
+        for engine in engines:
+            engine.events, engine.pause = 8, 0.005
+    assert answer.served
+    lines = [line for line in fleet.vms[2].lines() if 'request' in line]
+    told = [line['message'] for line in lines if line['request'] == request]
+    assert 'Stream interrupted.' in told
+    assert 'Prefill request failed.' not in told
+
+
 # Guards against requests that are held though nobody can serve them.
 def test_all_are_partitioned(fleet: fleets.Fleet) -> None:
     """Each is refused in time and has not run; all are served after it."""
