--- a/galenahatch/test/standin/upstreams.py
+++ b/galenahatch/test/standin/upstreams.py
@@ -25,6 +25,8 @@
 A request whose body begins with `CRASHES` ends the upstream that begins to run
 it, and one that begins with `CRASHES_READING` also the engine that reads its
 prompt: all connections are reset, and none can be made until it starts again.
+So does a request with the part `HARMFUL` in its prompt, whatever else it
+holds, at the engine that begins to write its answer.
 """
 
 import asyncio
@@ -43,6 +45,7 @@
 _PREFIX: typing.Final = 'x-galenahatch-'
 CRASHES: typing.Final = b'ends what runs it'
 CRASHES_READING: typing.Final = CRASHES + b' or reads it'
+HARMFUL: typing.Final = 'bad0'
 _LASTS: typing.Final = 0.03
 """Seconds for which a request that ends its upstream has run by then."""
 _DOWN: typing.Final = 1.0
@@ -276,7 +279,9 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         seen.ran = True
-        if seen.body.startswith(CRASHES) and fault != 'error':
+        parts = seen.told('prompt-prefix').split(',')
+        is_harmful = any(p.startswith(HARMFUL + ':') for p in parts)
+        if is_harmful or (seen.body.startswith(CRASHES) and fault != 'error'):
             return await self._end_by(seen, writer)
         serve = self._stream if self.stage else self._plain
         try:
