Quarantine: find the part of prompts that crashes engines

Cause: ends were counted by the digest of the whole request, and no two of these requests are alike. The class: evidence kept under a key that the next case doesn't share.

Records of parts travel and are stored with those of requests, so older builds carry them along.

The expected prompt of one case in test_platform has its parts, which it did not have before.

--- a/galenahatch/core/quarantine.py
+++ b/galenahatch/core/quarantine.py
@@ -30,6 +30,10 @@
   again. As long as two requests share all their ends, neither is held, until
   so many upstreams have ended that this can't wait.
 
+Where requests are all different and share a harmful part of their prompts, the
+parts are counted like requests (`core/poisonparts`). What a held part explains
+doesn't count for requests.
+
 The records are grow-only sets, and the verdict follows from them alone. So
 gateways may report to each other in any order and repeatedly, and reach the
 same verdict (`merge`). A record is dropped ten minutes after its last end:
@@ -44,6 +48,7 @@
 import typing
 import zlib
 
+from galenahatch.core import poisonparts
 from galenahatch import ids
 
 END_THRESHOLD: typing.Final = 3
@@ -64,6 +69,7 @@
 """
 
 Digest = ids.RequestDigest
+Parts = collections.abc.Sequence[ids.PromptPart]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -102,7 +108,9 @@
 
     def __init__(self) -> None:
         self._records: dict[Digest, _Record] = {}
+        self._sound = poisonparts.SoundParts(RECORD_LIFE_S)
         self._held: frozenset[Digest] = frozenset()
+        self._verdicts: list[poisonparts.Verdict] = []
         self._next_report = 0
 
     @property
@@ -115,10 +123,30 @@
         """Requests that are held back."""
         return self._held
 
-    def is_suspect(self, digest: Digest) -> bool:
-        """Return whether an upstream recently ended under a request."""
-        record = self._records.get(digest)
-        return record is not None and not record.cleared
+    @property
+    def held_parts(self) -> frozenset[frozenset[ids.PromptPart]]:
+        """Sets of parts; requests that have all of one set are held back."""
+        return frozenset(verdict.parts for verdict in self._verdicts)
+
+    def is_suspect(self, digest: Digest, parts: Parts = ()) -> bool:
+        """Return whether upstreams recently ended under a request.
+
+        Args:
+            digest: Digest of the request.
+            parts: Parts of its prompt that others may share.
+        """
+        return self._is_suspected(digest, 1) or any(
+            self._is_suspected(part, poisonparts.SUSPECT_THRESHOLD)
+            for part in parts
+        )
+
+    def _is_suspected(self, key: Digest, threshold: int) -> bool:
+        record = self._records.get(key)
+        return (
+            record is not None
+            and not record.cleared
+            and len(record.ends) >= threshold
+        )
 
     def ends(self, digest: Digest) -> int:
         """Return how many upstreams ended under a request."""
@@ -128,18 +156,30 @@
     # Observations of this gateway.
 
     def record_end(
-        self, digest: Digest, upstream: ids.UpstreamId, now: float
+        self,
+        digest: Digest,
+        upstream: ids.UpstreamId,
+        now: float,
+        parts: Parts = (),
     ) -> None:
         """Record that an upstream ended just after a request began there."""
         number = zlib.crc32(upstream.encode())
-        self.merge([Suspicion(digest, (number,))], now)
+        keys = [
+            digest,
+            *(part for part in parts if not self._sound.includes(part, now)),
+        ]
+        self.merge([Suspicion(key, (number,)) for key in keys], now)
 
-    def record_success(self, digest: Digest, now: float) -> bool:
+    def record_success(
+        self, digest: Digest, now: float, parts: Parts = ()
+    ) -> bool:
         """Record a completed request; return whether it was suspected."""
-        if not self.is_suspect(digest):
-            return False
-        self.merge([Suspicion(digest, (), cleared=True)], now)
-        return True
+        self._sound.record(parts, now)
+        suspected = [
+            key for key in (digest, *parts) if self._is_suspected(key, 0)
+        ]
+        self.merge([Suspicion(k, (), cleared=True) for k in suspected], now)
+        return bool(suspected)
 
     # Reports between gateways.
 
@@ -169,11 +209,23 @@
 
     def merge(
         self, reports: collections.abc.Iterable[Suspicion], now: float
-    ) -> None:
-        """Merge reports of another gateway, or a new observation."""
-        changes = [self._merge(report, now) for report in reports]
-        if any(changes):
+    ) -> bool:
+        """Merge reports of another gateway, or a new observation.
+
+        Returns:
+            Whether a part was cleared that is known here to be sound, which
+            others may not know.
+        """
+        changed = [report for report in reports if self._merge(report, now)]
+        sound = [
+            Suspicion(report.digest, (), cleared=True)
+            for report in changed
+            if self._sound.includes(report.digest, now)
+        ]
+        cleared = [self._merge(report, now) for report in sound]
+        if changed:
             self._update_held()
+        return any(cleared)
 
     def prune(self, now: float) -> None:
         """Drop expired records, and the oldest if there are too many."""
@@ -215,34 +267,24 @@
 
     def _update_held(self) -> None:
         """Determine the held requests; those with most ends come first."""
-        suspects = sorted(
-            (
-                (digest, record.ends)
-                for digest, record in self._records.items()
-                if not record.cleared
-            ),
-            key=lambda item: (-len(item[1]), item[0]),
+        uncleared = {
+            key: record.ends
+            for key, record in self._records.items()
+            if not record.cleared
+        }
+        parts = {
+            ids.PromptPart(key): ends
+            for key, ends in uncleared.items()
+            if poisonparts.is_part(key)
+        }
+        requests = [
+            (key, ends) for key, ends in uncleared.items() if key not in parts
+        ]
+        self._verdicts = poisonparts.find_verdicts(
+            parts, [ends for _, ends in requests]
         )
-        by_end: dict[int, set[Digest]] = {}
-        for digest, ends in suspects:
-            for end in ends:
-                by_end.setdefault(end, set()).add(digest)
-        explained: set[int] = set()
-        held = set()
-        for digest, ends in suspects:
-            unexplained = ends - explained
-            if len(unexplained) < END_THRESHOLD:
-                continue
-            is_ambiguous = (
-                len(set.intersection(*(by_end[end] for end in unexplained)))
-                > 1
-            )
-            if is_ambiguous and len(unexplained) < _CERTAIN_END_THRESHOLD:
-                continue
-            held.add(digest)
-            if not is_ambiguous:
-                explained |= ends
-        self._held = frozenset(held)
+        explained = {end for found in self._verdicts for end in found.ends}
+        self._held = _held_requests(requests, explained)
 
     def _suspicion(self, digest: Digest, now: float) -> Suspicion:
         record = self._records[digest]
@@ -252,3 +294,34 @@
             max(0.0, now - record.changed_at),
             record.cleared,
         )
+
+
+def _held_requests(
+    requests: collections.abc.Iterable[tuple[Digest, set[int]]],
+    explained: set[int],
+) -> frozenset[Digest]:
+    """Return the requests to hold back.
+
+    Args:
+        requests: Each request that is not cleared, with its ends.
+        explained: Ends that held parts explain.
+    """
+    suspects = sorted(requests, key=lambda item: (-len(item[1]), item[0]))
+    by_end: dict[int, set[Digest]] = {}
+    for digest, ends in suspects:
+        for end in ends:
+            by_end.setdefault(end, set()).add(digest)
+    held = set()
+    for digest, ends in suspects:
+        unexplained = ends - explained
+        if len(unexplained) < END_THRESHOLD:
+            continue
+        is_ambiguous = (
+            len(set.intersection(*(by_end[end] for end in unexplained))) > 1
+        )
+        if is_ambiguous and len(unexplained) < _CERTAIN_END_THRESHOLD:
+            continue
+        held.add(digest)
+        if not is_ambiguous:
+            explained |= ends
+    return frozenset(held)
--- a/galenahatch/gateway/calls.py
+++ b/galenahatch/gateway/calls.py
@@ -40,12 +40,14 @@
             in the median but often far off; None if not given.
         last_block_id: Id of the last part of the prompt, which is unique to
             this request or its session.
+        shared_parts: Parts before the last one, which other requests share.
     """
 
     tokens: int
     max_output: int
     estimated_output: int | None
     last_block_id: str
+    shared_parts: tuple[ids.PromptPart, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -108,6 +110,11 @@
         """Priority of the customer; None if the route's priority applies."""
         return self.customer.priority if self.customer is not None else None
 
+    @property
+    def shared_parts(self) -> tuple[ids.PromptPart, ...]:
+        """Parts of the prompt that other requests share."""
+        return self.prompt.shared_parts if self.prompt is not None else ()
+
     @property
     def quota_units(self) -> float:
         """Cost of the request in units of its customer's quota."""
--- a/galenahatch/gateway/quarantine.py
+++ b/galenahatch/gateway/quarantine.py
@@ -100,6 +100,7 @@
         self._table = table
         self._quarantine = quarantine.Quarantine()
         self._blocked: frozenset[ids.RequestDigest] = frozenset()
+        self._blocked_parts: frozenset[frozenset[ids.PromptPart]] = frozenset()
         self._stored: dict[ids.RequestDigest, Entry] = {}
         self.announce: Announce = lambda suspicions: None
 
@@ -107,18 +108,29 @@
 
     def is_blocked(self, call: calls.Call) -> bool:
         """Return whether a request must not be sent to upstreams."""
-        return bool(self._blocked) and call.digest in self._blocked
+        if self._blocked and call.digest in self._blocked:
+            return True
+        return bool(self._blocked_parts) and bool(self._harmful_parts(call))
+
+    def _harmful_parts(self, call: calls.Call) -> list[ids.PromptPart]:
+        """Return the parts of a prompt for which a request is blocked."""
+        parts = frozenset(call.shared_parts)
+        held = (sorted(h) for h in self._blocked_parts if h <= parts)
+        return next(held, [])
 
     def is_suspect(self, call: calls.Call) -> bool:
         """Return whether an upstream recently ended during a request."""
         return not self._quarantine.is_empty and self._quarantine.is_suspect(
-            call.digest
+            call.digest, call.shared_parts
         )
 
     def failure(self, call: calls.Call) -> errors.Failure:
         """Return the failure for the caller of a blocked request."""
-        ends = self._quarantine.ends(call.digest)
-        detail = f'{ends} engines ended; digest {call.digest}'
+        key: ids.RequestDigest = call.digest
+        for part in self._harmful_parts(call):
+            key = part
+        ends = self._quarantine.ends(key)
+        detail = f'{ends} engines ended; digest {key}'
         return errors.Failure(errors.ENDS_ENGINES, detail)
 
     async def record_cut(
@@ -127,7 +139,10 @@
         """Record that a send broke off soon after the upstream began it."""
         if not await self._refuses_connections(upstream):
             return
-        self._quarantine.record_end(call.digest, upstream.id, clock.now())
+        parts = call.shared_parts
+        self._quarantine.record_end(
+            call.digest, upstream.id, clock.now(), parts
+        )
         instruments.upstream_ends.add(1)
         _log.warning(
             'Upstream ended under a request.',
@@ -135,15 +150,18 @@
             upstream=upstream.id,
             digest=call.digest,
             ends=self._quarantine.ends(call.digest),
+            parts=' '.join(
+                f'{part}={self._quarantine.ends(part)}' for part in parts
+            ),
         )
         self._update_blocked()
         self.announce(self.suspicions())
 
     def record_completion(self, call: calls.Call) -> None:
         """Record that a request ran to completion."""
-        if self._quarantine.is_empty:
-            return
-        if self._quarantine.record_success(call.digest, clock.now()):
+        if self._quarantine.record_success(
+            call.digest, clock.now(), call.shared_parts
+        ):
             _log.info('Request cleared.', request=call.id, digest=call.digest)
             self._update_blocked()
             self.announce(self.suspicions())
@@ -173,14 +191,25 @@
     def _merge(
         self, suspicions: collections.abc.Iterable[quarantine.Suspicion]
     ) -> None:
-        self._quarantine.merge(suspicions, clock.now())
+        has_news = self._quarantine.merge(suspicions, clock.now())
         self._update_blocked()
+        if has_news:
+            self.announce(self.suspicions())
 
     def _update_blocked(self) -> None:
         """Update the blocked requests, and log the changes."""
-        blocked = self._quarantine.held
-        if blocked == self._blocked:
+        blocked, parts = self._quarantine.held, self._quarantine.held_parts
+        if blocked == self._blocked and parts == self._blocked_parts:
             return
+        for held in parts - self._blocked_parts:
+            _log.warning(
+                'Prompt parts held back.', parts=' '.join(sorted(held))
+            )
+        for held in self._blocked_parts - parts:
+            _log.info(
+                'Prompt parts let through again.', parts=' '.join(sorted(held))
+            )
+        self._blocked_parts = parts
         for digest in blocked - self._blocked:
             ends = self._quarantine.ends(digest)
             _log.warning('Request held back.', digest=digest, ends=ends)
--- a/galenahatch/ids.py
+++ b/galenahatch/ids.py
@@ -31,6 +31,10 @@
 """Digest of a request's content and its caller; equal for repeated requests,
 regardless of their ids."""
 
+PromptPart = typing.NewType('PromptPart', RequestDigest)
+"""Key of a part of prompts; stands beside the digests of requests where those
+that may end upstreams are counted."""
+
 ClaimKey = typing.NewType('ClaimKey', str)
 """Digest of the caller and the idempotency key."""
 
--- a/galenahatch/platform/wire.py
+++ b/galenahatch/platform/wire.py
@@ -26,6 +26,7 @@
 from galenahatch.core import customers
 from galenahatch.core import incarnations
 from galenahatch.core import loadreports
+from galenahatch.core import poisonparts
 from galenahatch import errors
 from galenahatch.gateway import calls
 
@@ -269,16 +270,26 @@
     if counts is None or _MODEL not in headers:
         return None
     tokens, max_output = counts
-    last_block = headers.get(_PROMPT_PREFIX, '').rsplit(',', 1)[-1]
+    *shared, last_block = headers.get(_PROMPT_PREFIX, '').split(',')
     length_hint = _parse_number(headers.get(_LENGTH_HINT, ''))
     return calls.Prompt(
         tokens=tokens,
         max_output=max_output,
         estimated_output=int(length_hint) if length_hint is not None else None,
-        last_block_id=last_block.partition(':')[0].strip(),
+        last_block_id=_block_id(last_block),
+        shared_parts=tuple(
+            poisonparts.part_key(part_id)
+            for part_id in map(_block_id, shared[: poisonparts.MAX_PARTS])
+            if part_id.isalnum() and len(part_id) <= _MAX_LOGGED_CHARS
+        ),
     )
 
 
+def _block_id(entry: str) -> str:
+    """Return the id in an entry of a prompt's parts, `id:tokens`."""
+    return entry.partition(':')[0].strip()
+
+
 def _parse_load(
     text: str,
 ) -> tuple[loadreports.LoadReport | None, errors.Failure | None]:
--- a/galenahatch/test/test_platform.py
+++ b/galenahatch/test/test_platform.py
@@ -124,7 +124,16 @@
         (b'X-Galenahatch-Deadline-Ms', b'1500'),
     ]
     call = wire.decode_call('POST', '/p', raw, b'', 0.0)
-    assert call.prompt == calls.Prompt(1460, 80, 60, 'e4')
+    assert call.prompt == calls.Prompt(
+        1460,
+        80,
+        60,
+        'e4',
+        (
+            ids.PromptPart(ids.RequestDigest('p-5c')),
+            ids.PromptPart(ids.RequestDigest('p-91')),
+        ),
+    )
     assert (call.id, call.caller_timeout) == ('r1', 1.5)
     raw[3] = (b'X-Galenahatch-Token-Count', b'many')
     raw[6] = (b'X-Galenahatch-Deadline-Ms', b'-3')
--- a/galenahatch/test/test_suspicions.py
+++ b/galenahatch/test/test_suspicions.py
@@ -28,6 +28,7 @@
 
 from galenahatch.core import generations
 from galenahatch.core import placements
+from galenahatch.core import poisonparts
 from galenahatch.core import quarantine
 from galenahatch import ids
 
@@ -50,6 +51,87 @@
     return known
 
 
+def _parts(*names: str) -> tuple[ids.PromptPart, ...]:
+    return tuple(poisonparts.part_key(name) for name in names)
+
+
+def _ended(*ends: str) -> quarantine.Quarantine:
+    """Return what is known after ends, each `request engine part...`."""
+    known = quarantine.Quarantine()
+    for end in ends:
+        digest, engine, *names = end.split()
+        known.record_end(
+            ids.RequestDigest(digest),
+            ids.UpstreamId(engine),
+            0.0,
+            _parts(*names),
+        )
+    return known
+
+
+@pytest.mark.parametrize(
+    ('ends', 'held'),
+    [
+        pytest.param(['1 A f h', '2 B f h'], [], id='two ends'),
+        pytest.param(['1 A h', '2 B h', '3 C h'], ['h'], id='three requests'),
+        pytest.param(
+            ['1 A f h', '2 B f h', '3 C f h'], ['f h'], id='always together'
+        ),
+        pytest.param(
+            ['1 A f h', '2 B f h', '3 C f h', '4 D h'], ['h'], id='told apart'
+        ),
+        pytest.param(
+            ['1 A h m', '2 B h m', '3 C h m', '4 D h n', '5 E h n'],
+            ['h'],
+            id='what stands at most ends explains the others',
+        ),
+        pytest.param(
+            ['1 A h', '1 B h', '1 C h'], [], id='one request, repeated'
+        ),
+        pytest.param(
+            ['1 A h', '1 B h', '1 C h', '2 D h'],
+            ['h'],
+            id='a second request with the part',
+        ),
+        pytest.param(
+            ['1 A h', '2 B h', '3 C h', '4 D g', '5 E g', '6 F g'],
+            ['h', 'g'],
+            id='two harmful parts',
+        ),
+    ],
+)
+def test_which_parts_are_held(ends: list[str], held: list[str]) -> None:
+    """Of parts at the same ends, only requests with all are held."""
+    expected = {frozenset(_parts(*names.split())) for names in held}
+    assert _ended(*ends).held_parts == expected
+
+
+def test_part_of_sound_requests_is_cleared() -> None:
+    """Before the first end or after it, by any gateway."""
+    ends = ['1 A f h', '2 B f h', '3 C f h', '4 D f h']
+    known = _ended(*ends)
+    assert known.record_success(_SOUND, 1.0, _parts('f', 'm'))
+    assert known.held_parts == {frozenset(_parts('h'))}
+    other = quarantine.Quarantine()
+    other.record_success(_SOUND, 0.0, _parts('f'))
+    assert other.merge(_ended(*ends).make_reports(0.0), 1.0)
+    assert other.held_parts == {frozenset(_parts('h'))}
+    late = quarantine.RECORD_LIFE_S + 2.0
+    assert not other.is_suspect(_SOUND, _parts('f'))
+    other.prune(late)
+    assert not other.held_parts
+
+
+def test_requests_with_a_held_part_are_not_blamed_themselves() -> None:
+    """What stood beside them is none the more suspected."""
+    ends = [f'{n} {engine} h' for n, engine in enumerate('ABCD')]
+    known = _ended(*ends, 'x A m', 'x B m', 'x C m')
+    assert known.held_parts == {frozenset(_parts('h'))}
+    assert not known.held
+    assert not known.is_suspect(_SOUND, _parts('f', 'n'))
+    assert known.is_suspect(_SOUND, _parts('f', 'h'))
+
+
 @pytest.mark.parametrize(
     ('ends', 'held'),
     [
--- a/runtests.py
+++ b/runtests.py
@@ -30,7 +30,7 @@
 # Tests that are known to fail, one a line: the pytest node id, a comma, then
 # the command and seed, what was seen, and the issue.
 KNOWN_RED: typing.Final = ROOT / 'KNOWN-RED.txt'
-MAX_KNOWN_RED: typing.Final = 7
+MAX_KNOWN_RED: typing.Final = 5
 # Libraries for I/O, threads and clocks, which the core must not import.
 CORE_FORBIDDEN_LIBRARIES: typing.Final = (
     'aiohttp',
