Tests: answers without framing, one gateway that takes most connections

An answer or stream with neither a length nor chunks reaches its caller whole, and one that ends inside an event goes on at another engine or is cut, never looks complete. A gateway, the owner or another, that takes nine in ten new connections at twice the rate serves as many at the first attempt as before (0.9 at least).

--- a/galenahatch/test/standin/upstreams.py
+++ b/galenahatch/test/standin/upstreams.py
@@ -20,7 +20,9 @@
 to another request), `silent` (runs and says nothing), `early` (answers
 before the body is in), `unread` (never reads the body). For model engines
 also `no-handle` (the result of a prefill is gone) and `mute` (silent in the
-middle of a stream).
+middle of a stream) and `end-inside` (ends a stream inside an event). Answers
+of an upstream that `is_framed` is off for have neither a length nor chunks
+and end with their connection.
 
 A request whose body begins with `CRASHES` ends the upstream that begins to run
 it, and one that begins with `CRASHES_READING` also the engine that reads its
@@ -102,6 +104,7 @@
         self.pause = 0.005
         self.padding = 0
         self.unread_limit: float | None = None
+        self.is_framed = True
         self.orders: list[dict[str, typing.Any]] = []
         self.freed: list[str] = []
         self.handles: set[str] = set()
@@ -352,6 +355,8 @@
         await self._work(seen, reader, self.delay)
         said = b'answer to ' + seen.id.encode() + b'.' * self.padding
         whole = self._framed(seen, 200, said)
+        if not self.is_framed:
+            whole = self._unframed(seen) + said
         if fault == 'error':
             whole = self._framed(seen, 500, b'failed')
         elif fault == 'cut':
@@ -372,7 +377,7 @@
             await asyncio.sleep(0.02)
             writer.write(whole)
         seen.ended = 'answered'
-        return True
+        return self.is_framed
 
     async def _work(
         self, seen: Seen, reader: asyncio.StreamReader, seconds: float
@@ -398,28 +403,32 @@
         last = seen.headers.get('last-event-id', '')
         first = int(last) + 1 if last else 1
         self._limit_buffers(writer)
+        framing = b'Transfer-Encoding: chunked\r\n\r\n'
+        frame = _chunk if self.is_framed else bytes
         writer.write(
             self._head(seen, 200)
             + b'Content-Type: text/event-stream\r\n'
-            + b'Transfer-Encoding: chunked\r\n\r\n'
+            + (framing if self.is_framed else b'Connection: close\r\n\r\n')
         )
         for number in range(first, self.events + 1):
             await self._work(seen, reader, self.pause)
             data = f'piece {number}' + '.' * self.padding
             event = f'id: {number}\ndata: {data}\n\n'.encode()
             halfway = number == self.events // 2
-            if halfway and fault in ('cut', 'mute'):
-                writer.write(_chunk(event[:7]))
+            if halfway and fault in ('cut', 'mute', 'end-inside'):
+                writer.write(frame(event[:7]))
                 await writer.drain()
+                if fault == 'end-inside':
+                    return False
                 if fault == 'cut':
                     return await _reset(writer)
                 await self._work(seen, reader, 60)
-            writer.write(_chunk(event))
+            writer.write(frame(event))
             if not await self._is_read(seen, writer):
                 return False
-        writer.write(b'0\r\n\r\n')
+        writer.write(b'0\r\n\r\n' if self.is_framed else b'')
         seen.ended = 'answered'
-        return True
+        return self.is_framed
 
     def _limit_buffers(self, writer: asyncio.StreamWriter) -> None:
         """Buffer little, so that it shows whether a stream is read."""
--- /dev/null
+++ b/galenahatch/test/test_funnel.py
@@ -0,0 +1,83 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""One gateway that takes most new connections of its data centre."""
+
+import collections.abc
+import concurrent.futures
+import time
+import typing
+
+import pytest
+
+from galenahatch.test import fleet as fleets
+
+_MEMBERS: typing.Final = (
+    *[('desk', '')] * 3,
+    *[('model', 'prefill')] * 2,
+    *[('model', 'decode')] * 4,
+)
+_PATHS: typing.Final = ('/once/x', '/often/x', '/say/x', '/tell/x')
+_VMS: typing.Final = 4
+_CONTACT_S: typing.Final = 3.0
+_OBSERVED_S: typing.Final = 2.0
+
+
+def _load(
+    fleet: fleets.Fleet,
+    choose: collections.abc.Callable[[int], int],
+    pause: float,
+    seconds: float,
+) -> list[tuple[float, bool]]:
+    """Send requests, each on a new connection; return when and if served.
+
+    Args:
+        choose: Returns the gateway of a request by its number.
+        pause: seconds between two requests of a caller.
+    """
+    until = time.monotonic() + seconds
+
+    def call(path: str, first: int) -> list[tuple[float, bool]]:
+        found = []
+        number = first
+        while (at := time.monotonic()) < until:
+            served = fleet.ask(path, vm=choose(number)).served
+            found.append((at, served))
+            number += 1
+            time.sleep(pause)
+        return found
+
+    callers = [(path, n) for path in _PATHS for n in range(4)]
+    with concurrent.futures.ThreadPoolExecutor(len(callers)) as threads:
+        parts = [threads.submit(call, *caller) for caller in callers]
+        return [item for part in parts for item in part.result()]
+
+
+# Guards against requests that are refused or late since their gateway takes
+# the connections of all others while its limits stay those of one.
+@pytest.mark.parametrize('funnel', [0, 3], ids=['owner', 'another'])
+def test_gateway_that_takes_most_connections(funnel: int) -> None:
+    """Served at the first attempt as often as before, at twice the rate."""
+    with fleets.Fleet(_VMS, _MEMBERS, in_order=True) as fleet:
+        spread = _load(fleet, lambda n: n % _VMS, 0.1, _OBSERVED_S)
+        began = time.monotonic()
+        taken = _load(
+            fleet,
+            lambda n: funnel if n % 10 else n % _VMS,
+            0.05,
+            _CONTACT_S + _OBSERVED_S,
+        )
+        before = [served for _, served in spread]
+        after = [served for at, served in taken if at > began + _CONTACT_S]
+        assert len(before) > 50 and len(after) > 50
+        share = sum(before) / len(before)
+        assert sum(after) / len(after) >= 0.9 * share
