Versions: an engine that has just restarted has none until its entry is read

A restart may be known by an engine's report before its entry is written again, and was taken for the version of the start before, although only the entry states it: a stream could have gone on at another version, or been recorded with a wrong one. It has no version until then and takes no bound stream. The pool keeps an engine's latest entry, so that the version counts once it is read. Streams are bound only while several versions serve, so this excludes nothing where one does. Two cases without a network (new).

--- a/galenahatch/core/pool.py
+++ b/galenahatch/core/pool.py
@@ -125,9 +125,8 @@
     def _add_engine(self, engine: upstreams.Upstream, pace: float) -> None:
         if engine.stage is upstreams.Stage.PREFILL:
             self.decodes.pop(engine.id, None)
-            self.prefills.setdefault(
-                engine.id, modelengines.PrefillEngine(engine)
-            )
+            known = modelengines.PrefillEngine(engine)
+            self.prefills.setdefault(engine.id, known).upstream = engine
             return
         self.prefills.pop(engine.id, None)
         if engine.id not in self.decodes:
@@ -140,6 +139,7 @@
             )
             decode.memory.spread = self.decode_capacity.spread
             self.decodes[engine.id] = decode
+        self.decodes[engine.id].upstream = engine
 
     def record_report(
         self,
--- a/galenahatch/core/upstreams.py
+++ b/galenahatch/core/upstreams.py
@@ -48,6 +48,7 @@
 _LEAVING_RETENTION_S: typing.Final = 3600.0
 """Seconds for which a leaving announcement is retained: the store may be
 unavailable for long and then list the upstream as ready."""
+_UNKNOWN_VERSION: typing.Final = ids.SoftwareVersion('')
 
 
 class Stage(enum.Enum):
@@ -180,7 +181,10 @@
         new_id = incarnations.upstream_id(instance, start_ms)
         if not incarnations.is_later_start(new_id, upstream):
             return None
-        started = dataclasses.replace(known, id=new_id, stage=stage)
+        # Only its entry states the version, and may state another one.
+        started = dataclasses.replace(
+            known, id=new_id, stage=stage, version=_UNKNOWN_VERSION
+        )
         self.register(started, now)
         return started
 
@@ -270,7 +274,9 @@
             return None
         if not incarnations.is_later_start(upstream, latest):
             return None
-        return dataclasses.replace(self._upstreams[latest], id=upstream)
+        return dataclasses.replace(
+            self._upstreams[latest], id=upstream, version=_UNKNOWN_VERSION
+        )
 
     def _discard(self, upstream: ids.UpstreamId) -> None:
         """Remove an incarnation that a later one replaced."""
--- a/galenahatch/gateway/affinity.py
+++ b/galenahatch/gateway/affinity.py
@@ -93,7 +93,7 @@
     def _update_served(self) -> None:
         present: dict[ids.ServiceName, set[ids.SoftwareVersion]] = {}
         for upstream in self._directory.registry.upstreams.values():
-            if upstream.stage is not None:
+            if upstream.stage is not None and upstream.version:
                 versions = present.setdefault(upstream.service, set())
                 versions.add(upstream.version)
         frozen = {name: frozenset(found) for name, found in present.items()}
@@ -242,6 +242,8 @@
     @property
     def version(self) -> ids.SoftwareVersion:
         """The only version at which the stream may run; empty for any."""
+        if not self._version or self._known.is_single(self._service):
+            return versionaffinity.ANY_VERSION
         return self._version
 
     def record_decision(
@@ -261,7 +263,7 @@
 
     def allows(self, engine: upstreams.Upstream) -> bool:
         """Return whether the stream may run at an engine."""
-        return not self._version or self._version == engine.version
+        return self.version in (versionaffinity.ANY_VERSION, engine.version)
 
     def unresolved_keys(self) -> tuple[ids.StreamKey, ...]:
         """Return the keys of the stream, if only others may know its version.
--- a/galenahatch/test/test_version_choice.py
+++ b/galenahatch/test/test_version_choice.py
@@ -11,6 +11,7 @@
 # under the License.
 """Decisions on engines while several software versions are in service."""
 
+import dataclasses
 import random
 import typing
 
@@ -187,3 +188,33 @@
     late = 11.0 + versionaffinity.VERSION_RETENTION_S
     assert served.is_single(_SERVICE, late)
     assert not served.several(late)
+
+
+def test_restart_that_only_a_report_tells_has_no_known_version() -> None:
+    """Its entry may state another version than that of the earlier start."""
+    registry = upstreams.Registry()
+    first = dataclasses.replace(_ENGINES[2], id=ids.UpstreamId('d1@1000'))
+    registry.register(first, 0.0)
+    started = registry.record_restart(first.id, 2000, _DECODE, 1.0)
+    assert started is not None and started.id == 'd1@2000'
+    assert not started.version
+    assert not _job(0, _V1).may_run_at(started)
+    assert _job(0, versionaffinity.ANY_VERSION).may_run_at(started)
+    entry = dataclasses.replace(started, version=_V2)
+    assert registry.register(entry, 2.0)
+    assert registry.find(started.id) == entry
+
+
+def test_version_that_becomes_known_is_used() -> None:
+    """The entry of an engine states it after the engine is known."""
+    unknown = [
+        dataclasses.replace(engine, version=versionaffinity.ANY_VERSION)
+        for engine in _ENGINES
+    ]
+    dispatcher = _dispatcher(unknown)
+    assert isinstance(
+        dispatcher.submit(_job(0, _V1), 0.0), generations.Refused
+    )
+    dispatcher.set_engines(_ENGINES, (), 0.1)
+    found = _decide(dispatcher, [_job(1, _V1)])
+    assert isinstance(found[ids.StreamId('s1.1')], generations.Placed)
