Version affinity: bounds at the size designed for; held parts stay

Read-through: 131,072 keys are kept, two for each stream, where 65,536 had counted one; expired ones are removed every two seconds instead of four times a second; engines are sorted for a stage change only if one is planned; a held part is no longer pushed out by 1,024 newer suspects (new case, with 3,000 ends).

--- a/galenahatch/core/quarantine.py
+++ b/galenahatch/core/quarantine.py
@@ -236,8 +236,9 @@
         ]
         excess = len(self._records) - len(expired) - _MAX_RECORDS
         if excess > 0:
+            held = self._held.union(*self.held_parts)
             by_age = sorted(
-                (digest in self._held, record.changed_at, digest)
+                (digest in held, record.changed_at, digest)
                 for digest, record in self._records.items()
             )
             expired += [digest for _, _, digest in by_age[:excess]]
--- a/galenahatch/core/rebalancing.py
+++ b/galenahatch/core/rebalancing.py
@@ -126,13 +126,16 @@
             is_waiting: Whether requests wait for engines.
             now: Monotonic time in seconds.
         """
-        prefills, decodes = self._engines_to_change(now)
-        if not self._pool.is_changing:
-            missing = self._versions.plan(prefills, decodes, now)
+        if self._versions.is_any_missing and not self._pool.is_changing:
+            engines = self._engines_to_change(now)
+            missing = self._versions.plan(*engines, now)
             if missing:
                 return missing
         changes = self._plan_division(is_waiting, now)
-        return versionstages.keep_decodes(changes, prefills, decodes)
+        if not changes:
+            return []
+        engines = self._engines_to_change(now)
+        return versionstages.keep_decodes(changes, *engines)
 
     def _plan_division(
         self, is_waiting: bool, now: float
--- a/galenahatch/core/versionaffinity.py
+++ b/galenahatch/core/versionaffinity.py
@@ -34,8 +34,8 @@
 VERSION_RETENTION_S: typing.Final = 60.0
 """Seconds after its last engine for which streams of a version may return; the
 longest streams are shorter."""
-MAX_RECORDS: typing.Final = 65536
-"""Streams remembered; 14 s of 2,900 streams a second."""
+MAX_RECORDS: typing.Final = 131072
+"""Keys remembered; 14 s of 2,900 streams a second have 81,200."""
 SETTLE_S: typing.Final = 0.6
 """Seconds for which a gateway that has just become the owner waits for what
 others know of a stream; they tell it within a heartbeat."""
--- a/galenahatch/core/versionstages.py
+++ b/galenahatch/core/versionstages.py
@@ -40,6 +40,11 @@
         self._missing: dict[ids.SoftwareVersion, float] = {}
         self._planned_at = -1e9
 
+    @property
+    def is_any_missing(self) -> bool:
+        """Whether a stream may have found no decode engine lately."""
+        return bool(self._missing)
+
     def record_missing(self, version: ids.SoftwareVersion, now: float) -> None:
         """Record a stream that found no decode engine of its version."""
         self._missing[version] = now
@@ -57,7 +62,7 @@
             decodes: Decode engines.
             now: Monotonic time in seconds.
         """
-        if not self._missing or now - self._planned_at < _INTERVAL_S:
+        if now - self._planned_at < _INTERVAL_S:
             return []
         served = {engine.version for engine in decodes}
         wanted = {
--- a/galenahatch/gateway/affinity.py
+++ b/galenahatch/gateway/affinity.py
@@ -38,6 +38,7 @@
 from galenahatch import tasks
 
 _MAX_ORIGINS_PER_MESSAGE: typing.Final = 256
+_PRUNE_INTERVAL_S: typing.Final = 2.0
 Resolution = ids.SoftwareVersion | versionaffinity.Problem | None
 
 
@@ -80,6 +81,7 @@
         self._peers: Peers | None = None
         self._told: tuple[ids.MemberId, ...] = ()
         self._untold: list[ids.StreamKey] = []
+        self._pruned_at = 0.0
         directory.on_change(self._update_served)
         instruments.register_gauge(
             instruments.STREAM_ORIGINS, lambda: {'': len(self._origins)}
@@ -186,7 +188,9 @@
     async def _run(self) -> None:
         while True:
             now = clock.now()
-            self._origins.prune(now)
+            if now - self._pruned_at > _PRUNE_INTERVAL_S:
+                self._pruned_at = now
+                self._origins.prune(now)
             if self._served.several(now):
                 self._tell_all()
             else:
--- a/galenahatch/test/test_retry_value.py
+++ b/galenahatch/test/test_retry_value.py
@@ -360,7 +360,13 @@
         'loads': loads,
         'retry_value': retryvalue.RetryValue(),
     }
-    for name in ('owner_client', 'accounts', 'tasks', 'call_grants'):
+    for name in (
+        'owner_client',
+        'affinity',
+        'accounts',
+        'tasks',
+        'call_grants',
+    ):
         fake[name] = None
     return contexts.Context(**fake)
 
--- a/galenahatch/test/test_suspicions.py
+++ b/galenahatch/test/test_suspicions.py
@@ -276,6 +276,21 @@
     assert len(told) <= 1024
 
 
+def test_held_part_stays_among_many_ends() -> None:
+    """The parts and requests of many ends at once don't push it out."""
+    known = _ended('1 A h', '2 B h', '3 C h')
+    for number in range(3000):
+        known.record_end(
+            ids.RequestDigest(f'x{number}'),
+            _engine(number),
+            1.0,
+            _parts(f'm{number}'),
+        )
+    known.prune(2.0)
+    assert known.held_parts == {frozenset(_parts('h'))}
+    assert known.ends(_parts('h')[0]) == 3
+
+
 def _job(is_suspect: bool, *avoid: int) -> generations.Job:
     return generations.Job(
         stream=ids.StreamId('s'),
