Tests: cases of held parts as text; unframed answers beside the gateway's

No check is eased: the same cases and assertions, in test-data and with the fixtures that were there, and one set of faults for each request, since the first one could use up the second one's.

--- a/galenahatch/test/test_gateway.py
+++ b/galenahatch/test/test_gateway.py
@@ -49,6 +49,7 @@
     for upstream in fleet.upstreams:
         upstream.faults.clear()
         upstream.delay = 0.0
+        upstream.is_framed = True
 
 
 def _break_all(fleet: fleets.Fleet, service: str, *faults: str) -> None:
@@ -581,3 +582,43 @@
         assert 'retry-after' in answer.headers
         fleet.store.mode = ''
         fleets.eventually(vm.ready, 'ready again')
+
+
+# Answers that have neither a length nor chunks and end with a connection.
+
+
+def _event_ids(answer: fleets.Answer) -> list[int]:
+    lines = answer.body.split(b'\n')
+    return [int(line[4:]) for line in lines if line.startswith(b'id: ')]
+
+
+@pytest.mark.parametrize('path', ['/once/x', '/often/x', '/say/x', '/tell/x'])
+def test_unframed_answer_is_whole(fleet: fleets.Fleet, path: str) -> None:
+    """Its caller sees where it ends."""
+    for upstream in fleet.upstreams:
+        upstream.is_framed = False
+    answer = fleet.ask(path, vm=1)
+    assert answer.served
+    if path in ('/say/x', '/tell/x'):
+        assert _event_ids(answer) == list(range(1, 9))
+
+
+# Guards against a stream that breaks off inside an event and looks complete.
+@pytest.mark.parametrize('fault', ['cut', 'end-inside'])
+def test_unframed_stream_that_ends_inside_an_event(
+    fleet: fleets.Fleet, fault: str
+) -> None:
+    """It goes on at another engine if it may, else its caller is cut off."""
+    engines = fleet.of('model', 'decode')
+    for engine in engines:
+        engine.is_framed = False
+        engine.faults.append(fault)
+    answer = fleet.ask('/say/x')
+    assert not answer.whole
+    assert _event_ids(answer) == [1, 2, 3]
+    assert fleet.runs(answer.id) == 1
+    for engine in engines:
+        engine.faults = collections.deque([fault])
+    answer = fleet.ask('/tell/x')
+    assert answer.whole == (_event_ids(answer) == list(range(1, 9)))
+    assert fleet.runs(answer.id) > 1
--- a/galenahatch/test/test_suspicions.py
+++ b/galenahatch/test/test_suspicions.py
@@ -31,6 +31,7 @@
 from galenahatch.core import poisonparts
 from galenahatch.core import quarantine
 from galenahatch import ids
+from galenahatch.test import cases
 
 _GUILTY: typing.Final = ids.RequestDigest('guilty')
 _SOUND: typing.Final = ids.RequestDigest('sound')
@@ -69,41 +70,11 @@
     return known
 
 
-@pytest.mark.parametrize(
-    ('ends', 'held'),
-    [
-        pytest.param(['1 A f h', '2 B f h'], [], id='two ends'),
-        pytest.param(['1 A h', '2 B h', '3 C h'], ['h'], id='three requests'),
-        pytest.param(
-            ['1 A f h', '2 B f h', '3 C f h'], ['f h'], id='always together'
-        ),
-        pytest.param(
-            ['1 A f h', '2 B f h', '3 C f h', '4 D h'], ['h'], id='told apart'
-        ),
-        pytest.param(
-            ['1 A h m', '2 B h m', '3 C h m', '4 D h n', '5 E h n'],
-            ['h'],
-            id='what stands at most ends explains the others',
-        ),
-        pytest.param(
-            ['1 A h', '1 B h', '1 C h'], [], id='one request, repeated'
-        ),
-        pytest.param(
-            ['1 A h', '1 B h', '1 C h', '2 D h'],
-            ['h'],
-            id='a second request with the part',
-        ),
-        pytest.param(
-            ['1 A h', '2 B h', '3 C h', '4 D g', '5 E g', '6 F g'],
-            ['h', 'g'],
-            id='two harmful parts',
-        ),
-    ],
-)
-def test_which_parts_are_held(ends: list[str], held: list[str]) -> None:
+@pytest.mark.parametrize(('ends', 'held'), cases.read('poison_parts.txt'))
+def test_which_parts_are_held(ends: str, held: str) -> None:
     """Of parts at the same ends, only requests with all are held."""
-    expected = {frozenset(_parts(*names.split())) for names in held}
-    assert _ended(*ends).held_parts == expected
+    expected = {frozenset(_parts(*line.split())) for line in held.splitlines()}
+    assert _ended(*ends.splitlines()).held_parts == expected
 
 
 def test_part_of_sound_requests_is_cleared() -> None:
--- a/galenahatch/test/test_versions.py
+++ b/galenahatch/test/test_versions.py
@@ -60,10 +60,18 @@
 
 @contextlib.contextmanager
 def _fleet(
-    vms: int = 4, versions: collections.abc.Sequence[str] = _VERSIONS
+    versions: collections.abc.Sequence[str] = _VERSIONS,
+    old: collections.abc.Sequence[int] = (),
 ) -> collections.abc.Iterator[fleets.Fleet]:
-    """Gateways, the first one the owner, and engines of some versions."""
-    started = fleets.Fleet(vms, _MEMBERS, in_order=True)
+    """Four gateways, the first one the owner, and engines of some versions.
+
+    Args:
+        versions: of the engines.
+        old: gateways of an older build.
+    """
+    started = fleets.Fleet(4, _MEMBERS, in_order=True)
+    for vm in old:
+        started.vms[vm].module = 'galenahatch.test.oldgateway'
     for upstream, version in zip(started.upstreams, versions, strict=True):
         upstream.version = version
         upstream.events, upstream.pause = 30, 0.05
@@ -242,17 +250,10 @@
 @pytest.mark.parametrize('old', [0, 1])
 def test_old_build_beside(old: int) -> None:
     """As the owner, or as its successor."""
-    started = fleets.Fleet(3, _MEMBERS, in_order=True)
-    started.vms[old].module = 'galenahatch.test.oldgateway'
-    for upstream, version in zip(started.upstreams, _VERSIONS, strict=True):
-        upstream.version = version
-        upstream.events, upstream.pause = 30, 0.05
-        started.put('servers', upstream.id, upstream.row())
-    with started as fleet, contextlib.ExitStack() as stack:
-        time.sleep(_SETTLE_S)
+    with _fleet(old=(old,)) as fleet, contextlib.ExitStack() as stack:
         streams = _begin(fleet, (2,), stack)
         stack.close()
-        others = [vm for vm in (0, 1) if vm != old]
+        others = [vm for vm in (0, 1, 3) if vm != old]
         for vms in ([2], others):
             answers = _resume_all(fleet, vms, streams)
             for stream, answer in zip(streams, answers, strict=True):
