Review trial: streams are lost with the owner and its successor

Cause: which software version began a stream is known to three gateways only. If these end together, a client that takes its stream up is refused while several versions serve.

--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -310,14 +310,24 @@
         pieces: parts in which a plain answer is sent while it works, or the
             events of a stream.
         gap: seconds between two events of a stream.
+        version: of its software.
     """
 
     _NUMBERS = iter(range(1, 10000))
 
     def __init__(
-        self, world, service, stage='', slots=8, work=0.02, pieces=1, gap=0.05
+        self,
+        world,
+        service,
+        stage='',
+        slots=8,
+        work=0.02,
+        pieces=1,
+        gap=0.05,
+        version='v1',
     ):
         self.world = world
+        self.version = version
         self.id = f'i-{next(self._NUMBERS):04x}{random.randrange(65536):04x}'
         self.born = int(time.time() * 1000)
         self.service = service
@@ -355,7 +365,7 @@
             'service': self.service,
             'address': self.address,
             'zone': 'zogno',
-            'version': 'v1',
+            'version': self.version,
             'slots': self.slots,
             'state': self.state,
             'cold_left_ms': 0,
@@ -400,6 +410,11 @@
         await asyncio.sleep(3 * HEARTBEAT_S)
         self.world.store.drop('servers', self.id)
 
+    @property
+    def is_busy(self):
+        """Whether it works on a request."""
+        return self._running + self._waiting > 0
+
     @property
     def load(self):
         """Its figures of load."""
@@ -486,9 +501,7 @@
     async def _run(self, request, headers, writer, left):
         """Wait for a slot and run; stop if the caller closes."""
         taken = asyncio.ensure_future(self._free.acquire())
-        await asyncio.wait(
-            (taken, left), return_when=asyncio.FIRST_COMPLETED
-        )
+        await asyncio.wait((taken, left), return_when=asyncio.FIRST_COMPLETED)
         self._waiting -= 1
         if not taken.done():
             taken.cancel()
@@ -584,7 +597,8 @@
         writer.write(('\r\n'.join(lines) + '\r\n\r\n').encode())
         for number in range(first, self.pieces + 1):
             await self._pause(self.gap, left)
-            event = f'id: {number}\ndata: piece {number}\n\n'.encode()
+            data = f'piece {number} of {self.version}'
+            event = f'id: {number}\ndata: {data}\n\n'.encode()
             writer.write(f'{len(event):x}\r\n'.encode() + event + b'\r\n')
         writer.write(b'0\r\n\r\n')
 
@@ -702,7 +716,11 @@
 
 
 class Answer:
-    """What a client got for one request."""
+    """What a client got for one request.
+
+    Attributes:
+        first_at: when the head of the answer, or the first event, had come.
+    """
 
     def __init__(self, request, gateway, path):
         self.id = request
@@ -765,8 +783,15 @@
             await asyncio.sleep(0.05)
 
     async def ask(
-        self, gateway, path, method='POST', body=b'', deadline_ms=600,
-        give_up_s=None, prompt=None,
+        self,
+        gateway,
+        path,
+        method='POST',
+        body=b'',
+        deadline_ms=600,
+        give_up_s=None,
+        prompt=None,
+        more=None,
     ):
         """Send a request on a connection of its own; return its answer.
 
@@ -774,6 +799,7 @@
             give_up_s: seconds after which the client leaves.
             prompt: tokens of the prompt and of the answer; None for a plain
                 request.
+            more: headers besides.
         """
         request = f'{random.getrandbits(64):016x}'
         answer = Answer(request, gateway, path)
@@ -790,6 +816,7 @@
             headers['X-Galenahatch-Prompt-Prefix'] = (
                 f'5c1e07a2:200,{own}:{prompt[0] - 200}'
             )
+        headers.update(more or {})
         try:
             await asyncio.wait_for(
                 self._exchange(gateway, method, path, headers, body, answer),
@@ -811,12 +838,25 @@
             first, answer.headers = await read_head(reader)
             answer.first_at = now()
             answer.status = int(first.split(' ')[1])
-            answer.body = await read_body(reader, answer.headers)
+            if 'event-stream' in answer.headers.get('content-type', ''):
+                await self._read_events(reader, answer)
+            else:
+                answer.body = await read_body(reader, answer.headers)
             answer.is_whole = True
             answer.ended_at = now()
         finally:
             writer.transport.abort()
 
+    async def _read_events(self, reader, answer):
+        """Read a stream in chunks; what has come is kept if it breaks."""
+        answer.first_at = None
+        while True:
+            size = int((await reader.readuntil(b'\r\n')).split(b';')[0], 16)
+            answer.body += (await reader.readexactly(size + 2))[:size]
+            if not size:
+                return
+            answer.first_at = answer.first_at or now()
+
     def end(self, verdict):
         """End all processes and write the record."""
         for gateway in self.gateways:
