--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -138,9 +138,7 @@
         self.address = ''
         self.ver = 0
         self.rows = {}
-        self.polls = []
         self._changed = asyncio.Event()
-        self._connections = set()
 
     async def start(self):
         """Listen."""
@@ -150,47 +148,29 @@
         )
         self.address = f'{self.host}:{port}'
 
-    def silence(self):
-        """Let the connections that are open now go silent for good.
-
-        They are neither closed nor reset; new ones work.
-        """
-        for connection in self._connections:
-            connection['silent'] = True
-        return len(self._connections)
-
     def put(self, table, key, value, part=''):
-        """Write a row as the operator or an engine does; return the time."""
+        """Write a row as the operator or an engine does."""
         self.ver += 1
         data = base64.b64encode(json.dumps(value).encode()).decode()
         self.rows[table, part, key] = (self.ver, data)
         self._wake()
-        return now()
 
     def drop(self, table, key, part=''):
-        """Remove a row; return the time."""
+        """Remove a row."""
         self.ver += 1
         self.rows[table, part, key] = (self.ver, None)
         self._wake()
-        return now()
 
     def _wake(self):
         self._changed.set()
         self._changed = asyncio.Event()
 
     async def _serve(self, reader, writer):
-        state = {'silent': False}
-        self._connections.add(_Key(state))
         try:
             while True:
                 first, headers = await read_head(reader)
                 body = await read_body(reader, headers)
-                while state['silent']:
-                    # What is sent on it does not arrive either.
-                    await asyncio.sleep(3600)
                 status, answer = await self._answer(first, body)
-                while state['silent']:
-                    await asyncio.sleep(3600)
                 writer.write(
                     message(
                         f'HTTP/1.1 {status} X',
@@ -202,7 +182,6 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
-            self._connections.discard(_Key(state))
             writer.close()
 
     async def _answer(self, first, body):
@@ -257,7 +236,6 @@
     async def _feed(self, query):
         after, table = int(query['after']), query['table']
         until = now() + int(query['wait_ms']) / 1000
-        self.polls.append((now(), table))
         while True:
             found = sorted(
                 (ver, key, value)
@@ -275,22 +253,6 @@
                 pass
 
 
-class _Key:
-    """State of a connection that can be kept in a set."""
-
-    def __init__(self, state):
-        self.state = state
-
-    def __hash__(self):
-        return id(self.state)
-
-    def __eq__(self, other):
-        return self.state is other.state
-
-    def __setitem__(self, name, value):
-        self.state[name] = value
-
-
 def _shown(key, ver, value):
     table, part, name = key
     shown = {'table': table, 'part': part, 'key': name, 'ver': ver}
@@ -337,10 +299,8 @@
         self.pieces = pieces
         self.gap = gap
         self.state = 'ready'
-        self.draining_at = None
         self.is_dark = False
         self.ran = []
-        self.arrived = []
         self._running = 0
         self._waiting = 0
         self._free = asyncio.Semaphore(slots)
@@ -360,7 +320,7 @@
         self.register()
 
     def register(self):
-        """Write the entry; return the time of the acknowledgement."""
+        """Write the entry."""
         row = {
             'service': self.service,
             'address': self.address,
@@ -375,12 +335,12 @@
         if self.stage:
             row['stage'] = self.stage
             row['models'] = [{'name': 'm', 'version': 1, 'adapters': []}]
-        return self.world.store.put('servers', self.id, row)
+        self.world.store.put('servers', self.id, row)
 
     def announce_draining(self):
         """Report that it leaves."""
         self.state = 'draining'
-        self.draining_at = self.register()
+        self.register()
 
     def leave(self):
         """Exit: the entry goes, and all connections are closed."""
@@ -476,7 +436,6 @@
             writer.write(message('HTTP/1.1 200 OK', named))
             return
         request = headers.get(PREFIX + 'request-id', '')
-        self.arrived.append((now(), request))
         if headers.get(PREFIX + 'expect-instance', self.id) != self.id:
             self._refuse(writer, request, '421 Misdirected Request')
             return
