--- a/galenahatch/gateway/connections.py
+++ b/galenahatch/gateway/connections.py
@@ -28,6 +28,7 @@
 from aiohttp import web
 
 from galenahatch.core import routes
+from galenahatch.gateway import overload
 from galenahatch.gateway import settings
 from galenahatch import timeouts
 
@@ -47,14 +48,22 @@
             has closed its sending side; the connection is closed after it.
     """
 
-    __slots__ = ('_head_begun', 'aborts_at_eof', 'completes_at_eof')
+    __slots__ = ('_head_begun', '_meter', 'aborts_at_eof', 'completes_at_eof')
 
-    def __init__(self, *args: typing.Any, **options: typing.Any) -> None:
+    def __init__(
+        self, meter: overload.Meter, *args: typing.Any, **options: typing.Any
+    ) -> None:
         super().__init__(*args, **options)
+        self._meter = meter
         self._head_begun = False
         self.aborts_at_eof = False
         self.completes_at_eof = False
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count what is written to the connection."""
+        metered = overload.MeteredTransport(transport, self._meter)
+        super().connection_made(typing.cast(asyncio.Transport, metered))
+
     @property
     def idle(self) -> bool:
         """Whether no part of an unanswered request has arrived.
@@ -147,6 +156,7 @@
         handler: Function that answers a request.
         limits: Function that returns the limits of a new connection.
         limits_buffers: Whether to limit the buffers of connections.
+        meter: Counts what is written to connections.
     """
 
     def __init__(
@@ -156,8 +166,10 @@
         ],
         limits: collections.abc.Callable[[], routes.Limits],
         limits_buffers: bool = False,
+        meter: overload.Meter | None = None,
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
+        self._meter = meter or overload.Meter()
         self._limits = limits
         self._limits_buffers = limits_buffers
         self._listener: asyncio.Server | None = None
@@ -174,6 +186,7 @@
         """Create the protocol of a new connection."""
         limits = self._limits()
         return CallerConnection(
+            self._meter,
             self,
             loop=self._loop,
             keepalive_timeout=limits.idle_timeout,
--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -163,6 +163,11 @@
     'galenahatch_transfers_aborted',
     description='Transfers to slow callers that were aborted, by reason.',
 )
+event_loop_lag_seconds = _meter.create_histogram(
+    'galenahatch_event_loop_lag_seconds',
+    unit='s',
+    description='Lateness of timers of the event loop.',
+)
 bodies_rejected = _meter.create_counter(
     'galenahatch_bodies_rejected',
     description='Request bodies rejected for want of memory.',
@@ -212,6 +217,12 @@
     'Bytes held for callers and upstreams, by direction.',
     'direction',
 )
+UTILIZATION: typing.Final = _gauge(
+    'galenahatch_utilization',
+    '1',
+    'Utilization of a resource of this VM; 1 is where overload begins.',
+    'resource',
+)
 CALL_IN_FLIGHT: typing.Final = _gauge(
     'galenahatch_call_in_flight',
     '1',
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -54,6 +54,7 @@
 from galenahatch.gateway import notices
 from galenahatch.gateway import orders
 from galenahatch.gateway import outcomes
+from galenahatch.gateway import overload
 from galenahatch.gateway import owner_client
 from galenahatch.gateway import proxying
 from galenahatch.gateway import proxymessages
@@ -157,7 +158,13 @@
         self._flow = flowcontrol.create(
             settings.features.flow_control, settings.memory_bytes
         )
-        self._direct_sender = senders.Sender(self._flow, settings.address)
+        self._overload = overload.OverloadManager(
+            settings.link_rate, settings.memory_bytes
+        )
+        meter = self._overload.meter
+        self._direct_sender = senders.Sender(
+            self._flow, settings.address, meter
+        )
         self._proxying = proxying.Proxying(
             settings, self._direct_sender, self._flow, self._background_tasks
         )
@@ -292,6 +299,7 @@
         ).start(self._background_tasks)
         self._orders.run()
         self._background_tasks.run_forever('members', self._refresh)
+        self._background_tasks.run_forever('overload', self._overload.run)
 
     async def _listen(self) -> None:
         settings = self._settings
@@ -317,7 +325,10 @@
         )
         limits = self._directory.limits
         self._callers = connections.Server(
-            self._frontend.handle, limits, self._flow is not None
+            self._frontend.handle,
+            limits,
+            self._flow is not None,
+            self._overload.meter,
         )
         probes = connections.Server(self._frontend.ready, limits)
         metrics = connections.Server(self._frontend.metrics, limits)
--- a/galenahatch/gateway/proxying.py
+++ b/galenahatch/gateway/proxying.py
@@ -87,7 +87,10 @@
             lambda address: ids.MemberId(address) in mesh.members.by_name,
         )
         self._server = connections.Server(
-            self._proxy.handle, directory.limits, self._flow is not None
+            self._proxy.handle,
+            directory.limits,
+            self._flow is not None,
+            self._direct.meter,
         )
         address = settings_module.Address(
             self._settings.address, self._settings.proxy_port
--- a/galenahatch/gateway/sender.py
+++ b/galenahatch/gateway/sender.py
@@ -40,6 +40,7 @@
 from galenahatch.gateway import flowcontrol
 from galenahatch.gateway import hops
 from galenahatch.gateway import inflight
+from galenahatch.gateway import overload
 from galenahatch.gateway import sendresults
 from galenahatch.gateway import sessions
 from galenahatch import ids
@@ -117,6 +118,7 @@
         flow: Flow control of this process; None if it is off.
         own_address: IP address of this VM, from which proxies are contacted;
             empty for any.
+        meter: Counts what is written to connections.
 
     Attributes:
         waits: Waits for upstreams that are in progress.
@@ -128,16 +130,25 @@
         self,
         flow: flowcontrol.FlowControl | None = None,
         own_address: str = '',
+        meter: overload.Meter | None = None,
     ) -> None:
         self._flow = flow
+        self._meter = meter or overload.Meter()
         self._own_address = own_address
         self._hop_sessions: dict[bool, aiohttp.ClientSession] = {}
         self.waits = inflight.Waits()
         self.on_response_head: ResponseHeadListener = (
             lambda upstream, sent_at, head: None
         )
-        self._pooled_session = sessions.create(True, flow is not None)
-        self._unpooled_session = sessions.create(False, flow is not None)
+        self._pooled_session, self._unpooled_session = (
+            sessions.create(is_pooled, flow is not None, self._meter)
+            for is_pooled in (True, False)
+        )
+
+    @property
+    def meter(self) -> overload.Meter:
+        """Counts what is written to connections."""
+        return self._meter
 
     async def close(self) -> None:
         """Close all connections."""
@@ -260,7 +271,10 @@
         session = self._hop_sessions.get(use_pool)
         if session is None:
             session = self._hop_sessions[use_pool] = sessions.create(
-                use_pool, self._flow is not None, self._own_address
+                use_pool,
+                self._flow is not None,
+                self._meter,
+                self._own_address,
             )
         return session
 
--- a/galenahatch/gateway/sessions.py
+++ b/galenahatch/gateway/sessions.py
@@ -16,6 +16,7 @@
 unsolicited bytes is closed, and a reset is never mistaken for a regular EOF.
 """
 
+import asyncio
 import collections
 import socket
 import typing
@@ -24,6 +25,7 @@
 from aiohttp import client_proto
 from aiohttp import connector as connectors
 
+from galenahatch.gateway import overload
 from galenahatch.upstream import http
 
 KEEP_ALIVE_S: typing.Final = 4.0
@@ -45,8 +47,22 @@
     When the last bytes and a reset arrive together, the event loop reports
     EOF instead of the reset. The socket still has the pending error, which is
     checked at each EOF.
+
+    Args:
+        meter: Counts what is written.
     """
 
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, meter: overload.Meter
+    ) -> None:
+        super().__init__(loop=loop)
+        self._meter = meter
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count what is written to the connection."""
+        metered = overload.MeteredTransport(transport, self._meter)
+        super().connection_made(typing.cast(asyncio.Transport, metered))
+
     def eof_received(self) -> None:
         """Fail the body if the EOF is in fact a reset."""
         pending_error = 0
@@ -77,7 +93,11 @@
     """Connector that closes pooled connections with unsolicited bytes."""
 
     def __init__(
-        self, pooled: bool, limits_buffers: bool, own_address: str
+        self,
+        pooled: bool,
+        limits_buffers: bool,
+        own_address: str,
+        meter: overload.Meter,
     ) -> None:
         local = (own_address, 0) if own_address else None
         if pooled:
@@ -96,7 +116,7 @@
                 socket_factory=factory,
             )
         loop = self._loop
-        self._factory = lambda: _Protocol(loop=loop)  # type: ignore
+        self._factory = lambda: _Protocol(loop, meter)  # type: ignore
 
     async def _get(
         self,
@@ -134,17 +154,21 @@
 
 
 def create(
-    pooled: bool, limits_buffers: bool, own_address: str = ''
+    pooled: bool,
+    limits_buffers: bool,
+    meter: overload.Meter,
+    own_address: str = '',
 ) -> aiohttp.ClientSession:
     """Return a client session.
 
     Args:
         pooled: Whether connections are kept open for further requests.
         limits_buffers: Whether to limit what is received ahead of reads.
+        meter: Counts what is written.
         own_address: IP address from which to connect; empty for any.
     """
     return aiohttp.ClientSession(
-        connector=_Connector(pooled, limits_buffers, own_address),
+        connector=_Connector(pooled, limits_buffers, own_address, meter),
         read_bufsize=_READ_BYTES if limits_buffers else _DEFAULT_READ_BYTES,
         timeout=http.NO_TIMEOUT,
         auto_decompress=False,
--- a/galenahatch/gateway/settings.py
+++ b/galenahatch/gateway/settings.py
@@ -94,6 +94,8 @@
         heartbeat: Time between two writes of an upstream's entry to the store.
         features: Features that the deployment asks for.
         memory_bytes: Memory of the VM for this process; 0 if not stated.
+        link_rate: Bytes per second that the VM's link carries in each
+            direction; 0 if not stated.
     """
 
     name: str
@@ -108,6 +110,7 @@
     heartbeat: float
     features: Features = Features()
     memory_bytes: int = 0
+    link_rate: float = 0.0
 
     def summary(self) -> list[tuple[str, str]]:
         """Return the settings that operators check, with their values."""
--- a/galenahatch/platform/deployment.py
+++ b/galenahatch/platform/deployment.py
@@ -31,6 +31,7 @@
 
 PATH_VARIABLE: typing.Final = 'GALENAHATCH_SETTINGS'
 _BYTES_PER_MB: typing.Final = 1_000_000
+_BYTES_PER_MBIT: typing.Final = 125_000
 _PRESSURE_CONTRACT: typing.Final = 'pressure'
 """Contract that turns on all features unless `features` says otherwise."""
 
@@ -112,9 +113,12 @@
     features = _parse_features(raw.contracts, raw.features)
     if isinstance(features, errors.Failure):
         return features
-    memory_bytes = _parse_memory(raw.limits)
-    if isinstance(memory_bytes, errors.Failure):
-        return memory_bytes
+    memory_mb = _parse_limit(raw.limits, 'memory_mb')
+    if isinstance(memory_mb, errors.Failure):
+        return memory_mb
+    link_mbps = _parse_limit(raw.limits, 'link_mbps')
+    if isinstance(link_mbps, errors.Failure):
+        return link_mbps
     return settings.Settings(
         name=raw.node_name,
         address=raw.ip,
@@ -127,7 +131,8 @@
         bounds=_convert_bounds(raw.bounds),
         heartbeat=raw.heartbeat_ms / 1000,
         features=features,
-        memory_bytes=memory_bytes,
+        memory_bytes=int(memory_mb * _BYTES_PER_MB),
+        link_rate=link_mbps * _BYTES_PER_MBIT,
     )
 
 
@@ -172,19 +177,19 @@
     return settings.Features(**enabled)
 
 
-def _parse_memory(limits: object) -> int | errors.Failure:
-    """Return the memory of the VM in bytes; 0 if it isn't stated."""
+def _parse_limit(limits: object, name: str) -> float | errors.Failure:
+    """Return a limit of the VM; 0 if it isn't stated."""
     if limits is None:
-        return 0
+        return 0.0
     if not isinstance(limits, dict):
         return _invalid_field('limits', limits, 'an object')
-    memory = limits.get('memory_mb', 0)
-    is_number = isinstance(memory, int | float) and memory is not True
-    if not is_number or not 0 <= memory < math.inf:
+    limit = limits.get(name, 0)
+    is_number = isinstance(limit, int | float) and limit is not True
+    if not is_number or not 0 <= limit < math.inf:
         return _invalid_field(
-            'limits.memory_mb', memory, 'a finite number of at least 0'
+            f'limits.{name}', limit, 'a finite number of at least 0'
         )
-    return int(memory * _BYTES_PER_MB)
+    return float(limit)
 
 
 def _parse_address(field: str, text: str) -> settings.Address | errors.Failure:
