--- a/galenahatch/test/test_funnel.py
+++ b/galenahatch/test/test_funnel.py
@@ -20,6 +20,7 @@
 import pytest
 
 from galenahatch.test import fleet as fleets
+from galenahatch.test import narrowgateway
 
 _MEMBERS: typing.Final = (
     *[('desk', '')] * 3,
@@ -28,6 +29,9 @@
 )
 _PATHS: typing.Final = ('/once/x', '/often/x', '/say/x', '/tell/x')
 _VMS: typing.Final = 4
+_LINK_MBPS: typing.Final = 2.0
+_BODY: typing.Final = bytes(20_000)
+_DEADLINE_MS: typing.Final = '800'
 _CONTACT_S: typing.Final = 3.0
 _OBSERVED_S: typing.Final = 2.0
 
@@ -81,3 +85,85 @@
         assert len(before) > 50 and len(after) > 50
         share = sum(before) / len(before)
         assert sum(after) / len(after) >= 0.9 * share
+
+
+def _send_to_first_that_reads(
+    fleet: fleets.Fleet, vms: collections.abc.Sequence[int]
+) -> bool:
+    """Send a request to one gateway after the other until one reads it.
+
+    Returns:
+        Whether it was served by the one that read it.
+    """
+    for vm in vms:
+        try:
+            answer = fleet.ask(
+                '/once/x',
+                body=_BODY,
+                vm=vm,
+                X_Galenahatch_Deadline_Ms=_DEADLINE_MS,
+            )
+        except OSError:
+            continue
+        if answer.status or fleet.seen(answer.id):
+            return answer.served
+    return False
+
+
+def _narrow(
+    fleet: fleets.Fleet, centres: collections.abc.Sequence[str]
+) -> None:
+    """Give all gateways narrow links, and each a data centre."""
+    for vm, centre in zip(fleet.vms, centres, strict=True):
+        vm.module = narrowgateway.__name__
+        vm.write_settings(zone=centre, limits={'link_mbps': _LINK_MBPS})
+
+
+def _served_share(
+    send: collections.abc.Callable[[int], bool], seconds: float
+) -> float:
+    """Return the share of requests that are served, of 24 a second."""
+    until = time.monotonic() + seconds
+
+    def call(first: int) -> list[bool]:
+        found = []
+        number = first
+        while time.monotonic() < until:
+            began = time.monotonic()
+            found.append(send(number))
+            number += 1
+            time.sleep(max(0.0, 2 / 3 - (time.monotonic() - began)))
+        return found
+
+    with concurrent.futures.ThreadPoolExecutor(16) as threads:
+        parts = [threads.submit(call, n) for n in range(16)]
+        found = [item for part in parts for item in part.result()]
+    assert len(found) > 10 * seconds
+    return sum(found) / len(found)
+
+
+# Guards against a gateway that reads more requests than its link carries, so
+# that none of them is answered in time, while others are idle.
+@pytest.mark.parametrize('funnel', [0, 3], ids=['owner', 'another'])
+def test_gateway_with_narrow_link_that_takes_most_connections(
+    funnel: int,
+) -> None:
+    """Served by the first gateway that reads them, as often as before."""
+    fleet = fleets.Fleet(_VMS, _MEMBERS, in_order=True)
+    _narrow(fleet, ['dc1'] * _VMS)
+
+    def send_spread(number: int) -> bool:
+        return _send_to_first_that_reads(fleet, [number % _VMS])
+
+    def send_funnelled(number: int) -> bool:
+        first = funnel if number % 10 else number % _VMS
+        others = [vm for vm in range(_VMS) if vm != first]
+        second = others[number % len(others)]
+        return _send_to_first_that_reads(fleet, [first, second])
+
+    with fleet:
+        before = _served_share(send_spread, _OBSERVED_S)
+        _served_share(send_funnelled, _CONTACT_S)
+        after = _served_share(send_funnelled, 2 * _OBSERVED_S)
+        assert before > 0.9
+        assert after >= 0.95 * before
