--- a/galenahatch/gateway/connections.py
+++ b/galenahatch/gateway/connections.py
@@ -60,10 +60,16 @@
         self.completes_at_eof = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Count what is written to the connection."""
+        """Count the connection and what is written to it."""
+        self._meter.connections += 1
         metered = overload.MeteredTransport(transport, self._meter)
         super().connection_made(typing.cast(asyncio.Transport, metered))
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Count the connection no longer."""
+        self._meter.connections -= 1
+        super().connection_lost(exc)
+
     @property
     def idle(self) -> bool:
         """Whether no part of an unanswered request has arrived.
@@ -142,6 +148,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Process received data and record whether a head is incomplete."""
+        self._meter.count_read(len(data))
         # Otherwise the data is a body or follows a request in progress.
         is_head = self._is_awaiting_request
         count_before = self._request_count
@@ -149,6 +156,14 @@
         self._head_begun = is_head and self._request_count == count_before
 
 
+class _RefusedConnection(asyncio.Protocol):
+    """A connection that is closed before anything is read from it."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Close the connection."""
+        typing.cast(asyncio.Transport, transport).abort()
+
+
 class Server(web.Server):
     """Accepts callers' connections and applies the configured limits.
 
@@ -156,7 +171,8 @@
         handler: Function that answers a request.
         limits: Function that returns the limits of a new connection.
         limits_buffers: Whether to limit the buffers of connections.
-        meter: Counts what is written to connections.
+        meter: Counts what is written and read.
+        admits: Returns whether to accept a new connection.
     """
 
     def __init__(
@@ -167,8 +183,10 @@
         limits: collections.abc.Callable[[], routes.Limits],
         limits_buffers: bool = False,
         meter: overload.Meter | None = None,
+        admits: collections.abc.Callable[[], bool] = lambda: True,
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
+        self._admits = admits
         self._meter = meter or overload.Meter()
         self._limits = limits
         self._limits_buffers = limits_buffers
@@ -182,8 +200,10 @@
         if self._limits_buffers and isinstance(handler, CallerConnection):
             handler.limit_buffers()
 
-    def __call__(self) -> CallerConnection:
+    def __call__(self) -> asyncio.Protocol:  # type: ignore[override]
         """Create the protocol of a new connection."""
+        if not self._admits():
+            return _RefusedConnection()
         limits = self._limits()
         return CallerConnection(
             self._meter,
--- a/galenahatch/gateway/context.py
+++ b/galenahatch/gateway/context.py
@@ -31,6 +31,7 @@
 from galenahatch.gateway import failover
 from galenahatch.gateway import flowcontrol
 from galenahatch.gateway import notices as notices_module
+from galenahatch.gateway import overload
 from galenahatch.gateway import owner_client
 from galenahatch.gateway import quarantine
 from galenahatch.gateway import ratelimits
@@ -69,6 +70,7 @@
     contention: contention_module.Contention
     call_grants: callgrants.CallGrants
     retry_value: retryvalue.RetryValue
+    overload: overload.OverloadManager
     flow: flowcontrol.FlowControl | None = None
 
 
--- a/galenahatch/gateway/frontend.py
+++ b/galenahatch/gateway/frontend.py
@@ -77,7 +77,7 @@
     async def send_head(self, head: calls.ResponseHead) -> None:
         """Send the response head."""
         response = web.StreamResponse(status=head.status, headers=head.headers)
-        self._frontend.close_if_draining(response)
+        self._frontend.set_keep_alive(response)
         self._response = response
         await response.prepare(self._request)
 
@@ -152,15 +152,16 @@
             return False
         return contexts.answer_deadline(call, route) > self._exits_at
 
-    def close_if_draining(self, response: web.StreamResponse) -> None:
-        """Ask the caller to close its connection if the process drains."""
-        if self.is_draining:
+    def set_keep_alive(self, response: web.StreamResponse) -> None:
+        """Ask the caller to reconnect if it should reach another gateway."""
+        if self.is_draining or self._context.overload.should_reconnect:
             response.force_close()
 
     async def ready(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer the load balancer's readiness probe."""
         is_ready = self._context.directory.ready and not self.is_draining
-        return web.Response(status=200 if is_ready else 503)
+        is_wanted = is_ready and self._context.overload.is_in_rotation
+        return web.Response(status=200 if is_wanted else 503)
 
     async def metrics(self, request: web.BaseRequest) -> web.StreamResponse:
         """Return all metrics."""
@@ -302,7 +303,7 @@
             sink = _StreamSink(request, self)
             return await self._relay(request, call, route, service, sink)
         buffered = streambuffer.BufferedSink(
-            request, self.close_if_draining, self._context.flow, call
+            request, self.set_keep_alive, self._context.flow, call
         )
         try:
             return await self._relay(request, call, route, service, buffered)
@@ -380,7 +381,7 @@
             headers=result.head.headers,
             body=result.body,
         )
-        self.close_if_draining(response)
+        self.set_keep_alive(response)
         return response
 
     def _error_response(
@@ -407,5 +408,5 @@
             body=msgspec.json.encode(body),
             content_type='application/json',
         )
-        self.close_if_draining(response)
+        self.set_keep_alive(response)
         return response
--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -168,6 +168,10 @@
     unit='s',
     description='Lateness of timers of the event loop.',
 )
+connections_refused = _meter.create_counter(
+    'galenahatch_connections_refused',
+    description='Connections of callers refused unread, by resource.',
+)
 bodies_rejected = _meter.create_counter(
     'galenahatch_bodies_rejected',
     description='Request bodies rejected for want of memory.',
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -105,8 +105,8 @@
         self._open()
         await self._listen()
         self._start_tasks()
-        settings = self._settings
-        _log.info('Listening.', vm=settings.name, front=str(settings.front))
+        front = str(self._settings.front)
+        _log.info('Listening.', vm=self._settings.name, front=front)
 
     def _open(self) -> None:
         settings = self._settings
@@ -158,15 +158,16 @@
         self._flow = flowcontrol.create(
             settings.features.flow_control, settings.memory_bytes
         )
-        self._overload = overload.OverloadManager(
-            settings.link_rate, settings.memory_bytes
-        )
-        meter = self._overload.meter
+        self._overload = overload.OverloadManager(settings, clock.RANDOM)
         self._direct_sender = senders.Sender(
-            self._flow, settings.address, meter
+            self._flow, settings.address, self._overload.meter
         )
         self._proxying = proxying.Proxying(
-            settings, self._direct_sender, self._flow, self._background_tasks
+            settings,
+            self._direct_sender,
+            self._flow,
+            lambda: not self._overload.is_in_rotation,
+            self._background_tasks,
         )
         self._sender = self._proxying.sender
         self._direct_sender.on_response_head = self._record_answer
@@ -299,36 +300,41 @@
         ).start(self._background_tasks)
         self._orders.run()
         self._background_tasks.run_forever('members', self._refresh)
-        self._background_tasks.run_forever('overload', self._overload.run)
+        self._overload.start(
+            self._mesh.members, self._mesh.me, self._background_tasks
+        )
+
+    def _context(self) -> contexts.Context:
+        return contexts.Context(
+            directory=self._directory,
+            sender=self._sender,
+            balancer=self._balancer,
+            budget=self._local_retry_budget,
+            owner_client=self._owner_client,
+            affinity=self._affinity,
+            guard=self._guard,
+            accounts=self._accounts,
+            rate_limits=self._rate_limits,
+            notices=self._notices,
+            tasks=self._background_tasks,
+            loads=self._load_reports,
+            contention=self._contention,
+            call_grants=self._call_grants,
+            flow=self._flow,
+            retry_value=self._retry_value,
+            overload=self._overload,
+        )
 
     async def _listen(self) -> None:
         settings = self._settings
-        self._frontend = frontend.HttpFrontend(
-            contexts.Context(
-                directory=self._directory,
-                sender=self._sender,
-                balancer=self._balancer,
-                budget=self._local_retry_budget,
-                owner_client=self._owner_client,
-                affinity=self._affinity,
-                guard=self._guard,
-                accounts=self._accounts,
-                rate_limits=self._rate_limits,
-                notices=self._notices,
-                tasks=self._background_tasks,
-                loads=self._load_reports,
-                contention=self._contention,
-                call_grants=self._call_grants,
-                flow=self._flow,
-                retry_value=self._retry_value,
-            )
-        )
+        self._frontend = frontend.HttpFrontend(self._context())
         limits = self._directory.limits
         self._callers = connections.Server(
             self._frontend.handle,
             limits,
             self._flow is not None,
             self._overload.meter,
+            self._overload.admits,
         )
         probes = connections.Server(self._frontend.ready, limits)
         metrics = connections.Server(self._frontend.metrics, limits)
@@ -371,8 +377,7 @@
         if isinstance(settings, errors.Failure):
             _log.error('Settings kept.', detail=settings.detail)
             return
-        changed = settings != self._settings
-        _log.info('Settings read again.', changed=changed)
+        _log.info('Settings read again.', changed=settings != self._settings)
 
     def begin_shutdown(self) -> None:
         """Begin to stop, unless that has already begun."""
--- a/galenahatch/gateway/proxying.py
+++ b/galenahatch/gateway/proxying.py
@@ -11,6 +11,8 @@
 # under the License.
 """Lost paths and proxying as one component of the gateway, with life cycle."""
 
+import collections.abc
+
 from galenahatch.core import reachability
 from galenahatch.gateway import connections
 from galenahatch.gateway import directory as directories
@@ -37,6 +39,7 @@
         settings: Settings of this process.
         direct: Sender of direct sends.
         flow: Flow control of this process; None if it is off.
+        is_overloaded: Returns whether this VM has no capacity to spare.
         background: Runner of background tasks.
 
     Attributes:
@@ -49,11 +52,13 @@
         settings: settings_module.Settings,
         direct: senders.Sender,
         flow: flowcontrol.FlowControl | None,
+        is_overloaded: collections.abc.Callable[[], bool],
         background: tasks.Tasks,
     ) -> None:
         self._settings = settings
         self._direct = direct
         self._flow = flow
+        self._is_overloaded = is_overloaded
         self._tasks = background
         self._paths = reachability.Reachability()
         self.offers = proxyoffers.ProxyOffers(
@@ -85,6 +90,7 @@
             notices,
             self._flow,
             lambda address: ids.MemberId(address) in mesh.members.by_name,
+            self._is_overloaded,
         )
         self._server = connections.Server(
             self._proxy.handle,
--- a/galenahatch/gateway/proxyserver.py
+++ b/galenahatch/gateway/proxyserver.py
@@ -70,6 +70,7 @@
         notices: Pauses that upstreams requested from this gateway.
         flow: Flow control of this process; None if it is off.
         is_member: Returns whether an address is that of a gateway.
+        is_overloaded: Returns whether this VM has no capacity to spare.
     """
 
     def __init__(
@@ -80,6 +81,7 @@
         notices: notices_module.Notices,
         flow: flowcontrol.FlowControl | None,
         is_member: collections.abc.Callable[[str], bool],
+        is_overloaded: collections.abc.Callable[[], bool],
     ) -> None:
         self._sender = sender
         self._directory = directory
@@ -87,6 +89,7 @@
         self._notices = notices
         self._flow = flow
         self._is_member = is_member
+        self._is_overloaded = is_overloaded
         self._max_in_flight = _max_in_flight()
         self._in_flight = 0
         self.is_draining = False
@@ -109,8 +112,8 @@
         if asked.purpose is hops.Purpose.CHECK:
             reach = await self._sender.check_port(upstream.address)
             return self._state(_VERDICTS[reach])
-        if self.is_draining or self._in_flight >= self._max_in_flight:
-            why = 'stopping' if self.is_draining else 'busy'
+        why = self._why_declined()
+        if why:
             return self._decline(request, asked, hops.Verdict.DECLINED, why)
         self._in_flight += 1
         try:
@@ -118,6 +121,14 @@
         finally:
             self._in_flight -= 1
 
+    def _why_declined(self) -> str:
+        """Return why no requests are proxied now, or nothing."""
+        if self.is_draining:
+            return 'stopping'
+        if self._is_overloaded():
+            return 'overloaded'
+        return 'busy' if self._in_flight >= self._max_in_flight else ''
+
     def _why_none_here(
         self,
         asked: hops.Instructions,
--- a/galenahatch/gateway/sender.py
+++ b/galenahatch/gateway/sender.py
@@ -118,7 +118,7 @@
         flow: Flow control of this process; None if it is off.
         own_address: IP address of this VM, from which proxies are contacted;
             empty for any.
-        meter: Counts what is written to connections.
+        meter: Counts what is written and read.
 
     Attributes:
         waits: Waits for upstreams that are in progress.
--- a/galenahatch/gateway/sessions.py
+++ b/galenahatch/gateway/sessions.py
@@ -25,6 +25,7 @@
 from aiohttp import client_proto
 from aiohttp import connector as connectors
 
+from galenahatch import clock
 from galenahatch.gateway import overload
 from galenahatch.upstream import http
 
@@ -49,7 +50,7 @@
     checked at each EOF.
 
     Args:
-        meter: Counts what is written.
+        meter: Counts what is written and read.
     """
 
     def __init__(
@@ -63,6 +64,11 @@
         metered = overload.MeteredTransport(transport, self._meter)
         super().connection_made(typing.cast(asyncio.Transport, metered))
 
+    def data_received(self, data: bytes) -> None:
+        """Process received data and count it."""
+        self._meter.count_read(len(data))
+        super().data_received(data)
+
     def eof_received(self) -> None:
         """Fail the body if the EOF is in fact a reset."""
         pending_error = 0
@@ -115,9 +121,19 @@
                 local_addr=local,
                 socket_factory=factory,
             )
+        self._meter = meter
         loop = self._loop
         self._factory = lambda: _Protocol(loop, meter)  # type: ignore
 
+    async def _wrap_create_connection(
+        self, *args: typing.Any, **options: typing.Any
+    ) -> tuple[asyncio.Transport, client_proto.ResponseHandler]:
+        began_at = clock.now()
+        made = await super()._wrap_create_connection(*args, **options)
+        address = str(options['addr_infos'][0][4])
+        self._meter.on_connect(address, clock.now() - began_at)
+        return made
+
     async def _get(
         self,
         key: typing.Any,
@@ -164,7 +180,7 @@
     Args:
         pooled: Whether connections are kept open for further requests.
         limits_buffers: Whether to limit what is received ahead of reads.
-        meter: Counts what is written.
+        meter: Counts what is written and read.
         own_address: IP address from which to connect; empty for any.
     """
     return aiohttp.ClientSession(
--- a/galenahatch/platform/deployment.py
+++ b/galenahatch/platform/deployment.py
@@ -57,6 +57,11 @@
     address: str
 
 
+class _Limits(typing.NamedTuple):
+    memory_bytes: int
+    link_rate: float
+
+
 class _File(msgspec.Struct, frozen=True):
     node_name: str
     ip: str
@@ -113,12 +118,9 @@
     features = _parse_features(raw.contracts, raw.features)
     if isinstance(features, errors.Failure):
         return features
-    memory_mb = _parse_limit(raw.limits, 'memory_mb')
-    if isinstance(memory_mb, errors.Failure):
-        return memory_mb
-    link_mbps = _parse_limit(raw.limits, 'link_mbps')
-    if isinstance(link_mbps, errors.Failure):
-        return link_mbps
+    limits = _parse_limits(raw.limits)
+    if isinstance(limits, errors.Failure):
+        return limits
     return settings.Settings(
         name=raw.node_name,
         address=raw.ip,
@@ -131,8 +133,8 @@
         bounds=_convert_bounds(raw.bounds),
         heartbeat=raw.heartbeat_ms / 1000,
         features=features,
-        memory_bytes=int(memory_mb * _BYTES_PER_MB),
-        link_rate=link_mbps * _BYTES_PER_MBIT,
+        memory_bytes=limits.memory_bytes,
+        link_rate=limits.link_rate,
     )
 
 
@@ -177,12 +179,25 @@
     return settings.Features(**enabled)
 
 
-def _parse_limit(limits: object, name: str) -> float | errors.Failure:
-    """Return a limit of the VM; 0 if it isn't stated."""
+def _parse_limits(limits: object) -> _Limits | errors.Failure:
+    """Return the limits of the VM."""
     if limits is None:
-        return 0.0
+        return _Limits(0, 0.0)
     if not isinstance(limits, dict):
         return _invalid_field('limits', limits, 'an object')
+    memory_mb = _parse_limit(limits, 'memory_mb')
+    if isinstance(memory_mb, errors.Failure):
+        return memory_mb
+    link_mbps = _parse_limit(limits, 'link_mbps')
+    if isinstance(link_mbps, errors.Failure):
+        return link_mbps
+    return _Limits(int(memory_mb * _BYTES_PER_MB), link_mbps * _BYTES_PER_MBIT)
+
+
+def _parse_limit(
+    limits: dict[str, typing.Any], name: str
+) -> float | errors.Failure:
+    """Return a limit of the VM; 0 if it isn't stated."""
     limit = limits.get(name, 0)
     is_number = isinstance(limit, int | float) and limit is not True
     if not is_number or not 0 <= limit < math.inf:
--- a/galenahatch/test/test_funnel.py
+++ b/galenahatch/test/test_funnel.py
@@ -14,6 +14,7 @@
 
 import collections.abc
 import concurrent.futures
+import threading
 import time
 import typing
 
@@ -29,6 +30,7 @@
 )
 _PATHS: typing.Final = ('/once/x', '/often/x', '/say/x', '/tell/x')
 _VMS: typing.Final = 4
+_CALLERS: typing.Final = 16
 _LINK_MBPS: typing.Final = 2.0
 _BODY: typing.Final = bytes(20_000)
 _DEADLINE_MS: typing.Final = '800'
@@ -120,23 +122,31 @@
 
 
 def _served_share(
-    send: collections.abc.Callable[[int], bool], seconds: float
+    send: collections.abc.Callable[[int], bool],
+    seconds: float,
+    interval: float = 2 / 3,
 ) -> float:
-    """Return the share of requests that are served, of 24 a second."""
+    """Return the share of requests that are served.
+
+    Args:
+        send: sends one, by its number.
+        interval: seconds between two requests of a caller.
+    """
     until = time.monotonic() + seconds
 
     def call(first: int) -> list[bool]:
         found = []
+        time.sleep(first * interval / _CALLERS)
         number = first
         while time.monotonic() < until:
             began = time.monotonic()
             found.append(send(number))
             number += 1
-            time.sleep(max(0.0, 2 / 3 - (time.monotonic() - began)))
+            time.sleep(max(0.0, began + interval - time.monotonic()))
         return found
 
-    with concurrent.futures.ThreadPoolExecutor(16) as threads:
-        parts = [threads.submit(call, n) for n in range(16)]
+    with concurrent.futures.ThreadPoolExecutor(_CALLERS) as threads:
+        parts = [threads.submit(call, n) for n in range(_CALLERS)]
         found = [item for part in parts for item in part.result()]
     assert len(found) > 10 * seconds
     return sum(found) / len(found)
@@ -167,3 +177,48 @@
         after = _served_share(send_funnelled, 2 * _OBSERVED_S)
         assert before > 0.9
         assert after >= 0.95 * before
+
+
+class _Balancer:
+    """Sends callers to the only gateway of their data centre, or elsewhere.
+
+    It asks for readiness as the platform's does, but more often.
+    """
+
+    def __init__(self, fleet: fleets.Fleet) -> None:
+        self._fleet = fleet
+        self._misses = 0
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def __enter__(self) -> '_Balancer':
+        """Start to ask for readiness."""
+        self._thread.start()
+        return self
+
+    def __exit__(self, *details: object) -> None:
+        """Stop to ask for readiness."""
+        self._stopped.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        while not self._stopped.wait(0.2):
+            is_ready = self._fleet.vms[0].ready()
+            self._misses = 0 if is_ready else self._misses + 1
+
+    def send(self, number: int) -> bool:
+        """Send a request; return whether it was served."""
+        others = range(1, _VMS)
+        vm = others[number % len(others)] if self._misses >= 2 else 0
+        return _send_to_first_that_reads(self._fleet, [vm])
+
+
+# Guards against a gateway that goes on asking for callers although its link
+# is full and those of another data centre are idle.
+def test_only_gateway_of_a_data_centre_with_too_many_callers() -> None:
+    """Callers are sent to the other data centre, and served there."""
+    fleet = fleets.Fleet(_VMS, _MEMBERS, in_order=True)
+    _narrow(fleet, ['dc1', *['dc2'] * (_VMS - 1)])
+    with fleet, _Balancer(fleet) as balancer:
+        _served_share(balancer.send, _CONTACT_S, 1.0)
+        assert _served_share(balancer.send, 3 * _OBSERVED_S, 1.0) >= 0.95
