--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -71,6 +71,7 @@
 from galenahatch.platform import deployment
 from galenahatch.platform import store as stores
 from galenahatch import tasks
+from galenahatch.upstream import http
 
 METRICS_PORT: typing.Final = 9464
 """Port of the metrics; the deployment file names the same port."""
@@ -111,7 +112,7 @@
     def _open(self) -> None:
         settings = self._settings
         self._client = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
+            connector=http.Connector(
                 limit=0, socket_factory=sessions.create_socket
             )
         )
--- a/galenahatch/upstream/http.py
+++ b/galenahatch/upstream/http.py
@@ -22,8 +22,10 @@
 """
 
 import asyncio
+import collections.abc
 import typing
 
+import aiohappyeyeballs
 import aiohttp
 from aiohttp import client_proto
 
@@ -75,12 +77,18 @@
 
 
 class Connector(aiohttp.TCPConnector):
-    """Connector whose connect time-out excludes pauses of this process."""
+    """Connector that closes each socket exactly once.
+
+    Its connect time-out excludes pauses of this process.
+    """
 
     async def _wrap_create_connection(
         self,
         *args: typing.Any,
+        addr_infos: list[aiohappyeyeballs.AddrInfoType],
+        req: aiohttp.ClientRequest,
         timeout: aiohttp.ClientTimeout,
+        client_error: type[Exception] = aiohttp.ClientConnectorError,
         **options: typing.Any,
     ) -> tuple[asyncio.Transport, client_proto.ResponseHandler]:
         """Establish a connection; the kernel does so even in a pause.
@@ -88,10 +96,51 @@
         With the library's own time-out, pauses of 0.27 s failed three calls
         in 92 although their upstreams were healthy.
         """
-        async with timeouts.limit(timeout.sock_connect):
-            return await super()._wrap_create_connection(
-                *args, timeout=NO_TIMEOUT, **options
-            )
+        try:
+            async with timeouts.limit(timeout.sock_connect):
+                sock = await aiohappyeyeballs.start_connection(
+                    addr_infos=addr_infos,
+                    local_addr_infos=self._local_addr_infos,
+                    loop=self._loop,
+                    socket_factory=self._socket_factory,
+                )
+                return await _open_transport(
+                    self._loop.create_connection(*args, **options, sock=sock)
+                )
+        except asyncio.TimeoutError:
+            raise
+        except OSError as error:
+            raise client_error(req.connection_key, error) from error
+
+
+async def _open_transport(
+    opening: collections.abc.Coroutine[
+        typing.Any,
+        typing.Any,
+        tuple[asyncio.Transport, client_proto.ResponseHandler],
+    ],
+) -> tuple[asyncio.Transport, client_proto.ResponseHandler]:
+    """Return the transport of a connected socket.
+
+    If the event loop is cancelled while it opens a transport, it closes the
+    descriptor but leaves the socket object open. That one closes the same
+    number once more when it is freed, by then another connection's. So the
+    transport is always opened, and closed if nobody waits for it any more.
+    """
+    task = asyncio.ensure_future(opening)
+    try:
+        return await asyncio.shield(task)
+    except asyncio.CancelledError:
+        task.add_done_callback(_close_transport)
+        raise
+
+
+def _close_transport(
+    task: asyncio.Task[tuple[asyncio.Transport, client_proto.ResponseHandler]],
+) -> None:
+    if not task.cancelled() and task.exception() is None:
+        transport, _ = task.result()
+        transport.abort()
 
 
 def session(
