--- a/galenahatch/core/overload.py
+++ b/galenahatch/core/overload.py
@@ -51,7 +51,8 @@
 lead to, which must all have been slow: a queue here delays each of them, a
 slow upstream only its own."""
 _BASE_CONNECT_WINDOW_S: typing.Final = 60.0
-"""Time for which the fastest connection is remembered."""
+"""Time for which the fastest connection is remembered, or longer if the link
+is busy: then none may show how fast connections are without a queue."""
 _CONNECTION_BYTES: typing.Final = 64 * 1024
 """Memory for a connection, with its request and its buffers."""
 _CONNECTION_DESCRIPTORS: typing.Final = 2
@@ -159,11 +160,13 @@
         self._base = math.inf
         self._base_at = 0.0
 
-    def record(self, address: str, seconds: float, now: float) -> None:
+    def record(
+        self, address: str, seconds: float, now: float, is_busy: bool
+    ) -> None:
         """Record the time that a connection took to be established."""
         self._recent.append((now, seconds, address))
         is_old = now - self._base_at > _BASE_CONNECT_WINDOW_S
-        if seconds <= self._base or is_old:
+        if seconds <= self._base or (is_old and not is_busy):
             self._base, self._base_at = seconds, now
 
     def delay(self, now: float) -> float:
@@ -192,7 +195,7 @@
         self._lags: collections.deque[float] = collections.deque(
             maxlen=_LAG_SAMPLES
         )
-        self._connections = 0
+        self._utilizations = dict.fromkeys(Resource, 0.0)
         self._accepted_at = -math.inf
         self._used_at = -math.inf
         self._is_in_rotation = True
@@ -211,23 +214,18 @@
     @property
     def utilizations(self) -> dict[Resource, float]:
         """Utilization of each resource; above 1, callers notice."""
-        lag = min(self._lags) if len(self._lags) == _LAG_SAMPLES else 0.0
-        return {
-            Resource.LINK: self._link_utilization,
-            Resource.EVENT_LOOP: lag / _MAX_LAG_S,
-            Resource.CONNECTIONS: self._connections / self._limits.connections,
-        }
+        return self._utilizations
 
     @property
-    def _link_utilization(self) -> float:
+    def _link_share(self) -> float:
+        """Share of the link's capacity that is used; 0 if it isn't stated."""
         capacity = _LINK_SHARE * self._limits.link_rate
-        used = self.link_rate / capacity if capacity else 0.0
-        return max(used, self._link_delay / _MAX_LINK_DELAY_S)
+        return self.link_rate / capacity if capacity else 0.0
 
     @property
     def bottleneck(self) -> tuple[Resource, float]:
         """The resource with the highest utilization, and its utilization."""
-        return max(self.utilizations.items(), key=lambda item: item[1])
+        return max(self._utilizations.items(), key=lambda item: item[1])
 
     @property
     def stage(self) -> Stage:
@@ -266,7 +264,17 @@
         self._written.record(written, now)
         self._read.record(read, now)
         self._link_delay = self._queue.delay(now)
-        self._connections = connections
+        lag = min(self._lags) if len(self._lags) == _LAG_SAMPLES else 0.0
+        self._utilizations = {
+            Resource.LINK: max(
+                self._link_share, self._link_delay / _MAX_LINK_DELAY_S
+            ),
+            Resource.EVENT_LOOP: lag / _MAX_LAG_S,
+            Resource.CONNECTIONS: connections / self._limits.connections,
+        }
+        self._update_rotation(now)
+
+    def _update_rotation(self, now: float) -> None:
         _, utilization = self.bottleneck
         if utilization >= 1 and self._alternatives is not Alternatives.NONE:
             self._is_in_rotation = False
@@ -291,7 +299,8 @@
             seconds: Time that it took.
             now: Time at which it was established.
         """
-        self._queue.record(address, seconds, now)
+        is_busy = self._link_share >= _RELIEVED
+        self._queue.record(address, seconds, now, is_busy)
 
     def admit(self, now: float) -> bool:
         """Return whether to accept a new connection, and record that."""
--- a/galenahatch/test/test_overload.py
+++ b/galenahatch/test/test_overload.py
@@ -132,6 +132,21 @@
     assert vm.play(3.0, connect=0.15) is overload.Stage.NORMAL
 
 
+def test_queue_that_lasts_is_still_one() -> None:
+    """The fastest connection is remembered as long as the link is busy."""
+    vm = _Vm()
+    vm.play(1.0, connect=0.001)
+    vm.play(120.0, written=_LINK, connect=0.2)
+    assert vm.overload.link_delay > 0.15
+
+
+def test_upstreams_that_become_distant_are_no_queue_for_long() -> None:
+    """The fastest connection is forgotten while the link is idle."""
+    vm = _Vm()
+    vm.play(1.0, connect=0.001)
+    assert vm.play(70.0, connect=0.2) is overload.Stage.NORMAL
+
+
 def test_suspension_is_no_lag() -> None:
     """A VM that was suspended takes callers at once."""
     vm = _Vm()
