--- a/galenahatch/test/test_retry_value.py
+++ b/galenahatch/test/test_retry_value.py
@@ -365,6 +365,7 @@
         'affinity',
         'accounts',
         'tasks',
+        'overload',
         'call_grants',
     ):
         fake[name] = None
