Version affinity: keep versions and origins of streams in the store

Cause: `ServedVersions` begins empty, so a gateway that has just started took "one version is listed and I remember no other" for "there was no other": an empty memory was taken for knowledge. By the log of the owner all returns were placed with no version named. A record that was lost or mistaken is refuted: no process lived that had one. The same loss refused all returns where both versions went on serving.

Change: the owner stores, for each service, which versions serve or left (`versionhistory`), and places no stream at a version before that is stored, or for a second at most; and, while several versions serve, which version began which stream, in batches (`originlog`). Whoever starts reads the first, whoever becomes the owner both. One version is taken for the only one only if all versions are known: since the row says so, or for a minute; a row of an earlier era of the store does not count. Origins told to the owner and its successor are numbered, and sent again until they are acknowledged (`originexchange`); a member that restarted is told all.

Tests: 8 cases of test_versions failed on (all gateways killed, once and twice; a version that left meanwhile, also in a release; a store restored from an older copy; all that knew a stream killed) and pass now.

--- a/galenahatch/core/versionaffinity.py
+++ b/galenahatch/core/versionaffinity.py
@@ -19,7 +19,9 @@
 began at different versions, it stands for neither.
 
 The versions in service are remembered for a while after their last engine:
-as long as only one has been there, every stream is of that version.
+as long as only one has been there, every stream is of that version. A process
+that has just started can't know it from its own memory
+(`gateway/versionhistory`).
 
 Times are monotonic seconds; this module does no I/O.
 """
@@ -27,6 +29,7 @@
 import collections.abc
 import dataclasses
 import enum
+import math
 import typing
 
 from galenahatch import ids
@@ -145,17 +148,43 @@
                 self._left_at[service, version] = now
         self._present = dict(present)
 
+    def add_past(
+        self, service: ids.ServiceName, version: Version, left_at: float
+    ) -> None:
+        """Add a version that served before, as another process recorded it."""
+        known_at = self._left_at.get((service, version), left_at)
+        self._left_at[service, version] = max(known_at, left_at)
+
+    def names(self) -> set[ids.ServiceName]:
+        """Return the services of which any version is known."""
+        return {*self._present, *(service for service, _ in self._left_at)}
+
+    def left_times(
+        self, service: ids.ServiceName, now: float
+    ) -> dict[Version, float]:
+        """Return when versions of a service left; infinity if they serve."""
+        self._prune(now)
+        left = {v: at for (n, v), at in self._left_at.items() if n == service}
+        present = self._present.get(service, frozenset())
+        return left | dict.fromkeys(present, math.inf)
+
     def several(self, now: float) -> bool:
         """Return whether any service has several versions, or had."""
         self._prune(now)
-        services = {*self._present, *(service for service, _ in self._left_at)}
-        return any(len(self._versions(service)) > 1 for service in services)
+        return any(len(self._versions(name)) > 1 for name in self.names())
 
     def is_single(self, service: ids.ServiceName, now: float) -> bool:
-        """Return whether all streams of a service are of one version."""
+        """Return whether at most one version of a service is known."""
         self._prune(now)
         return len(self._versions(service)) <= 1
 
+    def is_only(
+        self, service: ids.ServiceName, version: Version, now: float
+    ) -> bool:
+        """Return whether no other version of a service is known."""
+        self._prune(now)
+        return self._versions(service) <= {version}
+
     def _versions(self, service: ids.ServiceName) -> set[Version]:
         left = {v for name, v in self._left_at if name == service}
         return left | self._present.get(service, frozenset())
--- a/galenahatch/gateway/affinity.py
+++ b/galenahatch/gateway/affinity.py
@@ -14,11 +14,12 @@
 
 The gateway that relays a stream records the version of the engine that writes
 its first event, and tells the owner and its successor before that event
-leaves. All three keep the record, so it survives the loss of any two of them.
-If the members that are told change, they are told all that is known here.
+leaves (`originexchange`). All three keep the record, and the owner stores it
+(`originlog`), so it survives the loss of any number of gateways.
 
-Nothing is sent while all engines of a service run one version: then an unknown
-stream is of that version too (`core/versionaffinity`).
+Nothing is sent or stored while all engines of a service run one version, and
+did so before (`versionhistory`): then an unknown stream is of that version
+too.
 """
 
 import asyncio
@@ -32,30 +33,36 @@
 from galenahatch.gateway import affinitymessages
 from galenahatch.gateway import calls
 from galenahatch.gateway import directory as directories
+from galenahatch.gateway import frames
 from galenahatch.gateway import instruments
 from galenahatch.gateway import messages
+from galenahatch.gateway import originexchange
+from galenahatch.gateway import originlog
+from galenahatch.gateway import versionhistory
 from galenahatch import ids
+from galenahatch import logs
+from galenahatch.platform import store as stores
 from galenahatch import tasks
 
-_MAX_ORIGINS_PER_MESSAGE: typing.Final = 256
 _PRUNE_INTERVAL_S: typing.Final = 2.0
+_NEXT_BATCH_DELAY_S: typing.Final = 0.02
+_STORE_CHECK_INTERVAL_S: typing.Final = 0.25
+_MAX_LOAD_RETRY_DELAY_S: typing.Final = 5.0
+"""Longest delay between reads of a failing store by a gateway that isn't
+asked; each call is charged."""
+_ASKED_S: typing.Final = 2.0
+"""Seconds for which a gateway that was asked about a stream keeps what it read
+of the store, though it isn't the owner."""
+_log = logs.Log('versions')
 # The version at which a stream continues; None if others may still tell it.
 Resolution = ids.SoftwareVersion | versionaffinity.Problem | None
 
 
-class Peers(typing.Protocol):
+class Peers(originexchange.Peers, typing.Protocol):
     """The part of the mesh that is needed here."""
 
-    def candidates(self) -> tuple[ids.MemberId, ...]:
-        """Return the other members that heartbeats go to."""
-
-    def knows(self, name: ids.MemberId, level: int) -> bool:
-        """Return whether a member knows messages up to a level."""
-
-    def send(
-        self, name: ids.MemberId, message: affinitymessages.StreamOrigins
-    ) -> None:
-        """Send a message to a member."""
+    def reply(self, name: ids.MemberId, message: frames.AnyMessage) -> None:
+        """Send a message to a member that has sent one."""
 
     def owned_seconds(self) -> float | None:
         """Return for how long this gateway has been the owner."""
@@ -73,25 +80,47 @@
 
     Args:
         directory: Source of engines and their versions.
+        store: The platform's store.
+        address: Address of this VM.
+
+    Attributes:
+        on_stored: Callback after versions were stored.
     """
 
-    def __init__(self, directory: directories.Directory) -> None:
+    def __init__(
+        self,
+        directory: directories.Directory,
+        store: stores.Store,
+        address: str,
+    ) -> None:
         self._directory = directory
         self._origins = versionaffinity.Origins()
         self._served = versionaffinity.ServedVersions()
+        self._history = versionhistory.VersionHistory(store, self._served)
+        writer = f'{address}/{clock.random_incarnation():x}'
+        self._origin_log = originlog.OriginLog(store, self._origins, writer)
         self._peers: Peers | None = None
-        self._told: tuple[ids.MemberId, ...] = ()
-        self._untold: list[ids.StreamKey] = []
+        self._exchange: originexchange.OriginExchange | None = None
+        self._wake = asyncio.Event()
+        self._asked_until = 0.0
+        self._keeps_origins = False
         self._pruned_at = 0.0
+        self.on_stored: collections.abc.Callable[[], None] = lambda: None
         directory.on_change(self._update_served)
         instruments.register_gauge(
             instruments.STREAM_ORIGINS, lambda: {'': len(self._origins)}
         )
+        instruments.register_gauge(
+            instruments.STREAM_ORIGIN_ROWS,
+            lambda: {'': self._origin_log.row_count},
+        )
 
     def start(self, peers: Peers, background: tasks.Tasks) -> None:
         """Connect to the other gateways and start to tell them."""
         self._peers = peers
-        background.run_forever('stream origins', self._run)
+        self._exchange = originexchange.OriginExchange(self._origins, peers)
+        background.run_forever('stream origins', self._tell_forever)
+        background.run_forever('version history', self._store_forever)
 
     def _update_served(self) -> None:
         present: dict[ids.ServiceName, set[ids.SoftwareVersion]] = {}
@@ -100,12 +129,25 @@
                 versions = present.setdefault(upstream.service, set())
                 versions.add(upstream.version)
         frozen = {name: frozenset(found) for name, found in present.items()}
-        self._served.update(frozen, clock.now())
+        self._history.update(frozen, clock.now())
+        self._wake.set()
 
     def is_single(self, service: ids.ServiceName) -> bool:
-        """Return whether all streams of a service are of one version."""
+        """Return whether at most one version of a service is known here."""
         return self._served.is_single(service, clock.now())
 
+    def is_only(
+        self, service: ids.ServiceName, version: ids.SoftwareVersion
+    ) -> bool:
+        """Return whether no other version of a service is known here."""
+        return self._served.is_only(service, version, clock.now())
+
+    def usable(
+        self, engines: collections.abc.Iterable[upstreams.Upstream]
+    ) -> list[upstreams.Upstream]:
+        """Return the engines at which the owner may begin streams."""
+        return self._history.usable(engines)
+
     def find(
         self, keys: collections.abc.Iterable[ids.StreamKey]
     ) -> ids.SoftwareVersion | None:
@@ -115,7 +157,7 @@
     def resolve(
         self,
         service: ids.ServiceName,
-        keys: collections.abc.Iterable[ids.StreamKey],
+        keys: collections.abc.Collection[ids.StreamKey],
         arrived_at: float,
     ) -> Resolution:
         """Return the version at which a stream continues, as the owner.
@@ -127,19 +169,34 @@
 
         Returns:
             The version; empty for any; `UNKNOWN`; or None if others may still
-            tell it.
+            tell it, or the store hasn't been read.
         """
         now = clock.now()
         version = self._origins.find(keys, now)
         if version is not None:
             return version
-        if self._served.is_single(service, now):
+        knows_all = self._history.knows_all(service, now)
+        if knows_all and self._served.is_single(service, now):
             return versionaffinity.ANY_VERSION
         assert self._peers is not None
         owned = self._peers.owned_seconds()
         is_new = owned is None or owned < versionaffinity.RECENT_OWNER_S
-        if is_new and now - arrived_at < versionaffinity.SETTLE_S:
-            return None
+        is_loaded = self._history.is_loaded and self._origin_log.is_loaded
+        if not is_loaded:
+            self._asked_until = now + _ASKED_S
+            self._wake.set()
+        if is_new or not is_loaded:
+            if now - arrived_at < versionaffinity.SETTLE_S:
+                return None
+        _log.info(
+            'Version of a stream unknown.',
+            service=service,
+            keys=' '.join(keys),
+            versions=' '.join(sorted(self._served.left_times(service, now))),
+            knows_all=knows_all,
+            loaded=is_loaded,
+            owned=owned,
+        )
         return versionaffinity.Problem.UNKNOWN
 
     def record(
@@ -156,68 +213,108 @@
         keys = stream_keys(call)
         for key in keys:
             self._origins.record(key, version, deadline, now)
-        if self._served.several(now):
-            self._tell(self._candidates(), keys)
+        if self._must_keep(now):
+            assert self._exchange is not None
+            self._exchange.tell(keys, now)
+            self._store(keys)
 
-    def merge(self, message: affinitymessages.StreamOrigins) -> None:
-        """Record what another gateway tells."""
+    def handle_message(
+        self,
+        member: ids.MemberId,
+        message: affinitymessages.AnyAffinityMessage,
+    ) -> None:
+        """Handle a message of another gateway."""
+        assert self._peers is not None and self._exchange is not None
+        if isinstance(message, affinitymessages.StreamOriginsReceived):
+            self._exchange.acknowledge(member, message.number)
+            return
         now = clock.now()
         for origin in message.origins:
             expires_at = now + origin.seconds_left
             self._origins.record(origin.key, origin.version, expires_at, now)
-
-    def _tell(
-        self,
-        members_told: collections.abc.Iterable[ids.MemberId],
-        keys: collections.abc.Iterable[ids.StreamKey],
-    ) -> None:
+        self._store([origin.key for origin in message.origins])
+        if message.number:
+            received = affinitymessages.StreamOriginsReceived(message.number)
+            self._peers.reply(member, received)
+
+    def _must_keep(self, now: float) -> bool:
+        """Return whether streams may return to engines of several versions."""
+        return self._served.several(
+            now
+        ) or not self._history.knows_all_services(now)
+
+    def _store(self, keys: collections.abc.Iterable[ids.StreamKey]) -> None:
+        """Store origins soon, if this gateway is the owner."""
         assert self._peers is not None
-        now = clock.now()
-        found = ((key, self._origins.get(key)) for key in keys)
-        origins = tuple(
-            affinitymessages.StreamOrigin(
-                key, origin.version, origin.expires_at - now
-            )
-            for key, origin in found
-            if origin is not None
-        )
-        if not origins:
-            return
-        for name in members_told:
-            self._peers.send(name, affinitymessages.StreamOrigins(origins))
+        if self._peers.owned_seconds() is not None:
+            self._origin_log.add(keys)
+            self._wake.set()
 
-    async def _run(self) -> None:
+    async def _tell_forever(self) -> None:
+        assert self._exchange is not None
         while True:
             now = clock.now()
             if now - self._pruned_at > _PRUNE_INTERVAL_S:
                 self._pruned_at = now
                 self._origins.prune(now)
-            if self._served.several(now):
-                self._tell_all()
+            has_more = False
+            if self._must_keep(now):
+                has_more = self._exchange.tell_all(now)
             else:
                 # All is told once a second version appears.
-                self._told, self._untold = (), []
-            await asyncio.sleep(members.HEARTBEAT_INTERVAL_S)
+                self._exchange.reset()
+            await asyncio.sleep(
+                _NEXT_BATCH_DELAY_S
+                if has_more
+                else members.HEARTBEAT_INTERVAL_S
+            )
 
-    def _candidates(self) -> tuple[ids.MemberId, ...]:
-        """Return the owner and its successor, if their builds keep records."""
+    async def _store_forever(self) -> None:
+        retry_delay = _STORE_CHECK_INTERVAL_S
+        while True:
+            self._wake.clear()
+            delay = _STORE_CHECK_INTERVAL_S
+            if not await self._synchronize():
+                delay = retry_delay
+                retry_delay = min(2 * retry_delay, _MAX_LOAD_RETRY_DELAY_S)
+            else:
+                retry_delay = _STORE_CHECK_INTERVAL_S
+            try:
+                async with asyncio.timeout(delay):
+                    await self._wake.wait()
+            except asyncio.TimeoutError:
+                pass
+
+    async def _synchronize(self) -> bool:
+        """Read from the store and write to it; return whether it answers."""
         assert self._peers is not None
-        return tuple(
-            name
-            for name in self._peers.candidates()
-            if self._peers.knows(name, affinitymessages.MESSAGE_LEVEL)
-        )
-
-    def _tell_all(self) -> None:
-        """Tell all that is known to members that have not been told."""
-        candidates = self._candidates()
-        if candidates != self._told:
-            self._told = candidates
-            self._untold = self._origins.keys()
-        if self._untold:
-            batch = self._untold[:_MAX_ORIGINS_PER_MESSAGE]
-            del self._untold[:_MAX_ORIGINS_PER_MESSAGE]
-            self._tell(self._told, batch)
+        if not self._directory.ready:
+            return True
+        is_owner = self._peers.owned_seconds() is not None
+        if not is_owner and clock.now() > self._asked_until:
+            self._origin_log.unload()
+            return self._history.was_loaded or await self._history.load()
+        if not self._history.is_loaded and not await self._history.load():
+            return False
+        if not self._origin_log.is_loaded:
+            if not await self._origin_log.load():
+                return False
+            self._keeps_origins = False
+        if is_owner:
+            await self._save()
+        return True
+
+    async def _save(self) -> None:
+        """Store what the store lacks, as the owner."""
+        if await self._history.save():
+            self.on_stored()
+        must_keep = self._must_keep(clock.now())
+        if must_keep and not self._keeps_origins:
+            self._origin_log.add(self._origins.keys())
+        self._keeps_origins = must_keep
+        if await self._origin_log.save(must_keep):
+            await asyncio.sleep(originlog.SAVE_INTERVAL_S)
+            self._wake.set()
 
 
 class StreamAffinity:
@@ -247,7 +344,7 @@
     @property
     def version(self) -> ids.SoftwareVersion:
         """The only version at which the stream may run; empty for any."""
-        if not self._version or self._known.is_single(self._service):
+        if self._known.is_only(self._service, self._version):
             return versionaffinity.ANY_VERSION
         return self._version
 
--- a/galenahatch/gateway/affinitymessages.py
+++ b/galenahatch/gateway/affinitymessages.py
@@ -21,9 +21,11 @@
 from galenahatch.gateway import messages
 from galenahatch import ids
 
-MESSAGE_LEVEL = 3
-"""Level that a gateway states if it knows the messages of this module, and the
-fields of placement requests that name a version."""
+VERSIONS_LEVEL = 3
+"""Level of gateways that know `StreamOrigins`, and the fields of placement
+requests that name a version."""
+MESSAGE_LEVEL = 4
+"""Level of gateways that know all messages of this module."""
 
 
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
@@ -40,10 +42,24 @@
 
 
 class StreamOrigins(messages.Message, frozen=True, array_like=True, tag=True):
-    """Reports versions that began streams to the owner and its successor."""
+    """Reports versions that began streams to the owner and its successor.
+
+    Attributes:
+        number: Number of this message, which the reply repeats; 0 if the
+            sender expects none.
+    """
 
     origins: tuple[StreamOrigin, ...]
+    number: int = 0
+
+
+class StreamOriginsReceived(
+    messages.Message, frozen=True, array_like=True, tag=True
+):
+    """Acknowledges `StreamOrigins`."""
+
+    number: int
 
 
-AnyAffinityMessage = StreamOrigins
+AnyAffinityMessage = StreamOrigins | StreamOriginsReceived
 """Every message of this module."""
--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -322,6 +322,11 @@
     '1',
     'Keys of streams whose software version is known here.',
 )
+STREAM_ORIGIN_ROWS: typing.Final = _gauge(
+    'galenahatch_stream_origin_rows',
+    '1',
+    'Rows of the store with the versions that began streams; of the owner.',
+)
 continued_streams = _meter.create_counter(
     'galenahatch_continued_streams',
     description='Streams taken up again by callers, by what came of them.',
@@ -400,3 +405,10 @@
         return ''
     pairs = (f'{key}="{value}"' for key, value in sorted(attributes.items()))
     return '{' + ','.join(pairs) + '}'
+
+
+def record_era(before: int | None, after: int) -> None:
+    """Record the store's era, which rises when an older copy is restored."""
+    store_era.set(after)
+    if before is not None:
+        store_restores.add(after - before)
--- a/galenahatch/gateway/mesh.py
+++ b/galenahatch/gateway/mesh.py
@@ -191,6 +191,11 @@
         """Return whether a member knows messages up to a level."""
         return name == self.me or self._links.knows(name, level)
 
+    def incarnation(self, name: ids.MemberId) -> int:
+        """Return the incarnation of a member; 0 if it is unknown."""
+        member = self._members.by_name.get(name)
+        return member.incarnation if member is not None else 0
+
     @property
     def heartbeat_window(self) -> float:
         """Seconds within which each reachable member sends a heartbeat."""
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -117,7 +117,7 @@
             )
         )
         self._store = stores.Store(self._client, str(settings.store))
-        self._store.eras.on_change = _record_era
+        self._store.eras.on_change = instruments.record_era
         self._directory = directories.Directory(
             self._store,
             self._background_tasks,
@@ -139,19 +139,27 @@
         self._accounts = accounts_module.Accounts(
             self._directory, bounds.quota
         )
-        self._affinity = affinity.VersionAffinity(self._directory)
+        self._open_owner()
+        self._open_plain_calls()
+        self._open_mesh()
+
+    def _open_owner(self) -> None:
+        """Create the components that place generations."""
+        self._affinity = affinity.VersionAffinity(
+            self._directory, self._store, self._settings.address
+        )
         self._owner_client = owner_client.OwnerClient(
             self._directory,
-            settings.data_centre,
+            self._settings.data_centre,
             self._owner_retry_budget,
             self._accounts,
             self._rate_limits.limiter,
             self._notices.pauses_left,
             self._load_reports,
             self._affinity.resolve,
+            self._affinity.usable,
         )
-        self._open_plain_calls()
-        self._open_mesh()
+        self._affinity.on_stored = self._owner_client.owner.refresh_engines
 
     def _open_senders(self) -> None:
         """Create the components that send to upstreams."""
@@ -223,7 +231,6 @@
             self._handle_message,
             self._background_tasks,
         )
-
         self._orders = orders.Orders(
             self._store,
             self._mesh,
@@ -250,8 +257,8 @@
             self._rate_limits.handle_message(member, message)
         elif isinstance(message, proxymessages.AnyProxyMessage):
             self._proxying.offers.handle_message(member, message)
-        elif isinstance(message, affinitymessages.StreamOrigins):
-            self._affinity.merge(message)
+        elif isinstance(message, affinitymessages.AnyAffinityMessage):
+            self._affinity.handle_message(member, message)
         elif isinstance(message, callmessages.OwnerRequest):
             self._call_owner.handle_message(member, message)
         elif isinstance(message, callmessages.AnyCallMessage):
@@ -421,10 +428,3 @@
         await self._sender.close()
         await self._client.close()
         self._mesh.close()
-
-
-def _record_era(before: int | None, after: int) -> None:
-    """Record the store's era, which rises when an older copy is restored."""
-    instruments.store_era.set(after)
-    if before is not None:
-        instruments.store_restores.add(after - before)
--- a/galenahatch/gateway/owner.py
+++ b/galenahatch/gateway/owner.py
@@ -18,7 +18,6 @@
 """
 
 import asyncio
-import collections.abc
 import typing
 
 import msgspec
@@ -38,6 +37,7 @@
 from galenahatch.gateway import frames
 from galenahatch.gateway import instruments
 from galenahatch.gateway import messages
+from galenahatch.gateway import ownertypes
 from galenahatch.gateway import placementjobs
 from galenahatch.gateway import records
 from galenahatch.gateway import refusals
@@ -52,36 +52,6 @@
 """Interval of checks whether the version of a stream has become known."""
 _log = logs.Log('owner')
 
-OwnerReply = (
-    messages.Queued
-    | messages.Placement
-    | messages.PlacementRefused
-    | messages.Declined
-)
-ReplyFunction = collections.abc.Callable[[OwnerReply], None]
-DeliverFunction = collections.abc.Callable[[ids.MemberId, OwnerReply], None]
-ResolveFunction = collections.abc.Callable[
-    [ids.ServiceName, collections.abc.Iterable[ids.StreamKey], float],
-    affinity.Resolution,
-]
-
-
-def resolve_any(
-    service: ids.ServiceName,
-    keys: collections.abc.Iterable[ids.StreamKey],
-    arrived_at: float,
-) -> ids.SoftwareVersion:
-    """Bind no stream to a version."""
-    return versionaffinity.ANY_VERSION
-
-
-class _Asked(typing.NamedTuple):
-    """A placement request, and when it arrived; monotonic seconds."""
-
-    member: ids.MemberId
-    request: messages.PlacementRequest
-    arrived_at: float
-
 
 class Owner:
     """Places generations for this gateway and all others that ask it.
@@ -95,6 +65,7 @@
         loads: Load reports of the engines.
         resolve: Returns the version at which a stream continues; see
             `affinity.VersionAffinity.resolve`.
+        usable: Returns the engines at which streams may begin.
     """
 
     def __init__(
@@ -103,21 +74,25 @@
         budget: retrybudget.OwnerBudget,
         accounts: accounts_module.Accounts,
         limiter: ratelimits.Limiter,
-        deliver: DeliverFunction,
+        deliver: ownertypes.DeliverFunction,
         loads: loadreports.Loads | None = None,
-        resolve: ResolveFunction = resolve_any,
+        resolve: ownertypes.ResolveFunction = ownertypes.resolve_any,
+        usable: ownertypes.UsableFunction = list,
     ) -> None:
         self._directory = directory
+        self._usable = usable
         self._resolve = resolve
         # Streams whose version others may still tell.
-        self._unresolved: dict[ids.StreamId, _Asked] = {}
+        self._unresolved: dict[ids.StreamId, ownertypes.Asked] = {}
         self._budget = budget
         self._accounts = accounts
         self._limiter = limiter
         self._deliver = deliver
         self._loads = loads or loadreports.Loads()
         self._dispatchers: dict[ids.ServiceName, dispatch.Dispatcher] = {}
-        self._reply_functions: dict[ids.StreamId, ReplyFunction] = {}
+        self._reply_functions: dict[
+            ids.StreamId, ownertypes.ReplyFunction
+        ] = {}
         self._partitioned: set[ids.MemberId] = set()
         self._wake = asyncio.Event()
         directory.on_change(self.refresh_engines)
@@ -144,7 +119,7 @@
         """Handle a message from a gateway, which may be this one."""
         now = clock.now()
         if isinstance(message, messages.PlacementRequest):
-            self._handle_request(_Asked(member, message, now))
+            self._handle_request(ownertypes.Asked(member, message, now))
         elif isinstance(message, messages.Heartbeat):
             self._budget.record_heartbeat(member, now)
             self.record_partition(member, message.is_partitioned)
@@ -216,7 +191,7 @@
                 dispatcher.withdraw(stream)
         self._reply_functions.clear()
 
-    def _handle_request(self, asked: _Asked) -> None:
+    def _handle_request(self, asked: ownertypes.Asked) -> None:
         """Decide on a request, or let it wait for its stream's version."""
         member, request, arrived_at = asked
         self._unresolved.pop(request.stream, None)
@@ -239,11 +214,13 @@
         for asked in list(self._unresolved.values()):
             self._handle_request(asked)
 
-    def _submit(self, asked: _Asked, version: ids.SoftwareVersion) -> None:
+    def _submit(
+        self, asked: ownertypes.Asked, version: ids.SoftwareVersion
+    ) -> None:
         member, request, arrived_at = asked
         now = clock.now()
 
-        def reply(message: OwnerReply) -> None:
+        def reply(message: ownertypes.OwnerReply) -> None:
             self._deliver(member, message)
 
         dispatcher = self._dispatcher(request.service)
@@ -355,7 +332,7 @@
             for key, upstream in registry.upstreams.items()
             if upstream.leaving
         }
-        usable = registry.usable(service, now)
+        usable = self._usable(registry.usable(service, now))
         if self._loads.reports_slowdown(engine.id for engine in usable):
             dispatcher.set_slowdowns(self._loads.slowdown)
         dispatcher.set_engines(usable, leaving, now)
@@ -388,7 +365,7 @@
     def _send_decision(self, decision: generations.Decision) -> None:
         job = decision.job
         reply = self._reply_functions.pop(job.stream, None)
-        message: OwnerReply
+        message: ownertypes.OwnerReply
         if isinstance(decision, generations.Placed):
             message = messages.Placement(
                 job.stream,
--- a/galenahatch/gateway/owner_client.py
+++ b/galenahatch/gateway/owner_client.py
@@ -37,6 +37,7 @@
 from galenahatch.gateway import mesh as meshes
 from galenahatch.gateway import messages
 from galenahatch.gateway import owner as owners
+from galenahatch.gateway import ownertypes
 from galenahatch.gateway import records
 from galenahatch.gateway import refusals
 from galenahatch import ids
@@ -120,6 +121,8 @@
         loads: Load reports, for when this gateway is the owner.
         resolve: Returns the version at which a stream continues, for when
             this gateway is the owner.
+        usable: Returns the engines at which streams may begin, for when this
+            gateway is the owner.
     """
 
     def __init__(
@@ -133,14 +136,15 @@
             [], dict[ids.UpstreamId, float]
         ],
         loads: loadreports.Loads | None = None,
-        resolve: owners.ResolveFunction = owners.resolve_any,
+        resolve: ownertypes.ResolveFunction = ownertypes.resolve_any,
+        usable: ownertypes.UsableFunction = list,
     ) -> None:
         self._directory = directory
         self._paused_engines = paused_engines
         self._data_centre = data_centre
         self._mesh: meshes.Mesh | None = None
         self._pending_replies: dict[
-            ids.StreamId, asyncio.Queue[owners.OwnerReply]
+            ids.StreamId, asyncio.Queue[ownertypes.OwnerReply]
         ] = {}
         self._running: dict[ids.StreamId, _Running] = {}
         self._owner_by_stream: dict[ids.StreamId, ids.MemberId] = {}
@@ -152,6 +156,7 @@
             self._deliver,
             loads,
             resolve,
+            usable,
         )
 
     def start(self, mesh: meshes.Mesh, background: tasks.Tasks) -> None:
@@ -167,12 +172,14 @@
         """Handle a message from another gateway."""
         if isinstance(message, messages.HeartbeatReply):
             self.owner.adopt_figures(message)
-        elif isinstance(message, owners.OwnerReply):
+        elif isinstance(message, ownertypes.OwnerReply):
             self._handle_reply(member, message)
         else:
             self.owner.handle_message(member, message)
 
-    def _deliver(self, member: ids.MemberId, reply: owners.OwnerReply) -> None:
+    def _deliver(
+        self, member: ids.MemberId, reply: ownertypes.OwnerReply
+    ) -> None:
         """Deliver a reply of this gateway's owner to a member."""
         assert self._mesh is not None
         if member == self._mesh.me:
@@ -183,7 +190,7 @@
     async def place(self, request: PlacementRequest) -> PlacementResult:
         """Return the engines for a generation, or a refusal."""
         assert self._mesh is not None
-        replies: asyncio.Queue[owners.OwnerReply] = asyncio.Queue()
+        replies: asyncio.Queue[ownertypes.OwnerReply] = asyncio.Queue()
         self._pending_replies[request.stream] = replies
         try:
             while True:
@@ -244,7 +251,7 @@
     def _knows_versions(self, owner: ids.MemberId) -> bool:
         """Return whether an owner's build binds streams to versions."""
         assert self._mesh is not None
-        return self._mesh.knows(owner, affinitymessages.MESSAGE_LEVEL)
+        return self._mesh.knows(owner, affinitymessages.VERSIONS_LEVEL)
 
     def _engines_to_avoid(
         self, owner: ids.MemberId, request: PlacementRequest
@@ -260,8 +267,10 @@
         return (*request.avoid, *others)
 
     async def _await_first_reply(
-        self, owner: ids.MemberId, replies: 'asyncio.Queue[owners.OwnerReply]'
-    ) -> owners.OwnerReply | None:
+        self,
+        owner: ids.MemberId,
+        replies: 'asyncio.Queue[ownertypes.OwnerReply]',
+    ) -> ownertypes.OwnerReply | None:
         assert self._mesh is not None
         try:
             async with timeouts.limit(ACK_TIMEOUT_S):
@@ -271,8 +280,10 @@
             return None
 
     async def _await_decision(
-        self, owner: ids.MemberId, replies: 'asyncio.Queue[owners.OwnerReply]'
-    ) -> owners.OwnerReply | None:
+        self,
+        owner: ids.MemberId,
+        replies: 'asyncio.Queue[ownertypes.OwnerReply]',
+    ) -> ownertypes.OwnerReply | None:
         assert self._mesh is not None
         while True:
             try:
@@ -375,7 +386,7 @@
             self._mesh.send(owner, message)
 
     def _handle_reply(
-        self, member: ids.MemberId, reply: owners.OwnerReply
+        self, member: ids.MemberId, reply: ownertypes.OwnerReply
     ) -> None:
         replies = self._pending_replies.get(reply.stream)
         if replies is not None:
--- /dev/null
+++ b/galenahatch/gateway/ownertypes.py
@@ -0,0 +1,55 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Types of the owner's interface (`gateway/owner`)."""
+
+import collections.abc
+import typing
+
+from galenahatch.core import upstreams
+from galenahatch.core import versionaffinity
+from galenahatch.gateway import affinity
+from galenahatch.gateway import messages
+from galenahatch import ids
+
+OwnerReply = (
+    messages.Queued
+    | messages.Placement
+    | messages.PlacementRefused
+    | messages.Declined
+)
+ReplyFunction = collections.abc.Callable[[OwnerReply], None]
+DeliverFunction = collections.abc.Callable[[ids.MemberId, OwnerReply], None]
+ResolveFunction = collections.abc.Callable[
+    [ids.ServiceName, collections.abc.Collection[ids.StreamKey], float],
+    affinity.Resolution,
+]
+UsableFunction = collections.abc.Callable[
+    [collections.abc.Iterable[upstreams.Upstream]], list[upstreams.Upstream]
+]
+
+
+def resolve_any(
+    service: ids.ServiceName,
+    keys: collections.abc.Collection[ids.StreamKey],
+    arrived_at: float,
+) -> ids.SoftwareVersion:
+    """Bind no stream to a version."""
+    return versionaffinity.ANY_VERSION
+
+
+class Asked(typing.NamedTuple):
+    """A placement request, and when it arrived; monotonic seconds."""
+
+    member: ids.MemberId
+    request: messages.PlacementRequest
+    arrived_at: float
--- a/galenahatch/test/oldgateway.py
+++ b/galenahatch/test/oldgateway.py
@@ -52,6 +52,7 @@
 
 if __name__ == '__main__':
     affinitymessages.MESSAGE_LEVEL = 0
+    affinitymessages.VERSIONS_LEVEL = 0
     callmessages.MESSAGE_LEVEL = 0
     proxymessages.MESSAGE_LEVEL = 0
     known = [
