Placement: requests that wait are repeated, and end in time

Cause: a request, its queueing and its decision were one message each, and the wait of `OwnerClient._await_decision` had no other end than the last of them while the owner answered heartbeats. The owner forgot a request with its one message, which the bus drops for a peer that is not connected. An owner that restarted within the silence timeout answers heartbeats too and has never heard of the request.

The owner sends a decision again that did not arrive (`sentdecisions`), unless its engines have been given to others, and names the streams that it doesn't know; these are asked for anew, and a lost placement's quota is refunded. Whatever is lost, a wait ends with a 503 when the request can't be served any more; nothing was sent for it. That end holds for owners of older builds too.

Moved without change: `decisionmessages`, `ownerfigures`, `placementrequests`.

--- a/galenahatch/gateway/frames.py
+++ b/galenahatch/gateway/frames.py
@@ -24,6 +24,7 @@
 from galenahatch.gateway import callmessages
 from galenahatch.gateway import messages
 from galenahatch.gateway import proxymessages
+from galenahatch.gateway import waitingmessages
 
 _VERSION: typing.Final = 1
 """Version of the frames; raise it on every incompatible change to messages."""
@@ -57,6 +58,7 @@
     | callmessages.AnyCallMessage
     | proxymessages.AnyProxyMessage
     | affinitymessages.AnyAffinityMessage
+    | waitingmessages.AnyWaitingMessage
 )
 """Every message that one gateway can send to another."""
 
--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -37,7 +37,7 @@
 from galenahatch.gateway import context as contexts
 from galenahatch.gateway import generationfailures
 from galenahatch.gateway import messages
-from galenahatch.gateway import owner_client
+from galenahatch.gateway import placementrequests
 from galenahatch.gateway import prefill
 from galenahatch.gateway import relay as relays
 from galenahatch.gateway import sendresults
@@ -156,11 +156,11 @@
 
     def _placement_request(
         self, stream: ids.StreamId, attempt: int
-    ) -> owner_client.PlacementRequest:
+    ) -> placementrequests.PlacementRequest:
         generated = self._relay.event_count * self._spec.event_tokens
         estimated = self._prompt.estimated_output or 0
         prompt_tokens, max_output = self._token_counts()
-        return owner_client.PlacementRequest(
+        return placementrequests.PlacementRequest(
             stream=stream,
             service=self._service.name,
             prompt_tokens=prompt_tokens,
--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -327,6 +327,10 @@
     '1',
     'Rows of the store with the versions that began streams; of the owner.',
 )
+lost_decisions = _meter.create_counter(
+    'galenahatch_lost_decisions',
+    description='Waiting requests whose decision did not arrive, by remedy.',
+)
 continued_streams = _meter.create_counter(
     'galenahatch_continued_streams',
     description='Streams taken up again by callers, by what came of them.',
--- a/galenahatch/gateway/mesh.py
+++ b/galenahatch/gateway/mesh.py
@@ -27,7 +27,6 @@
 from galenahatch import bus
 from galenahatch import clock
 from galenahatch.core import members
-from galenahatch.gateway import affinitymessages
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import exchanges as exchanges_module
 from galenahatch.gateway import frames
@@ -38,6 +37,7 @@
 from galenahatch.gateway import records
 from galenahatch.gateway import roster as rosters
 from galenahatch.gateway import updates
+from galenahatch.gateway import waitingmessages
 from galenahatch import ids
 from galenahatch import logs
 from galenahatch.platform import store as stores
@@ -52,6 +52,7 @@
     messages.PlacementRequest,
     messages.StageChangeRequest,
     messages.PermitRequest,
+    waitingmessages.WaitingRequests,
 )
 """Messages that a gateway may send before its first heartbeat."""
 Handler = collections.abc.Callable[[ids.MemberId, frames.AnyMessage], None]
@@ -196,6 +197,11 @@
         member = self._members.by_name.get(name)
         return member.incarnation if member is not None else 0
 
+    @property
+    def heartbeat_interval(self) -> float:
+        """Seconds between two heartbeats of this gateway."""
+        return members.HEARTBEAT_INTERVAL_S * self._members.heartbeat_slowdown
+
     @property
     def heartbeat_window(self) -> float:
         """Seconds within which each reachable member sends a heartbeat."""
@@ -226,9 +232,7 @@
         while True:
             self._send_heartbeat()
             await self._roster.remove_stale(self._owner == self.me)
-            await asyncio.sleep(
-                members.HEARTBEAT_INTERVAL_S * self._members.heartbeat_slowdown
-            )
+            await asyncio.sleep(self.heartbeat_interval)
 
     def _send_heartbeat(self) -> None:
         now = clock.now()
@@ -248,7 +252,7 @@
             self._notices.leaving_upstreams(),
             self._directory.upstreams_version.era,
             self._members.rank.era,
-            affinitymessages.MESSAGE_LEVEL,
+            waitingmessages.MESSAGE_LEVEL,
             self._loads.take_changed(self.size),
             self._repeats.take_unreported(),
             self.is_partitioned(),
@@ -327,7 +331,7 @@
                     self._notices.leaving_upstreams(),
                     self._directory.upstreams_version.era,
                     self._members.rank.era,
-                    affinitymessages.MESSAGE_LEVEL,
+                    waitingmessages.MESSAGE_LEVEL,
                     self._repeats.add_reported(message.repeats),
                     self.is_partitioned(),
                 ),
--- a/galenahatch/gateway/owner.py
+++ b/galenahatch/gateway/owner.py
@@ -20,11 +20,8 @@
 import asyncio
 import typing
 
-import msgspec
-
 from galenahatch import clock
 from galenahatch.core import dispatch
-from galenahatch.core import figures
 from galenahatch.core import generations
 from galenahatch.core import loadreports
 from galenahatch.core import memory
@@ -33,14 +30,18 @@
 from galenahatch.core import versionaffinity
 from galenahatch.gateway import accounts as accounts_module
 from galenahatch.gateway import affinity
+from galenahatch.gateway import decisionmessages
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import frames
 from galenahatch.gateway import instruments
 from galenahatch.gateway import messages
+from galenahatch.gateway import ownerfigures
 from galenahatch.gateway import ownertypes
 from galenahatch.gateway import placementjobs
 from galenahatch.gateway import records
 from galenahatch.gateway import refusals
+from galenahatch.gateway import sentdecisions
+from galenahatch.gateway import waitingmessages
 from galenahatch import ids
 from galenahatch import logs
 from galenahatch import tasks
@@ -93,6 +94,7 @@
         self._reply_functions: dict[
             ids.StreamId, ownertypes.ReplyFunction
         ] = {}
+        self._sent = sentdecisions.SentDecisions()
         self._partitioned: set[ids.MemberId] = set()
         self._wake = asyncio.Event()
         directory.on_change(self.refresh_engines)
@@ -124,6 +126,8 @@
             self._budget.record_heartbeat(member, now)
             self.record_partition(member, message.is_partitioned)
             self._handle_running(message, now)
+        elif isinstance(message, waitingmessages.WaitingRequests):
+            self._handle_waiting(member, message.streams)
         elif isinstance(message, messages.Withdraw):
             self._withdraw(message.stream, now)
         elif isinstance(message, messages.QuotaRefund):
@@ -152,6 +156,7 @@
         self._wake.set()
 
     def _withdraw(self, stream: ids.StreamId, now: float) -> None:
+        self._sent.confirm(stream)
         self._reply_functions.pop(stream, None)
         self._unresolved.pop(stream, None)
         for dispatcher in self._dispatchers.values():
@@ -164,21 +169,14 @@
 
     def figures(self) -> tuple[records.Figures, ...]:
         """Return the measured figures of each service."""
-        return tuple(
-            records.Figures(service, *dispatcher.measured_figures)
-            for service, dispatcher in self._dispatchers.items()
-        )
+        return ownerfigures.encode(self._dispatchers)
 
     def adopt_figures(self, beat_reply: messages.HeartbeatReply) -> None:
         """Adopt the figures that another owner has measured."""
         for reported in beat_reply.figures:
             dispatcher = self._dispatcher(reported.service)
             if dispatcher is not None:
-                measured = figures.Figures(
-                    *msgspec.structs.astuple(reported)[1:]
-                )
-                slack = measured.slack or figures.INITIAL_SLACK_S
-                dispatcher.adopt_figures(measured._replace(slack=slack))
+                dispatcher.adopt_figures(ownerfigures.decode(reported))
 
     def decline_all(self) -> None:
         """Decline all queued requests, so that they go to the next owner."""
@@ -253,6 +251,7 @@
             ids.ServiceName, list[tuple[ids.UpstreamId, memory.Run]]
         ] = {name: [] for name in self._dispatchers}
         for generation in beat.running:
+            self._sent.confirm(generation.stream)
             run = placementjobs.run_of(generation, beat.member, now)
             if self._dispatcher(generation.service) is not None:
                 runs = runs_by_service.setdefault(generation.service, [])
@@ -266,6 +265,7 @@
         message: messages.Prefilled | messages.Started | messages.Release,
         now: float,
     ) -> None:
+        self._sent.confirm(message.stream)
         dispatcher = self._dispatcher(message.service)
         if dispatcher is None:
             return
@@ -364,44 +364,58 @@
 
     def _send_decision(self, decision: generations.Decision) -> None:
         job = decision.job
-        reply = self._reply_functions.pop(job.stream, None)
-        message: ownertypes.OwnerReply
+        message = decisionmessages.create(decision)
         if isinstance(decision, generations.Placed):
-            message = messages.Placement(
-                job.stream,
-                decision.prefill or ids.UpstreamId(''),
-                decision.decode,
-                decision.why,
-                job.predicted_output,
-                job.version,
-            )
-            instruments.decisions.add(1, {'outcome': 'placed'})
-            _log.info(
-                'Placed.',
-                stream=job.stream,
-                member=job.entry,
-                prefill=decision.prefill or '',
-                decode=decision.decode,
-                version=job.version,
-                why=decision.why,
-            )
             self._accounts.record_service(job, decision.cost)
         else:
-            message = messages.PlacementRefused(
-                job.stream,
-                decision.retry_after,
-                decision.why,
-                version_problem=decision.version_problem,
-            )
-            instruments.decisions.add(1, {'outcome': 'refused'})
-            _log.info(
-                'Refused.',
-                stream=job.stream,
-                member=job.entry,
-                retry_after=decision.retry_after,
-                why=decision.why,
-            )
             self._accounts.refund_generation(job.customer, job.units)
             self._accounts.record_no_room(job.customer)
+        reply = self._reply_functions.pop(job.stream, None)
         if reply is not None:
+            self._sent.record(job.entry, message, job, clock.now())
             reply(message)
+
+    def _handle_waiting(
+        self, member: ids.MemberId, streams: tuple[ids.StreamId, ...]
+    ) -> None:
+        """Send lost decisions again, and name unknown requests."""
+        unknown = tuple(
+            stream
+            for stream in streams
+            if stream not in self._reply_functions
+            and stream not in self._unresolved
+            and not self._send_again(member, stream)
+        )
+        if not unknown:
+            return
+        instruments.lost_decisions.add(len(unknown), {'remedy': 'asked again'})
+        _log.warning(
+            'Unknown requests wait.',
+            member=member,
+            streams=len(unknown),
+            first=unknown[0],
+        )
+        self._deliver(member, waitingmessages.UnknownRequests(unknown))
+
+    def _send_again(self, member: ids.MemberId, stream: ids.StreamId) -> bool:
+        """Send a decision again; return whether the request is decided."""
+        sent = self._sent.find(member, stream)
+        if sent is None:
+            return False
+        now = clock.now()
+        if sent.may_be_in_transit(now):
+            return True
+        if not sent.is_in_force(self._dispatchers.values()):
+            self._sent.confirm(stream)
+            job = sent.job
+            self._accounts.refund_generation(job.customer, job.units)
+            return False
+        instruments.lost_decisions.add(1, {'remedy': 'sent again'})
+        _log.warning(
+            'Decision sent again.',
+            stream=stream,
+            member=member,
+            decided_before=now - sent.sent_at,
+        )
+        self._deliver(member, sent.message)
+        return True
--- a/galenahatch/gateway/owner_client.py
+++ b/galenahatch/gateway/owner_client.py
@@ -15,12 +15,16 @@
 Every gateway can act as the owner (`owner`). A gateway asks the member that
 it considers the owner. If that member doesn't acknowledge a request in time,
 it is suspected to have failed and the next one is asked, in the end this
-gateway itself. An owner that was suspended may reply late; the placements
+gateway itself. Any message may be lost, and an owner that restarted knows
+nothing, so a gateway repeats which requests wait and asks again for those that
+the owner doesn't know (`waitingmessages`). No request waits longer than it can
+be served. An owner that was suspended may reply late; the placements
 of such a reply are withdrawn.
 """
 
 import asyncio
 import collections.abc
+import contextlib
 import dataclasses
 import typing
 
@@ -38,8 +42,10 @@
 from galenahatch.gateway import messages
 from galenahatch.gateway import owner as owners
 from galenahatch.gateway import ownertypes
+from galenahatch.gateway import placementrequests
 from galenahatch.gateway import records
 from galenahatch.gateway import refusals
+from galenahatch.gateway import waitingmessages
 from galenahatch import ids
 from galenahatch import tasks
 from galenahatch import timeouts
@@ -53,46 +59,6 @@
 PlacementResult = messages.Placement | messages.PlacementRefused
 
 
-@dataclasses.dataclass
-class PlacementRequest:
-    """A request for engines; points in time are in monotonic seconds.
-
-    Attributes:
-        attempt: Number of this attempt at the request, from 1.
-        extra_sends: Sends beyond the first that follow if it is placed.
-        quota_units: Units to charge to the customer's quota; 0 if they were
-            charged before.
-        version: The only version at which it may run; empty for any.
-        resumes: Keys of the stream that it takes up, if its version isn't
-            known here.
-        needs_version: Whether several versions serve, so that it can't go on
-            without one.
-    """
-
-    stream: ids.StreamId
-    service: ids.ServiceName
-    prompt_tokens: int
-    estimated_output: int
-    max_output: int
-    start_by: float
-    abandon_at: float
-    deadline: float
-    last_block_id: str
-    avoid: tuple[ids.UpstreamId, ...] = ()
-    is_resumed: bool = False
-    is_prefilled: bool = False
-    max_pause: float = 0.0
-    attempt: int = 1
-    extra_sends: int = 0
-    is_suspect: bool = False
-    customer: ids.CustomerName = ids.CustomerName('')
-    quota_units: float = 0.0
-    priority: int = 0
-    version: ids.SoftwareVersion = ids.SoftwareVersion('')
-    resumes: tuple[ids.StreamKey, ...] = ()
-    needs_version: bool = False
-
-
 @dataclasses.dataclass
 class _Running:
     """A generation that runs at its decode engine.
@@ -146,6 +112,8 @@
         self._pending_replies: dict[
             ids.StreamId, asyncio.Queue[ownertypes.OwnerReply]
         ] = {}
+        # Owners that have queued a request, by stream.
+        self._waiting: dict[ids.StreamId, ids.MemberId] = {}
         self._running: dict[ids.StreamId, _Running] = {}
         self._owner_by_stream: dict[ids.StreamId, ids.MemberId] = {}
         self.owner = owners.Owner(
@@ -165,6 +133,7 @@
         mesh.running_generations = self._running_generations
         mesh.figures = self.owner.figures
         self.owner.start(background)
+        background.run_forever('waiting requests', self._repeat_waiting)
 
     def handle_message(
         self, member: ids.MemberId, message: frames.AnyMessage
@@ -174,26 +143,30 @@
             self.owner.adopt_figures(message)
         elif isinstance(message, ownertypes.OwnerReply):
             self._handle_reply(member, message)
+        elif isinstance(message, waitingmessages.UnknownRequests):
+            self._handle_unknown(member, message)
         else:
             self.owner.handle_message(member, message)
 
     def _deliver(
-        self, member: ids.MemberId, reply: ownertypes.OwnerReply
+        self, member: ids.MemberId, reply: ownertypes.AnyOwnerMessage
     ) -> None:
         """Deliver a reply of this gateway's owner to a member."""
         assert self._mesh is not None
         if member == self._mesh.me:
-            self._handle_reply(member, reply)
+            self.handle_message(member, reply)
         else:
             self._mesh.reply(member, reply)
 
-    async def place(self, request: PlacementRequest) -> PlacementResult:
+    async def place(
+        self, request: placementrequests.PlacementRequest
+    ) -> PlacementResult:
         """Return the engines for a generation, or a refusal."""
         assert self._mesh is not None
         replies: asyncio.Queue[ownertypes.OwnerReply] = asyncio.Queue()
         self._pending_replies[request.stream] = replies
         try:
-            while True:
+            while clock.now() < request.decision_limit:
                 owner = self._mesh.owner()
                 if request.needs_version and not self._knows_versions(owner):
                     return refusals.version_unknown(
@@ -202,19 +175,24 @@
                 self._submit(owner, request)
                 reply = await self._await_first_reply(owner, replies)
                 if isinstance(reply, messages.Queued):
-                    reply = await self._await_decision(owner, replies)
+                    reply = await self._await_decision(owner, request, replies)
                 if isinstance(reply, PlacementResult):
                     if isinstance(reply, messages.Placement):
                         self._owner_by_stream[request.stream] = owner
                     return reply
                 self._send(owner, messages.Withdraw(request.stream))
+            return refusals.without_decision(
+                self._mesh.owner(), request.stream
+            )
         except asyncio.CancelledError:
             self._send(self._mesh.owner(), messages.Withdraw(request.stream))
             raise
         finally:
             del self._pending_replies[request.stream]
 
-    def _submit(self, owner: ids.MemberId, request: PlacementRequest) -> None:
+    def _submit(
+        self, owner: ids.MemberId, request: placementrequests.PlacementRequest
+    ) -> None:
         assert self._mesh is not None
         now = clock.now()
         message = messages.PlacementRequest(
@@ -254,7 +232,7 @@
         return self._mesh.knows(owner, affinitymessages.VERSIONS_LEVEL)
 
     def _engines_to_avoid(
-        self, owner: ids.MemberId, request: PlacementRequest
+        self, owner: ids.MemberId, request: placementrequests.PlacementRequest
     ) -> tuple[ids.UpstreamId, ...]:
         """Return the engines that an owner must not choose.
 
@@ -282,19 +260,58 @@
     async def _await_decision(
         self,
         owner: ids.MemberId,
+        request: placementrequests.PlacementRequest,
         replies: 'asyncio.Queue[ownertypes.OwnerReply]',
     ) -> ownertypes.OwnerReply | None:
+        """Return the decision on a queued request.
+
+        Returns:
+            The decision; None if the owner is lost, or the request can't be
+            served any more.
+        """
+        self._waiting[request.stream] = owner
+        try:
+            while self._is_worth_waiting(owner, request):
+                with contextlib.suppress(asyncio.TimeoutError):
+                    async with timeouts.limit(_OWNER_CHECK_INTERVAL_S):
+                        reply = await replies.get()
+                        if not isinstance(reply, messages.Queued):
+                            return reply
+            return None
+        finally:
+            del self._waiting[request.stream]
+
+    def _is_worth_waiting(
+        self, owner: ids.MemberId, request: placementrequests.PlacementRequest
+    ) -> bool:
+        assert self._mesh is not None
+        is_over = clock.now() >= request.decision_limit
+        return not is_over and self._mesh.is_live(owner)
+
+    async def _repeat_waiting(self) -> None:
+        """Tell owners again and again which requests wait for them."""
         assert self._mesh is not None
         while True:
-            try:
-                async with timeouts.limit(_OWNER_CHECK_INTERVAL_S):
-                    reply = await replies.get()
-            except asyncio.TimeoutError:
-                if not self._mesh.is_live(owner):
-                    return None
-                continue
-            if not isinstance(reply, messages.Queued):
-                return reply
+            await asyncio.sleep(self._mesh.heartbeat_interval)
+            streams: dict[ids.MemberId, list[ids.StreamId]] = {}
+            for stream, owner in self._waiting.items():
+                if self._mesh.knows(owner, waitingmessages.MESSAGE_LEVEL):
+                    streams.setdefault(owner, []).append(stream)
+            for owner, waiting in streams.items():
+                self._send(
+                    owner,
+                    waitingmessages.WaitingRequests(
+                        self._mesh.me, tuple(waiting)
+                    ),
+                )
+
+    def _handle_unknown(
+        self, member: ids.MemberId, message: waitingmessages.UnknownRequests
+    ) -> None:
+        """Ask again for requests that their owner doesn't know."""
+        for stream in message.streams:
+            if self._waiting.get(stream) == member:
+                self._handle_reply(member, messages.Declined(stream))
 
     def track_running(
         self,
--- a/galenahatch/gateway/ownertypes.py
+++ b/galenahatch/gateway/ownertypes.py
@@ -19,6 +19,7 @@
 from galenahatch.core import versionaffinity
 from galenahatch.gateway import affinity
 from galenahatch.gateway import messages
+from galenahatch.gateway import waitingmessages
 from galenahatch import ids
 
 OwnerReply = (
@@ -27,8 +28,12 @@
     | messages.PlacementRefused
     | messages.Declined
 )
+AnyOwnerMessage = OwnerReply | waitingmessages.UnknownRequests
+"""What the owner sends about placements."""
 ReplyFunction = collections.abc.Callable[[OwnerReply], None]
-DeliverFunction = collections.abc.Callable[[ids.MemberId, OwnerReply], None]
+DeliverFunction = collections.abc.Callable[
+    [ids.MemberId, AnyOwnerMessage], None
+]
 ResolveFunction = collections.abc.Callable[
     [ids.ServiceName, collections.abc.Collection[ids.StreamKey], float],
     affinity.Resolution,
--- a/galenahatch/gateway/refusals.py
+++ b/galenahatch/gateway/refusals.py
@@ -88,3 +88,13 @@
         why,
         version_problem=versionaffinity.Problem.UNKNOWN,
     )
+
+
+def without_decision(
+    owner: ids.MemberId, stream: ids.StreamId
+) -> messages.PlacementRefused:
+    """Refuse a request that can't be served any more, as its gateway."""
+    why = 'no decision in time'
+    instruments.lost_decisions.add(1, {'remedy': 'refused'})
+    _log.warning('No decision in time.', stream=stream, owner=owner)
+    return messages.PlacementRefused(stream, _REFUSAL_RETRY_AFTER_S, why)
--- a/galenahatch/test/oldgateway.py
+++ b/galenahatch/test/oldgateway.py
@@ -30,12 +30,14 @@
 from galenahatch.gateway import frames
 from galenahatch.gateway import proxymessages
 from galenahatch.gateway import settings as settings_module
+from galenahatch.gateway import waitingmessages
 from galenahatch.platform import deployment
 
 _NEWER = (
     affinitymessages.__name__,
     callmessages.__name__,
     proxymessages.__name__,
+    waitingmessages.__name__,
 )
 
 _load = deployment.load
@@ -55,6 +57,7 @@
     affinitymessages.VERSIONS_LEVEL = 0
     callmessages.MESSAGE_LEVEL = 0
     proxymessages.MESSAGE_LEVEL = 0
+    waitingmessages.MESSAGE_LEVEL = 0
     known = [
         message
         for message in typing.get_args(frames.AnyMessage)
