Call grants: repeat the calls that wait, and end their waits

Calls that wait are repeated with each heartbeat, the owner names those that it doesn't know, and these are decided on by their own gateway; no call waits beyond its deadline. A grant that was lost ends at its call's deadline at the owner, as before.

Tests: test_lost_decision_on_a_call, test_call_waits_until_its_deadline; without the change the first has nothing to tell and the second waits for ever (the test's limit of 5 s), by reading.

--- a/galenahatch/gateway/callgrants.py
+++ b/galenahatch/gateway/callgrants.py
@@ -34,8 +34,10 @@
 from galenahatch.gateway import grants
 from galenahatch.gateway import instruments
 from galenahatch.gateway import records
+from galenahatch.gateway import waitingmessages
 from galenahatch import ids
 from galenahatch import logs
+from galenahatch import tasks
 from galenahatch import timeouts
 
 _ACK_TIMEOUT_S: typing.Final = 0.05
@@ -51,6 +53,11 @@
 
     me: ids.MemberId
 
+    @property
+    def heartbeat_interval(self) -> float:
+        """Seconds between two heartbeats of this gateway."""
+        ...
+
     def owner(self) -> ids.MemberId:
         """Return the member that is the owner."""
         ...
@@ -75,6 +82,7 @@
     Attributes:
         owner: Member that was asked.
         replies: Its replies.
+        is_queued: Whether the owner has confirmed that it waits.
     """
 
     number: int
@@ -83,6 +91,7 @@
     replies: 'asyncio.Queue[callmessages.OwnerReply]' = dataclasses.field(
         default_factory=asyncio.Queue
     )
+    is_queued: bool = False
 
 
 class CallGrants:
@@ -120,6 +129,33 @@
         """Connect to the other gateways."""
         self._peers = peers
 
+    def start(self, peers: Peers, background: tasks.Tasks) -> None:
+        """Connect to the other gateways and start to repeat what waits."""
+        self.set_peers(peers)
+        background.run_forever('waiting calls', self._repeat_waiting)
+
+    async def _repeat_waiting(self) -> None:
+        """Tell owners again and again which calls wait for them."""
+        assert self._peers is not None
+        while True:
+            await asyncio.sleep(self._peers.heartbeat_interval)
+            self.repeat_waiting()
+
+    def repeat_waiting(self) -> None:
+        """Tell owners which calls wait for them."""
+        assert self._peers is not None
+        numbers: dict[ids.MemberId, list[int]] = {}
+        for pending in self._pending.values():
+            if pending.is_queued and self._peers.knows(
+                pending.owner, waitingmessages.MESSAGE_LEVEL
+            ):
+                numbers.setdefault(pending.owner, []).append(pending.number)
+        for owner, waiting in numbers.items():
+            message = waitingmessages.WaitingRequests(
+                self._peers.me, calls=tuple(waiting)
+            )
+            self._send(owner, message)
+
     # Requests.
 
     async def acquire(self, request: grants.GrantRequest) -> grants.Outcome:
@@ -167,8 +203,8 @@
             self._send(pending.owner, self._message(pending.number, request))
             reply = await self._await_first_reply(pending)
             if isinstance(reply, callmessages.CallQueued):
-                reply = None
-                reply = await self._await_decision(pending)
+                reply, pending.is_queued = None, True
+                reply = await self._await_decision(pending, request.deadline)
             return reply
         finally:
             del self._pending[pending.number]
@@ -188,15 +224,15 @@
             return None
 
     async def _await_decision(
-        self, pending: _Pending
+        self, pending: _Pending, deadline: float
     ) -> callmessages.OwnerReply | None:
         """Return the decision on a queued call; None if the owner is lost.
 
         An owner is lost as well if it has not acknowledged another request
-        and has sent nothing since.
+        and has sent nothing since. No call waits beyond its deadline.
         """
         assert self._peers is not None
-        while True:
+        while clock.now() < deadline:
             try:
                 async with timeouts.limit(_ACK_TIMEOUT_S):
                     return await pending.replies.get()
@@ -205,6 +241,7 @@
                     return None
                 if not self._peers.is_live(pending.owner):
                     return None
+        return None
 
     def _message(
         self, number: int, request: grants.GrantRequest
@@ -295,6 +332,8 @@
         if isinstance(message, callmessages.Contention):
             if member == self._peers.owner():
                 self._contention.apply_notice(message)
+        elif isinstance(message, waitingmessages.UnknownRequests):
+            self._decline_unknown(member, message)
         elif isinstance(message, callmessages.OwnerReply):
             pending = self._pending.get(message.number)
             if pending is not None:
@@ -302,6 +341,15 @@
             elif isinstance(message, callmessages.CallGranted):
                 self._return_late_grant(member, message)
 
+    def _decline_unknown(
+        self, member: ids.MemberId, message: waitingmessages.UnknownRequests
+    ) -> None:
+        """End the waits for calls that their owner doesn't know."""
+        for number in message.calls:
+            pending = self._pending.get(number)
+            if pending is not None and pending.owner == member:
+                pending.replies.put_nowait(callmessages.CallDeclined(number))
+
     def _return_late_grant(
         self, member: ids.MemberId, grant: callmessages.CallGranted
     ) -> None:
--- a/galenahatch/gateway/callmessages.py
+++ b/galenahatch/gateway/callmessages.py
@@ -20,6 +20,7 @@
 
 from galenahatch.gateway import messages
 from galenahatch.gateway import records
+from galenahatch.gateway import waitingmessages
 from galenahatch import ids
 
 MESSAGE_LEVEL = 1
@@ -122,6 +123,8 @@
 
 OwnerReply = CallQueued | CallGranted | CallRejected | CallDeclined
 """What the owner sends about one call."""
+OwnerMessage = OwnerReply | Contention | waitingmessages.UnknownRequests
+"""What the owner sends."""
 OwnerRequest = CallRequest | CallEnded | LoadNotice
 """What gateways send to the owner."""
 AnyCallMessage = OwnerReply | OwnerRequest | Contention
--- a/galenahatch/gateway/callowner.py
+++ b/galenahatch/gateway/callowner.py
@@ -35,6 +35,7 @@
 from galenahatch.gateway import instruments
 from galenahatch.gateway import messages
 from galenahatch.gateway import records
+from galenahatch.gateway import waitingmessages
 from galenahatch import ids
 from galenahatch import logs
 from galenahatch import tasks
@@ -73,8 +74,10 @@
         ...
 
 
+SHARED_MESSAGES = messages.Heartbeat | waitingmessages.WaitingRequests
+"""Messages that concern plain calls and generations."""
 DeliverFunction = collections.abc.Callable[
-    [ids.MemberId, callmessages.OwnerReply | callmessages.Contention], None
+    [ids.MemberId, callmessages.OwnerMessage], None
 ]
 
 
@@ -135,6 +138,8 @@
             for load in message.loads:
                 self._record_load(message.service, load, now)
             self._decide(message.service, now)
+        elif isinstance(message, waitingmessages.WaitingRequests):
+            self._handle_waiting(member, message.calls)
         elif isinstance(message, messages.Heartbeat) and self._contended:
             self._deliver(member, self._contention(self._contended))
 
@@ -152,6 +157,21 @@
 
     # Messages of gateways.
 
+    def _handle_waiting(
+        self, member: ids.MemberId, numbers: tuple[int, ...]
+    ) -> None:
+        """Name calls that don't wait here; lost grants end at deadlines."""
+        unknown = tuple(
+            number
+            for number in numbers
+            if plaincalls.CallKey(member, number) not in self._queued
+        )
+        if unknown:
+            remedy = {'remedy': 'call declined'}
+            instruments.lost_decisions.add(len(unknown), remedy)
+            message = waitingmessages.UnknownRequests(calls=unknown)
+            self._deliver(member, message)
+
     def _handle_request(
         self,
         member: ids.MemberId,
@@ -370,7 +390,7 @@
     def _deliver(
         self,
         member: ids.MemberId,
-        message: callmessages.OwnerReply | callmessages.Contention,
+        message: callmessages.OwnerMessage,
     ) -> None:
         assert self._peers is not None
         if member == self._peers.me:
--- a/galenahatch/gateway/inflight.py
+++ b/galenahatch/gateway/inflight.py
@@ -27,6 +27,7 @@
 from galenahatch import clock
 from galenahatch.core import incarnations
 from galenahatch import ids
+from galenahatch import logs
 from galenahatch import timeouts
 
 _GRACE_S: typing.Final = 0.1
@@ -35,6 +36,7 @@
 _ENDED_MEMORY_S: typing.Final = 60.0
 """Time for which an incarnation is remembered as ended; no send takes
 longer."""
+_log = logs.Log('gateway')
 
 
 class Waits:
@@ -71,6 +73,16 @@
                 if not scopes and self._active.get(upstream) is scopes:
                     del self._active[upstream]
 
+    def cancel_older(self, upstream: ids.UpstreamId) -> None:
+        """Cancel calls that wait for the previous process of an upstream."""
+        count = self.end_older_waits(upstream)
+        if count:
+            _log.info(
+                'Canceled calls to a restarted upstream.',
+                upstream=upstream,
+                waits=count,
+            )
+
     def end_older_waits(self, upstream: ids.UpstreamId) -> int:
         """End the waits for earlier incarnations of an upstream.
 
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -66,6 +66,7 @@
 from galenahatch.gateway import sender as senders
 from galenahatch.gateway import sessions
 from galenahatch.gateway import settings as settings_module
+from galenahatch.gateway import waitingmessages
 from galenahatch import ids
 from galenahatch import logs
 from galenahatch.platform import deployment
@@ -180,7 +181,7 @@
         )
         self._sender = self._proxying.sender
         self._direct_sender.on_response_head = self._record_answer
-        self._directory.on_restart(self._cancel_waits)
+        self._directory.on_restart(self._sender.waits.cancel_older)
 
     def _open_plain_calls(self) -> None:
         """Create the components that admit and balance plain calls."""
@@ -264,8 +265,10 @@
         elif isinstance(message, callmessages.AnyCallMessage):
             self._call_grants.handle_message(member, message)
         else:
-            if isinstance(message, messages.Heartbeat):
+            if isinstance(message, callowner.SHARED_MESSAGES):
                 self._call_owner.handle_message(member, message)
+            elif isinstance(message, waitingmessages.UnknownRequests):
+                self._call_grants.handle_message(member, message)
             self._owner_client.handle_message(member, message)
 
     def _record_answer(
@@ -279,16 +282,6 @@
         self._notices.record_answer(upstream, sent_at, head)
         self._loads.record_answer(upstream, head)
 
-    def _cancel_waits(self, upstream: ids.UpstreamId) -> None:
-        """Cancel calls that wait for the previous process of an upstream."""
-        count = self._sender.waits.end_older_waits(upstream)
-        if count:
-            _log.info(
-                'Canceled calls to a restarted upstream.',
-                upstream=upstream,
-                waits=count,
-            )
-
     def _start_tasks(self) -> None:
         """Start the background tasks."""
         self._directory.run()
@@ -296,7 +289,7 @@
         self._owner_client.start(self._mesh, self._background_tasks)
         self._affinity.start(self._mesh, self._background_tasks)
         self._call_owner.start(self._mesh, self._background_tasks)
-        self._call_grants.set_peers(self._mesh)
+        self._call_grants.start(self._mesh, self._background_tasks)
         reports.ReportPoller(
             self._directory,
             self._mesh,
--- a/galenahatch/test/test_call_grants.py
+++ b/galenahatch/test/test_call_grants.py
@@ -46,6 +46,7 @@
 from galenahatch.gateway import messages
 from galenahatch.gateway import node
 from galenahatch.gateway import records
+from galenahatch.gateway import waitingmessages
 from galenahatch import ids
 from galenahatch import tasks
 from galenahatch.test import fleet as fleets
@@ -65,6 +66,7 @@
     def __init__(self) -> None:
         self.me = _ME
         self.heartbeat_window = 0.8
+        self.heartbeat_interval = 0.25
         self.owners = [_FIRST]
         self.live = {_FIRST, _SECOND}
         self.levels = {_FIRST: 1, _SECOND: 1, _ME: 1}
@@ -296,6 +298,46 @@
     _run(test)
 
 
+# Guards against calls that wait until their owner is silent, since one message
+# was lost.
+def test_lost_decision_on_a_call() -> None:
+    """The owner is told what waits, and says what it doesn't know."""
+
+    async def test(gateway: _Gateway) -> None:
+        gateway.peers.levels[_FIRST] = waitingmessages.MESSAGE_LEVEL
+        gateway.replies(callmessages.CallQueued)
+        waiting = asyncio.create_task(gateway.acquire())
+        await asyncio.sleep(0.1)
+        gateway.client.repeat_waiting()
+        name, told = gateway.peers.sent[-1]
+        assert name == _FIRST
+        assert told == waitingmessages.WaitingRequests(_ME, calls=(1,))
+        gateway.owner.handle_message(ids.MemberId('g'), told)
+        name, unknown = gateway.peers.sent[-1]
+        assert unknown == waitingmessages.UnknownRequests(calls=(1,))
+        began = time.monotonic()
+        gateway.client.handle_message(_FIRST, unknown)
+        assert isinstance(await waiting, grants.Undecided)
+        assert time.monotonic() - began < 0.2
+
+    _run(test)
+
+
+# Guards against calls that wait for an owner of an older build for ever.
+def test_call_waits_until_its_deadline() -> None:
+    """The owner answers heartbeats, and its decision was lost."""
+
+    async def test(gateway: _Gateway) -> None:
+        gateway.replies(callmessages.CallQueued)
+        began = time.monotonic()
+        assert isinstance(await gateway.acquire(), grants.Undecided)
+        assert 0.7 < time.monotonic() - began < 1.2
+        gateway.client.repeat_waiting()
+        assert not _to(gateway.peers, waitingmessages.WaitingRequests)
+
+    _run(test)
+
+
 def test_declined() -> None:
     """An owner that stops sends its callers to the next one, once."""
 
