Version affinity: an owner that has just started leaves the store alone

Each gateway that starts takes itself for the owner until it has heard the others. With several versions it would read all origins then, up to a megabyte at each of 410 gateways after a kill of all, and at a cold start each would write the rows of versions. It does so once it has been the owner for half a second, or is asked about a stream.

A member that is gone gets eight unacknowledged messages at a time; before, batches followed each other every 20 ms until its row was removed.

--- a/galenahatch/gateway/affinity.py
+++ b/galenahatch/gateway/affinity.py
@@ -50,6 +50,9 @@
 _MAX_LOAD_RETRY_DELAY_S: typing.Final = 5.0
 """Longest delay between reads of a failing store by a gateway that isn't
 asked; each call is charged."""
+_SETTLED_OWNER_S: typing.Final = 0.5
+"""Seconds after which an owner uses the store: each gateway that has just
+started takes itself for the owner until it has heard the others."""
 _ASKED_S: typing.Final = 2.0
 """Seconds for which a gateway that was asked about a stream keeps what it read
 of the store, though it isn't the owner."""
@@ -290,7 +293,8 @@
         assert self._peers is not None
         if not self._directory.ready:
             return True
-        is_owner = self._peers.owned_seconds() is not None
+        owned = self._peers.owned_seconds()
+        is_owner = owned is not None and owned >= _SETTLED_OWNER_S
         if not is_owner and clock.now() > self._asked_until:
             self._origin_log.unload()
             return self._history.was_loaded or await self._history.load()
--- a/galenahatch/gateway/originexchange.py
+++ b/galenahatch/gateway/originexchange.py
@@ -50,6 +50,11 @@
         """Send a message to a member."""
 
 
+_MAX_UNACKNOWLEDGED: typing.Final = 8
+"""Messages without an acknowledgement beyond which a batch waits: the member
+may be gone."""
+
+
 class _Sent(typing.NamedTuple):
     """A message that was not acknowledged yet; monotonic seconds."""
 
@@ -71,6 +76,11 @@
         self.untold = dict.fromkeys(untold)
         self.sent: dict[int, _Sent] = {}
 
+    @property
+    def takes_batch(self) -> bool:
+        """Whether a batch is due and may be sent."""
+        return bool(self.untold) and len(self.sent) < _MAX_UNACKNOWLEDGED
+
     def requeue_lost(self, now: float) -> None:
         """Queue the keys of messages that were not acknowledged in time."""
         for number, sent in list(self.sent.items()):
@@ -108,13 +118,15 @@
         self._update_recipients()
         for name, recipient in self._recipients.items():
             recipient.requeue_lost(now)
+            if not recipient.takes_batch:
+                continue
             batch = tuple(
                 itertools.islice(recipient.untold, _MAX_ORIGINS_PER_MESSAGE)
             )
             for key in batch:
                 del recipient.untold[key]
             self._send(name, recipient, batch, now)
-        return any(r.untold for r in self._recipients.values())
+        return any(r.takes_batch for r in self._recipients.values())
 
     def reset(self) -> None:
         """Forget what was told; everything is told again later."""
