Version affinity: engines that register after a gateway's start

A service that had neither a row nor an engine when a gateway read the rows counted as unknown for a minute once its engines came: all its streams were stored, and unknown returns refused, though one version served. Found by reading the diff; test_version_history has it, and what a start knows, a restored store, doubt that is passed on, two owners, spoiled rows.

--- a/galenahatch/gateway/affinity.py
+++ b/galenahatch/gateway/affinity.py
@@ -278,6 +278,8 @@
             self._wake.clear()
             delay = _STORE_CHECK_INTERVAL_S
             if not await self._synchronize():
+                # A stream that is asked about ends the longer wait below.
+                await asyncio.sleep(_STORE_CHECK_INTERVAL_S)
                 delay = retry_delay
                 retry_delay = min(2 * retry_delay, _MAX_LOAD_RETRY_DELAY_S)
             else:
@@ -310,15 +312,16 @@
 
     async def _save(self) -> None:
         """Store what the store lacks, as the owner."""
-        if await self._history.save():
+        is_called = await self._history.save()
+        if is_called:
             self.on_stored()
         must_keep = self._must_keep(clock.now())
         if must_keep and not self._keeps_origins:
             self._origin_log.add(self._origins.keys())
         self._keeps_origins = must_keep
-        if await self._origin_log.save(must_keep):
+        is_called |= await self._origin_log.save(must_keep)
+        if is_called:
             await asyncio.sleep(originlog.SAVE_INTERVAL_S)
-            self._wake.set()
 
 
 class StreamAffinity:
--- a/galenahatch/gateway/versionhistory.py
+++ b/galenahatch/gateway/versionhistory.py
@@ -82,6 +82,8 @@
             tuple[ids.ServiceName, ids.SoftwareVersion], float
         ] = {}
         self._observed_since = math.inf
+        # Of services that had no engine and no row when rows were read.
+        self._unlisted_since = math.inf
         self._known_since: dict[ids.ServiceName, float] = {}
 
     @property
@@ -111,8 +113,7 @@
 
     def knows_all(self, service: ids.ServiceName, now: float) -> bool:
         """Return whether no stream can be of a version that is unknown."""
-        since = self._known_since.get(service, self._observed_since)
-        return now - since > versionaffinity.VERSION_RETENTION_S
+        return now - self._since(service) > versionaffinity.VERSION_RETENTION_S
 
     def knows_all_services(self, now: float) -> bool:
         """Return whether all versions of all services are known."""
@@ -148,8 +149,10 @@
         self._rows, self._numbers = {}, {}
         for row in rows.rows:
             self._apply(row, rows.era, now)
-        for name in self._served.names() - self._rows.keys():
-            self._record_known(name, self._since_without_row(rows.era, now))
+        since = _since_without_row(rows.era, now)
+        for name in self._served.names() - self._numbers.keys():
+            self._record_known(name, since)
+        self._unlisted_since = min(self._unlisted_since, since)
         self._era = rows.era
         _log.info(
             'Service versions read.',
@@ -182,19 +185,16 @@
         since = since + self._clock_offset if is_current else now
         self._record_known(name, since)
 
-    def _since_without_row(self, era: int, now: float) -> float:
-        """Return since when versions are known of a service without a row.
-
-        In a store that was never restored, its first engines are new.
-        """
-        return -math.inf if era <= _FIRST_ERA else now
-
     def _record_known(self, service: ids.ServiceName, since: float) -> None:
-        known = self._known_since.get(service, self._observed_since)
-        self._known_since[service] = min(known, since)
+        self._known_since[service] = min(self._since(service), since)
+
+    def _since(self, service: ids.ServiceName) -> float:
+        """Return the time since which all versions of a service are known."""
+        unlisted = min(self._unlisted_since, self._observed_since)
+        return self._known_since.get(service, unlisted)
 
     async def save(self) -> bool:
-        """Write rows that lack something; return whether any was written."""
+        """Write rows that lack something; return if the store was called."""
         now = clock.now()
         wanted = {name: self._row(name, now) for name in self._served.names()}
         changed = {
@@ -220,15 +220,14 @@
         )
         if isinstance(result, stores.Committed):
             self._record_saved(changed, result)
-            return True
-        if isinstance(result, stores.Conflict):
+        elif isinstance(result, stores.Conflict):
             # Another owner has written; its versions are added to these.
             await self.load()
         else:
             _log.warning(
                 'Could not store service versions yet.', detail=result.detail
             )
-        return False
+        return True
 
     def _record_saved(
         self,
@@ -247,7 +246,6 @@
             )
 
     def _row(self, service: ids.ServiceName, now: float) -> Row:
-        since = self._known_since.get(service, self._observed_since)
         return Row(
             self._era or 0,
             {
@@ -256,7 +254,9 @@
                     service, now
                 ).items()
             },
-            0.0 if self.knows_all(service, now) else self._store_ms(since),
+            0.0
+            if self.knows_all(service, now)
+            else self._store_ms(self._since(service)),
         )
 
     def _store_ms(self, at: float) -> float:
@@ -273,3 +273,11 @@
         != {v: at < 0 for v, at in wanted.left_ms.items()}
         or bool(stored.known_ms) != bool(wanted.known_ms)
     )
+
+
+def _since_without_row(era: int, now: float) -> float:
+    """Return since when versions are known of a service without a row.
+
+    In a store that was never restored, its first engines are new.
+    """
+    return -math.inf if era <= _FIRST_ERA else now
--- /dev/null
+++ b/galenahatch/test/test_version_history.py
@@ -0,0 +1,187 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""What a gateway that has just started knows of versions, by the store."""
+
+import asyncio
+import typing
+
+import msgspec
+import pytest
+
+from galenahatch import clock
+from galenahatch.core import versionaffinity
+from galenahatch.gateway import versionhistory
+from galenahatch import ids
+from galenahatch.platform import store as stores
+
+_SERVICE: typing.Final = ids.ServiceName('s')
+_V1, _V2 = (ids.SoftwareVersion(name) for name in ('v1', 'v2'))
+
+
+class _Store:
+    """A store of one table, in an era."""
+
+    def __init__(self, era: int = 1) -> None:
+        self.rows_by_key: dict[str, stores.Row] = {}
+        self.ver = 1
+        self.eras = self
+        self.newest = era
+
+    async def rows(self, table: str) -> stores.Rows:
+        """Return all rows."""
+        rows = list(self.rows_by_key.values())
+        now_ms = clock.now() * 1000
+        return stores.Rows(rows, self.ver, now_ms, False, self.newest)
+
+    async def transact(
+        self,
+        expected: list[stores.RowOperation],
+        put: list[stores.RowOperation],
+    ) -> stores.Committed | stores.Conflict:
+        """Write rows that have the versions expected."""
+        for row in expected:
+            known = self.rows_by_key.get(row.key)
+            if (known.ver if known else 0) != row.ver:
+                return stores.Conflict([])
+        self.ver += 1
+        for row in put:
+            assert isinstance(row.value, bytes)
+            self.rows_by_key[row.key] = stores.Row(
+                row.key, self.ver, row.value
+            )
+        return stores.Committed(self.ver, clock.now() * 1000, self.newest)
+
+
+class _Gateway:
+    """The history of one process.
+
+    Args:
+        store: The store.
+        present: Versions that serve.
+    """
+
+    def __init__(self, store: _Store, *present: ids.SoftwareVersion) -> None:
+        self.served = versionaffinity.ServedVersions()
+        self.history = versionhistory.VersionHistory(
+            typing.cast(stores.Store, store), self.served
+        )
+        self.list(*present)
+
+    def list(self, *present: ids.SoftwareVersion) -> None:
+        """Set the versions that serve."""
+        listed = {_SERVICE: frozenset(present)} if present else {}
+        self.history.update(listed, clock.now())
+
+    def knows_one(self) -> bool:
+        """Return whether all streams are known to be of one version."""
+        now = clock.now()
+        return self.history.knows_all(_SERVICE, now) and self.served.is_single(
+            _SERVICE, now
+        )
+
+
+async def _started(store: _Store, *present: ids.SoftwareVersion) -> _Gateway:
+    gateway = _Gateway(store, *present)
+    assert await gateway.history.load()
+    return gateway
+
+
+# Guards against an empty memory that is taken for knowledge.
+def test_what_a_start_knows() -> None:
+    """Nothing before it has read the rows; then what they say."""
+
+    async def run() -> None:
+        store = _Store()
+        assert not _Gateway(store, _V1).knows_one()
+        first = await _started(store, _V1)
+        assert first.knows_one()
+        await first.history.save()
+        assert (await _started(store, _V1)).knows_one()
+        assert not (await _started(store, _V2)).knows_one()
+
+    asyncio.run(run())
+
+
+# Guards against one version that is doubted since its engines came late.
+def test_engines_that_register_after_the_start() -> None:
+    """A store that was never restored had none before."""
+
+    async def run() -> None:
+        gateway = await _started(_Store())
+        gateway.list(_V1)
+        assert gateway.knows_one()
+        assert gateway.history.knows_all_services(clock.now())
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('has_row', [False, True])
+def test_restored_store(has_row: bool) -> None:
+    """Rows of an earlier era tell versions, and don't tell all."""
+
+    async def run() -> None:
+        store = _Store()
+        living = await _started(store, _V1)
+        if has_row:
+            await living.history.save()
+        store.newest = 2
+        assert not (await _started(store, _V1)).knows_one()
+        assert not living.history.is_loaded
+        await living.history.load()
+        assert living.knows_one(), 'it was there all the time'
+        await living.history.save()
+        assert (await _started(store, _V1)).knows_one()
+
+    asyncio.run(run())
+
+
+def test_doubt_is_passed_on() -> None:
+    """Who starts later doesn't believe what its writer doubted."""
+
+    async def run() -> None:
+        store = _Store(era=2)
+        doubting = await _started(store, _V1)
+        await doubting.history.save()
+        assert not (await _started(store, _V1)).knows_one()
+
+    asyncio.run(run())
+
+
+def test_two_owners_add_up() -> None:
+    """Each keeps what the other has written."""
+
+    async def run() -> None:
+        store = _Store()
+        one, two = await _started(store, _V1), await _started(store, _V2)
+        await one.history.save()
+        await two.history.save()
+        await two.history.save()
+        row = msgspec.json.decode(store.rows_by_key[_SERVICE].value)
+        assert row['left_ms'].keys() == {_V1, _V2}
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('value', [b'', b'[]', b'{"era": "x"}'])
+def test_spoiled_row(value: bytes) -> None:
+    """It tells nothing, and is written anew."""
+
+    async def run() -> None:
+        store = _Store()
+        store.rows_by_key[_SERVICE] = stores.Row(_SERVICE, 1, value)
+        gateway = await _started(store, _V1)
+        assert not gateway.knows_one()
+        await gateway.history.save()
+        assert b'v1' in store.rows_by_key[_SERVICE].value
+
+    asyncio.run(run())
