Memory budget: a small transfer isn't aborted for answers that arrive

What callers saw: behind 40 large answers, a call with an answer of 26 bytes got none; its connection was reset ("Transfer to a slow caller aborted.", held 26, total 15 MB of 12).

Cause: answers that are still received can't be aborted but fill the budget, and the transfer to abort was sought among the others, however little it held: the only one there went, though that freed nothing.

Change: the mean that a transfer must hold counts answers that are received.

Test: test_small_transfer_is_not_aborted_for_answers_that_arrive failed before.

--- a/galenahatch/core/memorybudget.py
+++ b/galenahatch/core/memorybudget.py
@@ -28,8 +28,9 @@
 
 If all of them together exceed the budget, `overload` names the transfer to
 abort: the one whose caller needs longest to take what is held for it, among
-those that hold at least the mean. A transfer that has just begun holds less
-than others that are slow.
+those that hold at least the mean, also of answers that are still received. A
+transfer that has just begun holds less than others that are slow, and to abort
+a small one would free nothing.
 
 Times are monotonic seconds, sizes are bytes; this module does no I/O.
 """
@@ -238,11 +239,13 @@
         """Return the transfer to abort, or None if the budget suffices."""
         if self.held <= self.total or not self._abortable:
             return None
-        holdings = [h for h in self._abortable.values() if h.held]
-        if not holdings:
+        transfers = (*self._abortable.values(), *self._received.values())
+        sizes = [holding.held for holding in transfers if holding.held]
+        if not sizes:
             return None
-        mean = sum(holding.held for holding in holdings) / len(holdings)
+        mean = sum(sizes) / len(sizes)
         return max(
-            (holding for holding in holdings if holding.held >= mean),
+            (h for h in self._abortable.values() if h.held >= mean),
             key=lambda holding: holding.drain_seconds(now),
+            default=None,
         )
--- a/galenahatch/test/test_memory_budget.py
+++ b/galenahatch/test/test_memory_budget.py
@@ -141,6 +141,24 @@
     assert not set(map(id, small)) & set(map(id, cut.cut))
 
 
+# Guards against callers who lose a small answer while large ones arrive.
+def test_small_transfer_is_not_aborted_for_answers_that_arrive() -> None:
+    """To abort it would free nothing of what exceeds the budget."""
+    budget = memorybudget.MemoryBudget(_SMALL_VM)
+    cut = _Cut(budget)
+    answers = memorybudget.Direction.ANSWERS
+    for _ in range(30):
+        budget.grow(budget.open(answers, 0.0), budget.total // 20, 0.0)
+    small = budget.open(answers, 0.0, '', lambda: None)
+    budget.grow(small, 26, 0.0)
+    cut.relieve(1.0)
+    assert not cut.cut
+    large = budget.open(answers, 0.0, '', lambda: None)
+    budget.grow(large, budget.total // 10, 0.0)
+    cut.relieve(1.0)
+    assert cut.cut == [large]
+
+
 def test_largest_bodies_from_many_callers_at_once() -> None:
     """Those that don't fit are rejected before anything is aborted."""
     budget = memorybudget.MemoryBudget(_SMALL_VM)
