Answers: one that has arrived as a whole doesn't wait for room

Cause: after each part of an answer its reader waited until more may be read, also where nothing was left to read: up to 2 s behind older answers, then it failed. Likewise a part was taken before the first look for room.

Change: room is looked for before each read, unless all has arrived. A misplaced docstring of sendresults is moved back.

Tests: test_answer_memory; three of its four cases failed before, the fourth keeps the bound of that wait.

--- a/galenahatch/gateway/flowcontrol.py
+++ b/galenahatch/gateway/flowcontrol.py
@@ -164,25 +164,23 @@
         self,
         holding: memorybudget.Holding,
         update: collections.abc.Callable[[], None] = lambda: None,
+        is_complete: collections.abc.Callable[[], bool] = lambda: False,
     ) -> bool:
         """Wait until more may be read; return False if that takes too long.
 
         Args:
             update: Records what the caller has taken meanwhile.
+            is_complete: Returns whether all has arrived, so that reading it
+                takes no further memory.
         """
         paused_at = clock.now()
-        while not self.budget.may_read(holding):
+        while not is_complete() and not self.budget.may_read(holding):
             if clock.now() - paused_at > _MAX_PAUSE_S:
                 return False
             await asyncio.sleep(_POLL_INTERVAL_S)
             update()
         return True
 
-    async def take(self, holding: memorybudget.Holding, size: int) -> bool:
-        """Record bytes read; return whether more may be read in time."""
-        self.grow(holding, size)
-        return await self.wait_for_room(holding)
-
 
 def hold(
     flow: FlowControl | None,
--- a/galenahatch/gateway/sendresults.py
+++ b/galenahatch/gateway/sendresults.py
@@ -28,9 +28,9 @@
 from galenahatch.upstream import http
 
 MAX_RESPONSE_BYTES: typing.Final = 16 * 1024 * 1024
+"""Size limit of a response that is buffered in memory."""
 MAX_SMALL_BYTES: typing.Final = 1024 * 1024
 """Largest response to a request of the gateway itself, and largest refusal."""
-"""Size limit of a response that is buffered in memory."""
 
 
 class Cause(enum.Enum):
@@ -139,24 +139,32 @@
         chunks: list[bytes] = []
         size = 0
         try:
-            async for chunk in self._response.content.iter_any():
+            while await self._wait_for_room(holding):
+                chunk = await self._response.content.readany()
+                if not chunk:
+                    return b''.join(chunks)
                 chunks.append(chunk)
                 size += len(chunk)
-                has_room = (
-                    self._flow is None
-                    or holding is None
-                    or await self._flow.take(holding, 2 * len(chunk))
-                )
-                if size > max_bytes or not has_room:
-                    self.close()
-                    return None
+                if size > max_bytes:
+                    break
+                if self._flow is not None and holding is not None:
+                    self._flow.grow(holding, 2 * len(chunk))
         except http.CLIENT_ERRORS:
-            self.close()
-            return None
+            pass
         except BaseException:
             self.close()
             raise
-        return b''.join(chunks)
+        self.close()
+        return None
+
+    async def _wait_for_room(
+        self, holding: memorybudget.Holding | None
+    ) -> bool:
+        """Wait until more may be read; return False if that takes too long."""
+        if self._flow is None or holding is None:
+            return True
+        is_complete = self._response.content.is_eof
+        return await self._flow.wait_for_room(holding, is_complete=is_complete)
 
     async def read(self, timeout: float) -> bytes | FailedSend:
         """Return the next bytes, or empty bytes at the end.
--- /dev/null
+++ b/galenahatch/test/test_answer_memory.py
@@ -0,0 +1,146 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Answers of upstreams that arrive while the memory budget is exceeded."""
+
+import asyncio
+import collections.abc
+import contextlib
+import time
+import typing
+
+import multidict
+import pytest
+
+from galenahatch.core import memorybudget
+from galenahatch.core import upstreams
+from galenahatch.gateway import calls
+from galenahatch.gateway import flowcontrol
+from galenahatch.gateway import sender as senders
+from galenahatch.gateway import sendresults
+from galenahatch import ids
+from galenahatch.platform import wire
+from galenahatch.test import ports
+
+_HEAD: typing.Final = (
+    b'HTTP/1.1 200 OK\r\nX-Galenahatch-Response-Stamp: s\r\n'
+    b'Content-Length: %d\r\n\r\n'
+)
+_LARGE: typing.Final = 1_000_000
+_POLL_S: typing.Final = 0.1
+"""Interval at which a transfer looks for room."""
+
+
+@contextlib.asynccontextmanager
+async def _answer(
+    flow: flowcontrol.FlowControl, size: int, delay: float
+) -> collections.abc.AsyncIterator[sendresults.Response]:
+    """Yield an answer whose body follows its head after a delay."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(OSError):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(_HEAD % size)
+            await asyncio.sleep(delay)
+            writer.write(bytes(size))
+            await writer.drain()
+
+    port = ports.free()
+    server = await asyncio.start_server(serve, '127.0.0.1', port)
+    sender = senders.Sender(flow=flow)
+    call = calls.Call(
+        id='r',
+        method='POST',
+        host='h',
+        target='/x',
+        headers=multidict.CIMultiDict(),
+        body=b'b',
+        arrived_at=0.0,
+        caller_timeout=None,
+        prompt=None,
+        last_event_id='',
+    )
+    response = await sender.send(
+        upstreams.Upstream(
+            ids.UpstreamId('i-1'),
+            ids.ServiceName('s'),
+            f'127.0.0.1:{port}',
+            ids.DataCentre('dc'),
+            1,
+        ),
+        call,
+        multidict.CIMultiDict(),
+        wire.decode_response_head,
+        timeout=1.0,
+        connect_timeout=1.0,
+        use_pool=False,
+    )
+    assert isinstance(response, sendresults.Response)
+    yield response
+    await sender.close()
+    server.close()
+
+
+def _exceeded() -> tuple[flowcontrol.FlowControl, memorybudget.Holding]:
+    """Return flow control beyond its budget, and the answer that it holds."""
+    flow = flowcontrol.FlowControl(0)
+    older = flow.open(memorybudget.Direction.ANSWERS)
+    flow.grow(older, flow.budget.total + 1)
+    return flow, older
+
+
+# Guards against small answers that fail behind large ones: each waited for
+# room to be read on, although nothing was left to read.
+@pytest.mark.parametrize('delay', [0.0, _POLL_S], ids=['at once', 'later'])
+def test_complete_answer_does_not_wait(delay: float) -> None:
+    """It is returned once all of it has arrived."""
+    flow, _ = _exceeded()
+
+    async def run() -> None:
+        async with _answer(flow, 100, delay) as response:
+            began = time.monotonic()
+            assert await response.body(5.0) == bytes(100)
+            assert time.monotonic() - began < delay + 2 * _POLL_S
+
+    asyncio.run(run())
+
+
+# Guards against many answers of which each takes memory before it looks for
+# room.
+def test_large_answer_takes_nothing_before_there_is_room() -> None:
+    """It is read once the older answer is gone."""
+    flow, older = _exceeded()
+
+    async def run() -> None:
+        async with _answer(flow, _LARGE, 0.0) as response:
+            reading = asyncio.create_task(response.body(5.0))
+            await asyncio.sleep(3 * _POLL_S)
+            assert flow.budget.held == older.held
+            flow.budget.close(older)
+            assert await reading == bytes(_LARGE)
+        assert not flow.budget.held
+
+    asyncio.run(run())
+
+
+# Guards against answers that wait for ever.
+def test_large_answer_without_room_fails() -> None:
+    """It fails within the time for which an upstream isn't read."""
+    flow, _ = _exceeded()
+
+    async def run() -> None:
+        async with _answer(flow, _LARGE, 0.0) as response:
+            assert await response.body(5.0) is None
+
+    asyncio.run(run())
