Answers: reserve the memory of each before it is read

Cause: 40 answers of 1 MB that arrive at once were all read as long as the budget wasn't exceeded, so a part of each filled it (15 of 12 MB at the highest seen), none was complete and could be written or aborted, and what libraries hold came on top.

Change: an answer whose length is known reserves it before its body is read, and waits while it doesn't fit; the oldest is read in any case.

Test: test_answers_that_do_not_fit_take_nothing failed before.

--- a/galenahatch/core/memorybudget.py
+++ b/galenahatch/core/memorybudget.py
@@ -228,16 +228,24 @@
             free = min(free, _CUSTOMER_SHARE * events - of_customer)
         return min(MAX_STREAM_BYTES, max(0.0, _THRESHOLD_SHARE * free))
 
-    def may_read(self, holding: Holding) -> bool:
-        """Return whether more may be read for a transfer."""
+    def may_read(self, holding: Holding, size: int = 0) -> bool:
+        """Return whether more may be read for a transfer.
+
+        Args:
+            size: Bytes that follow, if that is known.
+        """
         if holding.direction is Direction.EVENTS:
             return holding.held <= self.threshold(holding)
         is_oldest = next(iter(self._received.values()), None) is holding
-        return is_oldest or self.held <= self.total
+        return is_oldest or self.fits(size)
+
+    def fits(self, size: int) -> bool:
+        """Return whether some more bytes are within the budget."""
+        return self.held + size <= self.total
 
     def overload(self, now: float) -> Holding | None:
         """Return the transfer to abort, or None if the budget suffices."""
-        if self.held <= self.total or not self._abortable:
+        if self.fits(0) or not self._abortable:
             return None
         transfers = (*self._abortable.values(), *self._received.values())
         sizes = [holding.held for holding in transfers if holding.held]
--- a/galenahatch/gateway/flowcontrol.py
+++ b/galenahatch/gateway/flowcontrol.py
@@ -165,6 +165,7 @@
         holding: memorybudget.Holding,
         update: collections.abc.Callable[[], None] = lambda: None,
         is_complete: collections.abc.Callable[[], bool] = lambda: False,
+        size: int = 0,
     ) -> bool:
         """Wait until more may be read; return False if that takes too long.
 
@@ -172,9 +173,10 @@
             update: Records what the caller has taken meanwhile.
             is_complete: Returns whether all has arrived, so that reading it
                 takes no further memory.
+            size: Bytes that follow, if that is known.
         """
         paused_at = clock.now()
-        while not is_complete() and not self.budget.may_read(holding):
+        while not is_complete() and not self.budget.may_read(holding, size):
             if clock.now() - paused_at > _MAX_PAUSE_S:
                 return False
             await asyncio.sleep(_POLL_INTERVAL_S)
--- a/galenahatch/gateway/sendresults.py
+++ b/galenahatch/gateway/sendresults.py
@@ -139,7 +139,7 @@
         chunks: list[bytes] = []
         size = 0
         try:
-            while await self._wait_for_room(holding):
+            while await self._wait_for_room(holding, size):
                 chunk = await self._response.content.readany()
                 if not chunk:
                     return b''.join(chunks)
@@ -147,8 +147,7 @@
                 size += len(chunk)
                 if size > max_bytes:
                     break
-                if self._flow is not None and holding is not None:
-                    self._flow.grow(holding, 2 * len(chunk))
+                self._hold(holding, 2 * size)
         except http.CLIENT_ERRORS:
             pass
         except BaseException:
@@ -158,13 +157,37 @@
         return None
 
     async def _wait_for_room(
-        self, holding: memorybudget.Holding | None
+        self, holding: memorybudget.Holding | None, size: int
     ) -> bool:
-        """Wait until more may be read; return False if that takes too long."""
+        """Wait until more of the body may be read, and reserve its bytes.
+
+        Many answers that arrive at once are read one after the other: a part
+        of each would fill the budget with none of them complete.
+
+        Args:
+            size: Bytes read so far.
+
+        Returns:
+            False if that takes too long.
+        """
         if self._flow is None or holding is None:
             return True
+        expected = 2 * (self._response.content_length or 0)
+        if 2 * size < holding.held:
+            return True
         is_complete = self._response.content.is_eof
-        return await self._flow.wait_for_room(holding, is_complete=is_complete)
+        if not await self._flow.wait_for_room(
+            holding, is_complete=is_complete, size=expected
+        ):
+            return False
+        if self._flow.budget.fits(expected):
+            self._hold(holding, expected)
+        return True
+
+    def _hold(self, holding: memorybudget.Holding | None, size: int) -> None:
+        """Hold at least some bytes."""
+        if self._flow is not None and holding is not None:
+            self._flow.grow(holding, max(0, size - holding.held))
 
     async def read(self, timeout: float) -> bytes | FailedSend:
         """Return the next bytes, or empty bytes at the end.
--- a/galenahatch/test/test_answer_memory.py
+++ b/galenahatch/test/test_answer_memory.py
@@ -144,3 +144,24 @@
             assert await response.body(5.0) is None
 
     asyncio.run(run())
+
+
+# Guards against many answers that arrive at once, of which a part each fills
+# the budget, and what libraries hold besides them the memory.
+def test_answers_that_do_not_fit_take_nothing() -> None:
+    """As many as fit are read, the others once these are delivered."""
+    flow = flowcontrol.FlowControl(0)
+    size = flow.budget.total // 5
+
+    async def run() -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            reading = []
+            for _ in range(4):
+                answer = _answer(flow, size, 3 * _POLL_S)
+                response = await stack.enter_async_context(answer)
+                reading.append(asyncio.create_task(response.body(5.0)))
+            await asyncio.sleep(_POLL_S)
+            assert flow.budget.held == 2 * 2 * size
+            assert await asyncio.gather(*reading) == 4 * [bytes(size)]
+
+    asyncio.run(run())
