Tests: a proxied answer without end

docs/design/endless.md gives each read its bounds; that of a proxied answer had no test. test_proxied_answer asks a gateway as another one would: bytes without end, fast and slow, and silence end after the longest timeout of a route and a second, and no more is read than the other gateway takes.

--- a/galenahatch/test/test_endless.py
+++ b/galenahatch/test/test_endless.py
@@ -19,6 +19,7 @@
 import collections.abc
 import contextlib
 import resource
+import socket
 import time
 import typing
 
@@ -32,6 +33,7 @@
 from galenahatch.core import upstreams
 from galenahatch import errors
 from galenahatch.gateway import calls
+from galenahatch.gateway import hops
 from galenahatch.gateway import links
 from galenahatch.gateway import sender as senders
 from galenahatch.gateway import sendresults
@@ -368,3 +370,73 @@
         assert answer.status in (502, 503, 504)
         assert server.sent < 8 * _MAX_SENT
         fleet.run(listening.close)
+
+
+_PROXY_PORT: typing.Final = 7661
+_ROUTE_TIMEOUT_MS: typing.Final = 500
+_RELAYED_S: typing.Final = _ROUTE_TIMEOUT_MS / 1000 + 1.0
+"""Seconds for which an answer is relayed to another gateway."""
+
+
+def _ask_proxy(fleet: fleets.Fleet, upstream: str) -> socket.socket:
+    """Ask the first gateway, as the second one, to pass a request on."""
+    proxy, other = fleet.vms
+    hop = hops.Hop('', ids.UpstreamId(upstream))
+    headers = hop.add_headers({'Host': fleets.HOST}, 'r', False, _RELAYED_S)
+    lines = [f'{name}: {value}\r\n' for name, value in headers.items()]
+    found = socket.socket()
+    found.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    found.settimeout(4 * _RELAYED_S)
+    found.bind((other.address, 0))
+    found.connect((proxy.address, _PROXY_PORT))
+    head = f'GET /often/x HTTP/1.1\r\n{"".join(lines)}\r\n'
+    found.sendall(head.encode())
+    return found
+
+
+def _log_has(fleet: fleets.Fleet, *texts: str) -> bool:
+    """Return whether a line of the first gateway's log has all texts."""
+    lines = fleet.vms[0].log.read_text().splitlines()
+    return any(all(text in line for text in texts) for line in lines)
+
+
+# Guards against answers without end that one gateway passes on to another.
+@pytest.mark.parametrize('kind', _EVENTS)
+def test_proxied_answer(kind: str) -> None:
+    """It is broken off in time, and no more is read than is taken."""
+    first, more, pause = _EVENTS[kind]
+    config = fleets.configuration()
+    for route in config['routes']:
+        route['timeout_ms'] = _ROUTE_TIMEOUT_MS
+    with fleets.Fleet(2, _MEMBERS, config) as fleet:
+
+        async def begin() -> tuple[_Server, asyncio.Server]:
+            server = _Server(first, more, pause)
+            return server, await server.start()
+
+        server, listening = fleet.call(begin())
+        (desk,) = fleet.of('desk')
+        row = {**desk.row(), 'address': f'127.0.0.1:{server.port}'}
+        fleet.put('servers', desk.id, row)
+        name = f'{desk.id}@{desk.born}'
+        fleets.eventually(
+            lambda: (
+                _log_has(fleet, f'127.0.0.1:{server.port}', name)
+                and _log_has(fleet, 'Member found.', fleet.vms[1].address)
+            ),
+            'the gateway knows the other one and the upstream',
+        )
+        began = time.monotonic()
+        with _ask_proxy(fleet, name) as connection:
+            head = connection.recv(4096)
+            assert head.startswith(b'HTTP/1.1 200'), head
+            assert b'answered' in head
+            fleets.eventually(server.closed.is_set, 'the upstream is left', 4)
+            assert time.monotonic() - began < _RELAYED_S + _LIMIT_S
+            received = head
+            with contextlib.suppress(ConnectionError):
+                while data := connection.recv(_BLOCK):
+                    received += data
+            assert not received.endswith(b'\r\n0\r\n\r\n')
+        assert server.sent < _MAX_SENT
+        fleet.run(listening.close)
