--- a/galenahatch/core/events.py
+++ b/galenahatch/core/events.py
@@ -22,8 +22,6 @@
 
 _EVENT_END: typing.Final = re.compile(rb'\r\n\r\n|\n\n|\r\r')
 _EVENT_ID: typing.Final = re.compile(rb'(?:^|[\r\n])id: ?([^\r\n]*)')
-
-
 MAX_EVENT_BYTES: typing.Final = 1024 * 1024
 """Longest event; what is longer is no event of an engine."""
 
--- a/galenahatch/gateway/originexchange.py
+++ b/galenahatch/gateway/originexchange.py
@@ -30,6 +30,9 @@
 _MAX_ORIGINS_PER_MESSAGE: typing.Final = 256
 _ACK_TIMEOUT_S: typing.Final = 0.3
 """Seconds after which a message that was not acknowledged is sent again."""
+_MAX_UNACKNOWLEDGED: typing.Final = 8
+"""Messages without an acknowledgement beyond which a batch waits: the member
+may be gone."""
 
 Keys = collections.abc.Iterable[ids.StreamKey]
 
@@ -50,11 +53,6 @@
         """Send a message to a member."""
 
 
-_MAX_UNACKNOWLEDGED: typing.Final = 8
-"""Messages without an acknowledgement beyond which a batch waits: the member
-may be gone."""
-
-
 class _Sent(typing.NamedTuple):
     """A message that was not acknowledged yet; monotonic seconds."""
 
