--- a/galenahatch/test/samples.py
+++ b/galenahatch/test/samples.py
@@ -14,8 +14,12 @@
 
 import dataclasses
 
+import multidict
+
 from galenahatch.core import generations
 from galenahatch.core import revision
+from galenahatch.core import upstreams
+from galenahatch.gateway import calls
 from galenahatch import ids
 from galenahatch import messages
 from galenahatch import schema
@@ -52,6 +56,33 @@
     )
 
 
+def upstream(port: int) -> upstreams.Upstream:
+    """Return a plain upstream at a port of this machine."""
+    return upstreams.Upstream(
+        ids.UpstreamId('i-1'),
+        ids.ServiceName('s'),
+        f'127.0.0.1:{port}',
+        ids.DataCentre('dc'),
+        1,
+    )
+
+
+def plain_call() -> calls.Call:
+    """Return a call to a plain service."""
+    return calls.Call(
+        id='r',
+        method='POST',
+        host='h',
+        target='/x',
+        headers=multidict.CIMultiDict(),
+        body=b'b',
+        arrived_at=0.0,
+        caller_timeout=None,
+        prompt=None,
+        last_event_id='',
+    )
+
+
 def accepted(number: int) -> revision.Accepted:
     """Return an accepted configuration with this revision."""
     bundle = schema.Bundle(BASE, {'bergamo': ''})
--- a/galenahatch/test/test_answer_memory.py
+++ b/galenahatch/test/test_answer_memory.py
@@ -22,14 +22,12 @@
 import pytest
 
 from galenahatch.core import memorybudget
-from galenahatch.core import upstreams
-from galenahatch.gateway import calls
 from galenahatch.gateway import flowcontrol
 from galenahatch.gateway import sender as senders
 from galenahatch.gateway import sendresults
-from galenahatch import ids
 from galenahatch.platform import wire
 from galenahatch.test import ports
+from galenahatch.test import samples
 
 _HEAD: typing.Final = (
     b'HTTP/1.1 200 OK\r\nX-Galenahatch-Response-Stamp: s\r\n'
@@ -59,27 +57,9 @@
     port = ports.free()
     server = await asyncio.start_server(serve, '127.0.0.1', port)
     sender = senders.Sender(flow=flow)
-    call = calls.Call(
-        id='r',
-        method='POST',
-        host='h',
-        target='/x',
-        headers=multidict.CIMultiDict(),
-        body=b'b',
-        arrived_at=0.0,
-        caller_timeout=None,
-        prompt=None,
-        last_event_id='',
-    )
     response = await sender.send(
-        upstreams.Upstream(
-            ids.UpstreamId('i-1'),
-            ids.ServiceName('s'),
-            f'127.0.0.1:{port}',
-            ids.DataCentre('dc'),
-            1,
-        ),
-        call,
+        samples.upstream(port),
+        samples.plain_call(),
         multidict.CIMultiDict(),
         wire.decode_response_head,
         timeout=1.0,
--- a/galenahatch/test/test_endless.py
+++ b/galenahatch/test/test_endless.py
@@ -30,9 +30,7 @@
 
 from galenahatch import bus
 from galenahatch.core import fate
-from galenahatch.core import upstreams
 from galenahatch import errors
-from galenahatch.gateway import calls
 from galenahatch.gateway import hops
 from galenahatch.gateway import links
 from galenahatch.gateway import sender as senders
@@ -42,6 +40,7 @@
 from galenahatch.platform import wire
 from galenahatch.test import fleet as fleets
 from galenahatch.test import ports
+from galenahatch.test import samples
 from galenahatch.upstream import http
 
 _HEAD: typing.Final = b'HTTP/1.1 200 OK\r\nX-Galenahatch-Response-Stamp: s\r\n'
@@ -146,34 +145,12 @@
     asyncio.run(run())
 
 
-def _upstream(server: _Server) -> upstreams.Upstream:
-    return upstreams.Upstream(
-        ids.UpstreamId('i-1'),
-        ids.ServiceName('s'),
-        f'127.0.0.1:{server.port}',
-        ids.DataCentre('dc'),
-        1,
-    )
-
-
 async def _send(
     sender: senders.Sender, server: _Server, use_pool: bool = False
 ) -> sendresults.Response | sendresults.FailedSend:
-    call = calls.Call(
-        id='r',
-        method='POST',
-        host='h',
-        target='/x',
-        headers=multidict.CIMultiDict(),
-        body=b'b',
-        arrived_at=0.0,
-        caller_timeout=None,
-        prompt=None,
-        last_event_id='',
-    )
     return await sender.send(
-        _upstream(server),
-        call,
+        samples.upstream(server.port),
+        samples.plain_call(),
         multidict.CIMultiDict(),
         wire.decode_response_head,
         timeout=_LIMIT_S,
@@ -255,7 +232,7 @@
     async def read(server: _Server) -> None:
         sender = senders.Sender()
         reply = await sender.request_small(
-            'GET', _upstream(server).address, '/report', _LIMIT_S
+            'GET', samples.upstream(server.port).address, '/report', _LIMIT_S
         )
         assert isinstance(reply, errors.Failure)
         await sender.close()
