Answers: what silent upstreams reserved keeps no room

Change: reservations count for other reservations only, and an answer waits for its own 1 s at most; then it is read as before, while the budget isn't exceeded.

--- a/galenahatch/core/memorybudget.py
+++ b/galenahatch/core/memorybudget.py
@@ -22,9 +22,10 @@
   remains free for those that come next. Above its threshold a stream's
   upstream isn't read.
 - Answers of plain services and requests being written have no threshold, as
-  they arrive at once and their sizes are those of other bodies. While the
-  budget is exceeded, only the oldest answer is read on: if all waited for each
-  other, none would be delivered.
+  they arrive at once and their sizes are those of other bodies. An answer of
+  known length reserves it, so that many at once are read one after the other.
+  While the budget is exceeded, only the oldest answer is read on: if all
+  waited for each other, none would be delivered.
 
 If all of them together exceed the budget, `overload` names the transfer to
 abort: the one whose caller needs longest to take what is held for it, among
@@ -92,6 +93,7 @@
         abort: Function that aborts the transfer; None if it does not depend
             on the pace of a caller.
         held: Bytes held now.
+        reserved: Bytes that are expected beyond these.
         rate: Recent rate in bytes per second at which they were taken; 0
             before the first were taken.
         taken_at: Time at which some were last taken, or since which some are
@@ -105,6 +107,7 @@
     opened_at: float
     abort: collections.abc.Callable[[], None] | None = None
     held: int = 0
+    reserved: int = 0
     rate: float = 0.0
     taken_at: float = 0.0
     is_closed: bool = False
@@ -132,6 +135,7 @@
         room = int(_HELD_SHARE * (memory_bytes - _BASE_BYTES))
         self.total = max(MIN_BYTES, room)
         self._held = dict.fromkeys(Direction, 0)
+        self._reserved = 0
         self._event_bytes: dict[str, int] = {}
         self._abortable: dict[int, Holding] = {}
         self._received: dict[int, Holding] = {}
@@ -141,6 +145,11 @@
         """All bytes held."""
         return sum(self._held.values())
 
+    @property
+    def reserved(self) -> int:
+        """Bytes that answers have reserved and that have not arrived."""
+        return self._reserved
+
     def held_for(self, direction: Direction) -> int:
         """Return the bytes held in one direction."""
         return self._held[direction]
@@ -169,9 +178,25 @@
             holding.taken_at = now
         self._add(holding, size)
 
+    def reserve(self, holding: Holding, size: int) -> None:
+        """Reserve bytes that are expected, if they fit.
+
+        They exclude other reservations only: an upstream that falls silent
+        must not keep room from what does arrive.
+        """
+        if self._fits(size):
+            holding.reserved += size
+            self._reserved += size
+
+    def _unreserve(self, holding: Holding, size: int) -> None:
+        size = min(size, holding.reserved)
+        holding.reserved -= size
+        self._reserved -= size
+
     def _add(self, holding: Holding, size: int) -> None:
         if holding.is_closed:
             return
+        self._unreserve(holding, max(0, size))
         holding.held += size
         self._held[holding.direction] += size
         if holding.direction is Direction.EVENTS:
@@ -200,6 +225,7 @@
     def close(self, holding: Holding) -> None:
         """End a transfer and give back all of its bytes."""
         self._add(holding, -holding.held)
+        self._unreserve(holding, holding.reserved)
         holding.is_closed = True
         self._abortable.pop(id(holding), None)
         self._received.pop(id(holding), None)
@@ -232,20 +258,21 @@
         """Return whether more may be read for a transfer.
 
         Args:
-            size: Bytes that follow, if that is known.
+            size: Bytes that are to be reserved for it.
         """
         if holding.direction is Direction.EVENTS:
             return holding.held <= self.threshold(holding)
         is_oldest = next(iter(self._received.values()), None) is holding
-        return is_oldest or self.fits(size)
+        return is_oldest or self._fits(size)
 
-    def fits(self, size: int) -> bool:
-        """Return whether some more bytes are within the budget."""
-        return self.held + size <= self.total
+    def _fits(self, size: int) -> bool:
+        """Return whether bytes may be reserved; 0 if any may be held."""
+        reserved = self._reserved if size else 0
+        return self.held + reserved + size <= self.total
 
     def overload(self, now: float) -> Holding | None:
         """Return the transfer to abort, or None if the budget suffices."""
-        if self.fits(0) or not self._abortable:
+        if self.held <= self.total or not self._abortable:
             return None
         transfers = (*self._abortable.values(), *self._received.values())
         sizes = [holding.held for holding in transfers if holding.held]
--- a/galenahatch/gateway/flowcontrol.py
+++ b/galenahatch/gateway/flowcontrol.py
@@ -33,6 +33,10 @@
 _MAX_PAUSE_S: typing.Final = 2.0
 """Seconds for which an upstream isn't read. Engines cut off a response that
 remains unread for some seconds, so a longer pause ends the stream anyway."""
+_MAX_RESERVATION_PAUSE_S: typing.Final = _MAX_PAUSE_S / 2
+"""Seconds for which an answer waits to reserve its bytes. Then it is read as
+long as the budget isn't exceeded: others may have reserved bytes that never
+arrive, and it may be larger than the whole budget."""
 _POLL_INTERVAL_S: typing.Final = 0.1
 """Seconds between two looks at a transfer that waits for room. What frees it
 is a caller's read, which raises no event until a socket buffer is empty."""
@@ -173,14 +177,18 @@
             update: Records what the caller has taken meanwhile.
             is_complete: Returns whether all has arrived, so that reading it
                 takes no further memory.
-            size: Bytes that follow, if that is known.
+            size: Bytes to reserve, if it is known how many follow.
         """
         paused_at = clock.now()
         while not is_complete() and not self.budget.may_read(holding, size):
-            if clock.now() - paused_at > _MAX_PAUSE_S:
+            pause = clock.now() - paused_at
+            if pause > _MAX_PAUSE_S:
                 return False
+            if pause > _MAX_RESERVATION_PAUSE_S:
+                size = 0
             await asyncio.sleep(_POLL_INTERVAL_S)
             update()
+        self.budget.reserve(holding, size)
         return True
 
 
--- a/galenahatch/gateway/sendresults.py
+++ b/galenahatch/gateway/sendresults.py
@@ -147,7 +147,8 @@
                 size += len(chunk)
                 if size > max_bytes:
                     break
-                self._hold(holding, 2 * size)
+                if self._flow is not None and holding is not None:
+                    self._flow.grow(holding, 2 * len(chunk))
         except http.CLIENT_ERRORS:
             pass
         except BaseException:
@@ -170,24 +171,14 @@
         Returns:
             False if that takes too long.
         """
-        if self._flow is None or holding is None:
+        if self._flow is None or holding is None or holding.reserved:
             return True
-        expected = 2 * (self._response.content_length or 0)
-        if 2 * size < holding.held:
-            return True
-        is_complete = self._response.content.is_eof
-        if not await self._flow.wait_for_room(
-            holding, is_complete=is_complete, size=expected
-        ):
-            return False
-        if self._flow.budget.fits(expected):
-            self._hold(holding, expected)
-        return True
-
-    def _hold(self, holding: memorybudget.Holding | None, size: int) -> None:
-        """Hold at least some bytes."""
-        if self._flow is not None and holding is not None:
-            self._flow.grow(holding, max(0, size - holding.held))
+        expected = self._response.content_length or 0
+        return await self._flow.wait_for_room(
+            holding,
+            is_complete=self._response.content.is_eof,
+            size=0 if size else 2 * expected,
+        )
 
     async def read(self, timeout: float) -> bytes | FailedSend:
         """Return the next bytes, or empty bytes at the end.
