--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -227,7 +227,7 @@
         self, lack: generations.Lack, job: Job, now: float
     ) -> int:
         """Return how many of the requests behind need not be tried."""
-        if lack is generations.Lack.MEMORY and not job.version:
+        if lack is generations.Lack.MEMORY and self._pool.suits_all(job):
             return forecast.MAX_JOBS_CHECKED
         if lack is generations.Lack.PREFILL and waitqueue.is_wait_noticeable(
             job, now
--- a/galenahatch/core/pool.py
+++ b/galenahatch/core/pool.py
@@ -77,6 +77,10 @@
         for engine in self.decodes.values():
             engine.memory.spread = spread
 
+    def suits_all(self, job: generations.Job) -> bool:
+        """Return whether a request may run at all decode engines."""
+        return all(job.may_run_at(e.upstream) for e in self.decodes.values())
+
     @property
     def is_changing(self) -> bool:
         """Whether an engine is changing its stage."""
--- a/galenahatch/core/versionchoice.py
+++ b/galenahatch/core/versionchoice.py
@@ -63,7 +63,19 @@
     ],
 ) -> bool:
     """Return whether a decode engine runs a version that suits a request."""
-    return not job.version or any(names(job, decodes.values()))
+    return not job.version or has_engine(job.version, decodes)
+
+
+def has_engine(
+    version: ids.SoftwareVersion,
+    decodes: collections.abc.Mapping[
+        ids.UpstreamId, modelengines.DecodeEngine
+    ],
+) -> bool:
+    """Return whether a decode engine runs a version; empty for any."""
+    return any(
+        version in ('', engine.upstream.version) for engine in decodes.values()
+    )
 
 
 def is_reserved(
--- a/galenahatch/gateway/affinity.py
+++ b/galenahatch/gateway/affinity.py
@@ -24,6 +24,7 @@
 
 import asyncio
 import collections.abc
+import math
 import typing
 
 from galenahatch import clock
@@ -35,9 +36,9 @@
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import frames
 from galenahatch.gateway import instruments
-from galenahatch.gateway import messages
 from galenahatch.gateway import originexchange
 from galenahatch.gateway import originlog
+from galenahatch.gateway import streamaffinity
 from galenahatch.gateway import versionhistory
 from galenahatch import ids
 from galenahatch import logs
@@ -46,10 +47,13 @@
 
 _PRUNE_INTERVAL_S: typing.Final = 2.0
 _NEXT_BATCH_DELAY_S: typing.Final = 0.02
+_READ_INTERVAL_S: typing.Final = 0.05
+"""Least seconds between two readings for streams that return."""
 _STORE_CHECK_INTERVAL_S: typing.Final = 0.25
-_MAX_LOAD_RETRY_DELAY_S: typing.Final = 5.0
-"""Longest delay between reads of a failing store by a gateway that isn't
+_MAX_RETRY_DELAY_S: typing.Final = 5.0
+"""Longest delay between calls to a failing store by a gateway that isn't
 asked; each call is charged."""
+_MAX_OWNER_RETRY_DELAY_S: typing.Final = 1.0
 _SETTLED_OWNER_S: typing.Final = 0.5
 """Seconds after which an owner uses the store: each gateway that has just
 started takes itself for the owner until it has heard the others."""
@@ -71,13 +75,6 @@
         """Return for how long this gateway has been the owner."""
 
 
-def stream_keys(call: calls.Call) -> tuple[ids.StreamKey, ...]:
-    """Return the keys of the stream that a request begins or takes up."""
-    assert call.prompt is not None
-    digest = f'{call.digest}/{call.prompt.last_block_id}'
-    return ids.StreamKey(call.resumes or call.id), ids.StreamKey(digest)
-
-
 class VersionAffinity:
     """Versions that began streams, as far as this gateway knows.
 
@@ -87,7 +84,7 @@
         address: Address of this VM.
 
     Attributes:
-        on_stored: Callback after versions were stored.
+        on_read: Callback after versions were read or stored.
     """
 
     def __init__(
@@ -99,16 +96,21 @@
         self._directory = directory
         self._origins = versionaffinity.Origins()
         self._served = versionaffinity.ServedVersions()
-        self._history = versionhistory.VersionHistory(store, self._served)
+        self._history = versionhistory.VersionHistory(
+            store, self._served, lambda: directory.upstreams_currency
+        )
         writer = f'{address}/{clock.random_incarnation():x}'
         self._origin_log = originlog.OriginLog(store, self._origins, writer)
         self._peers: Peers | None = None
         self._exchange: originexchange.OriginExchange | None = None
         self._wake = asyncio.Event()
         self._asked_until = 0.0
+        self._reading_wanted_at = -math.inf
+        self._is_listing_wanted = False
         self._keeps_origins = False
+        self._pause = 0.0
         self._pruned_at = 0.0
-        self.on_stored: collections.abc.Callable[[], None] = lambda: None
+        self.on_read: collections.abc.Callable[[], None] = lambda: None
         directory.on_change(self._update_served)
         instruments.register_gauge(
             instruments.STREAM_ORIGINS, lambda: {'': len(self._origins)}
@@ -151,6 +153,11 @@
         """Return the engines at which the owner may begin streams."""
         return self._history.usable(engines)
 
+    def request_listing(self) -> None:
+        """Read or write soon what makes further engines usable."""
+        self._is_listing_wanted = True
+        self._ask()
+
     def find(
         self, keys: collections.abc.Iterable[ids.StreamKey]
     ) -> ids.SoftwareVersion | None:
@@ -171,36 +178,59 @@
             arrived_at: Time at which the owner was asked.
 
         Returns:
-            The version; empty for any; `UNKNOWN`; or None if others may still
-            tell it, or the store hasn't been read.
+            The version; empty if engines state none; `UNKNOWN`; or None if
+            others may still tell it, or the store hasn't been read.
         """
         now = clock.now()
         version = self._origins.find(keys, now)
         if version is not None:
             return version
-        knows_all = self._history.knows_all(service, now)
-        if knows_all and self._served.is_single(service, now):
-            return versionaffinity.ANY_VERSION
-        assert self._peers is not None
-        owned = self._peers.owned_seconds()
-        is_new = owned is None or owned < versionaffinity.RECENT_OWNER_S
-        is_loaded = self._history.is_loaded and self._origin_log.is_loaded
+        only = self._served.find_only(service, now)
+        # Another gateway may have used a new version that isn't known here,
+        # so what was read before the stream returned doesn't count.
+        is_read = self._history.is_loaded and (
+            only is None or self._history.read_at >= arrived_at
+        )
+        if is_read and self._history.knows_all(service, now):
+            if only is not None:
+                return only
+        is_loaded = is_read and self._origin_log.is_loaded
         if not is_loaded:
-            self._asked_until = now + _ASKED_S
-            self._wake.set()
-        if is_new or not is_loaded:
+            self._reading_wanted_at = max(self._reading_wanted_at, arrived_at)
+            self._ask()
+        if not is_loaded or self._is_new_owner():
             if now - arrived_at < versionaffinity.SETTLE_S:
                 return None
+        self._log_unknown(service, keys, is_loaded)
+        return versionaffinity.Problem.UNKNOWN
+
+    def _log_unknown(
+        self,
+        service: ids.ServiceName,
+        keys: collections.abc.Collection[ids.StreamKey],
+        is_loaded: bool,
+    ) -> None:
+        now = clock.now()
         _log.info(
             'Version of a stream unknown.',
             service=service,
             keys=' '.join(keys),
             versions=' '.join(sorted(self._served.left_times(service, now))),
-            knows_all=knows_all,
+            knows_all=self._history.knows_all(service, now),
             loaded=is_loaded,
-            owned=owned,
+            new_owner=self._is_new_owner(),
         )
-        return versionaffinity.Problem.UNKNOWN
+
+    def _is_new_owner(self) -> bool:
+        """Return whether others may still tell this gateway what they know."""
+        assert self._peers is not None
+        owned = self._peers.owned_seconds()
+        return owned is None or owned < versionaffinity.RECENT_OWNER_S
+
+    def _ask(self) -> None:
+        """Use the store soon, also if this gateway isn't the owner."""
+        self._asked_until = clock.now() + _ASKED_S
+        self._wake.set()
 
     def record(
         self, call: calls.Call, version: ids.SoftwareVersion, deadline: float
@@ -213,7 +243,7 @@
             deadline: Time after which the caller doesn't return.
         """
         now = clock.now()
-        keys = stream_keys(call)
+        keys = streamaffinity.stream_keys(call)
         for key in keys:
             self._origins.record(key, version, deadline, now)
         if self._must_keep(now):
@@ -241,10 +271,15 @@
             self._peers.reply(member, received)
 
     def _must_keep(self, now: float) -> bool:
-        """Return whether streams may return to engines of several versions."""
-        return self._served.several(
-            now
-        ) or not self._history.knows_all_services(now)
+        """Return whether streams may return to engines of several versions.
+
+        While this can't be known, what each gateway remembers is all there is.
+        """
+        return (
+            self._directory.is_out_of_date
+            or self._served.several(now)
+            or not self._history.knows_all_services(now)
+        )
 
     def _store(self, keys: collections.abc.Iterable[ids.StreamKey]) -> None:
         """Store origins soon, if this gateway is the owner."""
@@ -254,166 +289,108 @@
             self._wake.set()
 
     async def _tell_forever(self) -> None:
-        assert self._exchange is not None
         while True:
-            now = clock.now()
-            if now - self._pruned_at > _PRUNE_INTERVAL_S:
-                self._pruned_at = now
-                self._origins.prune(now)
-            has_more = False
-            if self._must_keep(now):
-                has_more = self._exchange.tell_all(now)
-            else:
-                # All is told once a second version appears.
-                self._exchange.reset()
+            has_more = self.tell()
             await asyncio.sleep(
                 _NEXT_BATCH_DELAY_S
                 if has_more
                 else members.HEARTBEAT_INTERVAL_S
             )
 
+    def tell(self) -> bool:
+        """Tell others what they lack; return whether more is due at once."""
+        assert self._exchange is not None
+        now = clock.now()
+        if now - self._pruned_at > _PRUNE_INTERVAL_S:
+            self._pruned_at = now
+            self._origins.prune(now)
+        if self._must_keep(now):
+            return self._exchange.tell_all(now)
+        # All is told once a second version appears.
+        self._exchange.reset()
+        return False
+
     async def _store_forever(self) -> None:
         retry_delay = _STORE_CHECK_INTERVAL_S
         while True:
             self._wake.clear()
             delay = _STORE_CHECK_INTERVAL_S
-            if not await self._synchronize():
+            if not await self.synchronize():
                 # A stream that is asked about ends the longer wait below.
                 await asyncio.sleep(_STORE_CHECK_INTERVAL_S)
                 delay = retry_delay
-                retry_delay = min(2 * retry_delay, _MAX_LOAD_RETRY_DELAY_S)
+                retry_delay = min(2 * retry_delay, self._max_retry_delay())
             else:
                 retry_delay = _STORE_CHECK_INTERVAL_S
+            await asyncio.sleep(self._pause)
             try:
                 async with asyncio.timeout(delay):
                     await self._wake.wait()
             except asyncio.TimeoutError:
                 pass
 
-    async def _synchronize(self) -> bool:
+    def _max_retry_delay(self) -> float:
+        assert self._peers is not None
+        if self._peers.owned_seconds() is None:
+            return _MAX_RETRY_DELAY_S
+        return _MAX_OWNER_RETRY_DELAY_S
+
+    async def synchronize(self) -> bool:
         """Read from the store and write to it; return whether it answers."""
         assert self._peers is not None
+        self._pause = 0.0
         if not self._directory.ready:
             return True
         owned = self._peers.owned_seconds()
         is_owner = owned is not None and owned >= _SETTLED_OWNER_S
         if not is_owner and clock.now() > self._asked_until:
+            self._is_listing_wanted = False
             self._origin_log.unload()
-            return self._history.was_loaded or await self._history.load()
-        if not self._history.is_loaded and not await self._history.load():
+            return self._history.was_loaded or await self._load_history()
+        if self._needs_reading() and not await self._load_history():
             return False
         if not self._origin_log.is_loaded:
             if not await self._origin_log.load():
                 return False
             self._keeps_origins = False
-        if is_owner:
-            await self._save()
+        if is_owner or self._is_listing_wanted:
+            return await self._save(is_owner)
         return True
 
-    async def _save(self) -> None:
-        """Store what the store lacks, as the owner."""
+    def _needs_reading(self) -> bool:
+        return (
+            not self._history.is_loaded
+            or self._history.read_at < self._reading_wanted_at
+        )
+
+    async def _load_history(self) -> bool:
+        is_read = await self._history.load()
+        if is_read:
+            self._pause = _READ_INTERVAL_S
+            self.on_read()
+        return is_read
+
+    async def _save(self, is_owner: bool) -> bool:
+        """Store what the store lacks; return whether it answers.
+
+        Args:
+            is_owner: Whether origins are stored as well.
+        """
         is_called = await self._history.save()
+        if self._history.needs_reading() and not await self._load_history():
+            return False
         if is_called:
-            self.on_stored()
+            self._pause = originlog.SAVE_INTERVAL_S
+            self.on_read()
+        if is_owner:
+            await self._save_origins()
+        self._is_listing_wanted = False
+        return not self._history.unconfirmed()
+
+    async def _save_origins(self) -> None:
         must_keep = self._must_keep(clock.now())
         if must_keep and not self._keeps_origins:
             self._origin_log.add(self._origins.keys())
         self._keeps_origins = must_keep
-        is_called |= await self._origin_log.save(must_keep)
-        if is_called:
-            await asyncio.sleep(originlog.SAVE_INTERVAL_S)
-
-
-class StreamAffinity:
-    """Version of the stream of one request.
-
-    Args:
-        known: Versions that this gateway knows.
-        call: Request of the caller.
-        service: Service of the stream.
-    """
-
-    def __init__(
-        self,
-        known: VersionAffinity,
-        call: calls.Call,
-        service: ids.ServiceName,
-    ) -> None:
-        self._known = known
-        self._call = call
-        self._service = service
-        self._version = versionaffinity.ANY_VERSION
-        # Streams that begin are not counted.
-        self._is_counted = not call.last_event_id
-        if call.last_event_id:
-            self.bind(known.find(stream_keys(call)))
-
-    @property
-    def version(self) -> ids.SoftwareVersion:
-        """The only version at which the stream may run; empty for any."""
-        if self._known.is_only(self._service, self._version):
-            return versionaffinity.ANY_VERSION
-        return self._version
-
-    def record_decision(
-        self, decision: messages.Placement | messages.PlacementRefused
-    ) -> None:
-        """Bind the stream to the version that the owner names."""
-        if isinstance(decision, messages.Placement):
-            self.bind(decision.version)
-        if not self._is_counted:
-            self._is_counted = True
-            result = _result_name(decision, self._version)
-            instruments.continued_streams.add(1, {'result': result})
-
-    def bind(self, version: ids.SoftwareVersion | None) -> None:
-        """Bind the stream to a version, unless it is bound already."""
-        self._version = self._version or version or versionaffinity.ANY_VERSION
-
-    def allows(self, engine: upstreams.Upstream) -> bool:
-        """Return whether the stream may run at an engine."""
-        return self.version in (versionaffinity.ANY_VERSION, engine.version)
-
-    def unresolved_keys(self) -> tuple[ids.StreamKey, ...]:
-        """Return the keys of the stream, if only others may know its version.
-
-        A gateway that has just started asks even if it knows of one version
-        only: others may remember another one.
-        """
-        if not self._call.last_event_id or self._version:
-            return ()
-        return stream_keys(self._call)
-
-    @property
-    def is_undecided(self) -> bool:
-        """Whether the stream began at one of several versions, unknown which.
-
-        An owner that knows of one version only doesn't decide it.
-        """
-        return bool(self.unresolved_keys()) and not self._known.is_single(
-            self._service
-        )
-
-    def record_start(
-        self, engine: upstreams.Upstream, deadline: float
-    ) -> None:
-        """Record the first event of a run, which is about to leave.
-
-        Args:
-            engine: Engine that runs it.
-            deadline: Time after which the caller doesn't return.
-        """
-        self.bind(engine.version)
-        self._known.record(self._call, self._version, deadline)
-
-
-def _result_name(
-    decision: messages.Placement | messages.PlacementRefused,
-    version: ids.SoftwareVersion,
-) -> str:
-    """Return what came of a stream that its caller takes up, for a metric."""
-    if isinstance(decision, messages.Placement):
-        return 'bound' if version else 'one_version'
-    if decision.version_problem is None:
-        return 'refused'
-    return decision.version_problem.value
+        if await self._origin_log.save(must_keep):
+            self._pause = originlog.SAVE_INTERVAL_S
--- a/galenahatch/gateway/directory.py
+++ b/galenahatch/gateway/directory.py
@@ -40,8 +40,6 @@
 from galenahatch.platform import store as stores
 from galenahatch import tasks
 
-_ANSWER_SLACK_S: typing.Final = 1.0
-"""Seconds that an answer to a long poll may take beyond its wait."""
 _log = logs.Log('directory')
 
 
@@ -123,6 +121,16 @@
         self._tasks.run_forever('upstream feed', self._upstream_feed.run)
         self._tasks.run_forever('restores', self.entries.run)
 
+    @property
+    def upstreams_currency(self) -> followers.Currency:
+        """As of when the store's answers tell upstreams."""
+        return self._upstream_feed.currency
+
+    @property
+    def is_out_of_date(self) -> bool:
+        """Whether changes of upstreams may be missed at present."""
+        return self._upstream_feed.is_failing and not self.fed_by_peers()
+
     @property
     def reaches_store(self) -> bool:
         """Whether both feeds have had a recent answer from the store."""
@@ -130,10 +138,7 @@
             self._config_feed.last_answer_at,
             self._upstream_feed.last_answer_at,
         )
-        return (
-            clock.now() - last_answer_at
-            < followers.LONG_POLL_S + _ANSWER_SLACK_S
-        )
+        return clock.now() - last_answer_at < followers.MAX_ANSWER_GAP_S
 
     def on_change(self, listener: collections.abc.Callable[[], None]) -> None:
         """Register a function that is called after each change."""
--- a/galenahatch/gateway/follower.py
+++ b/galenahatch/gateway/follower.py
@@ -26,6 +26,8 @@
 
 import asyncio
 import collections.abc
+import dataclasses
+import math
 import random
 import typing
 
@@ -51,6 +53,8 @@
 start of all upstreams, costs one call. A tenth of the shortest time limit for
 a change to take effect."""
 _IDLE_CHECK_INTERVAL_S: typing.Final = 0.25
+MAX_ANSWER_GAP_S: typing.Final = LONG_POLL_S + 1.0
+"""Seconds between two answers beyond which a table is not followed."""
 _log = logs.Log('directory')
 
 _JITTER_RANGE: typing.Final = (0.7, 1.3)
@@ -60,6 +64,32 @@
 ]
 
 
+@dataclasses.dataclass(frozen=True)
+class Currency:
+    """As of when a table is known, from the last answer of its feed.
+
+    Attributes:
+        at: Time of the last answer, in monotonic seconds.
+        since: Time since which answers have come without a gap.
+        store_ms: The same moment as `at` on the store's clock.
+        era: Era of the store.
+    """
+
+    at: float = -1e9
+    since: float = math.inf
+    store_ms: float = 0.0
+    era: int = 0
+
+    def is_current(self, now: float) -> bool:
+        """Return whether the table is being followed."""
+        return now - self.at <= MAX_ANSWER_GAP_S
+
+    def advanced(self, answer: stores.Rows, now: float) -> 'Currency':
+        """Return the currency after an answer."""
+        since = self.since if self.is_current(now) else now
+        return Currency(now, since, answer.now_ms, answer.era)
+
+
 class Outage:
     """Coordinates the retries of a gateway's feeds during a store outage.
 
@@ -117,7 +147,7 @@
         is_idle: Whether peers deliver the changes, so that no call is needed.
 
     Attributes:
-        last_answer_at: Time of the last successful call.
+        currency: As of when the table is known.
     """
 
     def __init__(
@@ -140,7 +170,7 @@
         self._version = versions.OLDEST
         self._is_failing = False
         self._failed_at = 0.0
-        self.last_answer_at = -1e9
+        self.currency = Currency()
 
     @property
     def version(self) -> versions.Version:
@@ -157,7 +187,7 @@
             if isinstance(result, errors.Failure):
                 await self._record_failure(result)
                 continue
-            self._record_success()
+            self._record_success(result)
             if result.rows:
                 await asyncio.sleep(self._batch_delay)
 
@@ -196,7 +226,17 @@
             self._on_all_rows(result.rows, result.version)
         return result
 
-    def _record_success(self) -> None:
+    @property
+    def last_answer_at(self) -> float:
+        """Time of the last successful call."""
+        return self.currency.at
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last call failed."""
+        return self._is_failing
+
+    def _record_success(self, answer: stores.Rows) -> None:
         if self._is_failing:
             _log.info(
                 'Store connection recovered.',
@@ -205,7 +245,7 @@
             )
         self._is_failing = False
         self._outage.record_answer(self)
-        self.last_answer_at = clock.now()
+        self.currency = self.currency.advanced(answer, clock.now())
 
     async def _record_failure(self, failure: errors.Failure) -> None:
         if failure.reason is errors.HISTORY_GONE:
--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -32,7 +32,6 @@
 from galenahatch.core import routes
 from galenahatch.core import upstreams
 from galenahatch import errors
-from galenahatch.gateway import affinity
 from galenahatch.gateway import calls
 from galenahatch.gateway import context as contexts
 from galenahatch.gateway import generationfailures
@@ -42,6 +41,7 @@
 from galenahatch.gateway import relay as relays
 from galenahatch.gateway import sendresults
 from galenahatch.gateway import stream_log
+from galenahatch.gateway import streamaffinity
 from galenahatch import ids
 from galenahatch import logs
 from galenahatch.platform import wire
@@ -83,7 +83,7 @@
         self._stage = 'waiting'
         self._decode_engine = ids.UpstreamId('')
         self._ran_past_start = False
-        self._affinity = affinity.StreamAffinity(
+        self._affinity = streamaffinity.StreamAffinity(
             context.affinity, call, service.name
         )
         self._was_placed = False
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -157,10 +157,9 @@
             self._rate_limits.limiter,
             self._notices.pauses_left,
             self._load_reports,
-            self._affinity.resolve,
-            self._affinity.usable,
+            self._affinity,
         )
-        self._affinity.on_stored = self._owner_client.owner.refresh_engines
+        self._affinity.on_read = self._owner_client.owner.refresh_engines
 
     def _open_senders(self) -> None:
         """Create the components that send to upstreams."""
--- a/galenahatch/gateway/owner.py
+++ b/galenahatch/gateway/owner.py
@@ -34,6 +34,7 @@
 from galenahatch.gateway import directory as directories
 from galenahatch.gateway import frames
 from galenahatch.gateway import instruments
+from galenahatch.gateway import listing
 from galenahatch.gateway import messages
 from galenahatch.gateway import ownerfigures
 from galenahatch.gateway import ownertypes
@@ -64,9 +65,7 @@
         limiter: Rate limiter of upstreams, for all gateways that ask.
         deliver: Sends a reply to a member.
         loads: Load reports of the engines.
-        resolve: Returns the version at which a stream continues; see
-            `affinity.VersionAffinity.resolve`.
-        usable: Returns the engines at which streams may begin.
+        versions: Decides at which versions streams may run; any by default.
     """
 
     def __init__(
@@ -77,13 +76,12 @@
         limiter: ratelimits.Limiter,
         deliver: ownertypes.DeliverFunction,
         loads: loadreports.Loads | None = None,
-        resolve: ownertypes.ResolveFunction = ownertypes.resolve_any,
-        usable: ownertypes.UsableFunction = list,
+        versions: ownertypes.VersionPolicy | None = None,
     ) -> None:
         self._directory = directory
-        self._usable = usable
-        self._resolve = resolve
-        # Streams whose version others may still tell.
+        self._versions = versions or ownertypes.AnyVersion()
+        self._listing = listing.Listing(self._versions)
+        # Streams that wait until their version is known or may be used.
         self._unresolved: dict[ids.StreamId, ownertypes.Asked] = {}
         self._budget = budget
         self._accounts = accounts
@@ -190,24 +188,32 @@
         self._reply_functions.clear()
 
     def _handle_request(self, asked: ownertypes.Asked) -> None:
-        """Decide on a request, or let it wait for its stream's version."""
+        """Decide on a request, or let it wait for versions."""
         member, request, arrived_at = asked
         self._unresolved.pop(request.stream, None)
         version: affinity.Resolution = request.version
         if request.resumes and not version:
             keys = request.resumes
-            version = self._resolve(request.service, keys, arrived_at)
-        if version is None:
-            self._unresolved[request.stream] = asked
-            self._deliver(member, messages.Queued(request.stream))
-        elif isinstance(version, versionaffinity.Problem):
+            version = self._versions.resolve(request.service, keys, arrived_at)
+        if isinstance(version, versionaffinity.Problem):
             refused = refusals.version_unknown(
                 member, request.stream, request.resumes
             )
             self._deliver(member, refused)
+        elif version is None or self._awaits_listing(asked, version):
+            self._unresolved[request.stream] = asked
+            self._deliver(member, messages.Queued(request.stream))
         else:
             self._submit(asked, version)
 
+    def _awaits_listing(
+        self, asked: ownertypes.Asked, version: ids.SoftwareVersion
+    ) -> bool:
+        dispatcher = self._dispatcher(asked.request.service)
+        return dispatcher is not None and self._listing.must_wait(
+            asked, version, dispatcher.engines.decodes
+        )
+
     def _retry_unresolved(self) -> None:
         for asked in list(self._unresolved.values()):
             self._handle_request(asked)
@@ -332,7 +338,7 @@
             for key, upstream in registry.upstreams.items()
             if upstream.leaving
         }
-        usable = self._usable(registry.usable(service, now))
+        usable = self._listing.usable(service, registry.usable(service, now))
         if self._loads.reports_slowdown(engine.id for engine in usable):
             dispatcher.set_slowdowns(self._loads.slowdown)
         dispatcher.set_engines(usable, leaving, now)
--- a/galenahatch/gateway/owner_client.py
+++ b/galenahatch/gateway/owner_client.py
@@ -85,10 +85,8 @@
         paused_engines: Returns the engines that asked this gateway for a
             pause, with the remaining seconds.
         loads: Load reports, for when this gateway is the owner.
-        resolve: Returns the version at which a stream continues, for when
-            this gateway is the owner.
-        usable: Returns the engines at which streams may begin, for when this
-            gateway is the owner.
+        versions: Decides at which versions streams may run, for when this
+            gateway is the owner; any by default.
     """
 
     def __init__(
@@ -102,8 +100,7 @@
             [], dict[ids.UpstreamId, float]
         ],
         loads: loadreports.Loads | None = None,
-        resolve: ownertypes.ResolveFunction = ownertypes.resolve_any,
-        usable: ownertypes.UsableFunction = list,
+        versions: ownertypes.VersionPolicy | None = None,
     ) -> None:
         self._directory = directory
         self._paused_engines = paused_engines
@@ -123,8 +120,7 @@
             limiter,
             self._deliver,
             loads,
-            resolve,
-            usable,
+            versions,
         )
 
     def start(self, mesh: meshes.Mesh, background: tasks.Tasks) -> None:
--- a/galenahatch/gateway/ownertypes.py
+++ b/galenahatch/gateway/ownertypes.py
@@ -34,22 +34,48 @@
 DeliverFunction = collections.abc.Callable[
     [ids.MemberId, AnyOwnerMessage], None
 ]
-ResolveFunction = collections.abc.Callable[
-    [ids.ServiceName, collections.abc.Collection[ids.StreamKey], float],
-    affinity.Resolution,
-]
-UsableFunction = collections.abc.Callable[
-    [collections.abc.Iterable[upstreams.Upstream]], list[upstreams.Upstream]
-]
 
 
-def resolve_any(
-    service: ids.ServiceName,
-    keys: collections.abc.Collection[ids.StreamKey],
-    arrived_at: float,
-) -> ids.SoftwareVersion:
-    """Bind no stream to a version."""
-    return versionaffinity.ANY_VERSION
+class VersionPolicy(typing.Protocol):
+    """Decides at which software versions streams may run."""
+
+    def resolve(
+        self,
+        service: ids.ServiceName,
+        keys: collections.abc.Collection[ids.StreamKey],
+        arrived_at: float,
+    ) -> affinity.Resolution:
+        """Return the version at which a stream continues."""
+
+    def usable(
+        self, engines: collections.abc.Iterable[upstreams.Upstream]
+    ) -> list[upstreams.Upstream]:
+        """Return the engines at which streams may begin."""
+
+    def request_listing(self) -> None:
+        """Ask for engines that are not usable yet to become usable."""
+
+
+class AnyVersion:
+    """Policy that binds no stream to a version."""
+
+    def resolve(
+        self,
+        service: ids.ServiceName,
+        keys: collections.abc.Collection[ids.StreamKey],
+        arrived_at: float,
+    ) -> affinity.Resolution:
+        """Return that any version will do."""
+        return versionaffinity.ANY_VERSION
+
+    def usable(
+        self, engines: collections.abc.Iterable[upstreams.Upstream]
+    ) -> list[upstreams.Upstream]:
+        """Return all engines."""
+        return list(engines)
+
+    def request_listing(self) -> None:
+        """Do nothing: all engines are usable."""
 
 
 class Asked(typing.NamedTuple):
--- a/galenahatch/test/standin/rows.py
+++ b/galenahatch/test/standin/rows.py
@@ -16,7 +16,7 @@
 answers 503, `silent` answers nothing, `reset` breaks connections, `garbage`
 answers what is no JSON. `turned_away` limits a disturbance to callers that
 connect to some of its addresses. `restore` goes back to the last `copy`, in a
-new era, which each answer names.
+new era, which each answer names. Writes to the tables `read_only` get 503.
 """
 
 import asyncio
@@ -48,6 +48,7 @@
         self.mode = ''
         self.turned_away: set[str] = set()
         self.lose_answers = False
+        self.read_only: set[str] = set()
         self.history_from = 0
         self.calls = 0
         self.era = 1
@@ -169,6 +170,9 @@
         if disturbed is not None:
             return disturbed
         call = msgspec.json.decode(await request.read())
+        written = {e['table'] for e in (*call['set_keys'], *call['remove'])}
+        if written & self.read_only:
+            return web.Response(status=503, headers=self._headers)
         stale = []
         for entry in call['expected']:
             row = self.tables.get(entry['table'], {}).get(entry['key'])
--- /dev/null
+++ b/galenahatch/test/test_version_affinity.py
@@ -0,0 +1,407 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""No stream holds events of two software versions, whatever happens.
+
+A state machine over the code that decides where streams run. The store
+refuses, loses and delays writes, answers late or not at all, and is restored;
+gateways start, are killed and take themselves for the owner; versions come
+and go; messages are lost.
+"""
+
+import typing
+from unittest import mock
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from galenahatch import clock
+from galenahatch import ids
+from galenahatch.test.standin import versionworld
+
+_NAMES: typing.Final = [ids.MemberId(name) for name in 'abc']
+_VERSIONS: typing.Final = [
+    ids.SoftwareVersion(name) for name in ('v1', 'v2', 'v3')
+]
+_ANY: typing.Final = strategies.integers(0, 99)
+_NAME: typing.Final = strategies.sampled_from(_NAMES)
+_OUTCOME: typing.Final = strategies.sampled_from(versionworld.Outcome)
+_WRITES: typing.Final = strategies.one_of(
+    strategies.just(versionworld.Outcome.DONE), _OUTCOME
+)
+_PAUSES_S: typing.Final = (0.02, 0.3, 1.0, 4.0, 9.0, 21.0, 61.0)
+_MAX_DOWN_S: typing.Final = 10.0
+"""Seconds without any gateway over which streams of one version go on."""
+_Verdict = versionworld.Verdict
+_Outcome = versionworld.Outcome
+
+
+class VersionAffinityMachine(stateful.RuleBasedStateMachine):
+    """Gateways, engines and streams under all kinds of trouble.
+
+    A stream must go on if nothing but gateways has failed so far, and these
+    had time to record it.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._world = versionworld.World()
+        self._patch = mock.patch.object(clock, 'now', lambda: self._world.now)
+        self._patch.start()
+        self._streams: list[versionworld.Stream] = []
+        self._asked: list[versionworld.Asked] = []
+        self._writes = _Outcome.DONE
+        self._is_disturbed = False
+        self._down_since: float | None = None
+
+    def teardown(self) -> None:
+        """Restore the clock, and end the coroutines."""
+        for gateway in self._world.gateways.values():
+            gateway.close(_Outcome.LOST)
+        self._patch.stop()
+
+    @stateful.initialize(
+        several=strategies.booleans(),
+        writes=_WRITES,
+        begins=strategies.booleans(),
+    )
+    def start_all(
+        self, several: bool, writes: versionworld.Outcome, begins: bool
+    ) -> None:
+        """One or two versions serve, and all gateways are there."""
+        self.set_writes(writes)
+        for version in _VERSIONS[: 1 + several]:
+            self._world.register(version)
+        for name in _NAMES:
+            self._world.start(name).follow()
+        self._settle()
+        if begins:
+            self.begin(0, True)
+
+    # Gateways.
+
+    @stateful.rule(name=_NAME)
+    def start(self, name: ids.MemberId) -> None:
+        """Start a gateway that isn't there."""
+        if name not in self._world.gateways:
+            self._world.start(name).follow()
+            self._note_down(False)
+
+    @stateful.rule(name=_NAME, outcome=_OUTCOME)
+    def kill(self, name: ids.MemberId, outcome: versionworld.Outcome) -> None:
+        """Kill a gateway."""
+        if name in self._world.gateways:
+            self._kill(name, outcome)
+
+    @stateful.rule(outcome=_OUTCOME)
+    def kill_all(self, outcome: versionworld.Outcome) -> None:
+        """Kill all gateways at once."""
+        for name in list(self._world.gateways):
+            self._kill(name, outcome)
+
+    @stateful.rule(
+        removed=strategies.sampled_from([None, *_VERSIONS]),
+        added=strategies.sampled_from([None, *_VERSIONS]),
+        seconds=strategies.sampled_from(_PAUSES_S),
+        number=_ANY,
+    )
+    def lose_all(
+        self,
+        removed: ids.SoftwareVersion | None,
+        added: ids.SoftwareVersion | None,
+        seconds: float,
+        number: int,
+    ) -> None:
+        """Kill all gateways and start them, perhaps in a release."""
+        self.kill_all(_Outcome.LOST)
+        if added is not None:
+            self.add_version(added)
+        if removed is not None:
+            self.remove_version(removed)
+        self._world.advance(seconds)
+        self.start_rest()
+        self._settle()
+        self.resume(number, True)
+
+    @stateful.rule()
+    def start_rest(self) -> None:
+        """Start all gateways that are not there."""
+        for name in _NAMES:
+            self.start(name)
+
+    def _kill(self, name: ids.MemberId, outcome: versionworld.Outcome) -> None:
+        self._world.kill(name, outcome)
+        self._note_down(not self._world.gateways)
+
+    def _note_down(self, is_down: bool) -> None:
+        now = self._world.now
+        if self._down_since and now - self._down_since > _MAX_DOWN_S:
+            self._is_disturbed = True
+        self._down_since = now if is_down else None
+
+    @stateful.rule(name=_NAME, is_owner=strategies.booleans())
+    def set_owner(self, name: ids.MemberId, is_owner: bool) -> None:
+        """Let a gateway take itself for the owner, or not."""
+        gateway = self._world.gateways.get(name)
+        if gateway is None:
+            return
+        if not is_owner:
+            gateway.owner_since = None
+        elif gateway.owner_since is None:
+            gateway.owner_since = self._world.now
+
+    @stateful.rule(drops=strategies.booleans())
+    def exchange(self, drops: bool) -> None:
+        """Let gateways tell each other what they know."""
+        for gateway in list(self._world.gateways.values()):
+            gateway.affinity.tell()
+        self._is_disturbed |= drops and bool(self._world.messages)
+        self._world.deliver(drops)
+
+    @stateful.rule(seconds=strategies.sampled_from(_PAUSES_S))
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        self._world.advance(seconds)
+
+    # The store.
+
+    @stateful.rule(name=_NAME, outcome=_OUTCOME)
+    def use_store(
+        self, name: ids.MemberId, outcome: versionworld.Outcome
+    ) -> None:
+        """Begin to use the store, or end the call in progress."""
+        gateway = self._world.gateways.get(name)
+        if gateway is None:
+            return
+        if gateway.call is not None:
+            self._is_disturbed |= outcome is not _Outcome.DONE
+            gateway.end_call(outcome)
+        else:
+            gateway.synchronize()
+
+    @stateful.rule(outcome=_WRITES)
+    def set_writes(self, outcome: versionworld.Outcome) -> None:
+        """Set how writes end."""
+        self._writes = outcome
+        self._is_disturbed |= outcome is not _Outcome.DONE
+
+    @stateful.rule(number=_ANY)
+    def perform_late_call(self, number: int) -> None:
+        """Perform a write whose answer has failed long ago."""
+        if self._world.late:
+            self._world.late.pop(number % len(self._world.late)).apply()
+
+    @stateful.rule(name=_NAME, works=strategies.booleans())
+    def set_feed(self, name: ids.MemberId, works: bool) -> None:
+        """Interrupt or repair the feed of entries of a gateway."""
+        gateway = self._world.gateways.get(name)
+        if gateway is not None:
+            self._is_disturbed |= not works
+            gateway.is_following = works
+            gateway.directory.is_out_of_date = not works
+            if works:
+                gateway.follow()
+
+    @stateful.rule()
+    def copy_store(self) -> None:
+        """Make the copy to which a restore goes back."""
+        self._world.store.copy()
+
+    @stateful.rule(shift_s=strategies.sampled_from([0.0, -30.0, 500.0]))
+    def restore_store(self, shift_s: float) -> None:
+        """Restore the store."""
+        self._is_disturbed = True
+        self._world.store.restore(shift_s)
+
+    # Engines.
+
+    @stateful.rule(version=strategies.sampled_from(_VERSIONS))
+    def add_version(self, version: ids.SoftwareVersion) -> None:
+        """Engines of a version appear."""
+        if not self._is_served(version):
+            self._world.register(version)
+            self._follow()
+
+    @stateful.rule(version=strategies.sampled_from(_VERSIONS))
+    def remove_version(self, version: ids.SoftwareVersion) -> None:
+        """Engines of a version leave."""
+        self._world.remove(version)
+        self._follow()
+
+    def _follow(self) -> None:
+        for gateway in self._world.gateways.values():
+            if gateway.is_following:
+                gateway.follow()
+
+    def _is_served(self, version: ids.SoftwareVersion) -> bool:
+        return any(e.version == version for e in self._world.entries.values())
+
+    # Streams.
+
+    @stateful.rule(number=_ANY, is_placed=strategies.booleans())
+    def begin(self, number: int, is_placed: bool) -> None:
+        """Begin a stream at each gateway."""
+        for gateway in self._world.gateways.values():
+            number += 1
+            owner = self._owner(gateway, number)
+            asked = self._world.begin(gateway, owner)
+            self._handle(asked, number, is_placed)
+
+    @stateful.rule(number=_ANY, is_placed=strategies.booleans())
+    def resume(self, number: int, is_placed: bool) -> None:
+        """Take up all streams that have broken off, at any gateways."""
+        gateways = list(self._world.gateways.values())
+        for stream in self._broken() if gateways else ():
+            number += 1
+            gateway = gateways[number % len(gateways)]
+            owner = self._owner(gateway, number)
+            asked = self._world.resume(stream, gateway, owner)
+            self._handle(asked, number, is_placed)
+
+    @stateful.rule(number=_ANY)
+    def continue_within_answer(self, number: int) -> None:
+        """Continue a stream whose engine has failed, within its answer."""
+        now = self._world.now
+        for stream in self._streams:
+            gateway = stream.relayed_by
+            if gateway is None or not self._world.is_running(gateway):
+                continue
+            if now < stream.deadline:
+                owner = self._owner(gateway, number)
+                asked = versionworld.Asked(
+                    stream, stream.run, gateway, owner, now
+                )
+                self._handle(asked, number, True)
+
+    @stateful.rule(number=_ANY)
+    def decide(self, number: int) -> None:
+        """Decide on the requests that wait."""
+        waiting, self._asked = self._asked, []
+        for asked in waiting:
+            number += 1
+            if asked.stream.deadline <= self._world.now:
+                continue
+            if asked.version is None:
+                self._handle(asked, number, True)
+            else:
+                self._finish(asked, self._world.place(asked, number))
+
+    def _broken(self) -> list[versionworld.Stream]:
+        return [
+            stream
+            for stream in self._streams
+            if not self._world.is_running(stream.relayed_by)
+            and stream.deadline > self._world.now
+        ]
+
+    def _owner(
+        self, gateway: versionworld.Gateway, number: int
+    ) -> versionworld.Gateway:
+        """Return a gateway that takes itself for the owner."""
+        found = [
+            other
+            for other in self._world.gateways.values()
+            if other.owner_since is not None
+        ]
+        return found[number % len(found)] if found else gateway
+
+    def _handle(
+        self, asked: versionworld.Asked, number: int, is_placed: bool
+    ) -> None:
+        verdict = self._world.bind(asked)
+        if verdict is _Verdict.WAITS and is_placed:
+            verdict = self._world.place(asked, number)
+        self._finish(asked, verdict)
+
+    def _finish(
+        self, asked: versionworld.Asked, verdict: versionworld.Verdict
+    ) -> None:
+        is_there = self._world.is_running(asked.gateway) and (
+            self._world.is_running(asked.owner)
+        )
+        if verdict is _Verdict.WAITS and is_there:
+            self._asked.append(asked)
+        if asked.stream not in self._streams and asked.stream.versions:
+            self._streams.append(asked.stream)
+
+    # What must hold.
+
+    @stateful.invariant()
+    def no_stream_is_mixed(self) -> None:
+        """Each stream holds events of one version."""
+        for stream in self._streams:
+            assert len(stream.versions) <= 1, stream
+
+    @stateful.rule()
+    def settle(self) -> None:
+        """Let the first gateway be the owner, and a moment pass."""
+        self._settle()
+
+    def _settle(self) -> None:
+        """Exchange messages and use the store for a second."""
+        gateways = list(self._world.gateways.values())
+        for gateway in gateways:
+            is_owner = gateway is gateways[0]
+            if is_owner and gateway.owner_since is None:
+                gateway.owner_since = self._world.now
+            elif not is_owner:
+                gateway.owner_since = None
+        for _ in range(5):
+            for gateway in gateways:
+                gateway.affinity.tell()
+            self._world.deliver()
+            for gateway in gateways:
+                self._use_store(gateway)
+            self._world.advance(0.2)
+        if gateways and not self._is_disturbed:
+            for stream in self._streams:
+                stream.is_settled |= self._world.is_running(stream.relayed_by)
+
+    def _use_store(self, gateway: versionworld.Gateway) -> None:
+        gateway.synchronize()
+        while gateway.call is not None:
+            is_write = gateway.call.is_write
+            gateway.end_call(self._writes if is_write else _Outcome.DONE)
+
+    @stateful.rule(number=_ANY)
+    def streams_go_on(self, number: int) -> None:
+        """If only gateways failed, streams of served versions go on."""
+        self.start_rest()
+        self._settle()
+        gateways = list(self._world.gateways.values())
+        if self._is_disturbed:
+            return
+        for stream in self._broken():
+            (version,) = stream.versions
+            if not stream.is_settled or not self._is_served(version):
+                continue
+            gateway = gateways[number % len(gateways)]
+            asked = self._world.resume(stream, gateway, gateways[0])
+            verdict = _Verdict.WAITS
+            for _ in range(4):
+                self._use_store(gateways[0])
+                if self._world.bind(asked) is _Verdict.REFUSED:
+                    break
+                verdict = self._world.place(asked, number)
+                if verdict is not _Verdict.WAITS:
+                    break
+                self._world.advance(0.1)
+            assert verdict is _Verdict.RUNS, stream
+
+
+TestVersionAffinity = VersionAffinityMachine.TestCase
+TestVersionAffinity.settings = hypothesis.settings(
+    hypothesis.settings.get_profile('ci'),
+    max_examples=1000,
+    stateful_step_count=50,
+)
--- a/galenahatch/test/test_version_history.py
+++ b/galenahatch/test/test_version_history.py
@@ -13,13 +13,19 @@
 """What a gateway that has just started knows of versions, by the store."""
 
 import asyncio
+import collections.abc
+import contextlib
 import typing
+from unittest import mock
 
 import msgspec
 import pytest
 
 from galenahatch import clock
+from galenahatch.core import upstreams
 from galenahatch.core import versionaffinity
+from galenahatch import errors
+from galenahatch.gateway import follower
 from galenahatch.gateway import versionhistory
 from galenahatch import ids
 from galenahatch.platform import store as stores
@@ -36,6 +42,7 @@
         self.ver = 1
         self.eras = self
         self.newest = era
+        self.is_read_only = False
 
     async def rows(self, table: str) -> stores.Rows:
         """Return all rows."""
@@ -47,8 +54,10 @@
         self,
         expected: list[stores.RowOperation],
         put: list[stores.RowOperation],
-    ) -> stores.Committed | stores.Conflict:
+    ) -> stores.Committed | stores.Conflict | errors.Failure:
         """Write rows that have the versions expected."""
+        if self.is_read_only:
+            return errors.Failure(errors.STORE_UNAVAILABLE, 'status 503')
         for row in expected:
             known = self.rows_by_key.get(row.key)
             if (known.ver if known else 0) != row.ver:
@@ -73,15 +82,39 @@
     def __init__(self, store: _Store, *present: ids.SoftwareVersion) -> None:
         self.served = versionaffinity.ServedVersions()
         self.history = versionhistory.VersionHistory(
-            typing.cast(stores.Store, store), self.served
+            typing.cast(stores.Store, store),
+            self.served,
+            lambda: self.currency,
         )
+        self._store = store
+        self._started_at = clock.now()
+        self.currency = follower.Currency()
         self.list(*present)
 
     def list(self, *present: ids.SoftwareVersion) -> None:
-        """Set the versions that serve."""
+        """Set the versions that serve, by an answer of the feed."""
+        now = clock.now()
+        self.currency = follower.Currency(
+            now, self._started_at, now * 1000, self._store.newest
+        )
         listed = {_SERVICE: frozenset(present)} if present else {}
         self.history.update(listed, clock.now())
 
+    def usable(self) -> set[ids.SoftwareVersion]:
+        """Return the versions at which streams may begin."""
+        engines = [
+            upstreams.Upstream(
+                ids.UpstreamId(version),
+                _SERVICE,
+                '',
+                ids.DataCentre(''),
+                1,
+                version=version,
+            )
+            for version in (_V1, _V2)
+        ]
+        return {engine.version for engine in self.history.usable(engines)}
+
     def knows_one(self) -> bool:
         """Return whether all streams are known to be of one version."""
         now = clock.now()
@@ -96,31 +129,108 @@
     return gateway
 
 
-# Guards against an empty memory that is taken for knowledge.
+async def _written(store: _Store, *present: ids.SoftwareVersion) -> _Gateway:
+    """Return a gateway that knows all versions, and has said so."""
+    gateway = await _started(store, *present)
+    await gateway.history.save()
+    with _later(versionaffinity.VERSION_RETENTION_S + 1):
+        gateway.list(*present)
+        await gateway.history.save()
+    return gateway
+
+
+@contextlib.contextmanager
+def _later(seconds: float) -> collections.abc.Iterator[None]:
+    now = clock.now() + seconds
+    with mock.patch.object(clock, 'now', lambda: now):
+        yield
+
+
+# Guards against an empty memory, or a missing row, taken for knowledge.
 def test_what_a_start_knows() -> None:
-    """Nothing before it has read the rows; then what they say."""
+    """What the rows say; without one, what it has seen for long enough."""
 
     async def run() -> None:
         store = _Store()
         assert not _Gateway(store, _V1).knows_one()
         first = await _started(store, _V1)
-        assert first.knows_one()
+        assert not first.knows_one()
         await first.history.save()
-        assert (await _started(store, _V1)).knows_one()
-        assert not (await _started(store, _V2)).knows_one()
+        assert not (await _started(store, _V1)).knows_one()
+        with _later(versionaffinity.VERSION_RETENTION_S + 1):
+            assert first.knows_one()
+            first.list(_V1)
+            await first.history.save()
+            assert (await _started(store, _V1)).knows_one()
+            assert not (await _started(store, _V2)).knows_one()
+
+    asyncio.run(run())
+
+
+# Guards against a row that was complete once and is taken for complete.
+@pytest.mark.parametrize(
+    ('seconds', 'is_known'),
+    [(versionhistory.LEASE_S - 1, True), (versionhistory.LEASE_S + 1, False)],
+)
+def test_row_that_was_not_renewed(seconds: float, is_known: bool) -> None:
+    """It vouches for a while only."""
+
+    async def run() -> None:
+        store = _Store()
+        await _written(store, _V1)
+        written_at = versionaffinity.VERSION_RETENTION_S + 1
+        with _later(written_at + seconds):
+            started = await _started(store, _V1)
+            assert started.knows_one() is is_known
+
+    asyncio.run(run())
+
+
+# Guards against streams that begin at a version that no row lists.
+def test_unlisted_version_waits_for_its_row() -> None:
+    """It is usable once a row lists it, or all that don't have expired."""
+
+    async def run() -> None:
+        store = _Store()
+        gateway = await _started(store, _V1)
+        assert gateway.usable() == {_V1, _V2}, 'no row vouches for anything'
+        await gateway.history.save()
+        assert gateway.usable() == {_V1}
+        gateway.list(_V1, _V2)
+        assert gateway.usable() == {_V1}
+        store.is_read_only = True
+        await gateway.history.save()
+        assert gateway.usable() == {_V1}
+        with _later(versionhistory.LEASE_S + 1):
+            assert gateway.usable() == {_V1, _V2}
+
+    asyncio.run(run())
+
+
+# Guards against an owner that vouches for what it no longer follows.
+def test_owner_whose_feed_is_silent_writes_nothing() -> None:
+    """It can't tell which versions have appeared."""
+
+    async def run() -> None:
+        store = _Store()
+        gateway = await _started(store, _V1)
+        with _later(follower.MAX_ANSWER_GAP_S + 1):
+            assert not await gateway.history.save()
+        assert not store.rows_by_key
 
     asyncio.run(run())
 
 
 # Guards against one version that is doubted since its engines came late.
 def test_engines_that_register_after_the_start() -> None:
-    """A store that was never restored had none before."""
+    """They were not there before, as long as the gateway has followed."""
 
     async def run() -> None:
         gateway = await _started(_Store())
         gateway.list(_V1)
-        assert gateway.knows_one()
-        assert gateway.history.knows_all_services(clock.now())
+        with _later(versionaffinity.VERSION_RETENTION_S + 1):
+            assert gateway.knows_one()
+            assert gateway.history.knows_all_services(clock.now())
 
     asyncio.run(run())
 
@@ -131,16 +241,19 @@
 
     async def run() -> None:
         store = _Store()
-        living = await _started(store, _V1)
-        if has_row:
-            await living.history.save()
+        living = await _written(store, _V1)
+        if not has_row:
+            store.rows_by_key.clear()
         store.newest = 2
-        assert not (await _started(store, _V1)).knows_one()
-        assert not living.history.is_loaded
-        await living.history.load()
-        assert living.knows_one(), 'it was there all the time'
-        await living.history.save()
-        assert (await _started(store, _V1)).knows_one()
+        with _later(versionaffinity.VERSION_RETENTION_S + 2):
+            assert not (await _started(store, _V1)).knows_one()
+            assert not living.history.is_loaded
+            living.list(_V1)
+            await living.history.load()
+            assert living.knows_one(), 'it was there all the time'
+            await living.history.save()
+            # Another one may have used another version while no row was there.
+            assert (await _started(store, _V1)).knows_one() is has_row
 
     asyncio.run(run())
 
--- a/galenahatch/test/test_versions.py
+++ b/galenahatch/test/test_versions.py
@@ -21,6 +21,8 @@
 
 import pytest
 
+from galenahatch.gateway import roster
+from galenahatch.gateway import versionhistory
 from galenahatch.test import fleet as fleets
 from galenahatch.test.standin import upstreams
 
@@ -33,6 +35,10 @@
     ('model', 'decode'),
 )
 _VERSIONS: typing.Final = ('v1', 'v2', 'v1', 'v2', 'v1', 'v2')
+_ALL_TABLES: typing.Final = frozenset(
+    {'service_versions', 'stream_origins', roster.MEMBER_TABLE}
+)
+"""Those that gateways write for all of this."""
 _STREAMS: typing.Final = 12
 """Of so many, one in four thousand days has each at its version by chance."""
 _SETTLE_S: typing.Final = 1.0
@@ -63,6 +69,8 @@
     versions: collections.abc.Sequence[str] = _VERSIONS,
     old: collections.abc.Sequence[int] = (),
     later: str = '',
+    row: dict[str, typing.Any] | None = None,
+    read_only: collections.abc.Set[str] = frozenset(),
 ) -> collections.abc.Iterator[fleets.Fleet]:
     """Four gateways, the first one the owner, and engines of some versions.
 
@@ -70,6 +78,8 @@
         versions: of the engines.
         old: gateways of an older build.
         later: version whose engines have not registered yet.
+        row: what the store tells of versions, as of now.
+        read_only: tables that the store doesn't write.
     """
     started = fleets.Fleet(4, _MEMBERS, in_order=True)
     for vm in old:
@@ -80,6 +90,10 @@
         started.put('servers', upstream.id, upstream.row())
         if version == later:
             started.drop('servers', upstream.id)
+    started.store.read_only |= read_only
+    if row is not None:
+        complete = {'complete_ms': time.monotonic() * 1000}
+        started.put('service_versions', 'model', row | complete)
     with started:
         time.sleep(_SETTLE_S)
         yield started
@@ -228,6 +242,12 @@
         fleets.eventually(fleet.vms[vm].ready, 'ready again', 40)
 
 
+def _add_version(fleet: fleets.Fleet, version: str) -> None:
+    for engine in fleet.upstreams:
+        if engine.version == version:
+            fleet.put('servers', engine.id, engine.row())
+
+
 def _remove_version(fleet: fleets.Fleet, version: str) -> None:
     for engine in fleet.upstreams:
         if engine.version == version:
@@ -302,9 +322,7 @@
     with _fleet(later='v2') as fleet, contextlib.ExitStack() as stack:
         streams = _begin(fleet, (0, 1, 2, 3), stack)
         assert {stream.version for stream in streams} == {'v1'}
-        for engine in fleet.upstreams:
-            if engine.version == 'v2':
-                fleet.put('servers', engine.id, engine.row())
+        _add_version(fleet, 'v2')
         time.sleep(_SETTLE_S)
         _restart(fleet, (0, 1, 2, 3), lambda: _remove_version(fleet, 'v1'))
         answers = _resume_all(fleet, (0, 1, 2, 3), streams)
@@ -333,15 +351,78 @@
         assert not any(fleet.runs(a.id) for a in answers)
 
 
+# Guards against a row that is missing, or not complete, and is taken for
+# knowledge: streams go on at another version than the one that began them.
+@pytest.mark.parametrize(
+    ('tables', 'later', 'waits_s'),
+    [
+        pytest.param(
+            {'service_versions', 'stream_origins'},
+            '',
+            versionhistory.LEASE_S + 1,
+            id='from the start',
+        ),
+        pytest.param(_ALL_TABLES, 'v2', 0.0, id='from a version'),
+        pytest.param(
+            _ALL_TABLES,
+            'v2',
+            versionhistory.LEASE_S + 1,
+            id='long before a version',
+        ),
+    ],
+)
+def test_store_that_took_no_writes(
+    tables: collections.abc.Set[str], later: str, waits_s: float
+) -> None:
+    """Streams begin, and none goes on elsewhere after a kill of all."""
+    first = frozenset() if later else tables
+    with (
+        _fleet(later=later, read_only=first) as fleet,
+        contextlib.ExitStack() as stack,
+    ):
+        fleet.store.read_only |= tables
+        if later:
+            _add_version(fleet, later)
+        time.sleep(_SETTLE_S + waits_s)
+        streams = _begin(fleet, (0, 1, 2, 3), stack)
+        gone = later or 'v1'
+        _restart(fleet, (0, 1, 2, 3), lambda: _remove_version(fleet, gone))
+        began = time.monotonic()
+        answers = _resume_all(fleet, (0, 1, 2, 3), streams)
+        assert time.monotonic() - began < 3.0
+        for stream, answer in zip(streams, answers, strict=True):
+            if fleet.runs(answer.id):
+                assert _version(fleet, answer.id) == stream.version
+
+
 # Guards against streams that are refused though all engines are of a version.
 def test_one_version_needs_no_record() -> None:
-    """A stream that nobody knows goes on, and no message names a version."""
-    with _fleet(versions=('v1',) * 6) as fleet:
+    """A stream that nobody knows goes on if all versions are known."""
+    versions = ('v1',) * 6
+    row = {'era': 1, 'left_ms': {'v1': -1.0}, 'known_ms': 0.0}
+    with _fleet(versions=versions, row=row) as fleet:
         unknown = _Begun(f'{next(fleets.IDS):016x}', 'aa:200,bb:800', 'v1')
         assert _resume(fleet, 1, unknown, Resumes=unknown.request).served
         assert _resume(fleet, 2, unknown).served
 
 
+# Guards against streams that go on though others may have begun them.
+def test_one_version_without_a_row() -> None:
+    """Streams that a gateway has begun go on, unknown ones are refused."""
+    with (
+        _fleet(versions=('v1',) * 6) as fleet,
+        contextlib.ExitStack() as stack,
+    ):
+        streams = _begin(fleet, (0, 1, 2, 3), stack)
+        stack.close()
+        answers = _resume_all(fleet, (3, 2, 1, 0), streams)
+        _assert_at_their_version(fleet, streams, answers)
+        unknown = _Begun(f'{next(fleets.IDS):016x}', 'aa:200,bb:800', 'v1')
+        answer = _resume(fleet, 1, unknown, Resumes=unknown.request)
+        assert (answer.status, _type(answer)) == (503, 'version_unknown')
+        assert not fleet.runs(answer.id)
+
+
 # Guards against streams that go on elsewhere once their version has gone.
 def test_version_that_has_gone_is_refused_at_once() -> None:
     """Both an open stream and one that returns end with an error."""
