Version affinity: a named stream isn't found by its request's digest

What callers could see: a stream went on at another software version, with 200, if the gateway that began it was killed before it had told others and another stream with the same request had begun at that version.

Cause: a return was looked up by the id that its caller names, then by the digest of its request, which other streams may share. Where the record of the id was missing, another stream's record answered.

Change: the digest counts only for callers that name no stream. A return is recorded under its own id as well, so a caller that names a later attempt than the first is found as before.

--- a/galenahatch/core/versionaffinity.py
+++ b/galenahatch/core/versionaffinity.py
@@ -14,7 +14,7 @@
 
 What engines of two software versions write doesn't fit together, so a stream
 continues only at the version that wrote its first event. A stream is known by
-keys: the id of the request that brought that event, and a digest by which a
+keys: the ids of the requests that brought its events, and a digest by which a
 caller that names no id is recognised. Two streams may share a digest; if they
 began at different versions, it stands for neither.
 
--- a/galenahatch/gateway/streamaffinity.py
+++ b/galenahatch/gateway/streamaffinity.py
@@ -51,10 +51,23 @@
 
 
 def stream_keys(call: calls.Call) -> tuple[ids.StreamKey, ...]:
-    """Return the keys of the stream that a request begins or takes up."""
+    """Return all keys of the stream that a request begins or takes up."""
+    keys = (call.resumes or call.id, call.id, _digest_key(call))
+    return tuple(ids.StreamKey(key) for key in dict.fromkeys(keys))
+
+
+def lookup_keys(call: calls.Call) -> tuple[ids.StreamKey, ...]:
+    """Return the keys by which a request that takes up a stream finds it.
+
+    Other streams may be of the same request, so its digest counts only if the
+    caller doesn't name the stream.
+    """
+    return (ids.StreamKey(call.resumes or _digest_key(call)),)
+
+
+def _digest_key(call: calls.Call) -> str:
     assert call.prompt is not None
-    digest = f'{call.digest}/{call.prompt.last_block_id}'
-    return ids.StreamKey(call.resumes or call.id), ids.StreamKey(digest)
+    return f'{call.digest}/{call.prompt.last_block_id}'
 
 
 class StreamAffinity:
@@ -79,7 +92,7 @@
         # Streams that begin are not counted.
         self._is_counted = not call.last_event_id
         if call.last_event_id:
-            self.bind(known.find(stream_keys(call)))
+            self.bind(known.find(lookup_keys(call)))
 
     @property
     def version(self) -> ids.SoftwareVersion:
@@ -115,7 +128,7 @@
         """
         if not self._call.last_event_id or self._version:
             return ()
-        return stream_keys(self._call)
+        return lookup_keys(self._call)
 
     @property
     def is_undecided(self) -> bool:
--- a/galenahatch/test/standin/versionworld.py
+++ b/galenahatch/test/standin/versionworld.py
@@ -486,13 +486,16 @@
 
 
 def _call(number: str, resumes: str) -> calls.Call:
-    """Return a caller's request; one that resumes names the first one."""
+    """Return a caller's request; one that resumes names the first one.
+
+    All are alike but for their ids.
+    """
     return typing.cast(
         calls.Call,
         types.SimpleNamespace(
             id=f'r{number}',
-            digest=f'd{number}',
-            prompt=types.SimpleNamespace(last_block_id=number),
+            digest='d',
+            prompt=types.SimpleNamespace(last_block_id='b'),
             resumes=resumes,
             last_event_id='1' if resumes else '',
         ),
--- a/galenahatch/test/test_version_affinity.py
+++ b/galenahatch/test/test_version_affinity.py
@@ -399,6 +399,22 @@
             assert verdict is _Verdict.RUNS, stream
 
 
+# Guards against a stream whose record is lost and that goes on where another
+# one with the same request has begun.
+def test_named_stream_is_not_taken_for_another() -> None:
+    """Its caller names it, so the digest of its request doesn't count."""
+    machine = VersionAffinityMachine()
+    machine.start_all(True, _Outcome.DONE, True)
+    try:
+        begun = {version for s in machine._streams for version in s.versions}
+        assert begun == set(_VERSIONS[:2])
+        machine.kill(_NAMES[0], _Outcome.LOST)
+        machine.resume(0, True)
+        machine.no_stream_is_mixed()
+    finally:
+        machine.teardown()
+
+
 TestVersionAffinity = VersionAffinityMachine.TestCase
 TestVersionAffinity.settings = hypothesis.settings(
     hypothesis.settings.get_profile('ci'),
