--- a/galenahatch/gateway/affinity.py
+++ b/galenahatch/gateway/affinity.py
@@ -130,12 +130,8 @@
         background.run_forever('version history', self._store_forever)
 
     def _update_served(self) -> None:
-        present: dict[ids.ServiceName, set[ids.SoftwareVersion]] = {}
-        for upstream in self._directory.registry.upstreams.values():
-            if upstream.stage is not None:
-                versions = present.setdefault(upstream.service, set())
-                versions.add(upstream.version)
         none = {versionaffinity.ANY_VERSION}
+        present = self._present_versions()
         self._unversioned = {
             n for n, found in present.items() if found == none
         }
@@ -147,6 +143,24 @@
         self._history.update(frozen, clock.now())
         self._wake.set()
 
+    def _present_versions(
+        self,
+    ) -> dict[ids.ServiceName, set[ids.SoftwareVersion]]:
+        """Return the versions of engines that may be used, by service.
+
+        Engines whose entries have all lapsed are used for a while.
+        """
+        registry = self._directory.registry
+        engines = list(registry.upstreams.values())
+        for name in self._served.names():
+            engines += registry.usable(name, clock.now())
+        present: dict[ids.ServiceName, set[ids.SoftwareVersion]] = {}
+        for engine in engines:
+            if engine.stage is not None:
+                found = present.setdefault(engine.service, set())
+                found.add(engine.version)
+        return present
+
     def is_single(self, service: ids.ServiceName) -> bool:
         """Return whether at most one version of a service is known here."""
         return self._served.is_single(service, clock.now())
--- a/galenahatch/test/standin/versionworld.py
+++ b/galenahatch/test/standin/versionworld.py
@@ -159,6 +159,12 @@
         self.upstreams_currency = follower.Currency()
         self._listener: collections.abc.Callable[[], None] = lambda: None
 
+    def usable(
+        self, service: ids.ServiceName, now: float
+    ) -> list[upstreams.Upstream]:
+        """Return the engines that accept work."""
+        return list(self.upstreams.values())
+
     def on_change(self, listener: collections.abc.Callable[[], None]) -> None:
         """Set the listener."""
         self._listener = listener
