Version history: what has left is kept by the latest estimate

A version that has left was dropped from the verdict by the earliest instant that the store's clock allows, up to the length of a call too soon. Estimates err towards doubt now here as well. test_version_history passes (13 cases); no caller has seen it.

--- a/galenahatch/gateway/versionhistory.py
+++ b/galenahatch/gateway/versionhistory.py
@@ -141,14 +141,11 @@
         """
         if not self.knows_all(service, now):
             return None
-        row = self._rows[service]
-        oldest_ms = self._clock.latest_ms(
-            now - versionaffinity.VERSION_RETENTION_S
-        )
+        oldest = now - versionaffinity.VERSION_RETENTION_S
         listed = [
             version
-            for version, left_ms in row.left_ms.items()
-            if left_ms < 0 or left_ms >= oldest_ms
+            for version, left_ms in self._rows[service].left_ms.items()
+            if left_ms < 0 or self._clock.latest_at(left_ms) >= oldest
         ]
         return listed[0] if len(listed) == 1 else None
 
