Tests: a reading from before a return, by a fixed sequence

The mutation "versions, reading at a return" survived on: the state machine had found it before, and didn't any more once its rules were drawn differently. A gateway that has read the rows, and hasn't seen a version that another one lists and uses, is now asked about that one's streams in a test of its own. Tests only; the product is unchanged.

--- a/galenahatch/test/test_version_affinity.py
+++ b/galenahatch/test/test_version_affinity.py
@@ -24,6 +24,7 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import pytest
 
 from galenahatch import clock
 from galenahatch import ids
@@ -487,6 +488,24 @@
         machine.teardown()
 
 
+# Guards against a reading from before a stream returned: another gateway may
+# have listed a version since, and begun the stream there.
+@pytest.mark.parametrize('number', range(4))
+def test_reading_before_a_return_does_not_count(number: int) -> None:
+    """A gateway that hasn't seen the version doesn't take it for absent."""
+    machine = VersionAffinityMachine()
+    machine.start_all(False, _Outcome.DONE, True, False)
+    try:
+        machine.set_owner(_NAMES[1], True)
+        machine.wait(1.0)
+        machine._use_store(machine._world.gateways[_NAMES[1]])
+        machine.add_version_unseen(_NAMES[1], _VERSIONS[1], number)
+        assert machine._streams
+        machine.no_stream_is_mixed()
+    finally:
+        machine.teardown()
+
+
 TestVersionAffinity = VersionAffinityMachine.TestCase
 TestVersionAffinity.settings = hypothesis.settings(
     hypothesis.settings.get_profile('ci'),
