Decoding: what others write is bounded, and raises nothing

Another writer's odd document stopped what serves all others. One function now decodes all that other processes write and makes a failure of whatever that raises; its values are bounded where they are decoded.

What callers saw (the users' report): processes that ended again and again or stopped following the list, after one odd entry. Deep nesting raises RecursionError, also in fields that are skipped, which nine decoders didn't catch; their loops read the same document again each 0.5 s. An entry's key with CR, LF or NUL raised ValueError out of the client session, two versions of 40,000 characters overflowed the row that lists versions, a member's port of -1 raised ZMQError, a weight of 10^400 raised OverflowError at each choice of a service, and a lease until 10^300 was never free again.

A lease that ends more than 10 minutes ahead counts as invalid. Addresses have one form: `fe80::1:8141` and `[[10.0.0.1]]:80` are rejected.

--- a/galenahatch/answers.py
+++ b/galenahatch/answers.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from galenahatch.core import claim
+from galenahatch import decoding
 from galenahatch import errors
 from galenahatch import ids
 from galenahatch import inbound
@@ -249,11 +250,20 @@
     choices: tuple[_StoredChoice, ...]
 
 
+_STORED_DECODER: typing.Final = msgspec.json.Decoder(_StoredBody)
+
+
 def decode_stored_completion(answer: claim.Answer) -> StoredCompletion | None:
-    """Decode a stored completion; return None for a stored failure."""
+    """Decode a stored completion; return None for any other answer."""
     if answer.outcome != errors.Outcome.ANSWERED.value:
         return None
-    body = msgspec.json.decode(answer.body, type=_StoredBody)
+    stored = decoding.decode(
+        _STORED_DECODER, answer.body, errors.BAD_FRAME, _convert_stored
+    )
+    return stored if isinstance(stored, StoredCompletion) else None
+
+
+def _convert_stored(body: _StoredBody) -> StoredCompletion:
     choice = body.choices[0]
     text = choice.text or choice.message.content
     return StoredCompletion(text, choice.finish_reason)
--- a/galenahatch/claimclient.py
+++ b/galenahatch/claimclient.py
@@ -29,6 +29,7 @@
 from galenahatch.core import claim
 from galenahatch.core import rendezvous
 from galenahatch.core import retry
+from galenahatch import decoding
 from galenahatch import errors
 from galenahatch import ids
 from galenahatch import logs
@@ -375,10 +376,7 @@
 
 
 def _decode_answer(body: bytes) -> claim.Answer | errors.Failure:
-    try:
-        return _ANSWER_DECODER.decode(body)
-    except msgspec.MsgspecError as error:
-        return errors.Failure(errors.BAD_FRAME, str(error))
+    return decoding.decode(_ANSWER_DECODER, body, errors.BAD_FRAME)
 
 
 def _existing_claim_failure(state: states.HolderState) -> errors.Failure:
--- a/galenahatch/config.py
+++ b/galenahatch/config.py
@@ -32,6 +32,8 @@
 import msgspec
 
 from galenahatch import checks
+from galenahatch import decoding
+from galenahatch import errors
 from galenahatch import schema
 
 Tree = dict[str, typing.Any]
@@ -81,16 +83,21 @@
     Unknown keys are ignored, so that a daemon can read what a newer command
     line wrote. Returns None if a text is invalid.
     """
+    loaded = decoding.guard(lambda: _load(bundle), errors.BAD_CONFIGURATION)
+    return None if isinstance(loaded, errors.Failure) else loaded
+
+
+def _load(bundle: schema.Bundle) -> dict[str, schema.Config] | None:
     problems: list[checks.Problem] = []
     base = _parse(checks.BASE, bundle.base, problems)
     configs = {}
     for site, text in bundle.overlays.items():
         merged = merge(base, _parse(site, text, problems))
         merged['draining'] = list(bundle.draining)
-        try:
-            configs[site] = msgspec.convert(merged, schema.Config)
-        except msgspec.ValidationError:
+        config = _convert_whole(merged)
+        if config is None:
             return None
+        configs[site] = config
     return None if problems else configs
 
 
@@ -98,10 +105,12 @@
     """Convert a tree at once; return None if it is invalid, which is rare."""
     if any(_unknown_keys(tree)):
         return None
-    try:
-        return msgspec.convert(tree, schema.Config)
-    except msgspec.ValidationError:
-        return None
+    return _convert_whole(tree)
+
+
+def _convert_whole(tree: Tree) -> schema.Config | None:
+    config = decoding.convert(tree, schema.Config, errors.BAD_CONFIGURATION)
+    return None if isinstance(config, errors.Failure) else config
 
 
 def _unknown_keys(tree: Tree) -> typing.Iterator[str]:
@@ -119,11 +128,14 @@
 
 
 def _parse(file: str, text: str, problems: list[checks.Problem]) -> Tree:
-    try:
-        return tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
-        problems.append(checks.Problem(file, '', f'valid TOML: {error}'))
+    tree = decoding.guard(
+        lambda: tomllib.loads(text), errors.BAD_CONFIGURATION
+    )
+    if isinstance(tree, errors.Failure):
+        expected = f'valid TOML: {tree.detail}'
+        problems.append(checks.Problem(file, '', expected))
         return {}
+    return tree
 
 
 def merge(base: Tree, overlay: Tree) -> Tree:
@@ -265,12 +277,14 @@
             )
             for index, item in enumerate(value)
         )
-    try:
-        return msgspec.convert(value, _without_newtypes(hint))
-    except msgspec.ValidationError:
+    converted = decoding.convert(
+        value, _without_newtypes(hint), errors.BAD_CONFIGURATION
+    )
+    if isinstance(converted, errors.Failure):
         expected = f'{_type_name(hint)}, not {value!r}'
         problems.append(checks.Problem(origin(path), path, expected))
         return _empty_value(hint)
+    return converted
 
 
 def _struct_item_type(hint: typing.Any) -> type[msgspec.Struct] | None:
--- a/galenahatch/controller.py
+++ b/galenahatch/controller.py
@@ -28,6 +28,7 @@
 from galenahatch.core import lease as lease_module
 from galenahatch.core import orders
 from galenahatch.core import transaction
+from galenahatch import decoding
 from galenahatch import errors
 from galenahatch import ids
 from galenahatch import logs
@@ -216,11 +217,11 @@
 def _decode(data: bytes | None) -> lease_module.Record | None:
     if data is None:
         return None
-    try:
-        return _RECORD_DECODER.decode(data)
-    except msgspec.MsgspecError as error:
-        _log.error('Lease record is malformed.', detail=str(error))
+    record = decoding.decode(_RECORD_DECODER, data, errors.BAD_FRAME)
+    if isinstance(record, errors.Failure):
+        _log.error('Lease record is malformed.', detail=record.detail)
         return None
+    return record
 
 
 def _compare_and_swap(
--- a/galenahatch/core/claim.py
+++ b/galenahatch/core/claim.py
@@ -28,6 +28,8 @@
 
 import msgspec
 
+from galenahatch import bounds
+from galenahatch import decoding
 from galenahatch import errors
 from galenahatch import ids
 from galenahatch import messages
@@ -57,9 +59,9 @@
         body: Complete body, never a stream.
     """
 
-    status: int
-    outcome: str
-    content_type: str
+    status: typing.Annotated[int, msgspec.Meta(ge=100, le=599)]
+    outcome: bounds.Text
+    content_type: bounds.Line
     body: bytes
 
 
@@ -117,10 +119,7 @@
 
 def decode(data: bytes) -> Record | errors.Failure:
     """Decode a record, or return why it is invalid."""
-    try:
-        return _DECODER.decode(data)
-    except msgspec.MsgspecError as error:
-        return errors.Failure(errors.BAD_FRAME, str(error))
+    return decoding.decode(_DECODER, data, errors.BAD_FRAME)
 
 
 def classify_arrival(
--- a/galenahatch/core/lease.py
+++ b/galenahatch/core/lease.py
@@ -24,6 +24,7 @@
 
 import msgspec
 
+from galenahatch import bounds
 from galenahatch import ids
 
 HOLD_FRACTION: typing.Final = 0.5
@@ -33,10 +34,10 @@
 class Record(msgspec.Struct, frozen=True, array_like=True):
     """Record of the lease in the table."""
 
-    holder: ids.MemberId
-    incarnation: int
-    fencing: int
-    renewal: int
+    holder: typing.Annotated[ids.MemberId, bounds.TEXT]
+    incarnation: bounds.Number
+    fencing: bounds.Number
+    renewal: bounds.Number
 
 
 class Lease:
--- a/galenahatch/core/revision.py
+++ b/galenahatch/core/revision.py
@@ -23,6 +23,7 @@
 
 import msgspec
 
+from galenahatch import decoding
 from galenahatch import errors
 from galenahatch import ids
 from galenahatch import schema
@@ -82,12 +83,12 @@
 
 def decode_head(data: bytes) -> Head | errors.Failure:
     """Decode a head."""
-    return _decode(_HEAD, data)
+    return decoding.decode(_HEAD, data, errors.BAD_FRAME)
 
 
 def decode_accepted(data: bytes) -> Accepted | errors.Failure:
     """Decode an accepted configuration and verify its digest."""
-    accepted = _decode(_ACCEPTED, data)
+    accepted = decoding.decode(_ACCEPTED, data, errors.BAD_FRAME)
     if isinstance(accepted, errors.Failure):
         return accepted
     if bundle_digest(encode(accepted.bundle)) != accepted.head.digest:
@@ -99,19 +100,7 @@
     """Verify the digest of an encoded bundle and decode it."""
     if bundle_digest(data) != digest:
         return errors.Failure(errors.BAD_FRAME, 'digest of the bundle')
-    return _decode(_BUNDLE, data)
-
-
-_T = typing.TypeVar('_T')
-
-
-def _decode(
-    decoder: msgspec.msgpack.Decoder[_T], data: bytes
-) -> _T | errors.Failure:
-    try:
-        return decoder.decode(data)
-    except msgspec.MsgspecError as error:
-        return errors.Failure(errors.BAD_FRAME, str(error))
+    return decoding.decode(_BUNDLE, data, errors.BAD_FRAME)
 
 
 class ActiveConfiguration:
--- a/galenahatch/gateway/frames.py
+++ b/galenahatch/gateway/frames.py
@@ -19,6 +19,7 @@
 
 import msgspec
 
+from galenahatch import decoding
 from galenahatch import errors
 from galenahatch.gateway import affinitymessages
 from galenahatch.gateway import callmessages
@@ -83,8 +84,4 @@
         return errors.Failure(errors.BAD_FRAME, f'{len(frame)} bytes')
     if frame[0] != _VERSION:
         return errors.Failure(errors.BAD_FRAME, f'version {frame[0]}')
-    try:
-        # Deeply nested surplus fields raise RecursionError.
-        return _DECODER.decode(memoryview(frame)[1:])
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        return errors.Failure(errors.BAD_FRAME, str(error))
+    return decoding.decode(_DECODER, memoryview(frame)[1:], errors.BAD_FRAME)
--- a/galenahatch/gateway/lease.py
+++ b/galenahatch/gateway/lease.py
@@ -30,8 +30,10 @@
 
 import msgspec
 
+from galenahatch import bounds
 from galenahatch import clock
 from galenahatch.core import versions
+from galenahatch import decoding
 from galenahatch import errors
 from galenahatch import ids
 from galenahatch import logs
@@ -47,6 +49,8 @@
 _VERSION_BITS: typing.Final = 40
 """Bits of a fencing token for the version within an era, enough for decades
 of writes."""
+_MAX_LEFT_MS: typing.Final = 600_000.0
+"""Longer than any lease is taken for, also by a build with other settings."""
 _log = logs.Log('lease')
 
 
@@ -91,9 +95,12 @@
         era: Era of the store in which the row was written.
     """
 
-    holder: str
-    until_ms: float
-    era: int = 0
+    holder: bounds.Text
+    until_ms: bounds.ClockMs
+    era: bounds.Number = 0
+
+
+_DECODER: typing.Final = msgspec.json.Decoder(_Row)
 
 
 def _find_lease(rows: stores.Rows) -> tuple[int, _Row | None]:
@@ -105,14 +112,30 @@
     row = next((row for row in rows.rows if row.key == _KEY), None)
     if row is None:
         return 0, None
-    try:
-        lease = msgspec.json.decode(row.value, type=_Row)
-    except msgspec.MsgspecError as error:
-        _log.error('Invalid lease row.', error=str(error))
+    lease = decoding.decode(
+        _DECODER,
+        row.value,
+        errors.BAD_FRAME,
+        lambda lease: _check_end(lease, rows.now_ms),
+        max_bytes=bounds.ROW_BYTES,
+    )
+    if isinstance(lease, errors.Failure):
+        _log.error('Invalid lease row.', error=lease.detail)
         return row.ver, None
     return row.ver, lease if lease.era == rows.era else None
 
 
+def _check_end(lease: _Row, now_ms: float) -> _Row:
+    """Check that the lease ends in a foreseeable time.
+
+    Raises:
+        ValueError: Nobody would get it again.
+    """
+    if lease.until_ms > now_ms + _MAX_LEFT_MS:
+        raise ValueError(f'until_ms: {lease.until_ms}, now {now_ms}')
+    return lease
+
+
 class Lease:
     """Acquires the lease for one gateway.
 
--- a/galenahatch/gateway/originlog.py
+++ b/galenahatch/gateway/originlog.py
@@ -27,8 +27,10 @@
 
 import msgspec
 
+from galenahatch import bounds
 from galenahatch import clock
 from galenahatch.core import versionaffinity
+from galenahatch import decoding
 from galenahatch import errors
 from galenahatch import ids
 from galenahatch import logs
@@ -42,6 +44,8 @@
 _ORIGIN_OVERHEAD_BYTES: typing.Final = 32
 _MAX_KEY_BYTES: typing.Final = 512
 """Longer keys, which only a caller can choose, are not stored."""
+_MAX_SECONDS_LEFT: typing.Final = 86400.0
+"""No caller waits longer; a longer time would keep its row for ever."""
 _MAX_ROWS_WRITTEN: typing.Final = 8
 _MAX_ROWS_REMOVED: typing.Final = 64
 _MAX_ROWS: typing.Final = 512
@@ -51,6 +55,11 @@
 _log = logs.Log('versions')
 
 
+_SecondsLeft = typing.Annotated[
+    float, msgspec.Meta(ge=-_MAX_SECONDS_LEFT, le=_MAX_SECONDS_LEFT)
+]
+
+
 class StoredOrigin(msgspec.Struct, frozen=True, array_like=True):
     """Origin of a stream.
 
@@ -58,9 +67,11 @@
         seconds_left: Seconds from the write until its caller doesn't return.
     """
 
-    key: ids.StreamKey
-    version: ids.SoftwareVersion
-    seconds_left: float
+    key: typing.Annotated[
+        ids.StreamKey, msgspec.Meta(max_length=_MAX_KEY_BYTES)
+    ]
+    version: typing.Annotated[ids.SoftwareVersion, bounds.TEXT]
+    seconds_left: _SecondsLeft
 
 
 class Batch(msgspec.Struct, frozen=True):
@@ -71,11 +82,21 @@
         written_ms: Time of the store's clock.
     """
 
-    era: int
-    written_ms: float
+    era: bounds.Number
+    written_ms: bounds.ClockMs
     origins: tuple[StoredOrigin, ...]
 
 
+_DECODER: typing.Final = msgspec.json.Decoder(Batch)
+
+
+def decode(data: bytes) -> Batch | errors.Failure:
+    """Decode the value of a row."""
+    return decoding.decode(
+        _DECODER, data, errors.BAD_FRAME, max_bytes=bounds.ROW_BYTES
+    )
+
+
 class OriginLog:
     """Stores origins of streams while this gateway is the owner.
 
@@ -154,10 +175,9 @@
     def _apply(
         self, stored: stores.Row, rows: stores.Rows, now: float
     ) -> None:
-        try:
-            batch = msgspec.json.decode(stored.value, type=Batch)
-        except msgspec.MsgspecError as error:
-            _log.error('Invalid origins.', key=stored.key, error=str(error))
+        batch = decode(stored.value)
+        if isinstance(batch, errors.Failure):
+            _log.error('Invalid origins.', key=stored.key, error=batch.detail)
             self._rows[stored.key] = now
             return
         age = 0.0
--- a/galenahatch/gateway/quarantine.py
+++ b/galenahatch/gateway/quarantine.py
@@ -27,9 +27,11 @@
 
 import msgspec
 
+from galenahatch import bounds
 from galenahatch import clock
 from galenahatch.core import quarantine
 from galenahatch.core import upstreams
+from galenahatch import decoding
 from galenahatch import errors
 from galenahatch.gateway import calls
 from galenahatch.gateway import instruments
@@ -62,17 +64,25 @@
         released: Whether it ran to completion or an operator released it.
     """
 
-    ends: tuple[int, ...] = ()
+    ends: tuple[bounds.Number, ...] = ()
     released: bool = False
 
 
+_DECODER: typing.Final = msgspec.json.Decoder(Entry)
+
+
 def decode(row: stores.Row) -> Entry | None:
-    """Decode a row; return None if it is invalid."""
-    try:
-        return msgspec.json.decode(row.value, type=Entry)
-    except msgspec.MsgspecError as error:
-        _log.error('Invalid quarantine row.', key=row.key, error=str(error))
+    """Decode a row; return None if it is invalid.
+
+    The digest in its key is compared only, and the store bounds its length.
+    """
+    entry = decoding.decode(
+        _DECODER, row.value, errors.BAD_FRAME, max_bytes=bounds.ROW_BYTES
+    )
+    if isinstance(entry, errors.Failure):
+        _log.error('Invalid quarantine row.', key=row.key, error=entry.detail)
         return None
+    return entry
 
 
 class Guard:
--- a/galenahatch/gateway/roster.py
+++ b/galenahatch/gateway/roster.py
@@ -28,9 +28,11 @@
 
 import msgspec
 
+from galenahatch import bounds
 from galenahatch import clock
 from galenahatch.core import members
 from galenahatch.core import versions
+from galenahatch import decoding
 from galenahatch import errors
 from galenahatch.gateway import follower as followers
 from galenahatch import ids
@@ -68,9 +70,12 @@
         proxy_port: Port on which it proxies requests; 0 if it doesn't.
     """
 
-    port: int
-    data_centre: str
-    proxy_port: int = 0
+    port: bounds.Port
+    data_centre: bounds.Text
+    proxy_port: bounds.OptionalPort = 0
+
+
+_DECODER: typing.Final = msgspec.json.Decoder(MemberRow)
 
 
 def is_member(row: stores.Row) -> bool:
@@ -80,11 +85,28 @@
 
 def decode_member_row(row: stores.Row) -> MemberRow | None:
     """Decode a member's row; return None if it is invalid."""
-    try:
-        return msgspec.json.decode(row.value, type=MemberRow)
-    except msgspec.MsgspecError as error:
-        _log.error('Invalid member row.', member=row.key, error=str(error))
+    decoded = decoding.decode(
+        _DECODER,
+        row.value,
+        errors.BAD_FRAME,
+        lambda decoded: _check_address(row.key, decoded),
+        max_bytes=bounds.ROW_BYTES,
+    )
+    if isinstance(decoded, errors.Failure):
+        _log.error('Invalid member row.', member=row.key, error=decoded.detail)
         return None
+    return decoded
+
+
+def _check_address(key: str, decoded: MemberRow) -> MemberRow:
+    """Check that others can connect to what the row's key names.
+
+    Raises:
+        ValueError: It is not the one way to write an address.
+    """
+    if bounds.check_ip(key) != key:
+        raise ValueError(f'address: {key}')
+    return decoded
 
 
 class Roster:
--- a/galenahatch/gateway/versionhistory.py
+++ b/galenahatch/gateway/versionhistory.py
@@ -231,10 +231,9 @@
     def _apply(self, stored: stores.Row, era: int, now: float) -> None:
         name = ids.ServiceName(stored.key)
         self._numbers[name] = stored.ver
-        try:
-            row = msgspec.json.decode(stored.value, type=versionrows.Row)
-        except msgspec.MsgspecError as error:
-            _log.error('Invalid version row.', key=name, error=str(error))
+        row = versionrows.decode(stored.value)
+        if isinstance(row, errors.Failure):
+            _log.error('Invalid version row.', key=name, error=row.detail)
             return
         self._rows[name] = row
         for version, left_ms in row.left_ms.items():
--- a/galenahatch/gateway/versionrows.py
+++ b/galenahatch/gateway/versionrows.py
@@ -20,6 +20,9 @@
 
 import msgspec
 
+from galenahatch import bounds
+from galenahatch import decoding
+from galenahatch import errors
 from galenahatch import ids
 
 LEASE_S: typing.Final = 20.0
@@ -42,16 +45,28 @@
             in rows of older builds.
     """
 
-    era: int
-    left_ms: dict[ids.SoftwareVersion, float]
-    known_ms: float = 0.0
-    complete_ms: float = 0.0
+    era: bounds.Number
+    left_ms: dict[
+        typing.Annotated[ids.SoftwareVersion, bounds.TEXT], bounds.ClockMs
+    ]
+    known_ms: bounds.ClockMs = 0.0
+    complete_ms: bounds.ClockMs = 0.0
 
     def is_in_force(self, now_ms: float) -> bool:
         """Return whether it lists all versions that are in use."""
         return 0 < self.complete_ms <= now_ms < self.complete_ms + _LEASE_MS
 
 
+_DECODER: typing.Final = msgspec.json.Decoder(Row)
+
+
+def decode(data: bytes) -> Row | errors.Failure:
+    """Decode the value of a row."""
+    return decoding.decode(
+        _DECODER, data, errors.BAD_FRAME, max_bytes=bounds.ROW_BYTES
+    )
+
+
 class StoreClock(typing.NamedTuple):
     """The store's clock, as an answer of the store tells it.
 
--- a/galenahatch/inbound.py
+++ b/galenahatch/inbound.py
@@ -21,6 +21,7 @@
 import msgspec
 
 from galenahatch import clock
+from galenahatch import decoding
 from galenahatch import errors
 from galenahatch import ids
 from galenahatch import schema
@@ -207,14 +208,10 @@
 def _parse(
     body: bytes, chat: bool
 ) -> CompletionBody | ChatBody | errors.Failure:
-    try:
-        if chat:
-            return _CHAT_DECODER.decode(body)
-        return _COMPLETION_DECODER.decode(body)
-    except msgspec.ValidationError as error:
-        return errors.Failure(errors.BAD_FIELD, str(error))
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        return errors.Failure(errors.BAD_JSON, str(error))
+    reason, invalid = errors.BAD_JSON, errors.BAD_FIELD
+    if chat:
+        return decoding.decode(_CHAT_DECODER, body, reason, invalid=invalid)
+    return decoding.decode(_COMPLETION_DECODER, body, reason, invalid=invalid)
 
 
 def _prompt_text(body: CompletionBody | ChatBody) -> str:
--- a/galenahatch/messages.py
+++ b/galenahatch/messages.py
@@ -25,6 +25,7 @@
 import msgspec
 
 from galenahatch import bus
+from galenahatch import decoding
 from galenahatch import errors
 from galenahatch import ids
 from galenahatch import states
@@ -420,10 +421,7 @@
         return errors.Failure(errors.BAD_FRAME, f'{len(frame)} bytes')
     if frame[0] != VERSION:
         return errors.Failure(errors.BAD_FRAME, f'version {frame[0]}')
-    try:
-        return _DECODER.decode(memoryview(frame)[1:])
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        return errors.Failure(errors.BAD_FRAME, str(error))
+    return decoding.decode(_DECODER, memoryview(frame)[1:], errors.BAD_FRAME)
 
 
 CODEC: typing.Final = bus.Codec[AnyMessage](encode, decode)
--- a/galenahatch/platform/deployment.py
+++ b/galenahatch/platform/deployment.py
@@ -24,7 +24,9 @@
 
 import msgspec
 
+from galenahatch import bounds
 from galenahatch.core import quotas
+from galenahatch import decoding
 from galenahatch import errors
 from galenahatch.gateway import settings
 from galenahatch import ids
@@ -36,21 +38,26 @@
 """Contract that turns on all features unless `features` says otherwise."""
 
 
+_MAX_AMOUNT: typing.Final = 1e9
+"""MB, Mbit/s, requests: far above any VM's, and exact when multiplied."""
+_Amount = typing.Annotated[float, msgspec.Meta(ge=0, le=_MAX_AMOUNT)]
+
+
 class _Listen(msgspec.Struct, frozen=True):
     front: str
     readiness: str
 
 
 class _Bounds(msgspec.Struct, frozen=True):
-    drain_ms: float = 2000.0
-    grace_s: float = 8.0
-    retry_budget_ratio: float = 0.2
-    retry_slack: float = 50.0
-    budget_window_s: float = 10.0
-    lease_ms: float = 3000.0
-    quota_window_s: float = 10.0
-    quota_overshoot: float = 0.1
-    quota_slack: float = 0.0
+    drain_ms: bounds.Milliseconds = 2000.0
+    grace_s: bounds.Seconds = 8.0
+    retry_budget_ratio: _Amount = 0.2
+    retry_slack: _Amount = 50.0
+    budget_window_s: bounds.Seconds = 10.0
+    lease_ms: bounds.Milliseconds = 3000.0
+    quota_window_s: bounds.Seconds = 10.0
+    quota_overshoot: _Amount = 0.1
+    quota_slack: _Amount = 0.0
 
 
 class _Platform(msgspec.Struct, frozen=True):
@@ -63,9 +70,9 @@
 
 
 class _File(msgspec.Struct, frozen=True):
-    node_name: str
-    ip: str
-    zone: str
+    node_name: bounds.Text
+    ip: bounds.Text
+    zone: bounds.Text
     listen: _Listen
     port_range: tuple[int, int]
     platform: _Platform
@@ -76,6 +83,9 @@
     limits: object = None
 
 
+_DECODER: typing.Final = msgspec.json.Decoder(_File)
+
+
 def settings_path() -> str:
     """Return the path of the settings file, or an empty string if unset."""
     return os.environ.get(PATH_VARIABLE, '')
@@ -93,10 +103,10 @@
 
 def decode(data: bytes) -> settings.Settings | errors.Failure:
     """Decode and validate the contents of a settings file."""
-    try:
-        raw = msgspec.json.decode(data, type=_File)
-    except msgspec.MsgspecError as error:
-        return errors.Failure(errors.BAD_SETTING, str(error))
+    return decoding.decode(_DECODER, data, errors.BAD_SETTING, _convert)
+
+
+def _convert(raw: _File) -> settings.Settings | errors.Failure:
     front = _parse_address('listen.front', raw.listen.front)
     readiness = _parse_address('listen.readiness', raw.listen.readiness)
     store = _parse_address('platform.address', raw.platform.address)
@@ -200,9 +210,11 @@
     """Return a limit of the VM; 0 if it isn't stated."""
     limit = limits.get(name, 0)
     is_number = isinstance(limit, int | float) and limit is not True
-    if not is_number or not 0 <= limit < math.inf:
+    if not is_number or not 0 <= limit <= _MAX_AMOUNT:
         return _invalid_field(
-            f'limits.{name}', limit, 'a finite number of at least 0'
+            f'limits.{name}',
+            limit,
+            f'a finite number of at least 0, at most {_MAX_AMOUNT:g}',
         )
     return float(limit)
 
@@ -215,5 +227,7 @@
 
 
 def _invalid_field(field: str, value: object, expected: str) -> errors.Failure:
-    detail = f'{field} is {value!r}, expected {expected}'
+    detail = (
+        f'{field} is {decoding.printable(repr(value))}, expected {expected}'
+    )
     return errors.Failure(errors.BAD_SETTING, detail)
--- a/galenahatch/platform/documents.py
+++ b/galenahatch/platform/documents.py
@@ -18,15 +18,16 @@
 entry said.
 """
 
-import ipaddress
 import typing
 
 import msgspec
 
+from galenahatch import bounds
 from galenahatch.core import customers
 from galenahatch.core import incarnations
 from galenahatch.core import routes
 from galenahatch.core import upstreams
+from galenahatch import decoding
 from galenahatch import errors
 from galenahatch import ids
 
@@ -40,7 +41,8 @@
 _MAX_START_MS: typing.Final = 4_102_444_800_000
 """Unix milliseconds of the year 2100. A later start is rejected, since no
 real restart could follow it."""
-_MAX_PORT: typing.Final = 65_535
+_MAX_UNITS: typing.Final = 10**9
+"""Above the weight of a route's target, and what is counted in requests."""
 _MAX_NAME_CHARS: typing.Final = 200
 """Characters in a customer's name, which is sent in a header."""
 _MAX_QUOTA_UNITS: typing.Final = 1e12
@@ -52,50 +54,55 @@
 would count like a day's requests of the other."""
 
 
+_Weight = typing.Annotated[int, msgspec.Meta(ge=-_MAX_UNITS, le=_MAX_UNITS)]
+_Units = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_UNITS)]
+
+
 class _Target(msgspec.Struct, frozen=True):
-    service: str
-    weight: int = 1
+    service: bounds.Text
+    # Nothing is sent to those of 0 and less.
+    weight: _Weight = 1
 
 
 class _Route(msgspec.Struct, frozen=True):
-    name: str
-    host: str
-    prefix: str
+    name: bounds.Line
+    host: bounds.Line
+    prefix: bounds.Line
     kind: str
-    timeout_ms: float
-    target_latency_ms: float = 1000.0
-    priority: int = 5
-    service: str | None = None
+    timeout_ms: bounds.Milliseconds
+    target_latency_ms: bounds.Milliseconds = 1000.0
+    priority: _Units = 5
+    service: bounds.Text | None = None
     # Weighted services; takes precedence over `service`.
     backends: list[_Target] | None = None
-    max_attempts: int = 1
+    max_attempts: _Units = 1
     # Whether requests carry a prompt for a model.
     sticky: bool = False
     resumable: bool = False
-    gap_aim_ms: float = 1000.0
+    gap_aim_ms: bounds.Milliseconds = 1000.0
     anonymous: bool = False
 
 
 class _Engine(msgspec.Struct, frozen=True):
-    slots: int
-    kv_tokens: int
-    kv_hold_s: float = 0.5
-    switch_s: float = 6.0
-    stride: int = 1
+    slots: _Units
+    kv_tokens: bounds.Count
+    kv_hold_s: bounds.Seconds = 0.5
+    switch_s: bounds.Seconds = 6.0
+    stride: _Units = 1
 
 
 class _Service(msgspec.Struct, frozen=True):
-    name: str
-    health_path: str = '/health'
-    max_conns: int = 100
+    name: bounds.Text
+    health_path: bounds.Line = '/health'
+    max_conns: _Units = 100
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct, frozen=True):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4 * 1024 * 1024
-    header_timeout_ms: float = 3000.0
-    idle_timeout_ms: float = 15000.0
+    max_header_bytes: bounds.Count = 16384
+    max_body_bytes: bounds.Count = 4 * 1024 * 1024
+    header_timeout_ms: bounds.Milliseconds = 3000.0
+    idle_timeout_ms: bounds.Milliseconds = 15000.0
 
 
 class _Tenant(msgspec.Struct, frozen=True):
@@ -112,7 +119,7 @@
 
 
 class _Config(msgspec.Struct, frozen=True):
-    version: int
+    version: bounds.Number
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
@@ -120,19 +127,20 @@
 
 
 class _Upstream(msgspec.Struct, frozen=True):
-    service: str
+    # Key of the row that lists the service's versions.
+    service: bounds.Name
     address: str
     # Data centre.
-    zone: str
-    # Software version.
-    version: str
+    zone: bounds.Text
+    # Software version; rows and messages list several.
+    version: bounds.Text
     slots: int
     # `ready` or `draining`.
     state: str
     # Remaining milliseconds of slow operation after the start.
-    cold_left_ms: float
+    cold_left_ms: bounds.ClockMs
     # Counts writes of this entry, not accepted orders.
-    seq_no: int
+    seq_no: bounds.Number
     # Start in Unix milliseconds; older upstreams do not report it.
     born: int | msgspec.UnsetType = msgspec.UNSET
     stage: str | None = None
@@ -144,20 +152,9 @@
 
 def decode_configuration(data: bytes) -> routes.Configuration | errors.Failure:
     """Decode and validate a configuration document."""
-    try:
-        raw = _CONFIG_DECODER.decode(data)
-        return routes.Configuration(
-            version=raw.version,
-            routes=tuple(_convert_route(item) for item in raw.routes),
-            services={
-                ids.ServiceName(item.name): _convert_service(item)
-                for item in raw.services
-            },
-            limits=_convert_limits(raw.limits),
-            customers=_convert_customers(raw.tenants),
-        )
-    except (msgspec.MsgspecError, ValueError) as error:
-        return errors.Failure(errors.BAD_CONFIGURATION, str(error))
+    return decoding.decode(
+        _CONFIG_DECODER, data, errors.BAD_CONFIGURATION, _convert_configuration
+    )
 
 
 def decode_upstream(
@@ -169,20 +166,27 @@
         key: key of the row, which is the upstream's instance id.
         data: value of the row.
     """
-    try:
-        raw = _UPSTREAM_DECODER.decode(data)
-        return upstreams.Upstream(
-            id=_upstream_id(key, raw.born),
-            service=ids.ServiceName(raw.service),
-            address=_checked_address(raw.address),
-            data_centre=ids.DataCentre(raw.zone),
-            slots=_checked_slots(raw.slots),
-            leaving=_is_draining(raw.state),
-            stage=upstreams.Stage(raw.stage) if raw.stage else None,
-            version=ids.SoftwareVersion(raw.version),
-        )
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        return errors.Failure(errors.BAD_UPSTREAM, f'{key}: {error}')
+    return decoding.decode(
+        _UPSTREAM_DECODER,
+        data,
+        errors.BAD_UPSTREAM,
+        lambda raw: _convert_upstream(key, raw),
+        max_bytes=bounds.ROW_BYTES,
+        subject=key,
+    )
+
+
+def _convert_upstream(key: str, raw: _Upstream) -> upstreams.Upstream:
+    return upstreams.Upstream(
+        id=_upstream_id(bounds.check_id(key), raw.born),
+        service=ids.ServiceName(bounds.check_key(raw.service)),
+        address=bounds.check_address(raw.address),
+        data_centre=ids.DataCentre(raw.zone),
+        slots=_checked_slots(raw.slots),
+        leaving=_is_draining(raw.state),
+        stage=upstreams.Stage(raw.stage) if raw.stage else None,
+        version=ids.SoftwareVersion(raw.version),
+    )
 
 
 def checked_start_ms(reported: int | msgspec.UnsetType) -> int:
@@ -206,15 +210,6 @@
     )
 
 
-def _checked_address(address: str) -> str:
-    host, _, port = address.rpartition(':')
-    ipaddress.ip_address(host.strip('[]'))
-    is_number = port.isascii() and port.isdigit()
-    if not is_number or not 0 < int(port) <= _MAX_PORT:
-        raise ValueError(f'address: {address}')
-    return address
-
-
 def _checked_slots(slots: int) -> int:
     if not 0 < slots <= _MAX_SLOTS:
         raise ValueError(f'slots: {slots}')
@@ -227,6 +222,19 @@
     return state == 'draining'
 
 
+def _convert_configuration(raw: _Config) -> routes.Configuration:
+    return routes.Configuration(
+        version=raw.version,
+        routes=tuple(_convert_route(item) for item in raw.routes),
+        services={
+            ids.ServiceName(item.name): _convert_service(item)
+            for item in raw.services
+        },
+        limits=_convert_limits(raw.limits),
+        customers=_convert_customers(raw.tenants),
+    )
+
+
 def _convert_route(raw: _Route) -> routes.Route:
     if raw.backends:
         targets = tuple(
--- a/galenahatch/platform/engines.py
+++ b/galenahatch/platform/engines.py
@@ -17,8 +17,10 @@
 
 import msgspec
 
+from galenahatch import bounds
 from galenahatch.core import incarnations
 from galenahatch.core import upstreams
+from galenahatch import decoding
 from galenahatch import errors
 from galenahatch import ids
 from galenahatch.platform import documents
@@ -30,12 +32,12 @@
 
 class _Report(msgspec.Struct, frozen=True):
     stage: str | None = None
-    active: int = 0
-    queued: int = 0
-    kv_used: int = 0
+    active: bounds.Count = 0
+    queued: bounds.Count = 0
+    kv_used: bounds.Count = 0
     busy: bool = False
     # Orders accepted since its start.
-    seq_no: int = 0
+    seq_no: bounds.Number = 0
     # Start in Unix milliseconds.
     born: int | msgspec.UnsetType = msgspec.UNSET
 
@@ -82,7 +84,8 @@
 
 
 class _Prefilled(msgspec.Struct, frozen=True):
-    kv_handle: str
+    # Stands in a header of the request to the other engine.
+    kv_handle: bounds.Handle
 
 
 @dataclasses.dataclass(frozen=True)
@@ -107,29 +110,31 @@
 
 def decode_report(data: bytes) -> Report | errors.Failure:
     """Decode a report."""
-    try:
-        raw = _REPORT_DECODER.decode(data)
-        stage = upstreams.Stage(raw.stage) if raw.stage else None
-        started_ms = documents.checked_start_ms(raw.born)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        return errors.Failure(errors.BAD_UPSTREAM, str(error))
+    return decoding.decode(
+        _REPORT_DECODER, data, errors.BAD_UPSTREAM, _convert_report
+    )
+
+
+def _convert_report(raw: _Report) -> Report:
     return Report(
         active=raw.active,
         queued=raw.queued,
         kv_used=raw.kv_used,
-        stage=stage,
+        stage=upstreams.Stage(raw.stage) if raw.stage else None,
         executing_order=raw.busy,
         orders_accepted=raw.seq_no,
-        started_ms=started_ms,
+        started_ms=documents.checked_start_ms(raw.born),
     )
 
 
 def decode_prefill_result(data: bytes) -> PrefillResult | errors.Failure:
     """Decode the result of a prefill."""
-    try:
-        return PrefillResult(_PREFILLED_DECODER.decode(data).kv_handle)
-    except msgspec.MsgspecError as error:
-        return errors.Failure(errors.BAD_UPSTREAM, str(error))
+    return decoding.decode(
+        _PREFILLED_DECODER,
+        data,
+        errors.BAD_UPSTREAM,
+        lambda raw: PrefillResult(raw.kv_handle),
+    )
 
 
 def encode_stage_order(
--- a/galenahatch/platform/store.py
+++ b/galenahatch/platform/store.py
@@ -29,7 +29,9 @@
 import aiohttp
 import msgspec
 
+from galenahatch import bounds
 from galenahatch.core import versions
+from galenahatch import decoding
 from galenahatch import errors
 from galenahatch.platform import eras
 from galenahatch import timeouts
@@ -49,6 +51,9 @@
 class Row(msgspec.Struct, frozen=True):
     """A row, or a notice that it was removed.
 
+    Other writers choose keys and values, and the store bounds both. Who reads
+    a row checks them, so that an odd one doesn't hide the others.
+
     Attributes:
         ver: number of the store's version at the row's last change, which
             may be of an earlier era.
@@ -56,7 +61,7 @@
     """
 
     key: str
-    ver: int = 0
+    ver: bounds.Number = 0
     value: bytes = b''
     removed: bool = False
 
@@ -72,8 +77,8 @@
     """
 
     rows: list[Row]
-    ver: int = 0
-    now_ms: float = 0.0
+    ver: bounds.Number = 0
+    now_ms: bounds.ClockMs = 0.0
     has_more: bool = False
     era: int = 0
 
@@ -86,8 +91,8 @@
 class Committed(msgspec.Struct, frozen=True):
     """An applied transaction and the store version that it created."""
 
-    ver: int = 0
-    now_ms: float = 0.0
+    ver: bounds.Number = 0
+    now_ms: bounds.ClockMs = 0.0
     era: int = 0
 
     @property
@@ -213,14 +218,22 @@
         reply = await self._call('POST', 'rows-tx', body, CALL_TIMEOUT_S)
         if isinstance(reply, errors.Failure):
             return reply
-        try:
-            if reply.status == 412:
-                return Conflict(_ROWS_DECODER.decode(reply.data).rows)
-            if reply.status == 200:
-                committed = _COMMITTED_DECODER.decode(reply.data)
-                return msgspec.structs.replace(committed, era=reply.era)
-        except msgspec.MsgspecError as error:
-            return errors.Failure(errors.STORE_UNAVAILABLE, str(error))
+        if reply.status == 412:
+            return decoding.decode(
+                _ROWS_DECODER,
+                reply.data,
+                errors.STORE_UNAVAILABLE,
+                lambda current: Conflict(current.rows),
+            )
+        if reply.status == 200:
+            return decoding.decode(
+                _COMMITTED_DECODER,
+                reply.data,
+                errors.STORE_UNAVAILABLE,
+                lambda written: msgspec.structs.replace(
+                    written, era=reply.era
+                ),
+            )
         return _failure_of_status(reply.status)
 
     async def _read(
@@ -234,11 +247,12 @@
             return errors.Failure(errors.HISTORY_GONE, path)
         if reply.status != 200:
             return _failure_of_status(reply.status)
-        try:
-            rows = _ROWS_DECODER.decode(reply.data)
-            return msgspec.structs.replace(rows, era=reply.era)
-        except msgspec.MsgspecError as error:
-            return errors.Failure(errors.STORE_UNAVAILABLE, str(error))
+        return decoding.decode(
+            _ROWS_DECODER,
+            reply.data,
+            errors.STORE_UNAVAILABLE,
+            lambda rows: msgspec.structs.replace(rows, era=reply.era),
+        )
 
     async def _call(
         self, method: str, path: str, body: bytes | None, timeout: float
--- a/galenahatch/platform/table.py
+++ b/galenahatch/platform/table.py
@@ -25,6 +25,7 @@
 import msgspec
 
 from galenahatch.core import transaction as transactions
+from galenahatch import decoding
 from galenahatch import errors
 from galenahatch.platform import http
 
@@ -95,7 +96,6 @@
         return errors.Failure(
             errors.STORE_UNAVAILABLE, f'status {reply.status}'
         )
-    try:
-        return _VALUES_DECODER.decode(reply.body)
-    except msgspec.MsgspecError as error:
-        return errors.Failure(errors.STORE_UNAVAILABLE, str(error))
+    return decoding.decode(
+        _VALUES_DECODER, reply.body, errors.STORE_UNAVAILABLE
+    )
--- a/galenahatch/platform/vms.py
+++ b/galenahatch/platform/vms.py
@@ -17,6 +17,8 @@
 import aiohttp
 import msgspec
 
+from galenahatch import bounds
+from galenahatch import decoding
 from galenahatch import errors
 from galenahatch.platform import http
 
@@ -34,17 +36,17 @@
         group: "system" for VMs of the daemons, else "upstream".
     """
 
-    name: str
-    address: str
-    data_centre: str
-    state: str = 'live'
-    group: str = SYSTEM_GROUP
+    name: bounds.Text
+    address: bounds.Text
+    data_centre: bounds.Text
+    state: bounds.Text = 'live'
+    group: bounds.Text = SYSTEM_GROUP
 
 
 class VmList(msgspec.Struct, frozen=True):
     """The VM list at one version; a later read may return an older one."""
 
-    version: int
+    version: bounds.Number
     vms: tuple[Vm, ...]
 
 
@@ -68,7 +70,4 @@
         reply = await http.call(self._client, 'GET', f'{self._url}/vms')
         if isinstance(reply, errors.Failure):
             return reply
-        try:
-            return _DECODER.decode(reply.body)
-        except msgspec.MsgspecError as error:
-            return errors.Failure(errors.STORE_UNAVAILABLE, str(error))
+        return decoding.decode(_DECODER, reply.body, errors.STORE_UNAVAILABLE)
--- a/galenahatch/trace.py
+++ b/galenahatch/trace.py
@@ -24,9 +24,13 @@
 
 import msgspec
 
+from galenahatch import decoding
+from galenahatch import errors
+
 _EVENT_WINDOW_S: typing.Final = 10.0
 """Seconds before the first line of a request from which events of its
 upstreams are included; longer than any limit on the delay of such events."""
+_DECODER: typing.Final = msgspec.json.Decoder(dict[str, typing.Any])
 _STANDARD_KEYS: typing.Final = ('time', 'level', 'part', 'message')
 
 
@@ -76,14 +80,13 @@
     start = raw_line.find(b'{')
     if start < 0:
         return None
-    try:
-        data = msgspec.json.decode(raw_line[start:])
-    except msgspec.DecodeError:
-        return None
-    if not isinstance(data, dict) or 'message' not in data:
+    data = decoding.decode(_DECODER, raw_line[start:], errors.BAD_JSON)
+    if isinstance(data, errors.Failure) or 'message' not in data:
         return None
     fields = {
-        key: value for key, value in data.items() if key not in _STANDARD_KEYS
+        key: value if isinstance(value, str | int | float) else str(value)
+        for key, value in data.items()
+        if key not in _STANDARD_KEYS
     }
     return Line(
         str(data.get('time', '')),
--- a/galenahatch/upstream/engine.py
+++ b/galenahatch/upstream/engine.py
@@ -25,7 +25,9 @@
 import aiohttp
 import msgspec
 
+from galenahatch import bounds
 from galenahatch.core import orders
+from galenahatch import decoding
 from galenahatch import errors
 from galenahatch import ids
 from galenahatch.upstream import http
@@ -64,8 +66,8 @@
         cached_tokens: prompt tokens found in the engine's cache.
     """
 
-    prompt_tokens: int
-    cached_tokens: int
+    prompt_tokens: bounds.Count
+    cached_tokens: bounds.Count
 
 
 class DecodeRequest(msgspec.Struct, frozen=True):
@@ -95,7 +97,7 @@
     """
 
     stream: str
-    offset: int
+    offset: bounds.Count
     text: str = ''
     finish: str = ''
 
@@ -103,7 +105,7 @@
 class CacheEvent(msgspec.Struct, frozen=True):
     """Prefix blocks that an engine's cache stored or evicted."""
 
-    number: int
+    number: bounds.Number
     blocks: tuple[int, ...]
     evicted: bool = False
 
@@ -120,11 +122,11 @@
         events: cache events after the requested number.
     """
 
-    incarnation: int
-    sequence: int
+    incarnation: bounds.Number
+    sequence: bounds.Number
     leaving: bool
-    held: int
-    seconds_per_token: float
+    held: bounds.Count
+    seconds_per_token: bounds.Seconds
     events: tuple[CacheEvent, ...] = ()
 
 
@@ -156,10 +158,7 @@
         return data
     if response.status != 200:
         return _failure_of_response(response.status, data)
-    try:
-        return _PREFILL_DECODER.decode(data)
-    except msgspec.MsgspecError as error:
-        return errors.Failure(errors.BAD_UPSTREAM, str(error))
+    return decoding.decode(_PREFILL_DECODER, data, errors.BAD_UPSTREAM)
 
 
 class CancelOutcome(enum.Enum):
@@ -206,10 +205,7 @@
         return http.send_failure(error)
     if isinstance(data, errors.Failure):
         return data
-    try:
-        return _LOAD_DECODER.decode(data)
-    except msgspec.MsgspecError as error:
-        return errors.Failure(errors.BAD_UPSTREAM, str(error))
+    return decoding.decode(_LOAD_DECODER, data, errors.BAD_UPSTREAM)
 
 
 async def fetch_order(
@@ -225,10 +221,7 @@
         return http.send_failure(error)
     if isinstance(data, errors.Failure):
         return data
-    try:
-        return _ORDER_DECODER.decode(data)
-    except msgspec.MsgspecError as error:
-        return errors.Failure(errors.BAD_UPSTREAM, str(error))
+    return decoding.decode(_ORDER_DECODER, data, errors.BAD_UPSTREAM)
 
 
 async def send_order(
@@ -289,10 +282,13 @@
 
 
 def _decode_events(lines: list[bytes]) -> list[Event] | errors.Failure:
-    try:
-        return [_EVENT_DECODER.decode(line) for line in lines if line]
-    except msgspec.MsgspecError as error:
-        return errors.Failure(errors.BAD_UPSTREAM, str(error))
+    events = []
+    for line in filter(None, lines):
+        event = decoding.decode(_EVENT_DECODER, line, errors.BAD_UPSTREAM)
+        if isinstance(event, errors.Failure):
+            return event
+        events.append(event)
+    return events
 
 
 async def decode(
@@ -338,11 +334,10 @@
     """Return the failure that an error response stands for."""
     if status == 404:
         return errors.Failure(errors.NOT_FOUND, 'stream')
-    try:
-        error_body = _ERROR_DECODER.decode(data)
-    except msgspec.MsgspecError:
+    error_body = decoding.decode(_ERROR_DECODER, data, errors.BAD_UPSTREAM)
+    if isinstance(error_body, errors.Failure):
         error_body = ErrorBody()
-    detail = f'status {status} {error_body.why}'
+    detail = f'status {status} {decoding.printable(error_body.why)}'
     if status == _EVICTED_STATUS:
         return errors.Failure(errors.STREAM_GONE, detail)
     if status == _REFUSED_STATUS and not error_body.started:
--- a/galenahatch/upstream/service.py
+++ b/galenahatch/upstream/service.py
@@ -17,6 +17,7 @@
 import aiohttp
 import msgspec
 
+from galenahatch import decoding
 from galenahatch import errors
 from galenahatch.upstream import http
 
@@ -105,12 +106,12 @@
 
 def _states_not_started(data: bytes) -> bool:
     """Return whether a refusal states that no work was started."""
-    try:
-        refusal = msgspec.json.decode(data, type=_Refusal)
-    except msgspec.MsgspecError:
-        return False
-    return refusal.started is False
+    refusal = decoding.decode(_REFUSAL_DECODER, data, errors.BAD_UPSTREAM)
+    return isinstance(refusal, _Refusal) and refusal.started is False
 
 
 class _Refusal(msgspec.Struct, frozen=True):
     started: bool | None = None
+
+
+_REFUSAL_DECODER: typing.Final = msgspec.json.Decoder(_Refusal)
