Wire: texts of callers that messages and rows can carry

A caller whose request id, named stream or last part of the prompt isn't UTF-8 put a lone surrogate into the key of its stream. On such a key raises UnicodeEncodeError out of OriginLog.save for as long as the stream is remembered (probed: two of two calls), so the owner stores no origin of any stream. The bytes are written out where a header becomes a text that others get. What is forwarded to upstreams is as before.

test_odd_bytes_of_callers fails on (UnicodeEncodeError). Shown at the functions, not with whole processes.

--- a/galenahatch/platform/wire.py
+++ b/galenahatch/platform/wire.py
@@ -124,7 +124,7 @@
     for name in _GATEWAY_ONLY:
         headers.popall(name, None)
     return calls.Call(
-        id=headers.get(_REQUEST_ID, ''),
+        id=_text(headers.get(_REQUEST_ID, '')),
         method=method,
         host=headers.get('Host', ''),
         target=target,
@@ -133,10 +133,12 @@
         arrived_at=arrived_at,
         caller_timeout=timeout_ms / 1000 if timeout_ms is not None else None,
         prompt=_parse_prompt(headers),
-        last_event_id=headers.get(_LAST_EVENT, ''),
+        last_event_id=_text(headers.get(_LAST_EVENT, '')),
         tokens=_total_tokens(headers),
         credentials=tuple(headers.getall(_CREDENTIALS, ())),
-        resumes=headers.get(_RESUMES, headers.get(_PREFIX + _RESUMES, '')),
+        resumes=_text(
+            headers.get(_RESUMES, headers.get(_PREFIX + _RESUMES, ''))
+        ),
     )
 
 
@@ -205,7 +207,7 @@
     return calls.ResponseHead(
         status=status,
         headers=headers,
-        request_id=headers.get(_REQUEST_ID, ''),
+        request_id=_text(headers.get(_REQUEST_ID, '')),
         is_signed=_SIGNATURE in headers,
         not_executed=_NOT_EXECUTED in headers or status == 421,
         load=load,
@@ -287,7 +289,15 @@
 
 def _block_id(entry: str) -> str:
     """Return the id in an entry of a prompt's parts, `id:tokens`."""
-    return entry.partition(':')[0].strip()
+    return _text(entry.partition(':')[0].strip())
+
+
+def _text(value: str) -> str:
+    """Return a header's value that messages, rows and logs can carry.
+
+    Bytes that are not UTF-8 can't be encoded there; they are written out.
+    """
+    return value.encode(errors='backslashreplace').decode()
 
 
 def _parse_load(
--- a/galenahatch/test/test_odd_documents.py
+++ b/galenahatch/test/test_odd_documents.py
@@ -17,6 +17,7 @@
 import types
 import typing
 
+import msgspec
 import pytest
 
 from galenahatch.core import upstreams
@@ -26,10 +27,12 @@
 from galenahatch.gateway import originlog
 from galenahatch.gateway import quarantine
 from galenahatch.gateway import roster
+from galenahatch.gateway import streamaffinity
 from galenahatch.gateway import versionhistory
 from galenahatch.platform import documents
 from galenahatch.platform import engines
 from galenahatch.platform import store as stores
+from galenahatch.platform import wire
 
 _ENTRY: typing.Final = {
     'service': 's',
@@ -259,3 +262,28 @@
     found = documents.decode_upstream('i-1', _encode(entry))
     assert isinstance(found, errors.Failure)
     assert len(found.detail) < 1000 and found.detail.isprintable()
+
+
+# Such a key ended the loop that stores the versions of all streams.
+def test_odd_bytes_of_callers() -> None:
+    """Keys of streams can be sent and stored, whatever a caller sends."""
+    raw = [
+        (b'Host', b'h'),
+        (b'X-Galenahatch-Request-Id', b'r\xff'),
+        (b'X-Galenahatch-Model', b'm'),
+        (b'X-Galenahatch-Token-Count', b'10,20'),
+        (b'X-Galenahatch-Prompt-Prefix', b'5c:8,\xfe:2'),
+        (b'Last-Event-Id', b'\xfd'),
+    ]
+    for resumes in ([], [(b'Resumes', b'\xfc')]):
+        call = wire.decode_call('POST', '/p', raw + resumes, b'', 0.0)
+        for key in streamaffinity.stream_keys(call):
+            _encode_all(key)
+        _encode_all(call.last_event_id)
+    head = wire.decode_response_head(200, raw)
+    assert head.request_id == call.id
+
+
+def _encode_all(text: str) -> None:
+    msgspec.json.encode(text)
+    msgspec.msgpack.encode(text)
