--- a/galenahatch/decoding.py
+++ b/galenahatch/decoding.py
@@ -58,27 +58,30 @@
 
 
 def guard(
-    parse: collections.abc.Callable[[], _T],
-    reason: errors.Reason,
-    subject: str = '',
-    invalid: errors.Reason | None = None,
+    parse: collections.abc.Callable[[], _T], reason: errors.Reason
 ) -> _T | errors.Failure:
     """Return what a function makes of a document, or a failure.
 
     Args:
         parse: Decodes, checks and converts the document.
         reason: Reason of the failure.
-        subject: What the document is about, to begin the detail with.
-        invalid: Reason if it is well-formed but of another type; by default
-            the same.
     """
     try:
         return parse()
     except _ERRORS as error:
-        if isinstance(error, msgspec.ValidationError):
-            reason = invalid or reason
-        detail = f'{subject}: {error}' if subject else str(error)
-        return errors.Failure(reason, printable(detail))
+        return _failure(error, reason, '', None)
+
+
+def _failure(
+    error: Exception,
+    reason: errors.Reason,
+    subject: str,
+    invalid: errors.Reason | None,
+) -> errors.Failure:
+    if isinstance(error, msgspec.ValidationError):
+        reason = invalid or reason
+    detail = f'{subject}: {error}' if subject else str(error)
+    return errors.Failure(reason, printable(detail))
 
 
 @typing.overload
@@ -131,14 +134,14 @@
         invalid: Reason if it is well-formed but of another type; by default
             the same.
     """
-
-    def parse() -> typing.Any:
+    # Frames come by the thousand, so this calls no more than it must.
+    try:
         if max_bytes is not None and len(data) > max_bytes:
             raise ValueError(f'{len(data)} bytes, at most {max_bytes}')
         decoded = decoder.decode(data)
         return decoded if convert is None else convert(decoded)
-
-    return guard(parse, reason, subject, invalid)
+    except _ERRORS as error:
+        return _failure(error, reason, subject, invalid)
 
 
 def convert(
