--- a/galenahatch/gateway/versionrows.py
+++ b/galenahatch/gateway/versionrows.py
@@ -20,6 +20,9 @@
 
 import msgspec
 
+from galenahatch import bounds
+from galenahatch import decoding
+from galenahatch import errors
 from galenahatch import ids
 
 LEASE_S: typing.Final = 20.0
@@ -28,6 +31,9 @@
 unused if no row can be written."""
 RENEWAL_INTERVAL_S: typing.Final = 5.0
 _LEASE_MS: typing.Final = 1000 * LEASE_S
+_MAX_AHEAD_MS: typing.Final = 60_000.0
+"""Time by which a row's times may be ahead of the store's clock, which writers
+estimate. Who replaces a row goes by its times, so absurd ones would stay."""
 
 
 class Row(msgspec.Struct, frozen=True):
@@ -42,16 +48,41 @@
             in rows of older builds.
     """
 
-    era: int
-    left_ms: dict[ids.SoftwareVersion, float]
-    known_ms: float = 0.0
-    complete_ms: float = 0.0
+    era: bounds.Number
+    left_ms: dict[
+        typing.Annotated[ids.SoftwareVersion, bounds.TEXT], bounds.ClockMs
+    ]
+    known_ms: bounds.ClockMs = 0.0
+    complete_ms: bounds.ClockMs = 0.0
 
     def is_in_force(self, now_ms: float) -> bool:
         """Return whether it lists all versions that are in use."""
         return 0 < self.complete_ms <= now_ms < self.complete_ms + _LEASE_MS
 
 
+_DECODER: typing.Final = msgspec.json.Decoder(Row)
+
+
+def decode(data: bytes, era: int, now_ms: float) -> Row | errors.Failure:
+    """Decode the value of a row.
+
+    Args:
+        data: The value.
+        era: Era of the store in which it was read.
+        now_ms: Time of the store's clock.
+    """
+
+    def check(row: Row) -> Row:
+        latest = max(row.known_ms, row.complete_ms, *row.left_ms.values(), 0)
+        if row.era == era and latest > now_ms + _MAX_AHEAD_MS:
+            raise ValueError(f'a time of {latest:.0f} ms at {now_ms:.0f} ms')
+        return row
+
+    return decoding.decode(
+        _DECODER, data, errors.BAD_FRAME, check, max_bytes=bounds.ROW_BYTES
+    )
+
+
 class StoreClock(typing.NamedTuple):
     """The store's clock, as an answer of the store tells it.
 
