Resets: no session takes one for the end of a body

An answer without a length ends with its connection. (Documents in JSON are whole or don't decode.)

The check moves from the gateway's own protocol into that of the connector that all sessions share, and the platform's session uses this connector.

test_cut_heads cuts answers with a length, chunks, neither, and after interim answers at each byte, closed, half closed and reset, directly and through another gateway, for each kind of route, and parses what callers get strictly.

--- a/galenahatch/gateway/sessions.py
+++ b/galenahatch/gateway/sessions.py
@@ -13,7 +13,7 @@
 """Client sessions for connections to upstreams.
 
 The client library never retries by itself. A pooled connection that received
-unsolicited bytes is closed, and a reset is never mistaken for a regular EOF.
+unsolicited bytes is closed.
 """
 
 import asyncio
@@ -43,11 +43,7 @@
 
 
 class _Protocol(http.Protocol):
-    """Protocol that never mistakes a connection reset for a regular EOF.
-
-    When the last bytes and a reset arrive together, the event loop reports
-    EOF instead of the reset. The socket still has the pending error, which is
-    checked at each EOF.
+    """Protocol that counts what is written and read.
 
     Args:
         meter: Counts what is written and read.
@@ -69,24 +65,6 @@
         self._meter.count_read(len(data))
         super().data_received(data)
 
-    def eof_received(self) -> None:
-        """Fail the body if the EOF is in fact a reset."""
-        pending_error = 0
-        sock = self.transport and self.transport.get_extra_info('socket')
-        if sock:
-            pending_error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if pending_error:
-            self.fail_body(
-                ConnectionResetError(pending_error, 'reset at the end')
-            )
-        super().eof_received()
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail a body of unknown length that is ended by a reset."""
-        if exc is not None:
-            self.fail_body(exc)
-        super().connection_lost(exc)
-
 
 class _Connector(http.Connector):
     """Connector that closes pooled connections with unsolicited bytes."""
--- a/galenahatch/platform/http.py
+++ b/galenahatch/platform/http.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from galenahatch import errors
+from galenahatch.upstream import http
 
 TIMEOUT_S: typing.Final = 2.0
 MAX_BODY_BYTES: typing.Final = 64 * 1024 * 1024
@@ -39,6 +40,7 @@
     """
     headers = {'Authorization': f'Bearer {token}'} if token else {}
     return aiohttp.ClientSession(
+        connector=http.Connector(),
         headers=headers,
         timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
     )
--- a/galenahatch/upstream/http.py
+++ b/galenahatch/upstream/http.py
@@ -23,6 +23,7 @@
 
 import asyncio
 import collections.abc
+import socket
 import typing
 
 import aiohappyeyeballs
@@ -81,10 +82,16 @@
 
 
 class Protocol(client_proto.ResponseHandler):
-    """Protocol that limits the bytes around a response's body.
+    """Protocol that never mistakes a connection reset for a regular EOF.
 
-    A server in trouble may send interim responses, extensions of a chunk or
-    trailers without end. The library limits lines and headers only.
+    A body of unknown length ends with its connection, but not with a reset.
+    When the last bytes and a reset arrive together, the event loop reports
+    EOF instead of the reset. The socket still has the pending error, which is
+    checked at each EOF.
+
+    It also limits the bytes around a response's body. A server in trouble may
+    send interim responses, extensions of a chunk or trailers without end. The
+    library limits lines and headers only.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -110,6 +117,24 @@
             if self.transport is not None:
                 self.transport.abort()
 
+    def eof_received(self) -> None:
+        """Fail the body if the EOF is in fact a reset."""
+        pending_error = 0
+        sock = self.transport and self.transport.get_extra_info('socket')
+        if sock:
+            pending_error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if pending_error:
+            self.fail_body(
+                ConnectionResetError(pending_error, 'reset at the end')
+            )
+        super().eof_received()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail a body of unknown length that is ended by a reset."""
+        if exc is not None:
+            self.fail_body(exc)
+        super().connection_lost(exc)
+
     def fail_body(self, exc: BaseException) -> None:
         """Fail a body that is incomplete."""
         payload = self._payload
