Heads: a length that is the largest number is no empty body

An upstream in trouble that writes a length of -1 as an unsigned number was answered to the caller as 200 with an empty body, signed and framed as whole: the HTTP library takes that number for "no length known" and reads no body at all. Its parser accepts it, so no error came up anywhere.

Heads are now checked where the connection hands them over, in the protocol that all sessions share, before anything reads them; one that can't be used fails the request like bytes that are no answer: work that may run once gets 502, other work may be tried elsewhere.

test_malformed_answers sends some 60 malformed or unusual answers on each kind of route, with the connection closed or left open behind them.

--- a/galenahatch/test/test_cut_heads.py
+++ b/galenahatch/test/test_cut_heads.py
@@ -457,6 +457,24 @@
         check(plan, data)
 
 
+# Guards against answers that are malformed and taken for well-formed, or
+# that cost their callers all of their time.
+@pytest.mark.parametrize('route', _ROUTES)
+@pytest.mark.parametrize('how', [End.CLOSE, End.OPEN])
+def test_malformed_answers(fleet: fleets.Fleet, route: str, how: End) -> None:
+    """Each is whole, replaced by a second one, or a failure."""
+    found = _ANSWERS[route in _STREAM_ROUTES]
+    plans = [Plan(route, answer, 4096, how) for answer, _ in found.values()]
+    results = ask_all(fleet.vms[0], plans)
+    wrong = []
+    for title, plan, data in zip(found, plans, results, strict=True):
+        try:
+            check(plan, data, found[title][1])
+        except (AssertionError, KeyError) as error:
+            wrong.append((title, error))
+    assert not wrong
+
+
 def _keep(
     fleet: fleets.Fleet, behind: collections.abc.Iterable[tuple[bytes, bytes]]
 ) -> None:
--- a/galenahatch/upstream/http.py
+++ b/galenahatch/upstream/http.py
@@ -29,6 +29,7 @@
 import aiohappyeyeballs
 import aiohttp
 from aiohttp import client_proto
+from aiohttp import http_exceptions
 
 from galenahatch import errors
 from galenahatch import timeouts
@@ -44,6 +45,7 @@
 """Bytes of a response beside its body."""
 _FRAMING_RATIO: typing.Final = 8
 """Further ones for each byte of the body: a chunk of one byte has five."""
+_MAX_LENGTH_DIGITS: typing.Final = 18
 _LIBRARY_CONNECT_ERRORS: typing.Final = (
     aiohttp.ClientConnectorError,
     aiohttp.ConnectionTimeoutError,
@@ -103,6 +105,17 @@
         self._received_bytes = 0
         super().set_response_params(**params)
 
+    def feed_data(self, data: typing.Any, size: int = 0) -> None:
+        """Take the head of a response, or fail if it can't be used."""
+        message, _ = data
+        error = _head_error(message)
+        if not error:
+            super().feed_data(data, size)
+            return
+        self.set_exception(http_exceptions.BadHttpMessage(error))
+        if self.transport is not None:
+            self.transport.abort()
+
     def data_received(self, data: bytes) -> None:
         """Process received data, and fail if it is hardly part of a body."""
         super().data_received(data)
@@ -144,6 +157,16 @@
             self._parser = None
 
 
+def _head_error(message: typing.Any) -> str:
+    """Return why the head of a response can't be used, or nothing.
+
+    The library reads no body at all if its length is the largest number.
+    """
+    if len(message.headers.get('Content-Length', '')) > _MAX_LENGTH_DIGITS:
+        return 'length'
+    return ''
+
+
 class Connector(aiohttp.TCPConnector):
     """Connector that closes each socket exactly once.
 
