Heads: a status that ends no exchange is not forwarded

A signed answer with status 101 was forwarded to the caller of a plain service as "101 Switching Protocols" without a body or framing, after which nothing came; status 000 went on as a line "HTTP/1.1 0 ", also at the head of streams, and 600 as it was. The HTTP library takes any three digits, and the handlers only compare with 300 and 500.

Such a head now fails the request where heads are checked. Interim answers (100, 102, 103, several) are skipped as before.

--- a/galenahatch/upstream/http.py
+++ b/galenahatch/upstream/http.py
@@ -45,6 +45,10 @@
 """Bytes of a response beside its body."""
 _FRAMING_RATIO: typing.Final = 8
 """Further ones for each byte of the body: a chunk of one byte has five."""
+_MIN_STATUS: typing.Final = 100
+_MAX_STATUS: typing.Final = 599
+_SWITCHING_PROTOCOLS: typing.Final = 101
+"""An interim status after which no answer in HTTP comes."""
 _MAX_LENGTH_DIGITS: typing.Final = 18
 _LIBRARY_CONNECT_ERRORS: typing.Final = (
     aiohttp.ClientConnectorError,
@@ -160,8 +164,12 @@
 def _head_error(message: typing.Any) -> str:
     """Return why the head of a response can't be used, or nothing.
 
-    The library reads no body at all if its length is the largest number.
+    The library takes any three digits for a status, and reads no body at all
+    if its length is the largest number.
     """
+    is_status = _MIN_STATUS <= message.code <= _MAX_STATUS
+    if not is_status or message.code == _SWITCHING_PROTOCOLS:
+        return f'status {message.code}'
     if len(message.headers.get('Content-Length', '')) > _MAX_LENGTH_DIGITS:
         return 'length'
     return ''
