Heads: a body in an unknown transfer coding is not the body

An answer with `Transfer-Encoding: other`, `chunked, other` or `other, chunked` reached callers as 200, signed and framed as whole, without the header and with the bytes still coded (with "chunked, other" the sizes of the chunks were part of the body). The HTTP library reads a coding that it doesn't know until the connection ends, or takes only the chunks off.

The only coding that a head may state is now `chunked`, once.

--- a/galenahatch/upstream/http.py
+++ b/galenahatch/upstream/http.py
@@ -23,6 +23,7 @@
 
 import asyncio
 import collections.abc
+import re
 import socket
 import typing
 
@@ -49,6 +50,9 @@
 _MAX_STATUS: typing.Final = 599
 _SWITCHING_PROTOCOLS: typing.Final = 101
 """An interim status after which no answer in HTTP comes."""
+_CODINGS_FORMAT: typing.Final = re.compile(
+    r'[ \t]*chunked[ \t]*', re.IGNORECASE
+)
 _MAX_LENGTH_DIGITS: typing.Final = 18
 _LIBRARY_CONNECT_ERRORS: typing.Final = (
     aiohttp.ClientConnectorError,
@@ -164,12 +168,16 @@
 def _head_error(message: typing.Any) -> str:
     """Return why the head of a response can't be used, or nothing.
 
-    The library takes any three digits for a status, and reads no body at all
-    if its length is the largest number.
+    The library takes any three digits for a status, ignores transfer codings
+    that it doesn't know, and reads no body at all if its length is the
+    largest number.
     """
     is_status = _MIN_STATUS <= message.code <= _MAX_STATUS
     if not is_status or message.code == _SWITCHING_PROTOCOLS:
         return f'status {message.code}'
+    codings = ','.join(message.headers.getall('Transfer-Encoding', ()))
+    if codings and not _CODINGS_FORMAT.fullmatch(codings):
+        return 'transfer coding'
     if len(message.headers.get('Content-Length', '')) > _MAX_LENGTH_DIGITS:
         return 'length'
     return ''
