Heads: headers that can't be passed on fail the answer

The parser of the HTTP library takes control characters in a header's value and a space before its colon. Writing the former to a caller raised ValueError in the frontend: a caller of a plain service got a closed connection, one of a stream a 500 of the library whose stated length ended inside its body, so that the rest stood where the next answer is due. The latter slipped past the list of headers of one connection, so that callers of a stream got `Content-Length : 63` beside `Transfer-Encoding: chunked`.

Names must be tokens, and values without control characters, where heads are checked; the answer fails as a malformed one, with 502.

--- a/galenahatch/upstream/http.py
+++ b/galenahatch/upstream/http.py
@@ -53,6 +53,8 @@
 _CODINGS_FORMAT: typing.Final = re.compile(
     r'[ \t]*chunked[ \t]*', re.IGNORECASE
 )
+_NOT_IN_NAMES: typing.Final = re.compile(rb"[^!#$%&'*+.^_`|~0-9A-Za-z:-]")
+_NOT_IN_VALUES: typing.Final = re.compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
 _MAX_LENGTH_DIGITS: typing.Final = 18
 _LIBRARY_CONNECT_ERRORS: typing.Final = (
     aiohttp.ClientConnectorError,
@@ -169,8 +171,8 @@
     """Return why the head of a response can't be used, or nothing.
 
     The library takes any three digits for a status, ignores transfer codings
-    that it doesn't know, and reads no body at all if its length is the
-    largest number.
+    that it doesn't know, reads no body at all if its length is the largest
+    number, and reads headers that it refuses to write.
     """
     is_status = _MIN_STATUS <= message.code <= _MAX_STATUS
     if not is_status or message.code == _SWITCHING_PROTOCOLS:
@@ -180,6 +182,10 @@
         return 'transfer coding'
     if len(message.headers.get('Content-Length', '')) > _MAX_LENGTH_DIGITS:
         return 'length'
+    names = b':'.join(name for name, _ in message.raw_headers)
+    values = b''.join(value for _, value in message.raw_headers)
+    if _NOT_IN_NAMES.search(names) or _NOT_IN_VALUES.search(values):
+        return 'header'
     return ''
 
 
