Pool: no connection is reused behind a part of an answer

An upstream may send a second answer behind the first. If only a part of its head had come when the connection was taken from the pool, the connection was reused, the rest of that head was read as the beginning of the next answer, and that request failed: 502, though its upstream had run it, or a send of the retry budget. (It was never taken for an answer: the rest of a head is none.) Whole answers behind another one were noticed before.

The parser is asked for a message that has begun before a pooled connection is used.

test_answer_behind_an_answer splits a late answer at each byte.

--- a/galenahatch/gateway/sessions.py
+++ b/galenahatch/gateway/sessions.py
@@ -112,16 +112,24 @@
     ) -> connectors.Connection | None:
         pooled = self._conns.get(key)
         if pooled is not None:
-            reusable = [pair for pair in pooled if not pair[0].should_close]
-            for protocol, _ in pooled:
-                if protocol.should_close:
-                    protocol.close()
+            reusable = []
+            for pair in pooled:
+                if _is_reusable(pair[0]):
+                    reusable.append(pair)
+                else:
+                    pair[0].close()
             self._conns[key] = collections.deque(reusable)
             if not reusable:
                 del self._conns[key]
         return await super()._get(key, traces)
 
 
+def _is_reusable(protocol: client_proto.ResponseHandler) -> bool:
+    """Return whether a pooled connection received no unsolicited bytes."""
+    assert isinstance(protocol, http.Protocol)
+    return not (protocol.should_close or protocol.has_partial_response)
+
+
 def create_socket(address: typing.Any) -> socket.socket:
     """Return a TCP socket that detects a peer that has lost power."""
     family, kind, protocol, _, _ = address
--- a/galenahatch/test/test_cut_heads.py
+++ b/galenahatch/test/test_cut_heads.py
@@ -500,6 +500,21 @@
     assert sum(plan.was_kept for plan in plans) > len(plans) / 2
 
 
+# Guards against requests that fail since their connection still has to bring
+# the rest of an answer that nobody waited for.
+def test_answer_behind_an_answer(fleet: fleets.Fleet) -> None:
+    """It comes with the first answer, and the rest with the next one."""
+    answer, _ = _ANSWERS[False]['a length']
+    late = answer.replace(_ID, 16 * 'f').encode()
+    behind = [(late[:cut], late[cut:]) for cut in range(len(late) + 1)]
+    plans = [Plan('/often/', answer, 4096, End.CLOSE) for _ in behind]
+    for n in range(8):
+        _keep(fleet, behind[n::8])
+        results = ask_all(fleet.vms[0], plans[n::8])
+        for plan, data in zip(plans[n::8], results, strict=True):
+            assert check(plan, data).status == 200
+
+
 _DOCUMENT: typing.Final = (
     b'{"rows": [], "ver": 1, "version": 1, "vms": [], "kv_handle": "h", '
     b'"incarnation": 1, "sequence": 1, "leaving": false, "held": 0, '
--- a/galenahatch/upstream/http.py
+++ b/galenahatch/upstream/http.py
@@ -110,6 +110,20 @@
         super().__init__(loop=loop)
         self._received_bytes = 0
 
+    @property
+    def has_partial_response(self) -> bool:
+        """Whether a part of a head was received that nobody waited for.
+
+        Only meaningful while the connection is idle.
+        """
+        if self._parser is None:
+            return False
+        # The parser returns what it has, if a message had begun.
+        try:
+            return self._parser.feed_eof() is not None
+        except http_exceptions.HttpProcessingError:
+            return True
+
     def set_response_params(self, **params: typing.Any) -> None:
         """Prepare for a response."""
         self._received_bytes = 0
