--- a/galenahatch/test/test_cut_heads.py
+++ b/galenahatch/test/test_cut_heads.py
@@ -151,7 +151,7 @@
     """One request and the first answer to it; later ones are whole.
 
     Attributes:
-        is_prefill: Whether the answer is that of the prefill engine.
+        is_prefill: Whether the answer is that of a prefill engine.
         behind: What follows the answer; the connection stays open, and the
             rest of it is sent with the next request.
     """
@@ -164,6 +164,7 @@
     behind: tuple[bytes, bytes] | None = None
     id: str = ''
     arrivals: int = 0
+    was_sent: bool = False
     was_kept: bool = False
 
     def __post_init__(self) -> None:
@@ -230,13 +231,11 @@
     ) -> bool:
         plan = _PLANS.get(seen.target)
         is_prefill = seen.told('stage') == 'prefill'
-        if plan is None or is_prefill != plan.is_prefill:
-            if plan is not None and not is_prefill:
-                plan.arrivals += 1
-            return await super()._answer(seen, reader, writer)
-        plan.arrivals += 1
-        if plan.arrivals > 1:
+        if plan is not None:
+            plan.arrivals += not is_prefill
+        if plan is None or plan.was_sent or is_prefill != plan.is_prefill:
             return await super()._answer(seen, reader, writer)
+        plan.was_sent = True
         plan.was_kept = writer in self._behind
         writer.write(self._behind.pop(writer, b'') + plan.sent)
         if plan.behind is not None:
@@ -339,7 +338,7 @@
         found = {sent.body} if sent.is_whole and not is_cut else set()
     if plan.is_stream:
         again = {max(_STREAMS, key=len)}
-        found &= _STREAMS
+        found = again if plan.is_prefill else found & _STREAMS
     else:
         again = {f'answer to {plan.id}'.encode()}
     return found | again if plan.arrivals > 1 else found
@@ -457,6 +456,28 @@
         check(plan, data)
 
 
+# Guards against results of prefills that are cut and used.
+@pytest.mark.parametrize('framing', ['Content-Length: 52', 'X-A: b'])
+def test_prefill_result_is_cut(fleet: fleets.Fleet, framing: str) -> None:
+    """The stream is whole or fails; no part of it is sent twice."""
+    answer = (
+        f'{_START}{framing}\r\n\r\n'
+        '{"kv_handle": "handle", "tokens": 1000, "version":1}'
+    )
+    size = len(answer.replace(_ID, 16 * 'f'))
+    plans = [
+        Plan('/say/', answer, cut, how, is_prefill=True)
+        for cut, how in zip(
+            range(size, 0, -13), itertools.cycle(_ENDS), strict=False
+        )
+    ]
+    # Engines that fail are left alone; after a start they are tried again.
+    fleet.start_upstreams_again()
+    for plan, data in zip(plans, ask_all(fleet.vms[0], plans), strict=True):
+        check(plan, data)
+    assert sum(plan.was_sent for plan in plans) > len(plans) / 2
+
+
 # Guards against answers that are malformed and taken for well-formed, or
 # that cost their callers all of their time.
 @pytest.mark.parametrize('route', _ROUTES)
