--- a/galenahatch/upstream/http.py
+++ b/galenahatch/upstream/http.py
@@ -23,11 +23,14 @@
 
 import asyncio
 import collections.abc
+import re
+import socket
 import typing
 
 import aiohappyeyeballs
 import aiohttp
 from aiohttp import client_proto
+from aiohttp import http_exceptions
 
 from galenahatch import errors
 from galenahatch import timeouts
@@ -43,6 +46,16 @@
 """Bytes of a response beside its body."""
 _FRAMING_RATIO: typing.Final = 8
 """Further ones for each byte of the body: a chunk of one byte has five."""
+_MIN_STATUS: typing.Final = 100
+_MAX_STATUS: typing.Final = 599
+_SWITCHING_PROTOCOLS: typing.Final = 101
+"""An interim status after which no answer in HTTP comes."""
+_CODINGS_FORMAT: typing.Final = re.compile(
+    r'[ \t]*chunked[ \t]*', re.IGNORECASE
+)
+_NOT_IN_NAMES: typing.Final = re.compile(rb"[^!#$%&'*+.^_`|~0-9A-Za-z:-]")
+_NOT_IN_VALUES: typing.Final = re.compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
+_MAX_LENGTH_DIGITS: typing.Final = 18
 _LIBRARY_CONNECT_ERRORS: typing.Final = (
     aiohttp.ClientConnectorError,
     aiohttp.ConnectionTimeoutError,
@@ -81,21 +94,52 @@
 
 
 class Protocol(client_proto.ResponseHandler):
-    """Protocol that limits the bytes around a response's body.
+    """Protocol that never mistakes a connection reset for a regular EOF.
+
+    A body of unknown length ends with its connection, but not with a reset.
+    When the last bytes and a reset arrive together, the event loop reports
+    EOF instead of the reset. The socket still has the pending error, which is
+    checked at each EOF.
 
-    A server in trouble may send interim responses, extensions of a chunk or
-    trailers without end. The library limits lines and headers only.
+    It also limits the bytes around a response's body. A server in trouble may
+    send interim responses, extensions of a chunk or trailers without end. The
+    library limits lines and headers only.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop=loop)
         self._received_bytes = 0
 
+    @property
+    def has_partial_response(self) -> bool:
+        """Whether a part of a head was received that nobody waited for.
+
+        Only meaningful while the connection is idle.
+        """
+        if self._parser is None:
+            return False
+        # The parser returns what it has, if a message had begun.
+        try:
+            return self._parser.feed_eof() is not None
+        except http_exceptions.HttpProcessingError:
+            return True
+
     def set_response_params(self, **params: typing.Any) -> None:
         """Prepare for a response."""
         self._received_bytes = 0
         super().set_response_params(**params)
 
+    def feed_data(self, data: typing.Any, size: int = 0) -> None:
+        """Take the head of a response, or fail if it can't be used."""
+        message, _ = data
+        error = _head_error(message)
+        if not error:
+            super().feed_data(data, size)
+            return
+        self.set_exception(http_exceptions.BadHttpMessage(error))
+        if self.transport is not None:
+            self.transport.abort()
+
     def data_received(self, data: bytes) -> None:
         """Process received data, and fail if it is hardly part of a body."""
         super().data_received(data)
@@ -110,6 +154,24 @@
             if self.transport is not None:
                 self.transport.abort()
 
+    def eof_received(self) -> None:
+        """Fail the body if the EOF is in fact a reset."""
+        pending_error = 0
+        sock = self.transport and self.transport.get_extra_info('socket')
+        if sock:
+            pending_error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if pending_error:
+            self.fail_body(
+                ConnectionResetError(pending_error, 'reset at the end')
+            )
+        super().eof_received()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail a body of unknown length that is ended by a reset."""
+        if exc is not None:
+            self.fail_body(exc)
+        super().connection_lost(exc)
+
     def fail_body(self, exc: BaseException) -> None:
         """Fail a body that is incomplete."""
         payload = self._payload
@@ -119,6 +181,28 @@
             self._parser = None
 
 
+def _head_error(message: typing.Any) -> str:
+    """Return why the head of a response can't be used, or nothing.
+
+    The library takes any three digits for a status, ignores transfer codings
+    that it doesn't know, reads no body at all if its length is the largest
+    number, and reads headers that it refuses to write.
+    """
+    is_status = _MIN_STATUS <= message.code <= _MAX_STATUS
+    if not is_status or message.code == _SWITCHING_PROTOCOLS:
+        return f'status {message.code}'
+    codings = ','.join(message.headers.getall('Transfer-Encoding', ()))
+    if codings and not _CODINGS_FORMAT.fullmatch(codings):
+        return 'transfer coding'
+    if len(message.headers.get('Content-Length', '')) > _MAX_LENGTH_DIGITS:
+        return 'length'
+    names = b':'.join(name for name, _ in message.raw_headers)
+    values = b''.join(value for _, value in message.raw_headers)
+    if _NOT_IN_NAMES.search(names) or _NOT_IN_VALUES.search(values):
+        return 'header'
+    return ''
+
+
 class Connector(aiohttp.TCPConnector):
     """Connector that closes each socket exactly once.
 
