Version affinity: log what told the version of a stream

The users' record can't tell whether a stream went on by a record, by the row of versions or since its engines seemed to state none. `Version of a stream found.` names the source and how long the return waited; nothing else changes.

--- a/galenahatch/gateway/affinity.py
+++ b/galenahatch/gateway/affinity.py
@@ -39,9 +39,9 @@
 from galenahatch.gateway import originexchange
 from galenahatch.gateway import originlog
 from galenahatch.gateway import streamaffinity
+from galenahatch.gateway import verdictlog
 from galenahatch.gateway import versionhistory
 from galenahatch import ids
-from galenahatch import logs
 from galenahatch.platform import store as stores
 from galenahatch import tasks
 
@@ -60,7 +60,6 @@
 _ASKED_S: typing.Final = 2.0
 """Seconds for which a gateway that was asked about a stream keeps what it read
 of the store, though it isn't the owner."""
-_log = logs.Log('versions')
 # The version at which a stream continues; None if others may still tell it.
 Resolution = ids.SoftwareVersion | versionaffinity.Problem | None
 
@@ -186,7 +185,10 @@
         self, keys: collections.abc.Iterable[ids.StreamKey]
     ) -> ids.SoftwareVersion | None:
         """Return the version that began a stream, if it is known here."""
-        return self._origins.find(keys, clock.now())
+        version = self._origins.find(keys, clock.now())
+        if version is not None:
+            verdictlog.log_found(keys, version, verdictlog.Source.GATEWAY)
+        return version
 
     def resolve(
         self,
@@ -206,43 +208,52 @@
             others may still tell it, or the store hasn't been read.
         """
         now = clock.now()
-        version = self._origins.find(keys, now)
-        if version is not None or service in self._unversioned:
-            return version or versionaffinity.ANY_VERSION
+        waited = now - arrived_at
         # Another gateway may have listed a new version, so what was read
         # before the stream returned doesn't count.
         is_read = self._history.is_loaded and (
             self._history.read_at >= arrived_at
         )
-        only = self._history.find_only(service, now)
-        if is_read and only is not None:
-            return only
+        version, source = self._find_version(service, keys, is_read)
+        if version is not None:
+            verdictlog.log_found(keys, version, source, waited)
+            return version
         is_loaded = is_read and self._origin_log.is_loaded
         if not is_loaded:
             self._reading_wanted_at = max(self._reading_wanted_at, arrived_at)
             self._ask()
         if not is_loaded or self._is_new_owner():
-            if now - arrived_at < versionaffinity.SETTLE_S:
+            if waited < versionaffinity.SETTLE_S:
                 return None
-        self._log_unknown(service, keys, is_loaded)
+        verdictlog.log_unknown(
+            service,
+            keys,
+            self._served.left_times(service, now),
+            self._history.knows_all(service, now),
+            is_loaded,
+            self._is_new_owner(),
+        )
         return versionaffinity.Problem.UNKNOWN
 
-    def _log_unknown(
+    def _find_version(
         self,
         service: ids.ServiceName,
-        keys: collections.abc.Collection[ids.StreamKey],
-        is_loaded: bool,
-    ) -> None:
+        keys: collections.abc.Iterable[ids.StreamKey],
+        is_read: bool,
+    ) -> tuple[ids.SoftwareVersion | None, verdictlog.Source]:
+        """Return the version of a stream, if it is known, and what tells it.
+
+        Args:
+            is_read: Whether the rows of versions count.
+        """
         now = clock.now()
-        _log.info(
-            'Version of a stream unknown.',
-            service=service,
-            keys=' '.join(keys),
-            versions=' '.join(sorted(self._served.left_times(service, now))),
-            knows_all=self._history.knows_all(service, now),
-            loaded=is_loaded,
-            new_owner=self._is_new_owner(),
-        )
+        version = self._origins.find(keys, now)
+        if version is not None:
+            return version, verdictlog.Source.OWNER
+        if service in self._unversioned:
+            return versionaffinity.ANY_VERSION, verdictlog.Source.NOT_STATED
+        only = self._history.find_only(service, now) if is_read else None
+        return only, verdictlog.Source.ROW
 
     def _is_new_owner(self) -> bool:
         """Return whether others may still tell this gateway what they know."""
