Version affinity: no stream begins where the version isn't known

What callers could see: a stream that began at an engine which had just started again under its id went on, within its answer, at an engine of another version, as one complete answer.

Cause: such an engine has no version until its entry is read, and an empty version stood for two things, "states none" and "not known". So a new stream could begin there, was bound to nothing and went anywhere; and where all engines of a service had restarted, the service counted as one without versions, so returns weren't looked up.

Engines whose version isn't known get no streams until their entries tell it, neither from the owner nor from a gateway that knows less than its owner; they count for no version.

Evidence: the stand-in world has the real registry and engines that start again.

--- a/galenahatch/core/upstreams.py
+++ b/galenahatch/core/upstreams.py
@@ -48,7 +48,7 @@
 _LEAVING_RETENTION_S: typing.Final = 3600.0
 """Seconds for which a leaving announcement is retained: the store may be
 unavailable for long and then list the upstream as ready."""
-_UNKNOWN_VERSION: typing.Final = ids.SoftwareVersion('')
+_NO_VERSION: typing.Final = ids.SoftwareVersion('')
 
 
 class Stage(enum.Enum):
@@ -67,7 +67,9 @@
         slots: Maximum number of concurrent requests.
         leaving: Whether it announced that it accepts no new work.
         stage: Stage that a model engine runs; None for other upstreams.
-        version: Version of its software; empty if not known.
+        version: Version of its software; empty if not known or not stated.
+        is_version_known: Whether its entry has been read, which alone tells
+            the version. An earlier start that stated none counts, too.
     """
 
     id: ids.UpstreamId
@@ -78,6 +80,22 @@
     leaving: bool = False
     stage: Stage | None = None
     version: ids.SoftwareVersion = ids.SoftwareVersion('')
+    is_version_known: bool = True
+
+    def restarted(
+        self, new_id: ids.UpstreamId, stage: Stage | None
+    ) -> 'Upstream':
+        """Return a later incarnation whose entry has not been read.
+
+        It may be of another version.
+        """
+        return dataclasses.replace(
+            self,
+            id=new_id,
+            stage=stage,
+            version=_NO_VERSION,
+            is_version_known=self.is_version_known and not self.version,
+        )
 
 
 class Registry:
@@ -181,10 +199,7 @@
         new_id = incarnations.upstream_id(instance, start_ms)
         if not incarnations.is_later_start(new_id, upstream):
             return None
-        # Only its entry states the version, and may state another one.
-        started = dataclasses.replace(
-            known, id=new_id, stage=stage, version=_UNKNOWN_VERSION
-        )
+        started = known.restarted(new_id, stage)
         self.register(started, now)
         return started
 
@@ -274,9 +289,8 @@
             return None
         if not incarnations.is_later_start(upstream, latest):
             return None
-        return dataclasses.replace(
-            self._upstreams[latest], id=upstream, version=_UNKNOWN_VERSION
-        )
+        known = self._upstreams[latest]
+        return known.restarted(upstream, known.stage)
 
     def _discard(self, upstream: ids.UpstreamId) -> None:
         """Remove an incarnation that a later one replaced."""
--- a/galenahatch/gateway/affinity.py
+++ b/galenahatch/gateway/affinity.py
@@ -155,7 +155,7 @@
             engines += registry.usable(name, clock.now())
         present: dict[ids.ServiceName, set[ids.SoftwareVersion]] = {}
         for engine in engines:
-            if engine.stage is not None:
+            if engine.stage is not None and engine.is_version_known:
                 found = present.setdefault(engine.service, set())
                 found.add(engine.version)
         return present
--- a/galenahatch/gateway/streamaffinity.py
+++ b/galenahatch/gateway/streamaffinity.py
@@ -118,7 +118,10 @@
 
     def allows(self, engine: upstreams.Upstream) -> bool:
         """Return whether the stream may run at an engine."""
-        return self.version in (versionaffinity.ANY_VERSION, engine.version)
+        return engine.is_version_known and self.version in (
+            versionaffinity.ANY_VERSION,
+            engine.version,
+        )
 
     def unresolved_keys(self) -> tuple[ids.StreamKey, ...]:
         """Return the keys of the stream, if only others may know its version.
--- a/galenahatch/gateway/versionhistory.py
+++ b/galenahatch/gateway/versionhistory.py
@@ -163,8 +163,11 @@
         return [
             engine
             for engine in engines
-            if not engine.version
-            or self._may_begin((engine.service, engine.version), now)
+            if engine.is_version_known
+            and (
+                not engine.version
+                or self._may_begin((engine.service, engine.version), now)
+            )
         ]
 
     def unconfirmed(self) -> set[ServiceVersion]:
--- a/galenahatch/test/standin/versionworld.py
+++ b/galenahatch/test/standin/versionworld.py
@@ -24,6 +24,7 @@
 import typing
 
 from galenahatch import clock
+from galenahatch.core import incarnations
 from galenahatch.core import upstreams
 from galenahatch.core import versionaffinity
 from galenahatch import errors
@@ -152,32 +153,34 @@
     """Engines as a gateway knows them."""
 
     def __init__(self) -> None:
-        self.upstreams: dict[ids.UpstreamId, upstreams.Upstream] = {}
-        self.registry = self
+        self.registry = upstreams.Registry()
         self.ready = False
         self.is_out_of_date = False
         self.upstreams_currency = follower.Currency()
         self._listener: collections.abc.Callable[[], None] = lambda: None
 
-    def usable(
-        self, service: ids.ServiceName, now: float
-    ) -> list[upstreams.Upstream]:
-        """Return the engines that accept work."""
-        return list(self.upstreams.values())
-
     def on_change(self, listener: collections.abc.Callable[[], None]) -> None:
         """Set the listener."""
         self._listener = listener
 
     def follow(self, world: 'World') -> None:
         """Get an answer of the feed."""
-        self.upstreams = dict(world.entries)
+        self.registry.replace_all(world.entries.values(), world.now)
         self.ready = True
         self._listener()
         answer = stores.Rows([], 1, world.store.now_ms, False, world.store.era)
         currency = self.upstreams_currency.advanced(answer, world.now)
         self.upstreams_currency = currency
 
+    def report(self, world: 'World') -> None:
+        """Read the reports of all engines that are known."""
+        for key in list(self.registry.upstreams):
+            start_ms = world.starts.get(incarnations.instance_id(key), 0)
+            self.registry.record_restart(
+                key, start_ms, upstreams.Stage.DECODE, world.now
+            )
+        self._listener()
+
 
 class Gateway:
     """One gateway process.
@@ -328,11 +331,13 @@
     def __init__(self) -> None:
         self.now = 1000.0
         self.store = Store(self)
-        self.entries: dict[ids.UpstreamId, upstreams.Upstream] = {}
+        self.entries: dict[ids.InstanceId, upstreams.Upstream] = {}
+        self.starts: dict[ids.InstanceId, int] = {}
+        self._software: dict[ids.InstanceId, ids.SoftwareVersion] = {}
         self.gateways: dict[ids.MemberId, Gateway] = {}
         self.messages: list[tuple[Gateway, Gateway, typing.Any]] = []
         self.late: list[Call] = []
-        self._gone: dict[ids.UpstreamId, float] = {}
+        self._gone: dict[ids.InstanceId, float] = {}
         self._count = 0
 
     def _number(self) -> str:
@@ -342,10 +347,15 @@
     # Time, the store and members.
 
     def advance(self, seconds: float) -> None:
-        """Let time pass; feeds that work answer, unanswered calls fail."""
+        """Let time pass.
+
+        Engines write their entries, feeds that work answer, and unanswered
+        calls fail.
+        """
         until = self.now + seconds
         while self.now < until:
             self.now = min(until, self.now + _STEP_S)
+            self.rewrite_entries()
             for gateway in self.gateways.values():
                 if gateway.is_following:
                     gateway.follow()
@@ -392,16 +402,33 @@
     def register(self, version: ids.SoftwareVersion) -> None:
         """Add two engines of a version."""
         for _ in range(2):
-            key = ids.UpstreamId(f'{version}-{self._number()}')
-            self.entries[key] = upstreams.Upstream(
-                key,
-                SERVICE,
-                '',
-                ids.DataCentre(''),
-                8,
-                stage=upstreams.Stage.DECODE,
-                version=version,
-            )
+            name = ids.InstanceId(f'{version}-{self._number()}')
+            self._write_entry(name, version, 1)
+
+    def _write_entry(
+        self, name: ids.InstanceId, version: ids.SoftwareVersion, start: int
+    ) -> None:
+        self.starts[name] = start
+        self._software[name] = version
+        self.entries[name] = upstreams.Upstream(
+            incarnations.upstream_id(name, start),
+            SERVICE,
+            '',
+            ids.DataCentre(''),
+            8,
+            stage=upstreams.Stage.DECODE,
+            version=version,
+        )
+
+    def restart(self, version: ids.SoftwareVersion) -> None:
+        """Start the engines of a version again, under their ids."""
+        for name, entry in self.entries.items():
+            self.starts[name] += entry.version == version
+
+    def rewrite_entries(self) -> None:
+        """Let all engines that have started again write their entries."""
+        for name, entry in list(self.entries.items()):
+            self._write_entry(name, entry.version, self.starts[name])
 
     def remove(self, version: ids.SoftwareVersion) -> None:
         """Remove the engines of a version, all but those in progress.
@@ -456,7 +483,8 @@
         run, owner, version = asked.run, asked.owner, asked.version
         if version is None:
             return Verdict.WAITS
-        usable = owner.affinity.usable(owner.directory.upstreams.values())
+        registry = owner.directory.registry
+        usable = owner.affinity.usable(registry.usable(SERVICE, self.now))
         suiting = [e for e in usable if version in ('', e.version)]
         if not suiting:
             owner.affinity.request_listing()
@@ -476,18 +504,19 @@
 
     def _run(self, asked: Asked, engine: upstreams.Upstream) -> Verdict:
         """Run a stream at an engine, if its gateway and the engine agree."""
-        run, gateway = asked.run, asked.gateway
-        if engine.id not in gateway.directory.upstreams:
+        run, registry = asked.run, asked.gateway.directory.registry
+        known = registry.find(engine.id)
+        if known is None or not registry.accepts_work(engine.id, self.now):
             return Verdict.WAITS
-        if run.is_undecided or not run.allows(engine):
+        if run.is_undecided or not run.allows(known):
             return Verdict.REFUSED
-        gone_at = self._gone.get(engine.id, self.now)
-        if self.now - gone_at > _LINGER_S:
+        name = incarnations.instance_id(engine.id)
+        if self.now - self._gone.get(name, self.now) > _LINGER_S:
             return Verdict.WAITS
-        run.record_start(engine, asked.stream.deadline)
+        run.record_start(known, asked.stream.deadline)
         asked.stream.run = run
-        asked.stream.relayed_by = gateway
-        asked.stream.versions.add(engine.version)
+        asked.stream.relayed_by = asked.gateway
+        asked.stream.versions.add(self._software[name])
         return Verdict.RUNS
 
 
--- a/galenahatch/test/test_version_affinity.py
+++ b/galenahatch/test/test_version_affinity.py
@@ -311,6 +311,25 @@
         self._world.remove(version)
         self._follow()
 
+    @stateful.rule(
+        version=strategies.sampled_from(_VERSIONS),
+        tells_all=strategies.booleans(),
+    )
+    def restart_engines(
+        self, version: ids.SoftwareVersion, tells_all: bool
+    ) -> None:
+        """Engines start again under their ids; reports tell it first.
+
+        Args:
+            version: Version of the engines.
+            tells_all: Whether all gateways hear of it, or the first one only.
+        """
+        self._world.restart(version)
+        for gateway in list(self._world.gateways.values()):
+            gateway.directory.report(self._world)
+            if not tells_all:
+                break
+
     def _follow(self) -> None:
         for gateway in self._world.gateways.values():
             if gateway.is_following:
@@ -488,6 +507,45 @@
         machine.teardown()
 
 
+# Guards against streams that begin at an engine whose version isn't known,
+# bound to none, and go on at any.
+@pytest.mark.parametrize('number', range(4))
+def test_version_is_known_before_a_stream_begins(number: int) -> None:
+    """An engine that has started again gets none before its entry tells it."""
+    machine = VersionAffinityMachine()
+    machine.start_all(True, _Outcome.DONE, False, False)
+    try:
+        for version in _VERSIONS[:2]:
+            machine.restart_engines(version, True)
+        machine.begin(number, True)
+        for choice in range(4):
+            machine.continue_within_answer(choice)
+        machine.no_stream_is_mixed()
+        machine.settle()
+        machine.begin(number, True)
+        assert machine._streams
+    finally:
+        machine.teardown()
+
+
+# Guards against a service whose engines have all started again being taken
+# for one whose engines state no version.
+@pytest.mark.parametrize('number', range(4))
+def test_restart_of_all_engines_is_no_want_of_versions(number: int) -> None:
+    """A stream of a version that has left goes on nowhere."""
+    machine = VersionAffinityMachine()
+    machine.start_all(True, _Outcome.DONE, False, True)
+    try:
+        machine.kill_all(_Outcome.LOST)
+        machine.remove_version(_VERSIONS[0])
+        machine.start(_NAMES[0])
+        machine.restart_engines(_VERSIONS[1], True)
+        machine.resume(number, True)
+        machine.no_stream_is_mixed()
+    finally:
+        machine.teardown()
+
+
 # Guards against a reading from before a stream returned: another gateway may
 # have listed a version since, and begun the stream there.
 @pytest.mark.parametrize('number', range(4))
