Version affinity: a new stream isn't recorded for the one that it names

What callers could see: a stream whose record was lost went on at another version, as a complete answer, since somebody had begun a new stream in its name: a request that names the request of another stream but holds no event of it, so begins anew where there is room.

Cause: a stream was recorded under the id that its request names, also if the request takes nothing up. So the record of one stream answered for another one, as with shared digests.

A request without an event is recorded under its own id and digest only.

Found by reading; not seen at the users, whose callers name what they take up.

--- a/galenahatch/gateway/streamaffinity.py
+++ b/galenahatch/gateway/streamaffinity.py
@@ -51,8 +51,12 @@
 
 
 def stream_keys(call: calls.Call) -> tuple[ids.StreamKey, ...]:
-    """Return all keys of the stream that a request begins or takes up."""
-    keys = (call.resumes or call.id, call.id, _digest_key(call))
+    """Return all keys of the stream that a request begins or takes up.
+
+    A request without an event takes up no stream, whichever it names.
+    """
+    first = call.last_event_id and call.resumes
+    keys = (first or call.id, call.id, _digest_key(call))
     return tuple(ids.StreamKey(key) for key in dict.fromkeys(keys))
 
 
--- a/galenahatch/test/standin/versionworld.py
+++ b/galenahatch/test/standin/versionworld.py
@@ -445,9 +445,11 @@
 
     # Streams.
 
-    def begin(self, gateway: Gateway, owner: Gateway) -> Asked:
-        """Ask for an engine for a new stream."""
-        call = _call(self._number(), '')
+    def begin(
+        self, gateway: Gateway, owner: Gateway, names: str = ''
+    ) -> Asked:
+        """Ask for an engine for a new stream, which may name another one."""
+        call = _call(self._number(), names, '')
         run = streamaffinity.StreamAffinity(gateway.affinity, call, SERVICE)
         stream = Stream(call.id, self.now + MAX_STREAM_S, run, None)
         return Asked(stream, run, gateway, owner, self.now)
@@ -456,7 +458,7 @@
         self, stream: Stream, gateway: Gateway, owner: Gateway
     ) -> Asked:
         """Ask for an engine for a stream that its caller takes up."""
-        call = _call(self._number(), stream.id)
+        call = _call(self._number(), stream.id, '1')
         run = streamaffinity.StreamAffinity(gateway.affinity, call, SERVICE)
         return Asked(stream, run, gateway, owner, self.now)
 
@@ -520,11 +522,8 @@
         return Verdict.RUNS
 
 
-def _call(number: str, resumes: str) -> calls.Call:
-    """Return a caller's request; one that resumes names the first one.
-
-    All are alike but for their ids.
-    """
+def _call(number: str, resumes: str, last_event_id: str) -> calls.Call:
+    """Return a caller's request; all are alike but for their ids."""
     return typing.cast(
         calls.Call,
         types.SimpleNamespace(
@@ -532,6 +531,6 @@
             digest='d',
             prompt=types.SimpleNamespace(last_block_id='b'),
             resumes=resumes,
-            last_event_id='1' if resumes else '',
+            last_event_id=last_event_id,
         ),
     )
--- a/galenahatch/test/test_version_affinity.py
+++ b/galenahatch/test/test_version_affinity.py
@@ -349,6 +349,17 @@
             asked = self._world.begin(gateway, owner)
             self._handle(asked, number, is_placed)
 
+    @stateful.rule(number=_ANY)
+    def begin_in_another_name(self, number: int) -> None:
+        """Begin streams that name others, but hold none of their events."""
+        gateways = list(self._world.gateways.values())
+        for stream in list(self._streams) if gateways else ():
+            number += 1
+            gateway = gateways[number % len(gateways)]
+            owner = self._owner(gateway, number)
+            asked = self._world.begin(gateway, owner, stream.id)
+            self._handle(asked, number, True)
+
     @stateful.rule(number=_ANY, is_placed=strategies.booleans())
     def resume(self, number: int, is_placed: bool) -> None:
         """Take up all streams that have broken off, at any gateways."""
@@ -507,6 +518,22 @@
         machine.teardown()
 
 
+# Guards against a stream that begins in the name of another one whose record
+# is lost, and answers for it.
+@pytest.mark.parametrize('number', range(4))
+def test_new_stream_does_not_answer_for_the_one_it_names(number: int) -> None:
+    """A caller that has no event of a stream doesn't take it up."""
+    machine = VersionAffinityMachine()
+    machine.start_all(True, _Outcome.DONE, False, True)
+    try:
+        machine.kill(_NAMES[0], _Outcome.LOST)
+        machine.begin_in_another_name(number)
+        machine.resume(number, True)
+        machine.no_stream_is_mixed()
+    finally:
+        machine.teardown()
+
+
 # Guards against streams that begin at an engine whose version isn't known,
 # bound to none, and go on at any.
 @pytest.mark.parametrize('number', range(4))
