--- a/galenahatch/gateway/streamaffinity.py
+++ b/galenahatch/gateway/streamaffinity.py
@@ -51,8 +51,12 @@
 
 
 def stream_keys(call: calls.Call) -> tuple[ids.StreamKey, ...]:
-    """Return all keys of the stream that a request begins or takes up."""
-    keys = (call.resumes or call.id, call.id, _digest_key(call))
+    """Return all keys of the stream that a request begins or takes up.
+
+    A request without an event takes up no stream, whichever it names.
+    """
+    first = call.last_event_id and call.resumes
+    keys = (first or call.id, call.id, _digest_key(call))
     return tuple(ids.StreamKey(key) for key in dict.fromkeys(keys))
 
 
@@ -118,7 +122,10 @@
 
     def allows(self, engine: upstreams.Upstream) -> bool:
         """Return whether the stream may run at an engine."""
-        return self.version in (versionaffinity.ANY_VERSION, engine.version)
+        return engine.is_version_known and self.version in (
+            versionaffinity.ANY_VERSION,
+            engine.version,
+        )
 
     def unresolved_keys(self) -> tuple[ids.StreamKey, ...]:
         """Return the keys of the stream, if only others may know its version.
--- a/galenahatch/test/test_version_affinity.py
+++ b/galenahatch/test/test_version_affinity.py
@@ -311,6 +311,25 @@
         self._world.remove(version)
         self._follow()
 
+    @stateful.rule(
+        version=strategies.sampled_from(_VERSIONS),
+        tells_all=strategies.booleans(),
+    )
+    def restart_engines(
+        self, version: ids.SoftwareVersion, tells_all: bool
+    ) -> None:
+        """Engines start again under their ids; reports tell it first.
+
+        Args:
+            version: Version of the engines.
+            tells_all: Whether all gateways hear of it, or the first one only.
+        """
+        self._world.restart(version)
+        for gateway in list(self._world.gateways.values()):
+            gateway.directory.report(self._world)
+            if not tells_all:
+                break
+
     def _follow(self) -> None:
         for gateway in self._world.gateways.values():
             if gateway.is_following:
@@ -330,6 +349,17 @@
             asked = self._world.begin(gateway, owner)
             self._handle(asked, number, is_placed)
 
+    @stateful.rule(number=_ANY)
+    def begin_in_another_name(self, number: int) -> None:
+        """Begin streams that name others, but hold none of their events."""
+        gateways = list(self._world.gateways.values())
+        for stream in list(self._streams) if gateways else ():
+            number += 1
+            gateway = gateways[number % len(gateways)]
+            owner = self._owner(gateway, number)
+            asked = self._world.begin(gateway, owner, stream.id)
+            self._handle(asked, number, True)
+
     @stateful.rule(number=_ANY, is_placed=strategies.booleans())
     def resume(self, number: int, is_placed: bool) -> None:
         """Take up all streams that have broken off, at any gateways."""
@@ -488,6 +518,61 @@
         machine.teardown()
 
 
+# Guards against a stream that begins in the name of another one whose record
+# is lost, and answers for it.
+@pytest.mark.parametrize('number', range(4))
+def test_new_stream_does_not_answer_for_the_one_it_names(number: int) -> None:
+    """A caller that has no event of a stream doesn't take it up."""
+    machine = VersionAffinityMachine()
+    machine.start_all(True, _Outcome.DONE, False, True)
+    try:
+        machine.kill(_NAMES[0], _Outcome.LOST)
+        machine.begin_in_another_name(number)
+        machine.resume(number, True)
+        machine.no_stream_is_mixed()
+    finally:
+        machine.teardown()
+
+
+# Guards against streams that begin at an engine whose version isn't known,
+# bound to none, and go on at any.
+@pytest.mark.parametrize('number', range(4))
+def test_version_is_known_before_a_stream_begins(number: int) -> None:
+    """An engine that has started again gets none before its entry tells it."""
+    machine = VersionAffinityMachine()
+    machine.start_all(True, _Outcome.DONE, False, False)
+    try:
+        for version in _VERSIONS[:2]:
+            machine.restart_engines(version, True)
+        machine.begin(number, True)
+        for choice in range(4):
+            machine.continue_within_answer(choice)
+        machine.no_stream_is_mixed()
+        machine.settle()
+        machine.begin(number, True)
+        assert machine._streams
+    finally:
+        machine.teardown()
+
+
+# Guards against a service whose engines have all started again being taken
+# for one whose engines state no version.
+@pytest.mark.parametrize('number', range(4))
+def test_restart_of_all_engines_is_no_want_of_versions(number: int) -> None:
+    """A stream of a version that has left goes on nowhere."""
+    machine = VersionAffinityMachine()
+    machine.start_all(True, _Outcome.DONE, False, True)
+    try:
+        machine.kill_all(_Outcome.LOST)
+        machine.remove_version(_VERSIONS[0])
+        machine.start(_NAMES[0])
+        machine.restart_engines(_VERSIONS[1], True)
+        machine.resume(number, True)
+        machine.no_stream_is_mixed()
+    finally:
+        machine.teardown()
+
+
 # Guards against a reading from before a stream returned: another gateway may
 # have listed a version since, and begun the stream there.
 @pytest.mark.parametrize('number', range(4))
