Mesh: an address that no socket takes fails for its member only

A member's row with port -1, or with a key that is no address, raised ZMQError out of `connect`, in the loop that sends heartbeats. The loop started again each 0.5 s and failed at the same member, so that members of a later rank heard no heartbeat, and the row was never removed as that of a silent member. A row from before the gateways started ranks first, so it stopped all.

An endpoint is checked where it is built: an IP address and a port. A name would be looked up in the thread that serves all sockets. A member without an endpoint has no link; messages to it are lost as those to a member that is gone, and it is logged once. The separate programs do the same with the list of VMs.

--- a/galenahatch/bus.py
+++ b/galenahatch/bus.py
@@ -25,6 +25,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import ipaddress
 import typing
 
 import zmq
@@ -44,6 +45,7 @@
 detects. Gateways send heartbeats every 250 ms and consider a member gone
 after 800 ms; without this timeout they asked different owners for up to ten
 seconds after their connections had gone silent."""
+_MAX_PORT: typing.Final = 65535
 _FRAMES_PER_DROP_LOG: typing.Final = 100
 _MAX_MESSAGES_PER_READ: typing.Final = 64
 _log = logs.Log('bus')
@@ -171,6 +173,20 @@
     return zmq.Context.instance()
 
 
+def endpoint(address: str, port: int) -> str:
+    """Return the endpoint of a hub.
+
+    Raises:
+        ValueError: the address isn't an IP address, or the port is invalid.
+            A socket would look up another address's name for seconds, during
+            which all sockets of the process stand still.
+    """
+    ipaddress.ip_address(address)
+    if not 0 < port <= _MAX_PORT:
+        raise ValueError(f'port {port}')
+    return f'tcp://{address}:{port}'
+
+
 class Link(typing.Generic[M]):
     """DEALER socket connected to another daemon's hub.
 
@@ -178,6 +194,9 @@
         endpoint: `tcp://ip:port` of the hub.
         codec: encoder and decoder of the messages.
         handler: callback for each received message.
+
+    Raises:
+        ValueError: the endpoint is invalid.
     """
 
     def __init__(
@@ -189,7 +208,11 @@
         socket = _create_socket(context(), zmq.DEALER)
         socket.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
-        socket.connect(endpoint)
+        try:
+            socket.connect(endpoint)
+        except zmq.ZMQError as error:
+            socket.close()
+            raise ValueError(f'{endpoint!r}: {error}') from error
         self._handler = handler
         self._codec = codec
         self._decoder = _FrameDecoder(codec)
--- a/galenahatch/gateway/links.py
+++ b/galenahatch/gateway/links.py
@@ -24,8 +24,10 @@
 from galenahatch.gateway import callmessages
 from galenahatch.gateway import frames
 from galenahatch import ids
+from galenahatch import logs
 
 CODEC = bus.Codec[frames.AnyMessage](frames.encode, frames.decode)
+_log = logs.Log('mesh')
 LinkHandler = collections.abc.Callable[[ids.MemberId, frames.AnyMessage], None]
 HubHandler = collections.abc.Callable[[bus.Peer, frames.AnyMessage], None]
 
@@ -49,7 +51,9 @@
     ) -> None:
         self._members = members
         self._on_link = on_link
-        self._links: dict[ids.MemberId, bus.Link[frames.AnyMessage]] = {}
+        self._links: dict[
+            ids.MemberId, bus.Link[frames.AnyMessage] | None
+        ] = {}
         self._peers: dict[ids.MemberId, bus.Peer] = {}
         self._member_ids: dict[bus.Peer, ids.MemberId] = {}
         self._levels: dict[ids.MemberId, int] = {}
@@ -84,7 +88,9 @@
     def send(self, name: ids.MemberId, message: frames.AnyMessage) -> None:
         """Send a message, which is lost if the member is unreachable."""
         if name in self._members.by_name and self._may_send(name, message):
-            self._link(name).send(message)
+            link = self._link(name)
+            if link is not None:
+                link.send(message)
 
     def reply(self, name: ids.MemberId, message: frames.AnyMessage) -> None:
         """Send a message to a member that has sent one."""
@@ -103,7 +109,8 @@
         """Close all sockets."""
         self._hub.close()
         for link in self._links.values():
-            link.close()
+            if link is not None:
+                link.close()
 
     def _may_send(
         self, name: ids.MemberId, message: frames.AnyMessage
@@ -112,13 +119,24 @@
             message, callmessages.AnyCallMessage
         ) or self.knows(name, callmessages.MESSAGE_LEVEL)
 
-    def _link(self, name: ids.MemberId) -> bus.Link[frames.AnyMessage]:
-        link = self._links.get(name)
-        if link is None:
-            member = self._members.by_name[name]
-            link = self._links[name] = bus.Link(
-                f'tcp://{member.address}:{member.port}',
+    def _link(self, name: ids.MemberId) -> bus.Link[frames.AnyMessage] | None:
+        """Return the link to a member; None if its address is invalid."""
+        if name not in self._links:
+            self._links[name] = self._connect(name)
+        return self._links[name]
+
+    def _connect(
+        self, name: ids.MemberId
+    ) -> bus.Link[frames.AnyMessage] | None:
+        member = self._members.by_name[name]
+        try:
+            return bus.Link(
+                bus.endpoint(member.address, member.port),
                 CODEC,
                 lambda message: self._on_link(name, message),
             )
-        return link
+        except ValueError as error:
+            _log.error(
+                'Invalid member address.', member=name, error=str(error)
+            )
+            return None
--- a/galenahatch/peers.py
+++ b/galenahatch/peers.py
@@ -68,6 +68,7 @@
         self._vms = vm_client
         self._handler = handler
         self._links: dict[ids.MemberId, bus.Link[messages.AnyMessage]] = {}
+        self._invalid_addresses: set[str] = set()
         self._vm_listeners: list[VmListener] = []
         self._heartbeat_listeners: list[
             collections.abc.Callable[[], None]
@@ -213,9 +214,16 @@
         member = ids.MemberId(f'scheduler/{address}:{port}')
         if member in self._links or member == self.member:
             return
-        self._links[member] = bus.Link(
-            f'tcp://{address}:{port}', messages.CODEC, self._receive
-        )
+        try:
+            self._links[member] = bus.Link(
+                bus.endpoint(address, port), messages.CODEC, self._receive
+            )
+        except ValueError as error:
+            if address not in self._invalid_addresses:
+                self._invalid_addresses.add(address)
+                _log.error(
+                    'Invalid VM address.', address=address, error=str(error)
+                )
 
     def _receive(self, message: messages.AnyMessage) -> None:
         if isinstance(message, messages.Heartbeat):
--- a/galenahatch/test/test_bus.py
+++ b/galenahatch/test/test_bus.py
@@ -18,7 +18,12 @@
 import pytest
 
 from galenahatch import bus
+from galenahatch.core import members
+from galenahatch.core import versions
 from galenahatch import errors
+from galenahatch.gateway import links
+from galenahatch.gateway import messages
+from galenahatch import ids
 from galenahatch.test import ports
 from galenahatch.test.standin import proxy as proxies
 
@@ -85,3 +90,37 @@
     It is not reset either: only a time-out shows that it is dead.
     """
     assert asyncio.run(_hushed(way))
+
+
+# Guards against: a member's row with an address that no socket takes ends the
+# loop of heartbeats, so that no member behind it hears any.
+@pytest.mark.parametrize(
+    ('address', 'port'),
+    [
+        ('127.9.9.1', -1),
+        ('127.9.9.1', 0),
+        ('127.9.9.1', 70000),
+        ('127.9.9.1', 10**30),
+        ('no address', 7660),
+        ('a\r\nb', 7660),
+        ('some.host.invalid', 7660),
+        ('*', 7660),
+        ('', 7660),
+    ],
+)
+def test_member_without_an_address(address: str, port: int) -> None:
+    """Messages to it are lost, and its link can be closed."""
+
+    async def run() -> None:
+        known = members.Members(ids.MemberId('me'))
+        name = ids.MemberId(address)
+        known.add_row(name, port, versions.Version(1, 1), 0.0)
+        own = f'tcp://127.0.0.1:{ports.free()}'
+        made = links.Links(own, known, lambda *_: None, lambda *_: None)
+        for _ in range(2):
+            made.send(name, messages.Suspicions(()))
+        made.close_link(name)
+        made.send(name, messages.Suspicions(()))
+        made.close()
+
+    asyncio.run(run())
