Sender: a request that can't be written was not sent

An engine's id with CR, LF or NUL stands in a header of each request to it, and the client library raises ValueError for it, as for an address that is no URL. That is none of the errors that sends catch: callers got a 500, and the loop that polls all engines ended at the one and started again each 0.5 s, so that no engine's report was read any more.

Headers are checked before the connection is looked for, and addresses before the URL is built; both fail as a send without a connection does, so the request goes elsewhere and counts as not run. The upstream is to blame, not the gateway that would proxy the send. Another ValueError of the library counts as an error of the client, after which the request may have run.

--- a/galenahatch/gateway/sender.py
+++ b/galenahatch/gateway/sender.py
@@ -29,7 +29,6 @@
 
 import aiohttp
 import multidict
-import yarl
 
 from galenahatch import clock
 from galenahatch.core import fate
@@ -211,8 +210,12 @@
             async with self.waits.limit(upstream.id, request.timeout):
                 response = await self._request(upstream, request, hop)
         except http.NOT_CONNECTED as error:
+            is_unsendable = isinstance(error, http.UnsendableError)
+            cause = (
+                sendresults.Cause.UPSTREAM if is_unsendable else _cause(hop)
+            )
             return sendresults.FailedSend(
-                fate.Fate.NOT_SENT, repr(error), cause=_cause(hop)
+                fate.Fate.NOT_SENT, repr(error), cause=cause
             )
         except asyncio.TimeoutError:
             return sendresults.FailedSend(
@@ -246,7 +249,7 @@
             )
         return await self._session(request.use_pool, hop).request(
             request.method,
-            _url(address, request.target),
+            sessions.url(address, request.target),
             data=request.body or None,
             headers=headers,
             skip_auto_headers=_SKIPPED_AUTO_HEADERS,
@@ -296,13 +299,15 @@
         self, address: str, timeout: float = _PROBE_TIMEOUT_S
     ) -> Reach:
         """Return whether a new connection to an address succeeds."""
-        host, _, port = address.rpartition(':')
         try:
+            host, port = sessions.split_address(address)
             async with timeouts.limit(timeout):
-                _, writer = await asyncio.open_connection(host, int(port))
+                _, writer = await asyncio.open_connection(
+                    host.strip('[]'), port
+                )
         except ConnectionRefusedError:
             return Reach.REFUSED
-        except (OSError, asyncio.TimeoutError):
+        except (OSError, ValueError, asyncio.TimeoutError):
             return Reach.SILENT
         writer.close()
         return Reach.CONNECTED
@@ -331,8 +336,8 @@
             return errors.Failure(errors.UPSTREAM_UNREACHABLE, 'closed')
         if hop is not None:
             headers = hop.add_headers(headers or {}, '', True, timeout)
-        url = _url(address if hop is None else hop.address, path)
         try:
+            url = sessions.url(address if hop is None else hop.address, path)
             async with (
                 timeouts.limit(timeout),
                 self._session(True, hop).request(
@@ -415,15 +420,3 @@
     """
     is_other_request = bool(head.request_id) and head.request_id != request
     return not is_other_request and head.status != _MISDIRECTED_STATUS
-
-
-def _url(address: str, target: str) -> yarl.URL:
-    """Return a URL whose path and query are sent byte for byte."""
-    host, _, port = address.rpartition(':')
-    return yarl.URL.build(
-        scheme='http',
-        host=host,
-        port=int(port),
-        path=target,
-        encoded=True,
-    )
--- a/galenahatch/gateway/sessions.py
+++ b/galenahatch/gateway/sessions.py
@@ -18,12 +18,15 @@
 
 import asyncio
 import collections
+import functools
+import ipaddress
 import socket
 import typing
 
 import aiohttp
 from aiohttp import client_proto
 from aiohttp import connector as connectors
+import yarl
 
 from galenahatch import clock
 from galenahatch.gateway import overload
@@ -186,3 +189,32 @@
         max_line_size=_MAX_HEADER_BYTES,
         max_field_size=_MAX_HEADER_BYTES,
     )
+
+
+def url(address: str, target: str) -> yarl.URL:
+    """Return a URL whose path and query are sent byte for byte.
+
+    Raises:
+        http.UnsendableError: the address is invalid.
+    """
+    try:
+        host, port = split_address(address)
+        return yarl.URL.build(
+            scheme='http', host=host, port=port, path=target, encoded=True
+        )
+    except ValueError as error:
+        raise http.UnsendableError(f'{address!r}: {error}') from error
+
+
+@functools.lru_cache(maxsize=4096)
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and the port of an address, as `IP:PORT`.
+
+    Raises:
+        ValueError: the address is invalid.
+    """
+    parsed = yarl.URL(f'http://{address}')
+    ipaddress.ip_address(parsed.host or '')
+    if not parsed.explicit_port or not address.isprintable():
+        raise ValueError('no port, or characters that are not printable')
+    return parsed.host_subcomponent or '', parsed.explicit_port
--- a/galenahatch/upstream/http.py
+++ b/galenahatch/upstream/http.py
@@ -23,6 +23,7 @@
 
 import asyncio
 import collections.abc
+import re
 import typing
 
 import aiohappyeyeballs
@@ -36,6 +37,8 @@
     aiohttp.ClientError,
     asyncio.TimeoutError,
     OSError,
+    # What the library can't write or read.
+    ValueError,
 )
 NO_TIMEOUT: typing.Final = aiohttp.ClientTimeout(total=None)
 MAX_BODY_BYTES: typing.Final = 8 * 1024 * 1024
@@ -46,13 +49,19 @@
 _LIBRARY_CONNECT_ERRORS: typing.Final = (
     aiohttp.ClientConnectorError,
     aiohttp.ConnectionTimeoutError,
+    aiohttp.InvalidURL,
 )
+_FORBIDDEN_CHARS: typing.Final = re.compile('[\x00-\x08\x0a-\x1f\x7f]')
 
 
 class NotConnectedError(aiohttp.ClientError):
     """No connection was established, so no byte was sent."""
 
 
+class UnsendableError(NotConnectedError):
+    """The request has an address or header that can't be written."""
+
+
 class ConnectionLostError(aiohttp.ClientError):
     """The connection broke when data may have been sent."""
 
@@ -64,9 +73,13 @@
 
     Raises:
         NotConnectedError: no connection was established.
+        UnsendableError: a header can't be written.
         ConnectionLostError: the connection broke when data may have been
             sent.
     """
+    for name, value in request.headers.items():
+        if _FORBIDDEN_CHARS.search(name) or _FORBIDDEN_CHARS.search(value):
+            raise UnsendableError(f'header {name!r}: forbidden character')
     try:
         return await handler(request)
     except _LIBRARY_CONNECT_ERRORS as error:
