Version rows: one service holds up no other

All services' rows of versions went in one transaction. One row that the store refuses, by its size, by its key or since another gateway writes it all the time, kept every row from being written or renewed: new versions of all services idled for 20 s, and each unknown return was refused after a kill of all gateways. More than 50 services passed the store's 100 entries of a call. Entries that anybody writes name services and versions freely, so two of them with versions of 40,000 characters were enough.

- One transaction holds as many rows as the store takes, 50; this is the only call in each 5 s as long as all goes well.
Ruled out: a transaction for each service always (n writes each 5 s for nothing), halving after a failure (log n rounds, but each round of an outage costs as many calls as there are parts).
- A row that can't name all versions, for the store's bytes or for 256 versions, isn't written: the stored one runs out after 20 s and vouches for nothing, as if the store took no writes.
It is never cut down, since a row that lacks a version would tell that there was none.
Such a row by another writer is invalid and replaced, so it doesn't keep ours away for ever.
- Of each service 256 versions that have left and one more are kept, those that left last.
While there are more than 256 no row is written, and those forgotten left before all that are kept, so they are over once the count has fallen again.
- Services that the configuration doesn't have are not stored, not waited for and don't make gateways store origins.
- A row that knows all versions only since a time of the future no longer passes that on to each row after it.
- An invalid row is logged once, not at each reading.

--- a/galenahatch/core/versionaffinity.py
+++ b/galenahatch/core/versionaffinity.py
@@ -39,6 +39,9 @@
 longest streams are shorter."""
 MAX_RECORDS: typing.Final = 131072
 """Keys remembered; 14 s of 2,900 streams a second have 81,200."""
+MAX_VERSIONS: typing.Final = 256
+"""Versions of a service within their retention that are told apart. A release
+each second has 60."""
 SETTLE_S: typing.Final = 0.6
 """Seconds for which a gateway that has just become the owner waits for what
 others know of a stream; they tell it within a heartbeat."""
@@ -131,11 +134,15 @@
 
 
 class ServedVersions:
-    """Versions in service, or recently, by service."""
+    """Versions in service, or recently, by service.
+
+    Of each service, the `MAX_VERSIONS + 1` versions that left last are kept.
+    So a service with more than `MAX_VERSIONS` may have had others.
+    """
 
     def __init__(self) -> None:
         self._present: dict[ids.ServiceName, frozenset[Version]] = {}
-        self._left_at: dict[tuple[ids.ServiceName, Version], float] = {}
+        self._left_at: dict[ids.ServiceName, dict[Version, float]] = {}
 
     def update(
         self,
@@ -145,51 +152,70 @@
         """Set the versions of all engines that are listed."""
         for service, versions in self._present.items():
             for version in versions - present.get(service, frozenset()):
-                self._left_at[service, version] = now
+                self._add_left(service, version, now)
+        for service in list(self._left_at):
+            self._prune(service, now)
         self._present = dict(present)
 
     def add_past(
         self, service: ids.ServiceName, version: Version, left_at: float
     ) -> None:
         """Add a version that served before, as another process recorded it."""
-        known_at = self._left_at.get((service, version), left_at)
-        self._left_at[service, version] = max(known_at, left_at)
+        self._add_left(service, version, left_at)
+
+    def _add_left(
+        self, service: ids.ServiceName, version: Version, left_at: float
+    ) -> None:
+        left = self._left_at.setdefault(service, {})
+        left[version] = max(left.get(version, left_at), left_at)
+        if len(left) > MAX_VERSIONS + 1:
+            del left[min(left, key=left.__getitem__)]
 
     def names(self) -> set[ids.ServiceName]:
         """Return the services of which any version is known."""
-        return {*self._present, *(service for service, _ in self._left_at)}
+        return {*self._present, *self._left_at}
 
     def left_times(
         self, service: ids.ServiceName, now: float
     ) -> dict[Version, float]:
         """Return when versions of a service left; infinity if they serve."""
-        self._prune(now)
-        left = {v: at for (n, v), at in self._left_at.items() if n == service}
+        self._prune(service, now)
         present = self._present.get(service, frozenset())
+        left = self._left_at.get(service, {})
         return left | dict.fromkeys(present, math.inf)
 
-    def several(self, now: float) -> bool:
-        """Return whether any service has several versions, or had."""
-        self._prune(now)
-        return any(len(self._versions(name)) > 1 for name in self.names())
+    def several(
+        self,
+        now: float,
+        is_used: collections.abc.Callable[
+            [ids.ServiceName], bool
+        ] = lambda name: True,
+    ) -> bool:
+        """Return whether any service has several versions, or had.
+
+        Args:
+            now: Monotonic time in seconds.
+            is_used: Returns whether a service counts.
+        """
+        return any(
+            is_used(name) and not self.is_single(name, now)
+            for name in self.names()
+        )
 
     def is_single(self, service: ids.ServiceName, now: float) -> bool:
         """Return whether at most one version of a service is known."""
-        self._prune(now)
-        return len(self._versions(service)) <= 1
+        return len(self.left_times(service, now)) <= 1
 
     def is_only(
         self, service: ids.ServiceName, version: Version, now: float
     ) -> bool:
         """Return whether no other version of a service is known."""
-        self._prune(now)
-        return self._versions(service) <= {version}
-
-    def _versions(self, service: ids.ServiceName) -> set[Version]:
-        left = {v for name, v in self._left_at if name == service}
-        return left | self._present.get(service, frozenset())
+        return self.left_times(service, now).keys() <= {version}
 
-    def _prune(self, now: float) -> None:
-        for key, left_at in list(self._left_at.items()):
+    def _prune(self, service: ids.ServiceName, now: float) -> None:
+        left = self._left_at.get(service, {})
+        for version, left_at in list(left.items()):
             if now - left_at > VERSION_RETENTION_S:
-                del self._left_at[key]
+                del left[version]
+        if not left:
+            self._left_at.pop(service, None)
--- a/galenahatch/gateway/affinity.py
+++ b/galenahatch/gateway/affinity.py
@@ -40,6 +40,7 @@
 from galenahatch.gateway import originlog
 from galenahatch.gateway import streamaffinity
 from galenahatch.gateway import versionhistory
+from galenahatch.gateway import versionwrites
 from galenahatch import ids
 from galenahatch import logs
 from galenahatch.platform import store as stores
@@ -82,6 +83,7 @@
         directory: Source of engines and their versions.
         store: The platform's store.
         address: Address of this VM.
+        max_row_bytes: Bytes of a row that the store takes.
 
     Attributes:
         on_read: Callback after versions were read or stored.
@@ -92,12 +94,17 @@
         directory: directories.Directory,
         store: stores.Store,
         address: str,
+        max_row_bytes: int = versionwrites.MAX_ROW_BYTES,
     ) -> None:
         self._directory = directory
         self._origins = versionaffinity.Origins()
         self._served = versionaffinity.ServedVersions()
         self._history = versionhistory.VersionHistory(
-            store, self._served, lambda: directory.upstreams_currency
+            store,
+            self._served,
+            lambda: directory.upstreams_currency,
+            directory.has_service,
+            max_row_bytes,
         )
         writer = f'{address}/{clock.random_incarnation():x}'
         self._origin_log = originlog.OriginLog(store, self._origins, writer)
@@ -300,7 +307,7 @@
         """
         return (
             self._directory.is_out_of_date
-            or self._served.several(now)
+            or self._served.several(now, self._directory.has_service)
             or not self._history.knows_all_services(now)
         )
 
--- a/galenahatch/gateway/directory.py
+++ b/galenahatch/gateway/directory.py
@@ -195,6 +195,10 @@
             return None
         return self.config.services.get(name)
 
+    def has_service(self, name: ids.ServiceName) -> bool:
+        """Return whether the configuration in force has a service."""
+        return self.service(name) is not None
+
     def update_for(
         self, request: messages.UpdateRequest
     ) -> messages.Update | None:
--- a/galenahatch/gateway/versionhistory.py
+++ b/galenahatch/gateway/versionhistory.py
@@ -52,11 +52,12 @@
 from galenahatch import errors
 from galenahatch.gateway import follower as followers
 from galenahatch.gateway import versionrows
+from galenahatch.gateway import versionwrites
 from galenahatch import ids
 from galenahatch import logs
 from galenahatch.platform import store as stores
 
-TABLE: typing.Final = 'service_versions'
+TABLE: typing.Final = versionwrites.TABLE
 _ABSENCE_S: typing.Final = 5.0
 """Seconds for which a row that was not found counts as absent."""
 _log = logs.Log('versions')
@@ -71,6 +72,9 @@
         store: The platform's store.
         served: Versions in service, or recently.
         currency: Returns as of when the versions in service are known.
+        is_used: Returns whether requests may be for a service. Engines may
+            name any other, of which nothing is stored.
+        max_row_bytes: Bytes of a row that the store takes.
 
     Attributes:
         read_at: Time at which the last reading of the rows began.
@@ -81,8 +85,14 @@
         store: stores.Store,
         served: versionaffinity.ServedVersions,
         currency: collections.abc.Callable[[], followers.Currency],
+        is_used: collections.abc.Callable[
+            [ids.ServiceName], bool
+        ] = lambda name: True,
+        max_row_bytes: int = versionwrites.MAX_ROW_BYTES,
     ) -> None:
         self._store = store
+        self._is_used = is_used
+        self._writer = versionwrites.RowWriter(store, max_row_bytes)
         self._served = served
         self._currency = currency
         self._rows: dict[ids.ServiceName, versionrows.Row] = {}
@@ -91,6 +101,8 @@
         self._era: int | None = None
         self._clock = versionrows.StoreClock()
         self._first_seen: dict[ServiceVersion, float] = {}
+        # Numbers of the invalid rows, by key.
+        self._invalid: dict[str, int] = {}
         # Services whose row was in force when it was last read or written.
         self._vouched: set[ids.ServiceName] = set()
         self.read_at = -math.inf
@@ -151,7 +163,11 @@
 
     def knows_all_services(self, now: float) -> bool:
         """Return whether all versions of all services are known."""
-        return all(self.knows_all(name, now) for name in self._served.names())
+        return all(self.knows_all(name, now) for name in self._names())
+
+    def _names(self) -> list[ids.ServiceName]:
+        """Return the services whose versions matter."""
+        return [name for name in self._served.names() if self._is_used(name)]
 
     # Versions at which streams may begin.
 
@@ -168,16 +184,24 @@
         ]
 
     def unconfirmed(self) -> set[ServiceVersion]:
-        """Return the versions in service at which no stream may begin yet."""
+        """Return versions in service at which no stream may begin yet.
+
+        Those that no row will list are left out.
+        """
         now = clock.now()
         return {
-            key for key in self._first_seen if not self._may_begin(key, now)
+            key
+            for key in self._first_seen
+            if self._is_used(key[0])
+            and key[0] not in self._writer.oversized
+            and not self._may_begin(key, now)
         }
 
     def needs_reading(self) -> bool:
         """Return whether a reading may let streams begin somewhere."""
         is_old = clock.now() - self.read_at > _ABSENCE_S / 2
-        absent = {name for name, _ in self._first_seen} - self._rows.keys()
+        used = {name for name, _ in self._first_seen if self._is_used(name)}
+        absent = used - self._rows.keys()
         return bool(self.unconfirmed()) or (is_old and bool(absent))
 
     def _may_begin(self, key: ServiceVersion, now: float) -> bool:
@@ -231,10 +255,8 @@
     def _apply(self, stored: stores.Row, era: int, now: float) -> None:
         name = ids.ServiceName(stored.key)
         self._numbers[name] = stored.ver
-        try:
-            row = msgspec.json.decode(stored.value, type=versionrows.Row)
-        except msgspec.MsgspecError as error:
-            _log.error('Invalid version row.', key=name, error=str(error))
+        row = self._decode(stored)
+        if row is None:
             return
         self._rows[name] = row
         for version, left_ms in row.left_ms.items():
@@ -243,6 +265,21 @@
                 left_at = min(now, self._clock.latest_at(left_ms))
             self._served.add_past(name, version, left_at)
 
+    def _decode(self, stored: stores.Row) -> versionrows.Row | None:
+        """Return a row; log once if it is invalid."""
+        try:
+            row = msgspec.json.decode(stored.value, type=versionrows.Row)
+            if versionrows.is_valid(row):
+                self._invalid.pop(stored.key, None)
+                return row
+            detail = f'{len(row.left_ms)} versions'
+        except msgspec.MsgspecError as error:
+            detail = str(error)
+        if self._invalid.get(stored.key) != stored.ver:
+            self._invalid[stored.key] = stored.ver
+            _log.error('Invalid version row.', key=stored.key, error=detail)
+        return None
+
     def _check_rows(self, now: float) -> None:
         """Find the rows that are in force."""
         self._vouched = {
@@ -271,7 +308,7 @@
             in_doubt=' '.join(
                 sorted(
                     name
-                    for name in self._served.names()
+                    for name in self._names()
                     if not self.knows_all(name, now)
                 )
             ),
@@ -287,29 +324,16 @@
         changed = self._changed_rows(currency, now)
         if not changed:
             return False
-        result = await self._store.transact(
-            [
-                stores.RowOperation(
-                    TABLE, name, ver=self._numbers.get(name, 0)
-                )
-                for name in changed
-            ],
-            put=[
-                stores.RowOperation(
-                    TABLE, name, value=msgspec.json.encode(row)
-                )
-                for name, row in changed.items()
-            ],
-        )
-        if isinstance(result, stores.Committed):
-            self._record_saved(changed, result, now)
-        elif isinstance(result, stores.Conflict):
+
+        def record(
+            written: versionwrites.Rows, result: stores.Committed
+        ) -> bool:
+            self._record_saved(written, result, now)
+            return self.is_loaded
+
+        if await self._writer.write(changed, self._numbers, record):
             # Another owner has written; its versions are added to these.
             await self.load()
-        else:
-            _log.warning(
-                'Could not store service versions yet.', detail=result.detail
-            )
         return True
 
     def _changed_rows(
@@ -317,14 +341,15 @@
     ) -> dict[ids.ServiceName, versionrows.Row]:
         """Return the rows to write."""
         changed = {}
-        for name in self._served.names():
+        for name in self._names():
             row = versionrows.Row(
                 currency.era,
                 self._left_ms(name, now),
                 self._known_ms(name, currency.since, now),
                 currency.store_ms,
             )
-            if versionrows.must_write(self._rows.get(name), row):
+            fits = self._writer.fits(name, row)
+            if fits and versionrows.must_write(self._rows.get(name), row):
                 changed[name] = row
         return changed
 
@@ -345,7 +370,7 @@
         stored = self._rows.get(service)
         if stored is None:
             return self._clock.latest_ms(now)
-        since = self._clock.latest_at(stored.known_ms)
+        since = min(now, self._clock.latest_at(stored.known_ms))
         if not self._is_in_force(stored, now):
             since = max(since, observed_since)
         if now - since > versionaffinity.VERSION_RETENTION_S:
--- a/galenahatch/gateway/versionrows.py
+++ b/galenahatch/gateway/versionrows.py
@@ -20,6 +20,7 @@
 
 import msgspec
 
+from galenahatch.core import versionaffinity
 from galenahatch import ids
 
 LEASE_S: typing.Final = 20.0
@@ -77,6 +78,11 @@
         return self.most_offset + shown_ms / 1000
 
 
+def is_valid(row: Row) -> bool:
+    """Return whether a row has no more versions than are told apart."""
+    return len(row.left_ms) <= versionaffinity.MAX_VERSIONS
+
+
 def must_write(stored: Row | None, wanted: Row) -> bool:
     """Return whether a row must be written; times of leaving don't matter."""
     if stored is None:
--- a/galenahatch/test/standin/versionworld.py
+++ b/galenahatch/test/standin/versionworld.py
@@ -159,6 +159,10 @@
         self.upstreams_currency = follower.Currency()
         self._listener: collections.abc.Callable[[], None] = lambda: None
 
+    def has_service(self, name: ids.ServiceName) -> bool:
+        """Return whether a service is configured."""
+        return name == SERVICE
+
     def usable(
         self, service: ids.ServiceName, now: float
     ) -> list[upstreams.Upstream]:
--- a/galenahatch/test/test_version_affinity.py
+++ b/galenahatch/test/test_version_affinity.py
@@ -27,6 +27,7 @@
 import pytest
 
 from galenahatch import clock
+from galenahatch.core import versionaffinity
 from galenahatch import ids
 from galenahatch.test.standin import versionworld
 
@@ -512,3 +513,26 @@
     max_examples=1000,
     stateful_step_count=50,
 )
+
+
+class FewVersionsMachine(VersionAffinityMachine):
+    """The same where more than one version is too many for a row."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._is_disturbed = True
+        self._few = mock.patch.object(versionaffinity, 'MAX_VERSIONS', 1)
+        self._few.start()
+
+    def teardown(self) -> None:
+        """Restore the bound as well."""
+        self._few.stop()
+        super().teardown()
+
+
+TestFewVersions = FewVersionsMachine.TestCase
+TestFewVersions.settings = hypothesis.settings(
+    hypothesis.settings.get_profile('ci'),
+    max_examples=300,
+    stateful_step_count=50,
+)
--- a/galenahatch/test/test_version_history.py
+++ b/galenahatch/test/test_version_history.py
@@ -44,6 +44,9 @@
         self.eras = self
         self.newest = era
         self.is_read_only = False
+        self.refused: set[str] = set()
+        self.rewritten: set[str] = set()
+        self.calls = 0
 
     async def rows(self, table: str) -> stores.Rows:
         """Return all rows."""
@@ -57,8 +60,16 @@
         put: list[stores.RowOperation],
     ) -> stores.Committed | stores.Conflict | errors.Failure:
         """Write rows that have the versions expected."""
-        if self.is_read_only:
+        self.calls += 1
+        keys = {row.key for row in put}
+        is_too_much = len(expected) + len(put) > 100 or any(
+            len(typing.cast(bytes, row.value)) > 65536 for row in put
+        )
+        if self.is_read_only or is_too_much or keys & self.refused:
             return errors.Failure(errors.STORE_UNAVAILABLE, 'status 503')
+        for key in keys & self.rewritten:
+            self.ver += 1
+            self.rows_by_key[key] = stores.Row(key, self.ver, b'{"era":0}')
         for row in expected:
             known = self.rows_by_key.get(row.key)
             if (known.ver if known else 0) != row.ver:
@@ -92,13 +103,24 @@
         self.currency = follower.Currency()
         self.list(*present)
 
-    def list(self, *present: ids.SoftwareVersion) -> None:
-        """Set the versions that serve, by an answer of the feed."""
+    def list(
+        self,
+        *present: ids.SoftwareVersion,
+        others: collections.abc.Sequence[str] = (),
+    ) -> None:
+        """Set the versions that serve, by an answer of the feed.
+
+        Args:
+            present: Versions of the service.
+            others: Further services, each with one version.
+        """
         now = clock.now()
         self.currency = follower.Currency(
             now, self._started_at, now * 1000, self._store.newest
         )
-        listed = {_SERVICE: frozenset(present)} if present else {}
+        listed = {ids.ServiceName(name): frozenset([_V1]) for name in others}
+        if present:
+            listed[_SERVICE] = frozenset(present)
         self.history.update(listed, clock.now())
 
     def usable(self) -> set[ids.SoftwareVersion]:
@@ -304,3 +326,129 @@
         assert b'v1' in store.rows_by_key[_SERVICE].value
 
     asyncio.run(run())
+
+
+_MANY: typing.Final = [ids.SoftwareVersion(f'{n:0100}') for n in range(700)]
+_WIDE: typing.Final = [ids.SoftwareVersion(c * 40000) for c in 'ab']
+
+
+# Guards against: one service's row is too large, or is refused or rewritten
+# again and again, and no service's row is written or renewed any more.
+@pytest.mark.parametrize(
+    ('versions', 'trouble', 'count'),
+    [
+        (_WIDE, '', 5),
+        (_MANY, '', 5),
+        ([_V1], 'refused', 5),
+        ([_V1], 'rewritten', 5),
+        ([_V1], '', 70),
+    ],
+)
+def test_one_service_holds_up_no_other(
+    versions: list[ids.SoftwareVersion], trouble: str, count: int
+) -> None:
+    """All others are written and renewed, with few calls."""
+    others = [f'o{n}' for n in range(count)]
+
+    async def run() -> None:
+        store = _Store()
+        if trouble:
+            getattr(store, trouble).add(_SERVICE)
+        gateway = await _started(store)
+        for written_at in (0.0, 5.0, 10.0):
+            for round_at in range(10):
+                with _later(written_at + 0.4 * round_at):
+                    gateway.list(*versions, others=others)
+                    await gateway.history.save()
+            for name in others:
+                row = msgspec.json.decode(store.rows_by_key[name].value)
+                age_s = clock.now() + written_at - row['complete_ms'] / 1000
+                assert age_s < 1.0
+        assert (_SERVICE in store.rows_by_key) is (
+            versions == [_V1] and trouble != 'refused'
+        )
+        most = 3 * (count + 10) if trouble else 6
+        assert store.calls <= most, 'two transactions hold 70 rows'
+
+    asyncio.run(run())
+
+
+# Guards against a row that can't name all versions and vouches for the rest.
+@pytest.mark.parametrize('versions', [_WIDE, _MANY])
+def test_too_many_versions(versions: list[ids.SoftwareVersion]) -> None:
+    """The row runs out, until all but the few that serve are forgotten."""
+
+    async def run() -> None:
+        store = _Store()
+        gateway = await _written(store, _V1)
+        began = versionaffinity.VERSION_RETENTION_S + 2
+        with _later(began):
+            gateway.list(*versions, _V1)
+            assert not await gateway.history.save()
+            assert gateway.usable() == {_V1}
+        with _later(began + versionrows.LEASE_S + 1):
+            gateway.list(_V1)
+            assert not await gateway.history.save()
+            assert not gateway.knows_one()
+            assert not (await _started(store, _V1)).knows_one()
+        with _later(began + versionaffinity.VERSION_RETENTION_S + 22):
+            gateway.list(_V1)
+            assert await gateway.history.save()
+
+    asyncio.run(run())
+
+
+# Guards against rows of services for which there are no requests: anybody's
+# entry may name one.
+def test_service_that_is_not_configured() -> None:
+    """It is neither stored nor waited for."""
+
+    async def run() -> None:
+        store, served = _Store(), versionaffinity.ServedVersions()
+        history = versionhistory.VersionHistory(
+            typing.cast(stores.Store, store),
+            served,
+            lambda: follower.Currency(clock.now(), 0.0, 1.0, 1),
+            lambda name: False,
+        )
+        await history.load()
+        history.update({_SERVICE: frozenset([_V1, _V2])}, clock.now())
+        assert not await history.save()
+        assert history.knows_all_services(clock.now())
+        assert not history.unconfirmed() and not history.needs_reading()
+        assert not served.several(clock.now(), lambda name: False)
+
+    asyncio.run(run())
+
+
+# Guards against a row of the future, after which nothing is ever known.
+def test_row_of_the_future() -> None:
+    """It doesn't outlast the row that replaces it."""
+
+    async def run() -> None:
+        store = _Store()
+        row = versionrows.Row(1, {_V1: -1.0}, 1e300, clock.now() * 1000)
+        value = msgspec.json.encode(row)
+        store.rows_by_key[_SERVICE] = stores.Row(_SERVICE, 1, value)
+        gateway = await _started(store, _V1)
+        for seconds in (6.0, versionaffinity.VERSION_RETENTION_S + 13):
+            with _later(seconds):
+                gateway.list(_V1)
+                await gateway.history.save()
+        with _later(versionaffinity.VERSION_RETENTION_S + 13):
+            assert gateway.knows_one()
+
+    asyncio.run(run())
+
+
+def test_left_versions_are_bounded() -> None:
+    """Too many are known as such until the last one is forgotten."""
+    served = versionaffinity.ServedVersions()
+    for number in range(1000):
+        served.update({_SERVICE: frozenset([_MANY[0], _V1])}, number / 100)
+        version = ids.SoftwareVersion(f'x{number}')
+        served.update({_SERVICE: frozenset([version])}, number / 100)
+    assert len(served.left_times(_SERVICE, 9.0)) == 258
+    assert not served.is_single(_SERVICE, 10.0)
+    assert served.left_times(_SERVICE, 69.0).keys() > {_V1}
+    assert served.is_only(_SERVICE, version, 71.0)
