--- a/galenahatch/gateway/versionhistory.py
+++ b/galenahatch/gateway/versionhistory.py
@@ -44,8 +44,6 @@
 import math
 import typing
 
-import msgspec
-
 from galenahatch import clock
 from galenahatch.core import upstreams
 from galenahatch.core import versionaffinity
@@ -267,17 +265,15 @@
 
     def _decode(self, stored: stores.Row) -> versionrows.Row | None:
         """Return a row; log once if it is invalid."""
-        try:
-            row = msgspec.json.decode(stored.value, type=versionrows.Row)
-            if versionrows.is_valid(row):
-                self._invalid.pop(stored.key, None)
-                return row
-            detail = f'{len(row.left_ms)} versions'
-        except msgspec.MsgspecError as error:
-            detail = str(error)
+        row = versionrows.decode(stored.value)
+        if not isinstance(row, errors.Failure):
+            self._invalid.pop(stored.key, None)
+            return row
         if self._invalid.get(stored.key) != stored.ver:
             self._invalid[stored.key] = stored.ver
-            _log.error('Invalid version row.', key=stored.key, error=detail)
+            _log.error(
+                'Invalid version row.', key=stored.key, error=row.detail
+            )
         return None
 
     def _check_rows(self, now: float) -> None:
