Store: rows stay within the bytes that the store states

Origins of streams were counted before they were encoded. Callers choose the ids that are their keys, and one of quotes or backslashes doubles: a batch of 40,000 bytes became a row of 75,943, which the store refuses, and the owner then stored no origin of any stream while callers sent such ids. What is counted is now what is written.

The settings state the bytes of a row (`platform.row_bytes`). Rows of origins and of versions keep to that, and to 65,536, above which our decoders reject a row.

--- a/galenahatch/gateway/affinity.py
+++ b/galenahatch/gateway/affinity.py
@@ -27,6 +27,7 @@
 import math
 import typing
 
+from galenahatch import bounds
 from galenahatch import clock
 from galenahatch.core import members
 from galenahatch.core import upstreams
@@ -40,7 +41,6 @@
 from galenahatch.gateway import originlog
 from galenahatch.gateway import streamaffinity
 from galenahatch.gateway import versionhistory
-from galenahatch.gateway import versionwrites
 from galenahatch import ids
 from galenahatch import logs
 from galenahatch.platform import store as stores
@@ -94,7 +94,7 @@
         directory: directories.Directory,
         store: stores.Store,
         address: str,
-        max_row_bytes: int = versionwrites.MAX_ROW_BYTES,
+        max_row_bytes: int = bounds.ROW_BYTES,
     ) -> None:
         self._directory = directory
         self._origins = versionaffinity.Origins()
@@ -107,7 +107,9 @@
             max_row_bytes,
         )
         writer = f'{address}/{clock.random_incarnation():x}'
-        self._origin_log = originlog.OriginLog(store, self._origins, writer)
+        self._origin_log = originlog.OriginLog(
+            store, self._origins, writer, max_row_bytes
+        )
         self._peers: Peers | None = None
         self._exchange: originexchange.OriginExchange | None = None
         self._wake = asyncio.Event()
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -147,7 +147,10 @@
     def _open_owner(self) -> None:
         """Create the components that place generations."""
         self._affinity = affinity.VersionAffinity(
-            self._directory, self._store, self._settings.address
+            self._directory,
+            self._store,
+            self._settings.address,
+            self._settings.max_row_bytes,
         )
         self._owner_client = owner_client.OwnerClient(
             self._directory,
--- a/galenahatch/gateway/originlog.py
+++ b/galenahatch/gateway/originlog.py
@@ -40,8 +40,8 @@
 SAVE_INTERVAL_S: typing.Final = 0.1
 """Least seconds between two writes."""
 _MAX_BATCH_BYTES: typing.Final = 40000
-"""Encoded origins of a row; the store takes 65,536 bytes."""
-_ORIGIN_OVERHEAD_BYTES: typing.Final = 32
+"""Encoded origins of a row, unless the store takes less."""
+_BATCH_OVERHEAD_BYTES: typing.Final = 256
 _MAX_KEY_BYTES: typing.Final = 512
 """Longer keys, which only a caller can choose, are not stored."""
 _MAX_SECONDS_LEFT: typing.Final = 86400.0
@@ -104,6 +104,7 @@
         store: The platform's store.
         origins: Versions that began streams, as far as they are known here.
         writer: Prefix of the keys of this gateway's rows.
+        max_row_bytes: Bytes of a row that the store takes.
     """
 
     def __init__(
@@ -111,7 +112,11 @@
         store: stores.Store,
         origins: versionaffinity.Origins,
         writer: str,
+        max_row_bytes: int = bounds.ROW_BYTES,
     ) -> None:
+        self._max_batch_bytes = min(
+            _MAX_BATCH_BYTES, max_row_bytes - _BATCH_OVERHEAD_BYTES
+        )
         self._store = store
         self._origins = origins
         self._writer = writer
@@ -243,28 +248,33 @@
     def _take_batches(self, now: float) -> list[list[StoredOrigin]]:
         """Return the origins to write, by row."""
         batches: list[list[StoredOrigin]] = []
-        size = _MAX_BATCH_BYTES
+        size = self._max_batch_bytes
         for key in list(self._unsaved):
-            origin = self._origins.get(key)
-            length = len(key.encode())
-            if (
-                origin is None
-                or origin.expires_at <= now
-                or length > _MAX_KEY_BYTES
-            ):
+            origin = self._stored_origin(key, now)
+            length = len(msgspec.json.encode(origin)) + 1
+            if origin is None or length > self._max_batch_bytes:
                 del self._unsaved[key]
                 continue
-            length += len(origin.version) + _ORIGIN_OVERHEAD_BYTES
             size += length
-            if size > _MAX_BATCH_BYTES:
+            if size > self._max_batch_bytes:
                 if len(batches) == _MAX_ROWS_WRITTEN:
                     break
                 batches.append([])
                 size = length
-            left = origin.expires_at - now
-            batches[-1].append(StoredOrigin(key, origin.version, left))
+            batches[-1].append(origin)
         return batches
 
+    def _stored_origin(
+        self, key: ids.StreamKey, now: float
+    ) -> StoredOrigin | None:
+        """Return the origin to write for a key; None if it is not stored."""
+        origin = self._origins.get(key)
+        if origin is None or origin.expires_at <= now:
+            return None
+        if len(key.encode()) > _MAX_KEY_BYTES:
+            return None
+        return StoredOrigin(key, origin.version, origin.expires_at - now)
+
     def _record_saved(
         self, written: dict[str, list[StoredOrigin]], now: float
     ) -> None:
--- a/galenahatch/gateway/settings.py
+++ b/galenahatch/gateway/settings.py
@@ -96,6 +96,7 @@
         memory_bytes: Memory of the VM for this process; 0 if not stated.
         link_rate: Bytes per second that the VM's link carries in each
             direction; 0 if not stated.
+        max_row_bytes: Bytes of a row that the store takes.
     """
 
     name: str
@@ -111,6 +112,7 @@
     features: Features = Features()
     memory_bytes: int = 0
     link_rate: float = 0.0
+    max_row_bytes: int = 65536
 
     def summary(self) -> list[tuple[str, str]]:
         """Return the settings that operators check, with their values."""
--- a/galenahatch/gateway/versionhistory.py
+++ b/galenahatch/gateway/versionhistory.py
@@ -44,6 +44,7 @@
 import math
 import typing
 
+from galenahatch import bounds
 from galenahatch import clock
 from galenahatch.core import upstreams
 from galenahatch.core import versionaffinity
@@ -86,7 +87,7 @@
         is_used: collections.abc.Callable[
             [ids.ServiceName], bool
         ] = lambda name: True,
-        max_row_bytes: int = versionwrites.MAX_ROW_BYTES,
+        max_row_bytes: int = bounds.ROW_BYTES,
     ) -> None:
         self._store = store
         self._is_used = is_used
--- a/galenahatch/gateway/versionwrites.py
+++ b/galenahatch/gateway/versionwrites.py
@@ -21,6 +21,7 @@
 
 import msgspec
 
+from galenahatch import bounds
 from galenahatch import errors
 from galenahatch.gateway import versionrows
 from galenahatch import ids
@@ -28,8 +29,6 @@
 from galenahatch.platform import store as stores
 
 TABLE: typing.Final = 'service_versions'
-MAX_ROW_BYTES: typing.Final = 65536
-"""Bytes of a row that the platform's stores take unless they state others."""
 _MAX_ROWS: typing.Final = 50
 """Rows of a transaction: the store takes 100 entries, and each row is one of
 its conditions as well."""
@@ -102,7 +101,7 @@
 
     def __init__(self, store: stores.Store, max_row_bytes: int) -> None:
         self._store = store
-        self._max_row_bytes = max_row_bytes
+        self._max_row_bytes = min(max_row_bytes, bounds.ROW_BYTES)
         self._order = WriteOrder()
         self.oversized: set[ids.ServiceName] = set()
 
--- a/galenahatch/platform/deployment.py
+++ b/galenahatch/platform/deployment.py
@@ -62,6 +62,7 @@
 
 class _Platform(msgspec.Struct, frozen=True):
     address: str
+    row_bytes: typing.Annotated[int, msgspec.Meta(ge=1024)] = bounds.ROW_BYTES
 
 
 class _Limits(typing.NamedTuple):
@@ -140,6 +141,7 @@
         peer_port=first,
         proxy_port=first + 1,
         store=store,
+        max_row_bytes=raw.platform.row_bytes,
         bounds=_convert_bounds(raw.bounds),
         heartbeat=raw.heartbeat_ms / 1000,
         features=features,
--- /dev/null
+++ b/galenahatch/test/test_row_limits.py
@@ -0,0 +1,67 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""What gateways write stays within the limits of the store's rows and calls.
+
+Callers and other writers choose part of it.
+"""
+
+import asyncio
+import typing
+
+import msgspec
+
+from galenahatch import clock
+from galenahatch.core import versionaffinity
+from galenahatch.gateway import originlog
+from galenahatch import ids
+from galenahatch.platform import store as stores
+
+
+class _Store:
+    """A store that takes everything and keeps the calls."""
+
+    def __init__(self) -> None:
+        self.put: list[stores.RowOperation] = []
+        self.removed: list[stores.RowOperation] = []
+
+    async def transact(
+        self,
+        expected: typing.Sequence[stores.RowOperation] = (),
+        put: typing.Sequence[stores.RowOperation] = (),
+        remove: typing.Sequence[stores.RowOperation] = (),
+    ) -> stores.Committed:
+        """Accept a transaction."""
+        self.put += put
+        self.removed += remove
+        return stores.Committed(1, 0.0, 1)
+
+
+# Guards against: ids of requests that grow when they are encoded pass the
+# bytes of a row, and the store refuses the origins of all streams.
+def test_origins_fit_into_rows() -> None:
+    """Rows are filled by what is written, for the store's own limit."""
+    store, origins = _Store(), versionaffinity.Origins()
+    log = originlog.OriginLog(
+        typing.cast(stores.Store, store), origins, 'w', max_row_bytes=20000
+    )
+    now = clock.now()
+    keys = [ids.StreamKey('"\\' * 200 + str(n)) for n in range(100)]
+    for key in keys:
+        origins.record(key, ids.SoftwareVersion('v"1'), now + 60, now)
+    log.add(keys)
+    asyncio.run(log.save(must_keep=True))
+    values = [typing.cast(bytes, row.value) for row in store.put]
+    assert max(len(value) for value in values) <= 20000
+    batches = [msgspec.json.decode(v, type=originlog.Batch) for v in values]
+    stored = [origin.key for batch in batches for origin in batch.origins]
+    assert sorted(stored) == sorted(keys)
