Quarantine: rows of other kinds in its table are left alone

The table of gateways also holds the quarantine's rows, and each row whose key has a slash was taken for one. The owner removed a row `x/...` of another writer as an expired one, under `quarantine/x/...`: a key of over 200 bytes, for which the store refuses the call, and with it all rows that the owner wanted to write or remove.

--- a/galenahatch/gateway/quarantine.py
+++ b/galenahatch/gateway/quarantine.py
@@ -239,8 +239,11 @@
     def apply_row(self, row: stores.Row) -> None:
         """Apply a row of the store.
 
-        A removed row had expired at the owner, and expires here as well.
+        A removed row had expired at the owner, and expires here as well. Rows
+        of other kinds are ignored.
         """
+        if not row.key.startswith(ROW_PREFIX):
+            return
         digest = ids.RequestDigest(row.key.removeprefix(ROW_PREFIX))
         if row.removed:
             self._stored.pop(digest, None)
--- a/galenahatch/test/test_row_limits.py
+++ b/galenahatch/test/test_row_limits.py
@@ -23,6 +23,8 @@
 from galenahatch import clock
 from galenahatch.core import versionaffinity
 from galenahatch.gateway import originlog
+from galenahatch.gateway import quarantine
+from galenahatch.gateway import roster
 from galenahatch import ids
 from galenahatch.platform import store as stores
 
@@ -65,3 +67,21 @@
     batches = [msgspec.json.decode(v, type=originlog.Batch) for v in values]
     stored = [origin.key for batch in batches for origin in batch.origins]
     assert sorted(stored) == sorted(keys)
+
+
+# Guards against: a row of the table of gateways that is neither a member's
+# nor the quarantine's is removed under a key that is too long for the store,
+# so that the owner stores and removes nothing any more.
+def test_rows_of_other_kinds_are_left_alone() -> None:
+    """The owner removes its own rows only."""
+    store = _Store()
+    guard = quarantine.Guard(
+        lambda upstream: asyncio.sleep(0, False),
+        typing.cast(stores.Store, store),
+        roster.MEMBER_TABLE,
+    )
+    for key in ('x/' + 'y' * 198, quarantine.ROW_PREFIX + 'aa'):
+        guard.apply_row(stores.Row(key, 1, b'{}'))
+    asyncio.run(guard._save())
+    removed = [row.key for row in store.removed]
+    assert removed == [quarantine.ROW_PREFIX + 'aa']
