Logs: a line that quotes others is a JSON object and isn't lost

A gateway's line is cut at 4,000 bytes, so one that quotes a long value, such as an entry's version or a number of 4,000 digits, was no JSON object any more and lost its end, where the key and the reason may stand. A field with bytes of a caller that are no UTF-8 raised UnicodeEncodeError in place of its line. Fields are cut at 1,000 characters, and such bytes are written out.

--- a/galenahatch/logs.py
+++ b/galenahatch/logs.py
@@ -87,14 +87,26 @@
         'part': record.channel,
         'message': record.message,
     }
-    entry.update(record.extra)
+    for name, value in record.extra.items():
+        entry[name] = _shorten(value) if isinstance(value, str) else value
     return msgspec.json.encode(entry).decode()
 
 
+def _shorten(text: str) -> str:
+    """Return text of any origin so that it leaves a line valid JSON."""
+    if len(text) > _MAX_FIELD_CHARS:
+        text = text[:_MAX_FIELD_CHARS] + '...'
+    if text.isascii():
+        return text
+    return text.encode(errors='backslashreplace').decode()
+
+
 MAX_LINES_PER_SECOND: typing.Final = 200
 """Maximum number of lines of one kind in a second. A gateway at its design
 load answers about ten requests a second with three lines each; more lines
 are a storm, whose first lines are sufficient."""
+_MAX_FIELD_CHARS: typing.Final = 1000
+"""Characters of a field; a line that is cut is no JSON any more."""
 _MAX_LINE_BYTES: typing.Final = 4000
 """Maximum length of a line. A pipe writes up to 4096 bytes atomically."""
 
--- a/galenahatch/test/test_row_limits.py
+++ b/galenahatch/test/test_row_limits.py
@@ -10,7 +10,7 @@
 # License for the specific language governing permissions and limitations
 # under the License.
 
-"""What gateways write stays within the limits of the store's rows and calls.
+"""What gateways write stays within the limits of rows, calls and log lines.
 
 Callers and other writers choose part of it.
 """
@@ -18,6 +18,7 @@
 import asyncio
 import typing
 
+import logbook
 import msgspec
 
 from galenahatch import clock
@@ -26,6 +27,7 @@
 from galenahatch.gateway import quarantine
 from galenahatch.gateway import roster
 from galenahatch import ids
+from galenahatch import logs
 from galenahatch.platform import store as stores
 
 
@@ -85,3 +87,16 @@
     asyncio.run(guard._save())
     removed = [row.key for row in store.removed]
     assert removed == [quarantine.ROW_PREFIX + 'aa']
+
+
+# Guards against: a log line that quotes what another writer left is cut in
+# the middle or lost, so that operators' tools can't read it.
+def test_log_line_of_any_text() -> None:
+    """It is a JSON object that fits into one write."""
+    record = logbook.LogRecord('part', logbook.ERROR, 'Bad upstream entry.')
+    record.heavy_init()
+    record.extra |= {'detail': 'x' * 9000, 'key': 'a\udcff\u00e9'}
+    line = logs.format_json(record, None).encode()
+    found = msgspec.json.decode(line)
+    assert found['detail'].startswith('xxx') and len(line) < 4000
+    assert found['key'] == 'a\\udcff\u00e9'
