--- a/galenahatch/test/fleet.py
+++ b/galenahatch/test/fleet.py
@@ -401,6 +401,10 @@
         """Write a row of the store."""
         self.run(lambda: self.store.put(table, key, value))
 
+    def put_bytes(self, table: str, key: str, data: bytes) -> None:
+        """Write a row of the store that may hold anything."""
+        self.run(lambda: self.store.put_bytes(table, key, data))
+
     def drop(self, table: str, key: str) -> None:
         """Remove a row of the store."""
         self.run(lambda: self.store.drop(table, key))
--- a/galenahatch/test/standin/rows.py
+++ b/galenahatch/test/standin/rows.py
@@ -16,11 +16,14 @@
 answers 503, `silent` answers nothing, `reset` breaks connections, `garbage`
 answers what is no JSON. `turned_away` limits a disturbance to callers that
 connect to some of its addresses. `restore` goes back to the last `copy`, in a
-new era, which each answer names. Writes to the tables `read_only` get 503.
+new era, which each answer names. Writes to the tables `read_only` get 503,
+and so do transactions for which `refuses` holds. One that is beyond the
+store's limits gets 400.
 """
 
 import asyncio
 import base64
+import collections.abc
 import dataclasses
 import typing
 
@@ -28,6 +31,10 @@
 import msgspec
 
 _STEP: typing.Final = 0.01
+_MAX_ROW_BYTES: typing.Final = 65536
+_MAX_KEY_BYTES: typing.Final = 200
+_MAX_ENTRIES: typing.Final = 100
+Json = typing.Any
 
 
 @dataclasses.dataclass
@@ -49,8 +56,10 @@
         self.turned_away: set[str] = set()
         self.lose_answers = False
         self.read_only: set[str] = set()
+        self.refuses: collections.abc.Callable[[Json], bool] = lambda c: False
         self.history_from = 0
         self.calls = 0
+        self.page_rows = 2
         self.era = 1
         self._copy: tuple[dict[str, dict[str, Row]], int] = ({}, 0)
         self._changed = asyncio.Event()
@@ -69,8 +78,11 @@
 
     def put(self, table: str, key: str, value: typing.Any) -> None:
         """Write a row as the operator or an upstream does."""
+        self.put_bytes(table, key, msgspec.json.encode(value))
+
+    def put_bytes(self, table: str, key: str, data: bytes) -> None:
+        """Write a row that may hold anything."""
         self.ver += 1
-        data = msgspec.json.encode(value)
         self.tables.setdefault(table, {})[key] = Row(data, self.ver)
         self._wake()
 
@@ -135,8 +147,8 @@
             for key, row in sorted(table.items())
             if key >= start and not row.removed
         ]
-        page = rows[:2]
-        return self._answer({'rows': page, 'has_more': len(rows) > 2})
+        page = rows[: self.page_rows]
+        return self._answer({'rows': page, 'has_more': len(rows) > len(page)})
 
     async def _feed(self, request: web.Request) -> web.Response:
         disturbed = await self._disturbed(request)
@@ -171,8 +183,10 @@
             return disturbed
         call = msgspec.json.decode(await request.read())
         written = {e['table'] for e in (*call['set_keys'], *call['remove'])}
-        if written & self.read_only:
+        if written & self.read_only or self.refuses(call):
             return web.Response(status=503, headers=self._headers)
+        if _is_beyond_limits(call):
+            return web.Response(status=400, headers=self._headers)
         stale = []
         for entry in call['expected']:
             row = self.tables.get(entry['table'], {}).get(entry['key'])
@@ -187,7 +201,7 @@
             self.tables.setdefault(entry['table'], {})[entry['key']] = row
         for entry in call['remove']:
             row = Row(b'', self.ver, removed=True)
-            self.tables[entry['table']][entry['key']] = row
+            self.tables.setdefault(entry['table'], {})[entry['key']] = row
         self._wake()
         if self.lose_answers:
             assert request.transport is not None
@@ -211,6 +225,15 @@
         return {'Store-Era': str(self.era)}
 
 
+def _is_beyond_limits(call: Json) -> bool:
+    entries = [*call['expected'], *call['set_keys'], *call['remove']]
+    return len(entries) > _MAX_ENTRIES or any(
+        len(entry['key'].encode()) > _MAX_KEY_BYTES
+        or len(base64.b64decode(entry.get('value', ''))) > _MAX_ROW_BYTES
+        for entry in entries
+    )
+
+
 def _shown(table: str, key: str, row: Row) -> dict[str, typing.Any]:
     shown: dict[str, typing.Any] = {
         'table': table,
