--- a/galenahatch/gateway/versionhistory.py
+++ b/galenahatch/gateway/versionhistory.py
@@ -254,7 +254,7 @@
     def _apply(self, stored: stores.Row, era: int, now: float) -> None:
         name = ids.ServiceName(stored.key)
         self._numbers[name] = stored.ver
-        row = self._decode(stored)
+        row = self._decode(stored, era, now)
         if row is None:
             return
         self._rows[name] = row
@@ -264,9 +264,12 @@
                 left_at = min(now, self._clock.latest_at(left_ms))
             self._served.add_past(name, version, left_at)
 
-    def _decode(self, stored: stores.Row) -> versionrows.Row | None:
+    def _decode(
+        self, stored: stores.Row, era: int, now: float
+    ) -> versionrows.Row | None:
         """Return a row; log once if it is invalid."""
-        row = versionrows.decode(stored.value)
+        now_ms = self._clock.latest_ms(now)
+        row = versionrows.decode(stored.value, era, now_ms)
         if not isinstance(row, errors.Failure):
             self._invalid.pop(stored.key, None)
             return row
