--- a/galenahatch/test/test_odd_entries.py
+++ b/galenahatch/test/test_odd_entries.py
@@ -105,7 +105,8 @@
     ),
     'entry-address': _servers(
         *(
-            _entry(address=address, state='ready')
+            _entry(service, address=address, state='ready')
+            for service in ('desk', 'model')
             for address in (
                 '127.0.0.1:0',
                 '127.0.0.1:70000',
