--- a/galenahatch/gateway/affinity.py
+++ b/galenahatch/gateway/affinity.py
@@ -27,6 +27,7 @@
 import math
 import typing
 
+from galenahatch import bounds
 from galenahatch import clock
 from galenahatch.core import members
 from galenahatch.core import upstreams
@@ -34,7 +35,6 @@
 from galenahatch.gateway import affinitymessages
 from galenahatch.gateway import calls
 from galenahatch.gateway import directory as directories
-from galenahatch.gateway import frames
 from galenahatch.gateway import instruments
 from galenahatch.gateway import originexchange
 from galenahatch.gateway import originlog
@@ -64,16 +64,6 @@
 Resolution = ids.SoftwareVersion | versionaffinity.Problem | None
 
 
-class Peers(originexchange.Peers, typing.Protocol):
-    """The part of the mesh that is needed here."""
-
-    def reply(self, name: ids.MemberId, message: frames.AnyMessage) -> None:
-        """Send a message to a member that has sent one."""
-
-    def owned_seconds(self) -> float | None:
-        """Return for how long this gateway has been the owner."""
-
-
 class VersionAffinity:
     """Versions that began streams, as far as this gateway knows.
 
@@ -81,6 +71,7 @@
         directory: Source of engines and their versions.
         store: The platform's store.
         address: Address of this VM.
+        max_row_bytes: Bytes of a row that the store takes.
 
     Attributes:
         on_read: Callback after versions were read or stored.
@@ -91,16 +82,23 @@
         directory: directories.Directory,
         store: stores.Store,
         address: str,
+        max_row_bytes: int = bounds.ROW_BYTES,
     ) -> None:
         self._directory = directory
         self._origins = versionaffinity.Origins()
         self._served = versionaffinity.ServedVersions()
         self._history = versionhistory.VersionHistory(
-            store, self._served, lambda: directory.upstreams_currency
+            store,
+            self._served,
+            lambda: directory.upstreams_currency,
+            directory.has_service,
+            max_row_bytes,
         )
         writer = f'{address}/{clock.random_incarnation():x}'
-        self._origin_log = originlog.OriginLog(store, self._origins, writer)
-        self._peers: Peers | None = None
+        self._origin_log = originlog.OriginLog(
+            store, self._origins, writer, max_row_bytes
+        )
+        self._peers: originexchange.OwnerPeers | None = None
         self._exchange: originexchange.OriginExchange | None = None
         self._wake = asyncio.Event()
         self._asked_until = 0.0
@@ -121,7 +119,9 @@
             lambda: {'': self._origin_log.row_count},
         )
 
-    def start(self, peers: Peers, background: tasks.Tasks) -> None:
+    def start(
+        self, peers: originexchange.OwnerPeers, background: tasks.Tasks
+    ) -> None:
         """Connect to the other gateways and start to tell them."""
         self._peers = peers
         self._exchange = originexchange.OriginExchange(self._origins, peers)
@@ -153,12 +153,7 @@
         engines = list(registry.upstreams.values())
         for name in self._served.names():
             engines += registry.usable(name, clock.now())
-        present: dict[ids.ServiceName, set[ids.SoftwareVersion]] = {}
-        for engine in engines:
-            if engine.stage is not None and engine.is_version_known:
-                found = present.setdefault(engine.service, set())
-                found.add(engine.version)
-        return present
+        return versionaffinity.stated_versions(engines)
 
     def is_single(self, service: ids.ServiceName) -> bool:
         """Return whether at most one version of a service is known here."""
@@ -311,7 +306,7 @@
         """
         return (
             self._directory.is_out_of_date
-            or self._served.several(now)
+            or self._served.several(now, self._directory.has_service)
             or not self._history.knows_all_services(now)
         )
 
--- a/galenahatch/gateway/originexchange.py
+++ b/galenahatch/gateway/originexchange.py
@@ -53,6 +53,16 @@
         """Send a message to a member."""
 
 
+class OwnerPeers(Peers, typing.Protocol):
+    """The part of the mesh that tells who the owner is, and answers."""
+
+    def reply(self, name: ids.MemberId, message: frames.AnyMessage) -> None:
+        """Send a message to a member that has sent one."""
+
+    def owned_seconds(self) -> float | None:
+        """Return for how long this gateway has been the owner."""
+
+
 class _Sent(typing.NamedTuple):
     """A message that was not acknowledged yet; monotonic seconds."""
 
--- a/galenahatch/gateway/versionrows.py
+++ b/galenahatch/gateway/versionrows.py
@@ -21,6 +21,7 @@
 import msgspec
 
 from galenahatch import bounds
+from galenahatch.core import versionaffinity
 from galenahatch import decoding
 from galenahatch import errors
 from galenahatch import ids
@@ -73,6 +74,8 @@
     """
 
     def check(row: Row) -> Row:
+        if not is_valid(row):
+            raise ValueError(f'{len(row.left_ms)} versions')
         latest = max(row.known_ms, row.complete_ms, *row.left_ms.values(), 0)
         if row.era == era and latest > now_ms + _MAX_AHEAD_MS:
             raise ValueError(f'a time of {latest:.0f} ms at {now_ms:.0f} ms')
@@ -108,6 +111,11 @@
         return self.most_offset + shown_ms / 1000
 
 
+def is_valid(row: Row) -> bool:
+    """Return whether a row has no more versions than are told apart."""
+    return len(row.left_ms) <= versionaffinity.MAX_VERSIONS
+
+
 def must_write(stored: Row | None, wanted: Row) -> bool:
     """Return whether a row must be written; times of leaving don't matter."""
     if stored is None:
--- a/galenahatch/test/standin/versionworld.py
+++ b/galenahatch/test/standin/versionworld.py
@@ -159,6 +159,10 @@
         self.upstreams_currency = follower.Currency()
         self._listener: collections.abc.Callable[[], None] = lambda: None
 
+    def has_service(self, name: ids.ServiceName) -> bool:
+        """Return whether a service is configured."""
+        return name == SERVICE
+
     def on_change(self, listener: collections.abc.Callable[[], None]) -> None:
         """Set the listener."""
         self._listener = listener
