Quarantine: one row that the store refuses holds up no other

After a failure each row is written on its own, as rows of versions are; what decides the order has a module of its own.

test_quarantine_row_holds_up_no_other fails on in 3 of 3 cases (no other row is written or removed).

--- a/galenahatch/gateway/quarantine.py
+++ b/galenahatch/gateway/quarantine.py
@@ -36,6 +36,7 @@
 from galenahatch.gateway import calls
 from galenahatch.gateway import instruments
 from galenahatch.gateway import messages
+from galenahatch.gateway import writeorder
 from galenahatch import ids
 from galenahatch import logs
 from galenahatch.platform import store as stores
@@ -47,6 +48,7 @@
 """Seconds between two writes of changes to the store."""
 _MAX_ROWS_PER_TRANSACTION: typing.Final = 16
 """Limits the written rows, and the removed rows, of one transaction."""
+_MAX_ROW_BYTES: typing.Final = 1024
 _log = logs.Log('quarantine')
 
 
@@ -112,6 +114,7 @@
         self._blocked: frozenset[ids.RequestDigest] = frozenset()
         self._blocked_parts: frozenset[frozenset[ids.PromptPart]] = frozenset()
         self._stored: dict[ids.RequestDigest, Entry] = {}
+        self._order = writeorder.WriteOrder[ids.RequestDigest]()
         self.announce: Announce = lambda suspicions: None
 
     # Checks and reports of requests.
@@ -279,28 +282,37 @@
         new, expired = self._unsaved()
         if not new and not expired:
             return
-        put = [
-            stores.RowOperation(
-                self._table,
-                ROW_PREFIX + digest,
-                value=msgspec.json.encode(entry),
+        sizes = dict.fromkeys([*new, *expired], _MAX_ROW_BYTES)
+        for group in self._order.groups(sizes):
+            result = await self._store.transact(
+                put=[
+                    stores.RowOperation(
+                        self._table,
+                        ROW_PREFIX + digest,
+                        value=msgspec.json.encode(new[digest]),
+                    )
+                    for digest in group
+                    if digest in new
+                ],
+                remove=[
+                    stores.RowOperation(self._table, ROW_PREFIX + digest)
+                    for digest in group
+                    if digest not in new
+                ],
             )
-            for digest, entry in new.items()
-        ]
-        remove = [
-            stores.RowOperation(self._table, ROW_PREFIX + digest)
-            for digest in expired
-        ]
-        result = await self._store.transact(put=put, remove=remove)
-        if not isinstance(result, stores.Committed):
-            _log.warning(
-                'Could not store quarantine entries yet.',
-                rows=len(put) + len(remove),
-            )
-            return
-        self._stored.update(new)
-        for digest in expired:
-            self._stored.pop(digest, None)
+            if not isinstance(result, stores.Committed):
+                self._order.record_failure(group)
+                _log.warning(
+                    'Could not store quarantine entries yet.',
+                    rows=len(group),
+                )
+                return
+            self._order.record_success(group)
+            for digest in group:
+                if digest in new:
+                    self._stored[digest] = new[digest]
+                else:
+                    self._stored.pop(digest, None)
 
     def _unsaved(
         self,
--- a/galenahatch/gateway/versionwrites.py
+++ b/galenahatch/gateway/versionwrites.py
@@ -24,18 +24,12 @@
 from galenahatch import bounds
 from galenahatch import errors
 from galenahatch.gateway import versionrows
+from galenahatch.gateway import writeorder
 from galenahatch import ids
 from galenahatch import logs
 from galenahatch.platform import store as stores
 
 TABLE: typing.Final = 'service_versions'
-_MAX_ROWS: typing.Final = 50
-"""Rows of a transaction: the store takes 100 entries, and each row is one of
-its conditions as well."""
-_MAX_BYTES: typing.Final = 500_000
-"""Bytes of the rows of a transaction; the store takes 1 MB in base64."""
-_MAX_SINGLE_WRITES: typing.Final = 16
-"""Rows that are written on their own at a time."""
 _log = logs.Log('versions')
 
 Rows = dict[ids.ServiceName, versionrows.Row]
@@ -43,51 +37,6 @@
 WrittenCallback = collections.abc.Callable[[Rows, stores.Committed], bool]
 
 
-class WriteOrder:
-    """Which rows are written in one transaction.
-
-    A transaction that fails may do so for one of its rows. Then each is
-    written on its own, those that have failed last, until it succeeds or needs
-    no write any more.
-    """
-
-    def __init__(self) -> None:
-        # Services whose rows are written on their own, in order.
-        self._single: dict[ids.ServiceName, None] = {}
-
-    def groups(self, sizes: Numbers) -> list[list[ids.ServiceName]]:
-        """Return the rows of each transaction.
-
-        Args:
-            sizes: Bytes of each row to write.
-        """
-        self._single = {n: None for n in self._single if n in sizes}
-        groups: list[list[ids.ServiceName]] = []
-        total = _MAX_BYTES
-        for name in (n for n in sizes if n not in self._single):
-            total += sizes[name]
-            if total > _MAX_BYTES or len(groups[-1]) == _MAX_ROWS:
-                groups.append([])
-                total = sizes[name]
-            groups[-1].append(name)
-        single = list(self._single)[:_MAX_SINGLE_WRITES]
-        return groups + [[name] for name in single]
-
-    def record_success(
-        self, group: collections.abc.Iterable[ids.ServiceName]
-    ) -> None:
-        """Record that a transaction succeeded."""
-        for name in group:
-            self._single.pop(name, None)
-
-    def record_failure(
-        self, group: collections.abc.Iterable[ids.ServiceName]
-    ) -> None:
-        """Record that a transaction failed, whatever it failed at."""
-        self.record_success(group)
-        self._single |= dict.fromkeys(group)
-
-
 class RowWriter:
     """Writes rows, as many in one transaction as possible.
 
@@ -102,7 +51,7 @@
     def __init__(self, store: stores.Store, max_row_bytes: int) -> None:
         self._store = store
         self._max_row_bytes = min(max_row_bytes, bounds.ROW_BYTES)
-        self._order = WriteOrder()
+        self._order = writeorder.WriteOrder[ids.ServiceName]()
         self.oversized: set[ids.ServiceName] = set()
 
     def fits(self, service: ids.ServiceName, row: versionrows.Row) -> bool:
--- a/galenahatch/test/test_row_limits.py
+++ b/galenahatch/test/test_row_limits.py
@@ -20,9 +20,12 @@
 
 import logbook
 import msgspec
+import pytest
 
 from galenahatch import clock
 from galenahatch.core import versionaffinity
+from galenahatch import errors
+from galenahatch.gateway import messages
 from galenahatch.gateway import originlog
 from galenahatch.gateway import quarantine
 from galenahatch.gateway import roster
@@ -32,19 +35,22 @@
 
 
 class _Store:
-    """A store that takes everything and keeps the calls."""
+    """A store that keeps the calls, and refuses those with some row."""
 
     def __init__(self) -> None:
         self.put: list[stores.RowOperation] = []
         self.removed: list[stores.RowOperation] = []
+        self.refused = ''
 
     async def transact(
         self,
         expected: typing.Sequence[stores.RowOperation] = (),
         put: typing.Sequence[stores.RowOperation] = (),
         remove: typing.Sequence[stores.RowOperation] = (),
-    ) -> stores.Committed:
-        """Accept a transaction."""
+    ) -> stores.Committed | errors.Failure:
+        """Accept or refuse a transaction."""
+        if self.refused in [row.key for row in (*put, *remove)]:
+            return errors.Failure(errors.STORE_UNAVAILABLE, 'status 400')
         self.put += put
         self.removed += remove
         return stores.Committed(1, 0.0, 1)
@@ -89,6 +95,33 @@
     assert removed == [quarantine.ROW_PREFIX + 'aa']
 
 
+# Guards against: one row that the store refuses keeps the owner from storing
+# all other requests that end engines.
+@pytest.mark.parametrize('refused', ['a0', 'a9', 'b0'])
+def test_quarantine_row_holds_up_no_other(refused: str) -> None:
+    """The others are written and removed on their own."""
+    store = _Store()
+    store.refused = quarantine.ROW_PREFIX + refused
+    guard = quarantine.Guard(
+        lambda upstream: asyncio.sleep(0, False),
+        typing.cast(stores.Store, store),
+        roster.MEMBER_TABLE,
+    )
+    written, removed = ([f'{c}{n}' for n in range(10)] for c in 'ab')
+    guard.merge(
+        messages.Suspicion(ids.RequestDigest(name), (1, 2), 0.0)
+        for name in written
+    )
+    for name in removed:
+        key = quarantine.ROW_PREFIX + name
+        guard.apply_row(stores.Row(key, 1, b'{}'))
+    for _ in range(4):
+        asyncio.run(guard._save())
+    keys = {row.key for row in (*store.put, *store.removed)}
+    wanted = {quarantine.ROW_PREFIX + name for name in written + removed}
+    assert keys == wanted - {store.refused}
+
+
 # Guards against: a log line that quotes what another writer left is cut in
 # the middle or lost, so that operators' tools can't read it.
 def test_log_line_of_any_text() -> None:
