Observability: streams that callers take up, by outcome and reason

Refused. and Placed. say whether a request takes up a stream, Refused. and the detail of Request failed. its place among those that wait and its version. galenahatch_stream_attempts_total compares attempts to begin a stream with those to take one up.

--- a/galenahatch/core/admission.py
+++ b/galenahatch/core/admission.py
@@ -173,4 +173,5 @@
         )
         wait = max(wait, limit_wait)
         self._queue.record_refusal(job, wait, now)
-        return generations.Refused(job, wait, reason)
+        why = f'{reason} {self._queue.describe_place(job, now)}'
+        return generations.Refused(job, wait, why)
--- a/galenahatch/core/generations.py
+++ b/galenahatch/core/generations.py
@@ -57,6 +57,7 @@
         is_late: Whether it is to be served though it can't start in time; set
             by the dispatcher.
         version: The only software version at which it may run; empty for any.
+        is_return: Whether its caller takes up a stream that has begun.
     """
 
     stream: ids.StreamId
@@ -86,6 +87,7 @@
     is_committed: bool = False
     is_late: bool = False
     version: ids.SoftwareVersion = ids.SoftwareVersion('')
+    is_return: bool = False
 
     def is_paused(self, engine: ids.UpstreamId, now: float) -> bool:
         """Return whether an engine accepts nothing from this job's VM."""
--- a/galenahatch/core/waitqueue.py
+++ b/galenahatch/core/waitqueue.py
@@ -250,6 +250,13 @@
             f'{self.describe_share(job, now)}'
         )
 
+    def describe_place(self, job: Job, now: float) -> str:
+        """Return a request's place and what it takes up, for the log."""
+        return (
+            f'place={len(self.jobs_ahead(job, now))}'
+            f' return={job.is_return} version={job.version or "any"}'
+        )
+
     def describe_share(self, job: Job, now: float) -> str:
         """Return a request's share as inputs of a decision, for the log."""
         if not self._shares.is_enabled:
--- a/galenahatch/gateway/decisionmessages.py
+++ b/galenahatch/gateway/decisionmessages.py
@@ -35,6 +35,7 @@
         member=job.entry,
         retry_after=decision.retry_after,
         why=decision.why,
+        is_return=job.is_return,
     )
     return messages.PlacementRefused(
         job.stream,
@@ -55,6 +56,7 @@
         decode=decision.decode,
         version=job.version,
         why=decision.why,
+        is_return=job.is_return,
     )
     return messages.Placement(
         job.stream,
--- a/galenahatch/gateway/frontend.py
+++ b/galenahatch/gateway/frontend.py
@@ -37,6 +37,7 @@
 from galenahatch.gateway import generationfailures
 from galenahatch.gateway import instruments
 from galenahatch.gateway import plain
+from galenahatch.gateway import stream_log
 from galenahatch.gateway import streambuffer
 from galenahatch import ids
 from galenahatch import logs
@@ -321,14 +322,20 @@
         handler = generation.RequestHandler(
             self._context, call, route, service, sink
         )
+        reason = 'caller_gone'
         try:
             result = await handler.run()
+            reason = 'answered'
+            if isinstance(result, errors.Failure):
+                reason = result.reason.name
             await sink.finish()
         except (
             generationfailures.StreamBroken,
             streambuffer.CallerTooSlow,
         ) as error:
             return self._abort_stream(request, call, sink, str(error))
+        finally:
+            stream_log.record_attempt(call, sink.is_head_sent, reason)
         if result is not None:
             return self._respond(call, route, result)
         if sink.response is None:
@@ -371,6 +378,8 @@
                 status=result.reason.status,
                 detail=result.detail,
                 retry_after=result.retry_after or 0.0,
+                last_event=call.last_event_id,
+                resumes=call.resumes,
                 seconds=clock.now() - call.arrived_at,
             )
             return self._error_response(result, call.id)
--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -183,6 +183,7 @@
             version=self._affinity.version,
             resumes=self._affinity.unresolved_keys(),
             needs_version=self._affinity.is_undecided,
+            is_return=bool(self._call.last_event_id),
         )
 
     def _token_counts(self) -> tuple[int, int]:
@@ -404,13 +405,10 @@
     def _on_broken(
         self, engine: upstreams.Upstream, failure: sendresults.FailedSend
     ) -> prefill.Retry:
-        relay = self._relay
         if failure.is_silence:
             self._prefill.record_silence()
-        if (
-            relay.run_event_count
-            and clock.now() - relay.run_started_at > placements.STARTUP_S
-        ):
+        run_seconds = clock.now() - self._relay.run_started_at
+        if self._relay.run_event_count and run_seconds > placements.STARTUP_S:
             self._ran_past_start = True
         return prefill.retry_after(self._context.sender, engine, failure)
 
--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -335,6 +335,10 @@
     'galenahatch_continued_streams',
     description='Streams taken up again by callers, by what came of them.',
 )
+stream_attempts = _meter.create_counter(
+    'galenahatch_stream_attempts',
+    description='Streams that callers begin or take up, by outcome, reason.',
+)
 orders = _meter.create_counter(
     'galenahatch_orders', description='Orders sent to engines, by status.'
 )
--- a/galenahatch/gateway/messages.py
+++ b/galenahatch/gateway/messages.py
@@ -188,6 +188,7 @@
         version: The only software version at which it may run; empty for any.
         resumes: Keys of the stream that it takes up at a version that the
             sender doesn't know; empty for any other.
+        is_return: Whether its caller takes up a stream that has begun.
     """
 
     stream: ids.StreamId
@@ -214,6 +215,7 @@
     pauses: tuple[records.Paused, ...] = ()
     version: ids.SoftwareVersion = ids.SoftwareVersion('')
     resumes: tuple[ids.StreamKey, ...] = ()
+    is_return: bool = False
 
 
 class Queued(Message, frozen=True, array_like=True, tag=True):
--- a/galenahatch/gateway/owner_client.py
+++ b/galenahatch/gateway/owner_client.py
@@ -219,6 +219,7 @@
             ),
             version=request.version,
             resumes=request.resumes,
+            is_return=request.is_return,
         )
         self._send(owner, message)
 
--- a/galenahatch/gateway/placementjobs.py
+++ b/galenahatch/gateway/placementjobs.py
@@ -51,6 +51,7 @@
         units=request.units,
         priority=request.priority,
         version=version,
+        is_return=request.is_return,
         paused_until={
             pause.upstream: arrived_at + pause.seconds_left
             for pause in request.pauses
--- a/galenahatch/gateway/placementrequests.py
+++ b/galenahatch/gateway/placementrequests.py
@@ -31,6 +31,7 @@
             known here.
         needs_version: Whether several versions serve, so that it can't go on
             without one.
+        is_return: Whether its caller takes up a stream that has begun.
     """
 
     stream: ids.StreamId
@@ -55,6 +56,7 @@
     version: ids.SoftwareVersion = ids.SoftwareVersion('')
     resumes: tuple[ids.StreamKey, ...] = ()
     needs_version: bool = False
+    is_return: bool = False
 
     @property
     def decision_limit(self) -> float:
--- a/galenahatch/gateway/refusals.py
+++ b/galenahatch/gateway/refusals.py
@@ -40,6 +40,7 @@
         retry_after=_REFUSAL_RETRY_AFTER_S,
         why=why,
         sends=request.extra_sends,
+        is_return=request.is_return,
     )
     return messages.PlacementRefused(
         request.stream, _REFUSAL_RETRY_AFTER_S, why
@@ -61,6 +62,7 @@
         customer=request.customer,
         retry_after=retry_after,
         why=denied.why,
+        is_return=request.is_return,
     )
     return messages.PlacementRefused(
         request.stream, retry_after, denied.why, True
--- a/galenahatch/gateway/stream_log.py
+++ b/galenahatch/gateway/stream_log.py
@@ -89,6 +89,22 @@
     )
 
 
+def record_attempt(call: calls.Call, has_begun: bool, reason: str) -> None:
+    """Count what came of a caller's attempt to begin or take up a stream.
+
+    Args:
+        call: Request of the caller.
+        has_begun: Whether an event has reached the caller.
+        reason: Why it ended without an event.
+    """
+    labels = {
+        'kind': 'return' if call.last_event_id else 'new',
+        'outcome': 'began' if has_begun else 'none',
+        'reason': 'none' if has_begun else reason,
+    }
+    instruments.stream_attempts.add(1, labels)
+
+
 def log_completed_stream(
     call: calls.Call,
     relay: relays.Relay,
