--- a/galenahatch/test/test_decisions.py
+++ b/galenahatch/test/test_decisions.py
@@ -12,8 +12,10 @@
 
 """Decisions of the gateway's core, without processes."""
 
+import dataclasses
 import math
 import random
+import re
 
 import hypothesis
 from hypothesis import strategies
@@ -316,6 +318,18 @@
     assert first.job.stream == 's4', 'before one that came just now'
 
 
+def test_refusal_tells_the_place_and_the_version() -> None:
+    """Guards against refusals whose cause can't be told from the log."""
+    owner = _dispatcher(decodes=1)
+    for number in range(2):
+        owner.submit(_job(number, 0.0, patience=3.5), 0.0)
+        owner.decide(0.2 * number)
+    taken_up = dataclasses.replace(_job(3, 0.5), is_return=True)
+    refused = owner.submit(taken_up, 0.5)
+    assert isinstance(refused, generations.Refused)
+    assert re.search(r' place=\d+ return=True version=any$', refused.why)
+
+
 def test_returned_too_late_goes_behind_who_can_start_in_time() -> None:
     """An objective counts from the first attempt, and late goes last."""
     owner = _dispatcher(decodes=1)
