Version affinity: engines that state no version are no proof of none

What callers could see: all engines of a service state no version; a stream that began at a version that has left since went on there, as one complete answer.

Cause: 'no engine that is listed now states a version' answered for a return before records, rows and what had left were asked; and at a gateway that knew of one version a bound stream was allowed at an engine that states none.

It counts only once the rows have been read and nothing tells of a stated version, and a bound stream runs at an engine of its version only.

Entries with an empty version were seen at no user.

--- a/galenahatch/gateway/affinity.py
+++ b/galenahatch/gateway/affinity.py
@@ -245,7 +245,9 @@
         version = self._origins.find(keys, now)
         if version is not None:
             return version, verdictlog.Source.OWNER
-        if service in self._unversioned:
+        is_stated = bool(self._served.left_times(service, now))
+        is_loaded = self._history.was_loaded
+        if service in self._unversioned and is_loaded and not is_stated:
             return versionaffinity.ANY_VERSION, verdictlog.Source.NOT_STATED
         only = self._history.find_only(service, now) if is_read else None
         return only, verdictlog.Source.ROW
--- a/galenahatch/gateway/streamaffinity.py
+++ b/galenahatch/gateway/streamaffinity.py
@@ -122,7 +122,7 @@
 
     def allows(self, engine: upstreams.Upstream) -> bool:
         """Return whether the stream may run at an engine."""
-        return engine.is_version_known and self.version in (
+        return engine.is_version_known and self._version in (
             versionaffinity.ANY_VERSION,
             engine.version,
         )
--- a/galenahatch/test/test_version_affinity.py
+++ b/galenahatch/test/test_version_affinity.py
@@ -574,6 +574,30 @@
         machine.teardown()
 
 
+# Guards against engines that state no version being taken for proof that
+# none was stated before.
+@pytest.mark.parametrize('number', range(4))
+@pytest.mark.parametrize('are_killed', [False, True])
+def test_engines_without_a_version_continue_no_other(
+    are_killed: bool, number: int
+) -> None:
+    """A stream of a version that has left goes on nowhere."""
+    machine = VersionAffinityMachine()
+    machine.start_all(False, _Outcome.DONE, True, True)
+    try:
+        if are_killed:
+            machine.kill_all(_Outcome.LOST)
+        machine.remove_version(_VERSIONS[0])
+        machine.add_version(ids.SoftwareVersion(''))
+        machine.start(_NAMES[0])
+        machine.settle()
+        machine.resume(number, True)
+        machine.continue_within_answer(number)
+        machine.no_stream_is_mixed()
+    finally:
+        machine.teardown()
+
+
 # Guards against a reading from before a stream returned: another gateway may
 # have listed a version since, and begun the stream there.
 @pytest.mark.parametrize('number', range(4))
