Origins: one caller's long deadline spoils no row of others

Cause: the bound on a stored time was checked when a row is read, not when it is written, and an invalid time made the whole row invalid.

--- a/galenahatch/gateway/originlog.py
+++ b/galenahatch/gateway/originlog.py
@@ -44,8 +44,10 @@
 _BATCH_OVERHEAD_BYTES: typing.Final = 256
 _MAX_KEY_BYTES: typing.Final = 512
 """Longer keys, which only a caller can choose, are not stored."""
+_MAX_STATED_SECONDS: typing.Final = 1e12
+"""Longest time that a caller's header can state."""
 _MAX_SECONDS_LEFT: typing.Final = 86400.0
-"""No caller waits longer; a longer time would keep its row for ever."""
+"""Longer times are cut: they would keep their rows for ever."""
 _MAX_ROWS_WRITTEN: typing.Final = 8
 _MAX_ROWS_REMOVED: typing.Final = 64
 _MAX_ROWS: typing.Final = 512
@@ -55,11 +57,6 @@
 _log = logs.Log('versions')
 
 
-_SecondsLeft = typing.Annotated[
-    float, msgspec.Meta(ge=-_MAX_SECONDS_LEFT, le=_MAX_SECONDS_LEFT)
-]
-
-
 class StoredOrigin(msgspec.Struct, frozen=True, array_like=True):
     """Origin of a stream.
 
@@ -71,7 +68,9 @@
         ids.StreamKey, msgspec.Meta(max_length=_MAX_KEY_BYTES)
     ]
     version: typing.Annotated[ids.SoftwareVersion, bounds.TEXT]
-    seconds_left: _SecondsLeft
+    seconds_left: typing.Annotated[
+        float, msgspec.Meta(ge=-_MAX_STATED_SECONDS, le=_MAX_STATED_SECONDS)
+    ]
 
 
 class Batch(msgspec.Struct, frozen=True):
@@ -190,7 +189,8 @@
             age = max(0.0, (rows.now_ms - batch.written_ms) / 1000)
         last_at = now
         for origin in batch.origins:
-            expires_at = now + origin.seconds_left - age
+            seconds_left = min(origin.seconds_left, _MAX_SECONDS_LEFT)
+            expires_at = now + seconds_left - age
             if expires_at < now:
                 continue
             self._origins.record(origin.key, origin.version, expires_at, now)
@@ -273,7 +273,8 @@
             return None
         if len(key.encode()) > _MAX_KEY_BYTES:
             return None
-        return StoredOrigin(key, origin.version, origin.expires_at - now)
+        seconds_left = min(origin.expires_at - now, _MAX_SECONDS_LEFT)
+        return StoredOrigin(key, origin.version, seconds_left)
 
     def _record_saved(
         self, written: dict[str, list[StoredOrigin]], now: float
--- a/galenahatch/test/test_row_limits.py
+++ b/galenahatch/test/test_row_limits.py
@@ -77,6 +77,28 @@
     assert sorted(stored) == sorted(keys)
 
 
+# Guards against: a deadline of days that one caller states makes the row that
+# holds it invalid, and with it the origins of all other streams in it.
+def test_long_deadline_spoils_no_row() -> None:
+    """Another process reads all origins, whatever callers have stated."""
+    store, origins = _Store(), versionaffinity.Origins()
+    log = originlog.OriginLog(typing.cast(stores.Store, store), origins, 'w')
+    now = clock.now()
+    for seconds in (60.0, 1e6, 1e12):
+        key = ids.StreamKey(str(seconds))
+        origins.record(key, ids.SoftwareVersion('v1'), now + seconds, now)
+        log.add([key])
+    asyncio.run(log.save(must_keep=True))
+    batch = originlog.decode(typing.cast(bytes, store.put[0].value))
+    assert isinstance(batch, originlog.Batch)
+    assert [origin.seconds_left > 86000 for origin in batch.origins] == [
+        False,
+        True,
+        True,
+    ]
+    assert max(origin.seconds_left for origin in batch.origins) <= 86400
+
+
 # Guards against: a row of the table of gateways that is neither a member's
 # nor the quarantine's is removed under a key that is too long for the store,
 # so that the owner stores and removes nothing any more.
