Version rows: one that is complete ahead of time is replaced

What callers could see: a stream that went on at another version after a kill of all, if another writer had left a row that vouches for versions up to a minute to come and writes failed later.

Cause: the owner renews a row by its age, and the age of such a row is negative.

It is replaced once its time is off by the renewal interval, either way.

--- a/galenahatch/gateway/versionrows.py
+++ b/galenahatch/gateway/versionrows.py
@@ -117,7 +117,11 @@
 
 
 def must_write(stored: Row | None, wanted: Row) -> bool:
-    """Return whether a row must be written; times of leaving don't matter."""
+    """Return whether a row must be written; times of leaving don't matter.
+
+    One that is complete up to a time to come is replaced as well: until then
+    it would vouch for what nobody has seen.
+    """
     if stored is None:
         return bool(wanted.left_ms)
     if (
@@ -128,4 +132,4 @@
     ):
         return True
     age_ms = wanted.complete_ms - stored.complete_ms
-    return bool(wanted.left_ms) and age_ms >= 1000 * RENEWAL_INTERVAL_S
+    return bool(wanted.left_ms) and abs(age_ms) >= 1000 * RENEWAL_INTERVAL_S
--- a/galenahatch/test/test_version_history.py
+++ b/galenahatch/test/test_version_history.py
@@ -441,6 +441,28 @@
     asyncio.run(run())
 
 
+# Guards against a row that vouches for versions up to a time to come, in which
+# another one may be used.
+def test_row_that_is_complete_ahead_of_time() -> None:
+    """The owner replaces it at once."""
+
+    async def run() -> None:
+        store = _Store()
+        now_ms = clock.now() * 1000
+        row = versionrows.Row(1, {_V1: -1.0}, now_ms, now_ms + 50_000)
+        value = msgspec.json.encode(row)
+        store.rows_by_key[_SERVICE] = stores.Row(_SERVICE, 1, value)
+        gateway = await _started(store, _V1)
+        await gateway.history.save()
+        stored = versionrows.decode(
+            store.rows_by_key[_SERVICE].value, 1, now_ms
+        )
+        assert isinstance(stored, versionrows.Row)
+        assert stored.complete_ms <= clock.now() * 1000
+
+    asyncio.run(run())
+
+
 def test_left_versions_are_bounded() -> None:
     """Too many are known as such until the last one is forgotten."""
     served = versionaffinity.ServedVersions()
