Lease: its longest time follows its gateways' interval

What callers could see: orders of two gateways at once, where the settings allow leases of over ten minutes (none does).

--- a/galenahatch/gateway/lease.py
+++ b/galenahatch/gateway/lease.py
@@ -49,8 +49,9 @@
 _VERSION_BITS: typing.Final = 40
 """Bits of a fencing token for the version within an era, enough for decades
 of writes."""
-_MAX_LEFT_MS: typing.Final = 600_000.0
-"""Longer than any lease is taken for, also by a build with other settings."""
+_MIN_LONGEST_S: typing.Final = 600.0
+"""Seconds that any lease may have left: other gateways may run with other
+settings."""
 _log = logs.Log('lease')
 
 
@@ -61,7 +62,7 @@
 
 def current_holder(rows: stores.Rows) -> str:
     """Return the holder of the lease as of a read; empty if there is none."""
-    _, lease = _find_lease(rows)
+    _, lease = _find_lease(rows, _MIN_LONGEST_S)
     if lease is None or rows.now_ms > lease.until_ms:
         return ''
     return lease.holder
@@ -103,11 +104,15 @@
 _DECODER: typing.Final = msgspec.json.Decoder(_Row)
 
 
-def _find_lease(rows: stores.Rows) -> tuple[int, _Row | None]:
+def _find_lease(rows: stores.Rows, longest: float) -> tuple[int, _Row | None]:
     """Return the version number of the lease's row, and the lease.
 
     The number is 0 if there is no row. The lease is None if the row is
     missing, invalid or of another era.
+
+    Args:
+        rows: Rows of the table.
+        longest: Seconds above which the time left is invalid.
     """
     row = next((row for row in rows.rows if row.key == _KEY), None)
     if row is None:
@@ -116,7 +121,7 @@
         _DECODER,
         row.value,
         errors.BAD_FRAME,
-        lambda lease: _check_end(lease, rows.now_ms),
+        lambda lease: _check_end(lease, rows.now_ms + longest * 1000),
         max_bytes=bounds.ROW_BYTES,
     )
     if isinstance(lease, errors.Failure):
@@ -125,14 +130,14 @@
     return row.ver, lease if lease.era == rows.era else None
 
 
-def _check_end(lease: _Row, now_ms: float) -> _Row:
+def _check_end(lease: _Row, latest_ms: float) -> _Row:
     """Check that the lease ends in a foreseeable time.
 
     Raises:
         ValueError: Nobody would get it again.
     """
-    if lease.until_ms > now_ms + _MAX_LEFT_MS:
-        raise ValueError(f'until_ms: {lease.until_ms}, now {now_ms}')
+    if lease.until_ms > latest_ms:
+        raise ValueError(f'until_ms: {lease.until_ms}, at most {latest_ms}')
     return lease
 
 
@@ -151,6 +156,9 @@
         self._store = store
         self._own_id = own_id
         self._fencing_interval = fencing_interval
+        self._longest = max(
+            _MIN_LONGEST_S, 2 * _LENGTH_RATIO * fencing_interval
+        )
 
     async def acquire(self) -> int | None:
         """Acquire or renew the lease; return a fencing token if it is usable.
@@ -171,7 +179,7 @@
         rows = await self._read()
         if rows is None or not rows.era:
             return
-        number, lease = _find_lease(rows)
+        number, lease = _find_lease(rows, self._longest)
         if lease is None:
             await self._write_unheld(rows, number)
 
@@ -179,7 +187,7 @@
         rows = await self._read()
         if rows is None:
             return None
-        number, lease = _find_lease(rows)
+        number, lease = _find_lease(rows, self._longest)
         if lease is None and rows.era:
             await self._write_unheld(rows, number)
             return None
--- a/galenahatch/test/test_lease.py
+++ b/galenahatch/test/test_lease.py
@@ -270,3 +270,29 @@
     machine.run(0)
     assert [order.holder for order in machine._orders] == [0, 1, 0]
     machine.teardown()
+
+
+# Guards against: a lease that is longer than others expect counts as invalid,
+# so that two gateways hold it.
+def test_long_lease_is_held() -> None:
+    """How long a lease may last follows from the interval of its gateways."""
+    machine = LeaseMachine()
+    store = typing.cast(leases.LeaseStore, machine.store)
+    first, second = (
+        leases.Lease(store, ids.MemberId(name), 400.0) for name in 'ab'
+    )
+    assert _run(first.acquire()) is not None
+    assert _run(second.acquire()) is None
+    machine.teardown()
+
+
+def _run(
+    acquisition: collections.abc.Coroutine[typing.Any, str | None, int | None],
+) -> int | None:
+    """Return what an acquisition of which each call succeeds returns."""
+    try:
+        acquisition.send(None)
+        while True:
+            acquisition.send('good')
+    except StopIteration as stop:
+        return typing.cast('int | None', stop.value)
