Metrics: why an attempt at a stream ended, by its cause

galenahatch_stream_attempts_total counted each exception as 'caller_gone', also broken streams and errors of ours.

--- a/galenahatch/gateway/frontend.py
+++ b/galenahatch/gateway/frontend.py
@@ -18,6 +18,7 @@
 close their connections; none is closed while a request on it is in progress.
 """
 
+import asyncio
 import collections
 import collections.abc
 import typing
@@ -322,17 +323,21 @@
         handler = generation.RequestHandler(
             self._context, call, route, service, sink
         )
-        reason = 'caller_gone'
+        reason = 'error'
         try:
             result = await handler.run()
             reason = 'answered'
             if isinstance(result, errors.Failure):
                 reason = result.reason.name
             await sink.finish()
+        except asyncio.CancelledError:
+            reason = 'caller_gone'
+            raise
         except (
             generationfailures.StreamBroken,
             streambuffer.CallerTooSlow,
         ) as error:
+            reason = 'broken'
             return self._abort_stream(request, call, sink, str(error))
         finally:
             stream_log.record_attempt(call, sink.is_head_sent, reason)
--- a/galenahatch/gateway/stream_log.py
+++ b/galenahatch/gateway/stream_log.py
@@ -94,8 +94,9 @@
 
     Args:
         call: Request of the caller.
-        has_begun: Whether an event has reached the caller.
-        reason: Why it ended without an event.
+        has_begun: Whether the head of a stream has been sent to the caller.
+        reason: Why it ended without one; `answered` if the engine's answer is
+            no stream.
     """
     labels = {
         'kind': 'return' if call.last_event_id else 'new',
