--- a/galenahatch/bounds.py
+++ b/galenahatch/bounds.py
@@ -35,7 +35,7 @@
 _MAX_SECONDS: typing.Final = 1e9
 _MAX_MS: typing.Final = 1e15
 """Times of clocks in milliseconds, whose differences are still exact."""
-_MAX_PORT: typing.Final = 65_535
+MAX_PORT: typing.Final = 65_535
 _NO_CONTROLS: typing.Final = (
     r'\A[^\x00-\x1f\x7f-\x9f\u2028\u2029\ud800-\udfff]*\Z'
 )
@@ -59,8 +59,8 @@
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
 Number = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
 """A version, an era or a token that is compared and sent on."""
-Port = typing.Annotated[int, msgspec.Meta(ge=1, le=_MAX_PORT)]
-OptionalPort = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_PORT)]
+Port = typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
+OptionalPort = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_PORT)]
 Seconds = typing.Annotated[float, msgspec.Meta(ge=0, le=_MAX_SECONDS)]
 Milliseconds = typing.Annotated[
     float, msgspec.Meta(ge=0, le=1000 * _MAX_SECONDS)
@@ -116,6 +116,6 @@
     is_number = len(port) <= 5 and port.isascii() and port.isdigit()
     if (':' in ip) is not is_bracketed or not is_number:
         raise ValueError(f'address: {text[:80]}')
-    if not 0 < int(port) <= _MAX_PORT or port.startswith('0'):
+    if not 0 < int(port) <= MAX_PORT or port.startswith('0'):
         raise ValueError(f'address: {text[:80]}')
     return f'[{ip}]:{port}' if is_bracketed else f'{ip}:{port}'
--- a/galenahatch/bus.py
+++ b/galenahatch/bus.py
@@ -30,6 +30,7 @@
 
 import zmq
 
+from galenahatch import bounds
 from galenahatch import clock
 from galenahatch import errors
 from galenahatch import logs
@@ -45,7 +46,6 @@
 detects. Gateways send heartbeats every 250 ms and consider a member gone
 after 800 ms; without this timeout they asked different owners for up to ten
 seconds after their connections had gone silent."""
-_MAX_PORT: typing.Final = 65535
 _FRAMES_PER_DROP_LOG: typing.Final = 100
 _MAX_MESSAGES_PER_READ: typing.Final = 64
 _log = logs.Log('bus')
@@ -182,7 +182,7 @@
             which all sockets of the process stand still.
     """
     ipaddress.ip_address(address)
-    if not 0 < port <= _MAX_PORT:
+    if not 0 < port <= bounds.MAX_PORT:
         raise ValueError(f'port {port}')
     return f'tcp://{address}:{port}'
 
--- a/galenahatch/core/versionaffinity.py
+++ b/galenahatch/core/versionaffinity.py
@@ -41,8 +41,7 @@
 MAX_RECORDS: typing.Final = 131072
 """Keys remembered; 14 s of 2,900 streams a second have 81,200."""
 MAX_VERSIONS: typing.Final = 256
-"""Versions of a service within their retention that are told apart. A release
-each second has 60."""
+"""Versions of a service within their retention that are told apart."""
 SETTLE_S: typing.Final = 0.6
 """Seconds for which a gateway that has just become the owner waits for what
 others know of a stream; they tell it within a heartbeat."""
--- a/galenahatch/gateway/quarantine.py
+++ b/galenahatch/gateway/quarantine.py
@@ -47,8 +47,9 @@
 _SAVE_INTERVAL_S: typing.Final = 0.5
 """Seconds between two writes of changes to the store."""
 _MAX_ROWS_PER_TRANSACTION: typing.Final = 16
-"""Limits the written rows, and the removed rows, of one transaction."""
-_MAX_ROW_BYTES: typing.Final = 1024
+"""Limits the written rows, and the removed rows, of one round."""
+_ROW_BYTES: typing.Final = 1024
+"""More than an entry has; only sums of it matter."""
 _log = logs.Log('quarantine')
 
 
@@ -282,7 +283,7 @@
         new, expired = self._unsaved()
         if not new and not expired:
             return
-        sizes = dict.fromkeys([*new, *expired], _MAX_ROW_BYTES)
+        sizes = dict.fromkeys([*new, *expired], _ROW_BYTES)
         for group in self._order.groups(sizes):
             result = await self._store.transact(
                 put=[
@@ -317,7 +318,7 @@
     def _unsaved(
         self,
     ) -> tuple[dict[ids.RequestDigest, Entry], list[ids.RequestDigest]]:
-        """Return rows to write and remove in one transaction."""
+        """Return rows to write and remove in one round."""
         lasting = {
             item.digest: Entry(item.ends, item.cleared)
             for item in self._quarantine.persistent_records(clock.now())
--- a/galenahatch/logs.py
+++ b/galenahatch/logs.py
@@ -79,6 +79,10 @@
     return f'{stamp} {level} {record.channel}: {record.message}{fields}'
 
 
+_MAX_FIELD_CHARS: typing.Final = 1000
+"""Characters of a field; a line that is cut is no JSON any more."""
+
+
 def format_json(record: logbook.LogRecord, handler: object) -> str:
     """Format a record as one JSON object."""
     entry: dict[str, typing.Any] = {
@@ -105,8 +109,6 @@
 """Maximum number of lines of one kind in a second. A gateway at its design
 load answers about ten requests a second with three lines each; more lines
 are a storm, whose first lines are sufficient."""
-_MAX_FIELD_CHARS: typing.Final = 1000
-"""Characters of a field; a line that is cut is no JSON any more."""
 _MAX_LINE_BYTES: typing.Final = 4000
 """Maximum length of a line. A pipe writes up to 4096 bytes atomically."""
 
--- a/galenahatch/platform/deployment.py
+++ b/galenahatch/platform/deployment.py
@@ -39,7 +39,7 @@
 
 
 _MAX_AMOUNT: typing.Final = 1e9
-"""MB, Mbit/s, requests: far above any VM's, and exact when multiplied."""
+"""Highest number of MB, Mbit/s or requests; exact when multiplied."""
 _Amount = typing.Annotated[float, msgspec.Meta(ge=0, le=_MAX_AMOUNT)]
 
 
--- a/galenahatch/platform/documents.py
+++ b/galenahatch/platform/documents.py
@@ -42,7 +42,7 @@
 """Unix milliseconds of the year 2100. A later start is rejected, since no
 real restart could follow it."""
 _MAX_UNITS: typing.Final = 10**9
-"""Above the weight of a route's target, and what is counted in requests."""
+"""Highest weight of a route's target, and highest count of requests."""
 _MAX_NAME_CHARS: typing.Final = 200
 """Characters in a customer's name, which is sent in a header."""
 _MAX_QUOTA_UNITS: typing.Final = 1e12
--- a/galenahatch/upstream/http.py
+++ b/galenahatch/upstream/http.py
@@ -56,14 +56,15 @@
     r'[ \t]*chunked[ \t]*', re.IGNORECASE
 )
 _NOT_IN_NAMES: typing.Final = re.compile(rb"[^!#$%&'*+.^_`|~0-9A-Za-z:-]")
-_NOT_IN_VALUES: typing.Final = re.compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
+_FORBIDDEN_CHARS: typing.Final = '[\x00-\x08\x0a-\x1f\x7f]'
+_NOT_IN_VALUES: typing.Final = re.compile(_FORBIDDEN_CHARS)
+_NOT_IN_RAW_VALUES: typing.Final = re.compile(_FORBIDDEN_CHARS.encode())
 _MAX_LENGTH_DIGITS: typing.Final = 18
 _LIBRARY_CONNECT_ERRORS: typing.Final = (
     aiohttp.ClientConnectorError,
     aiohttp.ConnectionTimeoutError,
     aiohttp.InvalidURL,
 )
-_FORBIDDEN_CHARS: typing.Final = re.compile('[\x00-\x08\x0a-\x1f\x7f]')
 
 
 class NotConnectedError(aiohttp.ClientError):
@@ -90,7 +91,7 @@
             sent.
     """
     for name, value in request.headers.items():
-        if _FORBIDDEN_CHARS.search(name) or _FORBIDDEN_CHARS.search(value):
+        if _NOT_IN_VALUES.search(name) or _NOT_IN_VALUES.search(value):
             raise UnsendableError(f'header {name!r}: forbidden character')
     try:
         return await handler(request)
@@ -210,7 +211,7 @@
         return 'length'
     names = b':'.join(name for name, _ in message.raw_headers)
     values = b''.join(value for _, value in message.raw_headers)
-    if _NOT_IN_NAMES.search(names) or _NOT_IN_VALUES.search(values):
+    if _NOT_IN_NAMES.search(names) or _NOT_IN_RAW_VALUES.search(values):
         return 'header'
     return ''
 
