Silent streams: a run is kept until its replacement is certain

What callers saw: streams that had been accepted were cut off in the middle beside changes of the configuration, though their engines went on and most of their time was left.

Cause: a resumable stream that was silent for four of its longest pauses was closed, which ends the run, and only then was the owner asked for another engine. What is held was dropped before its replacement was certain.

Change: the run is kept and read from while a replacement is sought, placed and its prompt read; whichever comes first ends the other. A search that is refused is repeated until the deadline. The same before the first event.

--- a/galenahatch/core/fate.py
+++ b/galenahatch/core/fate.py
@@ -62,6 +62,10 @@
         if outcome in (Fate.UNCERTAIN, Fate.ANSWERED):
             self.ran += 1
 
+    def may_replace(self, repeatable: bool, max_attempts: int) -> bool:
+        """Return whether another attempt may follow the one in flight."""
+        return repeatable and self.ran + 1 < max_attempts
+
     def may_send(self, repeatable: bool, max_attempts: int) -> bool:
         """Return whether another attempt is allowed.
 
--- a/galenahatch/gateway/failover.py
+++ b/galenahatch/gateway/failover.py
@@ -174,7 +174,7 @@
             return False
         if result.fate is fate.Fate.NOT_SENT:
             return True
-        self._record_unanswered(upstream)
+        self.record_silence(upstream)
         return False
 
     async def _send_by_proxy(
@@ -259,7 +259,7 @@
                 method, upstream.address, path, timeout
             )
             if isinstance(reply, errors.Failure):
-                self._record_unanswered(upstream)
+                self.record_silence(upstream)
             else:
                 self._paths.record_answer(clock.now())
             return reply
@@ -316,7 +316,7 @@
 
     # Checks and probes of paths.
 
-    def _record_unanswered(self, upstream: upstreams.Upstream) -> None:
+    def record_silence(self, upstream: upstreams.Upstream) -> None:
         """Record a send without an answer; check the path if it is doubtful.
 
         The check runs in the background, as the send can't be repeated here.
--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -17,9 +17,9 @@
 When a request ends early, its resources at the engines are released: closing
 the connection aborts the work, and an unused prefill handle is deleted.
 
-A resumable stream continues at another engine when its own fails or stalls;
-the caller sees a single response. Any other stream that fails is reported as
-broken, never as complete.
+A resumable stream continues at another engine when its own fails, or is
+silent and another one is ready (`replacement`); the caller sees a single
+response. Any other stream that fails is reported as broken, never as complete.
 """
 
 import asyncio
@@ -35,10 +35,12 @@
 from galenahatch.gateway import calls
 from galenahatch.gateway import context as contexts
 from galenahatch.gateway import generationfailures
+from galenahatch.gateway import instruments
 from galenahatch.gateway import messages
-from galenahatch.gateway import placementrequests
+from galenahatch.gateway import placer
 from galenahatch.gateway import prefill
 from galenahatch.gateway import relay as relays
+from galenahatch.gateway import replacement
 from galenahatch.gateway import sendresults
 from galenahatch.gateway import stream_log
 from galenahatch.gateway import streamaffinity
@@ -48,8 +50,9 @@
 
 _CONNECT_TIMEOUT_S: typing.Final = 0.3
 _MAX_SILENT_PAUSES: typing.Final = 4.0
-"""A resumable stream that is silent for this multiple of its route's longest
-pause moves to another engine. Callers disconnect after eight such pauses."""
+"""For a resumable stream that is silent for this multiple of its route's
+longest pause, another engine is sought. Callers disconnect after eight such
+pauses."""
 _MAX_PLACEMENTS: typing.Final = 6
 _log = logs.Log('generation')
 
@@ -71,15 +74,14 @@
         self._route = route
         self._service = service
         self._spec = service.engine
-        self._prompt = call.prompt
         self._sends = fate.Sends()
         self._relay = relays.Relay(sink, call.last_event_id)
-        self._avoid: list[ids.UpstreamId] = []
         self._deadline = contexts.answer_deadline(call, route)
         self._decode_sends = 0
         self._detail = ''
         self._spent = relays.Spent()
         self._sent_at = 0.0
+        self._send_fate = fate.Fate.NOT_SENT
         self._stage = 'waiting'
         self._decode_engine = ids.UpstreamId('')
         self._ran_past_start = False
@@ -88,6 +90,16 @@
         )
         self._was_placed = False
         self._prefill = prefill.Prefill(context, call, service)
+        self._placer = placer.Placer(
+            context,
+            call,
+            route,
+            service,
+            self._relay,
+            self._affinity,
+            self._deadline,
+        )
+        self._replacement: replacement.Replacement | None = None
         self._failures = generationfailures.Failures(
             self._relay, self._sends, self._deadline
         )
@@ -114,6 +126,8 @@
             raise
         finally:
             self._prefill.delete_unused()
+            if self._replacement is not None:
+                self._placer.discard(self._replacement)
 
     def _refund_quota(self, failure: errors.Failure) -> None:
         """Refund the customer's quota if the request was not executed."""
@@ -124,24 +138,18 @@
             )
 
     async def _run(self) -> contexts.CompleteAnswer | errors.Failure | None:
-        for attempt in range(1, _MAX_PLACEMENTS + 1):
+        for _ in range(_MAX_PLACEMENTS):
             if contexts.has_passed(self._deadline):
                 break
-            stream = ids.StreamId(f'{self._call.id}.{attempt}')
-            self._stage = 'waiting'
-            started_at = clock.now()
-            request = self._placement_request(stream, attempt)
-            placement = await self._context.owner_client.place(request)
-            self._spent.waited += clock.now() - started_at
-            self._affinity.record_decision(placement)
+            placement = await self._place()
             if isinstance(placement, messages.PlacementRefused):
                 return self._failures.refused(placement)
             self._was_placed = True
-            result = await self._attempt(stream, placement)
+            result = await self._attempt(placement)
             if not isinstance(result, prefill.Retry):
                 return result
             self._detail = result.detail
-            self._avoid += {result.avoid, *result.at_fault}
+            self._placer.avoid += {result.avoid, *result.at_fault}
             if result.disconnected is not None and not self._ran_past_start:
                 await self._context.guard.record_cut(
                     self._call, result.disconnected
@@ -154,53 +162,31 @@
                 break
         return self._failures.gave_up(self._detail)
 
-    def _placement_request(
-        self, stream: ids.StreamId, attempt: int
-    ) -> placementrequests.PlacementRequest:
-        generated = self._relay.event_count * self._spec.event_tokens
-        estimated = self._prompt.estimated_output or 0
-        prompt_tokens, max_output = self._token_counts()
-        return placementrequests.PlacementRequest(
-            stream=stream,
-            service=self._service.name,
-            prompt_tokens=prompt_tokens,
-            estimated_output=max(0, estimated - generated),
-            max_output=max_output,
-            start_by=self._call.arrived_at + self._route.latency_objective,
-            abandon_at=contexts.abandonment_time(self._call, self._route),
-            deadline=self._deadline,
-            last_block_id=self._prompt.last_block_id,
-            avoid=tuple(self._avoid),
-            is_resumed=self._relay.has_reached_caller,
-            is_prefilled=bool(self._prefill.kv_source()),
-            max_pause=self._route.max_event_gap,
-            attempt=attempt,
-            extra_sends=self._prefill.extra_sends() + (self._decode_sends > 0),
-            is_suspect=self._context.guard.is_suspect(self._call),
-            customer=self._call.customer_name,
-            quota_units=self._call.quota_units if attempt == 1 else 0.0,
-            priority=contexts.priority(self._call, self._route),
-            version=self._affinity.version,
-            resumes=self._affinity.unresolved_keys(),
-            needs_version=self._affinity.is_undecided,
-            is_return=bool(self._call.last_event_id),
+    async def _place(self) -> messages.Placement | messages.PlacementRefused:
+        """Return the engines of the next run; they may be known already."""
+        found, self._replacement = self._replacement, None
+        if found is not None:
+            self._prefill = found.prefill
+            return found.placement
+        self._stage = 'waiting'
+        started_at = clock.now()
+        placement = await self._placer.place(
+            self._prefill, self._decode_sends > 0
         )
-
-    def _token_counts(self) -> tuple[int, int]:
-        """Return the tokens to prefill and the limit on remaining output."""
-        output = self._relay.event_count * self._spec.event_tokens
-        limit = max(self._spec.event_tokens, self._prompt.max_output - output)
-        return self._prompt.tokens + output, limit
+        self._spent.waited += clock.now() - started_at
+        self._affinity.record_decision(placement)
+        return placement
 
     async def _attempt(
-        self, stream: ids.StreamId, placement: messages.Placement
+        self, placement: messages.Placement
     ) -> contexts.CompleteAnswer | errors.Failure | prefill.Retry | None:
         find = self._context.directory.registry.find
+        stream = placement.stream
         release = messages.Release(stream, self._service.name)
         try:
             engine = find(placement.prefill)
             decoder = find(placement.decode)
-            if decoder is None or not self._takes_work(decoder):
+            if decoder is None or not self._placer.takes_work(decoder):
                 return prefill.Retry(placement.decode, 'decode engine gone')
             if self._affinity.is_undecided:
                 return self._failures.failed(
@@ -216,13 +202,13 @@
                 )
                 self._spent.read += clock.now() - started_at
                 if retry is not None:
-                    release = self._failed_release(release, retry)
+                    release = retry.applied_to(release)
                     return retry
             result = await self._decode(
                 stream, decoder, placement.expected_tokens
             )
             if isinstance(result, prefill.Retry):
-                release = self._failed_release(release, result)
+                release = result.applied_to(release)
             elif result is None:
                 self._context.guard.record_completion(self._call)
                 release = self._final_release(release)
@@ -230,29 +216,6 @@
         finally:
             self._context.owner_client.release(release)
 
-    def _takes_work(self, upstream: upstreams.Upstream) -> bool:
-        """Return whether the request may still be sent to an upstream.
-
-        Another gateway may have quarantined the request in the meantime, or
-        the upstream may have asked this gateway to pause.
-        """
-        paused = self._context.notices.pause_seconds_left(upstream.id)
-        if paused or self._context.guard.is_blocked(self._call):
-            return False
-        registry = self._context.directory.registry
-        return registry.accepts_work(upstream.id, clock.now())
-
-    def _failed_release(
-        self, release: messages.Release, retry: prefill.Retry
-    ) -> messages.Release:
-        unreachable = retry.avoid if retry.unreachable else ''
-        return messages.Release(
-            release.stream,
-            release.service,
-            failed=retry.at_fault,
-            unreachable=ids.UpstreamId(unreachable),
-        )
-
     def _final_release(self, release: messages.Release) -> messages.Release:
         stride = self._spec.event_tokens
         output = stream_log.log_completed_stream(
@@ -270,40 +233,78 @@
         self, stream: ids.StreamId, engine: upstreams.Upstream, output: int
     ) -> contexts.CompleteAnswer | errors.Failure | prefill.Retry | None:
         """Send the request to its decode engine and relay the response."""
-        if not self._takes_work(engine):
+        if not self._placer.takes_work(engine):
             return prefill.Retry(engine.id, 'decode engine gone')
         self._decode_engine = engine.id
         self._stage = 'decode'
-        prompt, limit = self._token_counts()
+        prompt, limit = self._placer.token_counts()
         running = messages.RunningGeneration(
             stream, self._service.name, engine.id, prompt, output, limit, -1.0
         )
         self._context.owner_client.track_running(running, self._output_tokens)
-        time_left = contexts.seconds_until(self._deadline)
-        options = self._decode_options(engine, time_left)
         self._sends.begin()
         self._sent_at = clock.now()
-        send_fate = fate.Fate.UNCERTAIN
+        self._send_fate = fate.Fate.UNCERTAIN
+        watch = self._watch(engine)
         try:
+            async with watch:
+                return await self._send_decode(stream, engine, watch)
+        except asyncio.TimeoutError:
+            if watch.found is None:
+                raise
+            self._replacement = watch.found
+            return self._handle_replaced(engine)
+        finally:
+            self._sends.end(self._send_fate)
+            # A send that did not reach the engine costs no retry budget.
+            self._decode_sends += self._send_fate is not fate.Fate.NOT_SENT
+
+    async def _send_decode(
+        self,
+        stream: ids.StreamId,
+        engine: upstreams.Upstream,
+        watch: replacement.Watch,
+    ) -> contexts.CompleteAnswer | errors.Failure | prefill.Retry | None:
+        time_left = contexts.seconds_until(self._deadline)
+        options = self._decode_options(engine, time_left)
+        with watch.waiting():
             response = await self._context.sender.send(
                 engine,
                 self._call,
                 wire.upstream_headers(self._call, options),
                 wire.decode_response_head,
-                timeout=self._read_timeout(time_left),
+                timeout=time_left,
                 connect_timeout=_CONNECT_TIMEOUT_S,
                 use_pool=False,
             )
-            if isinstance(response, sendresults.FailedSend):
-                send_fate = response.fate
-                return self._handle_decode_failure(engine, response)
-            send_fate = fate.Fate.ANSWERED
-            self._prefill.mark_fetched()
-            return await self._relay_response(stream, engine, response)
-        finally:
-            self._sends.end(send_fate)
-            # A send that did not reach the engine costs no retry budget.
-            self._decode_sends += send_fate is not fate.Fate.NOT_SENT
+        if isinstance(response, sendresults.FailedSend):
+            self._send_fate = response.fate
+            return self._handle_decode_failure(engine, response)
+        self._send_fate = fate.Fate.ANSWERED
+        self._prefill.mark_fetched()
+        return await self._relay_response(stream, engine, response, watch)
+
+    def _watch(self, engine: upstreams.Upstream) -> replacement.Watch:
+        """Return a watch of a run that is about to begin."""
+        silence = _MAX_SILENT_PAUSES * self._route.max_event_gap
+        may_replace = self._route.resumable and self._sends.may_replace(
+            self._route.is_repeatable, self._route.max_attempts
+        )
+        return replacement.Watch(
+            silence if may_replace else None,
+            lambda: self._placer.find_replacement(engine, self._prefill),
+            self._placer.discard,
+        )
+
+    def _handle_replaced(self, engine: upstreams.Upstream) -> prefill.Retry:
+        """Give up a silent run whose replacement is certain."""
+        instruments.silent_runs.add(1, {'result': 'replaced'})
+        silence = sendresults.FailedSend(fate.Fate.UNCERTAIN, 'silent')
+        if self._send_fate is fate.Fate.ANSWERED:
+            self._log_failure('Stream interrupted.', engine, silence)
+            return self._on_broken(engine, silence)
+        self._context.sender.record_silence(engine)
+        return self._handle_decode_failure(engine, silence)
 
     def _decode_options(
         self, engine: upstreams.Upstream, time_left: float
@@ -323,12 +324,6 @@
         """Return the number of tokens generated in the current run."""
         return self._relay.run_event_count * self._spec.event_tokens
 
-    def _read_timeout(self, time_left: float) -> float:
-        """Return the seconds of silence after which a send is abandoned."""
-        if not self._route.resumable:
-            return time_left
-        return min(time_left, _MAX_SILENT_PAUSES * self._route.max_event_gap)
-
     def _handle_decode_failure(
         self, engine: upstreams.Upstream, failure: sendresults.FailedSend
     ) -> prefill.Retry:
@@ -349,6 +344,7 @@
         stream: ids.StreamId,
         engine: upstreams.Upstream,
         response: sendresults.Response,
+        watch: replacement.Watch,
     ) -> contexts.CompleteAnswer | errors.Failure | prefill.Retry | None:
         head = response.head
         if head.status >= 300 or head.is_encoded or not head.is_signed:
@@ -359,7 +355,7 @@
                 engine.id, f'status {head.status}', (engine.id,)
             )
         try:
-            return await self._relay_stream(stream, engine, response)
+            return await self._relay_stream(stream, engine, response, watch)
         finally:
             response.close()
 
@@ -368,13 +364,15 @@
         stream: ids.StreamId,
         engine: upstreams.Upstream,
         response: sendresults.Response,
+        watch: replacement.Watch,
     ) -> errors.Failure | prefill.Retry | None:
         self._relay.begin_run()
         head, has_begun = response.head, False
         while True:
             # Data that has arrived is relayed even after the deadline.
             time_left = max(0.0, contexts.seconds_until(self._deadline))
-            data = await response.read(self._read_timeout(time_left))
+            with watch.waiting():
+                data = await response.read(time_left)
             if isinstance(data, sendresults.FailedSend):
                 if contexts.has_passed(self._deadline):
                     return self._failures.deadline()
--- a/galenahatch/gateway/instruments.py
+++ b/galenahatch/gateway/instruments.py
@@ -339,6 +339,10 @@
     'galenahatch_stream_attempts',
     description='Streams that callers begin or take up, by outcome, reason.',
 )
+silent_runs = _meter.create_counter(
+    'galenahatch_silent_runs',
+    description='Runs whose engine fell silent, and what became of them.',
+)
 orders = _meter.create_counter(
     'galenahatch_orders', description='Orders sent to engines, by status.'
 )
--- /dev/null
+++ b/galenahatch/gateway/placer.py
@@ -0,0 +1,236 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Asks the owner for the engines of one request to a model service.
+
+Each question bears a stream id of its own, so that an answer that comes late
+isn't taken for that to another question.
+"""
+
+import asyncio
+import contextlib
+import typing
+
+import msgspec
+
+from galenahatch import clock
+from galenahatch.core import routes
+from galenahatch.core import upstreams
+from galenahatch.gateway import calls
+from galenahatch.gateway import context as contexts
+from galenahatch.gateway import instruments
+from galenahatch.gateway import messages
+from galenahatch.gateway import placementrequests
+from galenahatch.gateway import prefill as prefills
+from galenahatch.gateway import relay as relays
+from galenahatch.gateway import replacement
+from galenahatch.gateway import streamaffinity
+from galenahatch import ids
+from galenahatch import logs
+
+_MIN_SEARCH_INTERVAL_S: typing.Final = 0.3
+"""Least time between two questions for a replacement; a refusal may state no
+time, and the retry budget frees a send only now and then."""
+_log = logs.Log('generation')
+
+
+class Placer:
+    """Asks for the engines of one request.
+
+    Args:
+        context: Components that the request handlers share.
+        call: Request of the caller.
+        route: Its route.
+        service: Its service.
+        relay: Relay of its stream.
+        affinity: Software version of its stream.
+        deadline: Time by which it must be answered; monotonic seconds.
+
+    Attributes:
+        avoid: Engines that it is not to be placed at.
+    """
+
+    def __init__(
+        self,
+        context: contexts.Context,
+        call: calls.Call,
+        route: routes.Route,
+        service: routes.Service,
+        relay: relays.Relay,
+        affinity: streamaffinity.StreamAffinity,
+        deadline: float,
+    ) -> None:
+        assert call.prompt is not None and service.engine is not None
+        self._context = context
+        self._call = call
+        self._route = route
+        self._service = service.name
+        self._event_tokens = service.engine.event_tokens
+        self._prompt = call.prompt
+        self._relay = relay
+        self._affinity = affinity
+        self._deadline = deadline
+        self._questions = 0
+        self.avoid: list[ids.UpstreamId] = []
+
+    async def place(
+        self, prefill: prefills.Prefill, was_sent: bool
+    ) -> messages.Placement | messages.PlacementRefused:
+        """Return the engines for the next run, or a refusal.
+
+        Args:
+            prefill: Prefill of the request; may have a result.
+            was_sent: Whether a decode engine has been sent the request.
+        """
+        request = self._request(
+            tuple(self.avoid),
+            bool(prefill.kv_source()),
+            prefill.extra_sends() + was_sent,
+        )
+        return await self._context.owner_client.place(request)
+
+    async def find_replacement(
+        self, engine: upstreams.Upstream, prefill: prefills.Prefill
+    ) -> replacement.Replacement | None:
+        """Seek a replacement of a silent run until there is one.
+
+        Its prompt is read before it counts as found, so that the silent run
+        ends only for one that can begin.
+
+        Args:
+            engine: Decode engine of the silent run.
+            prefill: Prefill of that run.
+
+        Returns:
+            The replacement; None once the deadline has passed.
+        """
+        _log.info('Engine silent.', request=self._call.id, engine=engine.id)
+        instruments.silent_runs.add(1, {'result': 'silent'})
+        avoid = [*self.avoid, engine.id]
+        successor = prefill.successor()
+        while not contexts.has_passed(self._deadline):
+            if self._context.guard.is_blocked(self._call):
+                return None
+            request = self._request(
+                tuple(avoid), False, successor.extra_sends() + 1
+            )
+            decision = await self._context.owner_client.place(request)
+            self._affinity.record_decision(decision)
+            if isinstance(decision, messages.Placement):
+                retry = await self._prepare(decision, successor)
+                if retry is None:
+                    placement = msgspec.structs.replace(
+                        decision, prefill=ids.UpstreamId('')
+                    )
+                    return replacement.Replacement(placement, successor)
+                avoid += {retry.avoid, *retry.at_fault}
+            else:
+                delay = max(decision.retry_after, _MIN_SEARCH_INTERVAL_S)
+                await asyncio.sleep(delay)
+        return None
+
+    async def _prepare(
+        self, placement: messages.Placement, prefill: prefills.Prefill
+    ) -> prefills.Retry | None:
+        """Read the prompt for a replacement; return why that failed."""
+        release = messages.Release(placement.stream, self._service)
+        with contextlib.ExitStack() as cleanup:
+            cleanup.callback(
+                lambda: self._context.owner_client.release(release)
+            )
+            decoder = self._find(placement.decode)
+            if decoder is None or not self.takes_work(decoder):
+                return prefills.Retry(placement.decode, 'decode engine gone')
+            if self._affinity.is_undecided or not self._affinity.allows(
+                decoder
+            ):
+                return prefills.Retry(placement.decode, 'other version')
+            reader = self._find(placement.prefill)
+            if reader is not None:
+                cleanup.callback(prefill.delete_unused)
+                retry = await prefill.run(
+                    placement.stream,
+                    reader,
+                    self._relay.last_event_id,
+                    self._deadline,
+                )
+                if retry is not None:
+                    release = retry.applied_to(release)
+                    return retry
+            cleanup.pop_all()
+            return None
+
+    def discard(self, found: replacement.Replacement) -> None:
+        """Release a replacement that isn't needed."""
+        found.prefill.delete_unused()
+        self._context.owner_client.release(
+            messages.Release(found.stream, self._service)
+        )
+
+    def takes_work(self, upstream: upstreams.Upstream) -> bool:
+        """Return whether the request may still be sent to an upstream.
+
+        Another gateway may have quarantined the request in the meantime, or
+        the upstream may have asked this gateway to pause.
+        """
+        paused = self._context.notices.pause_seconds_left(upstream.id)
+        if paused or self._context.guard.is_blocked(self._call):
+            return False
+        registry = self._context.directory.registry
+        return registry.accepts_work(upstream.id, clock.now())
+
+    def token_counts(self) -> tuple[int, int]:
+        """Return the tokens to prefill and the limit on remaining output."""
+        output = self._relay.event_count * self._event_tokens
+        limit = max(self._event_tokens, self._prompt.max_output - output)
+        return self._prompt.tokens + output, limit
+
+    def _find(self, key: ids.UpstreamId) -> upstreams.Upstream | None:
+        return self._context.directory.registry.find(key)
+
+    def _request(
+        self,
+        avoid: tuple[ids.UpstreamId, ...],
+        is_prefilled: bool,
+        extra_sends: int,
+    ) -> placementrequests.PlacementRequest:
+        self._questions += 1
+        attempt = self._questions
+        generated = self._relay.event_count * self._event_tokens
+        estimated = self._prompt.estimated_output or 0
+        prompt_tokens, max_output = self.token_counts()
+        call, route = self._call, self._route
+        return placementrequests.PlacementRequest(
+            stream=ids.StreamId(f'{call.id}.{attempt}'),
+            service=self._service,
+            prompt_tokens=prompt_tokens,
+            estimated_output=max(0, estimated - generated),
+            max_output=max_output,
+            start_by=call.arrived_at + route.latency_objective,
+            abandon_at=contexts.abandonment_time(call, route),
+            deadline=self._deadline,
+            last_block_id=self._prompt.last_block_id,
+            avoid=avoid,
+            is_resumed=self._relay.has_reached_caller,
+            is_prefilled=is_prefilled,
+            max_pause=route.max_event_gap,
+            attempt=attempt,
+            extra_sends=extra_sends,
+            is_suspect=self._context.guard.is_suspect(call),
+            customer=call.customer_name,
+            quota_units=call.quota_units if attempt == 1 else 0.0,
+            priority=contexts.priority(call, route),
+            version=self._affinity.version,
+            resumes=self._affinity.unresolved_keys(),
+            needs_version=self._affinity.is_undecided,
+            is_return=bool(call.last_event_id),
+        )
--- a/galenahatch/gateway/prefill.py
+++ b/galenahatch/gateway/prefill.py
@@ -20,6 +20,8 @@
 import dataclasses
 import typing
 
+import msgspec
+
 from galenahatch import clock
 from galenahatch.core import fate
 from galenahatch.core import routes
@@ -28,6 +30,7 @@
 from galenahatch.gateway import calls
 from galenahatch.gateway import context as contexts
 from galenahatch.gateway import failover
+from galenahatch.gateway import messages
 from galenahatch.gateway import sendresults
 from galenahatch import ids
 from galenahatch import logs
@@ -67,6 +70,15 @@
     unreachable: bool = False
     disconnected: upstreams.Upstream | None = None
 
+    def applied_to(self, release: messages.Release) -> messages.Release:
+        """Return a release that tells the owner of the failure."""
+        unreachable = self.avoid if self.unreachable else ''
+        return msgspec.structs.replace(
+            release,
+            failed=self.at_fault,
+            unreachable=ids.UpstreamId(unreachable),
+        )
+
 
 def retry_after(
     sender: failover.FailoverSender,
@@ -102,6 +114,7 @@
         assert call.prompt is not None and service.engine is not None
         self._context = context
         self._call = call
+        self._for_service = service
         self._service = service.name
         self._ttl = service.engine.handle_ttl
         self._tokens = call.prompt.tokens
@@ -120,6 +133,16 @@
         """
         return int(self._attempts > 0 and not self.kv_source())
 
+    def successor(self) -> 'Prefill':
+        """Return a prefill of the same request for another run.
+
+        It uses new connections: open ones may be silent as well.
+        """
+        successor = Prefill(self._context, self._call, self._for_service)
+        successor._attempts = self._attempts
+        successor._use_pool = False
+        return successor
+
     def kv_source(self) -> str:
         """Return `address/handle` of the result.
 
--- a/galenahatch/test/standin/upstreams.py
+++ b/galenahatch/test/standin/upstreams.py
@@ -19,8 +19,10 @@
 a reset), `extra` (a second answer behind the first), `foreign` (the answer
 to another request), `silent` (runs and says nothing), `early` (answers
 before the body is in), `unread` (never reads the body). For model engines
-also `no-handle` (the result of a prefill is gone) and `mute` (silent in the
-middle of a stream) and `end-inside` (ends a stream inside an event). Answers
+also `no-handle` (the result of a prefill is gone), `mute` (silent in the
+middle of a stream), `stall` and `stall-head` (silent for `stall` seconds in
+the middle of a stream or before its head, and goes on) and `end-inside` (ends
+a stream inside an event). Answers
 of an upstream that `is_framed` is off for have neither a length nor chunks
 and end with their connection.
 
@@ -102,6 +104,7 @@
         self.delay = 0.0
         self.events = 8
         self.pause = 0.005
+        self.stall = 0.0
         self.padding = 0
         self.unread_limit: float | None = None
         self.is_framed = True
@@ -405,6 +408,8 @@
         self._limit_buffers(writer)
         framing = b'Transfer-Encoding: chunked\r\n\r\n'
         frame = _chunk if self.is_framed else bytes
+        if fault == 'stall-head':
+            await self._work(seen, reader, self.stall)
         writer.write(
             self._head(seen, 200)
             + b'Content-Type: text/event-stream\r\n'
@@ -415,6 +420,8 @@
             data = f'piece {number}' + '.' * self.padding
             event = f'id: {number}\ndata: {data}\n\n'.encode()
             halfway = number == self.events // 2
+            if halfway and fault == 'stall':
+                await self._work(seen, reader, self.stall)
             if halfway and fault in ('cut', 'mute', 'end-inside'):
                 writer.write(frame(event[:7]))
                 await writer.drain()
--- /dev/null
+++ b/galenahatch/test/test_silences.py
@@ -0,0 +1,242 @@
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#     http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+"""Tests of engines that fall silent for a while and go on, or for good."""
+
+import asyncio
+import collections.abc
+import concurrent.futures
+import contextlib
+import time
+import typing
+
+import pytest
+
+from galenahatch.gateway import replacement
+from galenahatch.test import fleet as fleets
+
+_STALL_S: typing.Final = 0.9
+"""Over four of the longest pauses of the route, under eight."""
+_STREAMS: typing.Final = 6
+_MEMBERS: typing.Final = (
+    ('model', 'prefill'),
+    ('model', 'decode'),
+    ('model', 'decode'),
+)
+_NO_RETRIES: typing.Final = {
+    'grace_s': 8,
+    'drain_ms': 2000,
+    'lease_ms': 300,
+    'retry_budget_ratio': 0.0,
+    'retry_slack': 0,
+}
+
+
+def _fleet(bounds: dict[str, typing.Any] | None = None) -> fleets.Fleet:
+    started = fleets.Fleet(2, _MEMBERS, in_order=True)
+    for vm in started.vms:
+        if bounds is not None:
+            vm.write_settings(bounds=bounds)
+    return started
+
+
+@pytest.fixture(scope='module')
+def poor() -> collections.abc.Iterator[fleets.Fleet]:
+    """Two gateways whose retry budget is always spent."""
+    with _fleet(_NO_RETRIES) as started:
+        yield started
+
+
+@pytest.fixture(scope='module')
+def rich() -> collections.abc.Iterator[fleets.Fleet]:
+    """Two gateways with a retry budget."""
+    with _fleet() as started:
+        yield started
+
+
+def _ask_all(fleet: fleets.Fleet, fault: str) -> list[fleets.Answer]:
+    """Return the answers to streams at engines that all have a fault."""
+    for engine in fleet.of('model', 'decode'):
+        engine.stall = _STALL_S
+        engine.faults.extend([fault] * _STREAMS)
+
+    def ask(number: int) -> fleets.Answer:
+        return fleet.ask('/tell/x', vm=number % 2)
+
+    try:
+        with concurrent.futures.ThreadPoolExecutor(_STREAMS) as threads:
+            return list(threads.map(ask, range(_STREAMS)))
+    finally:
+        for engine in fleet.of('model', 'decode'):
+            engine.faults.clear()
+
+
+def _events(answer: fleets.Answer) -> list[bytes]:
+    return [line for line in answer.body.split(b'\n') if line[:3] == b'id:']
+
+
+_WHOLE: typing.Final = [f'id: {number}'.encode() for number in range(1, 9)]
+
+
+# Guards against streams that are aborted since their engine was silent for a
+# second and the retry budget was spent, though the engine goes on.
+@pytest.mark.parametrize('changes_config', [False, True])
+@pytest.mark.parametrize('fault', ['stall', 'stall-head'])
+def test_silent_stream_is_kept_until_it_goes_on(
+    poor: fleets.Fleet, fault: str, changes_config: bool
+) -> None:
+    """Each is answered whole, by the engine that was silent."""
+    if changes_config:
+        version = int(time.time())
+        poor.put('op', 'config', fleets.configuration(version))
+    answers = _ask_all(poor, fault)
+    for answer in answers:
+        assert answer.served, answer
+        assert _events(answer) == _WHOLE
+        assert poor.runs(answer.id) == 1
+
+
+# Guards against silent streams that nobody moves, as they might go on.
+@pytest.mark.parametrize('fault', ['mute', 'stall-head'])
+def test_stream_that_stays_silent_is_moved(
+    rich: fleets.Fleet, fault: str
+) -> None:
+    """It goes on at another engine, once, and the silent run is ended."""
+    engines = rich.of('model', 'decode')
+    for engine in engines:
+        engine.stall = 60.0
+        engine.faults.append(fault)
+
+    def met() -> bool:
+        answer = rich.ask('/tell/x')
+        assert answer.served, answer
+        assert _events(answer) == _WHOLE
+        assert rich.runs(answer.id) <= 3
+        (reader,) = rich.of('model', 'prefill')
+        prefills = [seen for seen in reader.seen if seen.id == answer.id]
+        assert len(prefills) <= rich.runs(answer.id)
+        return not any(engine.faults for engine in engines)
+
+    fleets.eventually(met, 'the faults were met')
+    ended = [seen.ended for engine in engines for seen in engine.seen]
+    assert 'dropped' in ended
+
+
+# Guards against an end before the deadline of a stream that can't be moved.
+def test_stream_that_stays_silent_ends_by_its_deadline(
+    poor: fleets.Fleet,
+) -> None:
+    """Its caller isn't cut off while something may still come."""
+    began = time.monotonic()
+    (engine, other) = poor.of('model', 'decode')
+    engine.faults.append('mute')
+    other.faults.append('mute')
+    try:
+        answer = poor.ask('/tell/x', X_Galenahatch_Deadline_Ms='1500')
+    finally:
+        engine.faults.clear()
+        other.faults.clear()
+    assert not answer.whole
+    assert time.monotonic() - began > 1.4
+
+
+class _Run:
+    """A run under watch, and what became of the replacement it found.
+
+    Args:
+        finds: Whether a search finds a replacement, 10 ms after it began.
+    """
+
+    def __init__(self, finds: bool = True) -> None:
+        self._finds = finds
+        self.searches: list[str] = []
+        self.on_found: collections.abc.Callable[[], object] = lambda: None
+        self.discarded: list[replacement.Replacement] = []
+        self.found = replacement.Replacement(
+            typing.cast(typing.Any, None), typing.cast(typing.Any, None)
+        )
+        self.watch = replacement.Watch(0.02, self._find, self.discarded.append)
+
+    async def _find(self) -> replacement.Replacement | None:
+        self.searches.append('begun')
+        try:
+            await asyncio.sleep(0.01 if self._finds else 10)
+        except asyncio.CancelledError:
+            self.searches.append('ended')
+            raise
+        self.on_found()
+        return self.found
+
+    async def read(self, *silences: float) -> int:
+        """Wait for bytes after each silence; return how many came."""
+        async with self.watch:
+            for silence in silences:
+                with self.watch.waiting():
+                    await asyncio.sleep(silence)
+        return len(silences)
+
+
+def test_watch_ends_a_run_for_its_replacement() -> None:
+    """A run that stays silent ends once its replacement is there."""
+
+    async def play() -> None:
+        run = _Run()
+        with pytest.raises(asyncio.TimeoutError):
+            await run.read(0.01, 5.0)
+        assert run.watch.found is run.found
+        assert not run.discarded
+
+    asyncio.run(play())
+
+
+def test_watch_keeps_a_run_without_replacement() -> None:
+    """Each silence has a search of its own, which ends with it."""
+
+    async def play() -> None:
+        run = _Run(finds=False)
+        assert await run.read(0.05, 0.0, 0.05) == 3
+        await asyncio.sleep(0)
+        assert run.searches == ['begun', 'ended'] * 2
+        assert run.watch.found is None
+
+    asyncio.run(play())
+
+
+# Guards against replacements that nobody uses and nobody gives back.
+@pytest.mark.parametrize('ends_by', ['bytes', 'caller', 'caller-late'])
+def test_watch_discards_what_it_does_not_use(ends_by: str) -> None:
+    """The run goes on, or its caller leaves, at the very same moment."""
+
+    async def play() -> None:
+        run = _Run()
+        arrived = asyncio.Event()
+
+        async def read() -> None:
+            async with run.watch:
+                with run.watch.waiting():
+                    await arrived.wait()
+
+        reading = asyncio.create_task(read())
+        loop = asyncio.get_running_loop()
+        endings: dict[str, collections.abc.Callable[[], object]] = {
+            'bytes': arrived.set,
+            'caller': reading.cancel,
+            'caller-late': lambda: loop.call_soon(reading.cancel),
+        }
+        run.on_found = endings[ends_by]
+        with contextlib.suppress(asyncio.CancelledError):
+            await reading
+        assert reading.cancelled() is (ends_by != 'bytes')
+        assert run.discarded == [run.found]
+        assert run.watch.found is None
+
+    asyncio.run(play())
