Tests: each prefill result is cut, whatever the machine's speed

test_prefill_result_is_cut failed once in both cases (5 of 13 and 5 of 12 plans met) in a run with three workers at load 13. Cause: all plans were sent at once, and those that arrive after the engine has failed some requests are read elsewhere. Each plan is now sent to engines that have just started, and each must be met, in place of over a half of them.

--- a/galenahatch/test/test_cut_heads.py
+++ b/galenahatch/test/test_cut_heads.py
@@ -471,11 +471,12 @@
             range(size, 0, -13), itertools.cycle(_ENDS), strict=False
         )
     ]
-    # Engines that fail are left alone; after a start they are tried again.
-    fleet.start_upstreams_again()
-    for plan, data in zip(plans, ask_all(fleet.vms[0], plans), strict=True):
+    for plan in plans:
+        # Engines that fail are left alone; after a start they are tried again.
+        fleet.start_upstreams_again()
+        (data,) = ask_all(fleet.vms[0], [plan])
         check(plan, data)
-    assert sum(plan.was_sent for plan in plans) > len(plans) / 2
+        assert plan.was_sent
 
 
 # Guards against answers that are malformed and taken for well-formed, or
