--- a/galenahatch/test/test_silences.py
+++ b/galenahatch/test/test_silences.py
@@ -224,6 +224,7 @@
             async with run.watch:
                 with run.watch.waiting():
                     await arrived.wait()
+                await asyncio.sleep(0.01)
 
         reading = asyncio.create_task(read())
         loop = asyncio.get_running_loop()
