Stops: a connection that was made or answered just now isn't idle

What callers saw: tries that ended without an answer in each series of rolling SIGTERMs, though nothing was in flight.

Cause: once the balancer has looked away, a stop checks every 0.05 s for connections without unread bytes and closes them. A connection that was accepted just now, or whose stream has ended just now (its head was sent before the stop, so it doesn't say that the connection is closed), has no unread bytes while its caller's next request is on its way.

Evidence: test_stop_awaits_the_next_request fails before in 4 of 4 cases (first request and next one, asyncio and uvloop).

Stopped. counts the connections closed with nothing read (closed_idle).

--- a/galenahatch/gateway/connections.py
+++ b/galenahatch/gateway/connections.py
@@ -111,6 +111,19 @@
             return False
         return self._head_began_at is None and not self._has_unread_bytes
 
+    @property
+    def idle_seconds(self) -> float:
+        """Seconds since the connection was made or last sent an answer.
+
+        Only meaningful for idle connections.
+        """
+        return self._loop.time() - self._idle_since
+
+    @property
+    def _idle_since(self) -> float:
+        # The library knows only the limit under which it was created.
+        return self._next_keepalive_close_time - self._keepalive_timeout
+
     @property
     def _is_awaiting_request(self) -> bool:
         return self._waiter is not None and not self._waiter.done()
@@ -207,10 +220,9 @@
     @property
     def _close_time(self) -> float:
         """Time at which to close the connection if nothing more arrives."""
-        # The library knows only the limit under which it was created.
-        idle_since = self._next_keepalive_close_time - self._keepalive_timeout
         limits = self._limits()
-        close_time = idle_since + max(self._idle_timeout, limits.idle_timeout)
+        idle_timeout = max(self._idle_timeout, limits.idle_timeout)
+        close_time = self._idle_since + idle_timeout
         if self._head_began_at is not None:
             close_time = max(
                 close_time, self._head_began_at + limits.header_timeout
@@ -262,6 +274,10 @@
         limits_buffers: Whether to limit the buffers of connections.
         meter: Counts what is written and read.
         admits: Returns whether to accept a new connection.
+
+    Attributes:
+        closed_idle: Number of connections that were closed while draining,
+            at which no part of a further request had arrived.
     """
 
     def __init__(
@@ -280,6 +296,7 @@
         self._limits = limits
         self._limits_buffers = limits_buffers
         self._listener: asyncio.Server | None = None
+        self.closed_idle = 0
 
     def connection_made(
         self, handler: web.RequestHandler, transport: asyncio.Transport
@@ -318,6 +335,9 @@
     async def drain(self, refuse_new: bool) -> bool:
         """Close idle connections and, when possible, the listening socket.
 
+        A connection that was made or answered just now is kept for a while,
+        since its caller may have sent the next request already.
+
         Call this repeatedly until it returns True. Between calls, waiting
         requests are read, answers are sent completely, and connections are
         accepted while other callers are being served. Later callers are
@@ -354,7 +374,12 @@
 
     def _close_idle(self) -> None:
         for connection in self.connections:
-            if isinstance(connection, CallerConnection) and connection.idle:
+            if (
+                isinstance(connection, CallerConnection)
+                and connection.idle
+                and connection.idle_seconds >= _TRANSIT_S
+            ):
+                self.closed_idle += 1
                 connection.force_close()
 
 
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -415,6 +415,7 @@
             'Stopped.',
             in_flight=self._frontend.in_flight,
             connections=len(self._callers.connections),
+            closed_idle=self._callers.closed_idle,
             seconds=clock.now() - began_at,
         )
         await self._callers.shutdown(_ABORT_TIMEOUT_S)
--- a/galenahatch/test/test_idle_limits.py
+++ b/galenahatch/test/test_idle_limits.py
@@ -40,6 +40,7 @@
 
     def __init__(self) -> None:
         self.limits = routes.Limits()
+        self.server: connections.Server
         self._reader: asyncio.StreamReader
         self._writer: asyncio.StreamWriter
 
@@ -49,16 +50,16 @@
     ) -> collections.abc.AsyncIterator[typing.Self]:
         """Connect under an idle limit."""
         self.set_limit(idle_timeout)
-        server = connections.Server(self._answer, lambda: self.limits)
+        self.server = connections.Server(self._answer, lambda: self.limits)
         where = settings.Address('127.0.0.1', ports.free())
-        await server.listen(where)
+        await self.server.listen(where)
         self._reader, self._writer = await asyncio.open_connection(
             where.host, where.port
         )
         yield self
         self._writer.close()
-        server.stop_listening()
-        await server.shutdown(0.05)
+        self.server.stop_listening()
+        await self.server.shutdown(0.05)
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         return web.Response(text='answered')
@@ -76,6 +77,11 @@
             await asyncio.sleep(pause)
         return (await self._reader.read(1000)).endswith(b'answered')
 
+    async def stop(self) -> None:
+        """Stop the gateway as a planned stop does."""
+        while not await self.server.drain(refuse_new=False):
+            await asyncio.sleep(0.02)
+
     def begin(self) -> None:
         """Send a part of a head."""
         self._writer.write(_REQUEST[:9])
@@ -175,3 +181,33 @@
             return await caller.closed_after(5.0) < 4.0
 
     assert run(endless())
+
+
+# Guards against stops that close a connection whose next request is on its
+# way: the first one, or one that follows an answer at once.
+@pytest.mark.parametrize('is_fresh', [True, False])
+def test_stop_awaits_the_next_request(run: typing.Any, is_fresh: bool) -> None:
+    """A connection that was made or answered just now may be used."""
+
+    async def stopped() -> bool:
+        async with _Caller().connected(15.0) as caller:
+            assert is_fresh or await caller.is_answered()
+            stop = asyncio.create_task(caller.stop())
+            await asyncio.sleep(0.2)
+            is_answered = await caller.is_answered()
+            await asyncio.wait_for(stop, 4.0)
+            return is_answered
+
+    assert run(stopped())
+
+
+# Guards against callers that send nothing and keep a stop from ending.
+def test_stop_beside_an_unused_connection(run: typing.Any) -> None:
+    """A stop ends though a caller keeps its connection open."""
+
+    async def stopped() -> bool:
+        async with _Caller().connected(15.0) as caller:
+            await asyncio.wait_for(caller.stop(), 4.0)
+            return caller.server.closed_idle == 1
+
+    assert run(stopped())
