Versions: an old reading no longer proves that none is stated

What callers saw: nothing reported. By reading and by a test: an owner that has stood still while engines began to state a version took a stream of that version, begun through another gateway, for one of engines that state none, and let it go on there.

Cause: of all that a verdict rests on, 'engines state no version' alone counted without a reading of the rows that began after the return.

Why it works: the row of versions is read after the stream has returned, and lists what others have begun to use. While the feed of entries fails, the old reading counts as before, or no stream of engines without versions would go on while the store is away.

--- a/galenahatch/gateway/affinity.py
+++ b/galenahatch/gateway/affinity.py
@@ -245,9 +245,12 @@
         version = self._origins.find(keys, now)
         if version is not None:
             return version, verdictlog.Source.OWNER
+        # Others may have listed a version while this gateway stood still.
+        is_told = is_read or (
+            self._history.was_loaded and self._directory.is_out_of_date
+        )
         is_stated = bool(self._served.left_times(service, now))
-        is_loaded = self._history.was_loaded
-        if service in self._unversioned and is_loaded and not is_stated:
+        if is_told and service in self._unversioned and not is_stated:
             return versionaffinity.ANY_VERSION, verdictlog.Source.NOT_STATED
         only = self._history.find_only(service, now) if is_read else None
         return only, verdictlog.Source.ROW
--- a/galenahatch/test/standin/versionworld.py
+++ b/galenahatch/test/standin/versionworld.py
@@ -212,6 +212,7 @@
             typing.cast(typing.Any, self), typing.cast(typing.Any, nothing)
         )
         self.call: Call | None = None
+        self._held_answer: typing.Any = None
         self._running: collections.abc.Coroutine[Call, typing.Any, bool] | None
         self._running = None
 
@@ -263,15 +264,29 @@
         if call is None:
             return
         if outcome is Outcome.DONE:
-            result = call.apply()
-            if isinstance(result, stores.Rows | stores.Committed):
-                self.client.newest = max(self.client.newest, result.era)
-            self._advance(result)
+            self._take(call.apply())
             return
         self._world.leave_unanswered(call, outcome)
         failure = errors.Failure(errors.STORE_UNAVAILABLE, outcome.value)
         self._advance(failure)
 
+    def _take(self, answer: typing.Any) -> None:
+        """Go on with an answer of the store."""
+        if isinstance(answer, stores.Rows | stores.Committed):
+            self.client.newest = max(self.client.newest, answer.era)
+        self._advance(answer)
+
+    def hold_call(self) -> None:
+        """Perform the call in progress; its answer isn't read yet."""
+        if self.call is not None:
+            self._held_answer = self.call.apply()
+
+    def take_held_answer(self) -> None:
+        """Read the answer that waits, if there is one."""
+        answer, self._held_answer = self._held_answer, None
+        if answer is not None:
+            self._take(answer)
+
     def _advance(self, result: typing.Any) -> None:
         assert self._running is not None
         try:
@@ -388,6 +403,20 @@
         gateway = self.gateways.pop(name)
         gateway.close(outcome)
 
+    def hold(self, name: ids.MemberId) -> Gateway:
+        """Let a gateway stand still: nothing reaches it, nothing is told.
+
+        Its call in progress is performed; the answer waits for it.
+        """
+        gateway = self.gateways.pop(name)
+        gateway.hold_call()
+        return gateway
+
+    def let_go(self, gateway: Gateway) -> None:
+        """Let a gateway that stood still go on with what it knew."""
+        self.gateways[gateway.name] = gateway
+        gateway.take_held_answer()
+
     def is_running(self, gateway: Gateway | None) -> bool:
         """Return whether a process is still there."""
         return gateway is not None and (
--- a/galenahatch/test/test_version_affinity.py
+++ b/galenahatch/test/test_version_affinity.py
@@ -294,6 +294,57 @@
         self.set_owner(name, True)
         self._return_all(number)
 
+    # A gateway out of step.
+
+    @stateful.rule()
+    def break_streams(self) -> None:
+        """All connections of callers break, but no gateway does."""
+        for stream in self._streams:
+            stream.relayed_by = None
+
+    @stateful.rule(
+        name=_NAME,
+        added=strategies.sampled_from(_VERSIONS),
+        removed=strategies.sampled_from([None, *_VERSIONS]),
+        seconds=strategies.sampled_from([0.3, 2.0, 6.0, 61.0]),
+        others_end=strategies.booleans(),
+        number=_ANY,
+    )
+    def stand_still(
+        self,
+        name: ids.MemberId,
+        added: ids.SoftwareVersion,
+        removed: ids.SoftwareVersion | None,
+        seconds: float,
+        others_end: bool,
+        number: int,
+    ) -> None:
+        """A gateway stands still in a release, in which streams begin.
+
+        They return before its feed of entries has answered. It still takes
+        itself for what it was, as the others do for what they have become.
+        """
+        if name not in self._world.gateways:
+            return
+        still = self._world.hold(name)
+        if still.call is None:
+            still.synchronize()
+            still.hold_call()
+        self.add_version(added)
+        self._settle()
+        self.begin(number, True)
+        if removed is not None:
+            self.remove_version(removed)
+        self._world.advance(seconds)
+        self.break_streams()
+        if others_end:
+            self.kill_all(_Outcome.LOST)
+        self._world.let_go(still)
+        self._note_down(False)
+        self.resume(number, True)
+        self._world.advance(0.1)
+        self._return_all(number)
+
     # Engines.
 
     @stateful.rule(version=strategies.sampled_from(_VERSIONS))
@@ -616,6 +667,33 @@
         machine.teardown()
 
 
+# Guards against a gateway that has stood still and takes what it knew, or a
+# reading from before a stream returned, for what holds now.
+@pytest.mark.parametrize('others_end', [False, True])
+@pytest.mark.parametrize('older', ['v1', ''])
+@pytest.mark.parametrize('number', range(3))
+def test_gateway_that_stood_still_in_a_release(
+    number: int, older: str, others_end: bool
+) -> None:
+    """As the owner; streams of the new version go on nowhere else."""
+    machine = VersionAffinityMachine()
+    machine.start_all(False, _Outcome.DONE, True, False)
+    try:
+        if older != 'v1':
+            machine.remove_version(_VERSIONS[0])
+            machine.add_version(ids.SoftwareVersion(older))
+            for _ in range(2):
+                machine.wait(61.0)
+                machine.settle()
+        machine.stand_still(
+            _NAMES[0], _VERSIONS[1], None, 2.0, others_end, number
+        )
+        assert any(_VERSIONS[1] in s.versions for s in machine._streams)
+        machine.no_stream_is_mixed()
+    finally:
+        machine.teardown()
+
+
 TestVersionAffinity = VersionAffinityMachine.TestCase
 TestVersionAffinity.settings = hypothesis.settings(
     hypothesis.settings.get_profile('ci'),
