Versions: an owner that stood still reads origins again

What callers would see: a stream that is stored and whose version serves is refused with 503 version_unknown, by an owner that stood still while another one stored it and was then lost.

Cause: the thawed process is the owner as before by its own view, for as long as before; so it neither waits for what others know nor reads what they have stored. Silence was made up for at a thaw, the term of an owner wasn't.

Why it works: an owner that hasn't listened for longer than a member may be silent counts as a new one from then on: it waits for others' news for up to SETTLE_S, and what it knew to be stored is read again.

--- a/galenahatch/core/members.py
+++ b/galenahatch/core/members.py
@@ -234,6 +234,10 @@
             is_placed = self._own_rank != NO_RANK
             member.rank = self._own_rank if is_placed else _LAST_RANK
 
+    def stalled_seconds(self, now: float) -> float:
+        """Return for how long this process has not listened as it should."""
+        return max(0.0, now - self._last_listen_at - LISTEN_INTERVAL_S)
+
     def record_listen(self, now: float) -> float:
         """Record that this process runs and reads members' messages.
 
@@ -244,7 +248,7 @@
         Returns:
             Seconds for which this process was suspended; 0 if negligible.
         """
-        paused = now - self._last_listen_at - LISTEN_INTERVAL_S
+        paused = self.stalled_seconds(now)
         self._last_listen_at = now
         if paused < LISTEN_INTERVAL_S:
             return 0.0
--- a/galenahatch/gateway/affinity.py
+++ b/galenahatch/gateway/affinity.py
@@ -51,8 +51,7 @@
 """Least seconds between two readings for streams that return."""
 _STORE_CHECK_INTERVAL_S: typing.Final = 0.25
 _MAX_RETRY_DELAY_S: typing.Final = 5.0
-"""Longest delay between calls to a failing store by a gateway that isn't
-asked; each call is charged."""
+"""For a gateway that isn't asked: each call to a failing store is charged."""
 _MAX_OWNER_RETRY_DELAY_S: typing.Final = 1.0
 _SETTLED_OWNER_S: typing.Final = 0.5
 """Seconds after which an owner uses the store: each gateway that has just
@@ -376,6 +375,7 @@
         if not self._directory.ready:
             return True
         owned = self._peers.owned_seconds()
+        self._origin_log.record_owner(owned)
         is_owner = owned is not None and owned >= _SETTLED_OWNER_S
         if not is_owner and clock.now() > self._asked_until:
             self._is_listing_wanted = False
--- a/galenahatch/gateway/mesh.py
+++ b/galenahatch/gateway/mesh.py
@@ -153,10 +153,16 @@
         return self._set_owner(self._members.owner(self.leaving, clock.now()))
 
     def owned_seconds(self) -> float | None:
-        """Return for how long this gateway is the owner; None if it isn't."""
+        """Return for how long this gateway is the owner; None if it isn't.
+
+        While it stood still, another one may have been.
+        """
         if self._owner != self.me:
             return None
-        return clock.now() - self._owner_changed_at
+        now = clock.now()
+        if self._members.stalled_seconds(now) > members.SILENCE_TIMEOUT_S:
+            return 0.0
+        return now - self._owner_changed_at
 
     def is_live(self, name: ids.MemberId) -> bool:
         """Return whether a member answers."""
@@ -223,6 +229,8 @@
                 limits = timeouts.deduct_suspension(suspended_s)
                 _log.warning('Suspended.', seconds=suspended_s, limits=limits)
             stalled_s = self._members.record_listen(clock.now())
+            if stalled_s > members.SILENCE_TIMEOUT_S:
+                self._owner_changed_at = clock.now()
             if stalled_s:
                 instruments.stalls.add(1)
                 _log.warning('Stalled.', seconds=stalled_s)
--- a/galenahatch/gateway/originlog.py
+++ b/galenahatch/gateway/originlog.py
@@ -126,6 +126,7 @@
         self._rows: dict[str, float] = {}
         self._era: int | None = None
         self._clock_offset = 0.0
+        self._owned_s = 0.0
 
     @property
     def is_loaded(self) -> bool:
@@ -149,6 +150,16 @@
                 continue
             self._unsaved[key] = None
 
+    def record_owner(self, owned_s: float | None) -> None:
+        """Forget what is stored if another gateway may have written meanwhile.
+
+        Args:
+            owned_s: Seconds for which this gateway is the owner, if it is.
+        """
+        if owned_s is not None and owned_s < self._owned_s:
+            self.unload()
+        self._owned_s = owned_s or 0.0
+
     def unload(self) -> None:
         """Forget what is stored, since another gateway writes now."""
         self._era = None
--- a/galenahatch/test/standin/versionworld.py
+++ b/galenahatch/test/standin/versionworld.py
@@ -415,6 +415,8 @@
     def let_go(self, gateway: Gateway) -> None:
         """Let a gateway that stood still go on with what it knew."""
         self.gateways[gateway.name] = gateway
+        if gateway.owner_since is not None:
+            gateway.owner_since = self.now
         gateway.take_held_answer()
 
     def is_running(self, gateway: Gateway | None) -> bool:
--- a/galenahatch/test/test_version_affinity.py
+++ b/galenahatch/test/test_version_affinity.py
@@ -694,6 +694,21 @@
         machine.teardown()
 
 
+# Guards against an owner that has stood still and takes what it read of the
+# store for all that others have written since: a stored stream is refused.
+@pytest.mark.parametrize('number', range(4))
+def test_owner_that_stood_still_reads_again(number: int) -> None:
+    """Streams go on though all who heard of them are lost."""
+    machine = VersionAffinityMachine()
+    machine.start_all(False, _Outcome.DONE, False, True)
+    try:
+        machine.stand_still(_NAMES[0], _VERSIONS[0], None, 0.3, True, number)
+        assert machine._broken()
+        machine.streams_go_on(number)
+    finally:
+        machine.teardown()
+
+
 TestVersionAffinity = VersionAffinityMachine.TestCase
 TestVersionAffinity.settings = hypothesis.settings(
     hypothesis.settings.get_profile('ci'),
