Plain calls: keep a silent send until its repeat is certain

Callers of repeatable requests got a 502 though the upstream that had their request would have answered a moment later.

Cause: the first send of such a request was closed when it had been silent for 0.4 of its time. Only then were the retry budget, another upstream, its rate limit and, with admission control, a grant asked for; where one of them refused, the answer under way was lost. What is held was dropped before its replacement was certain.

Fix: the first send keeps all of its time. After 0.4 of it a search for the second send runs beside the wait (gateway/secondsend): budget, upstream, permit and grant. Once all are had, the retry is paid for and the first send ends as if its time were up (inflight.Abandonment), so that its path is checked and its upstream is judged as before; then the second one is sent. Two sends never run at once. A send owns its grant, so that the search can hold another; an unused one is returned.

test_silence_that_is_not_repeated looked at the timeout that was passed to the sender, which is now all of the time. It now looks at how long sends last and at which one was ended for a repeat, over the same course of calls.

--- a/galenahatch/core/retrybudget.py
+++ b/galenahatch/core/retrybudget.py
@@ -86,12 +86,16 @@
         """Record a request of a caller."""
         _get_window(self._requests, service, self._window).add(now)
 
+    def has_retry(self, service: ids.ServiceName, now: float) -> bool:
+        """Return whether the budget allows one more retry."""
+        retries = _get_window(self._retries, service, self._window)
+        return retries.count(now) + 1 <= self._allowed(service, now)
+
     def spend(self, service: ids.ServiceName, now: float) -> bool:
         """Spend one retry; return False if the budget is exhausted."""
-        retries = _get_window(self._retries, service, self._window)
-        if retries.count(now) + 1 > self._allowed(service, now):
+        if not self.has_retry(service, now):
             return False
-        retries.add(now)
+        _get_window(self._retries, service, self._window).add(now)
         return True
 
     def record_unbudgeted(self, service: ids.ServiceName, now: float) -> None:
--- a/galenahatch/gateway/choice.py
+++ b/galenahatch/gateway/choice.py
@@ -23,7 +23,6 @@
 import typing
 
 from galenahatch import clock
-from galenahatch.core import loadreports
 from galenahatch.core import plaincalls
 from galenahatch.core import routes
 from galenahatch.core import upstreams
@@ -86,6 +85,7 @@
     async def choose(self) -> upstreams.Upstream | None:
         """Return an upstream that accepts a request now, or None."""
         self._rate_limited.clear()
+        self._rejected = None
         if not self._context.contention.is_contended(self._service):
             return await self._choose_balanced()
         outcome = await self._acquire_grant()
@@ -96,16 +96,16 @@
             return None
         return outcome
 
-    def end_grant(
-        self,
-        result: plaincalls.SendResult,
-        seconds: float = 0.0,
-        load: loadreports.LoadReport | None = None,
-    ) -> None:
-        """End the grant of the current send, if there is one."""
-        if self._grant is not None:
-            self._grant.end(result, seconds, load)
-            self._grant = None
+    def take_grant(self) -> grants.Grant | None:
+        """Return the grant of the last choice, which its send has to end."""
+        grant, self._grant = self._grant, None
+        return grant
+
+    def cancel_grant(self) -> None:
+        """End the grant of the last choice if no send has taken it."""
+        grant = self.take_grant()
+        if grant is not None:
+            grant.end(plaincalls.SendResult.CANCELLED)
 
     def refusal(self, detail: str) -> errors.Failure:
         """Refuse the request, which was not executed, with a retry time."""
@@ -192,13 +192,13 @@
                 return outcome
             self._grant = outcome
             if outcome.upstream in excluded:
-                self.end_grant(plaincalls.SendResult.CANCELLED)
+                self.cancel_grant()
                 return grants.Undecided('no other upstream')
             wait = await self._context.rate_limits.acquire(outcome.upstream)
             chosen = usable.get(outcome.upstream)
             if chosen and not wait and self._takes_work(chosen.id):
                 return chosen
-            self.end_grant(plaincalls.SendResult.CANCELLED)
+            self.cancel_grant()
             self._rate_limited[outcome.upstream] = wait
 
     def _grant_request(
--- a/galenahatch/gateway/failover.py
+++ b/galenahatch/gateway/failover.py
@@ -21,6 +21,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import functools
 import typing
 
 from galenahatch import clock
@@ -128,46 +129,46 @@
         timeout: float,
         connect_timeout: float,
         use_pool: bool,
+        abandonment: inflight.Abandonment | None = None,
     ) -> sendresults.Response | sendresults.FailedSend:
         """Send a request and return the head of its response.
 
         The arguments are those of the direct sender.
         """
         began_at = clock.now()
+        send = functools.partial(
+            self._direct.send,
+            upstream,
+            request,
+            decode=decode,
+            use_pool=use_pool,
+            abandonment=abandonment,
+        )
 
         async def send_by(hop: hops.Hop) -> _SendResult:
             passed = clock.now() - began_at
-            return await self._direct.send(
-                upstream,
-                request,
+            return await send(
                 wire.shorten_deadline(headers, passed),
-                decode,
                 timeout=timeout - passed,
                 connect_timeout=min(connect_timeout, _PROXY_CONNECT_TIMEOUT_S),
-                use_pool=use_pool,
                 hop=hop,
             )
 
         failed = _PATH_LOST
         if not self._paths.is_lost(upstream.id):
-            limits = (timeout, connect_timeout, use_pool)
-            result = await self._direct.send(
-                upstream, request, headers, decode, *limits
+            result = await send(
+                headers, timeout=timeout, connect_timeout=connect_timeout
             )
-            if not self._is_unconnected(upstream, result):
+            if not self._is_unconnected(result, upstream):
                 return result
-            assert isinstance(result, sendresults.FailedSend)
             failed = result
-        if self._paths.is_unreachable(upstream.id, clock.now()):
-            return failed
-        deadline = began_at + timeout - _MIN_TIME_LEFT_S
         return await self._send_by_proxy(
-            request, upstream, failed, deadline, send_by
+            request, upstream, failed, began_at + timeout, send_by
         )
 
     def _is_unconnected(
-        self, upstream: upstreams.Upstream, result: _SendResult
-    ) -> bool:
+        self, result: _SendResult, upstream: upstreams.Upstream
+    ) -> typing.TypeGuard[sendresults.FailedSend]:
         """Return whether a direct send found no connection; record it."""
         if not isinstance(result, sendresults.FailedSend) or result.head:
             self._paths.record_answer(clock.now())
@@ -191,12 +192,15 @@
 
         Args:
             failed: Result if no proxy takes the request.
-            deadline: Time until which further proxies are tried.
+            deadline: Time by which the head must have arrived.
             send_by: Sends the request through one proxy.
         """
+        if self._paths.is_unreachable(upstream.id, clock.now()):
+            return failed
         tried: set[ids.MemberId] = set()
         verdicts = 0
-        while len(tried) < _MAX_PROXIES and clock.now() < deadline:
+        latest = deadline - _MIN_TIME_LEFT_S
+        while len(tried) < _MAX_PROXIES and clock.now() < latest:
             proxy = self._offers.choose(upstream.id, tried)
             if proxy is None or verdicts == _MAX_VERDICTS:
                 break
--- a/galenahatch/gateway/inflight.py
+++ b/galenahatch/gateway/inflight.py
@@ -22,6 +22,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import functools
 import typing
 
 from galenahatch import clock
@@ -36,9 +37,35 @@
 _ENDED_MEMORY_S: typing.Final = 60.0
 """Time for which an incarnation is remembered as ended; no send takes
 longer."""
+_NEVER: typing.Final = contextlib.nullcontext()
 _log = logs.Log('gateway')
 
 
+class Abandonment:
+    """Lets the wait of one send end before its timeout."""
+
+    def __init__(self) -> None:
+        self._scope: asyncio.Timeout | None = None
+        self._is_requested = False
+
+    def request(self) -> None:
+        """End the wait now, as if its time were up."""
+        self._is_requested = True
+        if self._scope is not None:
+            timeouts.end(self._scope)
+
+    @contextlib.contextmanager
+    def ends(self, scope: asyncio.Timeout) -> collections.abc.Iterator[None]:
+        """Apply to a scope while the context lasts."""
+        self._scope = scope
+        try:
+            if self._is_requested:
+                timeouts.end(scope)
+            yield
+        finally:
+            self._scope = None
+
+
 class Waits:
     """Waits of one process for responses of all upstreams."""
 
@@ -48,25 +75,33 @@
 
     @contextlib.asynccontextmanager
     async def limit(
-        self, upstream: ids.UpstreamId, seconds: float | None
+        self,
+        upstream: ids.UpstreamId,
+        seconds: float | None,
+        abandonment: Abandonment | None = None,
     ) -> collections.abc.AsyncIterator[None]:
         """Limit the time spent in the context.
 
         Args:
             upstream: Upstream whose response is awaited.
             seconds: Timeout; None to wait until the upstream has ended.
+            abandonment: Ends the wait on request; None if nothing does.
 
         Raises:
-            asyncio.TimeoutError: The time is up or the upstream has ended.
+            asyncio.TimeoutError: The time is up, the upstream has ended, or
+                the wait was abandoned.
         """
         if upstream in self._ended_at:
             seconds = min(seconds or _GRACE_S, _GRACE_S)
         async with asyncio.timeout(None) as scope:
-            timer = timeouts.Timer(scope, seconds)
+            timer = timeouts.Timer(
+                functools.partial(timeouts.end, scope), seconds
+            )
             scopes = self._active.setdefault(upstream, set())
             scopes.add(scope)
             try:
-                yield
+                with abandonment.ends(scope) if abandonment else _NEVER:
+                    yield
             finally:
                 timer.cancel()
                 scopes.discard(scope)
--- a/galenahatch/gateway/plain.py
+++ b/galenahatch/gateway/plain.py
@@ -16,17 +16,20 @@
 that no upstream has started it. A repeatable request is sent to a second
 upstream after an error, or if the first one is silent for too long, provided
 that the shared retry budget allows it and, with admission control, that
-repeats after such a failure are useful (`core/retryvalue`).
+repeats after such a failure are useful (`core/retryvalue`). A silent send is
+kept until the second one is certain (`secondsend`).
 
 Which upstream gets a send, and whether any does, is decided in `choice`.
 """
 
 import dataclasses
+import functools
 import typing
 
 from galenahatch import clock
 from galenahatch.core import balance
 from galenahatch.core import fate
+from galenahatch.core import loadreports
 from galenahatch.core import plaincalls
 from galenahatch.core import retryvalue
 from galenahatch.core import routes
@@ -35,16 +38,16 @@
 from galenahatch.gateway import calls
 from galenahatch.gateway import choice
 from galenahatch.gateway import context as contexts
+from galenahatch.gateway import grants
+from galenahatch.gateway import inflight
 from galenahatch.gateway import instruments
 from galenahatch.gateway import repeats
+from galenahatch.gateway import secondsend
 from galenahatch.gateway import sendresults
 from galenahatch import ids
 from galenahatch import logs
 from galenahatch.platform import wire
 
-_FIRST_TIMEOUT_SHARE: typing.Final = 0.4
-"""Share of the remaining time after which a repeatable request is retried if
-its first upstream is silent; the second attempt needs the rest."""
 _CONNECT_TIMEOUT_S: typing.Final = 0.25
 """Connections take a few ms within a region."""
 _NOT_EXECUTED_STATUSES: typing.Final = frozenset((408, 421, 429, 503))
@@ -58,8 +61,19 @@
     """One send and its result: a response or a failure."""
 
     upstream: ids.UpstreamId
-    response: contexts.CompleteAnswer | None
-    failure: sendresults.FailedSend | None
+    grant: grants.Grant | None
+    response: contexts.CompleteAnswer | None = None
+    failure: sendresults.FailedSend | None = None
+
+    def end_grant(
+        self,
+        result: plaincalls.SendResult,
+        seconds: float,
+        load: loadreports.LoadReport | None = None,
+    ) -> None:
+        """End the grant of the send, if it needed one."""
+        if self.grant is not None:
+            self.grant.end(result, seconds, load)
 
 
 class RequestHandler:
@@ -88,19 +102,15 @@
         try:
             return await self._run()
         finally:
-            self._choice.end_grant(plaincalls.SendResult.CANCELLED)
+            self._choice.cancel_grant()
 
     async def _run(self) -> contexts.CompleteAnswer | errors.Failure:
         self._context.budget.record_request(
             self._service, self._call.arrived_at
         )
-        attempts = 0
-        while self._may_try(attempts):
-            upstream = await self._choice.choose()
-            if upstream is None:
-                break
-            attempts += 1
-            attempt = await self._send(upstream)
+        upstream = await self._choose_next(is_first=True)
+        while upstream is not None:
+            attempt, second = await self._send(upstream)
             response = self._final_response(attempt)
             if response is not None:
                 return response
@@ -108,20 +118,26 @@
                 await self._context.guard.record_cut(self._call, upstream)
             if self._context.guard.is_blocked(self._call):
                 return self._context.guard.failure(self._call)
+            upstream = second or await self._choose_next(is_first=False)
         return self._error_response or self._failure()
 
-    def _may_try(self, attempts: int) -> bool:
+    async def _choose_next(self, is_first: bool) -> upstreams.Upstream | None:
+        if not self._may_try(is_first):
+            return None
+        return await self._choice.choose()
+
+    def _may_try(self, is_first: bool) -> bool:
         if contexts.has_passed(self._deadline):
             return False
         if not self._sends.may_send(
             self._route.is_repeatable, self._route.max_attempts
         ):
             return False
-        if not attempts:
+        if is_first:
             return True
         if not self._is_repeat_worthwhile():
             return False
-        if not self._context.budget.spend(self._service, clock.now()):
+        if not self._spend_retry():
             return False
         self._repeats.record_send()
         return True
@@ -130,33 +146,42 @@
         """Return whether another send is likely enough to succeed."""
         return not self._choice.are_full and self._repeats.is_worthwhile()
 
-    async def _send(self, upstream: upstreams.Upstream) -> _Attempt:
-        time_left = contexts.seconds_until(self._deadline)
-        only_once = not self._route.is_repeatable
-        may_retry = (
-            self._route.max_attempts > self._sends.ran + 1
-            and self._repeats.would_repeat_silent(upstream.id)
-        )
-        timeout_share = (
-            _FIRST_TIMEOUT_SHARE if may_retry and not only_once else 1.0
-        )
-        headers = wire.upstream_headers(
-            self._call, calls.ForwardingOptions(upstream.id, time_left)
-        )
+    async def _choose_second(
+        self, first: ids.UpstreamId
+    ) -> upstreams.Upstream | None:
+        """Return the upstream of a certain second send, or None.
+
+        Args:
+            first: Upstream that is silent.
+        """
+        self._choice.avoid.add(first)
+        if (
+            self._choice.are_full
+            or not self._repeats.would_repeat_silent(first)
+            or not self._context.budget.has_retry(self._service, clock.now())
+        ):
+            return None
+        return await self._choice.choose()
+
+    def _spend_retry(self) -> bool:
+        return self._context.budget.spend(self._service, clock.now())
+
+    async def _send(
+        self, upstream: upstreams.Upstream
+    ) -> tuple[_Attempt, upstreams.Upstream | None]:
+        """Send the request.
+
+        Returns:
+            The result, and the upstream of a second send that replaces it.
+        """
+        search = self._second_search(upstream.id)
         self._context.balancer.begin(upstream.id)
         self._sends.begin()
         started_at = clock.now()
-        attempt = _Attempt(upstream.id, None, None)
+        attempt = _Attempt(upstream.id, self._choice.take_grant())
         try:
-            response = await self._context.sender.send(
-                upstream,
-                self._call,
-                headers,
-                wire.decode_response_head,
-                timeout=time_left * timeout_share,
-                connect_timeout=min(_CONNECT_TIMEOUT_S, time_left),
-                use_pool=not only_once,
-            )
+            with search.during_silence():
+                response = await self._send_once(upstream, search.abandonment)
             if isinstance(response, sendresults.FailedSend):
                 attempt.failure = response
             else:
@@ -164,22 +189,56 @@
         finally:
             seconds = clock.now() - started_at
             if attempt.failure is None and attempt.response is None:
-                self._record_cancelled(upstream.id, seconds)
+                self._record_cancelled(attempt, seconds)
             else:
                 self._record(attempt, seconds)
-        return attempt
+        if search.found is not None and response is attempt.failure:
+            self._repeats.record_send()
+            return attempt, search.found
+        self._choice.cancel_grant()
+        return attempt, None
+
+    def _second_search(self, first: ids.UpstreamId) -> secondsend.Search:
+        """Return the search for a second send while the first is silent."""
+        may_repeat = (
+            self._route.is_repeatable
+            and self._route.max_attempts > self._sends.ran + 1
+        )
+        return secondsend.Search(
+            contexts.seconds_until(self._deadline) if may_repeat else None,
+            functools.partial(self._choose_second, first),
+            self._spend_retry,
+            self._choice.cancel_grant,
+            self._context.tasks,
+        )
 
-    def _record_cancelled(
-        self, upstream: ids.UpstreamId, seconds: float
-    ) -> None:
+    async def _send_once(
+        self,
+        upstream: upstreams.Upstream,
+        abandonment: inflight.Abandonment,
+    ) -> sendresults.Response | sendresults.FailedSend:
+        time_left = contexts.seconds_until(self._deadline)
+        options = calls.ForwardingOptions(upstream.id, time_left)
+        return await self._context.sender.send(
+            upstream,
+            self._call,
+            wire.upstream_headers(self._call, options),
+            wire.decode_response_head,
+            timeout=time_left,
+            connect_timeout=min(_CONNECT_TIMEOUT_S, time_left),
+            use_pool=self._route.is_repeatable,
+            abandonment=abandonment,
+        )
+
+    def _record_cancelled(self, attempt: _Attempt, seconds: float) -> None:
         """Record a send that was cancelled because the caller left."""
         self._sends.end(fate.Fate.UNCERTAIN)
-        self._context.balancer.cancel(upstream)
-        self._choice.end_grant(plaincalls.SendResult.CANCELLED, seconds)
+        self._context.balancer.cancel(attempt.upstream)
+        attempt.end_grant(plaincalls.SendResult.CANCELLED, seconds)
         _log.info(
             'Caller disconnected.',
             request=self._call.id,
-            upstream=upstream,
+            upstream=attempt.upstream,
             seconds=seconds,
         )
 
@@ -278,7 +337,7 @@
         else:
             result = plaincalls.SendResult.FAILED
         load = head.load if head is not None else None
-        self._choice.end_grant(result, seconds, load)
+        attempt.end_grant(result, seconds, load)
         contention = self._context.contention
         contention.observe(self._service, attempt.upstream, load, is_full)
         if is_full and contention.is_enabled(self._service):
--- a/galenahatch/gateway/sender.py
+++ b/galenahatch/gateway/sender.py
@@ -90,6 +90,7 @@
         connect_timeout: Seconds for establishing a connection.
         use_pool: Whether to use a pooled connection and keep it open.
         id: Id of the request, for logs.
+        abandonment: Ends the wait for the head of the response.
     """
 
     method: str
@@ -100,6 +101,7 @@
     connect_timeout: float
     use_pool: bool
     id: str
+    abandonment: inflight.Abandonment | None = None
 
 
 class Sender:
@@ -158,6 +160,7 @@
         connect_timeout: float,
         use_pool: bool,
         hop: hops.Hop | None = None,
+        abandonment: inflight.Abandonment | None = None,
     ) -> sendresults.Response | sendresults.FailedSend:
         """Send a request and return the head of its response.
 
@@ -168,18 +171,19 @@
             connect_timeout: Seconds for establishing a connection.
             use_pool: Whether to use a pooled connection and keep it open.
             hop: Gateway that proxies the request; None to send it directly.
+            abandonment: Ends the wait for the head before the timeout.
         """
         sent_at = clock.now()
+        limits = (timeout, connect_timeout, use_pool)
         with flowcontrol.hold(self._flow, _REQUESTS, len(request.body)):
             outgoing = Outgoing(
                 request.method,
                 request.target,
                 headers,
                 request.body,
-                timeout,
-                connect_timeout,
-                use_pool,
+                *limits,
                 request.id,
+                abandonment,
             )
             response = await self.forward(upstream, outgoing, hop)
         if isinstance(response, sendresults.FailedSend):
@@ -190,8 +194,7 @@
         )
         if is_about_upstream(head, request.id):
             self.on_response_head(upstream.id, sent_at, head)
-        time_left = sent_at + timeout - clock.now()
-        return await self._check_response(request, result, time_left)
+        return await self._check_response(request, result, sent_at + timeout)
 
     async def forward(
         self,
@@ -207,7 +210,9 @@
             hop: Gateway that proxies the request; None to send it directly.
         """
         try:
-            async with self.waits.limit(upstream.id, request.timeout):
+            async with self.waits.limit(
+                upstream.id, request.timeout, request.abandonment
+            ):
                 response = await self._request(upstream, request, hop)
         except http.NOT_CONNECTED as error:
             is_unsendable = isinstance(error, http.UnsendableError)
@@ -278,7 +283,7 @@
         self,
         request: calls.Call,
         response: sendresults.Response,
-        time_left: float,
+        deadline: float,
     ) -> sendresults.Response | sendresults.FailedSend:
         head = response.head
         if head.request_id and head.request_id != request.id:
@@ -288,6 +293,7 @@
                 fate.Fate.UNCERTAIN, detail, cause=_ANSWERED
             )
         if head.not_executed and head.status >= 400:
+            time_left = deadline - clock.now()
             await response.body(time_left, sendresults.MAX_SMALL_BYTES)
             detail = f'refused with {head.status}'
             return sendresults.FailedSend(
--- a/galenahatch/test/test_retry_value.py
+++ b/galenahatch/test/test_retry_value.py
@@ -18,6 +18,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import random
 import types
 import typing
@@ -33,19 +34,24 @@
 from galenahatch.core import fate
 from galenahatch.core import loadreports
 from galenahatch.core import outliers
+from galenahatch.core import plaincalls
 from galenahatch.core import retrybudget
 from galenahatch.core import retryvalue
 from galenahatch.core import routes
 from galenahatch.core import upstreams
 from galenahatch.gateway import calls
 from galenahatch.gateway import context as contexts
+from galenahatch.gateway import grants
+from galenahatch.gateway import inflight
 from galenahatch.gateway import plain
 from galenahatch.gateway import records
 from galenahatch.gateway import repeatresults
 from galenahatch.gateway import sendresults
 from galenahatch import ids
+from galenahatch import tasks
 
 _DESK = ids.ServiceName('desk')
+_SILENT = ids.UpstreamId('silent')
 _ERROR = retryvalue.Reason.ERROR
 _KIND = retryvalue.Kind(_DESK, 'status', _ERROR)
 _UPSTREAMS = [
@@ -297,11 +303,38 @@
 
 
 class _Sender:
-    """Upstreams that answer with a server error of their own."""
+    """Upstreams that answer with a server error of their own.
+
+    Attributes:
+        lasts: Seconds that the next sends last.
+        silences: Seconds for which these lasted, and whether each was
+            abandoned.
+    """
 
     def __init__(self, script: list[int]) -> None:
         self.script = script
         self.timeouts: list[float] = []
+        self.lasts: list[float] = []
+        self.silences: list[tuple[float, bool]] = []
+
+    async def _is_answered(
+        self, timeout: float, abandonment: inflight.Abandonment
+    ) -> bool:
+        """Let a send last; return whether an answer comes then."""
+        lasts = self.lasts.pop(0) if self.lasts else 0.0
+        if not lasts:
+            return True
+        began_at = clock.now()
+        try:
+            async with inflight.Waits().limit(_SILENT, timeout, abandonment):
+                await asyncio.sleep(lasts)
+            return True
+        except asyncio.TimeoutError:
+            return False
+        finally:
+            seconds = clock.now() - began_at
+            is_early = seconds < min(timeout, lasts) - 0.01
+            self.silences.append((seconds, is_early))
 
     def blames_upstream(self, *args: typing.Any) -> bool:
         """Return what a sender without lost paths does."""
@@ -313,10 +346,13 @@
         call: calls.Call,
         *args: typing.Any,
         timeout: float,
+        abandonment: inflight.Abandonment,
         **kwargs: typing.Any,
     ) -> typing.Any:
         """Answer with the next status, the last one again and again."""
         self.timeouts.append(timeout)
+        if not await self._is_answered(timeout, abandonment):
+            return sendresults.FailedSend(fate.Fate.UNCERTAIN, 'no answer')
         status = self.script.pop(0) if len(self.script) > 1 else self.script[0]
         if not status:
             return sendresults.FailedSend(fate.Fate.UNCERTAIN, 'no answer')
@@ -359,12 +395,12 @@
         ),
         'loads': loads,
         'retry_value': retryvalue.RetryValue(),
+        'tasks': tasks.Tasks(),
     }
     for name in (
         'owner_client',
         'affinity',
         'accounts',
-        'tasks',
         'overload',
         'call_grants',
     ):
@@ -372,8 +408,14 @@
     return contexts.Context(**fake)
 
 
-def _run(context: contexts.Context, count: int) -> list[typing.Any]:
-    """Return the results of some calls of an idempotent route."""
+def _run(
+    context: contexts.Context, count: int, patience: float | None = None
+) -> list[typing.Any]:
+    """Return the results of some calls of an idempotent route.
+
+    Args:
+        patience: Seconds after which the callers leave; None for never.
+    """
     route = routes.Route(
         'status',
         'desk.test',
@@ -402,7 +444,8 @@
                 '',
             )
             handler = plain.RequestHandler(context, call, route, _DESK)
-            results.append(await handler.run())
+            async with asyncio.timeout(patience):
+                results.append(await handler.run())
         return results
 
     return asyncio.run(run())
@@ -427,11 +470,100 @@
     """No upstream answers: a call that is not repeated may take all time."""
     sender = _Sender([0])
     context = _context(sender, True)
+    sender.lasts = [9.0, 9.0]
+    _run(context, 1)
     _run(context, 40)
-    assert sender.timeouts[0] == pytest.approx(0.4, abs=0.02)
+    sender.lasts = [9.0, 9.0]
+    _run(context, 1)
+    (first, is_replaced), (second, _), (last, is_last_replaced) = (
+        sender.silences
+    )
+    assert is_replaced and not is_last_replaced
+    assert first >= 0.38 and last >= 0.98
+    assert sender.timeouts[1] == pytest.approx(1.0 - first, abs=0.02)
     assert sender.timeouts[-1] == pytest.approx(1.0, abs=0.02)
 
 
+class _Owner:
+    """Grants the first send; the second one as a test says.
+
+    Attributes:
+        ends: Results of the grants, by upstream, in their order.
+    """
+
+    def __init__(self, second: str) -> None:
+        self._second = second
+        self._asked = 0
+        self.ends: list[tuple[str, str]] = []
+
+    async def acquire(self, request: grants.GrantRequest) -> grants.Outcome:
+        """Decide on a send."""
+        self._asked += 1
+        if self._asked > 1 and self._second == 'rejected':
+            reason = plaincalls.RejectionReason.NO_ROOM
+            return grants.Rejected(reason, 0.1, 'no room')
+        if self._asked > 1 and self._second == 'queued':
+            await asyncio.Event().wait()
+        (name, *_) = sorted({'a', 'b', 'c'} - request.avoid)
+        return grants.Grant(
+            ids.UpstreamId(name),
+            self._asked,
+            lambda result, *args: self.ends.append((name, result.value)),
+        )
+
+    async def permit(self, upstream: ids.UpstreamId) -> float:
+        """Limit the rate of the second upstream, or never reply."""
+        if upstream == 'b' and self._second == 'unpermitted':
+            await asyncio.Event().wait()
+        return 0.0
+
+
+# Guards against an upstream's answer that is lost because its connection was
+# closed before the owner had granted a second send.
+@pytest.mark.parametrize(
+    'second, ends',
+    [
+        ('rejected', [('a', 'answered')]),
+        ('queued', [('a', 'answered')]),
+        ('unpermitted', [('a', 'answered'), ('b', 'cancelled')]),
+        ('granted', [('a', 'failed'), ('b', 'answered')]),
+    ],
+)
+@pytest.mark.parametrize('is_left', [False, True])
+def test_silent_send_is_kept_until_a_grant(
+    second: str, ends: list[tuple[str, str]], is_left: bool
+) -> None:
+    """A second send replaces the first once granted; all grants end."""
+    sender, owner = _Sender([200]), _Owner(second)
+    contention = types.SimpleNamespace(
+        is_enabled=lambda service: True,
+        is_contended=lambda service: True,
+        observe=lambda *args: None,
+    )
+    fake: dict[str, typing.Any] = {
+        'contention': contention,
+        'call_grants': owner,
+        'rate_limits': types.SimpleNamespace(acquire=owner.permit),
+    }
+    context = dataclasses.replace(_context(sender, True), **fake)
+    sender.lasts = [0.7, 0.2]
+    if is_left:
+        with pytest.raises(asyncio.TimeoutError):
+            _run(context, 1, 0.5)
+        ends = [(name, 'cancelled') for name, _ in ends]
+        if second == 'granted':
+            ends[0] = ('a', 'failed')
+    else:
+        (result,) = _run(context, 1)
+        assert result.head.status == 200
+    assert sorted(owner.ends) == ends
+    is_replaced = second == 'granted'
+    assert [early for _, early in sender.silences][0] == (
+        is_replaced or is_left
+    )
+    assert len(sender.timeouts) == 1 + is_replaced
+
+
 def test_repeats_that_help_are_sent() -> None:
     """Every other send fails: all calls are repeated and succeed."""
     sender = _Sender([500, 200] * 40)
--- a/galenahatch/timeouts.py
+++ b/galenahatch/timeouts.py
@@ -27,6 +27,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import functools
 import typing
 
 from galenahatch import clock
@@ -39,15 +40,19 @@
 
 
 class Timer:
-    """Expires a timeout scope after pending I/O has been processed.
+    """Calls a function after a time and after pending I/O was processed.
 
     Args:
-        scope: Scope of `asyncio.timeout(None)`, without its own deadline.
+        on_expiry: Called once when the time is up.
         seconds: Timeout in seconds from now; None for no timeout.
     """
 
-    def __init__(self, scope: asyncio.Timeout, seconds: float | None) -> None:
-        self._scope = scope
+    def __init__(
+        self,
+        on_expiry: collections.abc.Callable[[], None],
+        seconds: float | None,
+    ) -> None:
+        self._on_expiry = on_expiry
         self._loop = asyncio.get_running_loop()
         self._handle: asyncio.Handle | None = None
         self._suspended_s = clock.total_suspension()
@@ -56,7 +61,7 @@
             self._schedule()
 
     def cancel(self) -> None:
-        """Stop the timer; must be called when the scope exits."""
+        """Stop the timer; must be called when it is no longer needed."""
         _ACTIVE_TIMERS.discard(self)
         if self._handle is not None:
             self._handle.cancel()
@@ -88,8 +93,8 @@
             self._handle = self._loop.call_soon(
                 self._expire, remaining_iterations - 1
             )
-        elif not self._scope.expired():
-            self._scope.reschedule(self._loop.time())
+        else:
+            self._on_expiry()
 
 
 _ACTIVE_TIMERS: typing.Final[set[Timer]] = set()
@@ -116,13 +121,19 @@
             the block.
     """
     async with asyncio.timeout(None) as scope:
-        timer = Timer(scope, seconds)
+        timer = Timer(functools.partial(end, scope), seconds)
         try:
             yield
         finally:
             timer.cancel()
 
 
+def end(scope: asyncio.Timeout) -> None:
+    """Let a timeout scope expire now."""
+    if not scope.expired():
+        scope.reschedule(asyncio.get_running_loop().time())
+
+
 async def process_pending_events() -> None:
     """Wait until the loop has processed I/O that arrived during a pause."""
     for _ in range(_GRACE_ITERATIONS):
