Plain calls: repeat a silent send over a new connection

Callers of repeatable requests got a 504 after the connections between a gateway and its upstreams had gone silent for good, while new ones worked.

Cause: both sends used kept connections. The first silence told that kept connections may be dead, as it does for prompts (Prefill.record_silence), but the second send took another one of the same age.

Evidence: test_silence_is_not_met_twice failed before in its 1 case: sends that were silent for 1.0 s and 1.5 s, then 504 at the deadline.

Fix: after a silent send, a request uses new connections. Requests that may not be repeated use new ones anyway.

--- a/galenahatch/gateway/plain.py
+++ b/galenahatch/gateway/plain.py
@@ -91,6 +91,7 @@
         self._route = route
         self._service = service
         self._sends = fate.Sends()
+        self._use_pool = route.is_repeatable
         self._deadline = contexts.answer_deadline(call, route)
         self._choice = choice.UpstreamChoice(context, call, route, service)
         self._repeats = repeats.Repeats(context, call, route, service)
@@ -226,7 +227,7 @@
             wire.decode_response_head,
             timeout=time_left,
             connect_timeout=min(_CONNECT_TIMEOUT_S, time_left),
-            use_pool=self._route.is_repeatable,
+            use_pool=self._use_pool,
             abandonment=abandonment,
         )
 
@@ -268,6 +269,8 @@
         head = attempt.response.head if attempt.response else None
         if failure is not None:
             head = failure.head
+            # Pooled connections to other upstreams may be silent as well.
+            self._use_pool = self._use_pool and not failure.is_silence
             self._detail = failure.detail
         self._choice.avoid.add(attempt.upstream)
         status = head.status if head is not None else 0
--- a/galenahatch/test/test_silent_sends.py
+++ b/galenahatch/test/test_silent_sends.py
@@ -17,6 +17,7 @@
 import pytest
 
 from galenahatch.test import fleet as fleets
+from galenahatch.test.standin import upstreams
 
 _LATE_S = 1.4
 """Over 0.4 of a caller's 2.5 s, and well within these."""
@@ -32,6 +33,10 @@
         fleet.drop('servers', fleet.of('desk')[1].id)
 
 
+async def _silence(upstream: upstreams.Upstream) -> None:
+    upstream.silence('127.0.0.1')
+
+
 # Guards against an upstream's answer that is lost because its connection was
 # closed before another upstream was certain to get the request.
 @pytest.mark.parametrize('why', ['budget', 'upstream'])
@@ -65,3 +70,16 @@
         fleets.eventually(lambda: second.ended == 'dropped', 'dropped', 0.5)
         time.sleep(_LATE_S)
         assert len(fleet.seen(request)) == 2
+
+
+# Guards against a repeat that is lost since it uses a connection that has
+# gone silent together with that of the first send.
+def test_silence_is_not_met_twice() -> None:
+    """All open connections to upstreams go silent; new ones work."""
+    with fleets.Fleet(1, [('desk', ''), ('desk', '')]) as fleet:
+        while not all(upstream.seen for upstream in fleet.of('desk')):
+            assert fleet.ask('/often/x', 'GET').served
+        for upstream in fleet.of('desk'):
+            fleet.call(_silence(upstream))
+        answer = fleet.ask('/often/x', 'GET')
+        assert answer.served, answer
