--- a/galenahatch/gateway/connections.py
+++ b/galenahatch/gateway/connections.py
@@ -39,6 +39,9 @@
 _TRANSIT_S: typing.Final = 1.0
 """Seconds that are added to the limits on callers, which measure them from
 another moment: an answer and the next request may be on their way."""
+_STOP_TRANSIT_S: typing.Final = 0.25
+"""The same while draining, when each wait delays the stop: a round trip to
+the callers and a pause of either side."""
 _UNREAD_CHECK_INTERVAL_S: typing.Final = 0.1
 """Seconds between two checks whether an idle connection has been read."""
 
@@ -208,6 +211,8 @@
     ) -> tuple[web.StreamResponse, bool]:
         """Complete an answer and apply the idle limit in force."""
         finished = await super().finish_response(request, resp, start_time)
+        if self.transport is None:
+            return finished
         idle_timeout = self._limits().idle_timeout
         if idle_timeout < self._idle_timeout:
             # The timer that is set may fire too late.
@@ -377,7 +382,7 @@
             if (
                 isinstance(connection, CallerConnection)
                 and connection.idle
-                and connection.idle_seconds >= _TRANSIT_S
+                and connection.idle_seconds >= _STOP_TRANSIT_S
             ):
                 self.closed_idle += 1
                 connection.force_close()
--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -138,9 +138,11 @@
             )
 
     async def _run(self) -> contexts.CompleteAnswer | errors.Failure | None:
-        for _ in range(_MAX_PLACEMENTS):
+        placements_left = _MAX_PLACEMENTS
+        while placements_left or self._replacement is not None:
             if contexts.has_passed(self._deadline):
                 break
+            placements_left -= self._replacement is None
             placement = await self._place()
             if isinstance(placement, messages.PlacementRefused):
                 return self._failures.refused(placement)
@@ -294,6 +296,7 @@
             silence if may_replace else None,
             lambda: self._placer.find_replacement(engine, self._prefill),
             self._placer.discard,
+            self._context.tasks,
         )
 
     def _handle_replaced(self, engine: upstreams.Upstream) -> prefill.Retry:
--- a/galenahatch/gateway/placer.py
+++ b/galenahatch/gateway/placer.py
@@ -38,8 +38,10 @@
 from galenahatch import logs
 
 _MIN_SEARCH_INTERVAL_S: typing.Final = 0.3
-"""Least time between two questions for a replacement; a refusal may state no
-time, and the retry budget frees a send only now and then."""
+_MAX_SEARCH_INTERVAL_S: typing.Final = 1.0
+_SEARCH_GROWTH: typing.Final = 1.5
+"""Limits and growth of the time between two requests for a replacement. Many
+streams may fall silent at once, and all of them ask the same owner."""
 _log = logs.Log('generation')
 
 
@@ -117,6 +119,7 @@
         instruments.silent_runs.add(1, {'result': 'silent'})
         avoid = [*self.avoid, engine.id]
         successor = prefill.successor()
+        interval = _MIN_SEARCH_INTERVAL_S
         while not contexts.has_passed(self._deadline):
             if self._context.guard.is_blocked(self._call):
                 return None
@@ -125,21 +128,27 @@
             )
             decision = await self._context.owner_client.place(request)
             self._affinity.record_decision(decision)
-            if isinstance(decision, messages.Placement):
-                retry = await self._prepare(decision, successor)
+            retry_after = 0.0
+            if isinstance(decision, messages.PlacementRefused):
+                retry_after = decision.retry_after
+            else:
+                retry = await self._prepare(decision, successor, engine.id)
                 if retry is None:
                     placement = msgspec.structs.replace(
                         decision, prefill=ids.UpstreamId('')
                     )
                     return replacement.Replacement(placement, successor)
                 avoid += {retry.avoid, *retry.at_fault}
-            else:
-                delay = max(decision.retry_after, _MIN_SEARCH_INTERVAL_S)
-                await asyncio.sleep(delay)
+            spread = clock.RANDOM.uniform(1.0, _SEARCH_GROWTH)
+            await asyncio.sleep(max(retry_after, interval * spread))
+            interval = min(_SEARCH_GROWTH * interval, _MAX_SEARCH_INTERVAL_S)
         return None
 
     async def _prepare(
-        self, placement: messages.Placement, prefill: prefills.Prefill
+        self,
+        placement: messages.Placement,
+        prefill: prefills.Prefill,
+        silent: ids.UpstreamId,
     ) -> prefills.Retry | None:
         """Read the prompt for a replacement; return why that failed."""
         release = messages.Release(placement.stream, self._service)
@@ -147,13 +156,8 @@
             cleanup.callback(
                 lambda: self._context.owner_client.release(release)
             )
-            decoder = self._find(placement.decode)
-            if decoder is None or not self.takes_work(decoder):
-                return prefills.Retry(placement.decode, 'decode engine gone')
-            if self._affinity.is_undecided or not self._affinity.allows(
-                decoder
-            ):
-                return prefills.Retry(placement.decode, 'other version')
+            if not self._may_replace(placement, silent):
+                return prefills.Retry(placement.decode, 'unusable')
             reader = self._find(placement.prefill)
             if reader is not None:
                 cleanup.callback(prefill.delete_unused)
@@ -166,9 +170,24 @@
                 if retry is not None:
                     release = retry.applied_to(release)
                     return retry
+                if not self._may_replace(placement, silent):
+                    return prefills.Retry(placement.decode, 'left meanwhile')
             cleanup.pop_all()
             return None
 
+    def _may_replace(
+        self, placement: messages.Placement, silent: ids.UpstreamId
+    ) -> bool:
+        """Return whether a run may go on where the owner placed it."""
+        decoder = self._find(placement.decode)
+        return (
+            decoder is not None
+            and decoder.id != silent
+            and self.takes_work(decoder)
+            and not self._affinity.is_undecided
+            and self._affinity.allows(decoder)
+        )
+
     def discard(self, found: replacement.Replacement) -> None:
         """Release a replacement that isn't needed."""
         found.prefill.delete_unused()
--- a/galenahatch/gateway/prefill.py
+++ b/galenahatch/gateway/prefill.py
@@ -97,6 +97,13 @@
     )
 
 
+@dataclasses.dataclass
+class _Sent:
+    """Prefills of a request that may have reached an engine."""
+
+    attempts: int = 0
+
+
 class Prefill:
     """Prefill of one request.
 
@@ -118,7 +125,7 @@
         self._service = service.name
         self._ttl = service.engine.handle_ttl
         self._tokens = call.prompt.tokens
-        self._attempts = 0
+        self._sent = _Sent()
         self._use_pool = True
         self._kv_source = ''
         self._fetch_by = 0.0
@@ -131,7 +138,7 @@
         reached an engine yet, or if no further prefill is needed because a
         result can still be fetched.
         """
-        return int(self._attempts > 0 and not self.kv_source())
+        return int(self._sent.attempts > 0 and not self.kv_source())
 
     def successor(self) -> 'Prefill':
         """Return a prefill of the same request for another run.
@@ -139,7 +146,7 @@
         It uses new connections: open ones may be silent as well.
         """
         successor = Prefill(self._context, self._call, self._for_service)
-        successor._attempts = self._attempts
+        successor._sent = self._sent
         successor._use_pool = False
         return successor
 
@@ -184,7 +191,7 @@
         response = await self._send(engine, last_event_id, deadline)
         if isinstance(response, sendresults.FailedSend):
             return self._handle_failure(engine, response)
-        self._attempts += 1
+        self._sent.attempts += 1
         body = await response.body(
             _time_limit(deadline), sendresults.MAX_SMALL_BYTES
         )
@@ -207,7 +214,7 @@
     def _handle_failure(
         self, engine: upstreams.Upstream, failure: sendresults.FailedSend
     ) -> Retry:
-        self._attempts += failure.fate is not fate.Fate.NOT_SENT
+        self._sent.attempts += failure.fate is not fate.Fate.NOT_SENT
         if failure.is_silence:
             self.record_silence()
         _log.warning(
--- a/galenahatch/gateway/replacement.py
+++ b/galenahatch/gateway/replacement.py
@@ -29,6 +29,7 @@
 from galenahatch.gateway import messages
 from galenahatch.gateway import prefill as prefills
 from galenahatch import ids
+from galenahatch import tasks
 from galenahatch import timeouts
 
 
@@ -53,6 +54,8 @@
 FindFunction = collections.abc.Callable[
     [], collections.abc.Awaitable[Replacement | None]
 ]
+"""Seeks a replacement until it is cancelled, and then releases what it holds;
+returns None if there can't be any."""
 
 
 class Watch:
@@ -64,9 +67,9 @@
     Args:
         silence: Seconds without bytes after which a replacement is sought;
             None for never.
-        find: Seeks a replacement until it is cancelled; None if there can't
-            be any. Releases what it holds if it is cancelled.
+        find: Seeks a replacement.
         discard: Releases a replacement that isn't needed.
+        background: Runner of background tasks.
     """
 
     def __init__(
@@ -74,10 +77,12 @@
         silence: float | None,
         find: FindFunction,
         discard: collections.abc.Callable[[Replacement], None],
+        background: tasks.Tasks,
     ) -> None:
         self._silence = silence
         self._find = find
         self._discard = discard
+        self._background = background
         self._found: Replacement | None = None
         self._scope = asyncio.timeout(None)
         self._search: asyncio.Task[None] | None = None
@@ -104,7 +109,7 @@
             asyncio.TimeoutError: The run is to be replaced.
         """
         await self._scope.__aexit__(kind, error, trace)
-        # The block ended otherwise, as its caller left at the same moment.
+        # The run isn't replaced, as its caller left at the same moment.
         self._drop_found()
 
     @contextlib.contextmanager
@@ -113,8 +118,7 @@
         if self._silence is None:
             yield
             return
-        loop = asyncio.get_running_loop()
-        timer = loop.call_later(self._silence, self._start_search)
+        timer = timeouts.Timer(self._start_search, self._silence)
         try:
             yield
         finally:
@@ -122,11 +126,9 @@
             self._stop_search()
 
     def _start_search(self) -> None:
-        self._search = asyncio.get_running_loop().create_task(self._seek())
+        self._search = self._background.run_once(self._seek())
 
     async def _seek(self) -> None:
-        # After a pause of this process, bytes may be waiting to be read.
-        await timeouts.process_pending_events()
         found = await self._find()
         if found is not None:
             self._found = found
