Streams taken up again: a share of them goes before new streams

Cause: a return is on a new connection, so it ranked as new, and once refused as late, behind all others; returns kept late for 2 to 3 s took the places of those that came again.

Why it works: the owner counts which new streams begin, and owes returns 1.25 of that share; an owed return goes before new streams, by the objective of its own attempt, and expected retries don't count before it. A return that would start late is refused at once, so that it holds no place.

--- a/galenahatch/core/admission.py
+++ b/galenahatch/core/admission.py
@@ -20,12 +20,15 @@
 
 from galenahatch.core import forecast as forecasts
 from galenahatch.core import generations
+from galenahatch.core import lengths
 from galenahatch.core import pool as pools
 from galenahatch.core import ratelimits
 from galenahatch.core import rebalancing
 from galenahatch.core import retryafter
+from galenahatch.core import returns
 from galenahatch.core import sharetimes
 from galenahatch.core import versionaffinity
+from galenahatch.core import versionchoice
 from galenahatch.core import waitqueue
 
 _WAIT_SAFETY_FACTOR: typing.Final = 1.3
@@ -65,6 +68,22 @@
         self._retries = retries
         self._rebalancer = rebalancer
         self._limiter = limiter
+        self._returns = returns.Returns()
+
+    def prepare(self, job: Job, predicted: lengths.Lengths) -> Job:
+        """Record the arrival of a request; return it as it is queued."""
+        first_at = self._retries.record_arrival(job.fingerprint)
+        is_owed = (
+            _is_return(job)
+            and versionchoice.is_served(job, self._pool.decodes)
+            and self._returns.record_arrival(self._queue.owed_count)
+        )
+        return job.prepared(predicted, first_at, is_owed)
+
+    def record_placement(self, job: Job) -> None:
+        """Record that a request was placed."""
+        self._retries.record_placement(job.fingerprint)
+        self._returns.record_decision(job, True)
 
     def _engine_limit_wait(
         self, job: Job, requests_ahead: int, now: float
@@ -97,6 +116,8 @@
 
     def due_retries(self, job: Job, now: float) -> int:
         """Return the number of expected retries that go before a request."""
+        if job.is_owed:
+            return 0
         due = self._retries.due_counts(now)
         return self._queue.count_retries_before(job, due, now)
 
@@ -106,7 +127,9 @@
         """Queue or refuse a request that could not be placed."""
         if self.is_limited(job, now):
             return self.refuse(job, 'engines_hold_back', now)
-        if job.is_committed:
+        if job.is_committed and not (
+            _is_return(job) and now > job.start_deadline
+        ):
             return None
         wait = _WAIT_SAFETY_FACTOR * self._forecast.predict_wait(job, 1, now)
         if now + wait > waitqueue.first_event_limit(job):
@@ -125,6 +148,9 @@
         """
         if self.is_limited(job, now):
             return self.refuse(job, 'engines_hold_back', now)
+        if _is_return(job):
+            reason = self._forecast.describe_refusal(job, wait, now)
+            return self.refuse(job, reason, now)
         promised = 1 + self.due_retries(job, now)
         late_wait = self._forecast.predict_late_wait(job, promised, now)
         is_too_late = now + late_wait > job.abandon_at
@@ -142,12 +168,18 @@
         """
         self._rebalancer.record_missing_version(job.version, now)
         return dataclasses.replace(
-            self.refuse(job, f'version {job.version} not served', now),
+            self._refuse(job, f'version {job.version} not served', now),
             version_problem=versionaffinity.Problem.NOT_SERVED,
         )
 
     def refuse(self, job: Job, reason: str, now: float) -> generations.Refused:
         """Refuse a request and tell its caller when to retry."""
+        self._returns.record_decision(job, False)
+        return self._refuse(job, reason, now)
+
+    def _refuse(
+        self, job: Job, reason: str, now: float
+    ) -> generations.Refused:
         self._rebalancer.record_refusal(now)
         queue_wait = self._forecast.predict_queue_wait(job, now)
         # Callers told to retry after their own deadline do not retry.
@@ -175,3 +207,8 @@
         self._queue.record_refusal(job, wait, now)
         why = f'{reason} {self._queue.describe_place(job, now)}'
         return generations.Refused(job, wait, why)
+
+
+def _is_return(job: Job) -> bool:
+    """Return whether no engine has had a return since it arrived."""
+    return job.is_return and not job.is_continuation and not job.avoid
--- a/galenahatch/core/dispatch.py
+++ b/galenahatch/core/dispatch.py
@@ -171,8 +171,7 @@
 
     def submit(self, job: Job, now: float) -> generations.Decision | None:
         """Queue a request; return a decision if it is refused at once."""
-        first_at = self._retries.record_arrival(job.fingerprint)
-        job = job.prepared(self._estimator.lengths, first_at)
+        job = self._admission.prepare(job, self._estimator.lengths)
         self._estimator.record_size(job.prompt_tokens, job.predicted_output)
         if not job.is_retry:
             self._estimator.record_arrival(now)
@@ -377,7 +376,7 @@
     ) -> generations.Placed:
         """Record the placement of a request."""
         prefill_id = prefill.upstream.id if prefill is not None else None
-        self._retries.record_placement(job.fingerprint)
+        self._admission.record_placement(job)
         self._estimator.record_placement(now)
         decode.memory.add(job.make_run(ready_at))
         decode.health.record_run(now)
--- a/galenahatch/core/generations.py
+++ b/galenahatch/core/generations.py
@@ -58,6 +58,8 @@
             by the dispatcher.
         version: The only software version at which it may run; empty for any.
         is_return: Whether its caller takes up a stream that has begun.
+        is_owed: Whether it is a return that goes before new streams; set by
+            the dispatcher.
     """
 
     stream: ids.StreamId
@@ -88,6 +90,7 @@
     is_late: bool = False
     version: ids.SoftwareVersion = ids.SoftwareVersion('')
     is_return: bool = False
+    is_owed: bool = False
 
     def is_paused(self, engine: ids.UpstreamId, now: float) -> bool:
         """Return whether an engine accepts nothing from this job's VM."""
@@ -98,16 +101,20 @@
         return not self.version or self.version == engine.version
 
     def prepared(
-        self, predicted: lengths.Lengths, first_at: float | None
+        self,
+        predicted: lengths.Lengths,
+        first_at: float | None,
+        is_owed: bool = False,
     ) -> typing.Self:
         """Return it as it is queued.
 
         Args:
             predicted: Predictor of the tokens of answers.
             first_at: Time of its first attempt; None if this is the first.
+            is_owed: Whether it is a return that goes before new streams.
         """
         start_deadline = self.start_deadline
-        if first_at is not None:
+        if first_at is not None and not is_owed:
             start_deadline = start_deadline - self.arrived_at + first_at
         return dataclasses.replace(
             self,
@@ -116,6 +123,7 @@
             ),
             is_retry=first_at is not None,
             start_deadline=start_deadline,
+            is_owed=is_owed,
         )
 
     def make_run(self, starts_at: float) -> memory.Run:
--- a/galenahatch/core/waitqueue.py
+++ b/galenahatch/core/waitqueue.py
@@ -13,11 +13,11 @@
 """Queue of the requests that wait for engines.
 
 Order: continuations of streams that callers are already reading, then
-committed requests, then retries after a refusal, then all others by the
-deadline for their start. Late requests come last, since served earlier they
-would make those behind them late as well; among them retries, which get no
-further attempt, come first, each group by the time at which its caller gives
-up.
+committed requests, then retries after a refusal and returns that are owed a
+start (`core/returns`), then all others by the deadline for their start. Late
+requests come last, since served earlier they would make those behind them late
+as well; among them retries, which get no further attempt, come first, each
+group by the time at which its caller gives up.
 
 Where fair queuing is on and requests of several customers or priorities
 wait, they share the service (`core/fairshares`). Continuations
@@ -113,6 +113,11 @@
         """Software versions that waiting streams are bound to."""
         return frozenset(job.version for job in self._jobs.values()) - {''}
 
+    @property
+    def owed_count(self) -> int:
+        """Number of returns that go before new streams."""
+        return sum(job.is_owed for job in self._jobs.values())
+
     def add(self, job: Job) -> None:
         """Add a request."""
         self._jobs[job.stream] = job
@@ -124,7 +129,10 @@
     def commit(self, job: Job, is_late: bool = False) -> None:
         """Mark a request as to be served, in time or late."""
         self._jobs[job.stream] = dataclasses.replace(
-            job, is_committed=True, is_late=is_late
+            job,
+            is_committed=True,
+            is_late=is_late,
+            is_owed=job.is_owed and not is_late,
         )
 
     def in_order(self, now: float) -> list[Job]:
@@ -253,7 +261,7 @@
     def describe_place(self, job: Job, now: float) -> str:
         """Return a request's place and what it takes up, for the log."""
         return (
-            f'place={len(self.jobs_ahead(job, now))}'
+            f'owed={job.is_owed} place={len(self.jobs_ahead(job, now))}'
             f' return={job.is_return} version={job.version or "any"}'
         )
 
@@ -302,7 +310,8 @@
                 return group, job.priority, job.abandon_at
             if job.is_committed:
                 return 1, job.priority, job.arrived_at
-            return 2 if job.is_retry else 3, job.priority, job.start_deadline
+            group = 2 if job.is_retry or job.is_owed else 3
+            return group, job.priority, job.start_deadline
 
         return rank
 
