--- a/galenahatch/test/standin/upstreams.py
+++ b/galenahatch/test/standin/upstreams.py
@@ -105,6 +105,7 @@
         self.events = 8
         self.pause = 0.005
         self.stall = 0.0
+        self.reading = 0.0
         self.padding = 0
         self.unread_limit: float | None = None
         self.is_framed = True
@@ -258,6 +259,7 @@
             if seen.body.startswith(CRASHES_READING):
                 self._crash()
                 return False
+            await self._work(seen, reader, self.reading)
             return self._prefill(seen, writer)
         fault = self.faults.popleft() if self.faults else ''
         if fault == 'refuse':
--- a/galenahatch/test/test_silences.py
+++ b/galenahatch/test/test_silences.py
@@ -150,6 +150,41 @@
     assert 1.4 < time.monotonic() - began < 2.0
 
 
+# Guards against streams that are aborted since the engine that should have
+# replaced a silent one left while the prompt was read for it.
+def test_replacement_that_leaves_ends_no_silent_run() -> None:
+    """The run goes on, as the budget allows no second search."""
+    with _fleet({**_NO_RETRIES, 'retry_slack': 9}) as started:
+        (reader,) = started.of('model', 'prefill')
+        engines = started.of('model', 'decode')
+        for engine in engines:
+            engine.stall = 2 * _STALL_S
+            engine.faults.append('stall')
+        with fleets.Caller(started.vms[0]) as caller:
+            request = caller.begin('/tell/x')
+            fleets.eventually(lambda: started.runs(request), 'it runs')
+            reader.reading = _STALL_S
+            fleets.eventually(
+                lambda: [seen.id for seen in reader.seen].count(request) == 2,
+                'its prompt is read again',
+            )
+            (other,) = [one for one in engines if request not in one.ran]
+            started.drop('servers', other.id)
+            answer = caller.end()
+        assert answer.served
+        assert _events(answer) == _WHOLE
+        assert started.runs(request) == 1
+
+
+# Guards against runs that are ended to go on at the engine that is silent.
+def test_silent_engine_does_not_replace_itself() -> None:
+    """Where there is no other engine, its run is kept."""
+    with fleets.Fleet(2, _MEMBERS[:2], in_order=True) as started:
+        answers = _ask_all(started, 'stall')
+        assert all(answer.served for answer in answers), answers
+        assert all(started.runs(answer.id) == 1 for answer in answers)
+
+
 class _Run:
     """A run under watch, and what became of the replacement it found.
 
