Placer: plain names for its requests

Cause: the module spoke of questions where the rest of the gateway speaks of requests, and its docstring was hard to follow. Change: a counter and the module's docstring are renamed; behaviour is the same.

--- a/galenahatch/gateway/placer.py
+++ b/galenahatch/gateway/placer.py
@@ -12,8 +12,8 @@
 
 """Asks the owner for the engines of one request to a model service.
 
-Each question bears a stream id of its own, so that an answer that comes late
-isn't taken for that to another question.
+Each request to the owner has a stream id of its own, so that a late reply is
+not taken for the reply to a later request.
 """
 
 import asyncio
@@ -81,7 +81,7 @@
         self._relay = relay
         self._affinity = affinity
         self._deadline = deadline
-        self._questions = 0
+        self._request_count = 0
         self.avoid: list[ids.UpstreamId] = []
 
     async def place(
@@ -222,8 +222,8 @@
         is_prefilled: bool,
         extra_sends: int,
     ) -> placementrequests.PlacementRequest:
-        self._questions += 1
-        attempt = self._questions
+        self._request_count += 1
+        attempt = self._request_count
         generated = self._relay.event_count * self._event_tokens
         estimated = self._prompt.estimated_output or 0
         prompt_tokens, max_output = self.token_counts()
