--- a/galenahatch/test/test_stops.py
+++ b/galenahatch/test/test_stops.py
@@ -288,6 +288,8 @@
                 caller.sendall(_REQUEST)
                 await asyncio.sleep(0.1)
                 assert caller.recv(1000).endswith(b'answered')
+                # A connection that was answered just now is kept anyway.
+                await asyncio.sleep(0.5)
             caller.sendall(_REQUEST)
             while not await server.drain(refuse_new=False):
                 await asyncio.sleep(0.01)
