--- a/review/5/case.py
+++ b/review/5/case.py
@@ -10,10 +10,11 @@
 # License for the specific language governing permissions and limitations
 # under the License.
 
-"""A stream that has run is answered with a status that denies it."""
+"""A resumed stream is answered with an error inside the first response."""
 
 import pathlib
 import queue
+import socket
 import sys
 import threading
 import time
@@ -24,21 +25,20 @@
 
 from galenahatch.test.standin import upstreams  # noqa: E402
 
-STREAMS = 240
-CALLERS = 24
+STREAMS = 180
+CALLERS = 9
 PREFILLS = 5
 DECODES = 4
 FAILED_SHARE = 0.45
-DENIALS = (408, 421, 429, 503)
+PREEMPTED_S = 2.5
+EVENTS = 8
 
 
 class Engine(upstreams.Upstream):
-    """A model engine that may fail some of its runs.
-
-    It begins to work on them, and doesn't say otherwise in its answer.
+    """A model engine that preempts each stream once, before its half.
 
     Attributes:
-        failed_share: Share of its runs that fail.
+        failed_share: Share of its runs that it answers with an error.
     """
 
     failed_share = 0.0
@@ -46,14 +46,80 @@
 
     async def _run(self, seen, fault, reader, writer):
         self._due += self.failed_share
-        if self._due < 1:
-            return await super()._run(seen, fault, reader, writer)
-        self._due -= 1
-        seen.ran = True
-        await self._work(seen, reader, 0.02)
-        seen.ended = 'failed with 429'
-        writer.write(self._framed(seen, 429, b'the run failed'))
-        return True
+        if self._due >= 1:
+            self._due -= 1
+            seen.ran = True
+            seen.ended = 'failed with 400'
+            writer.write(self._framed(seen, 400, b'the run failed'))
+            return True
+        if not seen.headers.get('last-event-id'):
+            fault = 'stall'
+        return await super()._run(seen, fault, reader, writer)
+
+
+def stream(gateway):
+    """Send a request for a stream; return its id and all bytes received."""
+    request = harness.new_id()
+    lines = harness.headers(request, 14000, (1000, 100))
+    head = ''.join(f'{name}: {value}\r\n' for name, value in lines.items())
+    received = b''
+    with socket.create_connection((gateway.address, gateway.front)) as caller:
+        caller.settimeout(8)
+        caller.sendall(
+            f'POST /tell/1 HTTP/1.1\r\n{head}Content-Length: 1\r\n\r\nx'.encode()
+        )
+        try:
+            while not is_over(received):
+                data = caller.recv(65536)
+                if not data:
+                    break
+                received += data
+        except OSError:
+            pass
+    return request, received
+
+
+def is_over(received):
+    """Return whether a whole answer has been received, or what is none."""
+    return judge(received)[0] not in ('open', 'cut')
+
+
+def judge(received):
+    """Parse an answer as RFC 9112 has it.
+
+    Returns:
+        `open` if it lacks its head, `cut` if it ends early, `whole`, or
+        `no answer` if its bytes break the protocol; and the body, or the
+        bytes that are wrong.
+    """
+    head, end, rest = received.partition(b'\r\n\r\n')
+    if not end:
+        return 'open', b''
+    lines = head.lower().split(b'\r\n')
+    if b'transfer-encoding: chunked' not in lines:
+        length = next(
+            int(line.partition(b':')[2])
+            for line in lines
+            if line.startswith(b'content-length:')
+        )
+        return ('whole' if len(rest) >= length else 'cut'), rest
+    body = b''
+    while True:
+        size, end, after = rest.partition(b'\r\n')
+        if not end:
+            return 'cut', body
+        try:
+            count = int(size, 16)
+        except ValueError:
+            return 'no answer', rest
+        if not count:
+            return 'whole', body
+        if len(after) < count + 2:
+            return 'cut', body
+        if after[count : count + 2] != b'\r\n':
+            return 'no answer', after[count:]
+        body += after[:count]
+        rest = after[count + 2 :]
 
 
 def run(platform, record):
@@ -66,10 +132,12 @@
             3,
             [
                 harness.route(
-                    '/say/',
+                    '/tell/',
                     'streaming',
                     'lm-reader',
                     sticky=True,
+                    resumable=True,
+                    max_attempts=2,
                     timeout_ms=14000,
                     gap_aim_ms=300,
                 )
@@ -82,7 +150,8 @@
         for stage in ('prefill',) * PREFILLS + ('decode',) * DECODES
     ]
     for engine in engines:
-        engine.pause = 0.1
+        engine.events, engine.pause = EVENTS, 0.05
+        engine.stall = PREEMPTED_S
     if harness.trouble():
         engines[-1].failed_share = FAILED_SHARE
         record.write(f'{engines[-1].id} fails {FAILED_SHARE:.0%} of its runs')
@@ -101,11 +170,8 @@
                 gateway = jobs.get_nowait()
             except queue.Empty:
                 return
-            answers.append(
-                harness.ask(
-                    gateway, 'POST', '/say/1', 14000, b'x', (1000, 100)
-                )
-            )
+            sent_at = time.monotonic()
+            answers.append((sent_at, gateway, *stream(gateway)))
 
     callers = [threading.Thread(target=call) for _ in range(CALLERS)]
     for caller in callers:
@@ -113,25 +179,32 @@
     for caller in callers:
         caller.join()
     broken = 0
-    for answer in sorted(answers, key=lambda answer: answer.sent_at):
-        runs = [
-            (engine, seen)
-            for engine in engines
-            for seen in engine.seen
-            if seen.id == answer.request and seen.ran
-        ]
-        is_broken = answer.status in DENIALS and bool(runs)
-        broken += is_broken
+    for sent_at, gateway, request, received in sorted(answers, key=at_first):
+        state, detail = judge(received)
+        broken += state == 'no answer'
         record.write(
-            f'{answer.request} {answer.status}'
-            f'{" BUT IT HAS RUN" if is_broken else ""}',
-            answer.sent_at,
+            f'{gateway.name} {request} {state} {received[9:12].decode()}',
+            sent_at,
         )
-        for engine, seen in runs:
-            record.write(f'    runs at {engine.id}: {seen.ended}', seen.at)
-    record.write(f'{broken} of {len(answers)} denied a run')
+        for engine in engines:
+            for seen in engine.seen:
+                if seen.id == request:
+                    record.write(
+                        f'    {engine.id} {seen.told("stage") or "run"}'
+                        f' after {seen.headers.get("last-event-id", "-")}:'
+                        f' {seen.ended or "answered"}',
+                        seen.at,
+                    )
+        if state == 'no answer':
+            record.write(f'    bytes that are no answer: {detail[:300]!r}')
+    record.write(f'{broken} of {len(answers)} got bytes that are no answer')
     print(f'{broken} of {len(answers)}')
     return broken > 0
 
 
+def at_first(answer):
+    """Return when a request was sent."""
+    return answer[0]
+
+
 harness.main(__file__, run)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -10,9 +10,10 @@
 # License for the specific language governing permissions and limitations
 # under the License.
 
-"""Connections to the store go silent; the next configuration comes late."""
+"""A stream that has run is answered with a status that denies it."""
 
 import pathlib
+import queue
 import sys
 import threading
 import time
@@ -21,76 +22,116 @@
 
 import harness  # noqa: E402
 
-CONTACT_S = harness.BOUNDS['contact_ms'] / 1000
-APPLY_S = harness.BOUNDS['config_apply_ms'] / 1000
-MARGIN_S = 0.05
-
-
-def config(version, service, timeout_ms):
-    """Return a configuration whose /status/ goes to a service."""
-    return harness.configuration(
-        version,
-        [
-            harness.route('/status/', 'idempotent', service, max_attempts=2),
-            harness.route('/other/', 'idempotent', 'old-desk',
-                          timeout_ms=timeout_ms),
-        ],
-        [harness.plain_service('old-desk'), harness.plain_service('new-desk')],
-    )
+from galenahatch.test.standin import upstreams  # noqa: E402
+
+STREAMS = 240
+CALLERS = 24
+PREFILLS = 5
+DECODES = 4
+FAILED_SHARE = 0.45
+DENIALS = (408, 421, 429, 503)
+
+
+class Engine(upstreams.Upstream):
+    """A model engine that may fail some of its runs.
+
+    It begins to work on them, and doesn't say otherwise in its answer.
+
+    Attributes:
+        failed_share: Share of its runs that fail.
+    """
+
+    failed_share = 0.0
+    _due = 0.0
+
+    async def _run(self, seen, fault, reader, writer):
+        self._due += self.failed_share
+        if self._due < 1:
+            return await super()._run(seen, fault, reader, writer)
+        self._due -= 1
+        seen.ran = True
+        await self._work(seen, reader, 0.02)
+        seen.ended = 'failed with 429'
+        writer.write(self._framed(seen, 429, b'the run failed'))
+        return True
 
 
 def run(platform, record):
     """Run the case; return whether the rule was broken."""
-    platform.put('op', 'config', config(3, 'old-desk', 5000))
-    old = [platform.upstream('old-desk') for _ in range(2)]
-    new = [platform.upstream('new-desk') for _ in range(2)]
-    services = {u.id: u.service for u in (*old, *new)}
+    upstreams.Upstream = Engine
+    platform.put(
+        'op',
+        'config',
+        harness.configuration(
+            3,
+            [
+                harness.route(
+                    '/say/',
+                    'streaming',
+                    'lm-reader',
+                    sticky=True,
+                    timeout_ms=14000,
+                    gap_aim_ms=300,
+                )
+            ],
+            [harness.model_service('lm-reader')],
+        ),
+    )
+    engines = [
+        platform.upstream('lm-reader', stage)
+        for stage in ('prefill',) * PREFILLS + ('decode',) * DECODES
+    ]
+    for engine in engines:
+        engine.pause = 0.1
+    if harness.trouble():
+        engines[-1].failed_share = FAILED_SHARE
+        record.write(f'{engines[-1].id} fails {FAILED_SHARE:.0%} of its runs')
     zones = ('zogno', 'dalmine', 'seriate')
     gateways = [platform.gateway(zone) for zone in zones]
     harness.start(gateways)
-    time.sleep(4)
-    is_over = threading.Event()
+    time.sleep(3)
+    jobs = queue.SimpleQueue()
+    for number in range(STREAMS):
+        jobs.put(gateways[number % len(gateways)])
     answers = []
 
-    def send(gateway):
-        while not is_over.is_set():
-            answers.append((gateway, harness.ask(gateway, 'GET', '/status/1')))
-            time.sleep(0.04)
-
-    clients = [threading.Thread(target=send, args=(g,)) for g in gateways]
-    for client in clients:
-        client.start()
-    at = platform.put('op', 'config', config(8, 'old-desk', 4000))
-    record.write('version 8 acknowledged: a timeout changes', at)
-    time.sleep(0.4)
-    silent_at = time.monotonic()
-    if harness.trouble():
-        for gateway in gateways:
-            platform.do(gateway.store_proxy.hush)
-        record.write('open connections to the store are silent', silent_at)
-    time.sleep(1.0)
-    acked_at = platform.put('op', 'config', config(11, 'new-desk', 4000))
-    record.write('version 11 acknowledged: /status/ moves to new-desk',
-                 acked_at)
-    time.sleep(4.5)
-    is_over.set()
-    for client in clients:
-        client.join()
-    # In touch again after contact_ms, bound after config_apply_ms.
-    bound_at = max(acked_at + APPLY_S, silent_at + CONTACT_S) + MARGIN_S
-    stale = 0
-    for gateway, answer in sorted(answers, key=lambda a: a[1].sent_at):
-        service = services.get(answer.stamp.removeprefix('stamp-'), '')
-        is_stale = answer.sent_at > bound_at and service == 'old-desk'
-        stale += is_stale
+    def call():
+        while True:
+            try:
+                gateway = jobs.get_nowait()
+            except queue.Empty:
+                return
+            answers.append(
+                harness.ask(
+                    gateway, 'POST', '/say/1', 14000, b'x', (1000, 100)
+                )
+            )
+
+    callers = [threading.Thread(target=call) for _ in range(CALLERS)]
+    for caller in callers:
+        caller.start()
+    for caller in callers:
+        caller.join()
+    broken = 0
+    for answer in sorted(answers, key=lambda answer: answer.sent_at):
+        runs = [
+            (engine, seen)
+            for engine in engines
+            for seen in engine.seen
+            if seen.id == answer.request and seen.ran
+        ]
+        is_broken = answer.status in DENIALS and bool(runs)
+        broken += is_broken
         record.write(
-            f'{gateway.name} {answer.request} {answer.status} {service}'
-            f'{" STALE" if is_stale else ""}',
+            f'{answer.request} {answer.status}'
+            f'{" BUT IT HAS RUN" if is_broken else ""}',
             answer.sent_at,
         )
-    record.write(f'bound {bound_at - record.began_at:.3f}, stale: {stale}')
-    print('stale', stale)
-    return stale > 0
+        for engine, seen in runs:
+            record.write(f'    runs at {engine.id}: {seen.ended}', seen.at)
+    record.write(f'{broken} of {len(answers)} denied a run')
+    print(f'{broken} of {len(answers)}')
+    return broken > 0
 
 
 harness.main(__file__, run)
