review: each case reads TROUBLE and names its record itself

Cause: the shared harness did both, so neither was to be seen in the folder of a case. Change: case.py reads TROUBLE and passes the path of record.txt; what is played and judged stays as it was.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -12,6 +12,7 @@
 
 """A resumed stream is answered with an error inside the first response."""
 
+import os
 import pathlib
 import queue
 import socket
@@ -19,12 +20,14 @@
 import threading
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).parents[1] / 'common-2'))
+HERE = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE.parent / 'common-2'))
 
 import harness  # noqa: E402
 
 from galenahatch.test.standin import upstreams  # noqa: E402
 
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 STREAMS = 180
 CALLERS = 9
 PREFILLS = 5
@@ -152,7 +155,7 @@
     for engine in engines:
         engine.events, engine.pause = EVENTS, 0.05
         engine.stall = PREEMPTED_S
-    if harness.trouble():
+    if TROUBLE:
         engines[-1].failed_share = FAILED_SHARE
         record.write(f'{engines[-1].id} fails {FAILED_SHARE:.0%} of its runs')
     zones = ('zogno', 'dalmine', 'seriate')
@@ -207,4 +210,4 @@
     return answer[0]
 
 
-harness.main(__file__, run)
+harness.main(HERE / 'record.txt', run)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -12,18 +12,21 @@
 
 """A stream that has run is answered with a status that denies it."""
 
+import os
 import pathlib
 import queue
 import sys
 import threading
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).parents[1] / 'common-2'))
+HERE = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE.parent / 'common-2'))
 
 import harness  # noqa: E402
 
 from galenahatch.test.standin import upstreams  # noqa: E402
 
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 STREAMS = 240
 CALLERS = 24
 PREFILLS = 5
@@ -83,7 +86,7 @@
     ]
     for engine in engines:
         engine.pause = 0.1
-    if harness.trouble():
+    if TROUBLE:
         engines[-1].failed_share = FAILED_SHARE
         record.write(f'{engines[-1].id} fails {FAILED_SHARE:.0%} of its runs')
     zones = ('zogno', 'dalmine', 'seriate')
@@ -134,4 +137,4 @@
     return broken > 0
 
 
-harness.main(__file__, run)
+harness.main(HERE / 'record.txt', run)
--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -88,11 +88,6 @@
     """The case could not be run."""
 
 
-def trouble():
-    """Return whether the disruption is wanted."""
-    return os.environ.get('TROUBLE', '1') != '0'
-
-
 class Store(rows.Store):
     """The project's store, without a header that the pages don't name."""
 
@@ -424,10 +419,10 @@
 
 
 class Record:
-    """Writes `record.txt` beside a case; times count from its creation."""
+    """Record of a run; times count from its creation."""
 
-    def __init__(self, case):
-        self._file = open(pathlib.Path(case).parent / 'record.txt', 'w')
+    def __init__(self, path):
+        self._file = open(path, 'w')
         self.began_at = time.monotonic()
 
     def write(self, text, at=None):
@@ -436,9 +431,9 @@
         print(f'{seconds:8.3f} {text}', file=self._file, flush=True)
 
 
-def main(case, run):
-    """Run a case and exit as the review asks."""
-    record = Record(case)
+def main(path, run):
+    """Run a case, write its record to a file and exit as the review asks."""
+    record = Record(path)
     platform = Platform()
     try:
         broken = run(platform, record)
