Nothing but the rest of a stream follows its head

Cause: an engine that was to go on with a stream that had begun answered with an error, and decoderequests.read_other passed any complete answer from 300 to 499 on as the answer of the request, whatever had reached the caller. Evidence: the second head bears the stamp of that engine, which had answered 400 at that moment, beside headers that only the gateway adds; no `Request failed.` line.

Change: core/runresponses decides what becomes of a response by its status, signature and coding and by whether the stream has begun; once it has, there is no answer to pass on. A failed run ends no stream: it goes on at another engine or with the silent run that is held, while attempts and budget are left. All results leave a request through Failures.final, which closes the connection if a head has been sent; so an exit just behind the head can't add an error. New log line `Run failed with a response.`; before, nothing told.

test_answer_memory: read_other gets the use of the response in place of its status; it asks the same, for the same two kinds of answers.

--- a/galenahatch/gateway/decoderequests.py
+++ b/galenahatch/gateway/decoderequests.py
@@ -11,13 +11,14 @@
 # under the License.
 
 
-"""What is sent to decode engines, and what follows from other answers."""
+"""What is sent to decode engines, and what follows if a run fails."""
 
 import dataclasses
 
 from galenahatch import clock
 from galenahatch.core import fate
 from galenahatch.core import placements
+from galenahatch.core import runresponses
 from galenahatch.core import upstreams
 from galenahatch.gateway import calls
 from galenahatch.gateway import context as contexts
@@ -26,6 +27,7 @@
 from galenahatch.gateway import relay as relays
 from galenahatch.gateway import sendresults
 from galenahatch.gateway import stream_log
+from galenahatch import ids
 
 
 def forwarding_options(
@@ -55,6 +57,7 @@
         sender: Sends requests to engines.
         call: Request of the caller.
         relay: Relay of its stream.
+        deadline: Time by which it must be answered; monotonic seconds.
 
     Attributes:
         sent_at: Time of the last send; monotonic seconds.
@@ -66,10 +69,12 @@
         sender: failover.FailoverSender,
         call: calls.Call,
         relay: relays.Relay,
+        deadline: float,
     ) -> None:
         self._sender = sender
         self._call = call
         self._relay = relay
+        self._deadline = deadline
         self.sent_at = 0.0
         self.ran_past_start = False
 
@@ -118,6 +123,36 @@
             self.ran_past_start = True
         return prefills.retry_after(self._sender, engine, failure)
 
+    def ended(
+        self,
+        engine: upstreams.Upstream,
+        response: sendresults.Response,
+        prefill: prefills.Prefill,
+    ) -> prefills.Retry | None:
+        """Return None if a run that ended is complete."""
+        if not self._relay.has_partial_event:
+            return None
+        failure = response.broken('ended in the middle of an event')
+        return self.broken(engine, failure, prefill)
+
+    async def read_other(
+        self,
+        response: sendresults.Response,
+        engine: upstreams.Upstream,
+    ) -> contexts.CompleteAnswer | prefills.Retry | None:
+        """Return what follows from a response; None if it is a stream."""
+        head, has_begun = response.head, self._relay.has_reached_caller
+        use = runresponses.use_of(
+            head.status, head.is_signed, head.is_encoded, has_begun
+        )
+        if use is runresponses.Use.STREAM:
+            return None
+        result = await read_other(response, engine, self._deadline, use)
+        if isinstance(result, prefills.Retry):
+            failure = sendresults.FailedSend(fate.Fate.ANSWERED, result.detail)
+            self._log('Run failed with a response.', engine, failure)
+        return result
+
     def _log(
         self,
         text: str,
@@ -134,24 +169,23 @@
         )
 
 
-def is_stream(head: calls.ResponseHead) -> bool:
-    """Return whether a stream that can be relayed follows a head."""
-    return head.status < 300 and not head.is_encoded and head.is_signed
-
-
 async def read_other(
     response: sendresults.Response,
     engine: upstreams.Upstream,
     deadline: float,
+    use: runresponses.Use,
 ) -> contexts.CompleteAnswer | prefills.Retry:
-    """Return an answer that is no stream; a failed one is to be repeated.
+    """Return an answer that is no stream, or how to go on without one.
 
-    An engine isn't at fault for a refusal that found no memory here.
+    An engine isn't at fault for an answer that found no memory here.
     """
     head = response.head
-    body = await response.body(contexts.seconds_until(deadline))
-    is_refusal = 300 <= head.status < 500
-    if is_refusal and body is not None:
-        return contexts.CompleteAnswer(head, body)
-    at_fault = () if is_refusal and response.lacks_memory else (engine.id,)
+    at_fault: tuple[ids.UpstreamId, ...] = (engine.id,)
+    if use is runresponses.Use.ANSWER:
+        body = await response.body(contexts.seconds_until(deadline))
+        if body is not None:
+            return contexts.CompleteAnswer(head, body)
+        at_fault = () if response.lacks_memory else at_fault
+    else:
+        response.close()
     return prefills.Retry(engine.id, f'status {head.status}', at_fault)
--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -99,7 +99,9 @@
         )
         self._replacement: replacement.Replacement | None = None
         self._held = heldruns.HeldRun(self._placer.release)
-        self._runs = decoderequests.Runs(context.sender, call, self._relay)
+        self._runs = decoderequests.Runs(
+            context.sender, call, self._relay, self._deadline
+        )
         self._failures = generationfailures.Failures(
             self._relay, self._sends, self._deadline
         )
@@ -120,7 +122,7 @@
             )
             if self._was_placed and isinstance(result, errors.Failure):
                 self._placer.refund_quota(result)
-            return result
+            return self._failures.final(result)
         except asyncio.CancelledError:
             _log.info(
                 drain.why_cancelled,
@@ -370,10 +372,9 @@
     async def _relay_response(
         self, run: heldruns.Run, watch: replacement.Watch
     ) -> Result:
-        if not decoderequests.is_stream(run.response.head):
-            return await decoderequests.read_other(
-                run.response, run.engine, self._deadline
-            )
+        other = await self._runs.read_other(run.response, run.engine)
+        if other is not None:
+            return other
         self._held.end()
         self._relay.begin_run()
         return await self._relay_stream(run, watch)
@@ -404,11 +405,7 @@
                     return self._failures.deadline()
                 return self._runs.interrupted(engine, data, self._prefill)
             if not data:
-                if self._relay.has_partial_event:
-                    detail = 'ended in the middle of an event'
-                    failure = response.broken(detail)
-                    return self._runs.broken(engine, failure, self._prefill)
-                return None
+                return self._runs.ended(engine, response, self._prefill)
             events = await self._relay.feed(data)
             if contexts.is_overrun(self._deadline):
                 return self._failures.deadline()
--- a/galenahatch/gateway/generationfailures.py
+++ b/galenahatch/gateway/generationfailures.py
@@ -59,6 +59,21 @@
             raise StreamBroken(failure.detail)
         return failure
 
+    def final(
+        self, result: contexts.CompleteAnswer | errors.Failure | None
+    ) -> contexts.CompleteAnswer | errors.Failure | None:
+        """Return a result, if none has a head that comes too late.
+
+        Raises:
+            StreamBroken: A part of the stream has reached the caller, and
+                the result isn't the rest of it.
+        """
+        if isinstance(result, errors.Failure):
+            return self.failed(result)
+        if result is not None and self._relay.has_reached_caller:
+            raise StreamBroken(f'status {result.head.status} after its head')
+        return result
+
     def deadline(self) -> errors.Failure:
         """Return the failure of a stream that isn't complete in time."""
         return self.failed(errors.Failure(errors.DEADLINE, 'deadline'))
--- a/galenahatch/test/standin/upstreams.py
+++ b/galenahatch/test/standin/upstreams.py
@@ -22,9 +22,10 @@
 also `no-handle` (the result of a prefill is gone), `mute` (silent in the
 middle of a stream), `stall` and `stall-head` (silent for `stall` seconds in
 the middle of a stream or before its head, and goes on) and `end-inside` (ends
-a stream inside an event). Answers
-of an upstream that `is_framed` is off for have neither a length nor chunks
-and end with their connection.
+a stream inside an event). A name that begins with `status` runs the request
+and answers it as `_stated` says. `resumed_faults`, if set, are those of runs
+with Last-Event-Id. Answers of an upstream that `is_framed` is off for have
+neither a length nor chunks and end with their connection.
 
 A request whose body begins with `CRASHES` ends the upstream that begins to run
 it, and one that begins with `CRASHES_READING` also the engine that reads its
@@ -50,6 +51,8 @@
 CRASHES: typing.Final = b'ends what runs it'
 CRASHES_READING: typing.Final = CRASHES + b' or reads it'
 HARMFUL: typing.Final = 'bad0'
+STATED: typing.Final = b'the run failed'
+_WITHOUT_BODY: typing.Final = (204, 205, 304)
 _LASTS: typing.Final = 0.03
 """Seconds for which a request that ends its upstream has run by then."""
 _DOWN: typing.Final = 1.0
@@ -101,6 +104,7 @@
         self.version = 'v1'
         self.seen: list[Seen] = []
         self.faults: collections.deque[str] = collections.deque()
+        self.resumed_faults: collections.deque[str] | None = None
         self.delay = 0.0
         self.events = 8
         self.pause = 0.005
@@ -261,7 +265,10 @@
                 return False
             await self._work(seen, reader, self.reading)
             return self._prefill(seen, writer)
-        fault = self.faults.popleft() if self.faults else ''
+        faults = self.faults
+        if 'last-event-id' in seen.headers and self.resumed_faults is not None:
+            faults = self.resumed_faults
+        fault = faults.popleft() if faults else ''
         if fault == 'refuse':
             writer.write(self._refusal(seen, 503))
             return True
@@ -292,6 +299,8 @@
         if is_harmful or (seen.body.startswith(CRASHES) and fault != 'error'):
             return await self._end_by(seen, writer)
         serve = self._stream if self.stage else self._plain
+        if fault.startswith('status'):
+            serve = self._stated
         try:
             return await serve(seen, fault, reader, writer)
         except ConnectionError:
@@ -439,6 +448,43 @@
         seen.ended = 'answered'
         return self.is_framed
 
+    async def _stated(
+        self,
+        seen: Seen,
+        fault: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Answer a request that ran with a status, `status CODE [HOW ...]`.
+
+        HOW is `unsigned`, `encoded`, `empty` (no body), `comment` (a body
+        that is a comment in a stream), `chunked` or `unframed`.
+        """
+        _, code, *how = fault.split(' ')
+        body = b'' if 'empty' in how else STATED
+        body = b': comment\n\n' if 'comment' in how else body
+        lines = [self._head(seen, int(code)).decode().rstrip()]
+        if 'unsigned' in how:
+            lines = [
+                line
+                for line in lines[0].split('\r\n')
+                if 'Response-Stamp' not in line
+            ]
+        if 'encoded' in how:
+            lines.append('Content-Encoding: gzip')
+        if 'chunked' in how:
+            lines.append('Transfer-Encoding: chunked')
+            body = (_chunk(body) if body else b'') + b'0\r\n\r\n'
+        elif 'unframed' in how:
+            lines.append('Connection: close')
+        elif int(code) not in _WITHOUT_BODY:
+            lines.append(f'Content-Length: {len(body)}')
+        else:
+            body = b''
+        writer.write('\r\n'.join([*lines, '', '']).encode() + body)
+        seen.ended = fault
+        return 'unframed' not in how
+
     def _limit_buffers(self, writer: asyncio.StreamWriter) -> None:
         """Buffer little, so that it shows whether a stream is read."""
         if self.unread_limit is None:
--- a/galenahatch/test/test_answer_memory.py
+++ b/galenahatch/test/test_answer_memory.py
@@ -26,6 +26,7 @@
 import pytest
 
 from galenahatch.core import memorybudget
+from galenahatch.core import runresponses
 from galenahatch.gateway import decoderequests
 from galenahatch.gateway import flowcontrol
 from galenahatch.gateway import prefill as prefills
@@ -283,7 +284,10 @@
     def response(status: int) -> typing.Any:
         head = types.SimpleNamespace(status=status)
         return types.SimpleNamespace(
-            head=head, body=body, lacks_memory=lacks_memory
+            head=head,
+            body=body,
+            close=lambda: None,
+            lacks_memory=lacks_memory,
         )
 
     async def send(*args: typing.Any, **options: typing.Any) -> typing.Any:
@@ -304,9 +308,12 @@
         prefill = prefills.Prefill(context, call, mock.Mock())
         found = await prefill.run(ids.StreamId('s'), engine, '', 1.0)
         assert found is not None and found.at_fault == blamed
-        for status, at_fault in ((400, blamed), (500, (engine.id,))):
+        for use, at_fault in (
+            (runresponses.Use.ANSWER, blamed),
+            (runresponses.Use.NOTHING, (engine.id,)),
+        ):
             retry = await decoderequests.read_other(
-                response(status), engine, 1.0
+                response(400), engine, 1.0, use
             )
             assert isinstance(retry, prefills.Retry)
             assert retry.at_fault == at_fault
--- a/galenahatch/test/test_cut_heads.py
+++ b/galenahatch/test/test_cut_heads.py
@@ -45,6 +45,7 @@
 from galenahatch.test import cases
 from galenahatch.test import fleet as fleets
 from galenahatch.test import ports
+from galenahatch.test import rawanswers
 from galenahatch.test import samples
 from galenahatch.test.standin import upstreams
 from galenahatch.upstream import engine
@@ -64,11 +65,6 @@
     itertools.accumulate(event.encode() for event in _EVENTS)
 )
 """Bodies of streams that end with an event."""
-_HEAD_FORMAT: typing.Final = re.compile(
-    rb'HTTP/1\.[01] ([0-9]{3}) [^\r\n]*\r\n((?:[\w-]+:[^\r\n]*\r\n)*)\r\n'
-)
-_CHUNK_FORMAT: typing.Final = re.compile(rb'([0-9a-f]+)(?:;[^\r\n]*)?\r\n')
-_TRAILERS_FORMAT: typing.Final = re.compile(rb'(?:[\w-]+:[^\r\n]*\r\n)*\r\n')
 _RESET: typing.Final = struct.pack('ii', 1, 0)
 _STREAM_ROUTES: typing.Final = ('/say/', '/tell/')
 _DEADLINE_MS: typing.Final = (2500, 600)
@@ -91,61 +87,6 @@
 _RESETS: typing.Final = (End.RESET, End.LATE_RESET)
 
 
-class Got(typing.NamedTuple):
-    """An answer as parsed strictly.
-
-    Attributes:
-        status: 0 without a complete head.
-        is_framed: Whether it has a length or chunks.
-        left: Bytes after its end.
-    """
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-    is_whole: bool
-    is_framed: bool
-    left: bytes
-
-
-def parse(data: bytes) -> Got:
-    """Parse the bytes of a connection that has ended."""
-    match = _HEAD_FORMAT.match(data)
-    if match is None:
-        return Got(0, {}, b'', False, False, b'')
-    status, rest = int(match[1]), data[match.end() :]
-    if 100 <= status < 200:
-        return parse(rest)
-    lines = match[2].decode('latin-1').split('\r\n')[:-1]
-    pairs = (line.split(':', 1) for line in lines)
-    headers = {name.lower(): value.strip() for name, value in pairs}
-    if 'transfer-encoding' in headers:
-        assert 'content-length' not in headers
-        body, end = _join_chunks(rest)
-        left = rest[end:] if end else b''
-        return Got(status, headers, body, end > 0, True, left)
-    if 'content-length' not in headers:
-        return Got(status, headers, rest, True, False, b'')
-    size = int(headers['content-length'])
-    is_whole = len(rest) >= size
-    return Got(status, headers, rest[:size], is_whole, True, rest[size:])
-
-
-def _join_chunks(data: bytes) -> tuple[bytes, int]:
-    """Return the body in chunks, and where they end; 0 if they don't."""
-    body, at = b'', 0
-    while match := _CHUNK_FORMAT.match(data, at):
-        size, at = int(match[1], 16), match.end()
-        if not size:
-            trailers = _TRAILERS_FORMAT.match(data, at)
-            return body, trailers.end() if trailers else 0
-        body += data[at : at + size]
-        at += size + 2
-        if data[at - 2 : at] != b'\r\n':
-            break
-    return body, 0
-
-
 @dataclasses.dataclass
 class Plan:
     """One request and the first answer to it; later ones are whole.
@@ -266,18 +207,6 @@
     writer.close()
 
 
-async def _ask(vm: fleets.Vm, plan: Plan) -> bytes:
-    """Send a request; return all bytes that come back."""
-    reader, writer = await asyncio.open_connection(vm.address, vm.front)
-    writer.write(plan.head)
-    data = b''
-    with contextlib.suppress(ConnectionError):
-        while block := await asyncio.wait_for(reader.read(65536), 10):
-            data += block
-    writer.close()
-    return data
-
-
 def ask_all(
     vm: fleets.Vm, plans: collections.abc.Sequence[Plan]
 ) -> list[bytes]:
@@ -286,7 +215,7 @@
 
     async def ask(plan: Plan) -> bytes:
         async with slots:
-            return await _ask(vm, plan)
+            return await rawanswers.exchange(vm, plan.head)
 
     async def run() -> list[bytes]:
         return await asyncio.gather(*map(ask, plans))
@@ -295,13 +224,13 @@
     return asyncio.run(run())
 
 
-def check(plan: Plan, data: bytes, expected: str = '') -> Got:
+def check(plan: Plan, data: bytes, expected: str = '') -> rawanswers.Got:
     """Assert that a caller can't take an incomplete answer for complete.
 
     Args:
         expected: As in the file; empty if only the bytes that were sent tell.
     """
-    got = parse(data)
+    got = rawanswers.parse(data)
     shown = (plan, plan.sent, data)
     assert plan.is_repeatable or plan.arrivals <= 1, shown
     assert not got.left, shown
@@ -333,7 +262,7 @@
         usual = ''.join(_EVENTS if plan.is_stream else _BODY).encode()
         found = {usual} if 'whole' in expected else set()
     else:
-        sent = parse(plan.sent)
+        sent = rawanswers.parse(plan.sent)
         is_cut = not sent.is_framed and plan.end in _RESETS
         found = {sent.body} if sent.is_whole and not is_cut else set()
     if plan.is_stream:
@@ -685,7 +614,7 @@
 
 def check_read(replay: _Replay, result: object) -> None:
     """Assert that what was read was whole."""
-    sent = parse(replay.sent)
+    sent = rawanswers.parse(replay.sent)
     is_whole = sent.is_whole and (sent.is_framed or replay.how not in _RESETS)
     shown = (replay.sent, replay.how, result)
     if result is None or isinstance(result, errors.Failure):
