A run without any event completes no stream

Callers got three events of eight and a regular end of their stream, where the engine that was to go on answered 204, 205 or a success without events.

Cause: the end of a response without a partial event was taken for the end of the stream, however many events the run had brought. That the status decides is refuted: 200 with an empty body in three framings, and with a comment only, did the same.

Change: such a run has failed. The stream goes on at another engine while attempts and budget are left, else it is cut visibly; comments are no events. 204 and 205 are known for failures at their head, so that a silent run can be read on. A first run without events is repeated where that is allowed, else it gets 502 as before.

--- a/galenahatch/core/events.py
+++ b/galenahatch/core/events.py
@@ -37,12 +37,14 @@
 
     Attributes:
         last_id: Id of the last complete event; empty before the first.
-        count: Number of complete events so far.
+        count: Number of complete events so far, comments included.
+        message_count: The same without comments.
     """
 
     def __init__(self) -> None:
         self.last_id = ''
         self.count = 0
+        self.message_count = 0
         self._buffer = bytearray()
         self._comments = 0
         self._comment_bytes = 0
@@ -95,6 +97,7 @@
             self._comments += 1
             self._comment_bytes += len(block)
             return
+        self.message_count += 1
         self._comments = self._comment_bytes = 0
 
     def drop_partial(self) -> None:
--- a/galenahatch/core/runresponses.py
+++ b/galenahatch/core/runresponses.py
@@ -20,6 +20,7 @@
 import enum
 import typing
 
+_WITHOUT_BODY: typing.Final = (204, 205)
 _FIRST_REDIRECT: typing.Final = 300
 _FIRST_SERVER_ERROR: typing.Final = 500
 
@@ -49,7 +50,7 @@
         is_encoded: Whether its body isn't what the engine wrote.
         has_begun: Whether a part of the stream has reached the caller.
     """
-    if is_encoded:
+    if is_encoded or status in _WITHOUT_BODY:
         return Use.NOTHING
     if status < _FIRST_REDIRECT:
         return Use.STREAM if is_signed else Use.NOTHING
--- a/galenahatch/gateway/decoderequests.py
+++ b/galenahatch/gateway/decoderequests.py
@@ -129,11 +129,22 @@
         response: sendresults.Response,
         prefill: prefills.Prefill,
     ) -> prefills.Retry | None:
-        """Return None if a run that ended is complete."""
-        if not self._relay.has_partial_event:
+        """Return None if a run that ended is complete.
+
+        A run without any event is not: its engine may have lost the rest.
+        """
+        if self._relay.has_partial_event:
+            failure = response.broken('ended in the middle of an event')
+        elif self._relay.is_run_empty:
+            failure = sendresults.FailedSend(
+                fate.Fate.ANSWERED,
+                'ended without an event',
+                response.head,
+                cause=sendresults.Cause.UPSTREAM,
+            )
+        else:
             return None
-        failure = response.broken('ended in the middle of an event')
-        return self.broken(engine, failure, prefill)
+        return self.interrupted(engine, failure, prefill)
 
     async def read_other(
         self,
--- a/galenahatch/gateway/frontend.py
+++ b/galenahatch/gateway/frontend.py
@@ -304,9 +304,7 @@
             stream_log.record_attempt(call, sink.is_head_sent, reason)
         if result is not None:
             return self._respond(call, route, result)
-        if sink.response is None:
-            failure = errors.Failure(errors.BAD_UPSTREAM, 'empty stream')
-            return self._error_response(failure, call.id)
+        assert sink.response is not None
         await sink.response.write_eof()
         instruments.answers.add(1, {'reason': 'streamed'})
         return sink.response
--- a/galenahatch/gateway/relay.py
+++ b/galenahatch/gateway/relay.py
@@ -67,6 +67,7 @@
         self._splitter = events.EventSplitter()
         self._splitter.last_id = last_event_id
         self._last_event_at = 0.0
+        self._messages_before_run = 0
         self.first_event_at = 0.0
         self.longest_pause = 0.0
         self.run_event_count = 0
@@ -92,6 +93,11 @@
         """Whether an event has been received in part."""
         return self._splitter.is_partial
 
+    @property
+    def is_run_empty(self) -> bool:
+        """Whether the current run has brought comments at the most."""
+        return self._splitter.message_count == self._messages_before_run
+
     @property
     def is_event_too_long(self) -> bool:
         """Whether more than any engine sends has come without an event."""
@@ -100,6 +106,7 @@
     def begin_run(self) -> None:
         """Begin a new run, whose response comes from another engine."""
         self._splitter.drop_partial()
+        self._messages_before_run = self._splitter.message_count
         self.run_event_count = 0
 
     async def feed(self, data: bytes) -> bytes:
