A stream that ran is never answered with a status that denies it

Cause: only plain calls held these statuses back; streams passed on any complete answer from 300 to 499. Evidence: the answers bear the stamp of the engine that failed, which records that it ran them; the same answer to a plain call becomes 502, so the mark of a rejection is read rightly.

Change: core/fate.promises_no_run is the one place that names them, asked by plain calls and by core/runresponses for streams. A stream that may run again is repeated, else its caller gets 502.

--- a/galenahatch/core/fate.py
+++ b/galenahatch/core/fate.py
@@ -18,6 +18,18 @@
 """
 
 import enum
+import typing
+
+_PROMISES: typing.Final = frozenset((408, 421, 429, 503))
+
+
+def promises_no_run(status: int) -> bool:
+    """Return whether a status tells a caller that its request hasn't run.
+
+    It may then send even a request again that may run only once. A response
+    of an upstream that ran the request must not reach it with such a status.
+    """
+    return status in _PROMISES
 
 
 class Fate(enum.Enum):
--- a/galenahatch/core/runresponses.py
+++ b/galenahatch/core/runresponses.py
@@ -14,12 +14,15 @@
 
 Until a part of a stream has reached its caller, an engine's complete answer
 may be passed on instead. From then on a run can only add events to the stream
-or fail: a second head would stand in the middle of the first response.
+or fail: a second head would stand in the middle of the first response. A
+status that denies the run is never passed on.
 """
 
 import enum
 import typing
 
+from galenahatch.core import fate
+
 _WITHOUT_BODY: typing.Final = (204, 205)
 _FIRST_REDIRECT: typing.Final = 300
 _FIRST_SERVER_ERROR: typing.Final = 500
@@ -54,6 +57,8 @@
         return Use.NOTHING
     if status < _FIRST_REDIRECT:
         return Use.STREAM if is_signed else Use.NOTHING
+    if fate.promises_no_run(status):
+        return Use.NOTHING
     if has_begun or status >= _FIRST_SERVER_ERROR:
         return Use.NOTHING
     return Use.ANSWER
--- a/galenahatch/gateway/plain.py
+++ b/galenahatch/gateway/plain.py
@@ -50,8 +50,6 @@
 
 _CONNECT_TIMEOUT_S: typing.Final = 0.25
 """Connections take a few ms within a region."""
-_NOT_EXECUTED_STATUSES: typing.Final = frozenset((408, 421, 429, 503))
-"""Statuses that tell a caller that its request was not executed."""
 _FULL_STATUS: typing.Final = 503
 _log = logs.Log('plain')
 
@@ -369,7 +367,7 @@
         if response.head.status < 300:
             # An upstream may return an error without executing the request.
             self._context.guard.record_completion(self._call)
-        if response.head.status in _NOT_EXECUTED_STATUSES:
+        if fate.promises_no_run(response.head.status):
             # The request was executed, but this status denies it.
             self._detail = f'status {response.head.status} after execution'
             return None
@@ -402,7 +400,7 @@
     """Return why a send failed; None if the call succeeded."""
     if attempt.response is not None:
         status = attempt.response.head.status
-        if status < 500 and status not in _NOT_EXECUTED_STATUSES:
+        if status < 500 and not fate.promises_no_run(status):
             return None
         return retryvalue.Reason.ERROR
     failure = attempt.failure
