An upstream that denies its runs counts as failing

Cause: the balancer took any answer below 500 for a success, and an error is quicker than the work. The caller gets 502 for it since long, so it is none.

Change: a send succeeds for the balancer by the rule that decides whether it is repeated.

--- a/galenahatch/gateway/plain.py
+++ b/galenahatch/gateway/plain.py
@@ -314,7 +314,7 @@
             self._context.balancer.record_load(
                 attempt.upstream, head.load.total, now
             )
-        is_success = failure is None and head is not None and head.status < 500
+        is_success = _failure_reason(attempt) is None
         registry = self._context.directory.registry
         is_ejected = self._context.balancer.end(
             attempt.upstream,
--- a/galenahatch/test/test_refusal_statuses.py
+++ b/galenahatch/test/test_refusal_statuses.py
@@ -33,6 +33,7 @@
 _STAMP: typing.Final = 'x-galenahatch-response-stamp'
 _PROMISES: typing.Final = (408, 421, 429, 503)
 _TAKEN_UP: typing.Final = '/tell/taken-up'
+_CALLS: typing.Final = 80
 _FORMS: typing.Final = ('', ' unsigned', ' chunked', ' unframed', ' empty')
 _ANSWERS: typing.Final = tuple(
     f'status {status}{form}'
@@ -123,3 +124,20 @@
     answer = _ask(fleet, vm, path, ['refuse'])
     assert answer.served, answer
     assert fleet.runs(answer.id) == 1
+
+
+# Guards against an upstream that fails its calls with 429 and gets more of
+# them than others, as it counts as one that serves them quickly.
+def test_upstream_that_denies_its_runs_is_ejected(
+    fleet: fleets.Fleet,
+) -> None:
+    """Most of its calls go to the other upstream."""
+    for upstream in fleet.upstreams:
+        upstream.faults = collections.deque()
+    failing, sound = fleet.of('desk')
+    failing.faults.extend(['status 429'] * _CALLS)
+    ran = len(sound.ran)
+    for _ in range(_CALLS):
+        fleet.ask('/once/x', vm=1)
+    failing.faults.clear()
+    assert len(sound.ran) - ran > 0.75 * _CALLS
