A success that ends before its request has been received is broken

Callers got a part of an answer as a complete one, where an upstream answered a long request with a 200 without length, closed its sending side and reset the connection 10 ms later while the request was still being written.

Cause: such a body ends with its connection, and the protocol asked the socket only for a reset that had come by then.

Change: at the end of a success without length the protocol asks how much of the request is unwritten or not acknowledged; a FIN acknowledges what its sender has received. If something is left, the body fails. Errors and redirects are passed on: servers state them early.

--- a/galenahatch/test/standin/upstreams.py
+++ b/galenahatch/test/standin/upstreams.py
@@ -18,7 +18,8 @@
 a reset), `cut-unframed` (the same without a length), `no-answer` (runs, then
 a reset), `extra` (a second answer behind the first), `foreign` (the answer
 to another request), `silent` (runs and says nothing), `early` (answers
-before the body is in), `unread` (never reads the body). For model engines
+before the body is in), `unread` (never reads the body), `early STATUS HOW`
+(as `_answer_early` says). For model engines
 also `no-handle` (the result of a prefill is gone), `mute` (silent in the
 middle of a stream), `stall` and `stall-head` (silent for `stall` seconds in
 the middle of a stream or before its head, and goes on) and `end-inside` (ends
@@ -53,11 +54,15 @@
 HARMFUL: typing.Final = 'bad0'
 STATED: typing.Final = b'the run failed'
 _WITHOUT_BODY: typing.Final = (204, 205, 304)
+EARLY: typing.Final = b'id: 1\ndata: half an answer\n\n'
+"""First part of an answer; it is whole as far as a stream can tell."""
+_MOMENT: typing.Final = 0.01
 _LASTS: typing.Final = 0.03
 """Seconds for which a request that ends its upstream has run by then."""
 _DOWN: typing.Final = 1.0
 """Seconds from such an end to the next start."""
 _RESET: typing.Final = struct.pack('ii', 1, 0)
+_STREAM_LIMIT: typing.Final = 65536
 _NUMBERS: typing.Final = itertools.count(1)
 
 
@@ -113,6 +118,7 @@
         self.padding = 0
         self.unread_limit: float | None = None
         self.is_framed = True
+        self.receive_bytes = 0
         self.orders: list[dict[str, typing.Any]] = []
         self.freed: list[str] = []
         self.handles: set[str] = set()
@@ -129,8 +135,17 @@
 
     async def start(self) -> None:
         """Listen on a free port of the loopback, the same one each time."""
+        listening = socket.socket()
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if self.receive_bytes:
+            listening.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_bytes
+            )
+        listening.bind(('127.0.0.1', self._port))
         self._server = await asyncio.start_server(
-            self._connection, '127.0.0.1', self._port
+            self._connection,
+            sock=listening,
+            limit=self.receive_bytes or _STREAM_LIMIT,
         )
         self._port = self._server.sockets[0].getsockname()[1]
         self.address = f'127.0.0.1:{self._port}'
@@ -237,6 +252,13 @@
             writer.write(self._framed(seen, 200, b'early'))
             await reader.readexactly(length)
             return True
+        is_own = _PREFIX + 'request-id' not in headers
+        if self.faults and self.faults[0][:6] == 'early ' and not is_own:
+            seen = Seen(method, target, headers, b'', ran=True)
+            self.seen.append(seen)
+            return await self._answer_early(
+                seen, self.faults.popleft(), reader, writer
+            )
         if self.faults and self.faults[0] == 'unread':
             self.faults.popleft()
             await asyncio.sleep(60)
@@ -486,6 +508,44 @@
         writer.write('\r\n'.join([*lines, '', '']).encode() + body)
         return 'unframed' not in how
 
+    async def _answer_early(
+        self,
+        seen: Seen,
+        fault: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Answer before the body is read, `early STATUS FRAMING END`.
+
+        Half of the body follows the head. FRAMING is `unframed`, `length` or
+        `chunked`. END is `reset`, `late-reset` (after a moment), `half-reset`
+        (the sending side is closed a moment before) or `half` (the rest of
+        the request is read then).
+        """
+        _, code, framing, how = fault.split(' ')
+        lines = {
+            'unframed': b'Connection: close\r\n',
+            'length': b'Content-Length: %d\r\n' % (2 * len(EARLY)),
+            'chunked': b'Transfer-Encoding: chunked\r\n',
+        }
+        body = _chunk(EARLY) if framing == 'chunked' else EARLY
+        seen.ended = fault
+        writer.write(
+            self._head(seen, int(code)) + lines[framing] + b'\r\n' + body
+        )
+        await writer.drain()
+        if how == 'late-reset':
+            await asyncio.sleep(3 * _MOMENT)
+        if how.startswith('half'):
+            writer.write_eof()
+        if how == 'half-reset':
+            await asyncio.sleep(_MOMENT)
+        if how == 'half':
+            length = int(seen.headers.get('content-length', '0'))
+            await reader.readexactly(length)
+            return False
+        return await _reset(writer)
+
     def _limit_buffers(self, writer: asyncio.StreamWriter) -> None:
         """Buffer little, so that it shows whether a stream is read."""
         if self.unread_limit is None:
--- a/galenahatch/upstream/http.py
+++ b/galenahatch/upstream/http.py
@@ -24,7 +24,6 @@
 import asyncio
 import collections.abc
 import re
-import socket
 import time
 import typing
 
@@ -36,6 +35,7 @@
 from galenahatch import errors
 from galenahatch import timeouts
 from galenahatch.upstream import receiving
+from galenahatch.upstream import sockets
 
 CLIENT_ERRORS: typing.Final = (
     aiohttp.ClientError,
@@ -49,6 +49,7 @@
 _MIN_STATUS: typing.Final = 100
 _MAX_STATUS: typing.Final = 599
 _MIN_FINAL_STATUS: typing.Final = 200
+_FIRST_REDIRECT: typing.Final = 300
 _SWITCHING_PROTOCOLS: typing.Final = 101
 """An interim status after which no answer in HTTP comes."""
 _CODINGS_FORMAT: typing.Final = re.compile(
@@ -106,13 +107,18 @@
 
 
 class Protocol(client_proto.ResponseHandler):
-    """Protocol that never mistakes a connection reset for a regular EOF.
+    """Protocol that never mistakes a broken connection for a regular EOF.
 
     A body of unknown length ends with its connection, but not with a reset.
     When the last bytes and a reset arrive together, the event loop reports
     EOF instead of the reset. The socket still has the pending error, which is
     checked at each EOF.
 
+    A server that stops may close its side first and reset the connection a
+    moment later, since it didn't read the request. So a successful response
+    of unknown length that ends before its whole request has arrived is taken
+    for broken. An error is not: servers answer those early, and close.
+
     It also limits the bytes around a response's body, and the work on them
     (`receiving`). A server in trouble may send interim responses, chunks of
     one byte, extensions of a chunk, trailers or further responses without end.
@@ -124,6 +130,7 @@
         self._turns = receiving.turns(loop)
         self._framing = receiving.Framing()
         self._has_failed = False
+        self._status = 0
 
     @property
     def has_partial_response(self) -> bool:
@@ -159,6 +166,7 @@
         if framing.has_head:
             self._break_off('responses behind a response')
         elif message.code >= _MIN_FINAL_STATUS:
+            self._status = message.code
             framing.begin_body(message.chunked)
         else:
             framing.interim += 1
@@ -227,17 +235,23 @@
         self._resume_reading_for_buffer()
 
     def eof_received(self) -> None:
-        """Fail the body if the EOF is in fact a reset."""
-        pending_error = 0
-        sock = self.transport and self.transport.get_extra_info('socket')
-        if sock:
-            pending_error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        """Fail the body if the EOF is no regular end."""
+        pending_error = sockets.pending_error(self.transport)
         if pending_error:
             self.fail_body(
                 ConnectionResetError(pending_error, 'reset at the end')
             )
+        elif self._is_cut_short():
+            self.fail_body(
+                ConnectionAbortedError('ended before the request was sent')
+            )
         super().eof_received()
 
+    def _is_cut_short(self) -> bool:
+        """Return whether a success ends before its request was received."""
+        is_success = self._status < _FIRST_REDIRECT
+        return is_success and sockets.has_unsent_bytes(self.transport)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a body of unknown length that is ended by a reset."""
         if exc is not None:
