Tests: answers without a status reach no caller

Reported of other systems: an engine in trouble sent an answer whose status was 000, and the client got it. It doesn't happen here, also not for 001, 099, 600 and 999: heads are checked where a connection hands them over. The tests say so now for answers with and without signature, with a length, in chunks and until closed, on all routes, direct and through another gateway, and for results of prefills; before, for 000 and 600 with a length, direct. All pass on the code as it was.

The gateways of test_cut_heads get a retry budget of their own: with the new cases, test_answer_behind_an_answer failed in 2 of 2 runs of the whole module and passed 4 of 4 alone, since failed answers of earlier tests had spent the usual 50 retries; 5 of 5 runs of the module pass. What it asks is as before.

--- a/galenahatch/test/test_cut_heads.py
+++ b/galenahatch/test/test_cut_heads.py
@@ -306,6 +306,13 @@
 _ENDS: typing.Final = (End.CLOSE, End.RESET, End.HALF, End.LATE_RESET)
 _ROUTES: typing.Final = ('/once/', '/often/', *_STREAM_ROUTES)
 _UPSTREAM_ONLY: typing.Final = {'x-galenahatch-response-stamp'}
+_BOUNDS: typing.Final = {
+    'grace_s': 8,
+    'drain_ms': 2000,
+    'lease_ms': 300,
+    'retry_slack': 5000,
+}
+"""Answers that fail in one test take no retry from the next one."""
 _MEMBERS: typing.Final = (
     *(('desk', ''),) * 4,
     *(('model', 'prefill'),) * 4,
@@ -319,6 +326,8 @@
     for entry in config['services']:
         entry['max_conns'] = 1000
     found = fleets.Fleet(vms, (), config, in_order=True)
+    for vm in found.vms:
+        vm.write_settings(bounds=_BOUNDS)
     for member in _MEMBERS:
         upstream = Upstream(*member)
         found.call(upstream.start())
@@ -415,6 +424,32 @@
 def test_malformed_answers(fleet: fleets.Fleet, route: str, how: End) -> None:
     """Each is whole, replaced by a second one, or a failure."""
     found = _ANSWERS[route in _STREAM_ROUTES]
+    _check_malformed(fleet, route, how, found)
+
+
+# Guards against answers whose status is none, such as 000 of an upstream in
+# trouble, that another gateway passes on.
+@pytest.mark.parametrize('route', _ROUTES)
+def test_relayed_answer_without_a_status(
+    partitioned: fleets.Fleet, route: str
+) -> None:
+    """Each is replaced by a second one, or a failure."""
+    found = {
+        title: case
+        for title, case in _ANSWERS[route in _STREAM_ROUTES].items()
+        if title.startswith('status ')
+    }
+    assert len(found) > 8
+    _check_malformed(partitioned, route, End.CLOSE, found)
+
+
+def _check_malformed(
+    fleet: fleets.Fleet,
+    route: str,
+    how: End,
+    found: dict[str, tuple[str, str]],
+) -> None:
+    """Assert that each answer of the file is treated as it says."""
     plans = [Plan(route, answer, 4096, how) for answer, _ in found.values()]
     results = ask_all(fleet.vms[0], plans)
     wrong = []
@@ -426,6 +461,22 @@
     assert not wrong
 
 
+# Guards against prefills whose status is none and whose result is used.
+@pytest.mark.parametrize('status', ['000', '099', '600', '999'])
+def test_prefill_result_without_a_status(
+    fleet: fleets.Fleet, status: str
+) -> None:
+    """The stream is whole or fails."""
+    result = '{"kv_handle": "handle", "tokens": 1000, "version":1}'
+    answer = _START.replace('200', status)
+    answer += f'Content-Length: {len(result)}\r\n\r\n{result}'
+    plan = Plan('/say/', answer, 4096, End.CLOSE, is_prefill=True)
+    fleet.start_upstreams_again()
+    (data,) = ask_all(fleet.vms[0], [plan])
+    check(plan, data)
+    assert plan.was_sent
+
+
 def _keep(
     fleet: fleets.Fleet, behind: collections.abc.Iterable[tuple[bytes, bytes]]
 ) -> None:
