A poll of the store ends before its gateway counts as in touch again

Cause: a long poll waits for 3.0 s and may take 0.7 s beyond, longer than the 3.0 s (contact_ms) after which a gateway is to know changes again; nothing else ends it, and a change lets the polls of all gateways begin together. Evidence: the time by which the case is late is that of the poll, and shorter polls end it.

Change: a poll waits for what contact_ms leaves after the margin of a call, a retry, a read, and a heartbeat where other gateways learn from this one (over eight gateways, two poll for all). A call without an answer closes the idle connections to the store, of which its retry could take a silent one.

--- a/galenahatch/gateway/directory.py
+++ b/galenahatch/gateway/directory.py
@@ -63,7 +63,9 @@
         drain: float,
         heartbeat: float = entries_module.HEARTBEAT_INTERVAL_S,
         fair_queuing: bool = False,
+        contact: float = 3.0,
     ) -> None:
+        self._contact = contact
         self._fair_queuing = fair_queuing
         self._tasks = background
         self._change_listeners: list[collections.abc.Callable[[], None]] = []
@@ -79,6 +81,7 @@
             collections.abc.Callable[[ids.UpstreamId], None]
         ] = []
         self.fed_by_peers: collections.abc.Callable[[], bool] = lambda: False
+        self.feeds_peers: collections.abc.Callable[[], bool] = lambda: False
         self.outage = followers.Outage()
         self._config_feed = followers.Follower(
             store,
@@ -87,6 +90,7 @@
             self._apply_config_rows,
             self._apply_config_rows,
             is_idle=lambda: self.ready and self.fed_by_peers(),
+            poll_wait=self._poll_wait,
         )
         self._upstream_feed = followers.Follower(
             store,
@@ -95,8 +99,12 @@
             self.entries.replace_all,
             self.entries.apply_changes,
             is_idle=lambda: self.ready and self.fed_by_peers(),
+            poll_wait=self._poll_wait,
         )
 
+    def _poll_wait(self) -> float:
+        return followers.poll_wait(self._contact, self.feeds_peers())
+
     @property
     def ready(self) -> bool:
         """Whether requests can be routed."""
--- a/galenahatch/gateway/follower.py
+++ b/galenahatch/gateway/follower.py
@@ -39,10 +39,16 @@
 from galenahatch.platform import store as stores
 
 LONG_POLL_S: typing.Final = 3.0
-"""Seconds that a long poll waits for changes. A longer wait needs fewer
+"""Most seconds that a long poll waits for changes. A longer wait needs fewer
 calls, which are charged, but a call that was pending when the store went
 silent ends only after it, and a change must be in force about five seconds
 after the store recovers."""
+_MIN_POLL_S: typing.Final = 0.5
+_READ_S: typing.Final = 0.2
+"""Seconds for a read over a new connection, with a margin."""
+_PEERS_S: typing.Final = 0.6
+"""Seconds until peers know a change: a heartbeat tells that there is one, and
+they ask for it."""
 _MIN_RETRY_DELAY_S: typing.Final = 0.15
 MAX_RETRY_DELAY_S: typing.Final = 0.8
 """Longest delay between retries while the store fails. Refused calls are
@@ -59,6 +65,24 @@
 
 _JITTER_RANGE: typing.Final = (0.7, 1.3)
 
+
+def poll_wait(contact: float, has_readers: bool) -> float:
+    """Return the seconds that a poll waits, so that its silence shows in time.
+
+    A connection may go silent for good, without an error. A poll that waits on
+    it hears of no change, and only its own time limit ends it.
+
+    Args:
+        contact: Seconds after which the changes of that time are to be known.
+        has_readers: Whether peers learn of them from this gateway.
+    """
+    retry = _MIN_RETRY_DELAY_S * _JITTER_RANGE[1]
+    spent = stores.FEED_MARGIN_S + retry + _READ_S
+    if has_readers:
+        spent += _PEERS_S
+    return min(LONG_POLL_S, max(_MIN_POLL_S, contact - spent))
+
+
 RowsCallback = collections.abc.Callable[
     [list[stores.Row], versions.Version], None
 ]
@@ -145,6 +169,7 @@
         on_changed_rows: Callback with the rows that changed.
         batch_delay: Seconds to wait before the next call after changes.
         is_idle: Whether peers deliver the changes, so that no call is needed.
+        poll_wait: Returns the seconds that a poll waits for changes.
 
     Attributes:
         currency: As of when the table is known.
@@ -159,7 +184,9 @@
         on_changed_rows: RowsCallback,
         batch_delay: float = BATCH_DELAY_S,
         is_idle: collections.abc.Callable[[], bool] = lambda: False,
+        poll_wait: collections.abc.Callable[[], float] = lambda: LONG_POLL_S,
     ) -> None:
+        self._poll_wait = poll_wait
         self._batch_delay = batch_delay
         self._is_idle = is_idle
         self._store = store
@@ -195,7 +222,7 @@
         if self._version == versions.OLDEST:
             return await self._read_all()
         # After a failure, probe the store with a call that returns at once.
-        wait = 0.0 if self._is_failing else LONG_POLL_S
+        wait = 0.0 if self._is_failing else self._poll_wait()
         after = self._version.number
         result = await self._store.changes(self._table, after, wait)
         if isinstance(result, errors.Failure):
--- a/galenahatch/gateway/mesh.py
+++ b/galenahatch/gateway/mesh.py
@@ -86,8 +86,7 @@
         self._guard, self._accounts = exchanges.guard, exchanges.accounts
         self._rate_limits, self._loads = exchanges.rate_limits, exchanges.loads
         self._notices, self._repeats = exchanges.notices, exchanges.repeats
-        self._handler = handler
-        self._tasks = background
+        self._handler, self._tasks = handler, background
         self._incarnation = clock.random_incarnation()
         self._roster = rosters.Roster(
             store,
@@ -120,6 +119,7 @@
     def _connect_exchanges(self) -> None:
         """Give the exchanging components access to the other gateways."""
         self._directory.fed_by_peers = self._roster.fed_by_peers
+        self._directory.feeds_peers = self._roster.feeds_peers
         self._guard.announce = self._announce
         self._accounts.on_usage = lambda used: self.tell_owner(
             messages.QuotaUsage(used)
--- a/galenahatch/gateway/node.py
+++ b/galenahatch/gateway/node.py
@@ -114,7 +114,7 @@
         _log.info('Listening.', vm=self._settings.name, front=front)
 
     def _open(self) -> None:
-        settings = self._settings
+        settings, bounds = self._settings, self._settings.bounds
         self._client = aiohttp.ClientSession(
             connector=http.Connector(
                 limit=0, socket_factory=sessions.create_socket
@@ -125,15 +125,15 @@
         self._directory = directories.Directory(
             self._store,
             self._background_tasks,
-            settings.bounds.drain,
+            bounds.drain,
             settings.heartbeat,
             settings.features.fair_queuing,
+            bounds.contact,
         )
         self._load_reports = loadreports.Loads()
         self._rate_limits = ratelimits.RateLimits()
         self._notices = notices.Notices(self._directory)
         self._open_senders()
-        bounds = settings.bounds
         self._local_retry_budget = retrybudget.LocalBudget(
             bounds.retry_ratio, bounds.retry_reserve, bounds.retry_window
         )
--- a/galenahatch/gateway/roster.py
+++ b/galenahatch/gateway/roster.py
@@ -158,6 +158,10 @@
 
     # Feeds.
 
+    def feeds_peers(self) -> bool:
+        """Return whether others learn of changes from those that read them."""
+        return len(self.members.by_name) > _SMALL_DEPLOYMENT
+
     def fed_by_peers(self) -> bool:
         """Return whether others follow the store for this gateway.
 
@@ -167,10 +171,7 @@
         """
         now = clock.now()
         candidates = self.members.by_rank()[:OWNER_CANDIDATES]
-        if (
-            self._own_id in candidates
-            or len(self.members.by_name) <= _SMALL_DEPLOYMENT
-        ):
+        if self._own_id in candidates or not self.feeds_peers():
             return False
         return any(
             self.members.is_live(name, now)
--- a/galenahatch/gateway/settings.py
+++ b/galenahatch/gateway/settings.py
@@ -47,6 +47,8 @@
         retry_window: Length of that window.
         lease: Lifetime of the lease on orders, and the interval required
             between orders of two holders.
+        contact: Time after a disruption of connections by which a gateway
+            knows again what has changed.
         quota: Limits on the overshoot of customers' quotas.
     """
 
@@ -56,6 +58,7 @@
     retry_reserve: float = 50.0
     retry_window: float = 10.0
     lease: float = 3.0
+    contact: float = 3.0
     quota: quotas.Bound = quotas.Bound()
 
 
--- a/galenahatch/platform/deployment.py
+++ b/galenahatch/platform/deployment.py
@@ -55,6 +55,7 @@
     retry_slack: _Amount = 50.0
     budget_window_s: bounds.Seconds = 10.0
     lease_ms: bounds.Milliseconds = 3000.0
+    contact_ms: bounds.Milliseconds = 3000.0
     quota_window_s: bounds.Seconds = 10.0
     quota_overshoot: _Amount = 0.1
     quota_slack: _Amount = 0.0
@@ -158,6 +159,7 @@
         retry_reserve=raw.retry_slack,
         retry_window=raw.budget_window_s,
         lease=raw.lease_ms / 1000,
+        contact=raw.contact_ms / 1000,
         quota=quotas.Bound(
             raw.quota_window_s, raw.quota_overshoot, raw.quota_slack
         ),
--- a/galenahatch/platform/store.py
+++ b/galenahatch/platform/store.py
@@ -42,7 +42,7 @@
 responses within a few ms; after this time the response is lost or the store
 is unavailable."""
 _NO_TIMEOUT: typing.Final = aiohttp.ClientTimeout(total=None)
-_FEED_MARGIN_S: typing.Final = 0.7
+FEED_MARGIN_S: typing.Final = 0.7
 """Seconds that a feed call may take beyond the wait that it requested."""
 _MAX_RESPONSE_BYTES: typing.Final = 16 * 1024 * 1024
 _MAX_PAGES: typing.Final = 64
@@ -205,7 +205,7 @@
             'after': str(after),
             'wait_ms': str(int(wait * 1000)),
         }
-        return await self._read('rows-feed', query, wait + _FEED_MARGIN_S)
+        return await self._read('rows-feed', query, wait + FEED_MARGIN_S)
 
     async def transact(
         self,
@@ -275,7 +275,11 @@
                 if isinstance(data, errors.Failure):
                     detail = f'response over {_MAX_RESPONSE_BYTES} bytes'
                     return errors.Failure(errors.STORE_UNAVAILABLE, detail)
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+        except asyncio.TimeoutError as error:
+            # Others of its connections may have gone silent with this one.
+            http.close_idle(self._client)
+            return errors.Failure(errors.STORE_UNAVAILABLE, repr(error))
+        except (aiohttp.ClientError, OSError) as error:
             detail = f'{type(error).__name__} {error}'
             return errors.Failure(errors.STORE_UNAVAILABLE, detail)
         era = self.eras.observe(response.headers.getall(eras.HEADER, ()))
--- a/galenahatch/upstream/http.py
+++ b/galenahatch/upstream/http.py
@@ -300,6 +300,13 @@
         loop = self._loop
         self._factory = lambda: Protocol(loop)  # type: ignore
 
+    def close_idle(self) -> None:
+        """Close the connections that no request uses."""
+        for pooled in self._conns.values():
+            for protocol, _ in pooled:
+                protocol.close()
+        self._conns.clear()
+
     async def _wrap_create_connection(
         self,
         *args: typing.Any,
@@ -386,6 +393,12 @@
     )
 
 
+def close_idle(client: aiohttp.ClientSession) -> None:
+    """Close the connections of a session that no request uses."""
+    if isinstance(client.connector, Connector):
+        client.connector.close_idle()
+
+
 def send_failure(error: BaseException) -> errors.Failure:
     """Return the failure for an exception raised by a send."""
     detail = f'{type(error).__name__} {error}'
