A silent run is held until its replacement has begun

Cause: the silent run was ended 0.3 s after its replacement had been sent, though the new engine was silent too and rejected it in the end, with the retry budget spent.

Change: it is held until the head of the replacement has come, and read ahead meanwhile; if it goes on first, the replacement is ended and not counted against its engine. So one of two runs is closed as soon as either is heard.

--- a/galenahatch/gateway/generation.py
+++ b/galenahatch/gateway/generation.py
@@ -295,7 +295,7 @@
     async def _resume_held(self, held: heldruns.Run) -> Result:
         """Read a silent run on; a prompt read for its replacement is stale."""
         self._prefill.delete_unused()
-        heldruns.log_rejection(self._call.id, held.engine.id)
+        heldruns.log_resumption(self._call.id, held)
         self._sends.resume()
         self._decode_engine = held.engine.id
         self._send_fate = fate.Fate.ANSWERED
@@ -331,9 +331,12 @@
                 timeout=time_left,
                 connect_timeout=_CONNECT_TIMEOUT_S,
                 use_pool=False,
+                abandonment=self._held.abandonment,
             )
         if isinstance(response, sendresults.FailedSend):
             self._send_fate = response.fate
+            if self._held.goes_on:
+                return prefill.Retry(engine.id, 'silent run goes on')
             return self._runs.failed(engine, response, self._prefill)
         self._send_fate = fate.Fate.ANSWERED
         self._prefill.mark_fetched()
--- a/galenahatch/gateway/heldruns.py
+++ b/galenahatch/gateway/heldruns.py
@@ -13,25 +13,26 @@
 
 """Keeps a silent run until its replacement has begun.
 
-An engine may reject the request that is to replace a silent run elsewhere. So
-the connection of the silent run stays open until the head of the replacement
-has come: if it is rejected instead, the silent run is read on. That lasts for
-a fraction of a second at most, so that two runs hardly overlap. Its placement
-is released when it has ended, as it uses its engine until then.
+An engine may reject the request that is to replace a silent run elsewhere, or
+be silent itself: what silenced the first engine may concern all of them. So
+the silent run stays open until the head of the replacement has come, which
+ends it. If the silent run goes on before that, the replacement is ended; it is
+also read on if the replacement fails. So two runs work on a stream for a
+moment at most. The placement of a silent run is released when it has ended, as
+it uses its engine until then.
 """
 
+import asyncio
 import collections.abc
+import functools
 import typing
 
 from galenahatch.core import upstreams
+from galenahatch.gateway import inflight
 from galenahatch.gateway import messages
 from galenahatch.gateway import sendresults
-from galenahatch import ids
 from galenahatch import logs
-from galenahatch import timeouts
 
-_MAX_OVERLAP_S: typing.Final = 0.3
-"""Seconds for which two engines may work on one stream."""
 _MIN_PAUSE_S: typing.Final = 0.3
 """Seconds from a second rejection in a row to the next search. Each search
 has a prompt read again, so the pause doubles with each rejection: their number
@@ -60,7 +61,7 @@
         self._release_now = release
         self._run: Run | None = None
         self._release: messages.Release | None = None
-        self._timer: timeouts.Timer | None = None
+        self._abandonment: inflight.Abandonment | None = None
         self._rejections = 0
         self._events = -1
 
@@ -79,11 +80,34 @@
             return 0.0
         return _MIN_PAUSE_S * 2.0 ** (self._rejections - 2)
 
+    @property
+    def abandonment(self) -> inflight.Abandonment | None:
+        """Ends the wait for a replacement if the run goes on."""
+        return self._abandonment
+
+    @property
+    def goes_on(self) -> bool:
+        """Whether the run is silent no longer."""
+        return self._run is not None and self._run.response.has_read_ahead
+
     def hold(self, run: Run) -> None:
-        """Keep a run open for a moment."""
+        """Keep a run open until its replacement has begun."""
         self.end()
         self._run = run
-        self._timer = timeouts.Timer(self.end, _MAX_OVERLAP_S)
+        self._abandonment = inflight.Abandonment()
+        reading = run.response.read_ahead()
+        reading.add_done_callback(functools.partial(self._end_silence, run))
+
+    def _end_silence(
+        self, run: Run, reading: asyncio.Task[bytes | sendresults.FailedSend]
+    ) -> None:
+        """Prefer a run that goes on to its replacement; drop a broken one."""
+        if self._run is not run or reading.cancelled():
+            return
+        if isinstance(reading.result(), sendresults.FailedSend):
+            self.end()
+        elif self._abandonment is not None:
+            self._abandonment.request()
 
     def release(self, release: messages.Release) -> None:
         """Release a placement, once its run is held no longer."""
@@ -95,8 +119,7 @@
     def take(self) -> Run | None:
         """Return the run, to be read on and released; None if it has ended."""
         run, self._run = self._run, None
-        self._release = None
-        self._stop_timer()
+        self._release = self._abandonment = None
         return run
 
     def end(self) -> None:
@@ -108,12 +131,10 @@
         if release is not None:
             self._release_now(release)
 
-    def _stop_timer(self) -> None:
-        timer, self._timer = self._timer, None
-        if timer is not None:
-            timer.cancel()
-
 
-def log_rejection(request: str, engine: ids.UpstreamId) -> None:
-    """Log that a silent run is read on."""
-    _log.info('Replacement rejected.', request=request, engine=engine)
+def log_resumption(request: str, run: Run) -> None:
+    """Log that a silent run is read on, and why."""
+    text = 'Replacement rejected.'
+    if run.response.has_read_ahead:
+        text = 'Silent run goes on.'
+    _log.info(text, request=request, engine=run.engine.id)
--- a/galenahatch/gateway/sendresults.py
+++ b/galenahatch/gateway/sendresults.py
@@ -120,6 +120,7 @@
         self._response = response
         self._upstream = upstream
         self._waits = waits
+        self._ahead: asyncio.Task[bytes | FailedSend] | None = None
         self.lacks_memory = False
 
     async def body(
@@ -208,6 +209,16 @@
         Args:
             timeout: Seconds of silence after which the read fails.
         """
+        ahead = self._ahead
+        if ahead is None:
+            return await self._read(timeout)
+        done, _ = await asyncio.wait((ahead,), timeout=timeout)
+        if not done:
+            return FailedSend(fate.Fate.UNCERTAIN, 'silent', cause=self._cause)
+        self._ahead = None
+        return ahead.result()
+
+    async def _read(self, timeout: float | None) -> bytes | FailedSend:
         try:
             async with self._waits.limit(self._upstream, timeout):
                 return await self._response.content.readany()
@@ -216,6 +227,17 @@
         except http.CLIENT_ERRORS as error:
             return self.broken(f'{type(error).__name__} {error}')
 
+    def read_ahead(self) -> 'asyncio.Task[bytes | FailedSend]':
+        """Return a read in progress, whose result the next read returns."""
+        if self._ahead is None:
+            self._ahead = asyncio.create_task(self._read(None))
+        return self._ahead
+
+    @property
+    def has_read_ahead(self) -> bool:
+        """Whether the next read returns without waiting."""
+        return self._ahead is not None and self._ahead.done()
+
     def broken(self, detail: str) -> FailedSend:
         """Return the failure of a response whose connection broke."""
         return FailedSend(
@@ -224,4 +246,6 @@
 
     def close(self) -> None:
         """Close the connection, which makes the upstream abort its work."""
+        if self._ahead is not None:
+            self._ahead.cancel()
         self._response.close()
