--- a/galenahatch/gateway/decoderequests.py
+++ b/galenahatch/gateway/decoderequests.py
@@ -51,7 +51,7 @@
 
 
 class Runs:
-    """Failures of the runs of one request.
+    """What follows from the runs of one request that don't complete it.
 
     Args:
         sender: Sends requests to engines.
@@ -158,7 +158,7 @@
         )
         if use is runresponses.Use.STREAM:
             return None
-        result = await read_other(response, engine, self._deadline, use)
+        result = await read_answer(response, engine, self._deadline, use)
         if isinstance(result, prefills.Retry):
             failure = sendresults.FailedSend(fate.Fate.ANSWERED, result.detail)
             self._log('Run failed with a response.', engine, failure)
@@ -180,15 +180,16 @@
         )
 
 
-async def read_other(
+async def read_answer(
     response: sendresults.Response,
     engine: upstreams.Upstream,
     deadline: float,
     use: runresponses.Use,
 ) -> contexts.CompleteAnswer | prefills.Retry:
-    """Return an answer that is no stream, or how to go on without one.
+    """Return a response that is no stream, or how to go on without it.
 
-    An engine isn't at fault for an answer that found no memory here.
+    A response of which nothing is used isn't read. An engine isn't at fault
+    for an answer that found no memory here.
     """
     head = response.head
     at_fault: tuple[ids.UpstreamId, ...] = (engine.id,)
--- a/galenahatch/gateway/directory.py
+++ b/galenahatch/gateway/directory.py
@@ -54,6 +54,8 @@
         heartbeat: Seconds between two writes of an upstream's entry.
         fair_queuing: Whether customers share engines also without explicit
             weights.
+        contact: Seconds after a disruption of connections by which changes
+            are known again.
     """
 
     def __init__(
@@ -103,6 +105,7 @@
         )
 
     def _poll_wait(self) -> float:
+        """Return the seconds that a poll of a feed waits for changes."""
         return followers.poll_wait(self._contact, self.feeds_peers())
 
     @property
--- a/galenahatch/gateway/follower.py
+++ b/galenahatch/gateway/follower.py
@@ -66,19 +66,19 @@
 _JITTER_RANGE: typing.Final = (0.7, 1.3)
 
 
-def poll_wait(contact: float, has_readers: bool) -> float:
+def poll_wait(contact: float, feeds_peers: bool) -> float:
     """Return the seconds that a poll waits, so that its silence shows in time.
 
     A connection may go silent for good, without an error. A poll that waits on
     it hears of no change, and only its own time limit ends it.
 
     Args:
-        contact: Seconds after which the changes of that time are to be known.
-        has_readers: Whether peers learn of them from this gateway.
+        contact: Seconds of silence after which changes are to be known.
+        feeds_peers: Whether peers learn of them from this gateway.
     """
     retry = _MIN_RETRY_DELAY_S * _JITTER_RANGE[1]
     spent = stores.FEED_MARGIN_S + retry + _READ_S
-    if has_readers:
+    if feeds_peers:
         spent += _PEERS_S
     return min(LONG_POLL_S, max(_MIN_POLL_S, contact - spent))
 
--- a/galenahatch/gateway/sendresults.py
+++ b/galenahatch/gateway/sendresults.py
@@ -209,11 +209,13 @@
         Args:
             timeout: Seconds of silence after which the read fails.
         """
-        ahead = self._ahead
-        if ahead is None:
+        if self._ahead is None:
             return await self._read(timeout)
-        done, _ = await asyncio.wait((ahead,), timeout=timeout)
-        if not done:
+        ahead = self._ahead
+        try:
+            async with self._waits.limit(self._upstream, timeout):
+                await asyncio.wait((ahead,))
+        except asyncio.TimeoutError:
             return FailedSend(fate.Fate.UNCERTAIN, 'silent', cause=self._cause)
         self._ahead = None
         return ahead.result()
--- a/galenahatch/test/test_answer_memory.py
+++ b/galenahatch/test/test_answer_memory.py
@@ -312,7 +312,7 @@
             (runresponses.Use.ANSWER, blamed),
             (runresponses.Use.NOTHING, (engine.id,)),
         ):
-            retry = await decoderequests.read_other(
+            retry = await decoderequests.read_answer(
                 response(400), engine, 1.0, use
             )
             assert isinstance(retry, prefills.Retry)
